feat: workspace of small packages with the shared model

Cause: nothing exists yet; every package needs the same keys, tables, units and time stamp, and every measuring program the same lines.

--- /dev/null
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -0,0 +1,45 @@
+//! Runs one measurement by name: `measure NAME [--seed N]`.
+//!
+//! Each measurement prints one line a figure, `figure value unit target`; the program exits
+//! non-zero where a stated target is missed.
+
+use bpaf::Bpaf;
+use dahliawood_testkit::figures;
+use std::process;
+
+/// Arguments of the measuring program.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct MeasureArgs {
+    /// Seed of everything that is drawn at random
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Which measurement to run
+    #[bpaf(positional("NAME"))]
+    name: String,
+}
+
+/// A measurement: its name and what runs it.
+type MeasureEntry = (&'static str, fn(u64, &mut figures::FigureReport));
+
+/// All measurements, one line each.
+const MEASUREMENTS: &[MeasureEntry] = &[];
+
+fn main() {
+    let args = measure_args().run();
+    let Some((_, run)) = MEASUREMENTS.iter().find(|(name, _)| *name == args.name) else {
+        let names: Vec<_> = MEASUREMENTS.iter().map(|(name, _)| *name).collect();
+        eprintln!(
+            "no measurement is called {:?}; there are: {}",
+            args.name,
+            names.join(", ")
+        );
+        process::exit(2);
+    };
+    let mut report = figures::FigureReport::default();
+    run(args.seed, &mut report);
+    if !report.missed().is_empty() {
+        eprintln!("missed: {}", report.missed().join(", "));
+        process::exit(1);
+    }
+}
