--- /dev/null
+++ b/dahliawood-quota/src/book/mod.rs
@@ -0,0 +1,394 @@
+//! The facade: every limit of one VM behind one value.
+//!
+//! Traffic threads call [`QuotaBook::admit`] and [`QuotaBook::release`] under a short lock. The
+//! control thread calls [`QuotaBook::tick`], at best every 10 ms and soon after an admission that
+//! waits, and passes in what arrives; it carries out the effects that it gets.
+
+pub mod effect;
+mod state;
+
+use crate::shares::{document, evidence, holder, plan};
+use crate::{amount, home, limit, member, message, options};
+use dahliawood_model::stamp;
+
+/// All limits of one VM.
+#[derive(Clone, Debug)]
+pub struct QuotaBook {
+    spans: options::QuotaOptions,
+    table: limit::LimitTable,
+    specs: Vec<limit::LimitSpec>,
+    revision: u64,
+    states: Vec<state::LimitState>,
+    holder: holder::ShareHolder,
+    evidence: evidence::LiveEvidence,
+    last_ticket: u64,
+    last_serial: u64,
+    effects: Vec<effect::QuotaEffect>,
+}
+
+impl QuotaBook {
+    /// The book of a VM that starts at `now` and knows no limit.
+    pub fn new(
+        me: member::MemberEntry,
+        spans: options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> Self {
+        Self {
+            spans,
+            table: limit::LimitTable::default(),
+            specs: Vec::new(),
+            revision: 0,
+            states: Vec::new(),
+            evidence: evidence::LiveEvidence::new(me.id, now),
+            holder: holder::ShareHolder::new(me),
+            last_ticket: 0,
+            last_serial: 0,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes the limits of a configuration revision; an older revision than the last is ignored.
+    pub fn configure(
+        &mut self,
+        revision: u64,
+        specs: Vec<limit::LimitSpec>,
+        now: stamp::TimeStamp,
+    ) {
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
+        self.table.revise(specs.clone());
+        self.specs = specs;
+        for (key, spec) in self.table.iter() {
+            match self.states.get_mut(key.index()) {
+                Some(state) => state.set_terms(spec.terms),
+                None => self.states.push(state::LimitState::new(key, spec, now)),
+            }
+        }
+        self.apply_document(now);
+    }
+
+    /// The key of a limit's name; it stays the same over all revisions.
+    pub fn limit(&self, name: &str) -> Option<limit::LimitKey> {
+        self.table.key(name)
+    }
+
+    /// Takes one unit of a limit (a request of a customer, a slot) or lets the request wait.
+    pub fn admit(
+        &mut self,
+        limit: limit::LimitKey,
+        deadline: stamp::TimeStamp,
+        now: stamp::TimeStamp,
+    ) -> effect::Admission {
+        self.admit_amount(limit, amount::TokenAmount::ONE, deadline, now)
+    }
+
+    /// Takes `amount` of a limit, such as bytes of a link; a count gives one unit, whatever the
+    /// amount.
+    pub fn admit_amount(
+        &mut self,
+        limit: limit::LimitKey,
+        amount: amount::TokenAmount,
+        deadline: stamp::TimeStamp,
+        now: stamp::TimeStamp,
+    ) -> effect::Admission {
+        self.last_ticket += 1;
+        let ticket = effect::WaitTicket(self.last_ticket);
+        let is_active = self.is_active(now);
+        let context = state::StateContext {
+            spans: &self.spans,
+            is_active,
+            now,
+        };
+        self.states[limit.index()].admit(ticket, amount, deadline, context)
+    }
+
+    /// Ends the use of a slot; for a rate limit this does nothing.
+    pub fn release(&mut self, permit: effect::QuotaPermit, now: stamp::TimeStamp) {
+        self.states[permit.limit.index()].release(permit.source);
+        self.serve(permit.limit, now);
+    }
+
+    /// Removes a waiting request, for instance when its caller has gone.
+    pub fn cancel(&mut self, limit: limit::LimitKey, ticket: effect::WaitTicket) {
+        self.states[limit.index()].cancel(ticket);
+    }
+
+    /// The homes of a limit for a caller of `region`, nearest first; empty before the first read.
+    pub fn homes(&self, limit: limit::LimitKey, region: &str) -> Vec<member::HolderId> {
+        let spec = self.table.spec(limit);
+        let tag = limit::LimitTag::of(&spec.name);
+        let members = &self.holder.document().members;
+        let homes = home::home_vms(tag, &spec.homes, members);
+        let homes = home::near_first(homes, region);
+        homes.into_iter().map(|home| home.id).collect()
+    }
+
+    /// What this VM holds of a limit by the share document: rate, burst and level now.
+    pub fn share(&self, limit: limit::LimitKey) -> &crate::bucket::TokenBucket {
+        self.states[limit.index()].bucket()
+    }
+
+    /// Whether this VM may use its shares at `now`; it may use loans in any case.
+    pub fn is_active(&mut self, now: stamp::TimeStamp) -> bool {
+        self.holder.set_epoch(self.evidence.epoch(&self.spans, now));
+        self.evidence.is_proven(&self.spans, now) && self.holder.is_confirmed()
+    }
+
+    /// The newest share document read.
+    pub fn document(&self) -> &document::ShareDocument {
+        self.holder.document()
+    }
+
+    /// Starts a planned stop.
+    pub fn leave(&mut self) {
+        self.holder.leave();
+    }
+
+    /// Whether a planned stop has given up all shares.
+    pub fn is_released(&self) -> bool {
+        self.holder.is_released()
+    }
+
+    /// Takes the live list, read from `read_at` on.
+    pub fn live_list(
+        &mut self,
+        list: &[member::HolderId],
+        read_at: stamp::TimeStamp,
+        now: stamp::TimeStamp,
+    ) {
+        let members = &self.holder.document().members;
+        self.evidence
+            .read_live_list(list, members, &self.spans, read_at, now);
+    }
+
+    /// Takes the share document as read from the store; `None` where there is none.
+    pub fn share_read(
+        &mut self,
+        document: Option<document::ShareDocument>,
+        version: document::ShareVersion,
+        now: stamp::TimeStamp,
+    ) {
+        if self.holder.take_read(document, version, now) {
+            self.apply_document(now);
+        }
+    }
+
+    /// Takes what became of the [`effect::QuotaEffect::WriteShares`] with this serial.
+    pub fn share_written(
+        &mut self,
+        serial: u64,
+        outcome: holder::WriteOutcome,
+        now: stamp::TimeStamp,
+    ) {
+        if self.holder.take_outcome(serial, outcome, now) {
+            self.apply_document(now);
+        }
+    }
+
+    fn apply_document(&mut self, now: stamp::TimeStamp) {
+        let me = self.holder.me().id;
+        let may_raise = self.holder.may_raise();
+        let document = self.holder.document();
+        for (key, spec) in self.table.iter() {
+            let entry = document.limit(&spec.name);
+            let grant = entry.and_then(|entry| entry.grant(me));
+            let lenders = entry.map(|entry| lenders(entry, &document.members, me));
+            let lenders = lenders.unwrap_or_default();
+            self.states[key.index()].apply(grant, lenders, may_raise, now);
+        }
+    }
+
+    /// Takes a message of a peer and returns what to do about it.
+    pub fn receive(
+        &mut self,
+        from: member::HolderId,
+        message: message::QuotaMessage,
+        now: stamp::TimeStamp,
+    ) -> Vec<effect::QuotaEffect> {
+        self.evidence.hear(from, now);
+        match message {
+            message::QuotaMessage::Ask(ask) => self.take_ask(from, ask, now),
+            message::QuotaMessage::Grant(grant) => self.take_grant(from, &grant, now),
+            message::QuotaMessage::Report(report) => self.take_report(from, report, now),
+            message::QuotaMessage::Probe(probe) => self.take_probe(from, probe, now),
+            message::QuotaMessage::Echo(echo) => self.take_echo(from, echo, now),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn take_ask(&mut self, from: member::HolderId, ask: message::LoanAsk, now: stamp::TimeStamp) {
+        let Some(key) = self.table.by_tag(ask.tag) else {
+            return;
+        };
+        let is_active = self.is_active(now);
+        let context = state::StateContext {
+            spans: &self.spans,
+            is_active,
+            now,
+        };
+        let grant = self.states[key.index()].lend(from, ask, context);
+        self.send(from, grant);
+    }
+
+    fn take_grant(
+        &mut self,
+        from: member::HolderId,
+        grant: &message::LoanGrant,
+        now: stamp::TimeStamp,
+    ) {
+        if let Some(key) = self.table.by_tag(grant.tag) {
+            self.states[key.index()].take_grant(from, grant, now);
+            self.serve(key, now);
+            self.borrow(key, now);
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        from: member::HolderId,
+        report: message::LoanReport,
+        now: stamp::TimeStamp,
+    ) {
+        if let Some(key) = self.table.by_tag(report.tag) {
+            self.states[key.index()].take_report(from, report, now);
+        }
+    }
+
+    fn take_probe(
+        &mut self,
+        from: member::HolderId,
+        probe: message::PeerProbe,
+        now: stamp::TimeStamp,
+    ) {
+        if let Some(echo) = self.evidence.answer(from, probe, &self.spans, now) {
+            self.send(from, echo);
+        }
+    }
+
+    fn take_echo(
+        &mut self,
+        from: member::HolderId,
+        echo: message::PeerEcho,
+        now: stamp::TimeStamp,
+    ) {
+        let members = &self.holder.document().members;
+        self.evidence
+            .take_echo(from, echo, members, &self.spans, now);
+    }
+
+    /// Runs one step of everything and returns what to do.
+    pub fn tick(&mut self, now: stamp::TimeStamp) -> Vec<effect::QuotaEffect> {
+        for index in 0..self.states.len() {
+            let key = limit::LimitKey(index as u32);
+            self.step(key, now);
+        }
+        self.probe_peers(now);
+        self.step_shares(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    fn step(&mut self, key: limit::LimitKey, now: stamp::TimeStamp) {
+        let is_active = self.is_active(now);
+        let context = state::StateContext {
+            spans: &self.spans,
+            is_active,
+            now,
+        };
+        let state = &mut self.states[key.index()];
+        state.expire(context);
+        for due in state.reports(context) {
+            self.effects.push(send_effect(due.lender, due.report));
+        }
+        self.serve(key, now);
+        self.borrow(key, now);
+    }
+
+    fn serve(&mut self, key: limit::LimitKey, now: stamp::TimeStamp) {
+        let is_active = self.is_active(now);
+        let context = state::StateContext {
+            spans: &self.spans,
+            is_active,
+            now,
+        };
+        for resolved in self.states[key.index()].serve(context) {
+            self.effects.push(effect::QuotaEffect::Resolved {
+                ticket: resolved.ticket,
+                admission: resolved.admission,
+            });
+        }
+    }
+
+    fn borrow(&mut self, key: limit::LimitKey, now: stamp::TimeStamp) {
+        let is_active = self.is_active(now);
+        let context = state::StateContext {
+            spans: &self.spans,
+            is_active,
+            now,
+        };
+        let serial = message::LoanSerial(self.last_serial + 1);
+        if let Some(due) = self.states[key.index()].next_ask(serial, context) {
+            self.last_serial += 1;
+            self.send(due.lender, due.ask);
+        }
+    }
+
+    fn probe_peers(&mut self, now: stamp::TimeStamp) {
+        let members = &self.holder.document().members;
+        let due = self.evidence.due_probes(members, &self.spans, now);
+        for due in due {
+            self.send(due.to, due.probe);
+        }
+    }
+
+    fn step_shares(&mut self, now: stamp::TimeStamp) {
+        let options = holder::HolderOptions {
+            revision: self.revision,
+            specs: &self.specs,
+            spans: &self.spans,
+        };
+        let (table, states) = (&self.table, &mut self.states);
+        let lower = |name: &str, target| {
+            let key = table
+                .key(name)
+                .expect("a limit that is held was configured");
+            states[key.index()].lower(target, now)
+        };
+        let intent = self.holder.tick(&mut self.evidence, options, lower, now);
+        let effect = intent.map(|intent| match intent {
+            holder::ShareIntent::Read => effect::QuotaEffect::ReadShares,
+            holder::ShareIntent::Write(write) => effect::QuotaEffect::WriteShares(write),
+        });
+        self.effects.extend(effect);
+    }
+
+    fn send(&mut self, to: member::HolderId, message: impl Into<message::QuotaMessage>) {
+        self.effects.push(send_effect(to, message));
+    }
+}
+
+fn send_effect(
+    to: member::HolderId,
+    message: impl Into<message::QuotaMessage>,
+) -> effect::QuotaEffect {
+    effect::QuotaEffect::Send {
+        to,
+        message: message.into(),
+    }
+}
+
+/// Who else holds shares of a limit, homes first.
+fn lenders(
+    entry: &document::LimitEntry,
+    members: &[member::MemberEntry],
+    me: member::HolderId,
+) -> Vec<member::HolderId> {
+    let tag = limit::LimitTag::of(&entry.spec.name);
+    let homes = home::home_vms(tag, &entry.spec.homes, members);
+    let holds = |id: &member::HolderId| {
+        let grant = entry.grant(*id);
+        *id != me && grant.is_some_and(|grant| !grant.burst.is_zero())
+    };
+    homes.iter().map(|home| home.id).filter(holds).collect()
+}
--- /dev/null
+++ b/dahliawood-quota/src/limit/mod.rs
@@ -0,0 +1,242 @@
+//! Limits, their stable names and the keys that a VM knows them by.
+
+use crate::amount::{TokenAmount, TokenRate};
+use dahliawood_model::{FastMap, tables};
+use serde::{Deserialize, Serialize};
+
+/// The key of a limit on this VM; it stays with the limit's name over all revisions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+pub struct LimitKey(pub u32);
+
+impl LimitKey {
+    /// The position of the limit in tables.
+    pub const fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// A hash of a limit's name: what VMs call the limit between themselves.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[serde(transparent)]
+pub struct LimitTag(pub u64);
+
+impl LimitTag {
+    /// The tag of a name.
+    pub fn of(name: &str) -> Self {
+        Self(crate::home::name_hash(name))
+    }
+}
+
+/// What a limit bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LimitTerms {
+    /// A token bucket: at most `burst + rate * t` in every window of length `t`.
+    Rate {
+        /// Units a second.
+        rate: TokenRate,
+        /// Units at once.
+        burst: TokenAmount,
+    },
+    /// At most `count` units in use at once.
+    Count {
+        /// Units at once.
+        count: TokenAmount,
+    },
+}
+
+impl LimitTerms {
+    /// The rate, none for a count.
+    pub const fn rate(self) -> TokenRate {
+        match self {
+            Self::Rate { rate, .. } => rate,
+            Self::Count { .. } => TokenRate::ZERO,
+        }
+    }
+
+    /// What may be used at once.
+    pub const fn burst(self) -> TokenAmount {
+        match self {
+            Self::Rate { burst, .. } => burst,
+            Self::Count { count } => count,
+        }
+    }
+
+    /// Whether units come back when they are no longer in use.
+    pub const fn is_count(self) -> bool {
+        matches!(self, Self::Count { .. })
+    }
+
+    /// The same kind of limit that allows nothing.
+    #[must_use]
+    pub const fn emptied(self) -> Self {
+        match self {
+            Self::Rate { .. } => Self::Rate {
+                rate: TokenRate::ZERO,
+                burst: TokenAmount::ZERO,
+            },
+            Self::Count { .. } => Self::Count {
+                count: TokenAmount::ZERO,
+            },
+        }
+    }
+}
+
+/// Which VMs hold the shares of a limit.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomeRule {
+    /// Only VMs of this region, where it has any.
+    pub region: Option<String>,
+    /// At most this many VMs; zero means all.
+    pub homes_max: u32,
+}
+
+/// A limit as one revision of the configuration states it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitSpec {
+    /// Stable name, such as `customer/NAME`, `link/FROM>TO` or `slots/TARGET`.
+    pub name: String,
+    /// What it bounds.
+    pub terms: LimitTerms,
+    /// Who holds its shares.
+    pub homes: HomeRule,
+}
+
+/// Requests a second that one home VM issues before a customer is given another.
+const RATE_PER_HOME: u64 = 200;
+/// The least number of home VMs of a customer, so that the loss of one leaves another.
+const HOMES_LEAST: u64 = 2;
+
+/// The limit of a customer's requests.
+pub fn customer_limit(customer: &tables::CustomerSpec) -> LimitSpec {
+    let rate = TokenRate::from(customer.rate);
+    let more = rate.micros_per_second / TokenRate::from_whole(RATE_PER_HOME).micros_per_second;
+    LimitSpec {
+        name: format!("customer/{}", customer.name),
+        terms: LimitTerms::Rate {
+            rate,
+            burst: TokenAmount::from_whole(customer.burst),
+        },
+        homes: HomeRule {
+            region: None,
+            homes_max: (HOMES_LEAST + more) as u32,
+        },
+    }
+}
+
+/// The limit of the bytes of one direction of a link, held by the VMs of the sending region.
+pub fn link_limit(fleet: &tables::FleetConfig, link: &tables::LinkSpec) -> LimitSpec {
+    let from = &fleet.regions[link.from].name;
+    let to = &fleet.regions[link.to].name;
+    LimitSpec {
+        name: format!("link/{from}>{to}"),
+        terms: LimitTerms::Rate {
+            rate: TokenRate::from(link.cap),
+            burst: TokenAmount::from_whole(link.burst_bytes),
+        },
+        homes: HomeRule {
+            region: Some(from.clone()),
+            homes_max: 0,
+        },
+    }
+}
+
+/// The limit of the requests in flight at a target, held by VMs of its region.
+pub fn target_limit(fleet: &tables::FleetConfig, target: &tables::TargetSpec) -> LimitSpec {
+    let region = fleet.domains[target.domain].region;
+    LimitSpec {
+        name: format!("slots/{}", target.name),
+        terms: LimitTerms::Count {
+            count: TokenAmount::from_whole(u64::from(target.slots)),
+        },
+        homes: HomeRule {
+            region: Some(fleet.regions[region].name.clone()),
+            homes_max: target.slots.min(HOMES_LEAST as u32),
+        },
+    }
+}
+
+/// All limits of a configuration: customers, links and target slots, in that order.
+pub fn fleet_limits(fleet: &tables::FleetConfig) -> Vec<LimitSpec> {
+    let customers = fleet.customers.values().map(customer_limit);
+    let links = fleet.links.values().map(|link| link_limit(fleet, link));
+    let targets = fleet
+        .targets
+        .values()
+        .map(|target| target_limit(fleet, target));
+    customers.chain(links).chain(targets).collect()
+}
+
+/// The limits that a VM knows, by key, name and tag.
+#[derive(Clone, Debug, Default)]
+pub struct LimitTable {
+    specs: Vec<LimitSpec>,
+    by_tag: FastMap<LimitTag, LimitKey>,
+}
+
+impl LimitTable {
+    /// Takes the limits of a new revision: known names keep their key, new ones get the next,
+    /// and a name that is gone keeps its key with terms that allow nothing.
+    pub fn revise(&mut self, specs: Vec<LimitSpec>) {
+        for spec in &mut self.specs {
+            spec.terms = spec.terms.emptied();
+        }
+        for spec in specs {
+            self.insert(spec);
+        }
+    }
+
+    fn insert(&mut self, spec: LimitSpec) {
+        let tag = LimitTag::of(&spec.name);
+        if let Some(key) = self.by_tag.get(&tag) {
+            self.specs[key.index()] = spec;
+            return;
+        }
+        self.by_tag.insert(tag, LimitKey(self.specs.len() as u32));
+        self.specs.push(spec);
+    }
+
+    /// The key of a name, `None` where no revision had it.
+    pub fn key(&self, name: &str) -> Option<LimitKey> {
+        self.by_tag(LimitTag::of(name))
+    }
+
+    /// The key of a tag, `None` where no revision had it.
+    pub fn by_tag(&self, tag: LimitTag) -> Option<LimitKey> {
+        self.by_tag.get(&tag).copied()
+    }
+
+    /// The limit of a key of this table.
+    pub fn spec(&self, key: LimitKey) -> &LimitSpec {
+        &self.specs[key.index()]
+    }
+
+    /// All limits with their keys.
+    pub fn iter(&self) -> impl Iterator<Item = (LimitKey, &LimitSpec)> {
+        self.specs
+            .iter()
+            .enumerate()
+            .map(|(index, spec)| (LimitKey(index as u32), spec))
+    }
+
+    /// The number of limits.
+    pub fn len(&self) -> usize {
+        self.specs.len()
+    }
+
+    /// Whether there is no limit.
+    pub fn is_empty(&self) -> bool {
+        self.specs.is_empty()
+    }
+}
--- /dev/null
+++ b/dahliawood-quota/src/loans/forecast/mod.rs
@@ -0,0 +1,51 @@
+//! How much a VM expects to need soon.
+
+use crate::amount;
+use dahliawood_model::stamp;
+use std::time::Duration;
+
+/// The span over which demand is summed before it moves the average.
+const WINDOW: Duration = Duration::from_millis(100);
+/// The newest window has one part in this many of the average.
+const SMOOTHING: u64 = 4;
+/// Windows after which an idle average counts as nothing.
+const WINDOWS_MOST: u64 = 64;
+
+/// A moving average of the demand for one limit at one VM.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DemandForecast {
+    average: u64,
+    seen: u64,
+    window_start: stamp::TimeStamp,
+}
+
+impl DemandForecast {
+    /// Counts demand, whether or not it was met.
+    pub fn count(&mut self, amount: amount::TokenAmount, now: stamp::TimeStamp) {
+        self.advance(now);
+        self.seen = self.seen.saturating_add(amount.micros);
+    }
+
+    /// Closes the windows that ended up to `now`.
+    pub fn advance(&mut self, now: stamp::TimeStamp) {
+        let window = WINDOW.as_micros() as u64;
+        let ended = now
+            .as_micros()
+            .saturating_sub(self.window_start.as_micros())
+            / window;
+        for _ in 0..ended.min(WINDOWS_MOST) {
+            self.average -= self.average / SMOOTHING;
+            self.average += self.seen / SMOOTHING;
+            self.seen = 0;
+        }
+        self.window_start = self
+            .window_start
+            .after(WINDOW * ended.min(u64::from(u32::MAX)) as u32);
+    }
+
+    /// The demand expected over `span`.
+    pub fn expected(&self, span: Duration) -> amount::TokenAmount {
+        let expected = u128::from(self.average) * span.as_micros() / WINDOW.as_micros();
+        amount::TokenAmount::from_micros(u64::try_from(expected).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/dahliawood-quota/src/loans/ledger/mod.rs
@@ -0,0 +1,181 @@
+//! The lender's side: what is out, to whom, and until when.
+
+use crate::{amount, bucket, member, message, options};
+use dahliawood_model::{FastMap, stamp};
+use std::time::Duration;
+
+/// The longest time for which a lender says that it has nothing.
+const RETRY_MOST: Duration = Duration::from_secs(1);
+/// The shortest such time.
+const RETRY_LEAST: Duration = Duration::from_millis(2);
+
+/// A loan, named by its borrower and the borrower's serial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct LoanId {
+    borrower: member::HolderId,
+    serial: message::LoanSerial,
+}
+
+/// A loan that is out; it stays recorded to its end, so that a repeated ask takes nothing again.
+#[derive(Clone, Copy, Debug)]
+struct LentLoan {
+    granted: amount::TokenAmount,
+    spent: amount::TokenAmount,
+    returned: amount::TokenAmount,
+    expires_at: stamp::TimeStamp,
+}
+
+impl LentLoan {
+    fn left(&self) -> amount::TokenAmount {
+        self.granted.less(self.spent).less(self.returned)
+    }
+}
+
+/// All loans that one holder has out of one limit.
+#[derive(Clone, Debug, Default)]
+pub struct LoanLedger {
+    loans: FastMap<LoanId, LentLoan>,
+    next_expiry: Option<stamp::TimeStamp>,
+}
+
+/// How an ask is judged.
+#[derive(Clone, Copy, Debug)]
+pub struct GrantOptions {
+    /// What the lender keeps for its own demand where the borrower has no request waiting.
+    pub reserve: amount::TokenAmount,
+    /// Whether the limit is a count, which is lent in whole units.
+    pub is_count: bool,
+}
+
+impl LoanLedger {
+    /// The number of loans on record.
+    pub fn len(&self) -> usize {
+        self.loans.len()
+    }
+
+    /// Whether no loan is on record.
+    pub fn is_empty(&self) -> bool {
+        self.loans.is_empty()
+    }
+}
+
+/// Answers an ask from `bucket`, which has been refilled; a repeated ask gets the first answer.
+pub fn grant_loan(
+    ledger: &mut LoanLedger,
+    bucket: &mut bucket::TokenBucket,
+    from: member::HolderId,
+    ask: message::LoanAsk,
+    judge: GrantOptions,
+    spans: &options::QuotaOptions,
+    now: stamp::TimeStamp,
+) -> message::LoanGrant {
+    let id = LoanId {
+        borrower: from,
+        serial: ask.serial,
+    };
+    let granted = match ledger.loans.get(&id) {
+        Some(loan) => loan.granted,
+        None => open_loan(ledger, bucket, id, ask, judge, spans, now),
+    };
+    message::LoanGrant {
+        tag: ask.tag,
+        serial: ask.serial,
+        granted,
+        retry_after: retry_after(bucket, ask),
+    }
+}
+
+fn open_loan(
+    ledger: &mut LoanLedger,
+    bucket: &mut bucket::TokenBucket,
+    id: LoanId,
+    ask: message::LoanAsk,
+    judge: GrantOptions,
+    spans: &options::QuotaOptions,
+    now: stamp::TimeStamp,
+) -> amount::TokenAmount {
+    let granted = grantable(bucket, ask, judge);
+    if granted.is_zero() || ask.length > spans.longest_loan || !bucket.lend(granted) {
+        return amount::TokenAmount::ZERO;
+    }
+    let expires_at = now.after(ask.length);
+    let loan = LentLoan {
+        granted,
+        spent: amount::TokenAmount::ZERO,
+        returned: amount::TokenAmount::ZERO,
+        expires_at,
+    };
+    ledger.loans.insert(id, loan);
+    let next = ledger
+        .next_expiry
+        .map_or(expires_at, |next| next.min(expires_at));
+    ledger.next_expiry = Some(next);
+    granted
+}
+
+fn grantable(
+    bucket: &bucket::TokenBucket,
+    ask: message::LoanAsk,
+    judge: GrantOptions,
+) -> amount::TokenAmount {
+    let level = bucket.level();
+    let needed = ask.need.min(level);
+    let spare = level.less(needed).less(judge.reserve);
+    let granted = needed + ask.want.less(ask.need).min(spare);
+    if judge.is_count {
+        return amount::TokenAmount::from_whole(granted.whole());
+    }
+    granted
+}
+
+fn retry_after(bucket: &bucket::TokenBucket, ask: message::LoanAsk) -> Duration {
+    let next = ask.need.max(amount::TokenAmount::ONE).min(bucket.burst());
+    let wait = bucket
+        .wait_micros(next)
+        .map_or(RETRY_MOST, Duration::from_micros);
+    wait.clamp(RETRY_LEAST, RETRY_MOST)
+}
+
+/// Takes a borrower's report; what arrives twice, late or out of order changes nothing.
+pub fn take_report(
+    ledger: &mut LoanLedger,
+    bucket: &mut bucket::TokenBucket,
+    from: member::HolderId,
+    report: message::LoanReport,
+) {
+    let id = LoanId {
+        borrower: from,
+        serial: report.serial,
+    };
+    let Some(loan) = ledger.loans.get_mut(&id) else {
+        return;
+    };
+    let spent = report.spent.less(loan.spent).min(loan.left());
+    loan.spent += spent;
+    bucket.settle(spent);
+    let returned = report.returned.less(loan.returned).min(loan.left());
+    loan.returned += returned;
+    bucket.restore(returned);
+}
+
+/// Ends the loans that are over: their room is free again, and units of a count come back.
+pub fn expire_loans(
+    ledger: &mut LoanLedger,
+    bucket: &mut bucket::TokenBucket,
+    is_count: bool,
+    now: stamp::TimeStamp,
+) {
+    if ledger.next_expiry.is_none_or(|next| now < next) {
+        return;
+    }
+    ledger.loans.retain(|_, loan| {
+        let over = loan.expires_at <= now;
+        if over && is_count {
+            bucket.restore(loan.left());
+        } else if over {
+            bucket.settle(loan.left());
+        }
+        !over
+    });
+    ledger.next_expiry = ledger.loans.values().map(|loan| loan.expires_at).min();
+}
--- /dev/null
+++ b/dahliawood-quota/src/loans/wallet/mod.rs
@@ -0,0 +1,246 @@
+//! The borrower's side: open asks, and loans in hand.
+
+use crate::{amount, member, message, options};
+use dahliawood_model::stamp;
+use std::time::Duration;
+
+/// An ask that may still be answered.
+#[derive(Clone, Copy, Debug)]
+struct OpenAsk {
+    lender: member::HolderId,
+    serial: message::LoanSerial,
+    want: amount::TokenAmount,
+    sent_at: stamp::TimeStamp,
+    usable_until: stamp::TimeStamp,
+    overdue: bool,
+}
+
+/// A loan in hand.
+#[derive(Clone, Copy, Debug)]
+struct HeldLoan {
+    lender: member::HolderId,
+    serial: message::LoanSerial,
+    left: amount::TokenAmount,
+    in_use: amount::TokenAmount,
+    spent: amount::TokenAmount,
+    returned: amount::TokenAmount,
+    dirty: bool,
+    taken_at: stamp::TimeStamp,
+    reported_at: stamp::TimeStamp,
+    usable_until: stamp::TimeStamp,
+}
+
+/// A report and who it is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DueReport {
+    /// The lender.
+    pub lender: member::HolderId,
+    /// The report.
+    pub report: message::LoanReport,
+}
+
+/// A grant that was accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AcceptedGrant {
+    /// Who granted.
+    pub lender: member::HolderId,
+    /// Whether less than the wanted amount was granted.
+    pub is_short: bool,
+}
+
+/// What one VM has borrowed of one limit.
+#[derive(Clone, Debug, Default)]
+pub struct LoanWallet {
+    asks: Vec<OpenAsk>,
+    loans: Vec<HeldLoan>,
+}
+
+impl LoanWallet {
+    /// What may be spent at `now`.
+    pub fn available(&self, now: stamp::TimeStamp) -> amount::TokenAmount {
+        let usable = |loan: &&HeldLoan| now < loan.usable_until;
+        self.loans.iter().filter(usable).map(|loan| loan.left).sum()
+    }
+
+    /// What asks that are not overdue may still bring.
+    pub fn expected(&self) -> amount::TokenAmount {
+        let pending = self.asks.iter().filter(|ask| !ask.overdue);
+        pending.map(|ask| ask.want).sum()
+    }
+
+    /// Whether an answer is still awaited.
+    pub fn awaits_answer(&self) -> bool {
+        self.asks.iter().any(|ask| !ask.overdue)
+    }
+
+    /// Remembers an ask that is about to be sent.
+    pub fn open_ask(
+        &mut self,
+        lender: member::HolderId,
+        ask: &message::LoanAsk,
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) {
+        self.asks.push(OpenAsk {
+            lender,
+            serial: ask.serial,
+            want: ask.want,
+            sent_at: now,
+            usable_until: now.after(spans.borrower_span(ask.length)),
+            overdue: false,
+        });
+    }
+
+    /// Takes an answer; `None` where it is a repetition, too late or from another VM.
+    pub fn accept(
+        &mut self,
+        from: member::HolderId,
+        grant: &message::LoanGrant,
+        now: stamp::TimeStamp,
+    ) -> Option<AcceptedGrant> {
+        let matches = |ask: &OpenAsk| ask.serial == grant.serial && ask.lender == from;
+        let index = self.asks.iter().position(matches)?;
+        let ask = self.asks.swap_remove(index);
+        if now < ask.usable_until && !grant.granted.is_zero() {
+            self.loans.push(held_loan(&ask, grant, now));
+        }
+        Some(AcceptedGrant {
+            lender: from,
+            is_short: grant.granted < ask.want,
+        })
+    }
+
+    /// Spends up to `amount` for good, the loan that ends first going first; returns what it could.
+    pub fn spend(
+        &mut self,
+        amount: amount::TokenAmount,
+        now: stamp::TimeStamp,
+    ) -> amount::TokenAmount {
+        self.loans.sort_by_key(|loan| loan.usable_until);
+        let mut missing = amount;
+        for loan in self.loans.iter_mut().filter(|loan| now < loan.usable_until) {
+            let spent = missing.min(loan.left);
+            loan.left = loan.left.less(spent);
+            loan.spent += spent;
+            loan.dirty |= !spent.is_zero();
+            missing = missing.less(spent);
+        }
+        amount.less(missing)
+    }
+
+    /// Puts one unit of a count to use; returns the loan that it belongs to and its end.
+    pub fn occupy(&mut self, now: stamp::TimeStamp) -> Option<OccupiedUnit> {
+        let one = amount::TokenAmount::ONE;
+        let usable = |loan: &&mut HeldLoan| now < loan.usable_until && one <= loan.left;
+        let loan = self.loans.iter_mut().find(usable)?;
+        loan.left = loan.left.less(one);
+        loan.in_use += one;
+        Some(OccupiedUnit {
+            serial: loan.serial,
+            usable_until: loan.usable_until,
+        })
+    }
+
+    /// Ends the use of one unit of a count.
+    pub fn vacate(&mut self, serial: message::LoanSerial) {
+        let one = amount::TokenAmount::ONE;
+        let matches = |loan: &&mut HeldLoan| loan.serial == serial && one <= loan.in_use;
+        if let Some(loan) = self.loans.iter_mut().find(matches) {
+            loan.in_use = loan.in_use.less(one);
+            loan.left += one;
+        }
+    }
+
+    /// Gives up what is left of loans that are three quarters over, or of all of them.
+    pub fn give_back(&mut self, all: bool, now: stamp::TimeStamp) {
+        for loan in &mut self.loans {
+            let length = loan.usable_until.since(loan.taken_at);
+            let late = loan.taken_at.after(length * 3 / 4) <= now;
+            if (all || late) && !loan.left.is_zero() {
+                loan.returned += loan.left;
+                loan.left = amount::TokenAmount::ZERO;
+                loan.dirty = true;
+            }
+        }
+    }
+
+    /// Marks asks that were not answered in time and returns their lenders.
+    pub fn overdue_lenders(
+        &mut self,
+        timeout: Duration,
+        now: stamp::TimeStamp,
+    ) -> Vec<member::HolderId> {
+        let late = |ask: &&mut OpenAsk| !ask.overdue && ask.sent_at.after(timeout) <= now;
+        self.asks
+            .iter_mut()
+            .filter(late)
+            .map(|ask| {
+                ask.overdue = true;
+                ask.lender
+            })
+            .collect()
+    }
+
+    /// The reports that are due; a loan with nothing left is reported at once and forgotten.
+    pub fn due_reports(
+        &mut self,
+        tag: crate::limit::LimitTag,
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> Vec<DueReport> {
+        let due = |loan: &HeldLoan| {
+            let waited = loan.reported_at.after(spans.report_every) <= now;
+            loan.dirty && (waited || is_finished(loan))
+        };
+        let mut reports = Vec::new();
+        for loan in self.loans.iter_mut().filter(|loan| due(loan)) {
+            loan.dirty = false;
+            loan.reported_at = now;
+            reports.push(due_report(tag, loan));
+        }
+        self.asks.retain(|ask| now < ask.usable_until);
+        self.loans
+            .retain(|loan| now < loan.usable_until && !is_finished(loan));
+        reports
+    }
+}
+
+/// A unit of a borrowed count that was put to use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OccupiedUnit {
+    /// The loan that it belongs to.
+    pub serial: message::LoanSerial,
+    /// When its use has to have ended.
+    pub usable_until: stamp::TimeStamp,
+}
+
+fn held_loan(ask: &OpenAsk, grant: &message::LoanGrant, now: stamp::TimeStamp) -> HeldLoan {
+    HeldLoan {
+        lender: ask.lender,
+        serial: ask.serial,
+        left: grant.granted,
+        in_use: amount::TokenAmount::ZERO,
+        spent: amount::TokenAmount::ZERO,
+        returned: amount::TokenAmount::ZERO,
+        dirty: false,
+        taken_at: now,
+        reported_at: stamp::TimeStamp::ZERO,
+        usable_until: ask.usable_until,
+    }
+}
+
+fn is_finished(loan: &HeldLoan) -> bool {
+    loan.left.is_zero() && loan.in_use.is_zero()
+}
+
+fn due_report(tag: crate::limit::LimitTag, loan: &HeldLoan) -> DueReport {
+    DueReport {
+        lender: loan.lender,
+        report: message::LoanReport {
+            tag,
+            serial: loan.serial,
+            spent: loan.spent,
+            returned: loan.returned,
+        },
+    }
+}
--- /dev/null
+++ b/dahliawood-quota/src/shares/document/mod.rs
@@ -0,0 +1,134 @@
+//! The share document.
+
+use crate::{amount, limit, member};
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+pub mod error {
+    //! Errors of reading a share document.
+
+    /// A share document could not be read.
+    #[derive(Debug, snafu::Snafu)]
+    #[snafu(visibility(pub(crate)))]
+    pub enum DocumentError {
+        /// The bytes are not a share document.
+        #[snafu(display("not a share document"))]
+        Malformed {
+            /// What was wrong.
+            source: serde_json::Error,
+        },
+    }
+}
+
+/// The store's version of the document; it grows with every write.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display,
+)]
+pub struct ShareVersion(pub u64);
+
+/// Who holds how much of each limit.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareDocument {
+    /// The configuration revision whose limits these are.
+    pub revision: u64,
+    /// VMs that hold shares.
+    pub members: Vec<member::MemberEntry>,
+    /// Limits, in the order of their first appearance.
+    pub limits: Vec<LimitEntry>,
+}
+
+/// One limit and its holders.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitEntry {
+    /// Name, terms and home rule.
+    pub spec: limit::LimitSpec,
+    /// Tokens that holders gave up with their shares and that none has taken yet.
+    pub pool: amount::TokenAmount,
+    /// What each holder has.
+    pub grants: Vec<ShareGrant>,
+}
+
+/// What one holder has of one limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareGrant {
+    /// Who.
+    pub holder: member::HolderId,
+    /// Rate.
+    pub rate: amount::TokenRate,
+    /// Burst, or units of a count.
+    pub burst: amount::TokenAmount,
+    /// Tokens that came to this holder out of the pool, in all.
+    pub received: amount::TokenAmount,
+    /// Tokens that this holder gave to the pool, in all.
+    pub given: amount::TokenAmount,
+}
+
+impl ShareGrant {
+    /// A grant of nothing.
+    pub const fn nothing(holder: member::HolderId) -> Self {
+        Self {
+            holder,
+            rate: amount::TokenRate::ZERO,
+            burst: amount::TokenAmount::ZERO,
+            received: amount::TokenAmount::ZERO,
+            given: amount::TokenAmount::ZERO,
+        }
+    }
+}
+
+impl LimitEntry {
+    /// The grant of a holder.
+    pub fn grant(&self, holder: member::HolderId) -> Option<&ShareGrant> {
+        self.grants.iter().find(|grant| grant.holder == holder)
+    }
+
+    /// The grant of a holder, one of nothing where it has none.
+    pub fn grant_mut(&mut self, holder: member::HolderId) -> &mut ShareGrant {
+        let found = self.grants.iter().position(|grant| grant.holder == holder);
+        let index = found.unwrap_or_else(|| {
+            self.grants.push(ShareGrant::nothing(holder));
+            self.grants.len() - 1
+        });
+        &mut self.grants[index]
+    }
+
+    /// Rate that none holds.
+    pub fn free_rate(&self) -> amount::TokenRate {
+        let held = self.grants.iter().map(|grant| grant.rate).sum();
+        self.spec.terms.rate().less(held)
+    }
+
+    /// Burst that none holds.
+    pub fn free_burst(&self) -> amount::TokenAmount {
+        let held = self.grants.iter().map(|grant| grant.burst).sum();
+        self.spec.terms.burst().less(held)
+    }
+}
+
+impl ShareDocument {
+    /// The entry of a limit.
+    pub fn limit(&self, name: &str) -> Option<&LimitEntry> {
+        self.limits.iter().find(|entry| entry.spec.name == name)
+    }
+
+    /// The member with this id.
+    pub fn member(&self, id: member::HolderId) -> Option<&member::MemberEntry> {
+        self.members.iter().find(|member| member.id == id)
+    }
+
+    /// Reads a document.
+    ///
+    /// # Errors
+    /// `DocumentError::Malformed` where the bytes are not a share document.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, error::DocumentError> {
+        serde_json::from_slice(bytes).context(error::MalformedSnafu)
+    }
+
+    /// The bytes to store.
+    ///
+    /// # Panics
+    /// Never: a share document has no value that JSON cannot hold.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a share document is plain data")
+    }
+}
--- /dev/null
+++ b/dahliawood-quota/src/shares/holder/mod.rs
@@ -0,0 +1,324 @@
+//! The state machine of one VM that joins, changes and leaves the share document.
+
+use crate::shares::{document, evidence, plan};
+use crate::{home, limit, member, options};
+use dahliawood_model::stamp;
+use std::time::Duration;
+
+/// The least time between two writes of one VM.
+const WRITE_GAP: Duration = Duration::from_millis(50);
+/// The share of the wait after a conflict that each member adds.
+const CONFLICT_STEP_MICROS: u64 = 10_000;
+/// How soon a decrease that had to wait for loans is tried again.
+const PLAN_EVERY: Duration = Duration::from_millis(200);
+/// How old the store's last answer may be when a write is sent; otherwise a read goes first.
+const STORE_FRESH: Duration = Duration::from_secs(2);
+
+/// What the store should be asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ShareIntent {
+    /// Read the document.
+    Read,
+    /// Write the document if the store still has `base`.
+    Write(ShareWrite),
+}
+
+/// A compare-and-swap of the document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShareWrite {
+    /// Names the write; its outcome comes back with it.
+    pub serial: u64,
+    /// The version to replace, `None` where there must be no document.
+    pub base: Option<document::ShareVersion>,
+    /// The new content.
+    pub document: document::ShareDocument,
+}
+
+/// What became of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It is in the store, as this version.
+    Applied(document::ShareVersion),
+    /// It is not in the store: another write came first.
+    Conflict,
+    /// It may be in the store, now or later.
+    Unknown,
+}
+
+/// A write that is out.
+#[derive(Clone, Debug)]
+struct OpenWrite {
+    write: ShareWrite,
+    sent_at: stamp::TimeStamp,
+}
+
+/// One VM's view of the share document.
+#[derive(Clone, Debug)]
+pub struct ShareHolder {
+    me: member::MemberEntry,
+    document: document::ShareDocument,
+    version: Option<document::ShareVersion>,
+    has_read: bool,
+    open_write: Option<OpenWrite>,
+    has_written: bool,
+    written_base: Option<document::ShareVersion>,
+    last_serial: u64,
+    read_sent_at: Option<stamp::TimeStamp>,
+    answered_at: Option<stamp::TimeStamp>,
+    next_write_at: stamp::TimeStamp,
+    attempts: u64,
+    needs_read: bool,
+    planned: Option<PlanStamp>,
+    next_plan_at: stamp::TimeStamp,
+}
+
+/// What a plan was made from; the same again gives the same plan.
+#[derive(Clone, Debug, PartialEq)]
+struct PlanStamp {
+    version: Option<document::ShareVersion>,
+    revision: u64,
+    me: member::MemberEntry,
+    gone: Vec<member::HolderId>,
+}
+
+/// What a tick works with.
+#[derive(Clone, Copy, Debug)]
+pub struct HolderOptions<'a> {
+    /// Revision of `specs`.
+    pub revision: u64,
+    /// Limits of that revision.
+    pub specs: &'a [limit::LimitSpec],
+    /// Spans.
+    pub spans: &'a options::QuotaOptions,
+}
+
+impl ShareHolder {
+    /// A VM that has not read the document yet.
+    pub fn new(me: member::MemberEntry) -> Self {
+        Self {
+            me,
+            document: document::ShareDocument::default(),
+            version: None,
+            has_read: false,
+            open_write: None,
+            has_written: false,
+            written_base: None,
+            last_serial: 0,
+            read_sent_at: None,
+            answered_at: None,
+            next_write_at: stamp::TimeStamp::ZERO,
+            attempts: 0,
+            needs_read: true,
+            planned: None,
+            next_plan_at: stamp::TimeStamp::ZERO,
+        }
+    }
+
+    /// This VM.
+    pub fn me(&self) -> &member::MemberEntry {
+        &self.me
+    }
+
+    /// The newest document read.
+    pub fn document(&self) -> &document::ShareDocument {
+        &self.document
+    }
+
+    /// Sets how often the proof of this VM has lapsed; a new epoch has to be confirmed.
+    pub fn set_epoch(&mut self, epoch: u64) {
+        self.me.epoch = epoch;
+    }
+
+    /// Starts a planned stop: shares are given up, then the VM leaves the document.
+    pub fn leave(&mut self) {
+        self.me.leaving = true;
+    }
+
+    /// Whether a planned stop has given up all shares.
+    pub fn is_released(&self) -> bool {
+        self.me.leaving && self.has_read && self.document.member(self.me.id).is_none()
+    }
+
+    /// Whether the store has confirmed this VM, in its present epoch, as a member.
+    pub fn is_confirmed(&self) -> bool {
+        let entry = self.document.member(self.me.id);
+        entry.is_some_and(|entry| entry.epoch == self.me.epoch)
+    }
+
+    /// Whether the grants of the newest document may be raised to: no write that would lower them
+    /// can take effect any more.
+    pub fn may_raise(&self) -> bool {
+        !self.has_written || self.written_base < self.version
+    }
+
+    /// Takes a read; `None` is the answer that there is no document. Returns whether it is news.
+    pub fn take_read(
+        &mut self,
+        document: Option<document::ShareDocument>,
+        version: document::ShareVersion,
+        now: stamp::TimeStamp,
+    ) -> bool {
+        self.answered_at = Some(now);
+        self.needs_read = false;
+        let version = document.is_some().then_some(version);
+        let is_newer = self.version < version;
+        if is_newer {
+            self.document = document.unwrap_or_default();
+            self.version = version;
+        }
+        let is_first = !self.has_read;
+        self.has_read = true;
+        self.close_write(is_newer, now);
+        is_newer || is_first
+    }
+
+    fn close_write(&mut self, is_newer: bool, now: stamp::TimeStamp) {
+        let stale = |open: &OpenWrite| is_newer || open.sent_at.after(WRITE_GAP) <= now;
+        if self.open_write.as_ref().is_some_and(stale) {
+            self.open_write = None;
+        }
+    }
+
+    /// Takes what became of a write. Returns whether the document is news.
+    pub fn take_outcome(
+        &mut self,
+        serial: u64,
+        outcome: WriteOutcome,
+        now: stamp::TimeStamp,
+    ) -> bool {
+        let Some(open) = self.open_write.take_if(|open| open.write.serial == serial) else {
+            self.needs_read = true;
+            return false;
+        };
+        match outcome {
+            WriteOutcome::Applied(version) if self.version < Some(version) => {
+                self.answered_at = Some(now);
+                self.attempts = 0;
+                self.document = open.write.document;
+                self.version = Some(version);
+                return true;
+            }
+            WriteOutcome::Applied(_) => {}
+            WriteOutcome::Conflict => self.back_off(now),
+            WriteOutcome::Unknown => self.needs_read = true,
+        }
+        false
+    }
+
+    fn back_off(&mut self, now: stamp::TimeStamp) {
+        self.attempts += 1;
+        self.answered_at = Some(now);
+        self.needs_read = true;
+        let seed = home::name_hash(&self.me.id.to_string()) ^ self.attempts;
+        let most = CONFLICT_STEP_MICROS * (self.document.members.len() as u64 + 1);
+        let wait = Duration::from_micros(home::mix(seed) % most);
+        self.next_write_at = now.after(wait);
+    }
+
+    /// Runs one step and says what the store should be asked for.
+    ///
+    /// `lower` is as in [`plan::next_document`]; it is called only for a write that is sent.
+    pub fn tick(
+        &mut self,
+        evidence: &mut evidence::LiveEvidence,
+        options: HolderOptions<'_>,
+        lower: impl FnMut(&str, plan::ShareTarget) -> plan::LoweredShare,
+        now: stamp::TimeStamp,
+    ) -> Option<ShareIntent> {
+        self.me.epoch = evidence.epoch(options.spans, now);
+        self.expire_write(options.spans, now);
+        if self.wants_read(options.spans, now) {
+            self.read_sent_at = Some(now);
+            return Some(ShareIntent::Read);
+        }
+        if !self.may_write(evidence, options.spans, now) {
+            return None;
+        }
+        self.plan_write(evidence, options, lower, now)
+    }
+
+    fn expire_write(&mut self, spans: &options::QuotaOptions, now: stamp::TimeStamp) {
+        let is_late = |open: &OpenWrite| open.sent_at.after(spans.write_timeout) <= now;
+        if self.open_write.as_ref().is_some_and(is_late) {
+            self.needs_read = true;
+        }
+    }
+
+    fn wants_read(&self, spans: &options::QuotaOptions, now: stamp::TimeStamp) -> bool {
+        let waited = |span: Duration| self.read_sent_at.is_none_or(|sent| sent.after(span) <= now);
+        let retry = self.needs_read && waited(spans.write_timeout / 4);
+        retry || waited(spans.read_every)
+    }
+
+    fn may_write(
+        &self,
+        evidence: &evidence::LiveEvidence,
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> bool {
+        let is_idle = self.has_read && !self.needs_read && self.open_write.is_none();
+        let is_proven = evidence.is_proven(spans, now) || self.me.leaving;
+        is_idle && is_proven && self.next_write_at <= now && !self.is_released()
+    }
+
+    fn plan_write(
+        &mut self,
+        evidence: &evidence::LiveEvidence,
+        options: HolderOptions<'_>,
+        lower: impl FnMut(&str, plan::ShareTarget) -> plan::LoweredShare,
+        now: stamp::TimeStamp,
+    ) -> Option<ShareIntent> {
+        let gone = evidence.gone(&self.document.members, options.spans, now);
+        let plan = plan::PlanOptions {
+            me: &self.me,
+            revision: options.revision,
+            specs: options.specs,
+            gone: &gone,
+        };
+        let stamp = PlanStamp {
+            version: self.version,
+            revision: options.revision,
+            me: self.me.clone(),
+            gone: gone.clone(),
+        };
+        if now < self.next_plan_at && self.planned.as_ref() == Some(&stamp) {
+            return None;
+        }
+        let is_due = plan::is_due(&self.document, plan);
+        self.next_plan_at = if is_due { now } else { stamp::TimeStamp::MAX };
+        self.planned = Some(stamp);
+        if !is_due {
+            return None;
+        }
+        let fresh = self
+            .answered_at
+            .is_some_and(|at| now < at.after(STORE_FRESH));
+        if !fresh {
+            self.needs_read = true;
+            return None;
+        }
+        let document = plan::next_document(&self.document, plan, lower);
+        self.next_plan_at = now.after(PLAN_EVERY);
+        if document == self.document {
+            return None;
+        }
+        Some(self.open(document, now))
+    }
+
+    fn open(&mut self, document: document::ShareDocument, now: stamp::TimeStamp) -> ShareIntent {
+        self.has_written = true;
+        self.written_base = self.version;
+        self.last_serial += 1;
+        let write = ShareWrite {
+            serial: self.last_serial,
+            base: self.version,
+            document,
+        };
+        self.next_write_at = now.after(WRITE_GAP);
+        self.open_write = Some(OpenWrite {
+            write: write.clone(),
+            sent_at: now,
+        });
+        ShareIntent::Write(write)
+    }
+}
--- /dev/null
+++ b/dahliawood-quota/src/shares/plan/mod.rs
@@ -0,0 +1,218 @@
+//! Which change of the share document comes next.
+
+use crate::shares::document;
+use crate::{amount, home, limit, member};
+
+/// What a holder should have of one limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ShareTarget {
+    /// Rate.
+    pub rate: amount::TokenRate,
+    /// Burst, or units of a count.
+    pub burst: amount::TokenAmount,
+}
+
+/// What a holder still uses of one limit after it lowered its own use; nothing of a
+/// limit that it does not know.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoweredShare {
+    /// Rate in use.
+    pub rate: amount::TokenRate,
+    /// Burst in use, what is lent included.
+    pub burst: amount::TokenAmount,
+    /// Tokens given up with shares of this limit, in all.
+    pub given: amount::TokenAmount,
+}
+
+/// Who plans, and by which limits.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanOptions<'a> {
+    /// The VM that will write.
+    pub me: &'a member::MemberEntry,
+    /// Revision of `specs`.
+    pub revision: u64,
+    /// Limits of that revision.
+    pub specs: &'a [limit::LimitSpec],
+    /// Members that are proven gone.
+    pub gone: &'a [member::HolderId],
+}
+
+/// The document that should replace `document`, equal to it where nothing is to be done.
+///
+/// `lower` is called for every limit of which the writer should hold less. It lowers the writer's
+/// own use and returns what is still in use, and only that decrease is written.
+pub fn next_document(
+    document: &document::ShareDocument,
+    options: PlanOptions<'_>,
+    mut lower: impl FnMut(&str, ShareTarget) -> LoweredShare,
+) -> document::ShareDocument {
+    let mut next = document.clone();
+    revise_members(&mut next, options);
+    revise_limits(&mut next, options);
+    let members = next.members.clone();
+    for entry in &mut next.limits {
+        let homes = home_targets(&entry.spec, &members);
+        lower_own(entry, &homes, options.me.id, &mut lower);
+        raise_homes(entry, &homes);
+        entry.pool = entry.pool.min(entry.free_burst());
+    }
+    release_member(&mut next, options.me);
+    next.limits.retain(is_wanted);
+    next
+}
+
+/// Whether [`next_document`] may find something to do.
+pub fn is_due(document: &document::ShareDocument, options: PlanOptions<'_>) -> bool {
+    let lowered = |_: &str, target: ShareTarget| LoweredShare {
+        rate: target.rate,
+        burst: target.burst,
+        given: amount::TokenAmount::ZERO,
+    };
+    next_document(document, options, lowered) != *document
+}
+
+/// A home of a limit and the part that it should have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HomeTarget {
+    /// The home.
+    pub holder: member::HolderId,
+    /// Its part.
+    pub target: ShareTarget,
+}
+
+/// The homes of a limit, best first, with their parts; all other members should have nothing.
+pub fn home_targets(spec: &limit::LimitSpec, members: &[member::MemberEntry]) -> Vec<HomeTarget> {
+    let homes = home::home_vms(limit::LimitTag::of(&spec.name), &spec.homes, members);
+    let parts = homes.len() as u64;
+    let ids = homes.iter().map(|home| home.id).enumerate();
+    ids.map(|(index, holder)| HomeTarget {
+        holder,
+        target: target_part(spec.terms, parts, index as u64),
+    })
+    .collect()
+}
+
+fn target_part(terms: limit::LimitTerms, parts: u64, index: u64) -> ShareTarget {
+    let part = |total: u64| split_part(total, parts, index);
+    let burst = terms.burst();
+    let burst = if terms.is_count() {
+        amount::TokenAmount::from_whole(part(burst.whole()))
+    } else {
+        amount::TokenAmount::from_micros(part(burst.micros))
+    };
+    ShareTarget {
+        rate: amount::TokenRate::from_micros(part(terms.rate().micros_per_second)),
+        burst,
+    }
+}
+
+/// The part of `total` at `index` of `parts`; the first ones take what is left over.
+fn split_part(total: u64, parts: u64, index: u64) -> u64 {
+    total / parts + u64::from(index < total % parts)
+}
+
+fn revise_members(next: &mut document::ShareDocument, options: PlanOptions<'_>) {
+    let gone = |id: &member::HolderId| options.gone.contains(id) && *id != options.me.id;
+    next.members.retain(|member| !gone(&member.id));
+    for entry in &mut next.limits {
+        entry.grants.retain(|grant| !gone(&grant.holder));
+    }
+    let found = next
+        .members
+        .iter_mut()
+        .find(|member| member.id == options.me.id);
+    match found {
+        Some(member) => *member = options.me.clone(),
+        None if !options.me.leaving => next.members.push(options.me.clone()),
+        None => {}
+    }
+}
+
+fn revise_limits(next: &mut document::ShareDocument, options: PlanOptions<'_>) {
+    let is_first = next.limits.is_empty();
+    if next.revision >= options.revision && !is_first {
+        return;
+    }
+    next.revision = next.revision.max(options.revision);
+    for entry in &mut next.limits {
+        entry.spec.terms = entry.spec.terms.emptied();
+    }
+    for spec in options.specs {
+        let found = next
+            .limits
+            .iter_mut()
+            .find(|entry| entry.spec.name == spec.name);
+        match found {
+            Some(entry) => entry.spec = spec.clone(),
+            None => next.limits.push(document::LimitEntry {
+                spec: spec.clone(),
+                pool: amount::TokenAmount::ZERO,
+                grants: Vec::new(),
+            }),
+        }
+    }
+}
+
+fn lower_own(
+    entry: &mut document::LimitEntry,
+    homes: &[HomeTarget],
+    me: member::HolderId,
+    lower: &mut impl FnMut(&str, ShareTarget) -> LoweredShare,
+) {
+    let Some(held) = entry.grant(me).copied() else {
+        return;
+    };
+    let home = homes.iter().find(|home| home.holder == me);
+    let target = home.map(|home| home.target).unwrap_or_default();
+    if held.rate <= target.rate && held.burst <= target.burst {
+        return;
+    }
+    let lowered = lower(&entry.spec.name, target);
+    let grant = entry.grant_mut(me);
+    grant.rate = grant.rate.min(lowered.rate);
+    grant.burst = grant.burst.min(lowered.burst);
+    let given = lowered.given.less(grant.given);
+    grant.given += given;
+    entry.pool += given;
+}
+
+fn raise_homes(entry: &mut document::LimitEntry, homes: &[HomeTarget]) {
+    for home in homes {
+        let held = entry.grant(home.holder).copied();
+        let held = held.unwrap_or(document::ShareGrant::nothing(home.holder));
+        let rate = home.target.rate.less(held.rate).min(entry.free_rate());
+        let burst = home.target.burst.less(held.burst).min(entry.free_burst());
+        if rate == amount::TokenRate::ZERO && burst.is_zero() {
+            continue;
+        }
+        let tokens = entry.pool.min(burst);
+        entry.pool = entry.pool.less(tokens);
+        let grant = entry.grant_mut(home.holder);
+        grant.rate += rate;
+        grant.burst += burst;
+        grant.received += tokens;
+    }
+}
+
+fn release_member(next: &mut document::ShareDocument, me: &member::MemberEntry) {
+    let holds = |entry: &document::LimitEntry| {
+        let grant = entry.grant(me.id);
+        grant.is_some_and(|grant| !grant.burst.is_zero() || grant.rate != amount::TokenRate::ZERO)
+    };
+    if !me.leaving || next.limits.iter().any(holds) {
+        return;
+    }
+    next.members.retain(|member| member.id != me.id);
+    for entry in &mut next.limits {
+        entry.grants.retain(|grant| grant.holder != me.id);
+    }
+}
+
+fn is_wanted(entry: &document::LimitEntry) -> bool {
+    let terms = entry.spec.terms;
+    let in_use = entry
+        .grants
+        .iter()
+        .any(|grant| !grant.burst.is_zero() || grant.rate != amount::TokenRate::ZERO);
+    in_use || terms != terms.emptied()
+}
