fix(quota): a holder lowers nothing of a limit that it does not know

Cause: a VM on an older revision may be granted a limit that only newer revisions have; lowering it ended the process. Change: such a limit counts as not in use. Conclusion: a revision may reach the document before it reaches every VM.

--- a/dahliawood-quota/src/book/mod.rs
+++ b/dahliawood-quota/src/book/mod.rs
@@ -349,11 +349,9 @@
             spans: &self.spans,
         };
         let (table, states) = (&self.table, &mut self.states);
-        let lower = |name: &str, target| {
-            let key = table
-                .key(name)
-                .expect("a limit that is held was configured");
-            states[key.index()].lower(target, now)
+        let lower = |name: &str, target: plan::ShareTarget| match table.key(name) {
+            Some(key) => states[key.index()].lower(target, now),
+            None => plan::LoweredShare::default(),
         };
         let intent = self.holder.tick(&mut self.evidence, options, lower, now);
         let effect = intent.map(|intent| match intent {
