test(quota): bounds and recovery over generated histories

Cause: the bounds have to hold over all VMs through loss, repetition and reordering, pauses longer than any lease, death and replacement, store outage, slow store, lost replies, stale reads, a region cut off, growth, leaving and new revisions, several at once. Change: an event loop of 2 to 6 VMs with a network, a store and a live list that misbehave, and an exact fleet-wide bucket and slot count as the oracle; after a quiet time all shares and tokens have to be back. Reclaim asks a majority first, and a VM whose proof of life lapsed confirms itself with a write before it uses its shares. Releasing a slot hands on what it caused at once.

--- a/dahliawood-quota/src/book/mod.rs
+++ b/dahliawood-quota/src/book/mod.rs
@@ -104,10 +104,16 @@
         self.states[limit.index()].admit(ticket, amount, deadline, context)
     }
 
-    /// Ends the use of a slot; for a rate limit this does nothing.
-    pub fn release(&mut self, permit: effect::QuotaPermit, now: stamp::TimeStamp) {
+    /// Ends the use of a slot and returns what to do: a waiting request may get the slot at once.
+    /// For a rate limit this does nothing.
+    pub fn release(
+        &mut self,
+        permit: effect::QuotaPermit,
+        now: stamp::TimeStamp,
+    ) -> Vec<effect::QuotaEffect> {
         self.states[permit.limit.index()].release(permit.source);
         self.serve(permit.limit, now);
+        std::mem::take(&mut self.effects)
     }
 
     /// Removes a waiting request, for instance when its caller has gone.
@@ -262,6 +268,12 @@
         probe: message::PeerProbe,
         now: stamp::TimeStamp,
     ) {
+        let due = probe
+            .subject
+            .and_then(|subject| self.evidence.ask_subject(subject, now));
+        if let Some(due) = due {
+            self.send(due.to, due.probe);
+        }
         if let Some(echo) = self.evidence.answer(from, probe, &self.spans, now) {
             self.send(from, echo);
         }
--- a/dahliawood-quota/src/shares/evidence/mod.rs
+++ b/dahliawood-quota/src/shares/evidence/mod.rs
@@ -2,9 +2,13 @@
 //!
 //! A VM uses its shares only while it has fresh proof that nobody may take them: it read itself in
 //! the live list, or a majority of the members answered its probe. A member is reclaimed only
-//! after it was absent from the live list *and* silent at a majority for a longer time. A VM that
-//! declared a member silent answers none of its probes for that time, so that both proofs cannot
-//! be had at once. The live list may lag by less than `absence_hold - blind_stop`.
+//! after it was absent from the live list *and* silent at a majority for a longer time, each of
+//! which has asked it in vain. A VM that declared a member silent answers none of its probes for
+//! that time, so that both proofs cannot be had at once. A member whose proof has lapsed writes the
+//! document with a new epoch before it uses its shares again; that write makes every older one
+//! fail, and whoever reads it starts to wait anew.
+//!
+//! The live list may lag by less than `absence_hold - blind_stop`; a longer lag breaks the proof.
 //!
 //! Where half of the members die at once, no majority can declare them silent until other VMs
 //! have joined or the dead were replaced at their addresses.
@@ -13,8 +17,34 @@
 use dahliawood_model::{FastMap, stamp};
 use std::time::Duration;
 
-/// How long the answers to a probe are collected before it is sent again.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Parts of [`options::QuotaOptions::blind_stop`] between two probes, and after which the answers
+/// to a probe are too old to act on.
+const PROBES_PER_STOP: u32 = 4;
+/// Parts of [`options::QuotaOptions::absence_hold`] for which an asked VM may take to answer.
+const ANSWERS_PER_HOLD: u32 = 4;
+
+/// How long a member has been absent from the live list, by this VM's readings.
+#[derive(Clone, Copy, Debug)]
+struct AbsenceSpan {
+    first: stamp::TimeStamp,
+    last: stamp::TimeStamp,
+    epoch: u64,
+}
+
+impl AbsenceSpan {
+    fn is_continued(
+        &self,
+        member: &member::MemberEntry,
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> bool {
+        self.epoch == member.epoch && now < self.last.after(spans.blind_stop)
+    }
+
+    fn is_ripe(&self, member: &member::MemberEntry, spans: &options::QuotaOptions) -> bool {
+        self.epoch == member.epoch && spans.absence_hold <= self.last.since(self.first)
+    }
+}
 
 /// A probe that is out.
 #[derive(Clone, Debug)]
@@ -32,8 +62,9 @@
     proven_at: stamp::TimeStamp,
     is_lapsed: bool,
     epoch: u64,
-    absent_since: FastMap<member::HolderId, stamp::TimeStamp>,
+    absences: FastMap<member::HolderId, AbsenceSpan>,
     heard_at: FastMap<member::HolderId, stamp::TimeStamp>,
+    asked_at: FastMap<member::HolderId, stamp::TimeStamp>,
     declared_until: FastMap<member::HolderId, stamp::TimeStamp>,
     own_probe: Option<OpenProbe>,
     polls: FastMap<member::HolderId, OpenProbe>,
@@ -58,7 +89,8 @@
             proven_at: now,
             is_lapsed: false,
             epoch: 0,
-            absent_since: FastMap::default(),
+            absences: FastMap::default(),
+            asked_at: FastMap::default(),
             heard_at: FastMap::default(),
             declared_until: FastMap::default(),
             own_probe: None,
@@ -109,11 +141,21 @@
         if list.contains(&self.me) {
             self.prove(read_at, spans, now);
         }
-        self.absent_since.retain(|id, _| !list.contains(id));
-        let absent = members.iter().filter(|member| !list.contains(&member.id));
-        for member in absent {
-            self.absent_since.entry(member.id).or_insert(now);
+        let mut absences = FastMap::default();
+        for member in members.iter().filter(|member| !list.contains(&member.id)) {
+            let known = self.absences.get(&member.id).copied();
+            let known = known.filter(|span| span.is_continued(member, spans, now));
+            let first = known.map_or(now, |span| span.first);
+            absences.insert(
+                member.id,
+                AbsenceSpan {
+                    first,
+                    last: now,
+                    epoch: member.epoch,
+                },
+            );
         }
+        self.absences = absences;
     }
 
     /// Answers a probe; `None` where its sender was declared silent.
@@ -142,6 +184,7 @@
             .is_some_and(|until| now < *until)
     }
 
+    /// How long `subject` has been silent, nothing where it was not asked in vain.
     fn declare_silence(
         &mut self,
         subject: member::HolderId,
@@ -149,15 +192,35 @@
         now: stamp::TimeStamp,
     ) -> Duration {
         let heard_at = self.heard_at.get(&subject).copied().unwrap_or_default();
-        let silent_for = now.since(heard_at.max(self.started_at));
-        if subject == self.me {
+        let heard_at = heard_at.max(self.started_at);
+        let asked_at = self
+            .asked_at
+            .get(&subject)
+            .filter(|asked| heard_at <= **asked);
+        let answer = spans.absence_hold / ANSWERS_PER_HOLD;
+        let in_vain = asked_at.is_some_and(|asked| asked.after(answer) <= now);
+        if subject == self.me || !in_vain || now.since(heard_at) < spans.absence_hold {
             return Duration::ZERO;
         }
-        if spans.absence_hold <= silent_for {
-            self.declared_until
-                .insert(subject, now.after(spans.absence_hold));
+        self.declared_until
+            .insert(subject, now.after(spans.absence_hold));
+        now.since(heard_at)
+    }
+
+    /// The probe that asks `subject` for a sign of life, where it was not asked since it was heard.
+    pub fn ask_subject(
+        &mut self,
+        subject: member::HolderId,
+        now: stamp::TimeStamp,
+    ) -> Option<DueProbe> {
+        let heard_at = self.heard_at.get(&subject).copied().unwrap_or_default();
+        let asked_at = self.asked_at.get(&subject);
+        if subject == self.me || asked_at.is_some_and(|asked| heard_at <= *asked) {
+            return None;
         }
-        silent_for
+        self.asked_at.insert(subject, now);
+        let probe = self.next_probe(None);
+        Some(DueProbe { to: subject, probe })
     }
 
     /// Takes the answer to a probe of this VM.
@@ -198,18 +261,21 @@
         if self.proven_at.after(spans.blind_stop / 2) <= now {
             self.probe_self(members, spans, &mut due, now);
         }
-        let hold = spans.absence_hold;
-        let ripe = self
-            .absent_since
+        let ripe = members
             .iter()
-            .filter(|(_, since)| since.after(hold) <= now);
-        let subjects: Vec<_> = ripe.map(|(id, _)| *id).collect();
+            .filter(|member| self.is_absent(member, spans));
+        let subjects: Vec<_> = ripe.map(|member| member.id).collect();
         for subject in subjects {
             self.poll_subject(subject, members, spans, &mut due, now);
         }
         due
     }
 
+    fn is_absent(&self, member: &member::MemberEntry, spans: &options::QuotaOptions) -> bool {
+        let span = self.absences.get(&member.id);
+        span.is_some_and(|span| span.is_ripe(member, spans))
+    }
+
     fn probe_self(
         &mut self,
         members: &[member::MemberEntry],
@@ -221,11 +287,9 @@
             self.prove(now, spans, now);
             return;
         }
-        if self
-            .own_probe
-            .as_ref()
-            .is_some_and(|probe| now < probe.sent_at.after(PROBE_EVERY))
-        {
+        let every = spans.blind_stop / PROBES_PER_STOP;
+        let is_open = |probe: &OpenProbe| now < probe.sent_at.after(every);
+        if self.own_probe.as_ref().is_some_and(is_open) {
             return;
         }
         let probe = self.next_probe(None);
@@ -241,9 +305,10 @@
         due: &mut Vec<DueProbe>,
         now: stamp::TimeStamp,
     ) {
-        let is_open = |probe: &OpenProbe| now < probe.sent_at.after(PROBE_EVERY);
-        let is_member = members.iter().any(|member| member.id == subject);
-        if !is_member || self.polls.get(&subject).is_some_and(is_open) {
+        due.extend(self.ask_subject(subject, now));
+        let every = spans.blind_stop / PROBES_PER_STOP;
+        let is_open = |probe: &OpenProbe| now < probe.sent_at.after(every);
+        if self.polls.get(&subject).is_some_and(is_open) {
             return;
         }
         let probe = self.next_probe(Some(subject));
@@ -270,23 +335,30 @@
         spans: &options::QuotaOptions,
         now: stamp::TimeStamp,
     ) -> Vec<member::HolderId> {
-        let is_gone = |id: &member::HolderId| {
-            let absent = self.absent_since.get(id);
-            let absent = absent.is_some_and(|since| since.after(spans.absence_hold) <= now);
-            let poll = self.polls.get(id);
-            absent && poll.is_some_and(|poll| is_agreed(poll, members, now))
+        let is_gone = |member: &member::MemberEntry| {
+            let poll = self.polls.get(&member.id);
+            let is_agreed = poll.is_some_and(|poll| is_agreed(poll, members, spans, now));
+            self.is_absent(member, spans) && is_agreed
         };
         let replaced_at = self.started_at.after(spans.longest_loan);
-        let is_replaced = |id: &member::HolderId| {
-            id.address == self.me.address && *id != self.me && replaced_at <= now
+        let is_replaced = |id: member::HolderId| {
+            id.address == self.me.address && id != self.me && replaced_at <= now
         };
-        let ids = members.iter().map(|member| member.id);
-        ids.filter(|id| is_gone(id) || is_replaced(id)).collect()
+        let gone = members
+            .iter()
+            .filter(|member| is_gone(member) || is_replaced(member.id));
+        gone.map(|member| member.id).collect()
     }
 }
 
-fn is_agreed(poll: &OpenProbe, members: &[member::MemberEntry], now: stamp::TimeStamp) -> bool {
-    now < poll.sent_at.after(PROBE_EVERY) && is_majority(poll.agreed.len(), members)
+fn is_agreed(
+    poll: &OpenProbe,
+    members: &[member::MemberEntry],
+    spans: &options::QuotaOptions,
+    now: stamp::TimeStamp,
+) -> bool {
+    let is_fresh = now < poll.sent_at.after(spans.blind_stop / PROBES_PER_STOP);
+    is_fresh && is_majority(poll.agreed.len(), members)
 }
 
 fn is_majority(count: usize, members: &[member::MemberEntry]) -> bool {
--- /dev/null
+++ b/dahliawood-quota/tests/quota/fleet/mod.rs
@@ -0,0 +1,577 @@
+//! An event loop of a few VMs with a network, a store and a live list that misbehave.
+
+use crate::history::{FAULTS_FOR, Fault, FaultKind, History, QUIET_FOR};
+use crate::{oracle, store};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_quota::book::{self, effect};
+use dahliawood_quota::shares::{document, holder};
+use dahliawood_quota::{amount, limit, member, message, options};
+use rand::{Rng, SeedableRng, rngs};
+use std::collections::{BTreeMap, BinaryHeap};
+use std::{cmp, net::SocketAddr, time::Duration};
+
+const REGIONS: [&str; 3] = ["north", "central", "south"];
+const TICK_MOST: u64 = 60_000;
+/// Places of VMs that join later; no two living VMs have one address.
+const GROWN_FROM: usize = 100;
+pub const RATE: u64 = 20;
+pub const BURST: u64 = 5;
+pub const SLOTS: u64 = 4;
+
+pub fn spans() -> options::QuotaOptions {
+    options::QuotaOptions {
+        loan_time: Duration::from_millis(400),
+        longest_loan: Duration::from_millis(800),
+        ask_timeout: Duration::from_millis(150),
+        blind_stop: Duration::from_millis(1_200),
+        absence_hold: Duration::from_millis(3_500),
+        read_every: Duration::from_millis(300),
+        write_timeout: Duration::from_millis(300),
+        ..options::QuotaOptions::default()
+    }
+}
+
+enum Event {
+    Tick(usize),
+    Arrival,
+    Deliver(usize, member::HolderId, message::QuotaMessage),
+    ReadList(usize),
+    StoreRead(usize),
+    StoreWrite(usize, holder::ShareWrite),
+    ReadReply(
+        usize,
+        Option<document::ShareDocument>,
+        document::ShareVersion,
+    ),
+    WriteReply(usize, u64, holder::WriteOutcome),
+    Vacate(usize, u64, effect::QuotaPermit),
+    Start(usize),
+}
+
+struct Entry(u64, u64, Event);
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Entry {}
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> cmp::Ordering {
+        (other.0, other.1).cmp(&(self.0, self.1))
+    }
+}
+
+struct Vm {
+    id: member::HolderId,
+    region: usize,
+    origin: u64,
+    book: book::QuotaBook,
+    is_dead: bool,
+    slot_waits: BTreeMap<effect::WaitTicket, u64>,
+    rate_waits: BTreeMap<effect::WaitTicket, u64>,
+}
+
+pub struct Fleet {
+    rng: rngs::StdRng,
+    now: u64,
+    last: u64,
+    events: BinaryHeap<Entry>,
+    vms: Vec<Vm>,
+    listed: Vec<(u64, Vec<member::HolderId>)>,
+    store: store::FakeStore,
+    history: History,
+    revision: u64,
+    specs: Vec<limit::LimitSpec>,
+    rate: oracle::RateOracle,
+    count: oracle::CountOracle,
+    lost: usize,
+    pub admitted: u64,
+    pub broken: Vec<String>,
+}
+
+fn specs(permille: u64) -> Vec<limit::LimitSpec> {
+    let part = |units: u64| units * 1_000 * permille;
+    let rate = limit::LimitSpec {
+        name: "customer/small".into(),
+        terms: limit::LimitTerms::Rate {
+            rate: amount::TokenRate::from_micros(part(RATE)),
+            burst: amount::TokenAmount::from_micros(part(BURST)),
+        },
+        homes: limit::HomeRule {
+            region: None,
+            homes_max: 2,
+        },
+    };
+    let count = limit::LimitSpec {
+        name: "slots/target".into(),
+        terms: limit::LimitTerms::Count {
+            count: amount::TokenAmount::from_whole(part(SLOTS) / amount::MICROS_PER_UNIT),
+        },
+        homes: limit::HomeRule {
+            region: Some("north".into()),
+            homes_max: 2,
+        },
+    };
+    vec![rate, count]
+}
+
+impl Fleet {
+    pub fn new(history: History) -> Self {
+        let mut fleet = Self {
+            rng: rngs::StdRng::seed_from_u64(history.seed),
+            now: 0,
+            last: 0,
+            events: BinaryHeap::new(),
+            vms: Vec::new(),
+            listed: Vec::new(),
+            store: store::FakeStore::default(),
+            revision: 1,
+            specs: specs(1_000),
+            rate: oracle::RateOracle::new(),
+            count: oracle::CountOracle::new(),
+            lost: 0,
+            admitted: 0,
+            broken: Vec::new(),
+            history,
+        };
+        (0..fleet.history.vms).for_each(|place| fleet.start_vm(place));
+        fleet.push(0, Event::Arrival);
+        let faults = fleet.history.faults.clone();
+        for fault in faults {
+            fleet.push(fault.at, Event::Start(usize::MAX));
+        }
+        fleet
+    }
+
+    fn push(&mut self, delay: u64, event: Event) {
+        self.last += 1;
+        self.events.push(Entry(self.now + delay, self.last, event));
+    }
+
+    fn start_vm(&mut self, place: usize) {
+        let address = SocketAddr::from(([10, 0, 0, 1], 1_000 + place as u16));
+        let id = member::HolderId {
+            address,
+            incarnation: self.vms.len() as u64 + 1,
+        };
+        let region = place % REGIONS.len();
+        let me = member::MemberEntry {
+            id,
+            region: REGIONS[region].into(),
+            domain: format!("{}-{}", REGIONS[region], place % 2),
+            leaving: false,
+            epoch: 0,
+        };
+        let origin = self.rng.random_range(0..1_u64 << 40);
+        let now = TimeStamp::from_micros(self.now + origin);
+        let mut book = book::QuotaBook::new(me, spans(), now);
+        book.configure(self.revision, self.specs.clone(), now);
+        let index = self.vms.len();
+        self.vms.push(Vm {
+            id,
+            region,
+            origin,
+            book,
+            is_dead: false,
+            slot_waits: BTreeMap::new(),
+            rate_waits: BTreeMap::new(),
+        });
+        self.push(0, Event::Tick(index));
+        self.push(0, Event::ReadList(index));
+        self.note_listed();
+    }
+
+    /// The live list: a VM leaves it when it died, or, by the platform's whim, when it is cut off
+    /// or paused.
+    fn note_listed(&mut self) {
+        let drops_silent = self.history.seed.is_multiple_of(2);
+        let is_listed = |(index, vm): &(usize, &Vm)| {
+            let silent = self.is_cut(vm.region, 0) || self.now < self.paused_until(*index);
+            !(vm.is_dead || (drops_silent && silent))
+        };
+        let listed = self.vms.iter().enumerate().filter(is_listed);
+        let list = listed.map(|(_, vm)| vm.id).collect();
+        self.listed.push((self.now, list));
+    }
+
+    fn fault(&self, kind: FaultKind) -> Option<&Fault> {
+        let active = |fault: &&Fault| {
+            fault.kind == kind && fault.at <= self.now && self.now < fault.at + fault.span
+        };
+        self.history.faults.iter().find(active)
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let cut = self
+            .fault(FaultKind::RegionCut)
+            .map(|fault| fault.whom % REGIONS.len());
+        from != to && cut.is_some_and(|cut| from == cut || to == cut)
+    }
+
+    fn paused_until(&self, vm: usize) -> u64 {
+        let hits = |fault: &&Fault| {
+            fault.kind == FaultKind::Pause
+                && fault.whom % self.vms.len() == vm
+                && fault.at <= self.now
+                && self.now < fault.at + fault.span
+        };
+        let ends = self
+            .history
+            .faults
+            .iter()
+            .filter(hits)
+            .map(|fault| fault.at + fault.span);
+        ends.max().unwrap_or(self.now)
+    }
+
+    pub fn run(&mut self) {
+        while let Some(Entry(at, _, event)) = self.events.pop() {
+            if FAULTS_FOR + QUIET_FOR < at || !self.broken.is_empty() {
+                break;
+            }
+            self.now = at;
+            self.step(event);
+        }
+    }
+
+    fn stamp(&self, vm: usize) -> TimeStamp {
+        TimeStamp::from_micros(self.now + self.vms[vm].origin)
+    }
+
+    fn step(&mut self, event: Event) {
+        let whom = match &event {
+            Event::Tick(vm)
+            | Event::Deliver(vm, ..)
+            | Event::ReadList(vm)
+            | Event::ReadReply(vm, ..)
+            | Event::WriteReply(vm, ..) => Some(*vm),
+            _ => None,
+        };
+        if let Some(vm) = whom {
+            if self.vms[vm].is_dead {
+                return;
+            }
+            let resumes = self.paused_until(vm);
+            if self.now < resumes {
+                let jitter = self.rng.random_range(0..1_000);
+                self.push(resumes - self.now + jitter, event);
+                return;
+            }
+        }
+        self.run_event(event);
+    }
+
+    fn run_event(&mut self, event: Event) {
+        match event {
+            Event::Tick(vm) => self.tick(vm),
+            Event::Arrival => self.arrive(),
+            Event::Deliver(vm, from, message) => {
+                let now = self.stamp(vm);
+                let effects = self.vms[vm].book.receive(from, message, now);
+                self.carry_out(vm, effects);
+            }
+            Event::ReadList(vm) => self.read_list(vm),
+            Event::StoreRead(vm) => self.store_read(vm),
+            Event::StoreWrite(vm, write) => self.store_write(vm, &write),
+            Event::ReadReply(vm, document, version) => {
+                let now = self.stamp(vm);
+                self.vms[vm].book.share_read(document, version, now);
+            }
+            Event::WriteReply(vm, serial, outcome) => {
+                let now = self.stamp(vm);
+                self.vms[vm].book.share_written(serial, outcome, now);
+            }
+            Event::Vacate(vm, name, permit) => {
+                self.count.vacate(name);
+                let now = self.stamp(vm);
+                if !self.vms[vm].is_dead {
+                    let effects = self.vms[vm].book.release(permit, now);
+                    self.carry_out(vm, effects);
+                }
+            }
+            Event::Start(usize::MAX) => self.begin_fault(),
+            Event::Start(place) => self.start_vm(place),
+        }
+    }
+
+    fn begin_fault(&mut self) {
+        let now = self.now;
+        let begins: Vec<Fault> = self
+            .history
+            .faults
+            .iter()
+            .filter(|fault| fault.at == now)
+            .copied()
+            .collect();
+        for fault in begins {
+            let vm = fault.whom % self.vms.len();
+            match fault.kind {
+                FaultKind::Death if !self.vms[vm].is_dead => self.kill(vm, fault),
+                FaultKind::Growth => self.start_vm(GROWN_FROM + self.vms.len()),
+                FaultKind::Leave if !self.is_replacement(vm) => self.vms[vm].book.leave(),
+                FaultKind::Revision { permille } => self.revise(permille),
+                _ => {}
+            }
+        }
+        self.note_listed();
+    }
+
+    /// A replacement that leaves before it reclaimed its predecessor may take the majority along.
+    fn is_replacement(&self, vm: usize) -> bool {
+        let address = self.vms[vm].id.address;
+        self.vms[..vm]
+            .iter()
+            .any(|other| other.id.address == address)
+    }
+
+    fn kill(&mut self, vm: usize, fault: Fault) {
+        self.vms[vm].is_dead = true;
+        if !fault.span.is_multiple_of(3) || !self.may_lose_another() {
+            let place = usize::from(self.vms[vm].id.address.port()) - 1_000;
+            self.push(fault.span / 2, Event::Start(place));
+        } else {
+            self.lost += 1;
+        }
+    }
+
+    /// Whether a majority of all that ever were members would outlive one more death for good.
+    fn may_lose_another(&self) -> bool {
+        let leaves = |fault: &&Fault| fault.kind == FaultKind::Leave;
+        let left = self.history.faults.iter().filter(leaves).count();
+        (self.lost + left + 1) * 2 < self.history.vms
+    }
+
+    fn revise(&mut self, permille: u64) {
+        self.revision += 1;
+        self.specs = specs(permille);
+        for vm in 0..self.vms.len() {
+            if self.rng.random_range(0..4) != 0 {
+                self.configure(vm);
+            }
+        }
+    }
+
+    fn configure(&mut self, vm: usize) {
+        let now = self.stamp(vm);
+        self.vms[vm]
+            .book
+            .configure(self.revision, self.specs.clone(), now);
+    }
+
+    fn tick(&mut self, vm: usize) {
+        if self.rng.random_range(0..20) == 0 {
+            self.configure(vm);
+        }
+        let now = self.stamp(vm);
+        let effects = self.vms[vm].book.tick(now);
+        self.carry_out(vm, effects);
+        if !self.vms[vm].book.is_released() {
+            let next = self.rng.random_range(5_000..TICK_MOST);
+            self.push(next, Event::Tick(vm));
+        }
+    }
+
+    fn read_list(&mut self, vm: usize) {
+        self.push(200_000, Event::ReadList(vm));
+        let cut = self.is_cut(self.vms[vm].region, 0);
+        if cut || self.fault(FaultKind::ListDown).is_some() {
+            return;
+        }
+        self.note_listed();
+        let lag = self.rng.random_range(0..1_000_000);
+        let seen = self.now.saturating_sub(lag);
+        let list = self.listed.iter().rev().find(|(at, _)| *at <= seen);
+        let list = list.map(|(_, list)| list.clone()).unwrap_or_default();
+        let now = self.stamp(vm);
+        self.vms[vm].book.live_list(&list, now, now);
+        let kept = self.now.saturating_sub(3_000_000);
+        self.listed.retain(|(at, _)| kept <= *at);
+    }
+
+    fn carry_out(&mut self, vm: usize, effects: Vec<effect::QuotaEffect>) {
+        for effect in effects {
+            match effect {
+                effect::QuotaEffect::Send { to, message } => self.send(vm, to, message),
+                effect::QuotaEffect::ReadShares => {
+                    let delay = self.rng.random_range(500..20_000);
+                    self.push(delay, Event::StoreRead(vm));
+                }
+                effect::QuotaEffect::WriteShares(write) => {
+                    let slow = self.fault(FaultKind::StoreSlow).is_some();
+                    let most = if slow { 3_000_000 } else { 20_000 };
+                    let delay = self.rng.random_range(500..most);
+                    self.push(delay, Event::StoreWrite(vm, write));
+                }
+                effect::QuotaEffect::Resolved { ticket, admission } => {
+                    self.resolve(vm, ticket, admission);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: member::HolderId, message: message::QuotaMessage) {
+        let Some(to) = self.vms.iter().position(|vm| vm.id == to) else {
+            return;
+        };
+        if self.is_cut(self.vms[from].region, self.vms[to].region) {
+            return;
+        }
+        let lossy = self.fault(FaultKind::Lossy).is_some();
+        let copies = match self.rng.random_range(0..10) {
+            0..=3 if lossy => 0,
+            4..=6 if lossy => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let most = if lossy { 900_000 } else { 30_000 };
+            let delay = self.rng.random_range(200..most);
+            let id = self.vms[from].id;
+            self.push(delay, Event::Deliver(to, id, message));
+        }
+    }
+
+    fn store_reaches(&mut self, vm: usize) -> bool {
+        self.fault(FaultKind::StoreOutage).is_none() && !self.is_cut(self.vms[vm].region, 0)
+    }
+
+    fn store_read(&mut self, vm: usize) {
+        if !self.store_reaches(vm) {
+            return;
+        }
+        let stale = self.fault(FaultKind::StaleReads).is_some();
+        let back = if stale {
+            self.rng.random_range(0..3)
+        } else {
+            0
+        };
+        let (document, version) = self.store.read(back);
+        let delay = self.rng.random_range(500..20_000);
+        self.push(delay, Event::ReadReply(vm, document, version));
+    }
+
+    fn store_write(&mut self, vm: usize, write: &holder::ShareWrite) {
+        let mut outcome = holder::WriteOutcome::Unknown;
+        if self.store_reaches(vm) {
+            outcome = self.store.write(write);
+        }
+        if matches!(outcome, holder::WriteOutcome::Applied(_)) {
+            let document = self.store.newest().expect("one was written");
+            if let Some(entry) = document.limit("customer/small") {
+                self.rate.revise(entry, self.now);
+            }
+            if let Some(entry) = document.limit("slots/target") {
+                self.count.revise(entry);
+            }
+        }
+        if self.fault(FaultKind::LostReplies).is_some() && self.rng.random_range(0..2) == 0 {
+            outcome = holder::WriteOutcome::Unknown;
+        }
+        let delay = self.rng.random_range(500..20_000);
+        self.push(delay, Event::WriteReply(vm, write.serial, outcome));
+    }
+
+    fn arrive(&mut self) {
+        let mean = 1_000_000_000 / (RATE * self.history.demand_permille);
+        let next = self.rng.random_range(0..2 * mean + 1);
+        if self.now + next < FAULTS_FOR {
+            self.push(next, Event::Arrival);
+        }
+        for _ in 0..self.rng.random_range(1..3) {
+            let vm = self.rng.random_range(0..self.vms.len());
+            if !self.vms[vm].is_dead && self.paused_until(vm) <= self.now {
+                self.request(vm);
+            }
+        }
+    }
+
+    fn request(&mut self, vm: usize) {
+        let now = self.stamp(vm);
+        let customer = self.vms[vm]
+            .book
+            .limit("customer/small")
+            .expect("configured");
+        let admission = self.vms[vm].book.admit(customer, TimeStamp::MAX, now);
+        if let effect::Admission::Waiting { ticket, .. } = admission {
+            self.vms[vm].rate_waits.insert(ticket, 0);
+        }
+        self.note_rate(admission);
+        let slots = self.vms[vm].book.limit("slots/target").expect("configured");
+        let span = self.rng.random_range(1_000..800_000);
+        let deadline = now.after(Duration::from_micros(span));
+        let admission = self.vms[vm].book.admit(slots, deadline, now);
+        if let effect::Admission::Waiting { ticket, .. } = admission {
+            self.vms[vm].slot_waits.insert(ticket, 0);
+        }
+        self.note_slot(vm, admission);
+    }
+
+    fn resolve(&mut self, vm: usize, ticket: effect::WaitTicket, admission: effect::Admission) {
+        if self.vms[vm].slot_waits.remove(&ticket).is_some() {
+            self.note_slot(vm, admission);
+        } else if self.vms[vm].rate_waits.remove(&ticket).is_some() {
+            self.note_rate(admission);
+        } else {
+            self.broken.push(format!("{ticket} was resolved twice"));
+        }
+    }
+
+    fn note_rate(&mut self, admission: effect::Admission) {
+        if let effect::Admission::Granted(_) = admission {
+            self.admitted += 1;
+            if !self.rate.admit(amount::TokenAmount::ONE, self.now) {
+                self.broken
+                    .push(format!("rate and burst passed at {} us", self.now));
+            }
+        }
+    }
+
+    fn note_slot(&mut self, vm: usize, admission: effect::Admission) {
+        let effect::Admission::Granted(permit) = admission else {
+            return;
+        };
+        let until = permit.usable_until.as_micros() - self.vms[vm].origin;
+        let (name, keeps) = self.count.occupy(self.now, until);
+        if !keeps {
+            self.broken.push(format!("slots passed at {} us", self.now));
+        }
+        let most = until.saturating_sub(self.now).max(1);
+        let delay = self.rng.random_range(0..=most);
+        self.push(delay, Event::Vacate(vm, name, permit));
+    }
+
+    /// After the quiet time, everything is back: shares add up to the terms and no loan is out.
+    pub fn check_recovered(&mut self) {
+        let ends: Vec<_> = (0..self.vms.len()).map(|vm| self.stamp(vm)).collect();
+        let live = self.vms.iter_mut().zip(ends).filter(|(vm, _)| !vm.is_dead);
+        let mut active: Vec<_> = live
+            .filter(|(vm, _)| !vm.book.is_released())
+            .filter_map(|(vm, end)| vm.book.is_active(end).then_some(&vm.book))
+            .collect();
+        if active.is_empty() {
+            return;
+        }
+        for spec in &self.specs {
+            let shares: Vec<_> = active
+                .iter_mut()
+                .map(|book| book.share(book.limit(&spec.name).expect("configured")))
+                .collect();
+            let out: amount::TokenAmount = shares.iter().map(|share| share.out()).sum();
+            let burst: amount::TokenAmount = shares.iter().map(|share| share.burst()).sum();
+            let rate: amount::TokenRate = shares.iter().map(|share| share.rate()).sum();
+            let level: amount::TokenAmount = shares.iter().map(|share| share.level()).sum();
+            let terms = spec.terms;
+            let whole = burst == terms.burst() && rate == terms.rate();
+            if !whole || !out.is_zero() || level != burst {
+                let name = &spec.name;
+                let seen = format!("{name}: {rate} {burst} level {level} out {out} of {terms:?}");
+                self.broken.push(seen);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-quota/tests/quota/main.rs
@@ -0,0 +1,9 @@
+//! Properties of shares and loans over generated histories.
+
+mod bucket;
+mod fleet;
+mod history;
+mod oracle;
+mod promises;
+mod seed;
+mod store;
