feat(measure): wrongful refusals against one central bucket

Cause: the two layers have to be judged by refusals inside a customer's rate, beside a static split.

--- a/dahliawood-quota/src/limit/mod.rs
+++ b/dahliawood-quota/src/limit/mod.rs
@@ -118,16 +118,12 @@
 /// The least number of home VMs of a customer, so that the loss of one leaves another.
 const HOMES_LEAST: u64 = 2;
 
-/// The limit of a customer's requests.
-pub fn customer_limit(customer: &tables::CustomerSpec) -> LimitSpec {
-    let rate = TokenRate::from(customer.rate);
+/// A rate limit whose homes grow with its rate.
+pub fn rate_limit(name: String, rate: TokenRate, burst: TokenAmount) -> LimitSpec {
     let more = rate.micros_per_second / TokenRate::from_whole(RATE_PER_HOME).micros_per_second;
     LimitSpec {
-        name: format!("customer/{}", customer.name),
-        terms: LimitTerms::Rate {
-            rate,
-            burst: TokenAmount::from_whole(customer.burst),
-        },
+        name,
+        terms: LimitTerms::Rate { rate, burst },
         homes: HomeRule {
             region: None,
             homes_max: (HOMES_LEAST + more) as u32,
@@ -135,6 +131,15 @@
     }
 }
 
+/// The limit of a customer's requests.
+pub fn customer_limit(customer: &tables::CustomerSpec) -> LimitSpec {
+    rate_limit(
+        format!("customer/{}", customer.name),
+        TokenRate::from(customer.rate),
+        TokenAmount::from_whole(customer.burst),
+    )
+}
+
 /// The limit of the bytes of one direction of a link, held by the VMs of the sending region.
 pub fn link_limit(fleet: &tables::FleetConfig, link: &tables::LinkSpec) -> LimitSpec {
     let from = &fleet.regions[link.from].name;
--- /dev/null
+++ b/dahliawood-testkit/examples/measure/quota/central/mod.rs
@@ -0,0 +1,20 @@
+//! The yardsticks: one central token bucket, and a static split over all VMs.
+
+use dahliawood_model::stamp;
+use dahliawood_quota::{amount, bucket, limit};
+
+/// A bucket that starts full.
+pub fn full_bucket(terms: limit::LimitTerms, parts: u64) -> bucket::TokenBucket {
+    let mut bucket = bucket::TokenBucket::new(stamp::TimeStamp::ZERO);
+    let rate = terms.rate().micros_per_second / parts;
+    let burst = amount::TokenAmount::from_micros(terms.burst().micros / parts);
+    bucket.raise(amount::TokenRate::from_micros(rate), burst);
+    bucket.credit(burst);
+    bucket
+}
+
+/// Whether `bucket` admits one request at `now`.
+pub fn admits(bucket: &mut bucket::TokenBucket, now: stamp::TimeStamp) -> bool {
+    bucket.refill(now);
+    bucket.spend(amount::TokenAmount::ONE)
+}
