feat(quota): homes lease their shares to the VM that issues a limit

Change: the first home that answers is the issuer and leases the rate, burst and tokens of the other homes; both sides end a lease by their own clock, and a recall or a planned stop gives it back early. Five homes a customer, so that a dead VM takes a fifth of the rate until it is reclaimed. Conclusion: one bucket again where requests arrive, without one owner that can take all with it.

--- a/dahliawood-quota/src/book/mod.rs
+++ b/dahliawood-quota/src/book/mod.rs
@@ -9,7 +9,39 @@
 
 use crate::shares::{document, evidence, holder, plan};
 use crate::{amount, home, limit, member, message, options};
-use dahliawood_model::stamp;
+use dahliawood_model::{FastMap, stamp};
+use std::time::Duration;
+
+/// How long a VM that did not answer is passed over before it is tried again.
+const SILENT_FOR: Duration = Duration::from_secs(2);
+/// How often a share that is leased out is asked back.
+const RECALL_EVERY: Duration = Duration::from_millis(100);
+
+/// What all limits see of the VM.
+#[derive(Clone, Copy)]
+struct SharedState {
+    is_active: bool,
+    is_leaving: bool,
+    me: member::HolderId,
+}
+
+impl SharedState {
+    fn context<'a>(
+        self,
+        spans: &'a options::QuotaOptions,
+        silent: &'a FastMap<member::HolderId, stamp::TimeStamp>,
+        now: stamp::TimeStamp,
+    ) -> state::StateContext<'a> {
+        state::StateContext {
+            spans,
+            is_active: self.is_active,
+            is_leaving: self.is_leaving,
+            me: self.me,
+            silent,
+            now,
+        }
+    }
+}
 
 /// All limits of one VM.
 #[derive(Clone, Debug)]
@@ -23,6 +55,8 @@
     evidence: evidence::LiveEvidence,
     last_ticket: u64,
     last_serial: u64,
+    silent: FastMap<member::HolderId, stamp::TimeStamp>,
+    next_recall_at: stamp::TimeStamp,
     effects: Vec<effect::QuotaEffect>,
 }
 
@@ -43,6 +77,8 @@
             holder: holder::ShareHolder::new(me),
             last_ticket: 0,
             last_serial: 0,
+            silent: FastMap::default(),
+            next_recall_at: stamp::TimeStamp::ZERO,
             effects: Vec::new(),
         }
     }
@@ -95,12 +131,8 @@
     ) -> effect::Admission {
         self.last_ticket += 1;
         let ticket = effect::WaitTicket(self.last_ticket);
-        let is_active = self.is_active(now);
-        let context = state::StateContext {
-            spans: &self.spans,
-            is_active,
-            now,
-        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
         self.states[limit.index()].admit(ticket, amount, deadline, context)
     }
 
@@ -121,13 +153,18 @@
         self.states[limit.index()].cancel(ticket);
     }
 
-    /// The homes of a limit for a caller of `region`, nearest first; empty before the first read.
+    /// The homes of a limit for a caller of `region`, empty before the first read: the issuer first
+    /// for a small customer, the nearest first for a large one.
     pub fn homes(&self, limit: limit::LimitKey, region: &str) -> Vec<member::HolderId> {
         let spec = self.table.spec(limit);
         let tag = limit::LimitTag::of(&spec.name);
         let members = &self.holder.document().members;
         let homes = home::home_vms(tag, &spec.homes, members);
-        let homes = home::near_first(homes, region);
+        let homes = if spec.is_large() {
+            home::near_first(homes, region)
+        } else {
+            homes
+        };
         homes.into_iter().map(|home| home.id).collect()
     }
 
@@ -136,6 +173,16 @@
         self.states[limit.index()].bucket()
     }
 
+    fn shared(&mut self, now: stamp::TimeStamp) -> SharedState {
+        let is_active = self.is_active(now);
+        let me = self.holder.me();
+        SharedState {
+            is_active,
+            is_leaving: me.leaving,
+            me: me.id,
+        }
+    }
+
     /// Whether this VM may use its shares at `now`; it may use loans in any case.
     pub fn is_active(&mut self, now: stamp::TimeStamp) -> bool {
         self.holder.set_epoch(self.evidence.epoch(&self.spans, now));
@@ -200,9 +247,9 @@
         for (key, spec) in self.table.iter() {
             let entry = document.limit(&spec.name);
             let grant = entry.and_then(|entry| entry.grant(me));
-            let lenders = entry.map(|entry| lenders(entry, &document.members, me));
-            let lenders = lenders.unwrap_or_default();
-            self.states[key.index()].apply(grant, lenders, may_raise, now);
+            let homes = entry.map(|entry| holding_homes(entry, &document.members));
+            let homes = homes.unwrap_or_default();
+            self.states[key.index()].apply(grant, homes, may_raise, now);
         }
     }
 
@@ -214,10 +261,15 @@
         now: stamp::TimeStamp,
     ) -> Vec<effect::QuotaEffect> {
         self.evidence.hear(from, now);
+        self.silent.remove(&from);
         match message {
             message::QuotaMessage::Ask(ask) => self.take_ask(from, ask, now),
             message::QuotaMessage::Grant(grant) => self.take_grant(from, &grant, now),
             message::QuotaMessage::Report(report) => self.take_report(from, report, now),
+            message::QuotaMessage::LeaseAsk(ask) => self.take_lease_ask(from, ask, now),
+            message::QuotaMessage::LeaseGrant(grant) => self.take_lease(from, &grant, now),
+            message::QuotaMessage::LeaseReturn(back) => self.take_lease_back(from, back, now),
+            message::QuotaMessage::LeaseRecall(recall) => self.take_recall(from, recall, now),
             message::QuotaMessage::Probe(probe) => self.take_probe(from, probe, now),
             message::QuotaMessage::Echo(echo) => self.take_echo(from, echo, now),
         }
@@ -228,12 +280,8 @@
         let Some(key) = self.table.by_tag(ask.tag) else {
             return;
         };
-        let is_active = self.is_active(now);
-        let context = state::StateContext {
-            spans: &self.spans,
-            is_active,
-            now,
-        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
         let grant = self.states[key.index()].lend(from, ask, context);
         self.send(from, grant);
     }
@@ -262,6 +310,81 @@
         }
     }
 
+    fn take_lease_ask(
+        &mut self,
+        from: member::HolderId,
+        ask: message::LeaseAsk,
+        now: stamp::TimeStamp,
+    ) {
+        let Some(key) = self.table.by_tag(ask.tag) else {
+            return;
+        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
+        if let Some(grant) = self.states[key.index()].lend_share(from, ask, context) {
+            self.send(from, grant);
+        }
+    }
+
+    fn take_lease(
+        &mut self,
+        from: member::HolderId,
+        grant: &message::LeaseGrant,
+        now: stamp::TimeStamp,
+    ) {
+        let Some(key) = self.table.by_tag(grant.tag) else {
+            return;
+        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
+        self.states[key.index()].take_lease(from, grant, context);
+        self.serve(key, now);
+    }
+
+    fn take_lease_back(
+        &mut self,
+        from: member::HolderId,
+        back: message::LeaseReturn,
+        now: stamp::TimeStamp,
+    ) {
+        if let Some(key) = self.table.by_tag(back.tag) {
+            self.states[key.index()].take_lease_back(from, back, now);
+            self.serve(key, now);
+        }
+    }
+
+    fn take_recall(
+        &mut self,
+        from: member::HolderId,
+        recall: message::LeaseRecall,
+        now: stamp::TimeStamp,
+    ) {
+        if let Some(key) = self.table.by_tag(recall.tag) {
+            let due = self.states[key.index()].take_recall(from, now);
+            self.send_leases(due);
+        }
+    }
+
+    fn send_leases(&mut self, due: Vec<state::DueLeaseMessage>) {
+        for due in due {
+            self.send(due.to, due.message);
+        }
+    }
+
+    fn recall_shares(&mut self, now: stamp::TimeStamp) {
+        if now < self.next_recall_at {
+            return;
+        }
+        self.next_recall_at = now.after(RECALL_EVERY);
+        for (key, spec) in self.table.iter() {
+            let tag = limit::LimitTag::of(&spec.name);
+            if let Some(to) = self.states[key.index()].due_recall() {
+                let recall = message::LeaseRecall { tag };
+                self.effects.push(send_effect(to, recall));
+            }
+        }
+    }
+
     fn take_probe(
         &mut self,
         from: member::HolderId,
@@ -296,34 +419,32 @@
             let key = limit::LimitKey(index as u32);
             self.step(key, now);
         }
+        self.recall_shares(now);
         self.probe_peers(now);
         self.step_shares(now);
         std::mem::take(&mut self.effects)
     }
 
     fn step(&mut self, key: limit::LimitKey, now: stamp::TimeStamp) {
-        let is_active = self.is_active(now);
-        let context = state::StateContext {
-            spans: &self.spans,
-            is_active,
-            now,
-        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
         let state = &mut self.states[key.index()];
-        state.expire(context);
+        let silent = state.expire(context);
+        let leases = state.step_leases(&mut self.last_serial, context);
         for due in state.reports(context) {
             self.effects.push(send_effect(due.lender, due.report));
         }
+        for lender in silent {
+            self.silent.insert(lender, now.after(SILENT_FOR));
+        }
+        self.send_leases(leases);
         self.serve(key, now);
         self.borrow(key, now);
     }
 
     fn serve(&mut self, key: limit::LimitKey, now: stamp::TimeStamp) {
-        let is_active = self.is_active(now);
-        let context = state::StateContext {
-            spans: &self.spans,
-            is_active,
-            now,
-        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
         for resolved in self.states[key.index()].serve(context) {
             self.effects.push(effect::QuotaEffect::Resolved {
                 ticket: resolved.ticket,
@@ -333,12 +454,8 @@
     }
 
     fn borrow(&mut self, key: limit::LimitKey, now: stamp::TimeStamp) {
-        let is_active = self.is_active(now);
-        let context = state::StateContext {
-            spans: &self.spans,
-            is_active,
-            now,
-        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
         let serial = message::LoanSerial(self.last_serial + 1);
         if let Some(due) = self.states[key.index()].next_ask(serial, context) {
             self.last_serial += 1;
@@ -388,17 +505,16 @@
     }
 }
 
-/// Who else holds shares of a limit, homes first.
-fn lenders(
+/// The homes that hold shares of a limit, best first.
+fn holding_homes(
     entry: &document::LimitEntry,
     members: &[member::MemberEntry],
-    me: member::HolderId,
 ) -> Vec<member::HolderId> {
     let tag = limit::LimitTag::of(&entry.spec.name);
     let homes = home::home_vms(tag, &entry.spec.homes, members);
     let holds = |id: &member::HolderId| {
         let grant = entry.grant(*id);
-        *id != me && grant.is_some_and(|grant| !grant.burst.is_zero())
+        grant.is_some_and(|grant| !grant.burst.is_zero())
     };
     homes.iter().map(|home| home.id).filter(holds).collect()
 }
--- a/dahliawood-quota/src/book/state/mod.rs
+++ b/dahliawood-quota/src/book/state/mod.rs
@@ -1,17 +1,19 @@
 //! One limit at one VM: its bucket, its loans and the requests that wait for it.
 
 use crate::book::effect;
-use crate::loans::{forecast, ledger, wallet};
+use crate::loans::{forecast, lease, ledger, wallet};
 use crate::shares::{document, plan};
 use crate::{amount, bucket, limit, member, message, options};
 use dahliawood_model::{FastMap, stamp};
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// How long a lender that did not answer is passed over.
-const SILENT_LENDER: Duration = Duration::from_secs(1);
 /// The part of a limit's burst below which nothing is asked for in advance.
 const CHUNKS_PER_BURST: u64 = 50;
+/// The part of a limit's burst that one home's worth of VMs may keep in stock.
+const STOCKS_PER_BURST: u64 = 8;
+/// The part of a limit's burst that is lent only to requests that wait.
+const RESERVES_PER_BURST: u64 = 4;
 /// Bounds of the time after which a refused caller may try again.
 const RETRY_LEAST: Duration = Duration::from_millis(10);
 const RETRY_MOST: Duration = Duration::from_secs(60);
@@ -45,21 +47,55 @@
     pub(crate) spans: &'a options::QuotaOptions,
     /// Whether shares may be used.
     pub(crate) is_active: bool,
+    pub(crate) is_leaving: bool,
+    pub(crate) me: member::HolderId,
+    /// VMs that did not answer and were not heard since, and when to try them again.
+    pub(crate) silent: &'a FastMap<member::HolderId, stamp::TimeStamp>,
     pub(crate) now: stamp::TimeStamp,
 }
 
+impl StateContext<'_> {
+    fn is_silent(&self, id: member::HolderId) -> bool {
+        self.silent.get(&id).is_some_and(|until| self.now < *until)
+    }
+}
+
+/// A lease message that should be sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DueLeaseMessage {
+    pub(crate) to: member::HolderId,
+    pub(crate) message: message::QuotaMessage,
+}
+
+impl DueLeaseMessage {
+    fn from_due<M: Into<message::QuotaMessage>>(due: lease::DueLease<M>) -> Self {
+        Self {
+            to: due.to,
+            message: due.message.into(),
+        }
+    }
+}
+
+fn granted_share(grant: &document::ShareGrant) -> plan::ShareTarget {
+    plan::ShareTarget {
+        rate: grant.rate,
+        burst: grant.burst,
+    }
+}
+
 /// One limit at one VM.
 #[derive(Clone, Debug)]
 pub(crate) struct LimitState {
     key: limit::LimitKey,
     tag: limit::LimitTag,
     terms: limit::LimitTerms,
-    bucket: bucket::TokenBucket,
+    account: lease::ShareAccount,
     ledger: ledger::LoanLedger,
     wallet: wallet::LoanWallet,
     forecast: forecast::DemandForecast,
     waiters: VecDeque<WaitingRequest>,
-    lenders: Vec<member::HolderId>,
+    /// Homes that hold shares, best first, this VM included.
+    homes: Vec<member::HolderId>,
     dry_until: FastMap<member::HolderId, stamp::TimeStamp>,
     credited: amount::TokenAmount,
     given: amount::TokenAmount,
@@ -75,12 +111,12 @@
             key,
             tag: limit::LimitTag::of(&spec.name),
             terms: spec.terms,
-            bucket: bucket::TokenBucket::new(now),
+            account: lease::ShareAccount::new(now),
             ledger: ledger::LoanLedger::default(),
             wallet: wallet::LoanWallet::default(),
             forecast: forecast::DemandForecast::default(),
             waiters: VecDeque::new(),
-            lenders: Vec::new(),
+            homes: Vec::new(),
             dry_until: FastMap::default(),
             credited: amount::TokenAmount::ZERO,
             given: amount::TokenAmount::ZERO,
@@ -92,44 +128,43 @@
     }
 
     pub(crate) fn bucket(&self) -> &bucket::TokenBucket {
-        &self.bucket
+        self.account.bucket()
     }
 
-    /// Takes this VM's grant, and who else holds shares, from a newer document.
+    /// Takes this VM's grant, and the homes that hold shares, from a newer document.
     pub(crate) fn apply(
         &mut self,
         grant: Option<&document::ShareGrant>,
-        lenders: Vec<member::HolderId>,
+        homes: Vec<member::HolderId>,
         may_raise: bool,
         now: stamp::TimeStamp,
     ) {
-        self.lenders = lenders;
+        self.homes = homes;
         self.dry_until
-            .retain(|lender, _| self.lenders.contains(lender));
-        self.bucket.refill(now);
+            .retain(|lender, _| self.homes.contains(lender));
+        self.account.refresh(now);
         let Some(grant) = grant else {
-            self.bucket
-                .lower(amount::TokenRate::ZERO, amount::TokenAmount::ZERO);
+            self.account.lower(plan::ShareTarget::default());
             self.credited = amount::TokenAmount::ZERO;
             self.given = amount::TokenAmount::ZERO;
             return;
         };
-        self.bucket.lower(grant.rate, grant.burst);
+        self.account.lower(granted_share(grant));
         if may_raise {
             self.raise(grant);
         }
     }
 
     fn raise(&mut self, grant: &document::ShareGrant) {
-        let more = grant.burst.less(self.bucket.burst());
-        self.bucket.raise(grant.rate, grant.burst);
+        let more = self.account.raise(granted_share(grant));
+        let bucket = self.account.bucket_mut();
         if self.terms.is_count() {
-            self.bucket.credit(more);
+            bucket.credit(more);
             return;
         }
-        self.bucket.credit(grant.received.less(self.credited));
+        bucket.credit(grant.received.less(self.credited));
         self.credited = grant.received;
-        self.bucket.credit(self.given.less(grant.given));
+        bucket.credit(self.given.less(grant.given));
         self.given = grant.given;
     }
 
@@ -139,14 +174,15 @@
         target: plan::ShareTarget,
         now: stamp::TimeStamp,
     ) -> plan::LoweredShare {
-        self.bucket.refill(now);
-        let excess = self.bucket.lower(target.rate, target.burst);
+        self.account.refresh(now);
+        let excess = self.account.lower(target);
         if !self.terms.is_count() {
             self.given += excess;
         }
+        let in_use = self.account.own_in_use();
         plan::LoweredShare {
-            rate: self.bucket.rate(),
-            burst: self.bucket.burst(),
+            rate: in_use.rate,
+            burst: in_use.burst,
             given: self.given,
         }
     }
@@ -160,7 +196,7 @@
         context: StateContext<'_>,
     ) -> effect::Admission {
         self.forecast.count(amount, context.now);
-        self.bucket.refill(context.now);
+        self.account.refresh(context.now);
         if self.waiters.is_empty()
             && let Some(permit) = self.take(amount, deadline, context)
         {
@@ -211,7 +247,9 @@
         };
         let rest = amount.less(own_first);
         let spent = self.wallet.spend(rest, context.now);
-        self.bucket.spend(own_first + rest.less(spent));
+        self.account
+            .bucket_mut()
+            .spend(own_first + rest.less(spent));
         Some(self.permit(effect::PermitSource::Spent, stamp::TimeStamp::MAX))
     }
 
@@ -220,7 +258,7 @@
         deadline: stamp::TimeStamp,
         context: StateContext<'_>,
     ) -> Option<effect::QuotaPermit> {
-        if context.is_active && self.bucket.lend(amount::TokenAmount::ONE) {
+        if context.is_active && self.account.bucket_mut().lend(amount::TokenAmount::ONE) {
             return Some(self.permit(effect::PermitSource::Share, deadline));
         }
         let unit = self.wallet.occupy(context.now)?;
@@ -244,14 +282,16 @@
     pub(crate) fn release(&mut self, source: effect::PermitSource) {
         match source {
             effect::PermitSource::Spent => {}
-            effect::PermitSource::Share => self.bucket.restore(amount::TokenAmount::ONE),
+            effect::PermitSource::Share => {
+                self.account.bucket_mut().restore(amount::TokenAmount::ONE);
+            }
             effect::PermitSource::Loan(serial) => self.wallet.vacate(serial),
         }
     }
 
     fn own_level(&self, is_active: bool) -> amount::TokenAmount {
         if is_active {
-            return self.bucket.level();
+            return self.account.bucket().level();
         }
         amount::TokenAmount::ZERO
     }
@@ -264,23 +304,120 @@
         self.waiters.iter().map(|waiter| waiter.amount).sum()
     }
 
-    /// Whether a request for `amount`, behind all that wait, may be served within the wait limit.
+    /// Whether a request for `amount`, behind all that wait, may be served in time.
     fn has_hope(&self, amount: amount::TokenAmount, context: StateContext<'_>) -> bool {
         let needed = (self.waiting() + amount).less(self.wallet.available(context.now));
-        let limit = context.spans.wait_limit.as_micros();
-        let accrues = self.bucket.wait_micros(needed);
+        let limit = context.spans.accrual_wait.as_micros();
+        let accrues = self.account.bucket().wait_micros(needed);
         let accrues = accrues.is_some_and(|wait| u128::from(wait) <= limit);
-        let asks = self.wallet.awaits_answer() || self.next_lender(context.now).is_some();
+        let asks = self.wallet.awaits_answer() || self.next_lender(context).is_some();
         asks || (context.is_active && accrues)
     }
 
-    fn next_lender(&self, now: stamp::TimeStamp) -> Option<member::HolderId> {
-        let is_dry = |lender: &&member::HolderId| {
-            self.dry_until
-                .get(*lender)
-                .is_some_and(|until| now < *until)
+    /// The first home that may have something to lend.
+    fn next_lender(&self, context: StateContext<'_>) -> Option<member::HolderId> {
+        let is_dry = |lender: &member::HolderId| {
+            let until = self.dry_until.get(lender);
+            until.is_some_and(|until| context.now < *until)
         };
-        self.lenders.iter().find(|lender| !is_dry(lender)).copied()
+        let others = self.homes.iter().filter(|home| **home != context.me);
+        let mut awake = others.filter(|home| !context.is_silent(**home));
+        awake.find(|home| !is_dry(home)).copied()
+    }
+
+    /// The home that issues this limit: the first that is not silent.
+    fn issuer(&self, context: StateContext<'_>) -> Option<member::HolderId> {
+        let is_awake =
+            |home: &&member::HolderId| **home == context.me || !context.is_silent(**home);
+        self.homes.iter().find(is_awake).copied()
+    }
+
+    fn is_issuer(&self, context: StateContext<'_>) -> bool {
+        let issues = self.issuer(context) == Some(context.me);
+        issues && context.is_active && !context.is_leaving && !self.terms.is_count()
+    }
+
+    /// Begins, renews and gives back leases of other homes' shares.
+    pub(crate) fn step_leases(
+        &mut self,
+        next_serial: &mut u64,
+        context: StateContext<'_>,
+    ) -> Vec<DueLeaseMessage> {
+        self.account.refresh(context.now);
+        if !self.is_issuer(context) {
+            return self.give_back_leases(None);
+        }
+        if !self.has_demand() {
+            return Vec::new();
+        }
+        let lends = |home: &member::HolderId| *home != context.me && !context.is_silent(*home);
+        let lenders: Vec<_> = self.homes.iter().copied().filter(lends).collect();
+        let (spans, now) = (context.spans, context.now);
+        let due = self
+            .account
+            .due_asks(self.tag, &lenders, next_serial, spans, now);
+        due.into_iter().map(DueLeaseMessage::from_due).collect()
+    }
+
+    fn has_demand(&self) -> bool {
+        const SPAN: Duration = Duration::from_secs(1);
+        !self.waiters.is_empty() || !self.forecast.expected(SPAN).is_zero()
+    }
+
+    fn give_back_leases(&mut self, of: Option<member::HolderId>) -> Vec<DueLeaseMessage> {
+        let due = self.account.give_back(self.tag, of);
+        due.into_iter().map(DueLeaseMessage::from_due).collect()
+    }
+
+    /// Answers an ask for this VM's share.
+    pub(crate) fn lend_share(
+        &mut self,
+        from: member::HolderId,
+        ask: message::LeaseAsk,
+        context: StateContext<'_>,
+    ) -> Option<message::LeaseGrant> {
+        self.account.refresh(context.now);
+        if !context.is_active || context.is_leaving || self.terms.is_count() {
+            return None;
+        }
+        self.account.grant(from, ask, context.spans, context.now)
+    }
+
+    /// Takes the answer to an ask for a share.
+    pub(crate) fn take_lease(
+        &mut self,
+        from: member::HolderId,
+        grant: &message::LeaseGrant,
+        context: StateContext<'_>,
+    ) {
+        self.account.refresh(context.now);
+        self.account.accept(from, grant, context.spans, context.now);
+    }
+
+    /// Takes back a share that was leased out.
+    pub(crate) fn take_lease_back(
+        &mut self,
+        from: member::HolderId,
+        back: message::LeaseReturn,
+        now: stamp::TimeStamp,
+    ) {
+        self.account.refresh(now);
+        self.account.take_return(from, back);
+    }
+
+    /// Gives a share back that its owner wants.
+    pub(crate) fn take_recall(
+        &mut self,
+        from: member::HolderId,
+        now: stamp::TimeStamp,
+    ) -> Vec<DueLeaseMessage> {
+        self.account.refresh(now);
+        self.give_back_leases(Some(from))
+    }
+
+    /// Whom to ask for a share that is leased out although this VM should hold less.
+    pub(crate) fn due_recall(&self) -> Option<member::HolderId> {
+        self.account.recalled_from()
     }
 
     /// Removes a request that no longer waits.
@@ -291,7 +428,7 @@
     /// Serves waiting requests in order, and refuses those whose wait cannot end in time.
     pub(crate) fn serve(&mut self, context: StateContext<'_>) -> Vec<ResolvedRequest> {
         let mut resolved = Vec::new();
-        self.bucket.refill(context.now);
+        self.account.refresh(context.now);
         while let Some(waiter) = self.waiters.front().copied() {
             if waiter.until <= context.now {
                 resolved.push(self.refuse(waiter));
@@ -322,19 +459,17 @@
         }
     }
 
-    /// Ends what is over on both sides of loans.
-    pub(crate) fn expire(&mut self, context: StateContext<'_>) {
+    /// Ends what is over on both sides of loans; returns lenders that did not answer in time.
+    pub(crate) fn expire(&mut self, context: StateContext<'_>) -> Vec<member::HolderId> {
         let is_count = self.terms.is_count();
-        self.bucket.refill(context.now);
-        ledger::expire_loans(&mut self.ledger, &mut self.bucket, is_count, context.now);
+        self.account.refresh(context.now);
+        let bucket = self.account.bucket_mut();
+        ledger::expire_loans(&mut self.ledger, bucket, is_count, context.now);
         self.forecast.advance(context.now);
-        let timeout = context.spans.ask_timeout;
-        for lender in self.wallet.overdue_lenders(timeout, context.now) {
-            self.dry_until
-                .insert(lender, context.now.after(SILENT_LENDER));
-        }
         let idle_units = is_count && self.waiters.is_empty();
         self.wallet.give_back(idle_units, context.now);
+        self.wallet
+            .overdue_lenders(context.spans.ask_timeout, context.now)
     }
 
     /// The reports that are due.
@@ -343,16 +478,22 @@
             .due_reports(self.tag, context.spans, context.now)
     }
 
-    /// What this VM tries to have at hand: its expected demand, and at a home its own burst.
+    /// What this VM tries to have at hand: its expected demand, as far as all VMs together keep
+    /// only a small part of the burst away from where it is issued.
     fn stock(&self, context: StateContext<'_>) -> amount::TokenAmount {
-        if self.terms.is_count() {
+        if self.terms.is_count() || self.is_issuer(context) {
             return amount::TokenAmount::ZERO;
         }
-        let expected = self.forecast.expected(context.spans.forecast_span);
-        if expected.is_zero() {
-            return expected;
-        }
-        expected.max(self.bucket.burst())
+        let parts = STOCKS_PER_BURST * self.homes.len().max(1) as u64;
+        let most = amount::TokenAmount::from_micros(self.terms.burst().micros / parts);
+        self.forecast
+            .expected(context.spans.forecast_span)
+            .min(most)
+    }
+
+    /// What a lender keeps from VMs that only stock up.
+    fn reserve(&self) -> amount::TokenAmount {
+        amount::TokenAmount::from_micros(self.terms.burst().micros / RESERVES_PER_BURST)
     }
 
     /// The next ask, if one is needed.
@@ -369,7 +510,7 @@
         if need.is_zero() && want < chunk {
             return None;
         }
-        let lender = self.next_lender(context.now)?;
+        let lender = self.next_lender(context)?;
         let ask = message::LoanAsk {
             tag: self.tag,
             serial,
@@ -398,16 +539,16 @@
         mut ask: message::LoanAsk,
         context: StateContext<'_>,
     ) -> message::LoanGrant {
-        self.bucket.refill(context.now);
+        self.account.refresh(context.now);
         if !context.is_active {
             ask.need = amount::TokenAmount::ZERO;
             ask.want = amount::TokenAmount::ZERO;
         }
         let judge = ledger::GrantOptions {
-            reserve: self.stock(context),
+            reserve: self.reserve(),
             is_count: self.terms.is_count(),
         };
-        let (ledger, bucket) = (&mut self.ledger, &mut self.bucket);
+        let (ledger, bucket) = (&mut self.ledger, self.account.bucket_mut());
         ledger::grant_loan(ledger, bucket, from, ask, judge, context.spans, context.now)
     }
 
@@ -435,7 +576,7 @@
         report: message::LoanReport,
         now: stamp::TimeStamp,
     ) {
-        self.bucket.refill(now);
-        ledger::take_report(&mut self.ledger, &mut self.bucket, from, report);
+        self.account.refresh(now);
+        ledger::take_report(&mut self.ledger, self.account.bucket_mut(), from, report);
     }
 }
--- a/dahliawood-quota/src/bucket/mod.rs
+++ b/dahliawood-quota/src/bucket/mod.rs
@@ -104,22 +104,28 @@
         self.level_picos = (self.level_picos + picos(amount)).min(self.room_picos());
     }
 
-    /// Lowers the part held and returns the tokens that no longer fit; they are gone here.
+    /// The burst held, whatever is out.
+    pub fn burst_held(&self) -> TokenAmount {
+        self.burst
+    }
+
+    /// Takes away a part of what is held and returns the tokens that no longer fit; they are gone
+    /// here.
     ///
     /// What is out keeps its room until it is settled or restored; until then
-    /// [`TokenBucket::burst`] stays above `burst`.
-    pub fn lower(&mut self, rate: TokenRate, burst: TokenAmount) -> TokenAmount {
-        self.rate = self.rate.min(rate);
-        self.burst = self.burst.min(burst);
+    /// [`TokenBucket::burst`] stays above what is held.
+    pub fn shrink(&mut self, rate: TokenRate, burst: TokenAmount) -> TokenAmount {
+        self.rate = self.rate.less(rate);
+        self.burst = self.burst.less(burst);
         let excess = self.level_picos.saturating_sub(self.room_picos());
         self.level_picos -= excess;
         TokenAmount::from_micros((excess / PICOS_PER_MICRO) as u64)
     }
 
-    /// Raises the part held; no tokens come with it.
-    pub fn raise(&mut self, rate: TokenRate, burst: TokenAmount) {
-        self.rate = self.rate.max(rate);
-        self.burst = self.burst.max(burst);
+    /// Adds to what is held; no tokens come with it.
+    pub fn extend(&mut self, rate: TokenRate, burst: TokenAmount) {
+        self.rate += rate;
+        self.burst += burst;
     }
 
     /// Microseconds until `amount` could be taken if nothing else is, `None` if never.
--- a/dahliawood-quota/src/limit/mod.rs
+++ b/dahliawood-quota/src/limit/mod.rs
@@ -113,10 +113,19 @@
     pub homes: HomeRule,
 }
 
+impl LimitSpec {
+    /// Whether one VM should not take all of its requests.
+    pub fn is_large(&self) -> bool {
+        TokenRate::from_whole(RATE_PER_HOME) <= self.terms.rate()
+    }
+}
+
 /// Requests a second that one home VM issues before a customer is given another.
 const RATE_PER_HOME: u64 = 200;
-/// The least number of home VMs of a customer, so that the loss of one leaves another.
-const HOMES_LEAST: u64 = 2;
+/// The least number of home VMs of a customer: the loss of one costs a small part of its rate.
+const HOMES_LEAST: u64 = 5;
+/// The most VMs that hold slots of one target.
+const SLOT_HOMES_MOST: u32 = 2;
 
 /// A rate limit whose homes grow with its rate.
 pub fn rate_limit(name: String, rate: TokenRate, burst: TokenAmount) -> LimitSpec {
@@ -167,7 +176,7 @@
         },
         homes: HomeRule {
             region: Some(fleet.regions[region].name.clone()),
-            homes_max: target.slots.min(HOMES_LEAST as u32),
+            homes_max: target.slots.min(SLOT_HOMES_MOST),
         },
     }
 }
--- a/dahliawood-quota/src/loans/forecast/mod.rs
+++ b/dahliawood-quota/src/loans/forecast/mod.rs
@@ -34,7 +34,7 @@
             .saturating_sub(self.window_start.as_micros())
             / window;
         for _ in 0..ended.min(WINDOWS_MOST) {
-            self.average -= self.average / SMOOTHING;
+            self.average -= self.average.div_ceil(SMOOTHING);
             self.average += self.seen / SMOOTHING;
             self.seen = 0;
         }
--- a/dahliawood-quota/src/loans/mod.rs
+++ b/dahliawood-quota/src/loans/mod.rs
@@ -1,4 +1,4 @@
-//! Short loans of unspent allowance between VMs.
+//! Short loans of unspent allowance, and leases of whole shares, between VMs.
 //!
 //! A lender subtracts before it answers. A loan ends at the borrower a fixed time after the
 //! borrower *sent* its ask, and at the lender that time after it *granted*, so the lender has it
@@ -6,5 +6,6 @@
 //! creates any.
 
 pub mod forecast;
+pub mod lease;
 pub mod ledger;
 pub mod wallet;
--- a/dahliawood-quota/src/message/mod.rs
+++ b/dahliawood-quota/src/message/mod.rs
@@ -19,6 +19,14 @@
     Grant(LoanGrant),
     /// A borrower says what became of a loan.
     Report(LoanReport),
+    /// The issuer of a limit asks for the share of another home.
+    LeaseAsk(LeaseAsk),
+    /// That home lets it have the share.
+    LeaseGrant(LeaseGrant),
+    /// The issuer gives the share back early.
+    LeaseReturn(LeaseReturn),
+    /// A home wants its share back early.
+    LeaseRecall(LeaseRecall),
     /// A VM asks to be heard, or whether another was.
     Probe(PeerProbe),
     /// The answer to a probe.
@@ -85,3 +93,53 @@
     /// How long the subject has not been heard at the answering VM.
     pub silent_for: Duration,
 }
+
+/// The issuer of a limit asks for the whole share of another home, or to keep it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseAsk {
+    /// Of which limit.
+    pub tag: limit::LimitTag,
+    /// Which lease; a new one of the same borrower is higher.
+    pub serial: LoanSerial,
+    /// Which ask of this lease.
+    pub ask: u64,
+}
+
+/// The home has stopped using its share, and the issuer may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseGrant {
+    /// Of which limit.
+    pub tag: limit::LimitTag,
+    /// Which lease.
+    pub serial: LoanSerial,
+    /// Which ask is answered; the lease runs from when it was sent.
+    pub ask: u64,
+    /// Rate of the share.
+    pub rate: amount::TokenRate,
+    /// Burst of the share.
+    pub burst: amount::TokenAmount,
+    /// Tokens that come with the lease when it begins.
+    pub tokens: amount::TokenAmount,
+}
+
+/// The issuer has stopped using a leased share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseReturn {
+    /// Of which limit.
+    pub tag: limit::LimitTag,
+    /// Which lease; it is over.
+    pub serial: LoanSerial,
+    /// Rate given back.
+    pub rate: amount::TokenRate,
+    /// Burst given back; what is missing is lent on and comes back when the lease would have ended.
+    pub burst: amount::TokenAmount,
+    /// Tokens given back.
+    pub tokens: amount::TokenAmount,
+}
+
+/// A home wants its share back, because it should hold less of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseRecall {
+    /// Of which limit.
+    pub tag: limit::LimitTag,
+}
--- a/dahliawood-quota/src/shares/evidence/mod.rs
+++ b/dahliawood-quota/src/shares/evidence/mod.rs
@@ -340,7 +340,7 @@
             let is_agreed = poll.is_some_and(|poll| is_agreed(poll, members, spans, now));
             self.is_absent(member, spans) && is_agreed
         };
-        let replaced_at = self.started_at.after(spans.longest_loan);
+        let replaced_at = self.started_at.after(spans.longest_out());
         let is_replaced = |id: member::HolderId| {
             id.address == self.me.address && id != self.me && replaced_at <= now
         };
--- a/dahliawood-quota/tests/quota/fleet/mod.rs
+++ b/dahliawood-quota/tests/quota/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub fn spans() -> options::QuotaOptions {
     options::QuotaOptions {
         loan_time: Duration::from_millis(400),
+        lease_time: Duration::from_millis(350),
         longest_loan: Duration::from_millis(800),
         ask_timeout: Duration::from_millis(150),
         blind_stop: Duration::from_millis(1_200),
@@ -105,7 +106,7 @@
         },
         homes: limit::HomeRule {
             region: None,
-            homes_max: 2,
+            homes_max: 3,
         },
     };
     let count = limit::LimitSpec {
