fix(quota): the issuer decides alone, and an ask never brings a fraction of a request

Cause: waiting requests went round all homes although the issuer held everything; a grant of a part of a request lay idle for a whole loan; a lender's denial was kept for too long; leases ended while only other VMs had demand; a lease that began with a small share never grew. Change: VMs ask the issuer only; needs are granted in whole or in whole units; a denial counts from when the ask was sent; asks count as demand; a renewed lease takes in what its lender gained.

--- a/dahliawood-quota/src/book/mod.rs
+++ b/dahliawood-quota/src/book/mod.rs
@@ -295,6 +295,7 @@
         if let Some(key) = self.table.by_tag(grant.tag) {
             self.states[key.index()].take_grant(from, grant, now);
             self.serve(key, now);
+            self.report(key, now);
             self.borrow(key, now);
         }
     }
@@ -431,14 +432,12 @@
         let state = &mut self.states[key.index()];
         let silent = state.expire(context);
         let leases = state.step_leases(&mut self.last_serial, context);
-        for due in state.reports(context) {
-            self.effects.push(send_effect(due.lender, due.report));
-        }
         for lender in silent {
             self.silent.insert(lender, now.after(SILENT_FOR));
         }
         self.send_leases(leases);
         self.serve(key, now);
+        self.report(key, now);
         self.borrow(key, now);
     }
 
@@ -453,6 +452,14 @@
         }
     }
 
+    fn report(&mut self, key: limit::LimitKey, now: stamp::TimeStamp) {
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
+        for due in self.states[key.index()].reports(context) {
+            self.effects.push(send_effect(due.lender, due.report));
+        }
+    }
+
     fn borrow(&mut self, key: limit::LimitKey, now: stamp::TimeStamp) {
         let shared = self.shared(now);
         let context = shared.context(&self.spans, &self.silent, now);
--- a/dahliawood-quota/src/book/state/mod.rs
+++ b/dahliawood-quota/src/book/state/mod.rs
@@ -10,7 +10,8 @@
 
 /// The part of a limit's burst below which nothing is asked for in advance.
 const CHUNKS_PER_BURST: u64 = 50;
-/// The part of a limit's burst that one home's worth of VMs may keep in stock.
+/// The part of a limit's burst that all homes, and as many other VMs, may keep in stock.
+const HOME_STOCKS_PER_BURST: u64 = 2;
 const STOCKS_PER_BURST: u64 = 8;
 /// The part of a limit's burst that is lent only to requests that wait.
 const RESERVES_PER_BURST: u64 = 4;
@@ -97,6 +98,10 @@
     /// Homes that hold shares, best first, this VM included.
     homes: Vec<member::HolderId>,
     dry_until: FastMap<member::HolderId, stamp::TimeStamp>,
+    /// When a request or an ask came last.
+    demand_at: Option<stamp::TimeStamp>,
+    /// When asking for more than requests wait for is worth another try.
+    stock_at: stamp::TimeStamp,
     credited: amount::TokenAmount,
     given: amount::TokenAmount,
 }
@@ -118,6 +123,8 @@
             waiters: VecDeque::new(),
             homes: Vec::new(),
             dry_until: FastMap::default(),
+            demand_at: None,
+            stock_at: stamp::TimeStamp::ZERO,
             credited: amount::TokenAmount::ZERO,
             given: amount::TokenAmount::ZERO,
         }
@@ -196,6 +203,7 @@
         context: StateContext<'_>,
     ) -> effect::Admission {
         self.forecast.count(amount, context.now);
+        self.demand_at = Some(context.now);
         self.account.refresh(context.now);
         if self.waiters.is_empty()
             && let Some(permit) = self.take(amount, deadline, context)
@@ -314,15 +322,21 @@
         asks || (context.is_active && accrues)
     }
 
-    /// The first home that may have something to lend.
+    /// The first home that may have something to lend: of a rate only the issuer, and for the
+    /// issuer a home whose share it does not lease yet.
     fn next_lender(&self, context: StateContext<'_>) -> Option<member::HolderId> {
         let is_dry = |lender: &member::HolderId| {
             let until = self.dry_until.get(lender);
             until.is_some_and(|until| context.now < *until)
         };
+        if !self.terms.is_count() && !self.is_issuer(context) {
+            let issuer = self.issuer(context).filter(|issuer| *issuer != context.me);
+            return issuer.filter(|issuer| !is_dry(issuer));
+        }
         let others = self.homes.iter().filter(|home| **home != context.me);
-        let mut awake = others.filter(|home| !context.is_silent(**home));
-        awake.find(|home| !is_dry(home)).copied()
+        let awake = others.filter(|home| !context.is_silent(**home));
+        let mut unleased = awake.filter(|home| !self.account.leases_from(**home));
+        unleased.find(|home| !is_dry(home)).copied()
     }
 
     /// The home that issues this limit: the first that is not silent.
@@ -347,7 +361,7 @@
         if !self.is_issuer(context) {
             return self.give_back_leases(None);
         }
-        if !self.has_demand() {
+        if !self.has_demand(context) {
             return Vec::new();
         }
         let lends = |home: &member::HolderId| *home != context.me && !context.is_silent(*home);
@@ -359,9 +373,10 @@
         due.into_iter().map(DueLeaseMessage::from_due).collect()
     }
 
-    fn has_demand(&self) -> bool {
-        const SPAN: Duration = Duration::from_secs(1);
-        !self.waiters.is_empty() || !self.forecast.expected(SPAN).is_zero()
+    fn has_demand(&self, context: StateContext<'_>) -> bool {
+        let idle = context.spans.lease_idle;
+        let last = self.demand_at;
+        last.is_some_and(|at| context.now < at.after(idle))
     }
 
     fn give_back_leases(&mut self, of: Option<member::HolderId>) -> Vec<DueLeaseMessage> {
@@ -481,10 +496,17 @@
     /// What this VM tries to have at hand: its expected demand, as far as all VMs together keep
     /// only a small part of the burst away from where it is issued.
     fn stock(&self, context: StateContext<'_>) -> amount::TokenAmount {
-        if self.terms.is_count() || self.is_issuer(context) {
+        let is_late = self.stock_at <= context.now;
+        if self.terms.is_count() || self.is_issuer(context) || !is_late {
             return amount::TokenAmount::ZERO;
         }
-        let parts = STOCKS_PER_BURST * self.homes.len().max(1) as u64;
+        let is_home = self.homes.contains(&context.me);
+        let stocks = if is_home {
+            HOME_STOCKS_PER_BURST
+        } else {
+            STOCKS_PER_BURST
+        };
+        let parts = stocks * self.homes.len().max(1) as u64;
         let most = amount::TokenAmount::from_micros(self.terms.burst().micros / parts);
         self.forecast
             .expected(context.spans.forecast_span)
@@ -540,6 +562,7 @@
         context: StateContext<'_>,
     ) -> message::LoanGrant {
         self.account.refresh(context.now);
+        self.demand_at = Some(context.now);
         if !context.is_active {
             ask.need = amount::TokenAmount::ZERO;
             ask.want = amount::TokenAmount::ZERO;
@@ -562,11 +585,15 @@
         let Some(accepted) = self.wallet.accept(from, grant, now) else {
             return;
         };
+        let again_at = accepted.sent_at.after(grant.retry_after);
         if accepted.is_short {
-            self.dry_until.insert(from, now.after(grant.retry_after));
+            self.dry_until.insert(from, again_at);
         } else {
             self.dry_until.remove(&from);
         }
+        if accepted.is_partial {
+            self.stock_at = now.after(grant.retry_after);
+        }
     }
 
     /// Takes a borrower's report.
--- a/dahliawood-quota/src/loans/lease/mod.rs
+++ b/dahliawood-quota/src/loans/lease/mod.rs
@@ -1,6 +1,6 @@
 //! Leases of whole shares to the VM that issues a limit, so that a small burst is in one place.
 //!
-//! The lender stops using its rate and burst before it answers. The borrower uses them until a
+//! The lender stops using its rate and burst before it answers; while a lease lasts it only grows. The borrower uses them until a
 //! fixed time after it *sent* its newest ask; tokens that it lends on end one loan time later at
 //! the latest. The lender takes its share back, empty, one lease and one loan time after it last
 //! *granted*. A lost message costs that share for this time and creates nothing.
@@ -23,6 +23,26 @@
     is_closed: bool,
 }
 
+impl OutLease {
+    fn nothing(borrower: member::HolderId, serial: message::LoanSerial) -> Self {
+        Self {
+            borrower,
+            serial,
+            share: plan::ShareTarget::default(),
+            tokens: amount::TokenAmount::ZERO,
+            until: stamp::TimeStamp::MAX,
+            is_closed: false,
+        }
+    }
+}
+
+/// A share that its owner stopped using, with the tokens that were in it.
+#[derive(Clone, Copy, Debug)]
+struct HandedShare {
+    share: plan::ShareTarget,
+    tokens: amount::TokenAmount,
+}
+
 /// When an ask was sent.
 #[derive(Clone, Copy, Debug)]
 struct SentAsk {
@@ -36,6 +56,7 @@
     lender: member::HolderId,
     serial: message::LoanSerial,
     share: plan::ShareTarget,
+    tokens: amount::TokenAmount,
     is_granted: bool,
     usable_until: stamp::TimeStamp,
     asks: Vec<SentAsk>,
@@ -99,6 +120,12 @@
         self.held.iter().any(|lease| lease.is_granted)
     }
 
+    /// Whether the share of `lender` is leased in.
+    pub fn leases_from(&self, lender: member::HolderId) -> bool {
+        let matches = |lease: &HeldLease| lease.lender == lender && lease.is_granted;
+        self.held.iter().any(matches)
+    }
+
     /// Ends what is over on both sides and lets tokens accrue up to `now`.
     pub fn refresh(&mut self, now: stamp::TimeStamp) {
         self.end_held(now);
@@ -160,17 +187,20 @@
         if self.is_recalled() || self.holds_leases() {
             return None;
         }
-        if self.out.is_none() {
-            self.out = Some(self.open_out(from, ask.serial)?);
-        }
-        let out = self.out.as_mut()?;
-        if out.borrower != from || out.is_closed || ask.serial < out.serial {
+        let is_other =
+            |out: &OutLease| out.borrower != from || out.is_closed || ask.serial < out.serial;
+        if self.out.as_ref().is_some_and(is_other) {
             return None;
         }
+        let more = self.hand_over();
+        let out = self.out.get_or_insert(OutLease::nothing(from, ask.serial));
         if out.serial < ask.serial {
             out.serial = ask.serial;
             out.tokens = amount::TokenAmount::ZERO;
         }
+        out.share.rate += more.share.rate;
+        out.share.burst += more.share.burst;
+        out.tokens += more.tokens;
         out.until = now.after(spans.lender_span());
         Some(message::LeaseGrant {
             tag: ask.tag,
@@ -182,27 +212,18 @@
         })
     }
 
-    fn open_out(
-        &mut self,
-        borrower: member::HolderId,
-        serial: message::LoanSerial,
-    ) -> Option<OutLease> {
+    /// Stops using what is not leased out or lent yet.
+    fn hand_over(&mut self) -> HandedShare {
+        let out = self.out.map(|out| out.share).unwrap_or_default();
         let share = plan::ShareTarget {
-            rate: self.own.rate,
-            burst: self.own.burst.less(self.bucket.out()),
+            rate: self.own.rate.less(out.rate),
+            burst: self.own.burst.less(out.burst).less(self.bucket.out()),
         };
-        if share.burst.is_zero() {
-            return None;
-        }
         let tokens = self.bucket.shrink(share.rate, share.burst);
-        Some(OutLease {
-            borrower,
-            serial,
+        HandedShare {
             share,
             tokens: tokens.min(share.burst),
-            until: stamp::TimeStamp::MAX,
-            is_closed: false,
-        })
+        }
     }
 
     /// Whether this VM should hold less than it has.
@@ -296,18 +317,21 @@
         if until <= now {
             return;
         }
-        if lease.is_granted {
-            lease.usable_until = lease.usable_until.max(until);
-            return;
-        }
-        lease.is_granted = true;
-        lease.usable_until = until;
-        lease.share = plan::ShareTarget {
-            rate: grant.rate,
-            burst: grant.burst,
+        let kept_until = if lease.is_granted {
+            lease.usable_until
+        } else {
+            until
         };
-        self.bucket.extend(grant.rate, grant.burst);
-        self.bucket.credit(grant.tokens);
+        lease.is_granted = true;
+        lease.usable_until = kept_until.max(until);
+        let more_rate = grant.rate.less(lease.share.rate);
+        let more_burst = grant.burst.less(lease.share.burst);
+        let more_tokens = grant.tokens.less(lease.tokens);
+        lease.share.rate += more_rate;
+        lease.share.burst += more_burst;
+        lease.tokens += more_tokens;
+        self.bucket.extend(more_rate, more_burst);
+        self.bucket.credit(more_tokens);
     }
 
     /// Gives back all leased shares, or those of one lender.
@@ -365,6 +389,7 @@
         lender,
         serial,
         share: plan::ShareTarget::default(),
+        tokens: amount::TokenAmount::ZERO,
         is_granted: false,
         usable_until: until,
         asks: Vec::new(),
--- a/dahliawood-quota/src/loans/ledger/mod.rs
+++ b/dahliawood-quota/src/loans/ledger/mod.rs
@@ -81,7 +81,7 @@
         tag: ask.tag,
         serial: ask.serial,
         granted,
-        retry_after: retry_after(bucket, ask),
+        retry_after: retry_after(bucket),
     }
 }
 
@@ -119,21 +119,35 @@
     judge: GrantOptions,
 ) -> amount::TokenAmount {
     let level = bucket.level();
-    let needed = ask.need.min(level);
+    let needed = if ask.need <= level {
+        ask.need
+    } else {
+        whole_part(level)
+    };
     let spare = level.less(needed).less(judge.reserve);
     let granted = needed + ask.want.less(ask.need).min(spare);
     if judge.is_count {
-        return amount::TokenAmount::from_whole(granted.whole());
+        whole_part(granted)
+    } else {
+        granted
     }
-    granted
 }
 
-fn retry_after(bucket: &bucket::TokenBucket, ask: message::LoanAsk) -> Duration {
-    let next = ask.need.max(amount::TokenAmount::ONE).min(bucket.burst());
-    let wait = bucket
-        .wait_micros(next)
-        .map_or(RETRY_MOST, Duration::from_micros);
-    wait.clamp(RETRY_LEAST, RETRY_MOST)
+/// What serves whole units; a fraction would lie idle at its borrower.
+fn whole_part(amount: amount::TokenAmount) -> amount::TokenAmount {
+    amount::TokenAmount::from_whole(amount.whole())
+}
+
+/// When the next unit has accrued, whether or not reports that are due have made room for it.
+fn retry_after(bucket: &bucket::TokenBucket) -> Duration {
+    const NANOS_PER_SECOND: u128 = 1_000_000_000;
+    let next = amount::TokenAmount::ONE;
+    let missing = u128::from(next.less(bucket.level()).micros);
+    let rate = u128::from(bucket.rate().micros_per_second);
+    let nanos = (missing * NANOS_PER_SECOND).checked_div(rate);
+    let wait = nanos.and_then(|nanos| u64::try_from(nanos).ok());
+    wait.map_or(RETRY_MOST, Duration::from_nanos)
+        .clamp(RETRY_LEAST, RETRY_MOST)
 }
 
 /// Takes a borrower's report; what arrives twice, late or out of order changes nothing.
--- a/dahliawood-quota/src/loans/wallet/mod.rs
+++ b/dahliawood-quota/src/loans/wallet/mod.rs
@@ -9,6 +9,7 @@
 struct OpenAsk {
     lender: member::HolderId,
     serial: message::LoanSerial,
+    need: amount::TokenAmount,
     want: amount::TokenAmount,
     sent_at: stamp::TimeStamp,
     usable_until: stamp::TimeStamp,
@@ -44,8 +45,12 @@
 pub struct AcceptedGrant {
     /// Who granted.
     pub lender: member::HolderId,
-    /// Whether less than the wanted amount was granted.
+    /// Whether less was granted than requests wait for.
     pub is_short: bool,
+    /// Whether less was granted than wanted.
+    pub is_partial: bool,
+    /// When the ask was sent.
+    pub sent_at: stamp::TimeStamp,
 }
 
 /// What one VM has borrowed of one limit.
@@ -84,6 +89,7 @@
         self.asks.push(OpenAsk {
             lender,
             serial: ask.serial,
+            need: ask.need,
             want: ask.want,
             sent_at: now,
             usable_until: now.after(spans.borrower_span(ask.length)),
@@ -106,7 +112,9 @@
         }
         Some(AcceptedGrant {
             lender: from,
-            is_short: grant.granted < ask.want,
+            is_short: grant.granted < ask.need,
+            is_partial: grant.granted < ask.want,
+            sent_at: ask.sent_at,
         })
     }
 
--- a/dahliawood-quota/src/message/mod.rs
+++ b/dahliawood-quota/src/message/mod.rs
@@ -114,11 +114,11 @@
     pub serial: LoanSerial,
     /// Which ask is answered; the lease runs from when it was sent.
     pub ask: u64,
-    /// Rate of the share.
+    /// Rate of the share, in all.
     pub rate: amount::TokenRate,
-    /// Burst of the share.
+    /// Burst of the share, in all.
     pub burst: amount::TokenAmount,
-    /// Tokens that come with the lease when it begins.
+    /// Tokens that came with the share, in all.
     pub tokens: amount::TokenAmount,
 }
 
--- a/dahliawood-quota/src/options/mod.rs
+++ b/dahliawood-quota/src/options/mod.rs
@@ -9,6 +9,8 @@
     pub loan_time: Duration,
     /// How long a leased share may be used, counted at the borrower from when it sent its ask.
     pub lease_time: Duration,
+    /// How long after the last request the issuer keeps the shares of other homes.
+    pub lease_idle: Duration,
     /// The longest loan that a lender grants; loans of slots run to the request's deadline.
     pub longest_loan: Duration,
     /// How much sooner than the lender a borrower ends a loan, parts in a thousand of its length,
@@ -43,6 +45,7 @@
         Self {
             loan_time: Duration::from_secs(2),
             lease_time: Duration::from_secs(2),
+            lease_idle: Duration::from_secs(10),
             longest_loan: Duration::from_secs(10),
             drift_permille: 5,
             ask_timeout: Duration::from_millis(150),
--- a/dahliawood-quota/tests/quota/fleet/mod.rs
+++ b/dahliawood-quota/tests/quota/fleet/mod.rs
@@ -22,6 +22,7 @@
     options::QuotaOptions {
         loan_time: Duration::from_millis(400),
         lease_time: Duration::from_millis(350),
+        lease_idle: Duration::from_secs(2),
         longest_loan: Duration::from_millis(800),
         ask_timeout: Duration::from_millis(150),
         blind_stop: Duration::from_millis(1_200),
