feat(peer,events): calls between VMs and the time line

Cause: VMs need to hear each other, relay the accepted file and show one time line over all processes.

--- /dev/null
+++ b/dahliawood-peer/schema/peer.capnp
@@ -0,0 +1,38 @@
+@0xb8f1c9d2a4e07356;
+# Calls between entry VMs.
+
+struct VmBeat {
+  # What one VM says of itself, and what it heard of others.
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  # Highest revision in force at the sender.
+  revision @2 :UInt64;
+  leaving @3 :Bool;
+  # Hybrid logical clock of the sender, microseconds.
+  clock @4 :UInt64;
+  # VMs that the sender hears well, so that a cut link is not read as a death.
+  heard @5 :List(HeardVm);
+}
+
+struct HeardVm {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  # Milliseconds since the sender last heard it.
+  ageMillis @2 :UInt32;
+}
+
+struct ConfigText {
+  revision @0 :UInt64;
+  hash @1 :Text;
+  writeId @2 :Text;
+  text @3 :Text;
+}
+
+interface VmPeer {
+  # Exchanges heartbeats.
+  beat @0 (beat :VmBeat) -> (beat :VmBeat);
+  # The accepted file that the callee has in force; empty text where it has none newer.
+  config @1 (above :UInt64) -> (config :ConfigText);
+  # Events after a position in the callee's ring, each as JSON.
+  events @2 (after :UInt64, most :UInt32) -> (events :List(Text), next :UInt64, lost :UInt64);
+}
--- /dev/null
+++ b/dahliawood-peer/src/client/mod.rs
@@ -0,0 +1,158 @@
+//! Calls another VM, with a deadline on each call.
+
+pub mod error;
+
+use crate::generated::peer_capnp::vm_peer;
+use crate::message;
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use async_std::task;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::AsyncReadExt;
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How another VM is called.
+#[derive(Clone, Copy, Debug)]
+pub struct CallOptions {
+    /// The most that a connection attempt or a call may take.
+    pub deadline: Duration,
+}
+
+/// A connection to another VM; after any error it is to be dropped and made anew.
+pub struct PeerClient {
+    client: vm_peer::Client,
+    options: CallOptions,
+    pump: Option<task::JoinHandle<()>>,
+}
+
+impl Drop for PeerClient {
+    fn drop(&mut self) {
+        if let Some(pump) = self.pump.take() {
+            // Dropping a handle detaches its task, so the pump is cancelled: a silent connection
+            // would otherwise be held for good.
+            task::spawn_local(async move {
+                pump.cancel().await;
+            });
+        }
+    }
+}
+
+/// Connects to the VM at `address`.
+///
+/// # Errors
+/// Fails where no connection is made within the deadline.
+pub async fn connect(
+    address: SocketAddr,
+    options: CallOptions,
+) -> Result<PeerClient, error::CallError> {
+    let stream = timeout(options.deadline, TcpStream::connect(address))
+        .await
+        .map_err(|_| error::CallError::Deadline)?
+        .context(error::ConnectSnafu { address })?;
+    stream
+        .set_nodelay(true)
+        .context(error::ConnectSnafu { address })?;
+    let (reader, writer) = stream.split();
+    let network = twoparty::VatNetwork::new(
+        reader,
+        writer,
+        rpc_twoparty_capnp::Side::Client,
+        capnp::message::ReaderOptions::default(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let pump = task::spawn_local(async move {
+        let _ended = system.await;
+    });
+    Ok(PeerClient {
+        client,
+        options,
+        pump: Some(pump),
+    })
+}
+
+impl PeerClient {
+    /// Exchanges beats.
+    ///
+    /// # Errors
+    /// Fails where the call fails or no answer comes within the deadline.
+    pub async fn beat(&self, beat: &message::VmBeat) -> Result<message::VmBeat, error::CallError> {
+        let mut request = self.client.beat_request();
+        message::write_beat(beat, request.get().init_beat()).context(error::CallSnafu)?;
+        let response = self.bounded(request.send().promise).await?;
+        let results = response.get().context(error::CallSnafu)?;
+        let reader = results.get_beat().context(error::CallSnafu)?;
+        message::read_beat(reader).context(error::CallSnafu)
+    }
+
+    /// The accepted file above a revision, `None` where the other VM has none.
+    ///
+    /// # Errors
+    /// Fails where the call fails or no answer comes within the deadline.
+    pub async fn config(
+        &self,
+        above: u64,
+    ) -> Result<Option<message::ConfigText>, error::CallError> {
+        let mut request = self.client.config_request();
+        request.get().set_above(above);
+        let response = self.bounded(request.send().promise).await?;
+        let results = response.get().context(error::CallSnafu)?;
+        let reader = results.get_config().context(error::CallSnafu)?;
+        if reader.get_revision() <= above {
+            return Ok(None);
+        }
+        let text = |field: capnp::Result<capnp::text::Reader<'_>>| -> capnp::Result<String> {
+            Ok(field?.to_string()?)
+        };
+        Ok(Some(message::ConfigText {
+            revision: reader.get_revision(),
+            hash: text(reader.get_hash()).context(error::CallSnafu)?,
+            write_id: text(reader.get_write_id()).context(error::CallSnafu)?,
+            text: text(reader.get_text()).context(error::CallSnafu)?,
+        }))
+    }
+
+    /// A page of the other VM's events.
+    ///
+    /// # Errors
+    /// Fails where the call fails or no answer comes within the deadline.
+    pub async fn events(
+        &self,
+        after: u64,
+        most: u32,
+    ) -> Result<message::EventPage, error::CallError> {
+        let mut request = self.client.events_request();
+        request.get().set_after(after);
+        request.get().set_most(most);
+        let response = self.bounded(request.send().promise).await?;
+        let results = response.get().context(error::CallSnafu)?;
+        let mut page = message::EventPage {
+            next: results.get_next(),
+            lost: results.get_lost(),
+            ..message::EventPage::default()
+        };
+        for event in results.get_events().context(error::CallSnafu)? {
+            let event = event.context(error::CallSnafu)?;
+            page.events.push(
+                event
+                    .to_string()
+                    .map_err(capnp::Error::from)
+                    .context(error::CallSnafu)?,
+            );
+        }
+        Ok(page)
+    }
+
+    /// Waits for an answer within the deadline.
+    async fn bounded<T>(
+        &self,
+        answer: impl Future<Output = capnp::Result<T>>,
+    ) -> Result<T, error::CallError> {
+        timeout(self.options.deadline, answer)
+            .await
+            .map_err(|_| error::CallError::Deadline)?
+            .context(error::CallSnafu)
+    }
+}
--- a/dahliawood-peer/src/lib.rs
+++ b/dahliawood-peer/src/lib.rs
@@ -1,3 +1,17 @@
-//! Calls between VMs: the schema, its generated code and the RPC plumbing.
+//! Calls between entry VMs: the schema, its generated code and the RPC plumbing.
+//!
+//! Everything here is single-threaded, as `capnp-rpc` is: it lives on the daemon's control thread.
+//! The package moves typed messages; it decides nothing about them. Calls are neither encrypted
+//! nor authenticated yet.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+pub mod client;
+/// Code generated from `schema/peer.capnp` by the example `generate`.
+#[allow(missing_docs, unused_qualifications, clippy::all, clippy::pedantic, elided_lifetimes_in_paths)]
+#[rustfmt::skip]
+pub mod generated {
+    pub mod peer_capnp;
+}
+pub mod message;
+pub mod server;
--- /dev/null
+++ b/dahliawood-peer/src/server/mod.rs
@@ -0,0 +1,90 @@
+//! Answers other VMs' calls through closures.
+
+use crate::generated::peer_capnp::vm_peer;
+use crate::message;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::{AsyncReadExt, FutureExt};
+use std::rc::Rc;
+
+/// What answers each call.
+pub struct PeerHandlers {
+    /// Takes a beat and answers with the callee's own.
+    pub beat: Box<dyn Fn(message::VmBeat) -> message::VmBeat>,
+    /// The accepted file above a revision, if the callee has one.
+    pub config: Box<dyn Fn(u64) -> Option<message::ConfigText>>,
+    /// A page of events after a position, of at most so many entries.
+    pub events: Box<dyn Fn(u64, u32) -> message::EventPage>,
+}
+
+impl vm_peer::Server for PeerHandlers {
+    async fn beat(
+        self: Rc<Self>,
+        params: vm_peer::BeatParams,
+        mut results: vm_peer::BeatResults,
+    ) -> capnp::Result<()> {
+        let beat = message::read_beat(params.get()?.get_beat()?)?;
+        let answer = (self.beat)(beat);
+        message::write_beat(&answer, results.get().init_beat())
+    }
+
+    async fn config(
+        self: Rc<Self>,
+        params: vm_peer::ConfigParams,
+        mut results: vm_peer::ConfigResults,
+    ) -> capnp::Result<()> {
+        let text = (self.config)(params.get()?.get_above()).unwrap_or_default();
+        let mut builder = results.get().init_config();
+        builder.set_revision(text.revision);
+        builder.set_hash(&text.hash);
+        builder.set_write_id(&text.write_id);
+        builder.set_text(&text.text);
+        Ok(())
+    }
+
+    async fn events(
+        self: Rc<Self>,
+        params: vm_peer::EventsParams,
+        mut results: vm_peer::EventsResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let page = (self.events)(params.get_after(), params.get_most());
+        let mut builder = results.get();
+        builder.set_next(page.next);
+        builder.set_lost(page.lost);
+        let mut list = builder.init_events(page.events.len() as u32);
+        for (index, event) in page.events.iter().enumerate() {
+            list.set(index as u32, event);
+        }
+        Ok(())
+    }
+}
+
+/// Serves calls on `listener` until it fails; runs on the current thread.
+///
+/// # Errors
+/// Returns the error that ended the listener.
+pub async fn serve(listener: TcpListener, handlers: Rc<PeerHandlers>) -> std::io::Result<()> {
+    let client: vm_peer::Client = capnp_rpc::new_client_from_rc(handlers);
+    loop {
+        let (stream, _) = listener.accept().await?;
+        task::spawn_local(connection(stream, client.clone()));
+    }
+}
+
+/// Serves one connection to its end.
+async fn connection(stream: TcpStream, client: vm_peer::Client) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("a peer connection without nodelay: {error}");
+    }
+    let (reader, writer) = stream.split();
+    let network = twoparty::VatNetwork::new(
+        reader,
+        writer,
+        rpc_twoparty_capnp::Side::Server,
+        capnp::message::ReaderOptions::default(),
+    );
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let _ended = system.map(|_| ()).await;
+}
