feat(steer): look-up answers, choice of target, drains and ramps

The daemon needs decisions that it can wire: which VMs a caller is told, and which target a request gets.

- lookup: homes by rendezvous hash near the caller, spread over domains, the last VM from another region, time to live with jitter.
- target, choice: slots of this VM, local first, spill by headroom of link and region drawn at random, wait or refuse with a cause.

--- /dev/null
+++ b/dahliawood-steer/src/choice/mod.rs
@@ -0,0 +1,208 @@
+//! Which target gets a request, and when it waits or is refused.
+//!
+//! A request stays in the region of its VM while a target there has room within this VM's slots.
+//! It goes to another region only where waiting here is expected to take longer than the way there
+//! and back, a target there has room, and link and region have headroom; among several regions one
+//! is drawn at random by headroom, so that VMs with the same stale picture do not all pick one.
+//! The decision rests on this VM's own counts: what a target reports never makes room.
+
+mod pick;
+
+use crate::{health, ramp, target};
+use dahliawood_model::keys::{RegionKey, ServiceKey, TargetKey};
+use dahliawood_model::stamp::TimeStamp;
+use rand::Rng;
+use std::time::Duration;
+
+/// Service time that is assumed before the first answer.
+pub const ASSUMED_SERVICE: Duration = Duration::from_millis(20);
+/// The soonest time after which a caller is told to come back.
+pub const SHORTEST_RETRY: Duration = Duration::from_secs(1);
+
+/// Headroom on the way to another region.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpillRoom {
+    /// Free share of the link there and back, the smaller one, 0 to 1.
+    pub link: f64,
+    /// Free share of the region's capacity, 0 to 1.
+    pub region: f64,
+}
+
+impl SpillRoom {
+    /// No headroom.
+    pub const NONE: Self = Self {
+        link: 0.0,
+        region: 0.0,
+    };
+
+    /// The smaller of the two shares.
+    pub fn least(self) -> f64 {
+        self.link.min(self.region)
+    }
+}
+
+/// One request that wants a target.
+#[derive(Clone, Copy)]
+pub struct ChoiceQuery<'a> {
+    /// Its service.
+    pub service: ServiceKey,
+    /// Targets that it was tried at already.
+    pub exclude: &'a [TargetKey],
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Requests of this VM and service that wait before it.
+    pub waiting: u32,
+    /// Headroom on the way to a region other than the home one.
+    pub room: &'a dyn Fn(RegionKey) -> SpillRoom,
+}
+
+impl std::fmt::Debug for ChoiceQuery<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ChoiceQuery")
+            .field("service", &self.service)
+            .field("exclude", &self.exclude)
+            .field("idempotent", &self.idempotent)
+            .field("waiting", &self.waiting)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Choice {
+    /// To a target.
+    Target(TargetKey, RegionKey),
+    /// Nowhere yet: every target that it may use is busy.
+    Wait {
+        /// How long the wait is expected to take.
+        expected: Duration,
+        /// The busy target whose slot would help first, for a loan.
+        wanted: TargetKey,
+    },
+    /// Nowhere: refuse it at once; it has not run.
+    None {
+        /// Why.
+        why: NoneCause,
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// Why a request gets no target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+pub enum NoneCause {
+    /// The service has no target that is not leaving.
+    #[display("no target of the service is serving")]
+    NoTarget,
+    /// It was tried at every target already.
+    #[display("every target was tried")]
+    Tried,
+    /// Every target is ejected.
+    #[display("every target is failing")]
+    Ejected,
+    /// Only other regions are left and the way there has no headroom.
+    #[display("no headroom to another region")]
+    NoRoom,
+}
+
+/// Chooses a target for one request; nothing is counted before [`begin`].
+pub fn choose(
+    table: &mut target::TargetTable,
+    query: &ChoiceQuery<'_>,
+    now: TimeStamp,
+    rng: &mut impl Rng,
+) -> Choice {
+    pick::choose(table, query, now, rng)
+}
+
+/// Counts a request as running at a target, `None` where the target is not declared.
+///
+/// Call it under the same lock as the [`choose`] that named the target.
+pub fn begin(table: &mut target::TargetTable, target: TargetKey) -> Option<target::FlightKey> {
+    let index = table.index_of(target)?;
+    table.states[index as usize].in_flight += 1;
+    Some(target::FlightKey(index))
+}
+
+/// Counts a request as ended, and takes what became of it into health and ramp.
+pub fn finish(
+    table: &mut target::TargetTable,
+    flight: target::FlightKey,
+    report: health::ResultReport,
+    now: TimeStamp,
+) {
+    let index = flight.0 as usize;
+    let state = &table.states[index];
+    let link = table.link_latency(state.region).unwrap_or_default() * 2;
+    let median_us = warm_median_us(table, index);
+    let may_eject = soft_room(table, index);
+    let state = &mut table.states[index];
+    state.in_flight = state.in_flight.saturating_sub(1);
+    if report.kind == health::ResultKind::Cancelled {
+        return;
+    }
+    state.health.record(report, link, now);
+    if state.health.ejection.is_some() {
+        end_probe(state, report.kind, now);
+        return;
+    }
+    record_ramp(state, report, link, median_us);
+    match state.health.evidence(median_us) {
+        Some(health::EjectCause::Connect) => state.health.eject(health::EjectCause::Connect, now),
+        Some(cause) if may_eject => state.health.eject(cause, now),
+        _ => {}
+    }
+}
+
+/// Readmits a target whose probe was answered, or ejects it for longer.
+fn end_probe(state: &mut target::TargetState, kind: health::ResultKind, now: TimeStamp) {
+    match kind {
+        health::ResultKind::Answered => {
+            state.health.readmit();
+            state.ramp = Some(ramp::RampState::default());
+        }
+        health::ResultKind::ConnectFailed => state.health.eject(health::EjectCause::Connect, now),
+        _ => state.health.eject(health::EjectCause::Failures, now),
+    }
+}
+
+fn record_ramp(
+    state: &mut target::TargetState,
+    report: health::ResultReport,
+    link: Duration,
+    median_us: Option<f64>,
+) {
+    let Some(ramp) = &mut state.ramp else { return };
+    let failed = report.kind != health::ResultKind::Answered;
+    let latency_us = report.latency.saturating_sub(link).as_micros() as f64;
+    if ramp.record(latency_us, failed, median_us) == ramp::RampStep::Warm {
+        state.ramp = None;
+    }
+}
+
+/// The median latency of the warm peers of a target, `None` without any that has been measured.
+fn warm_median_us(table: &target::TargetTable, index: usize) -> Option<f64> {
+    let state = &table.states[index];
+    let mut peers: Vec<f64> = table
+        .service(state.service)
+        .filter(|peer| peer.key != state.key && peer.is_warm())
+        .filter(|peer| peer.health.samples >= health::MIN_SAMPLES)
+        .map(|peer| peer.health.latency_us)
+        .collect();
+    if peers.is_empty() {
+        return None;
+    }
+    let middle = peers.len() / 2;
+    let (_, median, _) = peers.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*median)
+}
+
+/// Whether soft evidence may eject one more target of this service and region.
+fn soft_room(table: &target::TargetTable, index: usize) -> bool {
+    let state = &table.states[index];
+    let peers = table
+        .service(state.service)
+        .filter(|peer| peer.region == state.region && peer.serving);
+    let ejected = peers.clone().filter(|peer| peer.health.ejection.is_some());
+    ejected.count() < health::soft_limit(peers.count())
+}
--- /dev/null
+++ b/dahliawood-steer/src/lookup/mod.rs
@@ -0,0 +1,356 @@
+//! Which VMs a caller is told to use.
+//!
+//! The client's address gives a place by longest prefix, the place a region. Among the VMs of that
+//! region, the homes of the customer come first, found by rendezvous hash and spread over failure
+//! domains; the rest follow as alternatives, the last one from another region. A customer's answer
+//! is the same at every VM, so that a small customer's allowance stays in one place; a customer
+//! with several homes starts at one of them at random.
+//!
+//! A table is built anew when the configuration or the membership changes, and is then read only.
+//! Loads of single VMs are not considered: spread comes from the hash alone.
+
+use crate::prefix;
+use crate::rendezvous;
+use dahliawood_model::keys::{ArenaKey, CustomerKey, DomainKey, RegionKey, ServiceKey, VmKey};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_model::tables::{self, FleetConfig};
+use dahliawood_model::{FastMap, units};
+use rand::Rng;
+use std::cmp::Reverse;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+/// An entry VM as the membership table knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VmEntry {
+    /// Name, unique among VMs and equal at every process.
+    pub name: String,
+    /// The failure domain that it is in.
+    pub domain: DomainKey,
+    /// Where callers reach it.
+    pub http: SocketAddr,
+    /// Whether it may be named.
+    pub state: VmState,
+}
+
+/// Whether a VM may be named in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum VmState {
+    /// It serves.
+    Live,
+    /// It did not answer its peers of late; named only where no VM at all is live.
+    Suspect,
+    /// It stops soon or is gone; never named.
+    Leaving,
+}
+
+/// What may be set about answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LookupOptions {
+    /// The most VMs in one answer.
+    pub named: usize,
+    /// The longest time that an answer may be cached; the shortest is three quarters of it.
+    pub ttl: Duration,
+    /// Requests a second for which a customer gets one home in each region.
+    pub rate_per_home: units::RequestRate,
+}
+
+impl Default for LookupOptions {
+    fn default() -> Self {
+        Self {
+            named: 4,
+            ttl: Duration::from_secs(20),
+            rate_per_home: units::RequestRate::from_whole(100),
+        }
+    }
+}
+
+/// One look-up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LookupQuery {
+    /// The caller's address.
+    pub client: IpAddr,
+    /// The customer, `None` on a route that is open to all.
+    pub customer: Option<CustomerKey>,
+    /// The service to be called.
+    pub service: ServiceKey,
+}
+
+/// The answer to one look-up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LookupAnswer {
+    /// VMs in the order to try them; empty where none may be named.
+    pub vms: Vec<VmKey>,
+    /// How long the caller may cache it, jitter included.
+    pub ttl: Duration,
+    /// `now` and `ttl` together.
+    pub expires: TimeStamp,
+    /// The region that is near the caller.
+    pub region: Option<RegionKey>,
+}
+
+/// A VM as far as an answer needs it.
+#[derive(Clone, Copy, Debug)]
+struct VmSeat {
+    vm: VmKey,
+    domain: DomainKey,
+    hash: u64,
+}
+
+/// A VM with its score for one customer.
+#[derive(Clone, Copy, Debug)]
+struct ScoredSeat {
+    vm: VmKey,
+    domain: DomainKey,
+    score: u64,
+    /// How many seats of its failure domain have a higher score.
+    round: u32,
+}
+
+/// What an answer needs of a customer.
+#[derive(Clone, Copy, Debug)]
+struct CustomerHome {
+    hash: u64,
+    homes: usize,
+}
+
+/// A region: its VMs and the other regions, nearest first.
+#[derive(Clone, Debug, Default)]
+struct RegionSeats {
+    seats: Vec<VmSeat>,
+    others: Vec<RegionKey>,
+}
+
+/// Everything that answers are made from.
+#[derive(Clone, Debug, Default)]
+pub struct LookupTable {
+    options: LookupOptions,
+    prefixes: prefix::PrefixTable,
+    place_regions: Vec<RegionKey>,
+    regions: Vec<RegionSeats>,
+    customers: Vec<CustomerHome>,
+    serving: FastMap<ServiceKey, Vec<RegionKey>>,
+}
+
+impl LookupTable {
+    /// Builds the table with default options; the key of a VM is its position in `vms`.
+    pub fn build(config: &FleetConfig, vms: &[VmEntry]) -> Self {
+        Self::build_with(config, vms, LookupOptions::default())
+    }
+
+    /// Builds the table with `options`.
+    pub fn build_with(config: &FleetConfig, vms: &[VmEntry], options: LookupOptions) -> Self {
+        let blocks = config.places.iter().flat_map(|(place, spec)| {
+            let blocks = spec.blocks.iter();
+            blocks.map(move |block| (*block, place))
+        });
+        let serving = config.services.keys();
+        Self {
+            options,
+            prefixes: prefix::PrefixTable::build(blocks),
+            place_regions: config.places.values().map(|place| place.region).collect(),
+            regions: region_seats(config, vms),
+            customers: customer_homes(config, options.rate_per_home),
+            serving: serving
+                .map(|service| (service, serving_regions(config, service)))
+                .collect(),
+        }
+    }
+
+    /// Bytes that the client blocks take, the part that grows with the deployment.
+    pub fn memory_bytes(&self) -> usize {
+        self.prefixes.memory_bytes()
+    }
+
+    /// The region near `client`: that of its place, or of one picked by its address where no
+    /// block holds it.
+    fn region_near(&self, client: IpAddr) -> Option<RegionKey> {
+        if let Some(place) = self.prefixes.place_of(client) {
+            return self.place_regions.get(place.index()).copied();
+        }
+        let hash = client_hash(client);
+        let count = self.regions.len() as u64;
+        (count > 0).then(|| RegionKey::from_index((hash % count) as usize))
+    }
+
+    fn customer_home(&self, query: &LookupQuery) -> CustomerHome {
+        let known = query
+            .customer
+            .and_then(|key| self.customers.get(key.index()));
+        known.copied().unwrap_or_else(|| CustomerHome {
+            hash: client_hash(query.client),
+            homes: 1,
+        })
+    }
+
+    /// Other regions, nearest first, those with targets of the service before those without.
+    fn fallback_regions(
+        &self,
+        near: RegionKey,
+        service: ServiceKey,
+    ) -> impl Iterator<Item = RegionKey> + '_ {
+        let serving = self.serving.get(&service).map_or(&[][..], Vec::as_slice);
+        let others = &self.regions[near.index()].others;
+        let with = others.iter().filter(|region| serving.contains(region));
+        let without = others.iter().filter(|region| !serving.contains(region));
+        with.chain(without).copied()
+    }
+}
+
+/// Answers one look-up.
+pub fn answer(
+    table: &LookupTable,
+    query: LookupQuery,
+    now: TimeStamp,
+    rng: &mut impl Rng,
+) -> LookupAnswer {
+    let near = table.region_near(query.client);
+    let ttl = jittered(table.options.ttl, rng);
+    LookupAnswer {
+        vms: near.map_or_else(Vec::new, |near| named_vms(table, &query, near, rng)),
+        ttl,
+        expires: now.after(ttl),
+        region: near,
+    }
+}
+
+/// The VMs to name, homes first and one of another region last.
+fn named_vms(
+    table: &LookupTable,
+    query: &LookupQuery,
+    near: RegionKey,
+    rng: &mut impl Rng,
+) -> Vec<VmKey> {
+    let home = table.customer_home(query);
+    let named = table.options.named;
+    let fallback = table
+        .fallback_regions(near, query.service)
+        .find_map(|region| best(&table.regions[region.index()].seats, home.hash));
+    let near_count = named - usize::from(fallback.is_some() && named > 1);
+    let seats = &table.regions[near.index()].seats;
+    let mut vms = ranked(seats, home.hash, near_count.max(home.homes));
+    let homes = home.homes.min(vms.len());
+    if homes > 1 {
+        vms[..homes].rotate_left(rng.random_range(0..homes));
+    }
+    vms.truncate(near_count);
+    vms.extend(fallback);
+    vms
+}
+
+/// The first `count` seats for a customer: the highest score among the least used failure domains,
+/// again and again. A seat that is not taken has no say in which others are.
+fn ranked(seats: &[VmSeat], customer: u64, count: usize) -> Vec<VmKey> {
+    let mut scored = scored_seats(seats, customer);
+    scored.sort_unstable_by_key(|seat| (Reverse(seat.score), seat.vm));
+    let mut used: Vec<(DomainKey, u32)> = Vec::new();
+    for seat in &mut scored {
+        match used.iter_mut().find(|(domain, _)| *domain == seat.domain) {
+            Some((_, round)) => {
+                *round += 1;
+                seat.round = *round;
+            }
+            None => used.push((seat.domain, 0)),
+        }
+    }
+    scored.sort_by_key(|seat| seat.round);
+    scored.iter().map(|seat| seat.vm).take(count).collect()
+}
+
+/// The seat with the highest score for a customer.
+fn best(seats: &[VmSeat], customer: u64) -> Option<VmKey> {
+    let best = seats
+        .iter()
+        .max_by_key(|seat| (rendezvous::score(customer, seat.hash), Reverse(seat.vm)));
+    best.map(|seat| seat.vm)
+}
+
+fn scored_seats(seats: &[VmSeat], customer: u64) -> Vec<ScoredSeat> {
+    let scored = seats.iter().map(|seat| ScoredSeat {
+        vm: seat.vm,
+        domain: seat.domain,
+        score: rendezvous::score(customer, seat.hash),
+        round: 0,
+    });
+    scored.collect()
+}
+
+/// A time to live between three quarters of `ttl` and the whole.
+fn jittered(ttl: Duration, rng: &mut impl Rng) -> Duration {
+    ttl.mul_f64(rng.random_range(0.75..=1.0))
+}
+
+fn client_hash(client: IpAddr) -> u64 {
+    match client.to_canonical() {
+        IpAddr::V4(address) => rendezvous::name_hash(&address.octets()),
+        IpAddr::V6(address) => rendezvous::name_hash(&address.octets()),
+    }
+}
+
+fn region_seats(config: &FleetConfig, vms: &[VmEntry]) -> Vec<RegionSeats> {
+    let any_live = vms.iter().any(|vm| vm.state == VmState::Live);
+    let may_name = |state| state == VmState::Live || (state == VmState::Suspect && !any_live);
+    let mut regions: Vec<RegionSeats> = config
+        .regions
+        .keys()
+        .map(|region| RegionSeats {
+            seats: Vec::new(),
+            others: regions_by_latency(config, region),
+        })
+        .collect();
+    for (index, vm) in vms.iter().enumerate().filter(|(_, vm)| may_name(vm.state)) {
+        let Some(domain) = config.domains.get(vm.domain) else {
+            continue;
+        };
+        regions[domain.region.index()].seats.push(VmSeat {
+            vm: VmKey::from_index(index),
+            domain: vm.domain,
+            hash: rendezvous::name_hash(vm.name.as_bytes()),
+        });
+    }
+    regions
+}
+
+fn regions_by_latency(config: &FleetConfig, from: RegionKey) -> Vec<RegionKey> {
+    let latency = |to| {
+        let link = config.link_between(from, to);
+        link.map_or(Duration::MAX, |link| config.links[link].latency)
+    };
+    let mut others: Vec<RegionKey> = config.regions.keys().filter(|to| *to != from).collect();
+    others.sort_by_key(|to| (latency(*to), *to));
+    others
+}
+
+fn customer_homes(config: &FleetConfig, rate_per_home: units::RequestRate) -> Vec<CustomerHome> {
+    let homes = |spec: &tables::CustomerSpec| {
+        let rate = spec.rate.millis_per_second;
+        let homes = rate.div_ceil(rate_per_home.millis_per_second.max(1));
+        homes.max(1) as usize
+    };
+    let customers = config.customers.values();
+    customers
+        .map(|spec| CustomerHome {
+            hash: rendezvous::name_hash(spec.name.as_bytes()),
+            homes: homes(spec),
+        })
+        .collect()
+}
+
+/// Regions with a target of the service that is not draining.
+fn serving_regions(config: &FleetConfig, service: ServiceKey) -> Vec<RegionKey> {
+    let drains = |subject| config.drains.iter().any(|drain| drain.subject == subject);
+    let mut regions: Vec<RegionKey> = config
+        .targets
+        .iter()
+        .filter(|(_, target)| target.service == service)
+        .filter(|(key, target)| {
+            !drains(tables::DrainSubject::Target(*key))
+                && !drains(tables::DrainSubject::Domain(target.domain))
+                && !drains(tables::DrainSubject::Region(config.target_region(*key)))
+        })
+        .map(|(key, _)| config.target_region(key))
+        .collect();
+    regions.sort_unstable();
+    regions.dedup();
+    regions
+}
