--- /dev/null
+++ b/dahliawood-daemon/src/control/beats/mod.rs
@@ -0,0 +1,75 @@
+//! Exchanges beats with other VMs, and asks for what they have in force above the own revision.
+
+use crate::control::{ControlState, members};
+use crate::{clock, counters};
+use async_std::task;
+use dahliawood_events::clock as hybrid;
+use dahliawood_peer::{client, message};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time between two beats to one VM.
+const BEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// The most that a call to another VM may take.
+const CALL_DEADLINE: Duration = Duration::from_millis(1_000);
+
+/// This VM's own beat.
+pub fn own_beat(state: &ControlState) -> message::VmBeat {
+    let shared = &state.shared;
+    message::VmBeat {
+        name: shared.settings.name.clone(),
+        incarnation: shared.incarnation,
+        revision: shared.snapshot.load().as_ref().map_or(0, |snapshot| snapshot.state.revision),
+        leaving: shared.phase() == crate::shared::DaemonPhase::Leaving,
+        clock: shared.events.stamp().0,
+        heard: Vec::new(),
+    }
+}
+
+/// Takes in another VM's beat.
+pub fn take_beat(state: &mut ControlState, beat: &message::VmBeat) {
+    state.shared.events.follow(hybrid::HybridStamp(beat.clock));
+    state.members.take_beat(beat, clock::now());
+}
+
+/// Beats to one VM until it is no longer a member.
+pub async fn run(state: Rc<RefCell<ControlState>>, member: members::VmMember) {
+    let mut connection = None;
+    while state.borrow().is_member(&member) {
+        let ended = exchange(&state, &member, &mut connection).await;
+        state.borrow().shared.counters.count(counters::CounterKind::Beats);
+        if let Err(error) = ended {
+            connection = None;
+            state.borrow().shared.counters.count(counters::CounterKind::BeatsFailed);
+            log::debug!("no beat from {}: {error}", member.name);
+        }
+        task::sleep(BEAT_INTERVAL).await;
+    }
+    state.borrow_mut().beating.remove(&member.peer);
+}
+
+/// One exchange, and the other VM's file where it is newer.
+async fn exchange(
+    state: &Rc<RefCell<ControlState>>,
+    member: &members::VmMember,
+    connection: &mut Option<client::PeerClient>,
+) -> Result<(), client::error::CallError> {
+    let peer = match connection {
+        Some(peer) => peer,
+        None => {
+            let options = client::CallOptions { deadline: CALL_DEADLINE };
+            connection.insert(client::connect(member.peer, options).await?)
+        }
+    };
+    let beat = own_beat(&state.borrow());
+    let answer = peer.beat(&beat).await?;
+    take_beat(&mut state.borrow_mut(), &answer);
+    if answer.revision <= beat.revision {
+        return Ok(());
+    }
+    if let Some(file) = peer.config(beat.revision).await? {
+        state.borrow_mut().take_file(file.revision, file.text);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/dahliawood-daemon/src/front/flight/mod.rs
@@ -0,0 +1,118 @@
+//! A request that occupies a slot of a target, from the choice until its answer has been read.
+
+use crate::{clock, shared};
+use dahliawood_model::keys::{ServiceKey, TargetKey};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_steer::{choice, health, target};
+use futures::io::{AsyncBufRead, AsyncRead};
+use http_types::Body;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+/// Holds the slot; gives it back when it is dropped.
+pub struct TargetFlight {
+    shared: Arc<shared::SharedState>,
+    key: target::FlightKey,
+    /// The target.
+    pub target: TargetKey,
+    service: ServiceKey,
+    started: TimeStamp,
+    report: health::ResultReport,
+}
+
+impl TargetFlight {
+    /// A flight that was just begun.
+    pub fn new(
+        shared: Arc<shared::SharedState>,
+        key: target::FlightKey,
+        target: TargetKey,
+        service: ServiceKey,
+    ) -> Self {
+        let kind = health::ResultKind::Cancelled;
+        let report = health::ResultReport { kind, latency: std::time::Duration::ZERO };
+        Self { shared, key, target, service, started: clock::now(), report }
+    }
+
+    /// Notes what became of it; the latency is that up to now.
+    pub fn settle(&mut self, kind: health::ResultKind) {
+        let latency = clock::now().since(self.started);
+        self.report = health::ResultReport { kind, latency };
+    }
+}
+
+impl Drop for TargetFlight {
+    fn drop(&mut self) {
+        if let Some(table) = self.shared.targets().as_mut() {
+            choice::finish(table, self.key, self.report, clock::now());
+        }
+        self.shared.waiters.wake(self.service);
+    }
+}
+
+/// The body of an answer, which keeps its slot until it has been read or dropped.
+struct FlightBody {
+    body: Body,
+    flight: Option<TargetFlight>,
+}
+
+/// Ties a body to the flight that it belongs to.
+pub fn tie(body: Body, flight: TargetFlight) -> Body {
+    let length = body.len();
+    let mime = body.mime().clone();
+    let mut tied = Body::from_reader(FlightBody { body, flight: Some(flight) }, length);
+    tied.set_mime(mime);
+    tied
+}
+
+impl AsyncRead for FlightBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.body).poll_read(context, buffer);
+        if matches!(read, Poll::Ready(Ok(0))) && !buffer.is_empty() {
+            self.flight = None;
+        }
+        if matches!(read, Poll::Ready(Err(_))) {
+            self.fail();
+        }
+        read
+    }
+}
+
+impl AsyncBufRead for FlightBody {
+    fn poll_fill_buf(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        let filled = Pin::new(&mut this.body).poll_fill_buf(context);
+        match &filled {
+            Poll::Ready(Ok([])) => this.flight = None,
+            Poll::Ready(Err(_)) => {
+                if let Some(flight) = this.flight.as_mut() {
+                    flight.settle(health::ResultKind::Errored);
+                }
+                this.flight = None;
+            }
+            _ => {}
+        }
+        filled
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amount: usize) {
+        Pin::new(&mut self.body).consume(amount);
+    }
+}
+
+impl FlightBody {
+    /// The answer broke off.
+    fn fail(&mut self) {
+        if let Some(mut flight) = self.flight.take() {
+            flight.settle(health::ResultKind::Errored);
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -0,0 +1,240 @@
+//! Forwards an admitted request to a target and brings back its answer.
+//!
+//! A request is tried again only where it is idempotent or cannot have reached a target, on another
+//! target, and only while its body is still at hand. A small answer of an idempotent request is read
+//! whole before its first byte goes out, so that a target that dies while it answers costs another
+//! try and not the answer.
+
+mod outgoing;
+mod place;
+
+use crate::front::flight::{self, TargetFlight};
+use crate::front::refusal::RefusalCause;
+use crate::front::target_call;
+use crate::{clock, counters, shared, snapshot};
+use dahliawood_fate::verdict::RunVerdict;
+use dahliawood_model::keys::{CustomerKey, RouteKey, TargetKey};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_steer::health;
+use dahliawood_wire::problem;
+use http_types::{Body, Method, Request, Response, StatusCode};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The most tries of one request, the first one included.
+const MOST_TRIES: usize = 3;
+/// The longest answer that is read whole before it goes out, bytes.
+const HOLD_BYTES: usize = 256 * 1024;
+/// When a caller whose request failed at a target may come back.
+const RETRY_FAILED: Duration = Duration::from_secs(1);
+
+/// A request that may be forwarded.
+pub struct AdmittedRequest {
+    /// The request as it came.
+    pub request: Request,
+    /// Its route.
+    pub route: RouteKey,
+    /// Whose key came with it.
+    pub customer: Option<CustomerKey>,
+    /// Where it came from.
+    pub client: SocketAddr,
+    /// Until when it may take.
+    pub deadline: TimeStamp,
+}
+
+/// What all tries of one request share.
+struct ForwardRun {
+    shared: Arc<shared::SharedState>,
+    snapshot: Arc<snapshot::RouteSnapshot>,
+    route: RouteKey,
+    customer: Option<CustomerKey>,
+    deadline: TimeStamp,
+    is_idempotent: bool,
+    tried: Vec<TargetKey>,
+    verdict: RunVerdict,
+}
+
+/// How a try ended without an answer.
+struct TryFailure {
+    detail: String,
+    is_final: bool,
+}
+
+/// Forwards a request to its end.
+///
+/// The handler is dropped where the caller leaves. A non-idempotent request that may be running is
+/// not cut short by that: it runs to its end in a task of its own.
+///
+/// # Errors
+/// Refuses a request that has not run.
+pub async fn run(
+    shared: Arc<shared::SharedState>,
+    snapshot: Arc<snapshot::RouteSnapshot>,
+    admitted: AdmittedRequest,
+) -> Result<Response, RefusalCause> {
+    let is_idempotent = snapshot.state.config.routes[admitted.route].idempotent;
+    let run = ForwardRun {
+        shared,
+        snapshot,
+        route: admitted.route,
+        customer: admitted.customer,
+        deadline: admitted.deadline,
+        is_idempotent,
+        tried: Vec::new(),
+        verdict: RunVerdict::NotRun,
+    };
+    let outgoing = outgoing::prepare(admitted.request, admitted.client, is_idempotent).await?;
+    if is_idempotent {
+        return run.tries(outgoing).await;
+    }
+    async_std::task::spawn(run.tries(outgoing)).await
+}
+
+impl ForwardRun {
+    /// Tries until there is an answer or nothing is left to try.
+    async fn tries(
+        mut self,
+        mut outgoing: outgoing::OutgoingRequest,
+    ) -> Result<Response, RefusalCause> {
+        loop {
+            let flight = match place::take(&self.shared, &self.place_query()).await {
+                Ok(flight) => flight,
+                Err(cause) if self.verdict == RunVerdict::NotRun => return Err(cause),
+                Err(_) => return Ok(self.failure("no other target could be tried")),
+            };
+            self.tried.push(flight.target);
+            if self.tried.len() > 1 {
+                self.shared.counters.count(counters::CounterKind::Retries);
+            }
+            match self.attempt(&mut outgoing, flight).await {
+                Ok(response) => {
+                    self.shared.counters.count(counters::CounterKind::Answered);
+                    return Ok(response);
+                }
+                Err(failure) if self.may_retry(&failure, &outgoing) => {}
+                Err(failure) => return Ok(self.failure(&failure.detail)),
+            }
+        }
+    }
+
+    /// What the choice of a target depends on.
+    fn place_query(&self) -> place::PlaceQuery<'_> {
+        place::PlaceQuery {
+            config: &self.snapshot.state.config,
+            service: self.snapshot.state.config.routes[self.route].service,
+            customer: self.customer,
+            is_idempotent: self.is_idempotent,
+            tried: &self.tried,
+            deadline: self.deadline,
+        }
+    }
+
+    /// One try at one target.
+    async fn attempt(
+        &mut self,
+        outgoing: &mut outgoing::OutgoingRequest,
+        mut flight: TargetFlight,
+    ) -> Result<Response, TryFailure> {
+        let address = self.snapshot.state.config.targets[flight.target].address;
+        let left = self.deadline.since(clock::now());
+        let method = outgoing.method();
+        let request = outgoing.request(address, left);
+        let call = target_call::CallOptions { address, is_retry: self.tried.len() > 1, left };
+        let sent = target_call::send(&self.shared, request, call).await;
+        let response = match sent {
+            Ok(response) => response,
+            Err(failure) => {
+                flight.settle(failure.kind);
+                self.verdict = self.verdict.combine(failure.verdict);
+                return Err(TryFailure { detail: failure.detail, is_final: failure.is_own_body });
+            }
+        };
+        self.answer(response, method, flight).await
+    }
+
+    /// Takes the answer's head, and its body too where it is small.
+    async fn answer(
+        &mut self,
+        mut response: Response,
+        method: Method,
+        mut flight: TargetFlight,
+    ) -> Result<Response, TryFailure> {
+        if response.status() == StatusCode::ServiceUnavailable {
+            flight.settle(health::ResultKind::Shed);
+            self.verdict = self.verdict.combine(RunVerdict::MayHaveRun);
+            let can_go_on = self.is_idempotent && self.tried.len() < MOST_TRIES;
+            if can_go_on {
+                return Err(TryFailure { detail: "a target shed it".to_owned(), is_final: false });
+            }
+        } else if response.status().is_server_error() {
+            flight.settle(health::ResultKind::Errored);
+        } else {
+            flight.settle(health::ResultKind::Answered);
+        }
+        outgoing::clean_answer(&mut response);
+        let body = response.take_body();
+        let is_small = body.len().is_some_and(|length| length <= HOLD_BYTES);
+        if !self.is_idempotent || !is_small || method == Method::Head {
+            outgoing::set_body(&mut response, flight::tie(body, flight));
+            return Ok(response);
+        }
+        self.hold(response, body, flight).await
+    }
+
+    /// Reads a small answer whole.
+    async fn hold(
+        &mut self,
+        mut response: Response,
+        body: Body,
+        mut flight: TargetFlight,
+    ) -> Result<Response, TryFailure> {
+        let mime = body.mime().clone();
+        let left = self.deadline.since(clock::now());
+        let read = async_std::future::timeout(left, body.into_bytes()).await;
+        match read {
+            Ok(Ok(bytes)) => {
+                let mut body = Body::from_bytes(bytes);
+                body.set_mime(mime);
+                outgoing::set_body(&mut response, body);
+                Ok(response)
+            }
+            Ok(Err(error)) => {
+                flight.settle(health::ResultKind::Errored);
+                self.verdict = self.verdict.combine(RunVerdict::Ran);
+                Err(TryFailure { detail: format!("the answer broke off: {error}"), is_final: false })
+            }
+            Err(_) => {
+                flight.settle(health::ResultKind::TimedOut);
+                self.verdict = self.verdict.combine(RunVerdict::Ran);
+                Err(TryFailure { detail: "the answer came too slowly".to_owned(), is_final: true })
+            }
+        }
+    }
+
+    /// Whether another target may be tried.
+    fn may_retry(&self, failure: &TryFailure, outgoing: &outgoing::OutgoingRequest) -> bool {
+        let is_safe = self.is_idempotent || self.verdict == RunVerdict::NotRun;
+        let has_time = clock::now() < self.deadline;
+        let may_go_on = is_safe && has_time && self.tried.len() < MOST_TRIES;
+        may_go_on && !failure.is_final && outgoing.can_repeat()
+    }
+
+    /// The answer to a request that was tried and got none: what is known of it, said truly.
+    fn failure(&self, detail: &str) -> Response {
+        self.shared.counters.count(counters::CounterKind::Failed);
+        let is_late = clock::now() >= self.deadline;
+        let (status, name, title) = match (is_late, self.verdict) {
+            (true, _) => (StatusCode::GatewayTimeout, "timeout", "No answer in time"),
+            (false, RunVerdict::NotRun) => {
+                (StatusCode::ServiceUnavailable, "unreachable", "No target could be reached")
+            }
+            (false, _) => (StatusCode::BadGateway, "target-failed", "The target failed"),
+        };
+        let retry_after = (self.verdict == RunVerdict::NotRun || self.is_idempotent)
+            .then_some(RETRY_FAILED);
+        let detail = detail.to_owned();
+        let ran = self.verdict;
+        problem::ProblemDocument { name, status, title, detail, ran, retry_after }.into_response()
+    }
+}
--- /dev/null
+++ b/dahliawood-daemon/src/front/forward/outgoing.rs
@@ -0,0 +1,121 @@
+//! The request as it goes to a target, and the answer as it goes back.
+
+use crate::front::handler::TIMEOUT_HEADER;
+use crate::front::refusal::RefusalCause;
+use async_std::future::timeout;
+use dahliawood_wire::headers;
+use http_types::headers::CONTENT_TYPE;
+use http_types::{Body, Method, Request, Response, Url};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The longest body that is kept for another try, bytes.
+const REPLAY_BYTES: usize = 64 * 1024;
+/// How long a short body may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A request without its body, and the body for as long as it is at hand.
+pub struct OutgoingRequest {
+    head: Request,
+    body: OutgoingBody,
+}
+
+enum OutgoingBody {
+    /// Kept whole; can be sent again.
+    Kept(Vec<u8>),
+    /// Streamed from the caller; can be sent once.
+    Streamed(Body),
+    /// Streamed and gone.
+    Gone,
+}
+
+/// Cleans the request's headers, and reads a short body whole.
+///
+/// # Errors
+/// Refuses a request whose body does not arrive, before any target was called.
+pub async fn prepare(
+    mut request: Request,
+    client: SocketAddr,
+    is_idempotent: bool,
+) -> Result<OutgoingRequest, RefusalCause> {
+    let body = request.take_body();
+    let is_short = body.len().is_some_and(|length| length <= REPLAY_BYTES);
+    headers::prepare_request(&mut request, client);
+    let body = match is_short || (is_idempotent && body.is_empty() == Some(true)) {
+        false => OutgoingBody::Streamed(body),
+        true => OutgoingBody::Kept(read_whole(body).await?),
+    };
+    Ok(OutgoingRequest { head: request, body })
+}
+
+/// Reads a short body.
+async fn read_whole(body: Body) -> Result<Vec<u8>, RefusalCause> {
+    let read = timeout(BODY_TIMEOUT, body.into_bytes()).await;
+    let read = read.map_err(|_| malformed("the request's body came too slowly"))?;
+    read.map_err(|_| malformed("the request's body broke off"))
+}
+
+fn malformed(detail: &str) -> RefusalCause {
+    RefusalCause::Malformed(detail.to_owned())
+}
+
+impl OutgoingRequest {
+    /// Its method.
+    pub fn method(&self) -> Method {
+        self.head.method()
+    }
+
+    /// Whether it can be sent once more.
+    pub fn can_repeat(&self) -> bool {
+        !matches!(self.body, OutgoingBody::Gone)
+    }
+
+    /// The request for one try at `address`, with the time that is left; a streamed body goes with
+    /// the first.
+    pub fn request(&mut self, address: SocketAddr, left: Duration) -> Request {
+        let mut request = Request::new(self.head.method(), self.url(address));
+        for (name, values) in &self.head {
+            for value in values {
+                request.append_header(name, value);
+            }
+        }
+        let millis = left.as_millis();
+        request.insert_header(TIMEOUT_HEADER, millis.to_string());
+        let had_type = request.header(CONTENT_TYPE).is_some();
+        match std::mem::replace(&mut self.body, OutgoingBody::Gone) {
+            OutgoingBody::Kept(bytes) => {
+                request.set_body(Body::from_bytes(bytes.clone()));
+                self.body = OutgoingBody::Kept(bytes);
+            }
+            OutgoingBody::Streamed(body) => request.set_body(body),
+            OutgoingBody::Gone => {}
+        }
+        if !had_type {
+            request.remove_header(CONTENT_TYPE);
+        }
+        request
+    }
+
+    /// The request's path and query at a target.
+    fn url(&self, address: SocketAddr) -> Url {
+        let mut url = self.head.url().clone();
+        let _ = url.set_scheme("http");
+        let _ = url.set_ip_host(address.ip());
+        let _ = url.set_port(Some(address.port()));
+        url
+    }
+}
+
+/// Removes what concerns the target's connection only.
+pub fn clean_answer(response: &mut Response) {
+    headers::clean_response(response);
+}
+
+/// Sets the body of an answer, which gets no content type that the target did not give it.
+pub fn set_body(response: &mut Response, body: Body) {
+    let had_type = response.header(CONTENT_TYPE).is_some();
+    response.set_body(body);
+    if !had_type {
+        response.remove_header(CONTENT_TYPE);
+    }
+}
--- /dev/null
+++ b/dahliawood-daemon/src/front/handler/mod.rs
@@ -0,0 +1,169 @@
+//! One request from its head to its answer: route, key, admission, then the forward path.
+
+use crate::front::refusal::RefusalCause;
+use crate::front::{api, forward};
+use crate::{clock, counters, shared, snapshot};
+use dahliawood_model::keys::{CustomerKey, RouteKey};
+use http_types::{Request, Response, headers};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// The header in which a caller says how long it waits, milliseconds; it shortens the service's
+/// timeout, and goes to the target with what is left.
+pub const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+
+/// Prefix of the paths that the VM answers itself.
+const OWN_PREFIX: &str = "/v1/";
+
+/// Counts a request as in flight until it is dropped.
+struct InFlight(Arc<shared::SharedState>);
+
+impl InFlight {
+    fn begin(shared: &Arc<shared::SharedState>) -> Self {
+        shared.in_flight.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Answers one request of the caller at `client`.
+pub async fn answer(
+    shared: Arc<shared::SharedState>,
+    request: Request,
+    client: SocketAddr,
+) -> Response {
+    let _in_flight = InFlight::begin(&shared);
+    let outcome = match request.url().path() {
+        api::HEALTH_PATH => return api::health(&shared),
+        path if path.starts_with(OWN_PREFIX) => own(&shared, &request, client),
+        _ => routed(&shared, request, client).await,
+    };
+    outcome.unwrap_or_else(|cause| {
+        shared.counters.count(cause.counter());
+        cause.into_response()
+    })
+}
+
+/// Answers a request that the VM serves itself.
+fn own(
+    shared: &shared::SharedState,
+    request: &Request,
+    client: SocketAddr,
+) -> Result<Response, RefusalCause> {
+    let snapshot = shared.snapshot.load();
+    let snapshot = snapshot.as_ref().ok_or(RefusalCause::Starting)?;
+    if request.url().path() != api::LOOKUP_PATH {
+        return Err(RefusalCause::NoRoute);
+    }
+    if request.method() != http_types::Method::Get {
+        return Err(RefusalCause::OtherMethod);
+    }
+    let customer = customer_of(&snapshot.state, request)?;
+    api::lookup(shared, snapshot, request, client.ip(), customer)
+}
+
+/// Forwards a request along its route.
+async fn routed(
+    shared: &Arc<shared::SharedState>,
+    request: Request,
+    client: SocketAddr,
+) -> Result<Response, RefusalCause> {
+    let snapshot = shared.snapshot.load_full().ok_or(RefusalCause::Starting)?;
+    let route = route_of(&snapshot.state, &request)?;
+    let customer = caller_of(&snapshot, &request, route, client)?;
+    let deadline = deadline_of(&snapshot.state, &request, route)?;
+    admit(shared, &snapshot.state, customer)?;
+    let admitted = forward::AdmittedRequest { request, route, customer, client, deadline };
+    forward::run(Arc::clone(shared), snapshot, admitted).await
+}
+
+/// The route of a request.
+fn route_of(
+    state: &snapshot::ConfigState,
+    request: &Request,
+) -> Result<RouteKey, RefusalCause> {
+    match state.route(request.method().as_ref(), request.url().path()) {
+        snapshot::RouteMatch::Found(route) => Ok(route),
+        snapshot::RouteMatch::OtherMethod => Err(RefusalCause::OtherMethod),
+        snapshot::RouteMatch::None => Err(RefusalCause::NoRoute),
+    }
+}
+
+/// Who calls a route: nobody in particular on an open one, otherwise the key's customer, who has to
+/// be granted the service from this place.
+fn caller_of(
+    snapshot: &snapshot::RouteSnapshot,
+    request: &Request,
+    route: RouteKey,
+    client: SocketAddr,
+) -> Result<Option<CustomerKey>, RefusalCause> {
+    let state = &snapshot.state;
+    if state.config.routes[route].open {
+        return Ok(None);
+    }
+    let customer = customer_of(state, request)?.ok_or(RefusalCause::NoKey)?;
+    if !state.may_call(customer, route) {
+        return Err(RefusalCause::NotGranted);
+    }
+    let places = &state.config.customers[customer].places;
+    let place = snapshot.lookup.place_of(client.ip());
+    if !places.is_empty() && !place.is_some_and(|place| places.contains(&place)) {
+        return Err(RefusalCause::OtherPlace);
+    }
+    Ok(Some(customer))
+}
+
+/// The customer whose key came with the request, `None` without a key.
+fn customer_of(
+    state: &snapshot::ConfigState,
+    request: &Request,
+) -> Result<Option<CustomerKey>, RefusalCause> {
+    let Some(values) = request.header(headers::AUTHORIZATION) else { return Ok(None) };
+    let mut values = values.iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return Err(RefusalCause::BadKey);
+    };
+    let (scheme, key) = value.as_str().split_once(' ').ok_or(RefusalCause::BadKey)?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(RefusalCause::BadKey);
+    }
+    let customer = state.keys.verify(key.trim()).ok_or(RefusalCause::BadKey)?;
+    Ok(Some(customer))
+}
+
+/// Until when the request may take: the service's timeout, or the caller's where it is shorter.
+fn deadline_of(
+    state: &snapshot::ConfigState,
+    request: &Request,
+    route: RouteKey,
+) -> Result<dahliawood_model::stamp::TimeStamp, RefusalCause> {
+    let service = state.config.routes[route].service;
+    let timeout = state.config.services[service].timeout;
+    let Some(value) = request.header(TIMEOUT_HEADER) else {
+        return Ok(clock::now().after(timeout));
+    };
+    let millis = value.as_str().trim().parse().map_err(|_| {
+        RefusalCause::Malformed(format!("{TIMEOUT_HEADER} takes whole milliseconds"))
+    })?;
+    Ok(clock::now().after(timeout.min(Duration::from_millis(millis))))
+}
+
+/// Takes one request from the customer's rate and burst.
+fn admit(
+    shared: &shared::SharedState,
+    state: &snapshot::ConfigState,
+    customer: Option<CustomerKey>,
+) -> Result<(), RefusalCause> {
+    let Some(customer) = customer else { return Ok(()) };
+    let name = &state.config.customers[customer].name;
+    shared.admit(name, clock::now()).map_err(RefusalCause::OverRate)?;
+    shared.counters.count(counters::CounterKind::Admitted);
+    Ok(())
+}
--- /dev/null
+++ b/dahliawood-daemon/src/shared/mod.rs
@@ -0,0 +1,77 @@
+//! What the control thread and the traffic threads share.
+
+use crate::{counters, eventlog, settings, snapshot};
+use arc_swap::ArcSwapOption;
+use dahliawood_steer::target;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// State of one daemon, behind an `Arc`.
+pub struct SharedState {
+    /// Checked settings.
+    pub settings: settings::DaemonSettings,
+    /// Incarnation of this process: higher for each start of a VM of this name.
+    pub incarnation: u64,
+    /// What requests are answered from; empty until a configuration is known.
+    pub snapshot: ArcSwapOption<snapshot::RouteSnapshot>,
+    /// The time line.
+    pub events: eventlog::EventLog,
+    /// Counters.
+    pub counters: counters::CounterTable,
+    /// Requests being answered.
+    pub in_flight: AtomicUsize,
+    targets: Mutex<Option<target::TargetTable>>,
+    phase: AtomicU64,
+}
+
+/// What a daemon is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DaemonPhase {
+    /// It knows no configuration yet and takes no work.
+    #[display("starting")]
+    Starting,
+    /// It serves.
+    #[display("serving")]
+    Serving,
+    /// It finishes what is in flight.
+    #[display("leaving")]
+    Leaving,
+}
+
+impl SharedState {
+    /// The state of a daemon that has just started.
+    pub fn new(settings: settings::DaemonSettings, incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            snapshot: ArcSwapOption::empty(),
+            events: eventlog::EventLog::new(&settings.name),
+            counters: counters::CounterTable::default(),
+            in_flight: AtomicUsize::new(0),
+            targets: Mutex::new(None),
+            phase: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// What the daemon is doing.
+    pub fn phase(&self) -> DaemonPhase {
+        if self.phase.load(Ordering::Acquire) == 1 {
+            return DaemonPhase::Leaving;
+        }
+        match self.snapshot.load().is_some() {
+            true => DaemonPhase::Serving,
+            false => DaemonPhase::Starting,
+        }
+    }
+
+    /// Begins the shutdown; says whether it had begun before.
+    pub fn leave(&self) -> bool {
+        self.phase.swap(1, Ordering::AcqRel) == 1
+    }
+
+    /// The targets, `None` until a configuration is known; held for microseconds only.
+    pub fn targets(&self) -> MutexGuard<'_, Option<target::TargetTable>> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/dahliawood-daemon/src/snapshot/mod.rs
@@ -0,0 +1,93 @@
+//! The configuration in force with its indexes, read by every traffic thread without a lock.
+
+use dahliawood_config::keys;
+use dahliawood_model::keys::{CustomerKey, RegionKey, RouteKey};
+use dahliawood_model::tables;
+use dahliawood_steer::lookup;
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+/// An accepted file that is in force on this VM, with the indexes that requests need.
+pub struct ConfigState {
+    /// Its revision number, from 1.
+    pub revision: u64,
+    /// Hash of its canonical form, hexadecimal.
+    pub hash: String,
+    /// The file itself.
+    pub text: String,
+    /// Its checked form.
+    pub config: tables::FleetConfig,
+    /// Keys of callers.
+    pub keys: keys::KeyIndex,
+    /// Routes, longest path first.
+    pub routes: Vec<RouteKey>,
+    /// The region of this VM.
+    pub home: RegionKey,
+}
+
+/// What a request is answered from; replaced as a whole when either part changes.
+pub struct RouteSnapshot {
+    /// The configuration in force.
+    pub state: Arc<ConfigState>,
+    /// The VMs, in the order of their keys.
+    pub vms: Vec<lookup::VmEntry>,
+    /// Look-up answers over both.
+    pub lookup: lookup::LookupTable,
+}
+
+impl ConfigState {
+    /// Indexes a checked file; `None` where it does not declare this VM's failure domain.
+    pub fn build(
+        revision: u64,
+        hash: String,
+        text: String,
+        config: tables::FleetConfig,
+        domain: &str,
+    ) -> Option<Self> {
+        let (_, spec) = config.domains.find(|spec| spec.name == domain)?;
+        let home = spec.region;
+        let mut routes: Vec<_> = config.routes.keys().collect();
+        routes.sort_by_key(|key| Reverse(config.routes[*key].path.len()));
+        let keys = keys::KeyIndex::build(&config);
+        Some(Self { revision, hash, text, config, keys, routes, home })
+    }
+
+    /// The route of a request: the longest path prefix that holds whole segments decides.
+    pub fn route(&self, method: &str, path: &str) -> RouteMatch {
+        let mut is_declared = false;
+        for key in &self.routes {
+            let route = &self.config.routes[*key];
+            if !covers(&route.path, path) {
+                continue;
+            }
+            is_declared = true;
+            if route.methods.iter().any(|allowed| allowed == method) {
+                return RouteMatch::Found(*key);
+            }
+        }
+        if is_declared { RouteMatch::OtherMethod } else { RouteMatch::None }
+    }
+
+    /// Whether a customer may call a service from a place.
+    pub fn may_call(&self, customer: CustomerKey, route: RouteKey) -> bool {
+        let service = self.config.routes[route].service;
+        self.config.customers[customer].services.contains(&service)
+    }
+}
+
+/// What a request's method and path lead to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteMatch {
+    /// A route.
+    Found(RouteKey),
+    /// Routes with other methods.
+    OtherMethod,
+    /// Nothing.
+    None,
+}
+
+/// Whether `prefix` is `path` or one of its parents.
+fn covers(prefix: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else { return false };
+    rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
+}
