feat(config): parse, canonical form, revision, keys and two example files

Cause: the daemon and the command line need a checked configuration to run on, and callers' keys to verify.

Change: `parse::file` reads a file whatever is wrong with it and reports every mistake with line, column, what was found and what was expected. The document tree is walked table by table, since a deserialiser stops at its first error; single values go through serde. `KeyHash` shows its id alone in `Debug`.

--- /dev/null
+++ b/dahliawood-config/src/parse/context.rs
@@ -0,0 +1,220 @@
+//! What a check has seen so far: mistakes, names declared and names used.
+
+use crate::report::{self, FindingKind};
+use dahliawood_model::FastMap;
+use std::ops::Range;
+use toml::Spanned;
+
+/// What has to be unique, and what a name can refer to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+pub enum ClaimKind {
+    /// A region's name.
+    #[display("region")]
+    Region,
+    /// A failure domain's name.
+    #[display("failure domain")]
+    Domain,
+    /// An unordered pair of regions with a link.
+    #[display("link")]
+    Link,
+    /// A place's name.
+    #[display("place")]
+    Place,
+    /// A block of client addresses.
+    #[display("client block")]
+    Block,
+    /// A service's name.
+    #[display("service")]
+    Service,
+    /// A method with a path.
+    #[display("route")]
+    Route,
+    /// A target's name.
+    #[display("target")]
+    Target,
+    /// A target's address.
+    #[display("target address")]
+    Address,
+    /// A customer's name.
+    #[display("customer")]
+    Customer,
+    /// A key's public id.
+    #[display("key id")]
+    KeyId,
+    /// The subject of a drain.
+    #[display("drain")]
+    Drain,
+}
+
+/// A mistake before its place is known as line and column.
+#[derive(Clone, Debug)]
+pub struct RawFinding {
+    /// Byte offset in the text.
+    pub offset: usize,
+    /// What kind of mistake it is.
+    pub kind: FindingKind,
+    /// What was found.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+    /// Byte offset of an earlier place that this one clashes with.
+    pub earlier: Option<usize>,
+}
+
+/// A name that is used and has to be declared somewhere.
+#[derive(Clone, Debug)]
+struct NameReference {
+    kind: ClaimKind,
+    name: String,
+    offset: usize,
+}
+
+/// The state of one check.
+#[derive(Debug, Default)]
+pub struct CheckContext {
+    findings: Vec<RawFinding>,
+    claims: FastMap<ClaimKind, FastMap<String, usize>>,
+    references: Vec<NameReference>,
+    has_syntax_errors: bool,
+}
+
+impl CheckContext {
+    /// Records a mistake.
+    pub fn find(
+        &mut self,
+        offset: usize,
+        kind: FindingKind,
+        found: impl Into<String>,
+        expected: impl Into<String>,
+    ) {
+        self.findings.push(RawFinding {
+            offset,
+            kind,
+            found: found.into(),
+            expected: expected.into(),
+            earlier: None,
+        });
+    }
+
+    /// Records that `text` is no TOML at one place.
+    pub fn syntax_error(&mut self, text: &str, error: &toml::de::Error) {
+        self.has_syntax_errors = true;
+        let span = error.span().unwrap_or(0..0);
+        let expected = format!("valid TOML: {}", report::excerpt(error.message()));
+        self.find(
+            span.start,
+            FindingKind::Syntax,
+            found_at(text, &span),
+            expected,
+        );
+    }
+
+    /// Declares `name`, which no other declaration of this kind may use.
+    pub fn claim(&mut self, kind: ClaimKind, name: &Spanned<String>) {
+        let offset = name.span().start;
+        let names = self.claims.entry(kind).or_default();
+        let Some(&earlier) = names.get(name.get_ref()) else {
+            names.insert(name.get_ref().clone(), offset);
+            return;
+        };
+        self.findings.push(RawFinding {
+            offset,
+            kind: FindingKind::Duplicate,
+            found: format!("{kind} {} again", shown(name.get_ref())),
+            expected: format!("each {kind} once"),
+            earlier: Some(earlier),
+        });
+    }
+
+    /// Uses `name`, which has to be declared somewhere in the file.
+    pub fn refer(&mut self, kind: ClaimKind, name: &Spanned<String>) {
+        self.references.push(NameReference {
+            kind,
+            name: name.get_ref().clone(),
+            offset: name.span().start,
+        });
+    }
+
+    /// Checks every used name against the declared ones.
+    ///
+    /// With broken syntax a declaration may have been lost, so nothing is said about it then.
+    pub fn settle_references(&mut self) {
+        let references = std::mem::take(&mut self.references);
+        if self.has_syntax_errors {
+            return;
+        }
+        references
+            .iter()
+            .filter(|reference| !self.declares(reference))
+            .map(undeclared)
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|finding| self.findings.push(finding));
+    }
+
+    /// All mistakes with their lines and columns, in the order of the text.
+    pub fn into_findings(mut self, text: &str) -> Vec<report::CheckFinding> {
+        if self.has_syntax_errors {
+            self.findings
+                .retain(|finding| finding.kind != FindingKind::MissingField);
+        }
+        self.findings.sort_by_key(|finding| finding.offset);
+        let lines = report::LineIndex::new(text);
+        self.findings
+            .into_iter()
+            .map(|finding| placed(&lines, finding))
+            .collect()
+    }
+
+    fn declares(&self, reference: &NameReference) -> bool {
+        self.claims
+            .get(&reference.kind)
+            .is_some_and(|names| names.contains_key(&reference.name))
+    }
+}
+
+/// A name in quotes, as a report shows it.
+pub fn shown(name: &str) -> String {
+    format!("`{}`", report::excerpt(name))
+}
+
+fn undeclared(reference: &NameReference) -> RawFinding {
+    let kind = reference.kind;
+    RawFinding {
+        offset: reference.offset,
+        kind: FindingKind::NotDeclared,
+        found: format!("{kind} {}, which is not declared", shown(&reference.name)),
+        expected: format!("the name of a declared {kind}"),
+        earlier: None,
+    }
+}
+
+fn placed(lines: &report::LineIndex<'_>, finding: RawFinding) -> report::CheckFinding {
+    let (line, column) = lines.position(finding.offset);
+    let earlier = finding
+        .earlier
+        .map(|offset| lines.position(offset))
+        .map(|(line, column)| format!(" (first at {line}:{column})"));
+    report::CheckFinding {
+        line,
+        column,
+        kind: finding.kind,
+        found: finding.found,
+        expected: finding.expected + earlier.as_deref().unwrap_or_default(),
+    }
+}
+
+/// The text of `span`, or the rest of its line where the span is empty.
+fn found_at(text: &str, span: &Range<usize>) -> String {
+    let rest = text.get(span.start..).unwrap_or_default();
+    let line = rest.lines().next().unwrap_or_default();
+    let piece = text
+        .get(span.clone())
+        .filter(|piece| !piece.trim().is_empty())
+        .unwrap_or(line);
+    match piece.trim() {
+        "" if rest.is_empty() => "the end of the file".to_owned(),
+        "" => "the end of the line".to_owned(),
+        piece => shown(piece),
+    }
+}
--- /dev/null
+++ b/dahliawood-config/src/parse/leaf.rs
@@ -0,0 +1,290 @@
+//! Single values: each function takes one kind of value or says why it does not.
+
+use crate::report::{self, FindingKind};
+use crate::{keys, units};
+use dahliawood_model::{tables, units as model_units};
+use serde::Deserialize;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+use toml::Spanned;
+use toml::de::{DeValue, ValueDeserializer};
+
+/// The most characters of a name.
+const NAME_CHARS_MAX: usize = 64;
+const PERCENT_MAX: u32 = 100;
+const IPV4_BITS: u8 = 32;
+const IPV6_BITS: u8 = 128;
+
+/// Paths below this prefix are the system's own.
+pub const RESERVED_PATH: &str = "/v1/";
+
+const NAME_EXPECTED: &str = "a name of letters, digits, `-`, `_` and `.`, at most 64 of them";
+const RATE_EXPECTED: &str = "a rate above zero such as \"50/s\" or \"0.5/s\"";
+const CAP_EXPECTED: &str = "a cap above zero with its unit such as \"280 Mbit/s\"";
+const SIZE_EXPECTED: &str = "a size above zero with its unit such as \"256 KiB\"";
+const SPAN_EXPECTED: &str = "a duration with its unit such as \"12 ms\"";
+const TIMEOUT_EXPECTED: &str = "a duration above zero with its unit such as \"2 s\"";
+const ADDRESS_EXPECTED: &str = "an IP address and port such as \"10.1.0.7:8080\"";
+const BLOCK_EXPECTED: &str = "a client block such as \"10.20.0.0/16\"";
+const PATH_EXPECTED: &str = "a path that starts with `/`, without query, spaces or `..`";
+const METHOD_EXPECTED: &str = "a method in upper case such as \"GET\"";
+const HASH_EXPECTED: &str = "a key hash \"ID:sha256:SALT:DIGEST\"";
+
+/// Why a value was not taken.
+#[derive(Clone, Debug)]
+pub struct LeafMismatch {
+    /// What kind of mistake it is.
+    pub kind: FindingKind,
+    /// What was found.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+}
+
+/// A value as it was read from the text.
+pub type LeafValue<'i> = Spanned<DeValue<'i>>;
+
+/// A name of an entity.
+pub fn name(value: &LeafValue<'_>) -> Result<String, LeafMismatch> {
+    let name = text(value, NAME_EXPECTED)?;
+    let is_letter = |letter: u8| letter.is_ascii_alphanumeric() || b"-_.".contains(&letter);
+    let is_name = (1..=NAME_CHARS_MAX).contains(&name.len()) && name.bytes().all(is_letter);
+    if name.contains(keys::CLEAR_PREFIX) {
+        return Err(key_in_clear(NAME_EXPECTED));
+    }
+    accept(is_name, name, value, NAME_EXPECTED)
+}
+
+/// A request rate above zero.
+pub fn rate(value: &LeafValue<'_>) -> Result<model_units::RequestRate, LeafMismatch> {
+    let rate = quantity(value, RATE_EXPECTED, units::request_rate)?;
+    accept(rate.millis_per_second > 0, rate, value, RATE_EXPECTED)
+}
+
+/// A byte rate above zero.
+pub fn cap(value: &LeafValue<'_>) -> Result<model_units::ByteRate, LeafMismatch> {
+    let cap = quantity(value, CAP_EXPECTED, units::byte_rate)?;
+    accept(cap.bytes_per_second > 0, cap, value, CAP_EXPECTED)
+}
+
+/// A size above zero, bytes.
+pub fn size(value: &LeafValue<'_>) -> Result<u64, LeafMismatch> {
+    let bytes = quantity(value, SIZE_EXPECTED, units::size)?;
+    accept(bytes > 0, bytes, value, SIZE_EXPECTED)
+}
+
+/// A duration, zero included.
+pub fn span(value: &LeafValue<'_>) -> Result<Duration, LeafMismatch> {
+    quantity(value, SPAN_EXPECTED, units::duration)
+}
+
+/// A duration above zero.
+pub fn timeout(value: &LeafValue<'_>) -> Result<Duration, LeafMismatch> {
+    let timeout = quantity(value, TIMEOUT_EXPECTED, units::duration)?;
+    accept(!timeout.is_zero(), timeout, value, TIMEOUT_EXPECTED)
+}
+
+/// A whole number of at least one.
+pub fn count(value: &LeafValue<'_>) -> Result<u32, LeafMismatch> {
+    let expected = "a whole number of at least 1";
+    let count = typed(value, expected)?;
+    accept(count > 0, count, value, expected)
+}
+
+/// A burst in requests, at least one.
+pub fn burst(value: &LeafValue<'_>) -> Result<u64, LeafMismatch> {
+    let expected = "a burst of at least one request, as a whole number";
+    let burst = typed(value, expected)?;
+    accept(burst > 0, burst, value, expected)
+}
+
+/// A percentage.
+pub fn percent(value: &LeafValue<'_>) -> Result<u32, LeafMismatch> {
+    let expected = "a whole number of percent from 0 to 100";
+    let percent = typed(value, expected)?;
+    accept(percent <= PERCENT_MAX, percent, value, expected)
+}
+
+/// `true` or `false`.
+pub fn flag(value: &LeafValue<'_>) -> Result<bool, LeafMismatch> {
+    typed(value, "true or false")
+}
+
+/// A target's address: a concrete IP address and a port.
+pub fn address(value: &LeafValue<'_>) -> Result<SocketAddr, LeafMismatch> {
+    let address: Option<SocketAddr> = text(value, ADDRESS_EXPECTED)?.parse().ok();
+    address
+        .filter(|address| address.port() != 0 && !address.ip().is_unspecified())
+        .ok_or_else(|| mismatch(FindingKind::BadValue, value, ADDRESS_EXPECTED))
+}
+
+/// A block of client addresses, with no bit set behind its prefix.
+pub fn block(value: &LeafValue<'_>) -> Result<tables::ClientBlock, LeafMismatch> {
+    let text = text(value, BLOCK_EXPECTED)?;
+    let block = text
+        .split_once('/')
+        .and_then(|(address, prefix)| Some((address.parse().ok()?, prefix.parse().ok()?)))
+        .map(|(address, prefix)| tables::ClientBlock { address, prefix })
+        .filter(|block| block.prefix <= address_bits(block.address))
+        .ok_or_else(|| mismatch(FindingKind::BadValue, value, BLOCK_EXPECTED))?;
+    let first = first_address(block);
+    if first == block.address {
+        return Ok(block);
+    }
+    let expected = format!("the block's first address: \"{first}/{}\"", block.prefix);
+    Err(mismatch(FindingKind::BadValue, value, &expected))
+}
+
+/// A route's path.
+pub fn path(value: &LeafValue<'_>) -> Result<String, LeafMismatch> {
+    let path = text(value, PATH_EXPECTED)?;
+    let is_reserved =
+        path.starts_with(RESERVED_PATH) || path == RESERVED_PATH.trim_end_matches('/');
+    if is_reserved {
+        let expected = "a path outside of /v1/, which is the system's own";
+        return Err(mismatch(FindingKind::BadValue, value, expected));
+    }
+    let is_path = path.starts_with('/')
+        && path.bytes().all(is_path_letter)
+        && !path.contains("//")
+        && path.split('/').all(|part| part != "." && part != "..");
+    accept(is_path, path, value, PATH_EXPECTED)
+}
+
+/// A method in upper case.
+pub fn method(value: &LeafValue<'_>) -> Result<String, LeafMismatch> {
+    let method = text(value, METHOD_EXPECTED)?;
+    let is_method = !method.is_empty() && method.bytes().all(|letter| letter.is_ascii_uppercase());
+    accept(is_method, method, value, METHOD_EXPECTED)
+}
+
+/// The hash of a key; the value is never shown, whatever it is.
+pub fn key_hash(value: &LeafValue<'_>) -> Result<tables::KeyHash, LeafMismatch> {
+    let Some(text) = value.get_ref().as_str() else {
+        return Err(mismatch(FindingKind::WrongType, value, HASH_EXPECTED));
+    };
+    keys::hash_from_text(text).map_err(|error| match error {
+        keys::HashTextError::KeyInClear => key_in_clear(HASH_EXPECTED),
+        keys::HashTextError::Malformed => LeafMismatch {
+            kind: FindingKind::BadValue,
+            found: format!("{error} (not shown)"),
+            expected: HASH_EXPECTED.to_owned(),
+        },
+    })
+}
+
+/// What a report says about `value`.
+pub fn described(value: &DeValue<'_>) -> String {
+    match value {
+        DeValue::String(text) => format!("\"{}\"", report::excerpt(text)),
+        DeValue::Integer(number) => report::excerpt(&number.to_string()),
+        DeValue::Float(number) => report::excerpt(&number.to_string()),
+        DeValue::Boolean(flag) => flag.to_string(),
+        DeValue::Datetime(_) => "a date or time".to_owned(),
+        DeValue::Array(_) => "an array".to_owned(),
+        DeValue::Table(_) => "a table".to_owned(),
+    }
+}
+
+/// A mismatch of `value` with what was `expected`.
+pub fn mismatch(kind: FindingKind, value: &LeafValue<'_>, expected: &str) -> LeafMismatch {
+    LeafMismatch {
+        kind,
+        found: described(value.get_ref()),
+        expected: expected.to_owned(),
+    }
+}
+
+fn key_in_clear(expected: &str) -> LeafMismatch {
+    LeafMismatch {
+        kind: FindingKind::KeyInClear,
+        found: "what may be a key in clear (not shown)".to_owned(),
+        expected: expected.to_owned(),
+    }
+}
+
+fn accept<T>(
+    holds: bool,
+    item: T,
+    value: &LeafValue<'_>,
+    expected: &str,
+) -> Result<T, LeafMismatch> {
+    if holds {
+        Ok(item)
+    } else {
+        Err(mismatch(FindingKind::BadValue, value, expected))
+    }
+}
+
+fn text(value: &LeafValue<'_>, expected: &str) -> Result<String, LeafMismatch> {
+    typed(value, expected)
+}
+
+/// The value as a `T`, as serde reads it.
+fn typed<T>(value: &LeafValue<'_>, expected: &str) -> Result<T, LeafMismatch>
+where
+    T: for<'de> Deserialize<'de>,
+{
+    let deserializer = ValueDeserializer::from(value.clone());
+    T::deserialize(deserializer).map_err(|_| {
+        let kind = match value.get_ref() {
+            DeValue::Integer(_) => FindingKind::BadValue,
+            _ => FindingKind::WrongType,
+        };
+        mismatch(kind, value, expected)
+    })
+}
+
+fn quantity<T>(
+    value: &LeafValue<'_>,
+    expected: &str,
+    read: impl Fn(&str) -> Result<T, units::QuantityError>,
+) -> Result<T, LeafMismatch> {
+    let is_bare_number = matches!(value.get_ref(), DeValue::Integer(_) | DeValue::Float(_));
+    if is_bare_number {
+        return Err(unit_mismatch(value, units::QuantityError::NoUnit, expected));
+    }
+    read(&text(value, expected)?).map_err(|error| unit_mismatch(value, error, expected))
+}
+
+fn unit_mismatch(
+    value: &LeafValue<'_>,
+    error: units::QuantityError,
+    expected: &str,
+) -> LeafMismatch {
+    let kind = match error {
+        units::QuantityError::NoUnit | units::QuantityError::UnknownUnit => FindingKind::BadUnit,
+        units::QuantityError::NoNumber | units::QuantityError::OutOfRange => FindingKind::BadValue,
+    };
+    LeafMismatch {
+        kind,
+        found: format!("{}, {error}", described(value.get_ref())),
+        expected: expected.to_owned(),
+    }
+}
+
+fn is_path_letter(letter: u8) -> bool {
+    letter.is_ascii_alphanumeric() || b"/-._~!$&'()*+,;=:@%".contains(&letter)
+}
+
+fn address_bits(address: IpAddr) -> u8 {
+    match address {
+        IpAddr::V4(_) => IPV4_BITS,
+        IpAddr::V6(_) => IPV6_BITS,
+    }
+}
+
+/// The address with every bit behind the prefix cleared.
+fn first_address(block: tables::ClientBlock) -> IpAddr {
+    let spare = u32::from(address_bits(block.address) - block.prefix);
+    match block.address {
+        IpAddr::V4(address) => {
+            let mask = u32::MAX.checked_shl(spare).unwrap_or(0);
+            IpAddr::V4((address.to_bits() & mask).into())
+        }
+        IpAddr::V6(address) => {
+            let mask = u128::MAX.checked_shl(spare).unwrap_or(0);
+            IpAddr::V6((address.to_bits() & mask).into())
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-config/src/parse/reader.rs
@@ -0,0 +1,274 @@
+//! Reading the fields of one table, and noticing those that the format does not have.
+
+use crate::parse::context::{self, CheckContext, ClaimKind};
+use crate::parse::leaf::{self, LeafMismatch, LeafValue};
+use crate::report::FindingKind;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+/// Reads one table of the document, field by field.
+pub struct TableReader<'a, 'i> {
+    /// The check that this reading is part of.
+    pub context: &'a mut CheckContext,
+    table: &'a DeTable<'i>,
+    /// What the table describes, as reports call it.
+    entity: &'static str,
+    /// Byte offset of the table.
+    offset: usize,
+    known: Vec<&'static str>,
+}
+
+impl<'a, 'i> TableReader<'a, 'i> {
+    /// A reader of `table`, which starts at byte `offset`.
+    pub fn new(
+        context: &'a mut CheckContext,
+        table: &'a DeTable<'i>,
+        entity: &'static str,
+        offset: usize,
+    ) -> Self {
+        Self {
+            context,
+            table,
+            entity,
+            offset,
+            known: Vec::new(),
+        }
+    }
+
+    /// Byte offset of the table.
+    pub fn offset(&self) -> usize {
+        self.offset
+    }
+
+    /// A field that may be left out.
+    pub fn optional<T>(
+        &mut self,
+        field: &'static str,
+        read: impl Fn(&LeafValue<'_>) -> Result<T, LeafMismatch>,
+    ) -> Option<Spanned<T>> {
+        let value = self.value(field)?;
+        self.leaf(value, read)
+    }
+
+    /// A field that has to be there.
+    pub fn required<T>(
+        &mut self,
+        field: &'static str,
+        read: impl Fn(&LeafValue<'_>) -> Result<T, LeafMismatch>,
+    ) -> Option<Spanned<T>> {
+        let value = self.required_value(field)?;
+        self.leaf(value, read)
+    }
+
+    /// The required name of an entity, which is declared with it.
+    pub fn declared_name(&mut self, field: &'static str, kind: ClaimKind) -> Option<String> {
+        let name = self.required(field, leaf::name)?;
+        self.context.claim(kind, &name);
+        Some(name.into_inner())
+    }
+
+    /// A required name of something declared elsewhere.
+    pub fn used_name(&mut self, field: &'static str, kind: ClaimKind) -> Option<String> {
+        let name = self.required(field, leaf::name)?;
+        self.context.refer(kind, &name);
+        Some(name.into_inner())
+    }
+
+    /// An array that may be left out; elements that are not taken are recorded and skipped.
+    pub fn optional_list<T>(
+        &mut self,
+        field: &'static str,
+        read: impl Fn(&LeafValue<'_>) -> Result<T, LeafMismatch>,
+    ) -> Vec<Spanned<T>> {
+        let value = self.value(field);
+        value.map_or_else(Vec::new, |value| self.list(value, read))
+    }
+
+    /// An array that has to be there and hold at least one element.
+    pub fn required_list<T>(
+        &mut self,
+        field: &'static str,
+        read: impl Fn(&LeafValue<'_>) -> Result<T, LeafMismatch>,
+    ) -> Vec<Spanned<T>> {
+        let Some(value) = self.required_value(field) else {
+            return Vec::new();
+        };
+        if value
+            .get_ref()
+            .as_array()
+            .is_some_and(|array| array.is_empty())
+        {
+            let offset = value.span().start;
+            let expected = format!("at least one element in `{field}`");
+            self.context
+                .find(offset, FindingKind::BadValue, "an empty array", expected);
+        }
+        self.list(value, read)
+    }
+
+    /// Names declared elsewhere, each used once in this list.
+    pub fn used_names(&mut self, names: Vec<Spanned<String>>, kind: ClaimKind) -> Vec<String> {
+        let mut used = Vec::with_capacity(names.len());
+        for name in names {
+            self.context.refer(kind, &name);
+            let offset = name.span().start;
+            let name = name.into_inner();
+            if used.contains(&name) {
+                let found = format!("{kind} {} again", context::shown(&name));
+                let expected = format!("each {kind} once in this list");
+                self.context
+                    .find(offset, FindingKind::Duplicate, found, expected);
+            }
+            used.push(name);
+        }
+        used
+    }
+
+    /// The tables of an array of tables, read one by one; those that are not whole are skipped.
+    pub fn tables<T>(
+        &mut self,
+        field: &'static str,
+        entity: &'static str,
+        read: impl Fn(&mut TableReader<'_, 'i>) -> Option<T>,
+    ) -> Vec<T> {
+        let Some(value) = self.value(field) else {
+            return Vec::new();
+        };
+        let Some(array) = value.get_ref().as_array() else {
+            self.wrong_type(value, &format!("an array of tables, [[{entity}]]"));
+            return Vec::new();
+        };
+        array
+            .iter()
+            .filter_map(|element| self.nested(element, entity, &read))
+            .collect()
+    }
+
+    /// As [`TableReader::tables`], with at least one table.
+    pub fn required_tables<T>(
+        &mut self,
+        field: &'static str,
+        entity: &'static str,
+        read: impl Fn(&mut TableReader<'_, 'i>) -> Option<T>,
+    ) -> Vec<T> {
+        let is_missing = match self.table.get(field) {
+            None => true,
+            Some(value) => value
+                .get_ref()
+                .as_array()
+                .is_some_and(|array| array.is_empty()),
+        };
+        if is_missing {
+            self.missing(&format!("at least one [[{entity}]]"));
+        }
+        self.tables(field, entity, read)
+    }
+
+    /// A table that has to be there.
+    pub fn required_table<T>(
+        &mut self,
+        field: &'static str,
+        entity: &'static str,
+        read: impl Fn(&mut TableReader<'_, 'i>) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.required_value(field)?;
+        self.nested(value, entity, &read)
+    }
+
+    /// Whether the table has `field`.
+    pub fn has(&self, field: &str) -> bool {
+        self.table.contains_key(field)
+    }
+
+    /// Reports every field that was not asked for.
+    pub fn finish(self) {
+        let table = self.table;
+        let known = self.known;
+        let expected = format!("one of the fields of {}: {}", self.entity, known.join(", "));
+        for name in table.keys() {
+            let is_known = known.contains(&name.get_ref().as_ref());
+            if is_known {
+                continue;
+            }
+            let offset = name.span().start;
+            let found = format!("unknown field {}", context::shown(name.get_ref()));
+            self.context
+                .find(offset, FindingKind::UnknownField, found, expected.clone());
+        }
+    }
+
+    /// Records a mistake about the table as a whole: something is not there.
+    pub fn missing(&mut self, expected: &str) {
+        let found = format!("{} without it", self.entity);
+        self.context
+            .find(self.offset, FindingKind::MissingField, found, expected);
+    }
+
+    fn nested<T>(
+        &mut self,
+        value: &'a LeafValue<'i>,
+        entity: &'static str,
+        read: impl Fn(&mut TableReader<'_, 'i>) -> Option<T>,
+    ) -> Option<T> {
+        let Some(table) = value.get_ref().as_table() else {
+            self.wrong_type(value, &format!("a table that describes {entity}"));
+            return None;
+        };
+        let offset = value.span().start;
+        let mut reader = TableReader::new(self.context, table, entity, offset);
+        let row = read(&mut reader);
+        reader.finish();
+        row
+    }
+
+    fn value(&mut self, field: &'static str) -> Option<&'a LeafValue<'i>> {
+        self.known.push(field);
+        self.table.get(field)
+    }
+
+    fn required_value(&mut self, field: &'static str) -> Option<&'a LeafValue<'i>> {
+        let value = self.value(field);
+        if value.is_none() {
+            self.missing(&format!("the field `{field}`"));
+        }
+        value
+    }
+
+    fn leaf<T>(
+        &mut self,
+        value: &LeafValue<'_>,
+        read: impl Fn(&LeafValue<'_>) -> Result<T, LeafMismatch>,
+    ) -> Option<Spanned<T>> {
+        match read(value) {
+            Ok(item) => Some(Spanned::new(value.span(), item)),
+            Err(mismatch) => {
+                let offset = value.span().start;
+                self.context
+                    .find(offset, mismatch.kind, mismatch.found, mismatch.expected);
+                None
+            }
+        }
+    }
+
+    fn list<T>(
+        &mut self,
+        value: &LeafValue<'_>,
+        read: impl Fn(&LeafValue<'_>) -> Result<T, LeafMismatch>,
+    ) -> Vec<Spanned<T>> {
+        let DeValue::Array(array) = value.get_ref() else {
+            self.wrong_type(value, "an array");
+            return Vec::new();
+        };
+        array
+            .iter()
+            .filter_map(|element| self.leaf(element, &read))
+            .collect()
+    }
+
+    fn wrong_type(&mut self, value: &LeafValue<'_>, expected: &str) {
+        let mismatch = leaf::mismatch(FindingKind::WrongType, value, expected);
+        let offset = value.span().start;
+        self.context
+            .find(offset, mismatch.kind, mismatch.found, mismatch.expected);
+    }
+}
--- /dev/null
+++ b/dahliawood-config/src/parse/rows.rs
@@ -0,0 +1,374 @@
+//! The format of a file: which tables and fields there are, and what each must keep to.
+
+use crate::parse::context::{CheckContext, ClaimKind};
+use crate::parse::leaf;
+use crate::parse::reader::TableReader;
+use crate::report::FindingKind;
+use dahliawood_model::{tables, units};
+use std::net::SocketAddr;
+use std::time::Duration;
+use toml::Spanned;
+use toml::de::DeTable;
+
+/// Bytes that may be sent at once above a link's cap, where the file does not say.
+pub const DEFAULT_LINK_BURST_BYTES: u64 = 256 * 1024;
+/// Retries as a share of first tries, where the file does not say.
+pub const DEFAULT_RETRY_PERCENT: u32 = 10;
+/// Weight of a customer, where the file does not say.
+pub const DEFAULT_WEIGHT: u32 = 1;
+/// Methods that are idempotent by definition (RFC 9110, section 9.2.2).
+const IDEMPOTENT_METHODS: [&str; 6] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"];
+
+/// A whole file, with names in place of keys.
+pub struct FleetRows {
+    pub name: String,
+    pub regions: Vec<RegionRow>,
+    pub links: Vec<LinkRow>,
+    pub places: Vec<PlaceRow>,
+    pub services: Vec<ServiceRow>,
+    pub customers: Vec<CustomerRow>,
+    pub drains: Vec<DrainRow>,
+}
+
+/// `[[region]]`.
+pub struct RegionRow {
+    pub name: String,
+    pub domains: Vec<String>,
+}
+
+/// `[[link]]`, both directions.
+pub struct LinkRow {
+    pub between: [String; 2],
+    pub cap: units::ByteRate,
+    pub burst_bytes: u64,
+    pub latency: Duration,
+}
+
+/// `[[place]]`.
+pub struct PlaceRow {
+    pub name: String,
+    pub region: String,
+    pub blocks: Vec<tables::ClientBlock>,
+}
+
+/// `[[service]]`.
+pub struct ServiceRow {
+    pub name: String,
+    pub timeout: Duration,
+    pub retry_percent: u32,
+    pub routes: Vec<RouteRow>,
+    pub targets: Vec<TargetRow>,
+}
+
+/// `[[service.route]]`.
+pub struct RouteRow {
+    pub path: String,
+    pub methods: Vec<String>,
+    pub idempotent: bool,
+    pub open: bool,
+}
+
+/// `[[service.target]]`.
+pub struct TargetRow {
+    pub name: String,
+    pub address: SocketAddr,
+    pub domain: String,
+    pub slots: u32,
+    pub connections: u32,
+}
+
+/// `[[customer]]`.
+pub struct CustomerRow {
+    pub name: String,
+    pub rate: units::RequestRate,
+    pub burst: u64,
+    pub weight: u32,
+    pub services: Vec<String>,
+    pub places: Vec<String>,
+    pub keys: Vec<tables::KeyHash>,
+}
+
+/// `[[drain]]`.
+pub struct DrainRow {
+    pub subject: DrainName,
+    pub over: Duration,
+}
+
+/// What a drain names.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DrainName {
+    Target(String),
+    Domain(String),
+    Region(String),
+}
+
+/// Reads the whole document; `None` where the fleet itself could not be read.
+pub fn read(context: &mut CheckContext, document: &DeTable<'_>) -> Option<FleetRows> {
+    let mut reader = TableReader::new(context, document, "the file", 0);
+    let name = reader.required_table("fleet", "fleet", fleet);
+    let regions = reader.required_tables("region", "region", region);
+    let links = reader.tables("link", "link", link);
+    let places = reader.tables("place", "place", place);
+    let services = reader.required_tables("service", "service", service);
+    let customers = reader.tables("customer", "customer", customer);
+    let drains = reader.tables("drain", "drain", drain);
+    reader.finish();
+    Some(FleetRows {
+        name: name?,
+        regions,
+        links,
+        places,
+        services,
+        customers,
+        drains,
+    })
+}
+
+fn fleet(reader: &mut TableReader<'_, '_>) -> Option<String> {
+    let name = reader.required("name", leaf::name)?;
+    Some(name.into_inner())
+}
+
+fn region(reader: &mut TableReader<'_, '_>) -> Option<RegionRow> {
+    let name = reader.declared_name("name", ClaimKind::Region);
+    let domains = reader.required_list("domains", leaf::name);
+    for domain in &domains {
+        reader.context.claim(ClaimKind::Domain, domain);
+    }
+    Some(RegionRow {
+        name: name?,
+        domains: domains.into_iter().map(Spanned::into_inner).collect(),
+    })
+}
+
+fn link(reader: &mut TableReader<'_, '_>) -> Option<LinkRow> {
+    let between = link_ends(reader);
+    let cap = reader.required("cap", leaf::cap);
+    let burst = reader.optional("burst", leaf::size);
+    let latency = reader.required("latency", leaf::span);
+    Some(LinkRow {
+        between: between?,
+        cap: cap?.into_inner(),
+        burst_bytes: burst.map_or(DEFAULT_LINK_BURST_BYTES, Spanned::into_inner),
+        latency: latency?.into_inner(),
+    })
+}
+
+fn link_ends(reader: &mut TableReader<'_, '_>) -> Option<[String; 2]> {
+    let ends = reader.required_list("between", leaf::name);
+    let span = ends.first()?.span();
+    for end in &ends {
+        reader.context.refer(ClaimKind::Region, end);
+    }
+    let ends: Vec<String> = ends.into_iter().map(Spanned::into_inner).collect();
+    let count = ends.len();
+    let Ok(mut ends) = <[String; 2]>::try_from(ends) else {
+        let found = format!("{count} regions");
+        let expected = "the two regions that the link joins";
+        reader
+            .context
+            .find(span.start, FindingKind::BadValue, found, expected);
+        return None;
+    };
+    ends.sort();
+    if ends[0] == ends[1] {
+        let found = format!("a link of region `{}` with itself", ends[0]);
+        let expected = "two different regions";
+        reader
+            .context
+            .find(span.start, FindingKind::Contradiction, found, expected);
+    }
+    let pair = Spanned::new(span, format!("{} - {}", ends[0], ends[1]));
+    reader.context.claim(ClaimKind::Link, &pair);
+    Some(ends)
+}
+
+fn place(reader: &mut TableReader<'_, '_>) -> Option<PlaceRow> {
+    let name = reader.declared_name("name", ClaimKind::Place);
+    let region = reader.used_name("region", ClaimKind::Region);
+    let blocks = reader.required_list("blocks", leaf::block);
+    for block in &blocks {
+        let text = Spanned::new(block.span(), block.get_ref().to_string());
+        reader.context.claim(ClaimKind::Block, &text);
+    }
+    Some(PlaceRow {
+        name: name?,
+        region: region?,
+        blocks: blocks.into_iter().map(Spanned::into_inner).collect(),
+    })
+}
+
+fn service(reader: &mut TableReader<'_, '_>) -> Option<ServiceRow> {
+    let name = reader.declared_name("name", ClaimKind::Service);
+    let timeout = reader.required("timeout", leaf::timeout);
+    let retry_percent = reader.optional("retry_percent", leaf::percent);
+    let routes = reader.required_tables("route", "service.route", route);
+    let targets = reader.required_tables("target", "service.target", target);
+    Some(ServiceRow {
+        name: name?,
+        timeout: timeout?.into_inner(),
+        retry_percent: retry_percent.map_or(DEFAULT_RETRY_PERCENT, Spanned::into_inner),
+        routes,
+        targets,
+    })
+}
+
+fn route(reader: &mut TableReader<'_, '_>) -> Option<RouteRow> {
+    let path = reader.required("path", leaf::path);
+    let methods = reader.required_list("methods", leaf::method);
+    let idempotent = reader.required("idempotent", leaf::flag);
+    let open = reader.optional("open", leaf::flag);
+    if let Some(path) = &path {
+        claim_methods(reader, path.get_ref(), &methods);
+    }
+    if let Some(idempotent) = &idempotent {
+        check_idempotent(reader, idempotent, &methods);
+        check_open(reader, idempotent, open.as_ref());
+    }
+    Some(RouteRow {
+        path: path?.into_inner(),
+        methods: methods.into_iter().map(Spanned::into_inner).collect(),
+        idempotent: idempotent?.into_inner(),
+        open: open.is_some_and(Spanned::into_inner),
+    })
+}
+
+/// A caller's request names no service, so a method with a path belongs to one route of the file.
+fn claim_methods(reader: &mut TableReader<'_, '_>, path: &str, methods: &[Spanned<String>]) {
+    for method in methods {
+        let text = Spanned::new(method.span(), format!("{} {path}", method.get_ref()));
+        reader.context.claim(ClaimKind::Route, &text);
+    }
+}
+
+/// Clients and libraries re-send these methods on their own, so they can't run at most once.
+fn check_idempotent(
+    reader: &mut TableReader<'_, '_>,
+    idempotent: &Spanned<bool>,
+    methods: &[Spanned<String>],
+) {
+    let by_definition =
+        |method: &&Spanned<String>| IDEMPOTENT_METHODS.contains(&method.get_ref().as_str());
+    let clash = methods.iter().find(by_definition);
+    let Some(method) = clash.filter(|_| !idempotent.get_ref()) else {
+        return;
+    };
+    let found = format!("idempotent = false with method {}", method.get_ref());
+    let expected = "a route of its own for methods that are idempotent by definition";
+    let offset = idempotent.span().start;
+    reader
+        .context
+        .find(offset, FindingKind::Contradiction, found, expected);
+}
+
+/// Without a customer there is nobody who could ask what became of a request.
+fn check_open(
+    reader: &mut TableReader<'_, '_>,
+    idempotent: &Spanned<bool>,
+    open: Option<&Spanned<bool>>,
+) {
+    let Some(open) = open.filter(|open| *open.get_ref() && !idempotent.get_ref()) else {
+        return;
+    };
+    let found = "open = true with idempotent = false";
+    let expected = "an open route to be idempotent";
+    let offset = open.span().start;
+    reader
+        .context
+        .find(offset, FindingKind::Contradiction, found, expected);
+}
+
+fn target(reader: &mut TableReader<'_, '_>) -> Option<TargetRow> {
+    let name = reader.declared_name("name", ClaimKind::Target);
+    let address = reader.required("address", leaf::address);
+    let domain = reader.used_name("domain", ClaimKind::Domain);
+    let slots = reader.required("slots", leaf::count);
+    let connections = reader.required("connections", leaf::count);
+    if let Some(address) = &address {
+        let text = Spanned::new(address.span(), address.get_ref().to_string());
+        reader.context.claim(ClaimKind::Address, &text);
+    }
+    if let (Some(slots), Some(connections)) = (&slots, &connections) {
+        check_connections(reader, *slots.get_ref(), connections);
+    }
+    Some(TargetRow {
+        name: name?,
+        address: address?.into_inner(),
+        domain: domain?,
+        slots: slots?.into_inner(),
+        connections: connections?.into_inner(),
+    })
+}
+
+fn check_connections(reader: &mut TableReader<'_, '_>, slots: u32, connections: &Spanned<u32>) {
+    if *connections.get_ref() >= slots {
+        return;
+    }
+    let found = format!("{} connections for {slots} slots", connections.get_ref());
+    let expected = "at least one connection for each slot";
+    let offset = connections.span().start;
+    reader
+        .context
+        .find(offset, FindingKind::Contradiction, found, expected);
+}
+
+fn customer(reader: &mut TableReader<'_, '_>) -> Option<CustomerRow> {
+    let name = reader.declared_name("name", ClaimKind::Customer);
+    let rate = reader.required("rate", leaf::rate);
+    let burst = reader.required("burst", leaf::burst);
+    let weight = reader.optional("weight", leaf::count);
+    let services = reader.required_list("services", leaf::name);
+    let services = reader.used_names(services, ClaimKind::Service);
+    let places = reader.optional_list("places", leaf::name);
+    let places = reader.used_names(places, ClaimKind::Place);
+    let keys = reader.optional_list("keys", leaf::key_hash);
+    for key in &keys {
+        let id = Spanned::new(key.span(), key.get_ref().id.clone());
+        reader.context.claim(ClaimKind::KeyId, &id);
+    }
+    Some(CustomerRow {
+        name: name?,
+        rate: rate?.into_inner(),
+        burst: burst?.into_inner(),
+        weight: weight.map_or(DEFAULT_WEIGHT, Spanned::into_inner),
+        services,
+        places,
+        keys: keys.into_iter().map(Spanned::into_inner).collect(),
+    })
+}
+
+fn drain(reader: &mut TableReader<'_, '_>) -> Option<DrainRow> {
+    let target = drain_name(reader, "target", ClaimKind::Target, DrainName::Target);
+    let domain = drain_name(reader, "domain", ClaimKind::Domain, DrainName::Domain);
+    let region = drain_name(reader, "region", ClaimKind::Region, DrainName::Region);
+    let over = reader.required("over", leaf::span);
+    let named = ["target", "domain", "region"]
+        .into_iter()
+        .filter(|field| reader.has(field))
+        .count();
+    if named != 1 {
+        let found = format!("a drain that names {named} subjects");
+        let expected = "exactly one of target, domain and region";
+        let offset = reader.offset();
+        reader
+            .context
+            .find(offset, FindingKind::Contradiction, found, expected);
+    }
+    Some(DrainRow {
+        subject: target.or(domain).or(region)?,
+        over: over?.into_inner(),
+    })
+}
+
+fn drain_name(
+    reader: &mut TableReader<'_, '_>,
+    field: &'static str,
+    kind: ClaimKind,
+    subject: impl Fn(String) -> DrainName,
+) -> Option<DrainName> {
+    let name = reader.optional(field, leaf::name)?;
+    reader.context.refer(kind, &name);
+    let text = Spanned::new(name.span(), format!("of {kind} {}", name.get_ref()));
+    reader.context.claim(ClaimKind::Drain, &text);
+    Some(subject(name.into_inner()))
+}
--- /dev/null
+++ b/dahliawood-config/src/report/redact.rs
@@ -0,0 +1,48 @@
+//! Text of a file as a report may show it.
+
+use crate::keys;
+
+/// The most characters of a file that one finding shows.
+const EXCERPT_CHARS: usize = 48;
+/// A run of hex digits as long as this may be a secret or a digest.
+const SECRET_HEX_CHARS: usize = 32;
+const PLACEHOLDER: &str = "(not shown)";
+
+/// `text` on one line, cut to a readable length, with everything that may be a key left out.
+pub fn excerpt(text: &str) -> String {
+    let shown = redacted(text);
+    let mut letters = shown.chars();
+    let mut cut: String = letters.by_ref().take(EXCERPT_CHARS).collect();
+    if letters.next().is_some() {
+        cut.push('…');
+    }
+    cut.escape_debug().to_string()
+}
+
+/// `text` with every word that may hold a key or a long secret replaced.
+pub fn redacted(text: &str) -> String {
+    text.split_inclusive(is_separator)
+        .map(|piece| {
+            let word = piece.trim_end_matches(is_separator);
+            let separator = &piece[word.len()..];
+            if is_secret(word) {
+                format!("{PLACEHOLDER}{separator}")
+            } else {
+                piece.to_owned()
+            }
+        })
+        .collect()
+}
+
+fn is_separator(letter: char) -> bool {
+    letter.is_whitespace() || "\"',[]{}=#:".contains(letter)
+}
+
+fn is_secret(word: &str) -> bool {
+    word.to_ascii_lowercase().contains(keys::CLEAR_PREFIX) || has_long_hex(word)
+}
+
+fn has_long_hex(word: &str) -> bool {
+    word.split(|letter: char| !letter.is_ascii_hexdigit())
+        .any(|run| run.len() >= SECRET_HEX_CHARS)
+}
--- /dev/null
+++ b/dahliawood-config/src/units/mod.rs
@@ -0,0 +1,193 @@
+//! Quantities as they are written in a file: a decimal number and its unit.
+//!
+//! Every conversion is exact: a number that the unit can't hold without rounding is refused.
+
+use dahliawood_model::units;
+use snafu::Snafu;
+use std::time::Duration;
+
+/// Why a text is not a quantity of the wanted kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum QuantityError {
+    /// There is a number, but nothing after it.
+    #[snafu(display("a number with no unit"))]
+    NoUnit,
+    /// What follows the number is none of the kind's units.
+    #[snafu(display("a unit that is not known here"))]
+    UnknownUnit,
+    /// What comes before the unit is no decimal number.
+    #[snafu(display("no decimal number"))]
+    NoNumber,
+    /// The number is too large, or finer than the unit can hold.
+    #[snafu(display("a number that is too large or too fine"))]
+    OutOfRange,
+}
+
+/// A unit's name and how many base units it holds.
+type UnitFactor = (&'static str, u64);
+
+const BITS_PER_BYTE: u64 = 8;
+/// Largest first; base unit: one bit a second.
+const BIT_RATES: [UnitFactor; 4] = [
+    ("Gbit/s", 1_000_000_000),
+    ("Mbit/s", 1_000_000),
+    ("kbit/s", 1_000),
+    ("bit/s", 1),
+];
+/// Largest first; base unit: one bit a second.
+const BYTE_RATES: [UnitFactor; 4] = [
+    ("GB/s", 8_000_000_000),
+    ("MB/s", 8_000_000),
+    ("kB/s", 8_000),
+    ("B/s", BITS_PER_BYTE),
+];
+/// Base unit: a thousandth of a request a second.
+const REQUEST_RATES: [UnitFactor; 1] = [("/s", 1_000)];
+/// Largest first; base unit: one microsecond.
+const DURATIONS: [UnitFactor; 5] = [
+    ("h", 3_600_000_000),
+    ("m", 60_000_000),
+    ("s", 1_000_000),
+    ("ms", 1_000),
+    ("us", 1),
+];
+/// Largest first; base unit: one byte.
+const BINARY_SIZES: [UnitFactor; 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+/// Base unit: one byte.
+const DECIMAL_SIZES: [UnitFactor; 3] = [("GB", 1_000_000_000), ("MB", 1_000_000), ("kB", 1_000)];
+
+/// Reads a byte rate such as `280 Mbit/s` or `35 MB/s`.
+///
+/// # Errors
+/// Where the text is no such quantity, or no whole number of bytes a second.
+pub fn byte_rate(text: &str) -> Result<units::ByteRate, QuantityError> {
+    let bits = quantity(text, &[&BIT_RATES, &BYTE_RATES])?;
+    if bits % BITS_PER_BYTE != 0 {
+        return Err(QuantityError::OutOfRange);
+    }
+    Ok(units::ByteRate {
+        bytes_per_second: bits / BITS_PER_BYTE,
+    })
+}
+
+/// Reads a request rate such as `50/s` or `0.5/s`, exact to a thousandth.
+///
+/// # Errors
+/// Where the text is no such quantity.
+pub fn request_rate(text: &str) -> Result<units::RequestRate, QuantityError> {
+    let millis_per_second = quantity(text, &[&REQUEST_RATES])?;
+    Ok(units::RequestRate { millis_per_second })
+}
+
+/// Reads a duration such as `12 ms`, `2 s` or `10 m` (minutes), exact to a microsecond.
+///
+/// # Errors
+/// Where the text is no such quantity.
+pub fn duration(text: &str) -> Result<Duration, QuantityError> {
+    quantity(text, &[&DURATIONS]).map(Duration::from_micros)
+}
+
+/// Reads a size such as `256 KiB` or `1.5 MB`, in bytes.
+///
+/// # Errors
+/// Where the text is no such quantity, or no whole number of bytes.
+pub fn size(text: &str) -> Result<u64, QuantityError> {
+    quantity(text, &[&BINARY_SIZES, &DECIMAL_SIZES])
+}
+
+/// Writes a byte rate in the largest unit that holds it whole.
+pub fn byte_rate_text(rate: units::ByteRate) -> String {
+    match rate.bytes_per_second.checked_mul(BITS_PER_BYTE) {
+        Some(bits) => text(bits, &BIT_RATES),
+        None => format!("{} B/s", rate.bytes_per_second),
+    }
+}
+
+/// Writes a request rate with the decimals that it needs.
+pub fn request_rate_text(rate: units::RequestRate) -> String {
+    let whole = rate.millis_per_second / 1_000;
+    let millis = rate.millis_per_second % 1_000;
+    if millis == 0 {
+        return format!("{whole}/s");
+    }
+    let decimals = format!("{millis:03}");
+    format!("{whole}.{}/s", decimals.trim_end_matches('0'))
+}
+
+/// Writes a duration in the largest unit that holds it whole, to the microsecond.
+pub fn duration_text(span: Duration) -> String {
+    let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+    if micros == 0 {
+        return "0 s".to_owned();
+    }
+    text(micros, &DURATIONS)
+}
+
+/// Writes a size in the largest binary unit that holds it whole.
+pub fn size_text(bytes: u64) -> String {
+    text(bytes, &BINARY_SIZES)
+}
+
+fn text(amount: u64, units: &[UnitFactor]) -> String {
+    let fits = |&&(_, factor): &&UnitFactor| amount >= factor && amount.is_multiple_of(factor);
+    let (unit, factor) = units
+        .iter()
+        .find(fits)
+        .copied()
+        .unwrap_or(units[units.len() - 1]);
+    format!("{} {unit}", amount / factor)
+}
+
+fn quantity(text: &str, units: &[&[UnitFactor]]) -> Result<u64, QuantityError> {
+    let is_number = |letter: char| letter.is_ascii_digit() || letter == '.';
+    let split = text.find(|letter| !is_number(letter)).unwrap_or(text.len());
+    let (number, rest) = text.split_at(split);
+    if number.is_empty() {
+        return Err(QuantityError::NoNumber);
+    }
+    let unit = rest.strip_prefix(' ').unwrap_or(rest);
+    if unit.is_empty() {
+        return Err(QuantityError::NoUnit);
+    }
+    let factor = units
+        .iter()
+        .copied()
+        .flatten()
+        .find(|(name, _)| *name == unit)
+        .map(|&(_, factor)| factor)
+        .ok_or(QuantityError::UnknownUnit)?;
+    scaled(number, factor)
+}
+
+/// `number * factor`, exactly.
+fn scaled(number: &str, factor: u64) -> Result<u64, QuantityError> {
+    let (whole, decimals) = number.split_once('.').unwrap_or((number, "0"));
+    if whole.is_empty() || decimals.is_empty() || decimals.contains('.') {
+        return Err(QuantityError::NoNumber);
+    }
+    let whole: u64 = whole.parse().map_err(|_| QuantityError::OutOfRange)?;
+    let decimals = decimals.trim_end_matches('0');
+    let decimal_places = u32::try_from(decimals.len()).map_err(|_| QuantityError::OutOfRange)?;
+    let divisor = 10_u128
+        .checked_pow(decimal_places)
+        .ok_or(QuantityError::OutOfRange)?;
+    let fraction = match decimals {
+        "" => 0,
+        digits => digits
+            .parse::<u128>()
+            .map_err(|_| QuantityError::OutOfRange)?,
+    };
+    let parts = fraction
+        .checked_mul(u128::from(factor))
+        .ok_or(QuantityError::OutOfRange)?;
+    if parts % divisor != 0 {
+        return Err(QuantityError::OutOfRange);
+    }
+    let amount = u128::from(whole) * u128::from(factor) + parts / divisor;
+    u64::try_from(amount).map_err(|_| QuantityError::OutOfRange)
+}
--- /dev/null
+++ b/dahliawood-config/tests/main/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the configuration package through its public functions.
+
+mod examples;
+mod keys;
+mod support;
--- a/dahliawood-model/src/tables/mod.rs
+++ b/dahliawood-model/src/tables/mod.rs
@@ -166,7 +166,9 @@
 }
 
 /// A caller's key as the fleet knows it: a public id and a salted hash, never the key itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+///
+/// `Debug` shows the id alone, so that no log holds a salt or a digest.
+#[derive(Clone, PartialEq, Eq)]
 pub struct KeyHash {
     /// Public id, the part of the key that picks the hash to compare with.
     pub id: String,
@@ -176,6 +178,15 @@
     pub digest: [u8; 32],
 }
 
+impl std::fmt::Debug for KeyHash {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("KeyHash")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
+}
+
 /// A drain in force.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DrainSpec {
