feat(cli,testkit): operator calls, status, time line and a caller that follows look-ups

Cause: the path needs both ends. Change: commands over the operators' API with exit codes of their own; a caller that caches a look-up for its time to live and goes on to the next VM.

--- /dev/null
+++ b/dahliawood-cli/src/lookup/mod.rs
@@ -0,0 +1,37 @@
+//! `lookup`: asks a VM which ones to use, as a caller would.
+
+use crate::exit::CommandFailure;
+use crate::output;
+use dahliawood_daemon::front::api;
+use dahliawood_wire::simple;
+use std::env;
+
+/// The variable that the key is read from; a flag would show it in lists of processes.
+const KEY_VARIABLE: &str = "DAHLIAWOOD_KEY";
+
+/// Asks.
+///
+/// # Errors
+/// Fails where the VM does not answer, or refuses.
+pub async fn run(
+    vm: &str,
+    service: &str,
+    output: output::OutputMode,
+) -> Result<(), CommandFailure> {
+    let url = format!("http://{vm}{}?service={service}", api::LOOKUP_PATH);
+    let bearer = env::var(KEY_VARIABLE).map(|key| format!("Bearer {key}")).ok();
+    let headers: Vec<_> =
+        bearer.iter().map(|bearer| ("authorization", bearer.as_str())).collect();
+    let options = simple::CallOptions { headers: &headers, ..simple::CallOptions::new("GET", &url) };
+    let outcome = simple::call(&options).await;
+    let outcome = outcome.map_err(|error| CommandFailure::Unreachable(error.to_string()))?;
+    if outcome.status != 200 {
+        return Err(CommandFailure::Refused(outcome.text().into_owned()));
+    }
+    let reply: api::LookupReply = crate::operator::parse(&outcome)?;
+    output.show(&reply, || {
+        reply.vms.iter().for_each(|vm| println!("{} {}", vm.url, vm.name));
+        println!("revision {}, for {} ms", reply.revision, reply.ttl_ms);
+    });
+    Ok(())
+}
--- a/dahliawood-daemon/src/counters/mod.rs
+++ b/dahliawood-daemon/src/counters/mod.rs
@@ -23,6 +23,8 @@
 counter_kinds! {
     /// Look-ups answered.
     Lookups = "lookups",
+    /// Requests admitted within their customer's rate and burst.
+    Admitted = "requests.admitted",
     /// Requests answered by a target.
     Answered = "requests.answered",
     /// Requests refused since the key was missing, wrong or withdrawn.
--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -140,7 +140,12 @@
         let left = self.deadline.since(clock::now());
         let method = outgoing.method();
         let request = outgoing.request(address, left);
-        let call = target_call::CallOptions { address, is_retry: self.tried.len() > 1, left };
+        let call = target_call::CallOptions {
+            address,
+            is_retry: self.tried.len() > 1,
+            is_idempotent: self.is_idempotent,
+            left,
+        };
         let sent = target_call::send(&self.shared, request, call).await;
         let response = match sent {
             Ok(response) => response,
--- a/dahliawood-daemon/src/front/forward/outgoing.rs
+++ b/dahliawood-daemon/src/front/forward/outgoing.rs
@@ -4,13 +4,15 @@
 use crate::front::refusal::RefusalCause;
 use async_std::future::timeout;
 use dahliawood_wire::headers;
-use http_types::headers::CONTENT_TYPE;
+use http_types::headers::{CONTENT_TYPE, HOST};
 use http_types::{Body, Method, Request, Response, Url};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The longest body that is kept for another try, bytes.
 const REPLAY_BYTES: usize = 64 * 1024;
+/// Random bytes of a request id.
+const REQUEST_ID_BYTES: usize = 16;
 /// How long a short body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -40,7 +42,10 @@
 ) -> Result<OutgoingRequest, RefusalCause> {
     let body = request.take_body();
     let is_short = body.len().is_some_and(|length| length <= REPLAY_BYTES);
-    headers::prepare_request(&mut request, client);
+    let request_id = hex::encode(rand::random::<[u8; REQUEST_ID_BYTES]>());
+    let way = headers::ForwardedBy { caller: client.ip(), request_id: &request_id };
+    headers::prepare_request(&mut request, &way);
+    request.remove_header(HOST);
     let body = match is_short || (is_idempotent && body.is_empty() == Some(true)) {
         false => OutgoingBody::Streamed(body),
         true => OutgoingBody::Kept(read_whole(body).await?),
@@ -108,7 +113,7 @@
 
 /// Removes what concerns the target's connection only.
 pub fn clean_answer(response: &mut Response) {
-    headers::clean_response(response);
+    headers::remove_hop_by_hop(response.as_mut());
 }
 
 /// Sets the body of an answer, which gets no content type that the target did not give it.
--- a/dahliawood-daemon/src/front/handler/mod.rs
+++ b/dahliawood-daemon/src/front/handler/mod.rs
@@ -4,7 +4,9 @@
 use crate::front::{api, forward};
 use crate::{clock, counters, shared, snapshot};
 use dahliawood_model::keys::{CustomerKey, RouteKey};
-use http_types::{Request, Response, headers};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_wire::headers as wire_headers;
+use http_types::{Request, Response};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -113,7 +115,7 @@
         return Err(RefusalCause::NotGranted);
     }
     let places = &state.config.customers[customer].places;
-    let place = snapshot.lookup.place_of(client.ip());
+    let place = snapshot.lookup.place_near(client.ip());
     if !places.is_empty() && !place.is_some_and(|place| places.contains(&place)) {
         return Err(RefusalCause::OtherPlace);
     }
@@ -125,17 +127,14 @@
     state: &snapshot::ConfigState,
     request: &Request,
 ) -> Result<Option<CustomerKey>, RefusalCause> {
-    let Some(values) = request.header(headers::AUTHORIZATION) else { return Ok(None) };
-    let mut values = values.iter();
-    let (Some(value), None) = (values.next(), values.next()) else {
-        return Err(RefusalCause::BadKey);
-    };
-    let (scheme, key) = value.as_str().split_once(' ').ok_or(RefusalCause::BadKey)?;
-    if !scheme.eq_ignore_ascii_case("bearer") {
-        return Err(RefusalCause::BadKey);
+    match wire_headers::presented_key(request) {
+        wire_headers::PresentedKey::Absent => Ok(None),
+        wire_headers::PresentedKey::Unclear => Err(RefusalCause::BadKey),
+        wire_headers::PresentedKey::Single(key) => {
+            let customer = state.keys.verify(&key).ok_or(RefusalCause::BadKey)?;
+            Ok(Some(customer))
+        }
     }
-    let customer = state.keys.verify(key.trim()).ok_or(RefusalCause::BadKey)?;
-    Ok(Some(customer))
 }
 
 /// Until when the request may take: the service's timeout, or the caller's where it is shorter.
@@ -143,7 +142,7 @@
     state: &snapshot::ConfigState,
     request: &Request,
     route: RouteKey,
-) -> Result<dahliawood_model::stamp::TimeStamp, RefusalCause> {
+) -> Result<TimeStamp, RefusalCause> {
     let service = state.config.routes[route].service;
     let timeout = state.config.services[service].timeout;
     let Some(value) = request.header(TIMEOUT_HEADER) else {
--- /dev/null
+++ b/dahliawood-daemon/src/front/target_call/mod.rs
@@ -0,0 +1,85 @@
+//! One exchange with a target over a pooled connection, and what its failure tells of the target.
+
+use crate::shared;
+use dahliawood_fate::verdict::RunVerdict;
+use dahliawood_steer::health;
+use dahliawood_wire::{client, pool};
+use http_types::{Request, Response};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How one exchange is made.
+#[derive(Clone, Copy, Debug)]
+pub struct CallOptions {
+    /// The target.
+    pub address: SocketAddr,
+    /// Whether the request was tried before: a retry takes a new connection.
+    pub is_retry: bool,
+    /// Whether the request may run more than once; one that may not takes a connection that has had
+    /// little chance to go silent.
+    pub is_idempotent: bool,
+    /// How long the answer may take.
+    pub left: Duration,
+}
+
+/// How long ago a connection may have been used to carry a non-idempotent request.
+const RECENTLY_USED: Duration = Duration::from_secs(1);
+
+/// Why an exchange brought no answer.
+#[derive(Clone, Debug)]
+pub struct CallFailure {
+    /// What it tells of the target's health.
+    pub kind: health::ResultKind,
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// Whether the request's own body failed, so that no other target would fare better.
+    pub is_own_body: bool,
+    /// What happened.
+    pub detail: String,
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// # Errors
+/// No usable answer, with what that tells.
+pub async fn send(
+    shared: &shared::SharedState,
+    request: Request,
+    call: CallOptions,
+) -> Result<Response, CallFailure> {
+    let choice = match (call.is_retry, call.is_idempotent) {
+        (true, _) => pool::ConnectionChoice::Fresh,
+        (false, true) => pool::ConnectionChoice::Any,
+        (false, false) => pool::ConnectionChoice::UsedWithin(RECENTLY_USED),
+    };
+    let options = client::ExchangeOptions {
+        answer_timeout: call.left,
+        ..client::ExchangeOptions::default()
+    };
+    let exchanged = shared.pool.exchange(call.address, choice, request, &options).await;
+    exchanged.map(|outcome| outcome.response).map_err(|error| failure(&error))
+}
+
+/// What an error tells.
+fn failure(error: &pool::error::PooledError) -> CallFailure {
+    let (kind, is_own_body) = match error {
+        pool::error::PooledError::Checkout {
+            source: pool::error::CheckoutError::Exhausted { .. },
+        } => (health::ResultKind::Cancelled, false),
+        pool::error::PooledError::Checkout { .. } => (health::ResultKind::ConnectFailed, false),
+        pool::error::PooledError::Exchange { source } if source.is_own_body() => {
+            (health::ResultKind::Cancelled, true)
+        }
+        pool::error::PooledError::Exchange { source } if source.is_silence() => {
+            (health::ResultKind::TimedOut, false)
+        }
+        pool::error::PooledError::Exchange { .. } => (health::ResultKind::Errored, false),
+    };
+    CallFailure { kind, verdict: error.verdict(), is_own_body, detail: describe(error) }
+}
+
+/// An error with its causes, in one line.
+fn describe(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(Some(error), |error| error.source());
+    causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
+}
--- a/dahliawood-daemon/src/shared/mod.rs
+++ b/dahliawood-daemon/src/shared/mod.rs
@@ -1,8 +1,9 @@
 //! What the control thread and the traffic threads share.
 
-use crate::{counters, eventlog, settings, snapshot};
+use crate::{counters, eventlog, settings, snapshot, waiters};
 use arc_swap::ArcSwapOption;
 use dahliawood_steer::target;
+use dahliawood_wire::pool;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -20,6 +21,10 @@
     pub counters: counters::CounterTable,
     /// Requests being answered.
     pub in_flight: AtomicUsize,
+    /// Requests that wait for a slot.
+    pub waiters: waiters::WaiterTable,
+    /// Connections to targets.
+    pub pool: pool::TargetPool,
     targets: Mutex<Option<target::TargetTable>>,
     phase: AtomicU64,
 }
@@ -48,6 +53,8 @@
             events: eventlog::EventLog::new(&settings.name),
             counters: counters::CounterTable::default(),
             in_flight: AtomicUsize::new(0),
+            waiters: waiters::WaiterTable::default(),
+            pool: pool::TargetPool::new(pool::PoolOptions::default()),
             targets: Mutex::new(None),
             phase: AtomicU64::new(0),
             settings,
--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -5,5 +5,6 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod caller;
 pub mod figures;
 pub mod target;
