feat(store): client of the platform's service and a stand-in to test it

The fleet needs one place that keeps anything: a key-value service with compare-and-swap, leases and watches. The client is a plain struct of functions, built over async-h1 with a deadline on each call; its errors say whether a write may have taken effect. The stand-in keeps the stated rates and limits and can be down, silent, slow, lossy after the effect, stale or restored to an older state, in process or over HTTP.

--- /dev/null
+++ b/dahliawood-store/src/client/http/mod.rs
@@ -0,0 +1,320 @@
+//! The client over HTTP/1.1 and JSON.
+//!
+//! A read that fails on a reused connection is tried once more on a new one. A write is sent
+//! once. After any failure all idle connections are closed.
+
+use super::error::{self, StoreError};
+use super::pool::{ConnectionPool, PooledStream};
+use super::{DeleteCall, PutCall, StoreClient, StoreFuture, WatchCall};
+use crate::protocol::{KeyEntry, LeaseBody, LiveList, PutBody, VersionBody};
+use async_std::future;
+use http_types::{Method, Request, StatusCode, Url};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How the service is reached.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpOptions {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How long a call may take; a watch may take its wait besides.
+    pub deadline: Duration,
+    /// How many idle connections are kept.
+    pub idle_connections: usize,
+}
+
+impl HttpOptions {
+    /// Options for `address` with a deadline of one second.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            deadline: Duration::from_secs(1),
+            idle_connections: 4,
+        }
+    }
+}
+
+/// The answer to a call: status and whole body.
+struct HttpAnswer {
+    status: StatusCode,
+    body: Vec<u8>,
+}
+
+/// One call, to be encoded for each try.
+#[derive(Clone)]
+struct HttpCall {
+    method: Method,
+    path: String,
+    query: Vec<(&'static str, String)>,
+    body: Option<String>,
+    deadline: Duration,
+}
+
+struct HttpClient {
+    options: HttpOptions,
+    pool: ConnectionPool,
+}
+
+/// Builds a client that speaks to the service at `options.address`.
+pub fn http(options: HttpOptions) -> StoreClient {
+    let client = Arc::new(HttpClient {
+        pool: ConnectionPool::new(options.address, options.idle_connections),
+        options,
+    });
+    StoreClient {
+        get: call(&client, |client, key: String| {
+            client.get_key(&key, Vec::new(), Duration::ZERO)
+        }),
+        put: call(&client, HttpClient::put),
+        delete: call(&client, |client, delete: DeleteCall| client.delete(&delete)),
+        list: call(&client, |client, prefix: String| {
+            let call = client
+                .call(Method::Get, "/v1/list")
+                .query("prefix", &prefix);
+            client.answer(call)
+        }),
+        watch: call(&client, |client, watch: WatchCall| client.watch(&watch)),
+        grant_lease: call(&client, |client, ttl: Duration| {
+            let ttl_ms = ttl.as_millis() as u64;
+            let call = client.call(Method::Post, "/v1/leases");
+            client.answer(call.json(&LeaseBody { ttl_ms }))
+        }),
+        keep_lease: call(&client, |client, lease: u64| {
+            let call = client.call(Method::Post, &format!("/v1/leases/{lease}"));
+            client.answer(call)
+        }),
+        revoke_lease: call(&client, |client, lease: u64| {
+            let call = client.call(Method::Delete, &format!("/v1/leases/{lease}"));
+            client.done(call)
+        }),
+        live: call(&client, |client, ()| -> StoreFuture<LiveList> {
+            let call = client.call(Method::Get, "/v1/live");
+            client.answer(call)
+        }),
+    }
+}
+
+fn call<A: 'static, T: 'static>(
+    client: &Arc<HttpClient>,
+    run: impl Fn(Arc<HttpClient>, A) -> StoreFuture<T> + Send + Sync + 'static,
+) -> super::StoreCall<A, T> {
+    let client = Arc::clone(client);
+    Arc::new(move |argument| run(Arc::clone(&client), argument))
+}
+
+impl HttpCall {
+    fn query(mut self, name: &'static str, value: &impl ToString) -> Self {
+        self.query.push((name, value.to_string()));
+        self
+    }
+
+    fn json(mut self, body: &impl Serialize) -> Self {
+        let text = serde_json::to_string(body).expect("a document of the protocol has a JSON form");
+        self.body = Some(text);
+        self
+    }
+
+    fn encode(&self, address: SocketAddr) -> Result<Request, StoreError> {
+        let mut url = Url::parse(&format!("http://{address}{}", self.path)).map_err(|error| {
+            StoreError::Invalid {
+                reason: error.to_string(),
+            }
+        })?;
+        if !self.query.is_empty() {
+            url.query_pairs_mut().extend_pairs(&self.query);
+        }
+        let mut request = Request::new(self.method, url);
+        request.insert_header("host", address.to_string());
+        if let Some(body) = &self.body {
+            request.set_body(body.as_str());
+        }
+        Ok(request)
+    }
+
+    fn is_read(&self) -> bool {
+        self.method == Method::Get
+    }
+}
+
+impl HttpClient {
+    fn call(&self, method: Method, path: &str) -> HttpCall {
+        HttpCall {
+            method,
+            path: path.to_owned(),
+            query: Vec::new(),
+            body: None,
+            deadline: self.options.deadline,
+        }
+    }
+
+    fn get_key<T: DeserializeOwned + Send + 'static>(
+        self: Arc<Self>,
+        key: &str,
+        query: Vec<(&'static str, String)>,
+        wait: Duration,
+    ) -> StoreFuture<T> {
+        let mut call = self.call(Method::Get, &key_path(key));
+        call.query = query;
+        call.deadline += wait;
+        self.answer(call)
+    }
+
+    fn watch(self: Arc<Self>, watch: &WatchCall) -> StoreFuture<KeyEntry> {
+        let query = vec![
+            ("after", watch.after.to_string()),
+            ("wait_ms", watch.wait.as_millis().to_string()),
+        ];
+        self.get_key(&watch.key, query, watch.wait)
+    }
+
+    fn put(self: Arc<Self>, put: PutCall) -> StoreFuture<u64> {
+        let call = self.call(Method::Put, &key_path(&put.key)).json(&PutBody {
+            value: put.value,
+            expected: put.expected,
+            lease: put.lease,
+        });
+        let answer = self.answer::<VersionBody>(call);
+        Box::pin(async move { answer.await.map(|body| body.version) })
+    }
+
+    fn delete(self: Arc<Self>, delete: &DeleteCall) -> StoreFuture<()> {
+        let mut call = self.call(Method::Delete, &key_path(&delete.key));
+        if let Some(expected) = delete.expected {
+            call = call.query("expected", &expected);
+        }
+        self.done(call)
+    }
+
+    fn answer<T: DeserializeOwned + Send + 'static>(
+        self: Arc<Self>,
+        call: HttpCall,
+    ) -> StoreFuture<T> {
+        Box::pin(async move {
+            let body = self.send(&call).await?;
+            serde_json::from_slice(&body).context(error::MalformedSnafu)
+        })
+    }
+
+    fn done(self: Arc<Self>, call: HttpCall) -> StoreFuture<()> {
+        Box::pin(async move { self.send(&call).await.map(drop) })
+    }
+
+    async fn send(&self, call: &HttpCall) -> Result<Vec<u8>, StoreError> {
+        let ends_at = Instant::now() + call.deadline;
+        let connection = self.pool.take(call.deadline).await?;
+        let may_retry = connection.is_reused && call.is_read();
+        let first = self.exchange(call, connection, ends_at).await;
+        let answer = match first {
+            Err(StoreError::Broken { .. }) if may_retry => {
+                let connection = self.pool.open(left_until(ends_at)).await?;
+                self.exchange(call, connection, ends_at).await?
+            }
+            first => first?,
+        };
+        judge(answer)
+    }
+
+    async fn exchange(
+        &self,
+        call: &HttpCall,
+        connection: PooledStream,
+        ends_at: Instant,
+    ) -> Result<HttpAnswer, StoreError> {
+        let request = call.encode(self.options.address)?;
+        let stream = connection.stream;
+        let answer =
+            future::timeout(left_until(ends_at), read_answer(stream.clone(), request)).await;
+        match answer {
+            Ok(Ok(answer)) => {
+                self.pool.give_back(stream);
+                Ok(answer)
+            }
+            Ok(Err(error)) => {
+                self.pool.clear();
+                Err(error)
+            }
+            Err(_elapsed) => {
+                self.pool.clear();
+                Err(StoreError::Timeout {
+                    deadline: call.deadline,
+                })
+            }
+        }
+    }
+}
+
+async fn read_answer(
+    stream: async_std::net::TcpStream,
+    request: Request,
+) -> Result<HttpAnswer, StoreError> {
+    let mut response = async_h1::connect(stream, request)
+        .await
+        .map_err(|error| broken(&error))?;
+    let length = response.len();
+    let body = response
+        .body_bytes()
+        .await
+        .map_err(|error| broken(&error))?;
+    // A body that ends early reads as a plain end.
+    if length.is_some_and(|length| length != body.len()) {
+        return error::BrokenSnafu {
+            reason: "the answer ended early",
+        }
+        .fail();
+    }
+    Ok(HttpAnswer {
+        status: response.status(),
+        body,
+    })
+}
+
+fn broken(error: &http_types::Error) -> StoreError {
+    StoreError::Broken {
+        reason: error.to_string(),
+    }
+}
+
+fn judge(answer: HttpAnswer) -> Result<Vec<u8>, StoreError> {
+    match answer.status {
+        status if status.is_success() => Ok(answer.body),
+        StatusCode::Conflict => {
+            let body: VersionBody =
+                serde_json::from_slice(&answer.body).context(error::MalformedSnafu)?;
+            error::ConflictSnafu {
+                found: body.version,
+            }
+            .fail()
+        }
+        StatusCode::TooManyRequests => error::OverRateSnafu.fail(),
+        StatusCode::PayloadTooLarge => error::TooLargeSnafu.fail(),
+        StatusCode::NotFound => error::NoLeaseSnafu.fail(),
+        status => error::StatusSnafu {
+            status: u16::from(status),
+        }
+        .fail(),
+    }
+}
+
+/// The path of a key, with all but its slashes and plain characters percent-encoded.
+fn key_path(key: &str) -> String {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"/-_.".contains(&byte);
+    let encoded: String = key
+        .bytes()
+        .map(|byte| {
+            if is_plain(byte) {
+                char::from(byte).to_string()
+            } else {
+                format!("%{byte:02X}")
+            }
+        })
+        .collect();
+    format!("/v1/kv/{encoded}")
+}
+
+fn left_until(ends_at: Instant) -> Duration {
+    ends_at.saturating_duration_since(Instant::now())
+}
--- /dev/null
+++ b/dahliawood-store/tests/main/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the store package.
+
+mod client;
+mod support;
--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -6,3 +6,4 @@
 #![forbid(unsafe_code)]
 
 pub mod figures;
+pub mod platform;
--- /dev/null
+++ b/dahliawood-testkit/src/platform/routes/mod.rs
@@ -0,0 +1,241 @@
+//! The HTTP interface of the stand-in.
+
+use super::service::{CallGate, CallKind, PlatformService};
+use super::{faults, state};
+use dahliawood_store::protocol::{LeaseBody, LeaseGrant, LiveVm, PutBody, VersionBody};
+use http_types::StatusCode;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use tide::{Body, Request, Response, Server};
+
+type AppState = Arc<PlatformService>;
+
+/// Marks an answer that is not sent: the connection closes in its place.
+const DROPPED_HEADER: &str = "dahliawood-dropped";
+
+/// The longest wait of a watch.
+const WATCH_LIMIT: Duration = Duration::from_secs(60);
+
+#[derive(Debug, Deserialize)]
+struct WatchQuery {
+    after: Option<u64>,
+    wait_ms: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListQuery {
+    prefix: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct DeleteQuery {
+    expected: Option<u64>,
+}
+
+/// All paths of the stand-in.
+pub(super) fn app(service: AppState) -> Server<AppState> {
+    let mut app = tide::with_state(service);
+    app.at("/v1/kv/*key")
+        .get(get_key)
+        .put(put_key)
+        .delete(delete_key);
+    app.at("/v1/list").get(list_keys);
+    app.at("/v1/leases").post(grant_lease);
+    app.at("/v1/leases/:id")
+        .post(keep_lease)
+        .delete(revoke_lease);
+    app.at("/v1/live").get(live_list);
+    app.at("/v1/live/:name").put(put_live).delete(remove_live);
+    app.at("/v1/admin/faults").get(get_faults).put(put_faults);
+    app.at("/v1/admin/snapshot").post(take_snapshot);
+    app.at("/v1/admin/restore/:id").post(restore_snapshot);
+    app.at("/v1/admin/counters").get(get_counters);
+    app
+}
+
+/// Answers a request, or fails where the connection is to close without an answer.
+pub(super) async fn respond(
+    app: &Server<AppState>,
+    request: http_types::Request,
+) -> http_types::Result<http_types::Response> {
+    let response: http_types::Response = app.respond(request).await?;
+    if response.header(DROPPED_HEADER).is_some() {
+        return Err(http_types::Error::from_str(
+            StatusCode::ServiceUnavailable,
+            "the stand-in drops this answer",
+        ));
+    }
+    Ok(response)
+}
+
+async fn get_key(request: Request<AppState>) -> tide::Result {
+    if let Some(refusal) = gate(&request, CallKind::Read).await {
+        return Ok(refusal);
+    }
+    let key = request.param("key")?;
+    let query: WatchQuery = request.query()?;
+    let wait = Duration::from_millis(query.wait_ms.unwrap_or(0)).min(WATCH_LIMIT);
+    let Some(after) = query.after else {
+        return json(&request.state().get(key));
+    };
+    match request.state().watch(key, after, wait).await {
+        Some(entry) => json(&entry),
+        None => Ok(dropped()),
+    }
+}
+
+async fn put_key(mut request: Request<AppState>) -> tide::Result {
+    let body: PutBody = request.body_json().await?;
+    if let Some(refusal) = gate(&request, CallKind::Write).await {
+        return Ok(refusal);
+    }
+    let service = request.state();
+    service.count_bytes(body.value.len());
+    let key = request.param("key")?;
+    let result = service.write(key, |table| {
+        table.put(key, body.value, body.expected, body.lease)
+    });
+    written(&request, result)
+}
+
+async fn delete_key(request: Request<AppState>) -> tide::Result {
+    if let Some(refusal) = gate(&request, CallKind::Write).await {
+        return Ok(refusal);
+    }
+    let key = request.param("key")?;
+    let query: DeleteQuery = request.query()?;
+    let result = request
+        .state()
+        .write(key, |table| table.delete(key, query.expected));
+    written(&request, result.map(|()| 0))
+}
+
+async fn list_keys(request: Request<AppState>) -> tide::Result {
+    if let Some(refusal) = gate(&request, CallKind::Read).await {
+        return Ok(refusal);
+    }
+    let query: ListQuery = request.query()?;
+    json(&request.state().list(&query.prefix))
+}
+
+async fn grant_lease(mut request: Request<AppState>) -> tide::Result {
+    let body: LeaseBody = request.body_json().await?;
+    if let Some(refusal) = gate(&request, CallKind::Write).await {
+        return Ok(refusal);
+    }
+    let ttl = Duration::from_millis(body.ttl_ms);
+    let now = std::time::Instant::now();
+    let lease = request.state().write("", |table| table.grant(ttl, now));
+    let ttl_ms = body.ttl_ms;
+    answered(&request, &LeaseGrant { lease, ttl_ms })
+}
+
+async fn keep_lease(request: Request<AppState>) -> tide::Result {
+    if let Some(refusal) = gate(&request, CallKind::Write).await {
+        return Ok(refusal);
+    }
+    let lease = request.param("id")?.parse()?;
+    let now = std::time::Instant::now();
+    let Some(ttl) = request.state().write("", |table| table.keep(lease, now)) else {
+        return Ok(Response::new(StatusCode::NotFound));
+    };
+    let ttl_ms = ttl.as_millis() as u64;
+    answered(&request, &LeaseGrant { lease, ttl_ms })
+}
+
+async fn revoke_lease(request: Request<AppState>) -> tide::Result {
+    if let Some(refusal) = gate(&request, CallKind::Write).await {
+        return Ok(refusal);
+    }
+    request.state().revoke(request.param("id")?.parse()?);
+    answered(&request, &VersionBody { version: 0 })
+}
+
+async fn live_list(request: Request<AppState>) -> tide::Result {
+    if let Some(refusal) = gate(&request, CallKind::Read).await {
+        return Ok(refusal);
+    }
+    json(&request.state().live())
+}
+
+async fn put_live(mut request: Request<AppState>) -> tide::Result {
+    let vm: LiveVm = request.body_json().await?;
+    request.state().put_live(vm);
+    Ok(Response::new(StatusCode::NoContent))
+}
+
+async fn remove_live(request: Request<AppState>) -> tide::Result {
+    request.state().remove_live(request.param("name")?);
+    Ok(Response::new(StatusCode::NoContent))
+}
+
+async fn get_faults(request: Request<AppState>) -> tide::Result {
+    json(&request.state().faults())
+}
+
+async fn put_faults(mut request: Request<AppState>) -> tide::Result {
+    let settings: faults::FaultSettings = request.body_json().await?;
+    request.state().set_faults(settings);
+    Ok(Response::new(StatusCode::NoContent))
+}
+
+async fn take_snapshot(request: Request<AppState>) -> tide::Result {
+    let version = request.state().snapshot();
+    json(&VersionBody { version })
+}
+
+async fn restore_snapshot(request: Request<AppState>) -> tide::Result {
+    let is_known = request.state().restore(request.param("id")?.parse()?);
+    let status = if is_known {
+        StatusCode::NoContent
+    } else {
+        StatusCode::NotFound
+    };
+    Ok(Response::new(status))
+}
+
+async fn get_counters(request: Request<AppState>) -> tide::Result {
+    json(&request.state().counters())
+}
+
+async fn gate(request: &Request<AppState>, kind: CallKind) -> Option<Response> {
+    match request.state().admit(kind).await {
+        CallGate::Open => None,
+        CallGate::OverRate => Some(Response::new(StatusCode::TooManyRequests)),
+        CallGate::Dropped => Some(dropped()),
+    }
+}
+
+/// The answer of a write that took effect, unless it is lost.
+fn answered(request: &Request<AppState>, body: &impl Serialize) -> tide::Result {
+    if request.state().loses_reply() {
+        return Ok(dropped());
+    }
+    json(body)
+}
+
+fn written(request: &Request<AppState>, result: Result<u64, state::WriteRefusal>) -> tide::Result {
+    match result {
+        Ok(version) => answered(request, &VersionBody { version }),
+        Err(state::WriteRefusal::Conflict(version)) => {
+            let mut response = json(&VersionBody { version })?;
+            response.set_status(StatusCode::Conflict);
+            Ok(response)
+        }
+        Err(state::WriteRefusal::TooLarge) => Ok(Response::new(StatusCode::PayloadTooLarge)),
+        Err(state::WriteRefusal::NoLease) => Ok(Response::new(StatusCode::NotFound)),
+    }
+}
+
+fn dropped() -> Response {
+    Response::builder(StatusCode::ServiceUnavailable)
+        .header(DROPPED_HEADER, "1")
+        .build()
+}
+
+fn json(body: &impl Serialize) -> tide::Result {
+    Ok(Response::builder(StatusCode::Ok)
+        .body(Body::from_json(body)?)
+        .build())
+}
