--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -7,4 +7,5 @@
 
 pub mod caller;
 pub mod figures;
+pub mod platform;
 pub mod target;
