feat(peer): messages about allowance in the schema

Cause: loans travel between VMs. Change: the five messages as a union with their units, written and read at the border.

--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -28,11 +28,55 @@
   text @3 :Text;
 }
 
+# One life of a VM.
+struct HolderId {
+  # IP and port where its peers reach it.
+  address @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+# Amounts are millionths of a unit, spans are microseconds.
+struct QuotaMessage {
+  union {
+    ask :group {
+      tag @0 :UInt64;
+      serial @1 :UInt64;
+      need @2 :UInt64;
+      want @3 :UInt64;
+      length @4 :UInt64;
+    }
+    grant :group {
+      tag @5 :UInt64;
+      serial @6 :UInt64;
+      granted @7 :UInt64;
+      retryAfter @8 :UInt64;
+    }
+    report :group {
+      tag @9 :UInt64;
+      serial @10 :UInt64;
+      spent @11 :UInt64;
+      returned @12 :UInt64;
+    }
+    probe :group {
+      serial @13 :UInt64;
+      # Absent where the sender asks to be heard itself.
+      subject @14 :HolderId;
+    }
+    echo :group {
+      serial @15 :UInt64;
+      subject @16 :HolderId;
+      silentFor @17 :UInt64;
+    }
+  }
+}
+
 interface VmPeer {
   # Exchanges heartbeats.
   beat @0 (beat :VmBeat) -> (beat :VmBeat);
   # The accepted file that the callee has in force; empty text where it has none newer.
   config @1 (above :UInt64) -> (config :ConfigText);
+  # Messages about allowance, taken in their order.
+  quota @3 (from :HolderId, messages :List(QuotaMessage)) -> ();
   # Events after a position in the callee's ring, each as JSON.
   events @2 (after :UInt64, most :UInt32) -> (events :List(Text), next :UInt64, lost :UInt64);
 }
--- a/dahliawood-peer/src/client/mod.rs
+++ b/dahliawood-peer/src/client/mod.rs
@@ -3,7 +3,7 @@
 pub mod error;
 
 use crate::generated::peer_capnp::vm_peer;
-use crate::message;
+use crate::{allowance, message};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task;
@@ -114,6 +114,17 @@
         }))
     }
 
+    /// Sends messages about allowance.
+    ///
+    /// # Errors
+    /// Fails where the call fails or no answer comes within the deadline; the messages may have
+    /// arrived.
+    pub async fn quota(&self, batch: &allowance::AllowanceBatch) -> Result<(), error::CallError> {
+        let mut request = self.client.quota_request();
+        allowance::write(batch, request.get()).context(error::CallSnafu)?;
+        self.bounded(request.send().promise).await.map(|_| ())
+    }
+
     /// A page of the other VM's events.
     ///
     /// # Errors
--- a/dahliawood-peer/src/lib.rs
+++ b/dahliawood-peer/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod allowance;
 pub mod client;
 /// Code generated from `schema/peer.capnp` by the example `generate`.
 #[allow(missing_docs, unused_qualifications, clippy::all, clippy::pedantic, elided_lifetimes_in_paths)]
--- a/dahliawood-peer/src/server/mod.rs
+++ b/dahliawood-peer/src/server/mod.rs
@@ -1,7 +1,7 @@
 //! Answers other VMs' calls through closures.
 
 use crate::generated::peer_capnp::vm_peer;
-use crate::message;
+use crate::{allowance, message};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
@@ -14,6 +14,8 @@
     pub beat: Box<dyn Fn(message::VmBeat) -> message::VmBeat>,
     /// The accepted file above a revision, if the callee has one.
     pub config: Box<dyn Fn(u64) -> Option<message::ConfigText>>,
+    /// Takes messages about allowance.
+    pub quota: Box<dyn Fn(allowance::AllowanceBatch)>,
     /// A page of events after a position, of at most so many entries.
     pub events: Box<dyn Fn(u64, u32) -> message::EventPage>,
 }
@@ -43,6 +45,15 @@
         Ok(())
     }
 
+    async fn quota(
+        self: Rc<Self>,
+        params: vm_peer::QuotaParams,
+        _results: vm_peer::QuotaResults,
+    ) -> capnp::Result<()> {
+        (self.quota)(allowance::read(params.get()?)?);
+        Ok(())
+    }
+
     async fn events(
         self: Rc<Self>,
         params: vm_peer::EventsParams,
