--- /dev/null
+++ b/dahliawood-wire/src/body/mod.rs
@@ -0,0 +1,55 @@
+//! Bodies whose declared length is checked.
+
+use futures::io::{AsyncRead, BufReader};
+use http_types::Body;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// Bytes buffered in front of a body.
+pub(crate) const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Reads a body of `left` more bytes and fails where it ends before.
+struct CountedReader {
+    body: Body,
+    left: usize,
+}
+
+impl AsyncRead for CountedReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        output: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.body).poll_read(context, output);
+        if let Poll::Ready(Ok(count)) = polled {
+            if count == 0 && self.left > 0 && !output.is_empty() {
+                return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+            }
+            self.left = self.left.saturating_sub(count);
+        }
+        polled
+    }
+}
+
+/// The same body, which fails with `UnexpectedEof` where it ends before its declared length.
+///
+/// async-h1 writes a body that falls short as it is and calls the message done.
+pub fn counted(body: Body) -> Body {
+    match body.len() {
+        None | Some(0) => body,
+        Some(length) => {
+            let mime = body.mime().clone();
+            let reader = CountedReader { body, left: length };
+            let reader = BufReader::with_capacity(BUFFER_BYTES, reader);
+            let mut body = Body::from_reader(reader, Some(length));
+            body.set_mime(mime);
+            body
+        }
+    }
+}
+
+/// A body that declares `length` bytes and has none: for answers of which only the head is sent.
+pub(crate) fn declared(length: Option<usize>) -> Body {
+    Body::from_reader(futures::io::empty(), length)
+}
--- /dev/null
+++ b/dahliawood-wire/src/chunk/error/mod.rs
@@ -0,0 +1,19 @@
+//! Errors of chunk framing.
+
+/// Why a chunked body is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(visibility(pub))]
+pub enum ChunkError {
+    /// A byte that the framing does not allow there.
+    #[snafu(display("byte {byte:#04x} is not allowed in chunk framing here"))]
+    Byte {
+        /// The byte.
+        byte: u8,
+    },
+    /// A chunk size with no digit or with too many.
+    #[snafu(display("a chunk size has from 1 to 15 digits"))]
+    Size,
+    /// Trailers longer than the bound, or not ASCII.
+    #[snafu(display("trailers are ASCII and shorter than 4 KiB"))]
+    Trailers,
+}
--- /dev/null
+++ b/dahliawood-wire/src/chunk/mod.rs
@@ -0,0 +1,132 @@
+//! Finds where a chunked body ends, so that no byte after it is handed to async-h1.
+//!
+//! async-h1 decodes the chunks. Its decoder takes whatever it can read, stops without a wake-up on
+//! trailers that come in pieces, takes an empty size line for the last chunk, and panics on
+//! trailers that are not ASCII; the scanner counts ahead of it and keeps all four from happening.
+
+pub mod error;
+
+use error::ChunkError;
+
+/// Digits of a chunk size: fewer than overflow 64 bits.
+const SIZE_DIGITS: u32 = 15;
+/// The most that trailers may take, bytes.
+const TRAILER_BYTES: usize = 4 * 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ScanState {
+    Size { size: u64, digits: u32 },
+    SizeEnd { size: u64 },
+    Data { left: u64 },
+    DataReturn,
+    DataFeed,
+    Trailers,
+    Done,
+}
+
+/// Counts through the framing of one chunked body.
+#[derive(Clone, Copy, Debug)]
+pub struct ChunkScanner {
+    state: ScanState,
+}
+
+impl Default for ChunkScanner {
+    fn default() -> Self {
+        Self {
+            state: ScanState::Size { size: 0, digits: 0 },
+        }
+    }
+}
+
+impl ChunkScanner {
+    /// Whether the body has been handed out to its last byte.
+    pub fn is_done(&self) -> bool {
+        self.state == ScanState::Done
+    }
+
+    /// How many of the bytes in front of `bytes` may be handed out now, at most `limit`.
+    ///
+    /// Zero means that more bytes are needed, or that the body is done. Trailers are released whole
+    /// and by themselves.
+    ///
+    /// # Errors
+    /// The framing is broken, or its trailers do not fit `limit`.
+    pub fn release(&mut self, bytes: &[u8], limit: usize) -> Result<usize, ChunkError> {
+        let mut count = 0;
+        while count < bytes.len().min(limit) {
+            if self.state == ScanState::Trailers {
+                break;
+            }
+            if self.is_done() {
+                return Ok(count);
+            }
+            let rest = &bytes[count..bytes.len().min(limit)];
+            count += self.step(rest)?;
+        }
+        if count == 0 && self.state == ScanState::Trailers {
+            return self.release_trailers(bytes, limit);
+        }
+        Ok(count)
+    }
+
+    fn step(&mut self, rest: &[u8]) -> Result<usize, ChunkError> {
+        let byte = rest[0];
+        self.state = match (self.state, byte) {
+            (ScanState::Data { left }, _) => {
+                let taken = left.min(rest.len() as u64);
+                self.state = match left - taken {
+                    0 => ScanState::DataReturn,
+                    left => ScanState::Data { left },
+                };
+                return Ok(taken as usize);
+            }
+            (ScanState::Size { digits: 0, .. }, b'\r') => return Err(ChunkError::Size),
+            (ScanState::Size { size, .. }, b'\r') => ScanState::SizeEnd { size },
+            (ScanState::Size { size, digits }, _) => next_digit(size, digits, byte)?,
+            (ScanState::SizeEnd { size: 0 }, b'\n') => ScanState::Trailers,
+            (ScanState::SizeEnd { size }, b'\n') => ScanState::Data { left: size },
+            (ScanState::DataReturn, b'\r') => ScanState::DataFeed,
+            (ScanState::DataFeed, b'\n') => ScanState::default_size(),
+            _ => return Err(ChunkError::Byte { byte }),
+        };
+        Ok(1)
+    }
+
+    fn release_trailers(&mut self, bytes: &[u8], limit: usize) -> Result<usize, ChunkError> {
+        let end = if bytes.starts_with(b"\r\n") {
+            Some(2)
+        } else {
+            bytes
+                .windows(4)
+                .position(|window| window == b"\r\n\r\n")
+                .map(|position| position + 4)
+        };
+        match end {
+            Some(end) if end <= limit.min(TRAILER_BYTES) && bytes[..end].is_ascii() => {
+                self.state = ScanState::Done;
+                Ok(end)
+            }
+            None if bytes.len() < TRAILER_BYTES => Ok(0),
+            _ => Err(ChunkError::Trailers),
+        }
+    }
+}
+
+impl ScanState {
+    fn default_size() -> Self {
+        Self::Size { size: 0, digits: 0 }
+    }
+}
+
+fn next_digit(size: u64, digits: u32, byte: u8) -> Result<ScanState, ChunkError> {
+    let digit = (byte as char)
+        .to_digit(16)
+        .ok_or(ChunkError::Byte { byte })?;
+    if digits == SIZE_DIGITS {
+        return Err(ChunkError::Size);
+    }
+    Ok(ScanState::Size {
+        size: size * 16 + u64::from(digit),
+        digits: digits + 1,
+    })
+}
--- /dev/null
+++ b/dahliawood-wire/src/client/mod.rs
@@ -0,0 +1,211 @@
+//! One exchange with a target over one connection.
+
+pub mod error;
+
+use crate::{body, gate, head, server, stream};
+use async_std::future as timed;
+use error::ExchangeError;
+use futures::future::{self, Either};
+use futures::io::BufReader;
+use http_types::headers::{CONTENT_LENGTH, DATE, TRANSFER_ENCODING};
+use http_types::{Body, Method, Request, Response, StatusCode};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Interim answers that are skipped before the target is held to be broken.
+const MOST_INTERIM: u32 = 16;
+
+/// Bounds of an exchange.
+#[derive(Clone, Debug)]
+pub struct ExchangeOptions {
+    /// The longest answer head, bytes; at most [`server::HEAD_BYTES`].
+    pub head_bound: usize,
+    /// How long the target may take from now to the head of its answer.
+    pub answer_timeout: Duration,
+    /// How long the body may go without a byte, in either direction.
+    pub stall_timeout: Duration,
+}
+
+impl Default for ExchangeOptions {
+    fn default() -> Self {
+        Self {
+            head_bound: server::HEAD_BYTES,
+            answer_timeout: Duration::from_secs(10),
+            stall_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// An answer whose head is there and whose body is still to be read.
+#[derive(Debug)]
+pub struct ExchangeOutcome {
+    /// The answer. Reading its body fails where it ends before it is whole.
+    pub response: Response,
+    /// Bytes of the request that were sent.
+    pub sent: u64,
+    /// Interim answers that were skipped.
+    pub interim: u32,
+}
+
+/// Sends `request` over `connection` and waits for the head of the answer.
+///
+/// `on_end` is called once the body has been read to its end, with whether the connection may
+/// serve another exchange; where it is dropped uncalled the connection must be closed. Trailers are
+/// dropped. The request's headers are sent as they are but for its framing.
+///
+/// # Errors
+/// No usable answer; [`ExchangeError::verdict`] says whether the request may have run.
+pub async fn exchange<IO: stream::WireStream>(
+    connection: IO,
+    request: Request,
+    options: &ExchangeOptions,
+    on_end: impl FnOnce(bool) + Send + 'static,
+) -> Result<ExchangeOutcome, ExchangeError> {
+    let gate = gate::MessageGate::new(connection.clone(), options.stall_timeout);
+    if !gate.is_quiet().await {
+        return Err(ExchangeError::Stale);
+    }
+    let sent = AtomicU64::new(0);
+    let method = request.method();
+    let answered = run(connection, request, &gate, options, &sent);
+    let answered = timed::timeout(options.answer_timeout, answered).await;
+    let sent = sent.into_inner();
+    let (answer, whole) = answered.map_err(|_| ExchangeError::Timeout { sent })??;
+    let reusable = whole && !head::says_close(answer.response.as_ref());
+    let hook = Box::new(move |clean| on_end(clean && reusable));
+    let response = with_body(answer.response, &gate, answer.frame, method, hook);
+    Ok(ExchangeOutcome {
+        response,
+        sent,
+        interim: answer.interim,
+    })
+}
+
+struct AnswerHead {
+    response: Response,
+    frame: head::BodyFrame,
+    interim: u32,
+}
+
+/// The answer's head, and whether the request had been sent whole before it.
+async fn run<IO: stream::WireStream>(
+    mut connection: IO,
+    request: Request,
+    gate: &gate::MessageGate<IO>,
+    options: &ExchangeOptions,
+    sent: &AtomicU64,
+) -> Result<(AnswerHead, bool), ExchangeError> {
+    let method = request.method();
+    let mut encoder = encoder(request);
+    let sending = stream::transfer(&mut encoder, &mut connection, options.stall_timeout, sent);
+    let sending = std::pin::pin!(sending);
+    let receiving = std::pin::pin!(receive(gate, method, options.head_bound, sent));
+    match future::select(sending, receiving).await {
+        Either::Left((Ok(()), receiving)) => Ok((receiving.await?, true)),
+        Either::Left((Err(source), receiving)) => {
+            let early = matches!(source, stream::TransferError::Accept { .. });
+            let sent = sent.load(Ordering::Relaxed);
+            let unsent = ExchangeError::Send { sent, source };
+            if !early || sent == 0 {
+                return Err(unsent);
+            }
+            match receiving.await {
+                Ok(answer) => Ok((answer, false)),
+                Err(_) => Err(unsent),
+            }
+        }
+        Either::Right((answer, _)) => Ok((answer?, false)),
+    }
+}
+
+async fn receive<IO: stream::WireStream>(
+    gate: &gate::MessageGate<IO>,
+    method: Method,
+    bound: usize,
+    sent: &AtomicU64,
+) -> Result<AnswerHead, ExchangeError> {
+    let sent = || sent.load(Ordering::Relaxed);
+    let refused = |source| ExchangeError::Answer {
+        sent: sent(),
+        source,
+    };
+    for interim in 0..=MOST_INTERIM {
+        let arrival = gate.next_head(bound).await;
+        match arrival {
+            Ok(gate::HeadArrival::Found) => {}
+            Ok(gate::HeadArrival::Ended { .. }) => {
+                return Err(ExchangeError::Closed { sent: sent() });
+            }
+            Ok(gate::HeadArrival::Refused(error)) => return Err(refused(error)),
+            Err(source) => {
+                return Err(ExchangeError::Receive {
+                    sent: sent(),
+                    source,
+                });
+            }
+        }
+        let response = decode(gate).await.map_err(refused)?;
+        if response.status() == StatusCode::SwitchingProtocols {
+            return Err(refused(malformed("an upgrade that was not asked for")));
+        }
+        if !response.status().is_informational() {
+            let frame = head::answer_frame(&response, method).map_err(refused)?;
+            return Ok(AnswerHead {
+                response,
+                frame,
+                interim,
+            });
+        }
+    }
+    Err(refused(malformed("interim answers without end")))
+}
+
+fn malformed(reason: &(impl ToString + ?Sized)) -> head::error::HeadError {
+    head::error::HeadError::Malformed {
+        reason: reason.to_string(),
+    }
+}
+
+async fn decode<IO: stream::WireStream>(
+    gate: &gate::MessageGate<IO>,
+) -> Result<Response, head::error::HeadError> {
+    let mut response = Box::pin(async_h1::client::decode(gate.reader()))
+        .await
+        .map_err(|error| malformed(&error))?;
+    // Where there is no date async-h1 adds one with a line end inside, which would end the head of
+    // a forwarded answer.
+    if response
+        .header(DATE)
+        .is_some_and(|values| values.as_str().ends_with('\n'))
+    {
+        response.remove_header(DATE);
+    }
+    Ok(response)
+}
+
+fn with_body<IO: stream::WireStream>(
+    mut response: Response,
+    gate: &gate::MessageGate<IO>,
+    frame: head::BodyFrame,
+    method: Method,
+    hook: gate::EndHook,
+) -> Response {
+    if head::is_bodiless(response.status(), method) {
+        drop(response.take_body());
+    } else if let head::BodyFrame::Length(length) = frame {
+        let reader = BufReader::with_capacity(body::BUFFER_BYTES, gate.reader());
+        let length = usize::try_from(length).ok();
+        response.set_body(Body::from_reader(reader, length));
+    }
+    gate.begin_body(frame, Some(hook));
+    response
+}
+
+/// The encoder of a request, whose framing headers are left to its body.
+fn encoder(mut request: Request) -> async_h1::client::Encoder {
+    request.remove_header(TRANSFER_ENCODING);
+    request.remove_header(CONTENT_LENGTH);
+    let unread = request.take_body();
+    request.set_body(body::counted(unread));
+    async_h1::client::Encoder::new(request)
+}
--- /dev/null
+++ b/dahliawood-wire/src/gate/mod.rs
@@ -0,0 +1,418 @@
+//! The gate between a connection and async-h1: hands out one message and not a byte more.
+//!
+//! async-h1 reads through a buffer of its own that it throws away with each message. The gate keeps
+//! what follows a message, counts a body to its end, fails where the connection ends or stalls
+//! before, and reports when the connection is free for its next message.
+
+use crate::{chunk, head, stream};
+use async_std::task;
+use futures::future;
+use futures::io::{AsyncRead, AsyncWrite};
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::{Duration, Instant};
+
+/// Bytes received ahead of the reader; more than a head or trailers may take.
+const BUFFER_BYTES: usize = 16 * 1024;
+/// The interim answer that lets a caller send its body.
+const CONTINUE_BYTES: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Called once the message has been read to its end; true where nothing follows it.
+pub type EndHook = Box<dyn FnOnce(bool) + Send>;
+
+/// Where the message that is being read stands.
+#[derive(Clone, Copy, Debug)]
+enum GatePhase {
+    Head { left: usize },
+    Body(head::BodyFrame),
+}
+
+/// Measures how long a read has been waiting.
+struct StallClock {
+    limit: Duration,
+    waiting: Option<Instant>,
+    timer: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+}
+
+impl StallClock {
+    fn new(limit: Duration) -> Self {
+        Self {
+            limit,
+            waiting: None,
+            timer: None,
+        }
+    }
+
+    fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let started = *self.waiting.get_or_insert_with(Instant::now);
+        loop {
+            let left = self.limit.saturating_sub(started.elapsed());
+            if left.is_zero() {
+                return Poll::Ready(());
+            }
+            let timer = self
+                .timer
+                .get_or_insert_with(|| Box::pin(task::sleep(left)));
+            ready!(timer.as_mut().poll(context));
+            self.timer = None;
+        }
+    }
+}
+
+struct GateState<IO> {
+    connection: IO,
+    buffer: Vec<u8>,
+    start: usize,
+    end: usize,
+    phase: GatePhase,
+    epoch: u64,
+    interim: &'static [u8],
+    clock: StallClock,
+    hook: Option<EndHook>,
+    watcher: Option<Waker>,
+}
+
+impl<IO: stream::WireStream> GateState<IO> {
+    fn received(&self) -> &[u8] {
+        &self.buffer[self.start..self.end]
+    }
+
+    fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        self.buffer.resize(BUFFER_BYTES, 0);
+        self.buffer.copy_within(self.start..self.end, 0);
+        self.end -= self.start;
+        self.start = 0;
+        if self.end == BUFFER_BYTES {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        let room = &mut self.buffer[self.end..];
+        let count = ready!(Pin::new(&mut self.connection).poll_read(context, room))?;
+        self.end += count;
+        Poll::Ready(Ok(count))
+    }
+
+    fn take(&mut self, output: &mut [u8], count: usize) {
+        output[..count].copy_from_slice(&self.buffer[self.start..self.start + count]);
+        self.start += count;
+    }
+
+    fn poll_message(
+        &mut self,
+        context: &mut Context<'_>,
+        output: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.phase {
+            GatePhase::Head { left } => {
+                let count = left.min(output.len());
+                self.take(output, count);
+                self.phase = GatePhase::Head { left: left - count };
+                Poll::Ready(Ok(count))
+            }
+            GatePhase::Body(frame) if frame.is_ended() => Poll::Ready(Ok(0)),
+            GatePhase::Body(frame) => self.poll_body(context, output, frame),
+        }
+    }
+
+    fn poll_body(
+        &mut self,
+        context: &mut Context<'_>,
+        output: &mut [u8],
+        frame: head::BodyFrame,
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_interim(context))?;
+        let polled = match frame {
+            head::BodyFrame::Length(left) => self.poll_length(context, output, left),
+            head::BodyFrame::Chunked(scanner) => self.poll_chunks(context, output, scanner),
+        };
+        if polled.is_pending() {
+            ready!(self.clock.poll_expired(context));
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        self.clock.waiting = None;
+        self.finish_if_ended();
+        polled
+    }
+
+    fn poll_interim(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.interim.is_empty() {
+            let count = ready!(Pin::new(&mut self.connection).poll_write(context, self.interim))?;
+            if count == 0 {
+                return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+            }
+            self.interim = &self.interim[count..];
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_length(
+        &mut self,
+        context: &mut Context<'_>,
+        output: &mut [u8],
+        left: u64,
+    ) -> Poll<io::Result<usize>> {
+        let most = output
+            .len()
+            .min(usize::try_from(left).unwrap_or(usize::MAX));
+        let count = match self.received().len().min(most) {
+            0 => {
+                let connection = Pin::new(&mut self.connection);
+                ready!(connection.poll_read(context, &mut output[..most]))?
+            }
+            count => {
+                self.take(output, count);
+                count
+            }
+        };
+        if count == 0 && most > 0 {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        self.phase = GatePhase::Body(head::BodyFrame::Length(left - count as u64));
+        Poll::Ready(Ok(count))
+    }
+
+    fn poll_chunks(
+        &mut self,
+        context: &mut Context<'_>,
+        output: &mut [u8],
+        mut scanner: chunk::ChunkScanner,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            let count = scanner
+                .release(self.received(), output.len())
+                .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+            if count > 0 {
+                self.take(output, count);
+                self.phase = GatePhase::Body(head::BodyFrame::Chunked(scanner));
+                return Poll::Ready(Ok(count));
+            }
+            if ready!(self.poll_fill(context))? == 0 {
+                return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+            }
+        }
+    }
+
+    fn finish_if_ended(&mut self) {
+        let GatePhase::Body(frame) = self.phase else {
+            return;
+        };
+        if !frame.is_ended() {
+            return;
+        }
+        let clean = self.received().is_empty();
+        if let Some(hook) = self.hook.take() {
+            hook(clean);
+        }
+        if let Some(watcher) = self.watcher.take() {
+            watcher.wake();
+        }
+    }
+}
+
+/// What waiting for a head came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HeadArrival {
+    /// A head is there and will be handed out next.
+    Found,
+    /// The connection ended; `partial` where it had begun a head.
+    Ended {
+        /// Whether bytes of a head had come.
+        partial: bool,
+    },
+    /// What came is no acceptable head.
+    Refused(head::error::HeadError),
+}
+
+/// The gate of one connection; clones share it.
+pub struct MessageGate<IO> {
+    state: Arc<Mutex<GateState<IO>>>,
+}
+
+impl<IO> Clone for MessageGate<IO> {
+    fn clone(&self) -> Self {
+        Self {
+            state: self.state.clone(),
+        }
+    }
+}
+
+impl<IO: stream::WireStream> MessageGate<IO> {
+    /// A gate on `connection`, whose body reads fail after `stall` without a byte.
+    pub fn new(connection: IO, stall: Duration) -> Self {
+        let state = GateState {
+            connection,
+            buffer: Vec::new(),
+            start: 0,
+            end: 0,
+            phase: GatePhase::Body(head::BodyFrame::NONE),
+            epoch: 0,
+            interim: &[],
+            clock: StallClock::new(stall),
+            hook: None,
+            watcher: None,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState<IO>> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for the next head of at most `bound` bytes; what was left of the last message is void.
+    ///
+    /// # Errors
+    /// The connection failed.
+    pub async fn next_head(&self, bound: usize) -> io::Result<HeadArrival> {
+        self.lock().epoch += 1;
+        future::poll_fn(|context| {
+            let mut state = self.lock();
+            loop {
+                state.skip_blank_lines();
+                match head::find_end(state.received(), bound) {
+                    Err(error) => return Poll::Ready(Ok(HeadArrival::Refused(error))),
+                    Ok(Some(end)) => {
+                        state.phase = GatePhase::Head { left: end };
+                        return Poll::Ready(Ok(HeadArrival::Found));
+                    }
+                    Ok(None) => {}
+                }
+                if ready!(state.poll_fill(context))? == 0 {
+                    let partial = !state.received().is_empty();
+                    return Poll::Ready(Ok(HeadArrival::Ended { partial }));
+                }
+            }
+        })
+        .await
+    }
+
+    /// Whether any byte waits that no message has claimed.
+    pub fn has_received(&self) -> bool {
+        !self.lock().received().is_empty()
+    }
+
+    /// Whether the connection is quiet: it has not ended and nothing came unasked.
+    pub async fn is_quiet(&self) -> bool {
+        future::poll_fn(|context| {
+            let mut state = self.lock();
+            let quiet = state.received().is_empty() && state.poll_fill(context).is_pending();
+            Poll::Ready(quiet)
+        })
+        .await
+    }
+
+    /// Sets how the body of the message ends whose head was handed out.
+    pub fn begin_body(&self, frame: head::BodyFrame, hook: Option<EndHook>) {
+        let mut state = self.lock();
+        state.phase = GatePhase::Body(frame);
+        state.hook = hook;
+        state.finish_if_ended();
+    }
+
+    /// Answers `100 Continue` before the first byte of the body is read.
+    pub fn ask_for_body(&self) {
+        self.lock().interim = CONTINUE_BYTES;
+    }
+
+    /// Whether the body has been read to its end.
+    pub fn is_ended(&self) -> bool {
+        matches!(self.lock().phase, GatePhase::Body(frame) if frame.is_ended())
+    }
+
+    /// Whether a caller still waits to be asked for its body.
+    pub fn awaits_ask(&self) -> bool {
+        !self.lock().interim.is_empty()
+    }
+
+    /// A reader of the message at hand; void once the next head is waited for.
+    pub fn reader(&self) -> MessageReader<IO> {
+        MessageReader {
+            gate: self.clone(),
+            epoch: self.lock().epoch,
+        }
+    }
+
+    /// Waits until the other side ends the connection after its message was read whole.
+    ///
+    /// Bytes of a further message are kept. Once the buffer is full this waits for ever.
+    pub async fn left(&self) {
+        future::poll_fn(|context| {
+            let mut state = self.lock();
+            let ended = matches!(state.phase, GatePhase::Body(frame) if frame.is_ended());
+            if !ended {
+                state.watcher = Some(context.waker().clone());
+                return Poll::Pending;
+            }
+            loop {
+                if state.end - state.start == BUFFER_BYTES {
+                    return Poll::Pending;
+                }
+                match ready!(state.poll_fill(context)) {
+                    Ok(count) if count > 0 => {}
+                    _ => return Poll::Ready(()),
+                }
+            }
+        })
+        .await;
+    }
+}
+
+impl<IO: stream::WireStream> GateState<IO> {
+    fn skip_blank_lines(&mut self) {
+        while self.received().starts_with(b"\r\n") {
+            self.start += 2;
+        }
+    }
+}
+
+/// Reads one message through its gate.
+///
+/// Writes are accepted and dropped: async-h1 asks for them only to send `100 Continue`, which the
+/// gate does itself, in order with everything else.
+pub struct MessageReader<IO> {
+    gate: MessageGate<IO>,
+    epoch: u64,
+}
+
+impl<IO> Clone for MessageReader<IO> {
+    fn clone(&self) -> Self {
+        Self {
+            gate: self.gate.clone(),
+            epoch: self.epoch,
+        }
+    }
+}
+
+impl<IO: stream::WireStream> AsyncRead for MessageReader<IO> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        output: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut state = self.gate.lock();
+        if state.epoch != self.epoch {
+            return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
+        }
+        state.poll_message(context, output)
+    }
+}
+
+impl<IO: stream::WireStream> AsyncWrite for MessageReader<IO> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/dahliawood-wire/src/head/mod.rs
@@ -0,0 +1,163 @@
+//! Checks of heads, before and after async-h1 has parsed them.
+
+pub mod error;
+
+use crate::chunk;
+use error::HeadError;
+use http_types::headers::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, Headers, TRANSFER_ENCODING,
+};
+use http_types::{Method, Request, Response, StatusCode};
+
+/// The end of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// What a caller expects who waits before it sends its body.
+const CONTINUE: &str = "100-continue";
+/// Bytes that would move the path or the authority if they stood in `Host`.
+const HOST_BREAKERS: &[char] = &['/', '?', '#', '@', '\\', ' ', ','];
+
+/// How the end of a body is known.
+#[derive(Clone, Copy, Debug)]
+pub enum BodyFrame {
+    /// So many more bytes.
+    Length(u64),
+    /// Chunks.
+    Chunked(chunk::ChunkScanner),
+}
+
+impl BodyFrame {
+    /// No body.
+    pub const NONE: Self = Self::Length(0);
+
+    /// Whether the body has been read to its end.
+    pub fn is_ended(&self) -> bool {
+        match self {
+            Self::Length(left) => *left == 0,
+            Self::Chunked(scanner) => scanner.is_done(),
+        }
+    }
+}
+
+/// Where the head at the front of `bytes` ends, or `None` where it has not ended yet.
+///
+/// # Errors
+/// The head is longer than `bound`, or has a byte on which async-h1 panics or misjudges its end.
+pub fn find_end(bytes: &[u8], bound: usize) -> Result<Option<usize>, HeadError> {
+    let end = bytes
+        .windows(HEAD_END.len())
+        .position(|window| window == HEAD_END)
+        .map(|position| position + HEAD_END.len());
+    let head = &bytes[..end.unwrap_or(bytes.len())];
+    if head.len() > bound {
+        return Err(HeadError::TooLarge { bound });
+    }
+    let lone_feed = head
+        .iter()
+        .enumerate()
+        .any(|(index, byte)| *byte == b'\n' && (index == 0 || head[index - 1] != b'\r'));
+    if lone_feed {
+        return Err(HeadError::Byte { byte: b'\n' });
+    }
+    match head.iter().find(|byte| !byte.is_ascii()) {
+        Some(byte) => Err(HeadError::Byte { byte: *byte }),
+        None => Ok(end),
+    }
+}
+
+/// How the body of a request ends.
+///
+/// # Errors
+/// The request declares it in a way that two readers may read differently, or names its host so.
+pub fn request_frame(request: &Request) -> Result<BodyFrame, HeadError> {
+    check_host(request.as_ref())?;
+    check_expectation(request)?;
+    Ok(declared_frame(request.as_ref())?.unwrap_or(BodyFrame::NONE))
+}
+
+/// How the body of an answer to `method` ends.
+///
+/// # Errors
+/// The answer declares it ambiguously, or not at all.
+pub fn answer_frame(answer: &Response, method: Method) -> Result<BodyFrame, HeadError> {
+    if is_bodiless(answer.status(), method) {
+        return Ok(BodyFrame::NONE);
+    }
+    declared_frame(answer.as_ref())?.ok_or(HeadError::Unbounded)
+}
+
+/// Whether an answer of this status to this method has a head only, whatever it declares.
+pub fn is_bodiless(status: StatusCode, method: Method) -> bool {
+    method == Method::Head
+        || status.is_informational()
+        || matches!(status, StatusCode::NoContent | StatusCode::NotModified)
+}
+
+/// Whether the caller waits for an interim answer before it sends its body.
+pub fn expects_continue(request: &Request) -> bool {
+    request
+        .header(EXPECT)
+        .is_some_and(|values| values.as_str().eq_ignore_ascii_case(CONTINUE))
+}
+
+/// Whether the sender says that this is the last message of its connection.
+pub fn says_close(headers: &Headers) -> bool {
+    header_tokens(headers, &CONNECTION).any(|token| token.eq_ignore_ascii_case("close"))
+}
+
+/// The comma-separated tokens of all values of a header.
+pub fn header_tokens<'a>(headers: &'a Headers, name: &HeaderName) -> impl Iterator<Item = &'a str> {
+    headers
+        .get(name)
+        .into_iter()
+        .flat_map(|values| values.iter())
+        .flat_map(|value| value.as_str().split(','))
+        .map(str::trim)
+        .filter(|token| !token.is_empty())
+}
+
+fn declared_frame(headers: &Headers) -> Result<Option<BodyFrame>, HeadError> {
+    match (headers.get(CONTENT_LENGTH), headers.get(TRANSFER_ENCODING)) {
+        (None, None) => Ok(None),
+        (Some(_), Some(_)) => Err(HeadError::Length),
+        (Some(lengths), None) => match lengths.iter().count() {
+            1 => parse_length(lengths.as_str()).map(|length| Some(BodyFrame::Length(length))),
+            _ => Err(HeadError::Length),
+        },
+        (None, Some(encodings)) => {
+            let single = encodings.iter().count() == 1;
+            if single && encodings.as_str().eq_ignore_ascii_case("chunked") {
+                Ok(Some(BodyFrame::Chunked(chunk::ChunkScanner::default())))
+            } else {
+                Err(HeadError::Encoding)
+            }
+        }
+    }
+}
+
+fn parse_length(value: &str) -> Result<u64, HeadError> {
+    if value.is_empty() || !value.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(HeadError::Length);
+    }
+    value
+        .parse()
+        .ok()
+        .filter(|length| usize::try_from(*length).is_ok())
+        .ok_or(HeadError::Length)
+}
+
+fn check_host(headers: &Headers) -> Result<(), HeadError> {
+    let hosts = headers.get(HOST).ok_or(HeadError::Host)?;
+    let plain = !hosts.as_str().contains(HOST_BREAKERS);
+    if plain && hosts.iter().count() == 1 {
+        Ok(())
+    } else {
+        Err(HeadError::Host)
+    }
+}
+
+fn check_expectation(request: &Request) -> Result<(), HeadError> {
+    if request.header(EXPECT).is_some() && !expects_continue(request) {
+        return Err(HeadError::Expectation);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/dahliawood-wire/src/headers/mod.rs
@@ -0,0 +1,187 @@
+//! Headers that must not travel on, and those that are added on the way.
+
+use crate::head;
+use http_types::headers::{
+    AUTHORIZATION, CONNECTION, COOKIE, EXPECT, FORWARDED, HeaderName, Headers, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use http_types::{Request, url};
+use std::net::IpAddr;
+use std::str::FromStr;
+
+/// Names under which a key may come in the query or in a cookie.
+pub const KEY_PARAMETERS: [&str; 2] = ["access_token", "key"];
+/// Header of the request id.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Header of the caller's address in its older form.
+pub const X_FORWARDED_FOR: &str = "x-forwarded-for";
+/// The scheme of RFC 6750.
+const BEARER: &str = "bearer";
+/// Hop-by-hop headers that need not be named by `Connection`.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    CONNECTION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+];
+/// The same, without a constant of their own.
+const HOP_BY_HOP_OLD: [&str; 2] = ["keep-alive", "proxy-connection"];
+
+/// The key that a request shows.
+#[derive(Clone, PartialEq, Eq)]
+pub enum PresentedKey {
+    /// None.
+    Absent,
+    /// One, by whichever way.
+    Single(String),
+    /// Different ones, or a form that is not known: RFC 6750 has such a request refused.
+    Unclear,
+}
+
+impl std::fmt::Debug for PresentedKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        // A key must not reach a log.
+        formatter.write_str(match self {
+            Self::Absent => "Absent",
+            Self::Single(_) => "Single(..)",
+            Self::Unclear => "Unclear",
+        })
+    }
+}
+
+/// The key that a request shows in `Authorization`, its query or a cookie.
+pub fn presented_key(request: &Request) -> PresentedKey {
+    let mut keys = Vec::new();
+    for value in request.header(AUTHORIZATION).into_iter().flatten() {
+        match value.as_str().trim().split_once(' ') {
+            Some((scheme, key)) if scheme.eq_ignore_ascii_case(BEARER) => {
+                keys.push(key.trim().to_owned());
+            }
+            _ => return PresentedKey::Unclear,
+        }
+    }
+    keys.extend(
+        request
+            .url()
+            .query_pairs()
+            .filter(|(name, _)| is_key_name(name))
+            .map(|(_, value)| value.into_owned()),
+    );
+    keys.extend(
+        cookie_pairs(request)
+            .filter_map(|pair| pair.split_once('='))
+            .filter(|(name, _)| is_key_name(name.trim()))
+            .map(|(_, value)| value.trim().to_owned()),
+    );
+    keys.dedup();
+    match keys.len() {
+        0 => PresentedKey::Absent,
+        1 => PresentedKey::Single(keys.remove(0)),
+        _ => PresentedKey::Unclear,
+    }
+}
+
+/// Removes a key in whatever form it may have come.
+pub fn remove_keys(request: &mut Request) {
+    request.remove_header(AUTHORIZATION);
+    request.remove_header(PROXY_AUTHORIZATION);
+    remove_key_parameters(request.url_mut());
+    remove_key_cookies(request);
+}
+
+/// Removes what RFC 9110 keeps to one connection: the known headers and those that `Connection`
+/// names.
+pub fn remove_hop_by_hop(headers: &mut Headers) {
+    let named: Vec<HeaderName> = head::header_tokens(headers, &CONNECTION)
+        .filter_map(|token| HeaderName::from_str(token).ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP_OLD {
+        headers.remove(name);
+    }
+}
+
+/// What a forwarded request says of its way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForwardedBy<'a> {
+    /// The caller's address.
+    pub caller: IpAddr,
+    /// Names the request in logs and on the time line.
+    pub request_id: &'a str,
+}
+
+/// Makes a caller's request fit for a target: no key, nothing hop-by-hop, no expectation, and
+/// `Forwarded`, `X-Forwarded-For` and `X-Request-Id` set.
+///
+/// The addresses that a caller claims to forward for stay in front of its own, as RFC 7239 has it;
+/// only the last is known to be true.
+pub fn prepare_request(request: &mut Request, way: &ForwardedBy<'_>) {
+    remove_keys(request);
+    remove_hop_by_hop(request.as_mut());
+    request.remove_header(EXPECT);
+    let node = match way.caller {
+        IpAddr::V4(address) => format!("for={address}"),
+        IpAddr::V6(address) => format!("for=\"[{address}]\""),
+    };
+    append_listed(request, FORWARDED, &node);
+    append_listed(
+        request,
+        HeaderName::from(X_FORWARDED_FOR),
+        &way.caller.to_string(),
+    );
+    request.insert_header(REQUEST_ID, way.request_id);
+}
+
+fn append_listed(request: &mut Request, name: HeaderName, last: &str) {
+    let earlier = head::header_tokens(request.as_ref(), &name);
+    let listed: Vec<_> = earlier.chain([last]).collect();
+    let value = listed.join(", ");
+    request.insert_header(name, value);
+}
+
+fn is_key_name(name: &str) -> bool {
+    KEY_PARAMETERS
+        .iter()
+        .any(|parameter| name.eq_ignore_ascii_case(parameter))
+}
+
+fn cookie_pairs(request: &Request) -> impl Iterator<Item = &str> {
+    request
+        .header(COOKIE)
+        .into_iter()
+        .flatten()
+        .flat_map(|value| value.as_str().split(';'))
+        .map(str::trim)
+        .filter(|pair| !pair.is_empty())
+}
+
+fn remove_key_parameters(url: &mut url::Url) {
+    let Some(query) = url.query() else {
+        return;
+    };
+    let kept: Vec<_> = query.split('&').filter(|part| !is_key_part(part)).collect();
+    let kept = kept.join("&");
+    url.set_query(Some(kept.as_str()).filter(|query| !query.is_empty()));
+}
+
+/// Whether one part of a query, percent-decoded, carries a key.
+fn is_key_part(part: &str) -> bool {
+    url::Url::parse(&format!("http://host/?{part}"))
+        .is_ok_and(|url| url.query_pairs().any(|(name, _)| is_key_name(&name)))
+}
+
+fn remove_key_cookies(request: &mut Request) {
+    let kept: Vec<_> = cookie_pairs(request)
+        .filter(|pair| !is_key_name(pair.split('=').next().unwrap_or_default().trim()))
+        .collect();
+    let kept = kept.join("; ");
+    request.remove_header(COOKIE);
+    if !kept.is_empty() {
+        request.insert_header(COOKIE, kept);
+    }
+}
--- a/dahliawood-wire/src/lib.rs
+++ b/dahliawood-wire/src/lib.rs
@@ -1,3 +1,27 @@
 //! HTTP/1.1 messages over async-h1 with exact ends, bounded heads and clean headers.
+//!
+//! async-h1 parses and writes every message. This package puts a gate between it and the
+//! connection that hands out exactly one message, counts the bytes of its body and turns an early
+//! end into an error. On top stand a server loop for caller connections ([`server`]), one exchange
+//! with a target ([`client`]) and bounded pools of target connections ([`pool`]).
+//!
+//! It decides nothing about where a request goes, whether it is re-sent or who may send it.
+//!
+//! Shortcomings: trailers are read and dropped; an answer that ends with its connection is refused
+//! because a cut one looks the same; heads must be ASCII and shorter than 8 KiB; answers with a
+//! status that the `http-types` library does not know are refused; an answer without a content
+//! type is forwarded as `application/octet-stream`.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+pub mod body;
+pub mod chunk;
+pub mod client;
+pub mod gate;
+pub mod head;
+pub mod headers;
+pub mod pool;
+pub mod problem;
+pub mod server;
+pub mod simple;
+pub mod stream;
--- /dev/null
+++ b/dahliawood-wire/src/pool/mod.rs
@@ -0,0 +1,382 @@
+//! Bounded pools of connections to targets.
+//!
+//! A connection comes back only after an answer's body was read to its end and nothing followed it;
+//! a timeout, a cut body or a dropped exchange closes it. When one connection has gone silent, its
+//! siblings of the same age are closed instead of being tried one deadline after another.
+
+pub mod error;
+
+use crate::client;
+use async_std::future as timed;
+use async_std::net::TcpStream;
+use dahliawood_model::FastMap;
+use error::{CheckoutError, CheckoutSnafu, ConnectSnafu, ExchangeSnafu, PooledError};
+use http_types::Request;
+use snafu::ResultExt;
+use socket2::{SockRef, TcpKeepalive};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Bounds of the connections to each target.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolOptions {
+    /// Connections to one target from this VM, where [`TargetPool::set_limit`] set no other.
+    pub connections: usize,
+    /// How long a connection may wait unused.
+    pub idle_timeout: Duration,
+    /// How long opening one may take.
+    pub connect_timeout: Duration,
+    /// After how long without traffic TCP probes the other end, and how often.
+    pub tcp_keep_alive: Duration,
+    /// How long sent bytes may stay unacknowledged.
+    pub tcp_user_timeout: Duration,
+}
+
+impl Default for PoolOptions {
+    fn default() -> Self {
+        Self {
+            connections: 32,
+            idle_timeout: Duration::from_secs(30),
+            connect_timeout: Duration::from_millis(500),
+            tcp_keep_alive: Duration::from_secs(5),
+            tcp_user_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Which connection an exchange takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// Any that is free.
+    Any,
+    /// One used within this time, so that it has had little chance to go silent; else a new one.
+    UsedWithin(Duration),
+    /// A new one: for every retry.
+    Fresh,
+}
+
+/// Names a connection's target and its age among the target's connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionAge {
+    /// The target's address.
+    pub address: SocketAddr,
+    /// Raised each time a connection to the target was found silent.
+    pub generation: u64,
+}
+
+struct IdleConnection {
+    stream: TcpStream,
+    generation: u64,
+    since: Instant,
+}
+
+#[derive(Default)]
+struct TargetState {
+    limit: Option<usize>,
+    open: usize,
+    generation: u64,
+    idle: Vec<IdleConnection>,
+}
+
+/// How many connections to one target there are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolCount {
+    /// Open, idle ones included.
+    pub open: usize,
+    /// Idle.
+    pub idle: usize,
+}
+
+/// The connections of this VM to all targets; clones share them.
+#[derive(Clone)]
+pub struct TargetPool {
+    options: PoolOptions,
+    targets: Arc<Mutex<FastMap<SocketAddr, TargetState>>>,
+}
+
+impl TargetPool {
+    /// An empty pool.
+    pub fn new(options: PoolOptions) -> Self {
+        Self {
+            options,
+            targets: Arc::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, TargetState>> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets how many connections this VM may have to a target; those in use are not cut.
+    pub fn set_limit(&self, address: SocketAddr, limit: usize) {
+        self.lock().entry(address).or_default().limit = Some(limit);
+    }
+
+    /// Connections to a target.
+    pub fn count(&self, address: SocketAddr) -> PoolCount {
+        let targets = self.lock();
+        targets
+            .get(&address)
+            .map(|target| PoolCount {
+                open: target.open,
+                idle: target.idle.len(),
+            })
+            .unwrap_or_default()
+    }
+
+    /// Closes connections that have waited unused for too long; call it every second or so.
+    pub fn sweep(&self) {
+        let timeout = self.options.idle_timeout;
+        for target in self.lock().values_mut() {
+            target.retain_idle(|idle| idle.since.elapsed() < timeout);
+        }
+    }
+
+    /// Closes all idle connections to a target, for one that is leaving.
+    pub fn close_idle(&self, address: SocketAddr) {
+        if let Some(target) = self.lock().get_mut(&address) {
+            target.retain_idle(|_| false);
+        }
+    }
+
+    /// Takes note that a connection has gone silent: its siblings that are not younger are closed,
+    /// the idle ones now and those in use at their end.
+    pub fn report_silent(&self, age: ConnectionAge) {
+        let mut targets = self.lock();
+        let target = targets.entry(age.address).or_default();
+        target.generation = target.generation.max(age.generation + 1);
+        let generation = target.generation;
+        target.retain_idle(|idle| idle.generation >= generation);
+    }
+
+    /// Opens a connection to see whether new ones work, and keeps it for the next exchange.
+    ///
+    /// # Errors
+    /// There is no room for it, or the target does not take it.
+    pub async fn probe(&self, address: SocketAddr) -> Result<Duration, CheckoutError> {
+        let start = Instant::now();
+        let connection = self.checkout(address, ConnectionChoice::Fresh).await?;
+        let taken = start.elapsed();
+        connection.guard.finish(true);
+        Ok(taken)
+    }
+
+    /// Takes a connection to a target.
+    ///
+    /// # Errors
+    /// All are in use, or the target takes no new one. Nothing has been sent.
+    pub async fn checkout(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+    ) -> Result<PooledConnection, CheckoutError> {
+        let mut guard = match self.reserve(address, choice)? {
+            Reserved::Idle(connection) => return Ok(connection),
+            Reserved::Room(guard) => guard,
+        };
+        let connected = timed::timeout(self.options.connect_timeout, TcpStream::connect(address));
+        let stream = connected
+            .await
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+            .and_then(|stream| self.prepare(&stream).map(|()| stream))
+            .context(ConnectSnafu { address })?;
+        guard.stream = Some(stream.clone());
+        Ok(PooledConnection {
+            stream,
+            reused: false,
+            guard,
+        })
+    }
+
+    /// Runs one exchange with a target.
+    ///
+    /// Connections found stale before a byte was sent are passed over. A timeout on a reused
+    /// connection is taken for silence, see [`TargetPool::report_silent`].
+    ///
+    /// # Errors
+    /// No connection, or no usable answer; the verdict says whether the request may have run.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+        request: Request,
+        options: &client::ExchangeOptions,
+    ) -> Result<client::ExchangeOutcome, PooledError> {
+        let connection = self.live(address, choice).await.context(CheckoutSnafu)?;
+        let PooledConnection {
+            stream,
+            reused,
+            guard,
+        } = connection;
+        let age = guard.age;
+        let finish = move |reusable| guard.finish(reusable);
+        let exchanged = client::exchange(stream, request, options, finish).await;
+        if let Err(error) = &exchanged
+            && reused
+            && error.is_silence()
+        {
+            self.report_silent(age);
+        }
+        exchanged.context(ExchangeSnafu)
+    }
+
+    /// A connection that has not ended.
+    async fn live(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+    ) -> Result<PooledConnection, CheckoutError> {
+        loop {
+            let connection = self.checkout(address, choice).await?;
+            if !connection.reused || connection.is_quiet() {
+                return Ok(connection);
+            }
+        }
+    }
+
+    fn reserve(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+    ) -> Result<Reserved, CheckoutError> {
+        let mut targets = self.lock();
+        let target = targets.entry(address).or_default();
+        let limit = target.limit.unwrap_or(self.options.connections);
+        if let Some(idle) = target.take_idle(choice, self.options.idle_timeout) {
+            let guard = self.guard(address, idle.generation, Some(idle.stream.clone()));
+            return Ok(Reserved::Idle(PooledConnection {
+                stream: idle.stream,
+                reused: true,
+                guard,
+            }));
+        }
+        if target.open >= limit && !target.idle.is_empty() {
+            target.idle.remove(0);
+            target.open -= 1;
+        }
+        if target.open >= limit {
+            return Err(CheckoutError::Exhausted { address, limit });
+        }
+        target.open += 1;
+        Ok(Reserved::Room(self.guard(address, target.generation, None)))
+    }
+
+    fn guard(
+        &self,
+        address: SocketAddr,
+        generation: u64,
+        stream: Option<TcpStream>,
+    ) -> ConnectionGuard {
+        ConnectionGuard {
+            pool: self.clone(),
+            age: ConnectionAge {
+                address,
+                generation,
+            },
+            stream,
+        }
+    }
+
+    fn prepare(&self, stream: &TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let socket = SockRef::from(stream);
+        let period = self.options.tcp_keep_alive;
+        let probes = TcpKeepalive::new().with_time(period).with_interval(period);
+        socket.set_tcp_keepalive(&probes)?;
+        socket.set_tcp_user_timeout(Some(self.options.tcp_user_timeout))
+    }
+}
+
+impl TargetState {
+    fn take_idle(&mut self, choice: ConnectionChoice, timeout: Duration) -> Option<IdleConnection> {
+        let longest = match choice {
+            ConnectionChoice::Any => timeout,
+            ConnectionChoice::UsedWithin(span) => span.min(timeout),
+            ConnectionChoice::Fresh => return None,
+        };
+        // The one used last is the least likely to have gone silent.
+        let idle = self.idle.pop_if(|idle| idle.since.elapsed() < longest)?;
+        Some(idle)
+    }
+
+    fn retain_idle(&mut self, keep: impl FnMut(&IdleConnection) -> bool) {
+        let mut keep = keep;
+        let before = self.idle.len();
+        self.idle.retain(|idle| keep(idle));
+        self.open -= before - self.idle.len();
+    }
+}
+
+enum Reserved {
+    Idle(PooledConnection),
+    Room(ConnectionGuard),
+}
+
+/// A connection taken from a pool.
+pub struct PooledConnection {
+    /// The connection.
+    pub stream: TcpStream,
+    /// Whether it has served an exchange before.
+    pub reused: bool,
+    /// Its place in the pool.
+    pub guard: ConnectionGuard,
+}
+
+impl PooledConnection {
+    /// Whether the other end has neither closed it nor sent anything unasked.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// A place in a pool: dropped, it closes the connection and frees the place.
+pub struct ConnectionGuard {
+    pool: TargetPool,
+    age: ConnectionAge,
+    stream: Option<TcpStream>,
+}
+
+impl ConnectionGuard {
+    /// Which connection it is.
+    pub fn age(&self) -> ConnectionAge {
+        self.age
+    }
+
+    /// Gives the connection back where it is `reusable` and its target not found silent since.
+    pub fn finish(mut self, reusable: bool) {
+        if !reusable {
+            return;
+        }
+        let pool = self.pool.clone();
+        let mut targets = pool.lock();
+        let Some(target) = targets.get_mut(&self.age.address) else {
+            return;
+        };
+        let limit = target.limit.unwrap_or(pool.options.connections);
+        if self.age.generation < target.generation || target.open > limit {
+            return;
+        }
+        if let Some(stream) = self.stream.take() {
+            target.idle.push(IdleConnection {
+                stream,
+                generation: self.age.generation,
+                since: Instant::now(),
+            });
+            // The place stays taken by the idle connection.
+            target.open += 1;
+        }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.stream = None;
+        if let Some(target) = self.pool.lock().get_mut(&self.age.address) {
+            target.open -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-wire/src/server/mod.rs
@@ -0,0 +1,348 @@
+//! The keep-alive loop over one caller connection.
+
+pub mod error;
+mod refuse;
+
+use crate::{body, gate, head, stream};
+use async_std::future as timed;
+use error::{AnswerCutSnafu, ConnectionError, ReceiveSnafu};
+use futures::future::{self, Either};
+use futures::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use http_types::headers::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http_types::{Body, Method, Request, Response, StatusCode};
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::time::{Duration, Instant};
+
+/// The longest head that async-h1 takes, bytes.
+pub const HEAD_BYTES: usize = 8 * 1024 - 1;
+/// How often an idle connection looks whether the VM is closing.
+const CLOSING_POLL: Duration = Duration::from_millis(200);
+
+/// Bounds of a caller connection.
+#[derive(Clone, Debug)]
+pub struct ConnectionOptions {
+    /// The caller's address, set on each request.
+    pub peer: Option<SocketAddr>,
+    /// The longest head, bytes; at most [`HEAD_BYTES`].
+    pub head_bound: usize,
+    /// How long a head may take from its first byte.
+    pub head_timeout: Duration,
+    /// How long the connection may be idle between requests.
+    pub keep_alive: Duration,
+    /// How long an idle connection is kept once the VM is closing.
+    pub closing_keep_alive: Duration,
+    /// How long a body may go without a byte, in either direction.
+    pub stall_timeout: Duration,
+    /// How much of an unread request body is read away, bytes.
+    pub drain_bytes: u64,
+    /// How long reading it away may take.
+    pub drain_timeout: Duration,
+    /// Whether the handler is dropped when the caller leaves. A handler that must not be cut short
+    /// runs its work in a task of its own.
+    pub cancel_on_leave: bool,
+}
+
+impl Default for ConnectionOptions {
+    fn default() -> Self {
+        Self {
+            peer: None,
+            head_bound: HEAD_BYTES,
+            head_timeout: Duration::from_secs(10),
+            keep_alive: Duration::from_secs(75),
+            closing_keep_alive: Duration::from_millis(500),
+            stall_timeout: Duration::from_secs(20),
+            drain_bytes: 256 * 1024,
+            drain_timeout: Duration::from_secs(2),
+            cancel_on_leave: true,
+        }
+    }
+}
+
+/// How a connection came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The caller closed it between requests.
+    CallerClosed,
+    /// The caller closed it inside a request or before its answer.
+    CallerLeft,
+    /// It was idle for too long.
+    Idle,
+    /// One side asked for it with `Connection: close`, or the VM is closing.
+    Closed,
+    /// A request was refused before the handler saw it.
+    Refused(StatusCode),
+    /// Too much of a request body was left unread.
+    Undrained,
+}
+
+/// What a connection did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionOutcome {
+    /// Requests answered by the handler.
+    pub served: u64,
+    /// How it ended.
+    pub end: ConnectionEnd,
+}
+
+/// Serves requests from one caller connection, in their order, until it ends.
+///
+/// `closing` says whether the VM is shutting down: answers then carry `Connection: close`. The
+/// handler sees only requests whose framing is beyond doubt. An answer that fails or falls short
+/// ends the connection without its last chunk or byte.
+///
+/// # Errors
+/// The connection failed, or an answer was cut.
+pub async fn connection<IO, H, F, C>(
+    stream: IO,
+    options: &ConnectionOptions,
+    closing: C,
+    handler: H,
+) -> Result<ConnectionOutcome, ConnectionError>
+where
+    IO: stream::WireStream,
+    H: Fn(Request) -> F,
+    F: Future<Output = Response> + Send,
+    C: Fn() -> bool,
+{
+    let gate = gate::MessageGate::new(stream.clone(), options.stall_timeout);
+    let mut caller = CallerConnection {
+        stream,
+        gate,
+        options,
+        served: 0,
+    };
+    loop {
+        let step = caller.serve_one(&closing, &handler).await;
+        match step {
+            Ok(Step::Next) => {}
+            Ok(Step::End(end)) => {
+                caller.close().await;
+                let served = caller.served;
+                return Ok(ConnectionOutcome { served, end });
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+enum Step {
+    Next,
+    End(ConnectionEnd),
+}
+
+struct CallerConnection<'a, IO> {
+    stream: IO,
+    gate: gate::MessageGate<IO>,
+    options: &'a ConnectionOptions,
+    served: u64,
+}
+
+impl<IO: stream::WireStream> CallerConnection<'_, IO> {
+    async fn serve_one<H, F, C>(
+        &mut self,
+        closing: &C,
+        handler: &H,
+    ) -> Result<Step, ConnectionError>
+    where
+        H: Fn(Request) -> F,
+        F: Future<Output = Response> + Send,
+        C: Fn() -> bool,
+    {
+        let arrival = match self.await_head(closing).await? {
+            Ok(arrival) => arrival,
+            Err(step) => return Ok(step),
+        };
+        let request = match arrival {
+            gate::HeadArrival::Found => self.decode().await,
+            gate::HeadArrival::Refused(error) => Err(error),
+            gate::HeadArrival::Ended { partial } => {
+                let end = if partial {
+                    ConnectionEnd::CallerLeft
+                } else {
+                    ConnectionEnd::CallerClosed
+                };
+                return Ok(Step::End(end));
+            }
+        };
+        match request {
+            Ok(request) => self.answer(request, closing, handler).await,
+            Err(error) => self.refuse(error.status(), &error.to_string()).await,
+        }
+    }
+
+    /// The next head, or the step that its absence makes.
+    async fn await_head<C: Fn() -> bool>(
+        &mut self,
+        closing: &C,
+    ) -> Result<Result<gate::HeadArrival, Step>, ConnectionError> {
+        let idle = Instant::now();
+        let mut begun = self.gate.has_received().then_some(idle);
+        loop {
+            let next = self.gate.next_head(self.options.head_bound);
+            if let Ok(arrival) =
+                timed::timeout(CLOSING_POLL.min(self.wait_left(begun, idle)), next).await
+            {
+                return arrival.context(ReceiveSnafu).map(Ok);
+            }
+            if begun.is_none() && self.gate.has_received() {
+                begun = Some(Instant::now());
+            }
+            let limit = match begun {
+                Some(_) => self.options.head_timeout,
+                None if closing() => self.options.closing_keep_alive.min(self.options.keep_alive),
+                None => self.options.keep_alive,
+            };
+            if begun.unwrap_or(idle).elapsed() < limit {
+                continue;
+            }
+            return Ok(Err(match begun {
+                Some(_) => {
+                    self.refuse(StatusCode::RequestTimeout, "the head took too long")
+                        .await?
+                }
+                None if closing() => Step::End(ConnectionEnd::Closed),
+                None => Step::End(ConnectionEnd::Idle),
+            }));
+        }
+    }
+
+    fn wait_left(&self, begun: Option<Instant>, idle: Instant) -> Duration {
+        let limit = match begun {
+            Some(begun) => self.options.head_timeout.saturating_sub(begun.elapsed()),
+            None => self.options.keep_alive.saturating_sub(idle.elapsed()),
+        };
+        limit.max(Duration::from_millis(1))
+    }
+
+    async fn decode(&mut self) -> Result<Request, head::error::HeadError> {
+        let malformed = |reason: String| head::error::HeadError::Malformed { reason };
+        let (mut request, _) = Box::pin(async_h1::server::decode(self.gate.reader()))
+            .await
+            .map_err(|error| malformed(error.to_string()))?
+            .ok_or_else(|| malformed("the head is not whole".to_owned()))?;
+        let frame = head::request_frame(&request)?;
+        self.gate.begin_body(frame, None);
+        if let head::BodyFrame::Length(length) = frame {
+            let reader = BufReader::with_capacity(body::BUFFER_BYTES, self.gate.reader());
+            request.set_body(Body::from_reader(reader, usize::try_from(length).ok()));
+        }
+        if head::expects_continue(&request) && !frame.is_ended() {
+            self.gate.ask_for_body();
+        }
+        request.set_peer_addr(self.options.peer);
+        Ok(request)
+    }
+
+    async fn answer<H, F, C>(
+        &mut self,
+        request: Request,
+        closing: &C,
+        handler: &H,
+    ) -> Result<Step, ConnectionError>
+    where
+        H: Fn(Request) -> F,
+        F: Future<Output = Response> + Send,
+        C: Fn() -> bool,
+    {
+        let method = request.method();
+        let caller_closes = head::says_close(request.as_ref());
+        let Some(mut response) = self.handle(request, handler).await else {
+            return Ok(Step::End(ConnectionEnd::CallerLeft));
+        };
+        let unasked = self.gate.awaits_ask();
+        let close = caller_closes || unasked || closing() || head::says_close(response.as_ref());
+        if close {
+            response.insert_header(CONNECTION, "close");
+        }
+        self.write(response, method).await.context(AnswerCutSnafu)?;
+        self.served += 1;
+        if close {
+            return Ok(Step::End(ConnectionEnd::Closed));
+        }
+        if !self.drain_body().await {
+            return Ok(Step::End(ConnectionEnd::Undrained));
+        }
+        Ok(Step::Next)
+    }
+
+    /// The handler's answer, or `None` where the caller left first and the handler was dropped.
+    async fn handle<H, F>(&self, request: Request, handler: &H) -> Option<Response>
+    where
+        H: Fn(Request) -> F,
+        F: Future<Output = Response> + Send,
+    {
+        let running = std::pin::pin!(handler(request));
+        let left = std::pin::pin!(self.gate.left());
+        match future::select(running, left).await {
+            Either::Left((response, _)) => Some(response),
+            Either::Right(((), _)) if self.options.cancel_on_leave => None,
+            Either::Right(((), running)) => Some(running.await),
+        }
+    }
+
+    async fn write(
+        &mut self,
+        response: Response,
+        method: Method,
+    ) -> Result<(), stream::TransferError> {
+        let written = AtomicU64::new(0);
+        let mut encoder = encoder(response, method);
+        let stall = self.options.stall_timeout;
+        stream::transfer(&mut encoder, &mut self.stream, stall, &written).await
+    }
+
+    /// Reads away what the handler left of the body; false where that goes beyond the bounds.
+    async fn drain_body(&mut self) -> bool {
+        if self.gate.is_ended() {
+            return true;
+        }
+        let reader = self.gate.reader();
+        let mut reader = reader.take(self.options.drain_bytes);
+        let mut sink = futures::io::sink();
+        let drained = futures::io::copy(&mut reader, &mut sink);
+        let drained = timed::timeout(self.options.drain_timeout, drained).await;
+        matches!(drained, Ok(Ok(_))) && self.gate.is_ended()
+    }
+
+    /// Ends the connection so that what was written still reaches the caller.
+    ///
+    /// Closing with bytes unread would reset the connection and might take the answer along.
+    async fn close(&mut self) {
+        let linger = async {
+            self.stream.close().await?;
+            let mut rest = self.stream.clone().take(self.options.drain_bytes);
+            futures::io::copy(&mut rest, &mut futures::io::sink()).await
+        };
+        let lingered = timed::timeout(self.options.drain_timeout, linger).await;
+        if let Ok(Err(error)) = lingered {
+            log::trace!("closing a caller connection: {error}");
+        }
+    }
+}
+
+/// The encoder of an answer, whose framing headers are made to agree with its body.
+fn encoder(mut response: Response, method: Method) -> async_h1::server::Encoder {
+    let length = response
+        .remove_header(CONTENT_LENGTH)
+        .and_then(|values| values.as_str().parse().ok());
+    response.remove_header(TRANSFER_ENCODING);
+    let bodiless = head::is_bodiless(response.status(), method);
+    let head_only = bodiless && response.status() != StatusCode::NoContent;
+    if response.status() == StatusCode::NoContent {
+        response.set_body(Body::empty());
+    } else if head_only {
+        let length = length.or(response.len().filter(|length| *length > 0));
+        response.set_body(body::declared(length));
+    } else {
+        let unread = response.take_body();
+        let unread = match unread.len() {
+            None => Body::from_reader(unread, length),
+            Some(_) => unread,
+        };
+        response.set_body(body::counted(unread));
+    }
+    let method = if head_only { Method::Head } else { method };
+    async_h1::server::Encoder::new(response, method)
+}
--- /dev/null
+++ b/dahliawood-wire/src/stream/mod.rs
@@ -0,0 +1,109 @@
+//! What a connection has to offer, and writing whole messages to it.
+
+use async_std::future as timed;
+use futures::future;
+use futures::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::Poll;
+use std::time::Duration;
+
+/// Bytes encoded before they are written.
+const BATCH_BYTES: usize = 64 * 1024;
+/// Room that the chunk encoder of async-h1 is always given, bytes.
+const LEAST_ROOM: usize = 256;
+
+/// A connection whose clones share one socket.
+pub trait WireStream: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static {}
+
+impl<T> WireStream for T where T: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static {}
+
+/// Why a message was not written to its end.
+#[derive(Debug, snafu::Snafu)]
+#[snafu(visibility(pub))]
+pub enum TransferError {
+    /// The message itself could not be produced: its body failed or fell short.
+    #[snafu(display("the body could not be read to its end"))]
+    Produce {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The connection did not take it.
+    #[snafu(display("the connection took no more bytes"))]
+    Accept {
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// Writes all that `message` yields, flushing whenever it has nothing more at once.
+///
+/// `written` counts the bytes that the connection took, also where this is dropped half-way. A
+/// write that makes no progress for `stall` fails.
+///
+/// # Errors
+/// The message's own failure or the connection's, told apart.
+pub async fn transfer<M, W>(
+    message: &mut M,
+    output: &mut W,
+    stall: Duration,
+    written: &AtomicU64,
+) -> Result<(), TransferError>
+where
+    M: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
+    let mut batch = vec![0; BATCH_BYTES];
+    loop {
+        let filled = fill(message, &mut batch)
+            .await
+            .map_err(|source| TransferError::Produce { source })?;
+        if filled == 0 {
+            break;
+        }
+        write_counted(output, &batch[..filled], stall, written)
+            .await
+            .map_err(|source| TransferError::Accept { source })?;
+    }
+    output
+        .flush()
+        .await
+        .map_err(|source| TransferError::Accept { source })
+}
+
+async fn fill<M: AsyncRead + Unpin>(message: &mut M, batch: &mut [u8]) -> io::Result<usize> {
+    let mut filled = 0;
+    future::poll_fn(|context| {
+        while filled + LEAST_ROOM <= batch.len() {
+            match Pin::new(&mut *message).poll_read(context, &mut batch[filled..]) {
+                Poll::Ready(Ok(0)) => break,
+                Poll::Ready(Ok(count)) => filled += count,
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending if filled > 0 => break,
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        Poll::Ready(Ok(filled))
+    })
+    .await
+}
+
+async fn write_counted<W: AsyncWrite + Unpin>(
+    output: &mut W,
+    mut bytes: &[u8],
+    stall: Duration,
+    written: &AtomicU64,
+) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let count = timed::timeout(stall, output.write(bytes))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        written.fetch_add(count as u64, Ordering::Relaxed);
+        bytes = &bytes[count..];
+    }
+    Ok(())
+}
--- /dev/null
+++ b/dahliawood-wire/tests/main/loopback/mod.rs
@@ -0,0 +1,148 @@
+//! The server loop, the pool and the one-shot call over real sockets.
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use dahliawood_wire::{client, pool, server, simple};
+use futures::io::{AsyncReadExt, AsyncWriteExt};
+use futures::stream::StreamExt;
+use http_types::{Request, Response, Url};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+async fn echo(mut request: Request) -> Response {
+    let mut response = Response::new(200);
+    response.insert_header("x-path", request.url().path());
+    response.set_body(request.take_body());
+    response
+}
+
+/// A server in this process that echoes bodies.
+pub async fn echo_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        let mut incoming = listener.incoming();
+        while let Some(Ok(stream)) = incoming.next().await {
+            task::spawn(async move {
+                let options = server::ConnectionOptions::default();
+                server::connection(stream, &options, || false, echo).await
+            });
+        }
+    });
+    address
+}
+
+#[async_std::test]
+async fn a_call_is_answered() {
+    let address = echo_server().await;
+    let url = format!("http://{address}/some/path?x=1");
+    let mut options = simple::CallOptions::new("POST", &url);
+    options.body = "text";
+    let outcome = simple::call(&options).await.unwrap();
+    assert_eq!(outcome.status, 200);
+    assert_eq!(outcome.header("x-path"), Some("/some/path"));
+    assert_eq!(outcome.text(), "text");
+}
+
+#[async_std::test]
+async fn a_connection_is_reused_after_its_body_was_read() {
+    let address = echo_server().await;
+    let pool = pool::TargetPool::new(pool::PoolOptions::default());
+    for round in 0..3 {
+        let text = format!("round {round}");
+        let read = exchange(&pool, address, pool::ConnectionChoice::Any, &text).await;
+        assert_eq!(read, text);
+        assert_eq!(pool.count(address), pool::PoolCount { open: 1, idle: 1 });
+    }
+    exchange(&pool, address, pool::ConnectionChoice::Fresh, "fresh").await;
+    assert_eq!(pool.count(address), pool::PoolCount { open: 2, idle: 2 });
+}
+
+async fn exchange(
+    pool: &pool::TargetPool,
+    address: SocketAddr,
+    choice: pool::ConnectionChoice,
+    text: &str,
+) -> String {
+    let mut request = Request::post(Url::parse(&format!("http://{address}/")).unwrap());
+    request.set_body(text);
+    let options = client::ExchangeOptions::default();
+    let outcome = pool.exchange(address, choice, request, &options).await;
+    let mut response = outcome.unwrap().response;
+    response.body_string().await.unwrap()
+}
+
+#[async_std::test]
+async fn an_unread_answer_closes_its_connection() {
+    let address = echo_server().await;
+    let pool = pool::TargetPool::new(pool::PoolOptions::default());
+    let mut request = Request::post(Url::parse(&format!("http://{address}/")).unwrap());
+    request.set_body("text");
+    let options = client::ExchangeOptions::default();
+    let choice = pool::ConnectionChoice::Any;
+    let outcome = pool.exchange(address, choice, request, &options).await;
+    assert_eq!(pool.count(address), pool::PoolCount { open: 1, idle: 0 });
+    drop(outcome);
+    assert_eq!(pool.count(address), pool::PoolCount { open: 0, idle: 0 });
+}
+
+#[async_std::test]
+async fn connections_are_bounded_and_a_refusal_says_not_run() {
+    let address = echo_server().await;
+    let pool = pool::TargetPool::new(pool::PoolOptions::default());
+    pool.set_limit(address, 1);
+    let held = pool.checkout(address, pool::ConnectionChoice::Any).await;
+    let request = Request::get(Url::parse(&format!("http://{address}/")).unwrap());
+    let options = client::ExchangeOptions::default();
+    let choice = pool::ConnectionChoice::Any;
+    let error = pool
+        .exchange(address, choice, request, &options)
+        .await
+        .unwrap_err();
+    assert_eq!(error.verdict().to_string(), "not-run");
+    drop(held);
+    exchange(&pool, address, pool::ConnectionChoice::Any, "again").await;
+}
+
+#[async_std::test]
+async fn a_silent_connection_takes_its_siblings_along() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = task::spawn(async move {
+        let mut streams: Vec<TcpStream> = Vec::new();
+        for _ in 0..3 {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            answer_once(&mut stream).await;
+            streams.push(stream);
+        }
+        streams
+    });
+    let pool = pool::TargetPool::new(pool::PoolOptions::default());
+    for _ in 0..2 {
+        exchange(&pool, address, pool::ConnectionChoice::Fresh, "").await;
+    }
+    assert_eq!(pool.count(address).idle, 2);
+    let request = Request::get(Url::parse(&format!("http://{address}/")).unwrap());
+    let options = client::ExchangeOptions {
+        answer_timeout: Duration::from_millis(50),
+        ..client::ExchangeOptions::default()
+    };
+    let choice = pool::ConnectionChoice::Any;
+    let error = pool.exchange(address, choice, request, &options).await;
+    assert_eq!(error.unwrap_err().verdict().to_string(), "may-have-run");
+    assert_eq!(pool.count(address), pool::PoolCount::default());
+    exchange(&pool, address, pool::ConnectionChoice::Any, "").await;
+    assert_eq!(pool.count(address), pool::PoolCount { open: 1, idle: 1 });
+    drop(target.await);
+}
+
+async fn answer_once(stream: &mut TcpStream) {
+    let mut seen = Vec::new();
+    let mut piece = [0; 1024];
+    while !seen.windows(4).any(|window| window == b"\r\n\r\n") {
+        let count = stream.read(&mut piece).await.unwrap();
+        seen.extend_from_slice(&piece[..count]);
+    }
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    stream.write_all(answer).await.unwrap();
+}
