feat(daemon,cli): the whole path over shares, loans, acceptance and steering

Cause: the packages need to act together in one process and over the wire. Change: the daemon follows accepted revisions, runs the allowance book, answers look-ups and forwards; the command line applies files and runs a demo fleet.

--- a/dahliawood-cli/src/check/mod.rs
+++ b/dahliawood-cli/src/check/mod.rs
@@ -91,7 +91,7 @@
         })?,
         status => return Err(CommandFailure::Unreachable(format!("status {status}"))),
     };
-    let changes = diff::changes(&before, &file.config);
+    let changes = diff::between(&before, &file.config);
     output.show(&changes, || match changes.is_empty() {
         true => println!("no change"),
         false => changes.iter().for_each(|change| println!("{change}")),
--- /dev/null
+++ b/dahliawood-daemon/src/control/allowance/mod.rs
@@ -0,0 +1,164 @@
+//! Runs the allowance book: its ticks, its messages to other VMs, and its document in the store.
+
+use crate::control::ControlState;
+use crate::{clock, shared};
+use async_std::future::timeout;
+use async_std::task;
+use dahliawood_model::FastMap;
+use dahliawood_model::tables;
+use dahliawood_peer::allowance;
+use dahliawood_quota::book::{self, effect};
+use dahliawood_quota::shares::{document, holder};
+use dahliawood_quota::{limit, member, message, options};
+use dahliawood_store::client;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The key of the share document in the store.
+pub const SHARES_KEY: &str = "dahliawood/shares";
+
+/// Time between two ticks where nothing waits.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Gives the book the limits of a configuration; makes the book where there is none yet.
+pub fn configure(
+    shared: &shared::SharedState,
+    revision: u64,
+    config: &tables::FleetConfig,
+) {
+    let now = clock::now();
+    let mut desk = shared.desk.lock();
+    let book = desk.book.get_or_insert_with(|| {
+        let entry = own_entry(shared, config);
+        book::QuotaBook::new(entry, options::QuotaOptions::default(), now)
+    });
+    book.configure(revision, limit::fleet_limits(config), now);
+}
+
+/// This VM as the share document has it.
+fn own_entry(
+    shared: &shared::SharedState,
+    config: &tables::FleetConfig,
+) -> member::MemberEntry {
+    let domain = shared.settings.domain.clone();
+    let found = config.domains.find(|spec| spec.name == domain);
+    let region = found.map(|(_, spec)| config.regions[spec.region].name.clone());
+    let region = region.unwrap_or_default();
+    member::MemberEntry { id: shared.me, region, domain, leaving: false, epoch: 0 }
+}
+
+/// Ticks until the task is cancelled, sooner where a request waits.
+pub async fn run(state: Rc<RefCell<ControlState>>) {
+    let shared = state.borrow().shared.clone();
+    loop {
+        // Either a request waits, or the interval is over.
+        let _nudged = timeout(TICK_INTERVAL, shared.desk.nudged.recv()).await;
+        let effects = {
+            let mut desk = shared.desk.lock();
+            let now = clock::now();
+            desk.book.as_mut().map(|book| book.tick(now)).unwrap_or_default()
+        };
+        carry_out(&state, effects);
+    }
+}
+
+/// Takes in messages of another VM.
+pub fn take(state: &Rc<RefCell<ControlState>>, batch: allowance::AllowanceBatch) {
+    let shared = state.borrow().shared.clone();
+    let mut effects = Vec::new();
+    {
+        let mut desk = shared.desk.lock();
+        let Some(book) = desk.book.as_mut() else { return };
+        for message in batch.messages {
+            effects.extend(book.receive(batch.from, message, clock::now()));
+        }
+    }
+    carry_out(state, effects);
+}
+
+/// Carries out what the book asks for.
+fn carry_out(state: &Rc<RefCell<ControlState>>, effects: Vec<effect::QuotaEffect>) {
+    let mut outgoing: FastMap<member::HolderId, Vec<message::QuotaMessage>> = FastMap::default();
+    for effect in effects {
+        match effect {
+            effect::QuotaEffect::Send { to, message } => outgoing.entry(to).or_default().push(message),
+            effect::QuotaEffect::ReadShares => {
+                task::spawn_local(read_shares(Rc::clone(state)));
+            }
+            effect::QuotaEffect::WriteShares(write) => {
+                task::spawn_local(write_shares(Rc::clone(state), write));
+            }
+            effect::QuotaEffect::Resolved { ticket, admission } => {
+                state.borrow().shared.desk.lock().resolve(ticket, admission);
+            }
+        }
+    }
+    for (to, messages) in outgoing {
+        task::spawn_local(send(Rc::clone(state), to, messages));
+    }
+}
+
+/// Sends messages to another VM; what is lost, the book makes good by itself.
+async fn send(
+    state: Rc<RefCell<ControlState>>,
+    to: member::HolderId,
+    messages: Vec<message::QuotaMessage>,
+) {
+    let (peers, from) = {
+        let state = state.borrow();
+        (state.peers.clone(), state.shared.me)
+    };
+    let Ok(connection) = peers.connection(to.address).await else { return };
+    let batch = allowance::AllowanceBatch { from, messages };
+    if let Err(error) = connection.quota(&batch).await {
+        log::debug!("{to} did not take messages about allowance: {error}");
+        peers.forget(to.address, &connection);
+    }
+}
+
+/// Reads the share document and passes it on.
+async fn read_shares(state: Rc<RefCell<ControlState>>) {
+    let store = state.borrow().store.clone();
+    let read = (store.get)(SHARES_KEY.to_owned()).await;
+    state.borrow_mut().note_store(read.is_ok());
+    let Ok(entry) = read else { return };
+    let version = document::ShareVersion(entry.version);
+    let parsed = entry.value.as_deref().map(serde_json::from_str).transpose();
+    match parsed {
+        Ok(document) => {
+            let shared = state.borrow().shared.clone();
+            let mut desk = shared.desk.lock();
+            let Some(book) = desk.book.as_mut() else { return };
+            book.share_read(document, version, clock::now());
+        }
+        Err(error) => log::error!("the share document in the store cannot be read: {error}"),
+    }
+}
+
+/// Writes the share document and passes on what became of it.
+async fn write_shares(state: Rc<RefCell<ControlState>>, write: holder::ShareWrite) {
+    let value = match serde_json::to_string(&write.document) {
+        Ok(value) => value,
+        Err(error) => return log::error!("the share document cannot be written: {error}"),
+    };
+    let store = state.borrow().store.clone();
+    let expected = Some(write.base.map_or(0, |version| version.0));
+    let call =
+        client::PutCall { key: SHARES_KEY.to_owned(), value, expected, lease: None };
+    let written = (store.put)(call).await;
+    let is_answered = !matches!(&written, Err(error) if error.effect() == client::error::WriteEffect::Possible);
+    state.borrow_mut().note_store(is_answered);
+    let outcome = match written {
+        Ok(version) => holder::WriteOutcome::Applied(document::ShareVersion(version)),
+        Err(error) if error.effect() == client::error::WriteEffect::Possible => {
+            holder::WriteOutcome::Unknown
+        }
+        Err(_) => holder::WriteOutcome::Conflict,
+    };
+    let shared = state.borrow().shared.clone();
+    let mut desk = shared.desk.lock();
+    if let Some(book) = desk.book.as_mut() {
+        book.share_written(write.serial, outcome, clock::now());
+    }
+}
--- a/dahliawood-daemon/src/control/beats/mod.rs
+++ b/dahliawood-daemon/src/control/beats/mod.rs
@@ -1,6 +1,6 @@
 //! Exchanges beats with other VMs, and asks for what they have in force above the own revision.
 
-use crate::control::{ControlState, members};
+use crate::control::{ControlState, follow, members};
 use crate::{clock, counters};
 use async_std::task;
 use dahliawood_events::clock as hybrid;
@@ -11,8 +11,6 @@
 
 /// Time between two beats to one VM.
 const BEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// The most that a call to another VM may take.
-const CALL_DEADLINE: Duration = Duration::from_millis(1_000);
 
 /// This VM's own beat.
 pub fn own_beat(state: &ControlState) -> message::VmBeat {
@@ -35,12 +33,10 @@
 
 /// Beats to one VM until it is no longer a member.
 pub async fn run(state: Rc<RefCell<ControlState>>, member: members::VmMember) {
-    let mut connection = None;
     while state.borrow().is_member(&member) {
-        let ended = exchange(&state, &member, &mut connection).await;
+        let ended = exchange(&state, &member).await;
         state.borrow().shared.counters.count(counters::CounterKind::Beats);
         if let Err(error) = ended {
-            connection = None;
             state.borrow().shared.counters.count(counters::CounterKind::BeatsFailed);
             log::debug!("no beat from {}: {error}", member.name);
         }
@@ -53,15 +49,21 @@
 async fn exchange(
     state: &Rc<RefCell<ControlState>>,
     member: &members::VmMember,
-    connection: &mut Option<client::PeerClient>,
 ) -> Result<(), client::error::CallError> {
-    let peer = match connection {
-        Some(peer) => peer,
-        None => {
-            let options = client::CallOptions { deadline: CALL_DEADLINE };
-            connection.insert(client::connect(member.peer, options).await?)
-        }
-    };
+    let peers = state.borrow().peers.clone();
+    let peer = peers.connection(member.peer).await?;
+    let ended = exchange_over(state, &peer).await;
+    if ended.is_err() {
+        peers.forget(member.peer, &peer);
+    }
+    ended
+}
+
+/// The same, over a connection.
+async fn exchange_over(
+    state: &Rc<RefCell<ControlState>>,
+    peer: &client::PeerClient,
+) -> Result<(), client::error::CallError> {
     let beat = own_beat(&state.borrow());
     let answer = peer.beat(&beat).await?;
     take_beat(&mut state.borrow_mut(), &answer);
@@ -69,7 +71,7 @@
         return Ok(());
     }
     if let Some(file) = peer.config(beat.revision).await? {
-        state.borrow_mut().take_file(file.revision, file.text);
+        follow::take(&state.borrow().keeper, &file);
     }
     Ok(())
 }
--- a/dahliawood-daemon/src/control/install/mod.rs
+++ b/dahliawood-daemon/src/control/install/mod.rs
@@ -2,75 +2,61 @@
 
 pub mod error;
 
+use crate::control::{allowance, members};
 use crate::{clock, shared, snapshot};
-use dahliawood_config::{canonical, parse};
+use dahliawood_config::parse;
 use dahliawood_events::kind;
 use dahliawood_model::tables;
 use dahliawood_steer::{lookup, target};
+use dahliawood_store::revision::keeper;
 use snafu::OptionExt;
 use std::sync::Arc;
 
-/// An accepted file with its place in the order of revisions.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AcceptedFile {
-    /// Revision number.
-    pub revision: u64,
-    /// The file.
-    pub text: String,
-}
-
-/// Checks whether this VM could bring a file into force.
+/// Checks whether a VM of a failure domain could bring a file into force.
 ///
 /// # Errors
 /// Says why not: mistakes in the file, or a failure domain that it does not declare.
-pub fn check(
-    domain: &str,
-    file: AcceptedFile,
-) -> Result<snapshot::ConfigState, error::InstallError> {
-    let checked = parse::file("accepted", &file.text);
+pub fn check(domain: &str, text: &str) -> Result<tables::FleetConfig, error::InstallError> {
+    let checked = parse::file("accepted", text);
     let config = checked.map_err(|report| error::InstallError::Mistakes { report })?;
-    let hash = canonical::revision(&config);
-    snapshot::ConfigState::build(file.revision, hash, file.text, config, domain)
-        .context(error::DomainSnafu { domain })
+    let declared = config.domains.find(|spec| spec.name == domain);
+    declared.context(error::DomainSnafu { domain })?;
+    Ok(config)
 }
 
-/// Brings a checked file into force; one that is not newer than what is in force changes nothing.
+/// Brings a revision into force; revisions come in their order.
+///
+/// # Errors
+/// Says why this VM cannot.
 pub fn install(
     shared: &shared::SharedState,
-    state: snapshot::ConfigState,
-    vms: &[crate::control::members::VmMember],
-) -> bool {
+    record: &keeper::ForceRecord,
+) -> Result<(), error::InstallError> {
+    let domain = &shared.settings.domain;
+    let config = check(domain, &record.text)?;
+    let state = snapshot::ConfigState::build(record, config, domain);
+    let state = Arc::new(state.context(error::DomainSnafu { domain })?);
     let before = shared.snapshot.load_full();
-    if before.as_ref().is_some_and(|before| before.state.revision >= state.revision) {
-        return false;
-    }
-    let revision = state.revision;
-    let state = Arc::new(state);
     retarget(shared, &state);
-    publish(shared, Arc::clone(&state), vms);
+    allowance::configure(shared, state.revision, &state.config);
+    publish(shared, Arc::clone(&state));
     if let Some(before) = &before {
         record_withdrawn(shared, &before.state.config, &state.config);
     }
-    shared.events.record(kind::EventKind::RevisionInForce { revision });
-    true
+    shared.events.record(kind::EventKind::RevisionInForce { revision: state.revision });
+    Ok(())
 }
 
 /// Publishes a snapshot over the configuration and the VMs.
-pub fn publish(
-    shared: &shared::SharedState,
-    state: Arc<snapshot::ConfigState>,
-    members: &[crate::control::members::VmMember],
-) {
+pub fn publish(shared: &shared::SharedState, state: Arc<snapshot::ConfigState>) {
+    let members = shared.members.load();
     let vms: Vec<_> = members.iter().filter_map(|member| entry(&state.config, member)).collect();
     let lookup = lookup::LookupTable::build(&state.config, &vms);
     shared.snapshot.store(Some(Arc::new(snapshot::RouteSnapshot { state, vms, lookup })));
 }
 
 /// The VM as the look-up knows it, `None` where the file does not declare its failure domain.
-fn entry(
-    config: &tables::FleetConfig,
-    member: &crate::control::members::VmMember,
-) -> Option<lookup::VmEntry> {
+fn entry(config: &tables::FleetConfig, member: &members::VmMember) -> Option<lookup::VmEntry> {
     let (domain, _) = config.domains.find(|domain| domain.name == member.domain)?;
     let name = member.name.clone();
     Some(lookup::VmEntry { name, domain, http: member.http, state: member.state })
@@ -81,7 +67,7 @@
     let now = clock::now();
     let mut targets = shared.targets();
     match targets.as_mut() {
-        Some(table) => table.reconfigure(&state.config, now),
+        Some(table) => table.reconfigure(&state.config, state.home, now),
         None => *targets = Some(target::TargetTable::build(&state.config, state.home, now)),
     }
 }
--- a/dahliawood-daemon/src/control/mod.rs
+++ b/dahliawood-daemon/src/control/mod.rs
@@ -3,11 +3,13 @@
 //! Tasks of this thread talk to the store, the live list and other VMs; what they learn goes into
 //! [`ControlState`], and from there, as whole snapshots, to the traffic threads.
 
+pub mod allowance;
 pub mod beats;
 pub mod follow;
 pub mod install;
 pub mod live;
 pub mod members;
+pub mod peers;
 mod question;
 pub mod tick;
 
@@ -17,9 +19,10 @@
 use async_std::channel::Receiver;
 use async_std::net::TcpListener;
 use async_std::task;
+use dahliawood_events::kind;
 use dahliawood_model::FastSet;
 use dahliawood_peer::{message, server};
-use dahliawood_store::client;
+use dahliawood_store::{client, revision};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,8 +39,12 @@
     pub beating: FastSet<SocketAddr>,
     /// The key-value service.
     pub store: client::StoreClient,
+    /// The revision in force.
+    pub keeper: revision::SharedKeeper,
+    /// Connections to other VMs.
+    pub peers: peers::PeerTable,
     /// Whether the store answered last time.
-    pub is_store_up: bool,
+    is_store_up: bool,
 }
 
 /// What the control thread is started with.
@@ -50,6 +57,8 @@
     pub live: client::StoreClient,
     /// Where other VMs are answered.
     pub listener: TcpListener,
+    /// The revision in force.
+    pub keeper: revision::SharedKeeper,
     /// Sends metrics.
     pub metrics: counters::MetricSender,
     /// Questions from other threads.
@@ -64,26 +73,24 @@
         self.members.members().iter().any(|known| known.peer == member.peer)
     }
 
-    /// Takes an accepted file, from the store or from another VM, and brings it into force where it
-    /// is newer than what is.
-    pub fn take_file(&mut self, revision: u64, text: String) {
-        let current = self.shared.snapshot.load().as_ref().map_or(0, |now| now.state.revision);
-        if revision <= current {
-            return;
+    /// Takes note of whether the store answered a call.
+    pub fn note_store(&mut self, is_up: bool) {
+        self.shared.counters.count(counters::CounterKind::StoreCalls);
+        if !is_up {
+            self.shared.counters.count(counters::CounterKind::StoreFailed);
         }
-        let file = install::AcceptedFile { revision, text };
-        match install::check(&self.shared.settings.domain, file) {
-            Ok(state) => {
-                install::install(&self.shared, state, self.members.members());
-            }
-            Err(error) => log::error!("revision {revision} cannot be brought into force: {error}"),
+        if is_up != self.is_store_up {
+            self.is_store_up = is_up;
+            let kind = if is_up { kind::EventKind::StoreBack } else { kind::EventKind::StoreLost };
+            self.shared.events.record(kind);
         }
     }
 
     /// Publishes the members to the traffic threads.
     pub fn publish_members(&self) {
+        self.shared.members.store(Arc::new(self.members.members().to_vec()));
         if let Some(snapshot) = self.shared.snapshot.load_full() {
-            install::publish(&self.shared, Arc::clone(&snapshot.state), self.members.members());
+            install::publish(&self.shared, Arc::clone(&snapshot.state));
         }
     }
 }
@@ -99,11 +106,14 @@
 
 /// Runs all tasks of the thread until it is told to stop.
 async fn run(options: ControlOptions) {
+    let shared = Arc::clone(&options.shared);
     let state = Rc::new(RefCell::new(ControlState {
         shared: options.shared,
         members: members::MemberTable::default(),
         beating: FastSet::default(),
         store: options.store.clone(),
+        peers: peers::PeerTable::default(),
+        keeper: options.keeper.clone(),
         is_store_up: true,
     }));
     let handlers = Rc::new(peer_handlers(&state));
@@ -113,7 +123,8 @@
                 log::error!("other VMs can no longer call: {error}");
             }
         }),
-        task::spawn_local(follow::run(Rc::clone(&state))),
+        task::spawn_local(allowance::run(Rc::clone(&state))),
+        task::spawn_local(follow::run(shared, options.keeper, options.store)),
         task::spawn_local(live::run(Rc::clone(&state), options.live)),
         task::spawn_local(tick::run(Rc::clone(&state), options.metrics)),
         task::spawn_local(question::run(Rc::clone(&state), options.questions)),
@@ -126,30 +137,19 @@
 
 /// What other VMs' calls are answered with.
 fn peer_handlers(state: &Rc<RefCell<ControlState>>) -> server::PeerHandlers {
-    let (beat_state, file_state, event_state) =
-        (Rc::clone(state), Rc::clone(state), Rc::clone(state));
+    let (beat_state, file_state) = (Rc::clone(state), Rc::clone(state));
+    let (quota_state, event_state) = (Rc::clone(state), Rc::clone(state));
     server::PeerHandlers {
         beat: Box::new(move |beat| {
             beats::take_beat(&mut beat_state.borrow_mut(), &beat);
             beats::own_beat(&beat_state.borrow())
         }),
-        config: Box::new(move |above| file_above(&file_state.borrow(), above)),
+        config: Box::new(move |above| follow::text_above(&file_state.borrow().keeper, above)),
+        quota: Box::new(move |batch| allowance::take(&quota_state, batch)),
         events: Box::new(move |after, most| event_page(&event_state.borrow(), after, most)),
     }
 }
 
-/// The file in force, where it is above a revision.
-fn file_above(state: &ControlState, above: u64) -> Option<message::ConfigText> {
-    let snapshot = state.shared.snapshot.load_full()?;
-    let config = &snapshot.state;
-    (config.revision > above).then(|| message::ConfigText {
-        revision: config.revision,
-        hash: config.hash.clone(),
-        write_id: String::new(),
-        text: config.text.clone(),
-    })
-}
-
 /// A page of this VM's events.
 fn event_page(state: &ControlState, after: u64, most: u32) -> message::EventPage {
     let page = state.shared.events.page(after, most as usize);
--- /dev/null
+++ b/dahliawood-daemon/src/control/peers/mod.rs
@@ -0,0 +1,66 @@
+//! Connections to other VMs, one each, shared by everything that calls them.
+
+use async_std::task;
+use dahliawood_model::FastMap;
+use dahliawood_peer::client;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The most that a call to another VM may take.
+const CALL_DEADLINE: Duration = Duration::from_millis(1_000);
+/// How long an address is left alone after no connection could be made.
+const RETRY_CONNECT: Duration = Duration::from_millis(200);
+
+/// The connections.
+#[derive(Clone, Default)]
+pub struct PeerTable {
+    slots: Rc<RefCell<FastMap<SocketAddr, Rc<PeerSlot>>>>,
+}
+
+#[derive(Default)]
+struct PeerSlot {
+    connection: async_std::sync::Mutex<Option<Rc<client::PeerClient>>>,
+}
+
+impl PeerTable {
+    /// The connection to the VM at `address`, made where there is none.
+    ///
+    /// # Errors
+    /// Fails where none can be made within the deadline.
+    pub async fn connection(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Rc<client::PeerClient>, client::error::CallError> {
+        let slot = Rc::clone(self.slots.borrow_mut().entry(address).or_default());
+        let mut connection = slot.connection.lock().await;
+        if let Some(connection) = connection.as_ref() {
+            return Ok(Rc::clone(connection));
+        }
+        let options = client::CallOptions { deadline: CALL_DEADLINE };
+        match client::connect(address, options).await {
+            Ok(made) => Ok(Rc::clone(connection.insert(Rc::new(made)))),
+            Err(error) => {
+                task::sleep(RETRY_CONNECT).await;
+                Err(error)
+            }
+        }
+    }
+
+    /// Forgets a connection that failed; the next call makes a new one.
+    pub fn forget(&self, address: SocketAddr, failed: &Rc<client::PeerClient>) {
+        let slot = self.slots.borrow().get(&address).cloned();
+        let Some(slot) = slot else { return };
+        if let Some(mut connection) = slot.connection.try_lock()
+            && connection.as_ref().is_some_and(|known| Rc::ptr_eq(known, failed))
+        {
+            *connection = None;
+        }
+    }
+
+    /// Drops what belongs to addresses that are no longer those of members.
+    pub fn retain(&self, is_member: impl Fn(SocketAddr) -> bool) {
+        self.slots.borrow_mut().retain(|address, _| is_member(*address));
+    }
+}
--- a/dahliawood-daemon/src/front/flight/mod.rs
+++ b/dahliawood-daemon/src/front/flight/mod.rs
@@ -3,6 +3,7 @@
 use crate::{clock, shared};
 use dahliawood_model::keys::{ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_quota::book::effect;
 use dahliawood_steer::{choice, health, target};
 use futures::io::{AsyncBufRead, AsyncRead};
 use http_types::Body;
@@ -11,6 +12,9 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
+/// What an answer that breaks off tells of its target.
+const FAILED: health::ResultKind = health::ResultKind::Errored;
+
 /// Holds the slot; gives it back when it is dropped.
 pub struct TargetFlight {
     shared: Arc<shared::SharedState>,
@@ -20,6 +24,7 @@
     service: ServiceKey,
     started: TimeStamp,
     report: health::ResultReport,
+    permit: Option<effect::QuotaPermit>,
 }
 
 impl TargetFlight {
@@ -29,10 +34,11 @@
         key: target::FlightKey,
         target: TargetKey,
         service: ServiceKey,
+        permit: effect::QuotaPermit,
     ) -> Self {
         let kind = health::ResultKind::Cancelled;
         let report = health::ResultReport { kind, latency: std::time::Duration::ZERO };
-        Self { shared, key, target, service, started: clock::now(), report }
+        Self { shared, key, target, service, started: clock::now(), report, permit: Some(permit) }
     }
 
     /// Notes what became of it; the latency is that up to now.
@@ -47,6 +53,9 @@
         if let Some(table) = self.shared.targets().as_mut() {
             choice::finish(table, self.key, self.report, clock::now());
         }
+        if let Some(permit) = self.permit.take() {
+            self.shared.desk.release(permit, clock::now());
+        }
         self.shared.waiters.wake(self.service);
     }
 }
@@ -93,10 +102,8 @@
         match &filled {
             Poll::Ready(Ok([])) => this.flight = None,
             Poll::Ready(Err(_)) => {
-                if let Some(flight) = this.flight.as_mut() {
-                    flight.settle(health::ResultKind::Errored);
-                }
-                this.flight = None;
+                let flight = this.flight.take();
+                flight.into_iter().for_each(|mut flight| flight.settle(FAILED));
             }
             _ => {}
         }
@@ -112,7 +119,7 @@
     /// The answer broke off.
     fn fail(&mut self) {
         if let Some(mut flight) = self.flight.take() {
-            flight.settle(health::ResultKind::Errored);
+            flight.settle(FAILED);
         }
     }
 }
--- a/dahliawood-daemon/src/front/forward/outgoing.rs
+++ b/dahliawood-daemon/src/front/forward/outgoing.rs
@@ -81,7 +81,7 @@
         let mut request = Request::new(self.head.method(), self.url(address));
         for (name, values) in &self.head {
             for value in values {
-                request.append_header(name, value);
+                request.append_header(name, value.clone());
             }
         }
         let millis = left.as_millis();
--- a/dahliawood-daemon/src/front/forward/place.rs
+++ b/dahliawood-daemon/src/front/forward/place.rs
@@ -55,11 +55,37 @@
     shared: &Arc<shared::SharedState>,
     query: &PlaceQuery<'_>,
 ) -> Result<Option<TargetFlight>, RefusalCause> {
+    let mut passed = query.tried.to_vec();
+    loop {
+        match choose_among(shared, query, &passed)? {
+            Picked::Slot(flight) => return Ok(Some(flight)),
+            Picked::NoAllowance(target) => passed.push(target),
+            Picked::Later => return Ok(None),
+        }
+    }
+}
+
+/// What one choice came to.
+enum Picked {
+    /// A slot was taken.
+    Slot(TargetFlight),
+    /// The target has room, but this VM holds none of its slots.
+    NoAllowance(TargetKey),
+    /// There is hope for a slot in time.
+    Later,
+}
+
+/// One choice among the targets that were not passed over.
+fn choose_among(
+    shared: &Arc<shared::SharedState>,
+    query: &PlaceQuery<'_>,
+    passed: &[TargetKey],
+) -> Result<Picked, RefusalCause> {
     let now = clock::now();
     let room = |region: RegionKey| shared.spill_room(query.config, region);
     let asked = choice::ChoiceQuery {
         service: query.service,
-        exclude: query.tried,
+        exclude: passed,
         idempotent: query.is_idempotent,
         waiting: shared.waiters.waiting(query.service),
         room: &room,
@@ -68,11 +94,18 @@
     let table = guard.as_mut().ok_or(RefusalCause::Starting)?;
     match choice::choose(table, &asked, now, &mut rand::rng()) {
         choice::Choice::Target(target, _) => {
+            let slots = format!("slots/{}", query.config.targets[target].name);
+            let Some(permit) = shared.desk.try_admit(&slots, query.deadline, now) else {
+                return Ok(Picked::NoAllowance(target));
+            };
             let key = choice::begin(table, target).ok_or(RefusalCause::Starting)?;
             drop(guard);
-            Ok(Some(TargetFlight::new(Arc::clone(shared), key, target, query.service)))
+            let shared = Arc::clone(shared);
+            Ok(Picked::Slot(TargetFlight::new(shared, key, target, query.service, permit)))
         }
-        choice::Choice::Wait { expected, .. } if now.after(expected) < query.deadline => Ok(None),
+        choice::Choice::Wait { expected, .. } if now.after(expected) < query.deadline => {
+            Ok(Picked::Later)
+        },
         choice::Choice::Wait { expected, .. } => {
             Err(RefusalCause::Busy(expected.max(choice::SHORTEST_RETRY)))
         }
--- a/dahliawood-daemon/src/front/handler/mod.rs
+++ b/dahliawood-daemon/src/front/handler/mod.rs
@@ -81,7 +81,7 @@
     let route = route_of(&snapshot.state, &request)?;
     let customer = caller_of(&snapshot, &request, route, client)?;
     let deadline = deadline_of(&snapshot.state, &request, route)?;
-    admit(shared, &snapshot.state, customer)?;
+    admit(shared, &snapshot.state, customer, deadline).await?;
     let admitted = forward::AdmittedRequest { request, route, customer, client, deadline };
     forward::run(Arc::clone(shared), snapshot, admitted).await
 }
@@ -115,7 +115,7 @@
         return Err(RefusalCause::NotGranted);
     }
     let places = &state.config.customers[customer].places;
-    let place = snapshot.lookup.place_near(client.ip());
+    let place = snapshot.lookup.place_of(client.ip());
     if !places.is_empty() && !place.is_some_and(|place| places.contains(&place)) {
         return Err(RefusalCause::OtherPlace);
     }
@@ -155,14 +155,16 @@
 }
 
 /// Takes one request from the customer's rate and burst.
-fn admit(
+async fn admit(
     shared: &shared::SharedState,
     state: &snapshot::ConfigState,
     customer: Option<CustomerKey>,
+    deadline: TimeStamp,
 ) -> Result<(), RefusalCause> {
     let Some(customer) = customer else { return Ok(()) };
-    let name = &state.config.customers[customer].name;
-    shared.admit(name, clock::now()).map_err(RefusalCause::OverRate)?;
+    let limit = format!("customer/{}", state.config.customers[customer].name);
+    let admitted = shared.desk.admit(&limit, deadline, clock::now()).await;
+    admitted.map_err(RefusalCause::OverRate)?;
     shared.counters.count(counters::CounterKind::Admitted);
     Ok(())
 }
--- a/dahliawood-daemon/src/front/mod.rs
+++ b/dahliawood-daemon/src/front/mod.rs
@@ -1,7 +1,9 @@
 //! The callers' side: takes connections, answers look-ups, forwards requests.
 
 pub mod api;
+pub mod flight;
 pub mod forward;
 pub mod handler;
 pub mod listen;
 pub mod refusal;
+pub mod target_call;
--- a/dahliawood-daemon/src/lib.rs
+++ b/dahliawood-daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod control;
 pub mod counters;
+pub mod desk;
 pub mod eventlog;
 pub mod front;
 pub mod operator;
--- a/dahliawood-daemon/src/operator/mod.rs
+++ b/dahliawood-daemon/src/operator/mod.rs
@@ -8,7 +8,7 @@
 use crate::{control, shared};
 use async_std::channel::Sender;
 use async_std::net::TcpListener;
-use dahliawood_store::client;
+use dahliawood_store::{client, revision};
 use http_types::StatusCode;
 use serde::Deserialize;
 use std::sync::Arc;
@@ -23,8 +23,8 @@
     pub shared: Arc<shared::SharedState>,
     /// The key-value service.
     pub store: client::StoreClient,
-    /// The live list's service.
-    pub live: client::StoreClient,
+    /// The revision in force.
+    pub keeper: revision::SharedKeeper,
     /// Questions to the control thread.
     pub control: Sender<control::ControlQuestion>,
 }
@@ -66,7 +66,7 @@
     let response = tide::Response::builder(200)
         .header("dahliawood-revision", snapshot.state.revision.to_string())
         .content_type("application/toml")
-        .body(snapshot.state.text.clone());
+        .body(snapshot.state.text.to_string());
     Ok(response.build())
 }
 
--- a/dahliawood-daemon/src/run/mod.rs
+++ b/dahliawood-daemon/src/run/mod.rs
@@ -8,6 +8,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use dahliawood_events::kind;
+use dahliawood_quota::member;
 use dahliawood_store::client;
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -63,7 +64,9 @@
     let store = client::http(client::HttpOptions::new(settings.store));
     let live = client::http(client::HttpOptions::new(settings.live_list));
     let incarnation = clock::wall_micros();
-    let shared = Arc::new(shared::SharedState::new(settings, incarnation));
+    let me = member::HolderId { address: peer_listen, incarnation };
+    let shared = Arc::new(shared::SharedState::new(settings, me));
+    let keeper = control::follow::keeper(&shared);
     shared.events.record(kind::EventKind::VmStarted { incarnation });
     let (stop, stopped) = bounded(1);
     let (ask, questions) = bounded(MOST_QUESTIONS);
@@ -72,12 +75,13 @@
         store: store.clone(),
         live: live.clone(),
         listener: peer,
+        keeper: keeper.clone(),
         metrics,
         questions,
         stop: stopped,
     });
     let state =
-        operator::OperatorState { shared: Arc::clone(&shared), store, live, control: ask };
+        operator::OperatorState { shared: Arc::clone(&shared), store, keeper, control: ask };
     Ok(DaemonHandle {
         control: Some(control.context(error::ThreadSnafu)?),
         front: task::spawn(listen::run(front, Arc::clone(&shared))),
--- a/dahliawood-daemon/src/shared/mod.rs
+++ b/dahliawood-daemon/src/shared/mod.rs
@@ -1,8 +1,12 @@
 //! What the control thread and the traffic threads share.
 
-use crate::{counters, eventlog, settings, snapshot, waiters};
-use arc_swap::ArcSwapOption;
-use dahliawood_steer::target;
+use crate::{counters, desk, eventlog, settings, snapshot, waiters};
+use crate::control::members;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use dahliawood_quota::member;
+use dahliawood_model::keys::RegionKey;
+use dahliawood_model::tables;
+use dahliawood_steer::{choice, target};
 use dahliawood_wire::pool;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -13,6 +17,10 @@
     pub settings: settings::DaemonSettings,
     /// Incarnation of this process: higher for each start of a VM of this name.
     pub incarnation: u64,
+    /// This VM as others hold allowance with it.
+    pub me: member::HolderId,
+    /// The VMs of the fleet, as the control thread knows them.
+    pub members: ArcSwap<Vec<members::VmMember>>,
     /// What requests are answered from; empty until a configuration is known.
     pub snapshot: ArcSwapOption<snapshot::RouteSnapshot>,
     /// The time line.
@@ -23,6 +31,8 @@
     pub in_flight: AtomicUsize,
     /// Requests that wait for a slot.
     pub waiters: waiters::WaiterTable,
+    /// Allowance.
+    pub desk: desk::QuotaDesk,
     /// Connections to targets.
     pub pool: pool::TargetPool,
     targets: Mutex<Option<target::TargetTable>>,
@@ -46,14 +56,17 @@
 
 impl SharedState {
     /// The state of a daemon that has just started.
-    pub fn new(settings: settings::DaemonSettings, incarnation: u64) -> Self {
+    pub fn new(settings: settings::DaemonSettings, me: member::HolderId) -> Self {
         Self {
-            incarnation,
+            incarnation: me.incarnation,
+            me,
+            members: ArcSwap::default(),
             snapshot: ArcSwapOption::empty(),
             events: eventlog::EventLog::new(&settings.name),
             counters: counters::CounterTable::default(),
             in_flight: AtomicUsize::new(0),
             waiters: waiters::WaiterTable::default(),
+            desk: desk::QuotaDesk::default(),
             pool: pool::TargetPool::new(pool::PoolOptions::default()),
             targets: Mutex::new(None),
             phase: AtomicU64::new(0),
@@ -81,4 +94,19 @@
     pub fn targets(&self) -> MutexGuard<'_, Option<target::TargetTable>> {
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Headroom on the way to another region and back.
+    ///
+    /// Links are not measured yet: a declared one counts as free, and the region's own slots bound
+    /// what goes there.
+    pub fn spill_room(&self, config: &tables::FleetConfig, region: RegionKey) -> choice::SpillRoom {
+        let home = config.domains.find(|domain| domain.name == self.settings.domain);
+        let Some((_, home)) = home else { return choice::SpillRoom::NONE };
+        let is_linked = config.link_between(home.region, region).is_some()
+            && config.link_between(region, home.region).is_some();
+        match is_linked {
+            true => choice::SpillRoom { link: 1.0, region: 1.0 },
+            false => choice::SpillRoom::NONE,
+        }
+    }
 }
--- a/dahliawood-daemon/src/snapshot/mod.rs
+++ b/dahliawood-daemon/src/snapshot/mod.rs
@@ -4,6 +4,7 @@
 use dahliawood_model::keys::{CustomerKey, RegionKey, RouteKey};
 use dahliawood_model::tables;
 use dahliawood_steer::lookup;
+use dahliawood_store::revision::keeper;
 use std::cmp::Reverse;
 use std::sync::Arc;
 
@@ -11,10 +12,10 @@
 pub struct ConfigState {
     /// Its revision number, from 1.
     pub revision: u64,
-    /// Hash of its canonical form, hexadecimal.
+    /// Hash of the file, hexadecimal.
     pub hash: String,
     /// The file itself.
-    pub text: String,
+    pub text: Arc<str>,
     /// Its checked form.
     pub config: tables::FleetConfig,
     /// Keys of callers.
@@ -38,9 +39,7 @@
 impl ConfigState {
     /// Indexes a checked file; `None` where it does not declare this VM's failure domain.
     pub fn build(
-        revision: u64,
-        hash: String,
-        text: String,
+        record: &keeper::ForceRecord,
         config: tables::FleetConfig,
         domain: &str,
     ) -> Option<Self> {
@@ -49,6 +48,9 @@
         let mut routes: Vec<_> = config.routes.keys().collect();
         routes.sort_by_key(|key| Reverse(config.routes[*key].path.len()));
         let keys = keys::KeyIndex::build(&config);
+        let revision = record.stamp.revision;
+        let hash = record.stamp.hash.to_string();
+        let text = Arc::clone(&record.text);
         Some(Self { revision, hash, text, config, keys, routes, home })
     }
 
--- a/dahliawood-steer/src/lookup/mod.rs
+++ b/dahliawood-steer/src/lookup/mod.rs
@@ -11,7 +11,9 @@
 
 use crate::prefix;
 use crate::rendezvous;
-use dahliawood_model::keys::{ArenaKey, CustomerKey, DomainKey, RegionKey, ServiceKey, VmKey};
+use dahliawood_model::keys::{
+    ArenaKey, CustomerKey, DomainKey, PlaceKey, RegionKey, ServiceKey, VmKey,
+};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::tables::{self, FleetConfig};
 use dahliawood_model::{FastMap, units};
@@ -162,6 +164,11 @@
         self.prefixes.memory_bytes()
     }
 
+    /// The place whose blocks hold `client`, by longest prefix.
+    pub fn place_of(&self, client: IpAddr) -> Option<PlaceKey> {
+        self.prefixes.place_of(client)
+    }
+
     /// The region near `client`: that of its place, or of one picked by its address where no
     /// block holds it.
     fn region_near(&self, client: IpAddr) -> Option<RegionKey> {
--- /dev/null
+++ b/dahliawood-testkit/src/fleet/mod.rs
@@ -0,0 +1,213 @@
+//! A whole fleet in one process, on loopback: stand-ins for the platform and the targets, and real
+//! daemons.
+
+use crate::{platform, target};
+use async_std::task;
+use dahliawood_config::parse;
+use dahliawood_daemon::{run, settings};
+use dahliawood_model::keys::{ArenaKey, DomainKey};
+use dahliawood_model::tables;
+use dahliawood_store::protocol;
+use dahliawood_wire::simple;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// How long the fleet may take to have a configuration in force everywhere.
+const SETTLE_LIMIT: Duration = Duration::from_secs(30);
+/// How often that is looked at.
+const SETTLE_POLL: Duration = Duration::from_millis(50);
+/// How long a daemon of the fleet waits for requests in flight when it is stopped.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+
+/// What the fleet is made of.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// The operators' file; its targets' addresses are replaced by free ones.
+    pub file_text: String,
+    /// How many entry VMs, spread over the failure domains in turn.
+    pub vms: usize,
+    /// How long a request runs at a target.
+    pub delay: Duration,
+}
+
+/// Why the fleet does not start.
+#[derive(Debug, snafu::Snafu)]
+#[snafu(visibility(pub))]
+pub enum FleetError {
+    /// The file has mistakes.
+    #[snafu(display("the file has mistakes:\n{report}"))]
+    Mistakes {
+        /// All of them.
+        report: dahliawood_config::report::CheckReport,
+    },
+    /// A stand-in cannot listen.
+    #[snafu(display("a stand-in cannot listen: {source}"))]
+    StandIn {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A daemon does not start.
+    #[snafu(display("a daemon does not start: {source}"))]
+    Daemon {
+        /// The cause.
+        source: run::error::StartError,
+    },
+    /// The file is not accepted, or not in force everywhere in time.
+    #[snafu(display("the file is not in force: {detail}"))]
+    Apply {
+        /// What happened.
+        detail: String,
+    },
+}
+
+/// A running fleet.
+pub struct EmbeddedFleet {
+    /// The platform.
+    pub platform: platform::PlatformHandle,
+    /// The targets, in the order of the file.
+    pub targets: Vec<target::TargetHandle>,
+    /// The daemons.
+    pub daemons: Vec<run::DaemonHandle>,
+    /// The file with the targets' real addresses.
+    pub text: String,
+    /// Its checked form.
+    pub config: tables::FleetConfig,
+}
+
+/// An unspecified port of the loopback address.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Starts everything and applies the file.
+///
+/// # Errors
+/// Fails where something cannot start, or the file is not in force everywhere within 30 s.
+pub async fn start(options: &FleetOptions) -> Result<EmbeddedFleet, FleetError> {
+    use snafu::ResultExt;
+    let parsed = parse::file("fleet", &options.file_text);
+    let config = parsed.map_err(|report| FleetError::Mistakes { report })?;
+    let (targets, text) = start_targets(&config, options).context(StandInSnafu)?;
+    let config = parse::file("fleet", &text).map_err(|report| FleetError::Mistakes { report })?;
+    let platform = platform::start(platform::PlatformOptions::default());
+    let platform = platform.await.context(StandInSnafu)?;
+    let mut daemons = Vec::new();
+    for index in 0..options.vms {
+        let domain = DomainKey::from_index(index % config.domains.len());
+        let name = format!("vm-{:02}", index + 1);
+        let settings = vm_settings(&name, &config.domains[domain].name, platform.address());
+        let daemon = run::start(settings).await.context(DaemonSnafu)?;
+        platform.put_live(live_entry(&daemon));
+        daemons.push(daemon);
+    }
+    let fleet = EmbeddedFleet { platform, targets, daemons, text, config };
+    fleet.apply(&fleet.text).await?;
+    fleet.settle(1).await?;
+    Ok(fleet)
+}
+
+/// Starts the targets on free ports, and puts those into the file.
+fn start_targets(
+    config: &tables::FleetConfig,
+    options: &FleetOptions,
+) -> std::io::Result<(Vec<target::TargetHandle>, String)> {
+    let mut text = options.file_text.clone();
+    let mut targets = Vec::new();
+    for spec in config.targets.values() {
+        let handle = target::start(
+            any_port(),
+            target::TargetOptions {
+                name: spec.name.clone(),
+                slots: spec.slots as usize,
+                delay: options.delay,
+                bytes: 0,
+            },
+        )?;
+        let declared = format!("address = \"{}\"", spec.address);
+        text = text.replace(&declared, &format!("address = \"{}\"", handle.address));
+        targets.push(handle);
+    }
+    Ok((targets, text))
+}
+
+/// Settings of one daemon on free ports.
+pub fn vm_settings(name: &str, domain: &str, platform: SocketAddr) -> settings::DaemonSettings {
+    settings::DaemonSettings {
+        name: name.to_owned(),
+        domain: domain.to_owned(),
+        listen: any_port(),
+        peer_listen: any_port(),
+        operator_listen: any_port(),
+        store: platform,
+        live_list: platform,
+        statsd: None,
+        drain_limit: DRAIN_LIMIT,
+        log: log::LevelFilter::Warn,
+    }
+}
+
+/// The daemon as the platform lists it.
+pub fn live_entry(daemon: &run::DaemonHandle) -> protocol::LiveVm {
+    protocol::LiveVm {
+        name: daemon.shared.settings.name.clone(),
+        http: daemon.listen.to_string(),
+        peer: daemon.peer_listen.to_string(),
+        domain: daemon.shared.settings.domain.clone(),
+        incarnation: None,
+        state: protocol::LiveState::Live,
+    }
+}
+
+impl EmbeddedFleet {
+    /// Applies a file through the first daemon's operator API.
+    ///
+    /// # Errors
+    /// Fails where it is not accepted.
+    pub async fn apply(&self, text: &str) -> Result<(), FleetError> {
+        let operator = self.daemons[0].operator_listen;
+        let write = format!("{:016x}", rand::random::<u64>());
+        let url = format!("http://{operator}/v1/config?write={write}&wait=10");
+        let options = simple::CallOptions {
+            body: text,
+            deadline: SETTLE_LIMIT,
+            ..simple::CallOptions::new("PUT", &url)
+        };
+        let called = simple::call(&options).await;
+        let outcome = called.map_err(|error| FleetError::Apply { detail: error.to_string() })?;
+        match outcome.status {
+            200 => Ok(()),
+            _ => Err(FleetError::Apply { detail: outcome.text().into_owned() }),
+        }
+    }
+
+    /// Waits until a revision is in force on every daemon, and every daemon names all others.
+    ///
+    /// # Errors
+    /// Fails where that takes longer than 30 s.
+    pub async fn settle(&self, revision: u64) -> Result<(), FleetError> {
+        let start = Instant::now();
+        while start.elapsed() < SETTLE_LIMIT {
+            if self.daemons.iter().all(|daemon| self.is_settled(daemon, revision)) {
+                return Ok(());
+            }
+            task::sleep(SETTLE_POLL).await;
+        }
+        let detail = format!("revision {revision} is not in force everywhere in time");
+        Err(FleetError::Apply { detail })
+    }
+
+    fn is_settled(&self, daemon: &run::DaemonHandle, revision: u64) -> bool {
+        let snapshot = daemon.shared.snapshot.load();
+        snapshot.as_ref().is_some_and(|snapshot| {
+            let live = snapshot.vms.iter();
+            let live = live.filter(|vm| vm.state == dahliawood_steer::lookup::VmState::Live);
+            snapshot.state.revision >= revision && live.count() == self.daemons.len()
+        })
+    }
+
+    /// Stops all daemons gracefully.
+    pub async fn shutdown(self) {
+        let stops = self.daemons.into_iter().map(run::DaemonHandle::shutdown);
+        futures::future::join_all(stops).await;
+    }
+}
--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -7,5 +7,6 @@
 
 pub mod caller;
 pub mod figures;
+pub mod fleet;
 pub mod platform;
 pub mod target;
