test(config): golden reports and properties of the canonical form

Cause: the check's messages and the canonical bytes are what operators and VMs rely on, so both are pinned down.

Change: golden files for each kind of mistake and for the canonical text and revision of both examples; properties that printing and parsing are inverse, that order means nothing, that broken files are reported at places inside of them, and that a key in clear is never repeated, wherever it stands. Routes that differ in their methods alone are now one route, so that two spellings of one meaning have one text. An IPv4 address written as IPv6 counts as the same target address. Messages for missing fields and for syntax name what is missing.

Proof: each property failed on a broken variant first. Customers left unsorted in the arenas broke `order_means_nothing`; no sorting in the printed document broke `parse_after_print_is_the_identity`, and so did units that do not divide the amount; columns counted in bytes broke `broken_files_are_reported_at_places_inside_of_them`; no redaction broke `a_key_in_clear_is_never_repeated_wherever_it_stands`. All pass as committed.

--- a/dahliawood-config/src/canonical/mod.rs
+++ b/dahliawood-config/src/canonical/mod.rs
@@ -12,8 +12,9 @@
 
 /// The canonical text of `config`.
 ///
-/// The text holds the salted hashes of keys. A configuration whose arenas were filled by hand
-/// need not be sorted; the text is.
+/// The text holds the salted hashes of keys. A configuration that [`crate::parse::file`] made has
+/// one text for one meaning; one that was filled by hand comes out sorted, but with its routes
+/// split or joined as they are.
 ///
 /// # Panics
 /// Never for keys that index the arenas of `config` itself, as [`crate::parse::file`] makes them.
--- a/dahliawood-config/src/parse/build.rs
+++ b/dahliawood-config/src/parse/build.rs
@@ -2,7 +2,8 @@
 
 use crate::parse::rows::{self, DrainName};
 use dahliawood_model::keys::{
-    ArenaKey, CustomerKey, DomainKey, EntityArena, PlaceKey, RegionKey, ServiceKey, TargetKey,
+    ArenaKey, CustomerKey, DomainKey, EntityArena, PlaceKey, RegionKey, RouteKey, ServiceKey,
+    TargetKey,
 };
 use dahliawood_model::{FastMap, tables};
 
@@ -108,13 +109,9 @@
 fn routes(
     config: &mut tables::FleetConfig,
     service: ServiceKey,
-    mut routes: Vec<rows::RouteRow>,
-) -> Vec<dahliawood_model::keys::RouteKey> {
-    for route in &mut routes {
-        route.methods.sort();
-    }
-    routes.sort_by(|a, b| (&a.path, &a.methods).cmp(&(&b.path, &b.methods)));
-    routes
+    routes: Vec<rows::RouteRow>,
+) -> Vec<RouteKey> {
+    merged(routes)
         .into_iter()
         .map(|row| {
             config.routes.push(tables::RouteSpec {
@@ -128,6 +125,27 @@
         .collect()
 }
 
+/// Routes sorted by path, with those that differ in their methods alone made one.
+fn merged(routes: Vec<rows::RouteRow>) -> Vec<rows::RouteRow> {
+    let mut merged: Vec<rows::RouteRow> = Vec::with_capacity(routes.len());
+    for route in routes {
+        let alike = |other: &&mut rows::RouteRow| {
+            other.path == route.path
+                && other.idempotent == route.idempotent
+                && other.open == route.open
+        };
+        match merged.iter_mut().find(alike) {
+            Some(other) => other.methods.extend(route.methods),
+            None => merged.push(route),
+        }
+    }
+    for route in &mut merged {
+        route.methods.sort();
+    }
+    merged.sort_by(|a, b| (&a.path, &a.methods).cmp(&(&b.path, &b.methods)));
+    merged
+}
+
 fn targets(
     config: &mut tables::FleetConfig,
     service: ServiceKey,
--- a/dahliawood-config/src/parse/context.rs
+++ b/dahliawood-config/src/parse/context.rs
@@ -100,7 +100,7 @@
     pub fn syntax_error(&mut self, text: &str, error: &toml::de::Error) {
         self.has_syntax_errors = true;
         let span = error.span().unwrap_or(0..0);
-        let expected = format!("valid TOML: {}", report::excerpt(error.message()));
+        let expected = format!("valid TOML: {}", report::one_line(error.message()));
         self.find(
             span.start,
             FindingKind::Syntax,
--- a/dahliawood-config/src/parse/leaf.rs
+++ b/dahliawood-config/src/parse/leaf.rs
@@ -86,7 +86,7 @@
 
 /// A whole number of at least one.
 pub fn count(value: &LeafValue<'_>) -> Result<u32, LeafMismatch> {
-    let expected = "a whole number of at least 1";
+    let expected = "a whole number from 1 to 4294967295";
     let count = typed(value, expected)?;
     accept(count > 0, count, value, expected)
 }
--- a/dahliawood-config/src/parse/mod.rs
+++ b/dahliawood-config/src/parse/mod.rs
@@ -4,8 +4,9 @@
 //! steps are: parse the text into a tree with spans, read each table into a row of plain values,
 //! settle every name that was declared or used, and build the arenas if nothing was wrong.
 //!
-//! The arenas come out sorted by name. Two files with the same meaning therefore give equal
-//! configurations, whatever the order of their tables, and equal keys on every VM.
+//! The arenas come out sorted by name, and routes of a service that differ in their methods alone
+//! come out as one. Two files with the same meaning therefore give equal configurations, whatever
+//! the order of their tables, and equal keys on every VM.
 
 mod build;
 mod context;
--- a/dahliawood-config/src/parse/reader.rs
+++ b/dahliawood-config/src/parse/reader.rs
@@ -159,7 +159,10 @@
                 .is_some_and(|array| array.is_empty()),
         };
         if is_missing {
-            self.missing(&format!("at least one [[{entity}]]"));
+            self.missing(
+                &format!("[[{entity}]]"),
+                &format!("at least one [[{entity}]]"),
+            );
         }
         self.tables(field, entity, read)
     }
@@ -197,9 +200,9 @@
         }
     }
 
-    /// Records a mistake about the table as a whole: something is not there.
-    pub fn missing(&mut self, expected: &str) {
-        let found = format!("{} without it", self.entity);
+    /// Records a mistake about the table as a whole: `what` is not there.
+    pub fn missing(&mut self, what: &str, expected: &str) {
+        let found = format!("no {what} in {}", self.entity);
         self.context
             .find(self.offset, FindingKind::MissingField, found, expected);
     }
@@ -229,7 +232,7 @@
     fn required_value(&mut self, field: &'static str) -> Option<&'a LeafValue<'i>> {
         let value = self.value(field);
         if value.is_none() {
-            self.missing(&format!("the field `{field}`"));
+            self.missing(&format!("`{field}`"), &format!("the field `{field}`"));
         }
         value
     }
--- a/dahliawood-config/src/parse/rows.rs
+++ b/dahliawood-config/src/parse/rows.rs
@@ -163,7 +163,7 @@
     let ends: Vec<String> = ends.into_iter().map(Spanned::into_inner).collect();
     let count = ends.len();
     let Ok(mut ends) = <[String; 2]>::try_from(ends) else {
-        let found = format!("{count} regions");
+        let found = format!("a list of {count}");
         let expected = "the two regions that the link joins";
         reader
             .context
@@ -285,7 +285,7 @@
     let slots = reader.required("slots", leaf::count);
     let connections = reader.required("connections", leaf::count);
     if let Some(address) = &address {
-        let text = Spanned::new(address.span(), address.get_ref().to_string());
+        let text = Spanned::new(address.span(), canonical_text(*address.get_ref()));
         reader.context.claim(ClaimKind::Address, &text);
     }
     if let (Some(slots), Some(connections)) = (&slots, &connections) {
@@ -300,6 +300,11 @@
     })
 }
 
+/// An IPv4 address written as an IPv6 one is the same address.
+fn canonical_text(address: SocketAddr) -> String {
+    SocketAddr::new(address.ip().to_canonical(), address.port()).to_string()
+}
+
 fn check_connections(reader: &mut TableReader<'_, '_>, slots: u32, connections: &Spanned<u32>) {
     if *connections.get_ref() >= slots {
         return;
@@ -368,7 +373,7 @@
 ) -> Option<DrainName> {
     let name = reader.optional(field, leaf::name)?;
     reader.context.refer(kind, &name);
-    let text = Spanned::new(name.span(), format!("of {kind} {}", name.get_ref()));
+    let text = Spanned::new(name.span(), format!("{kind} {}", name.get_ref()));
     reader.context.claim(ClaimKind::Drain, &text);
     Some(subject(name.into_inner()))
 }
--- a/dahliawood-config/src/report/mod.rs
+++ b/dahliawood-config/src/report/mod.rs
@@ -4,7 +4,7 @@
 mod redact;
 
 pub use lines::LineIndex;
-pub use redact::{excerpt, redacted};
+pub use redact::{excerpt, one_line, redacted};
 
 /// Every mistake of one file, in the order of the text.
 ///
--- a/dahliawood-config/src/report/redact.rs
+++ b/dahliawood-config/src/report/redact.rs
@@ -19,6 +19,11 @@
     cut.escape_debug().to_string()
 }
 
+/// `text` on one line, whole, with everything that may be a key left out.
+pub fn one_line(text: &str) -> String {
+    redacted(text).lines().collect::<Vec<_>>().join(" ")
+}
+
 /// `text` with every word that may hold a key or a long secret replaced.
 pub fn redacted(text: &str) -> String {
     text.split_inclusive(is_separator)
--- a/dahliawood-config/tests/main/main.rs
+++ b/dahliawood-config/tests/main/main.rs
@@ -1,5 +1,8 @@
 //! Tests of the configuration package through its public functions.
 
+mod canonical;
 mod examples;
 mod keys;
+mod mutations;
+mod sketch;
 mod support;
--- /dev/null
+++ b/dahliawood-config/tests/main/sketch.rs
@@ -0,0 +1,208 @@
+//! Random files that are right, as blocks of text whose order means nothing.
+
+use proptest::prelude::*;
+use std::fmt::Write;
+
+/// Numbers that decide every choice of a sketch; all zero gives the smallest file.
+pub struct Choices {
+    numbers: Vec<u32>,
+    next: usize,
+}
+
+impl Choices {
+    fn below(&mut self, bound: usize) -> usize {
+        let number = self.numbers[self.next % self.numbers.len()];
+        self.next += 1;
+        number as usize % bound
+    }
+
+    fn pick<'a>(&mut self, items: &[&'a str]) -> &'a str {
+        items[self.below(items.len())]
+    }
+
+    /// Some of `items`, at least `least`.
+    fn some(&mut self, items: &[String], least: usize) -> Vec<String> {
+        let count = least.max(self.below(items.len() + 1));
+        items[..count].to_vec()
+    }
+}
+
+/// A file as its top-level tables, each with its subtables.
+#[derive(Clone, Debug)]
+pub struct FileSketch {
+    /// Whole tables; their order means nothing.
+    pub blocks: Vec<String>,
+}
+
+impl FileSketch {
+    /// The file.
+    pub fn text(&self) -> String {
+        self.blocks.concat()
+    }
+}
+
+/// Any file that is right.
+pub fn file() -> impl Strategy<Value = FileSketch> {
+    proptest::collection::vec(any::<u32>(), 1..120).prop_map(|numbers| {
+        let mut choices = Choices { numbers, next: 0 };
+        sketch(&mut choices)
+    })
+}
+
+/// A file and the same one with its blocks in another order.
+pub fn reordered_file() -> impl Strategy<Value = (FileSketch, FileSketch)> {
+    file().prop_flat_map(|sketch| {
+        let shuffled = Just(sketch.blocks.clone())
+            .prop_shuffle()
+            .prop_map(|blocks| FileSketch { blocks });
+        (Just(sketch), shuffled)
+    })
+}
+
+fn sketch(choices: &mut Choices) -> FileSketch {
+    let regions = named("region", 1 + choices.below(3));
+    let services = named("service", 1 + choices.below(3));
+    let places = named("place", choices.below(3));
+    let mut blocks = vec!["[fleet]\nname = \"sketch\"\n".to_owned()];
+    let mut domains = Vec::new();
+    for region in &regions {
+        let own: Vec<String> = (0..=choices.below(2))
+            .map(|n| format!("{region}-d{n}"))
+            .collect();
+        blocks.push(format!(
+            "[[region]]\nname = \"{region}\"\ndomains = {own:?}\n"
+        ));
+        domains.extend(own);
+    }
+    blocks.extend(links(choices, &regions));
+    blocks.extend(place_blocks(choices, &places, &regions));
+    let mut targets = Vec::new();
+    for (index, service) in services.iter().enumerate() {
+        blocks.push(service_block(
+            choices,
+            index,
+            service,
+            &domains,
+            &mut targets,
+        ));
+    }
+    for customer in named("customer", choices.below(5)) {
+        blocks.push(customer_block(choices, &customer, &services, &places));
+    }
+    blocks.extend(drains(choices, &targets, &domains, &regions));
+    FileSketch { blocks }
+}
+
+fn named(kind: &str, count: usize) -> Vec<String> {
+    (0..count)
+        .map(|number| format!("{kind}-{number}"))
+        .collect()
+}
+
+fn links(choices: &mut Choices, regions: &[String]) -> Vec<String> {
+    let mut blocks = Vec::new();
+    for (index, from) in regions.iter().enumerate() {
+        for to in &regions[index + 1..] {
+            let ends = if choices.below(2) == 0 {
+                [from, to]
+            } else {
+                [to, from]
+            };
+            let cap = choices.pick(&["280 Mbit/s", "4 Gbit/s", "1 B/s", "12.5 kB/s", "8 bit/s"]);
+            let latency = choices.pick(&["0 s", "0.5 ms", "12 ms", "1 us", "90 s"]);
+            let burst = choices.pick(&["", "burst = \"1 B\"\n", "burst = \"1.5 MB\"\n"]);
+            blocks.push(format!(
+                "[[link]]\nbetween = {ends:?}\ncap = \"{cap}\"\nlatency = \"{latency}\"\n{burst}"
+            ));
+        }
+    }
+    blocks
+}
+
+fn place_blocks(choices: &mut Choices, places: &[String], regions: &[String]) -> Vec<String> {
+    places
+        .iter()
+        .enumerate()
+        .map(|(index, place)| {
+            let region = &regions[choices.below(regions.len())];
+            let blocks = [
+                format!("10.{index}.0.0/16"),
+                format!("10.{index}.128.0/17"),
+                format!("2001:db8:{index}::/48"),
+            ];
+            let blocks = choices.some(&blocks, 1);
+            format!("[[place]]\nname = \"{place}\"\nregion = \"{region}\"\nblocks = {blocks:?}\n")
+        })
+        .collect()
+}
+
+fn service_block(
+    choices: &mut Choices,
+    index: usize,
+    service: &str,
+    domains: &[String],
+    targets: &mut Vec<String>,
+) -> String {
+    let timeout = choices.pick(&["2 s", "1 us", "5 m", "1500 ms"]);
+    let mut block = format!("[[service]]\nname = \"{service}\"\ntimeout = \"{timeout}\"\n");
+    for number in 0..=choices.below(2) {
+        let open = choices.below(2) == 0;
+        writeln!(
+            block,
+            "[[service.route]]\npath = \"/{service}/{number}\"\nmethods = [\"GET\", \"HEAD\"]\nidempotent = true\nopen = {open}\n\
+             [[service.route]]\npath = \"/{service}/{number}\"\nmethods = [\"POST\"]\nidempotent = false"
+        )
+        .unwrap();
+    }
+    for number in 0..=choices.below(3) {
+        let target = format!("{service}-t{number}");
+        let domain = &domains[choices.below(domains.len())];
+        let slots = 1 + choices.below(9);
+        let port = 1000 + index * 100 + number;
+        writeln!(
+            block,
+            "[[service.target]]\nname = \"{target}\"\naddress = \"127.0.0.1:{port}\"\ndomain = \"{domain}\"\nslots = {slots}\nconnections = {}",
+            slots * 10
+        )
+        .unwrap();
+        targets.push(target);
+    }
+    block
+}
+
+fn customer_block(
+    choices: &mut Choices,
+    customer: &str,
+    services: &[String],
+    places: &[String],
+) -> String {
+    let rate = choices.pick(&["5/s", "0.5/s", "0.001/s", "1000.25/s"]);
+    let burst = 1 + choices.below(100);
+    let services = choices.some(services, 1);
+    let places = choices.some(places, 0);
+    let keys: Vec<String> = (0..choices.below(3))
+        .map(|number| format!("{customer}-k{number}:sha256:{number:032x}:{burst:064x}"))
+        .collect();
+    format!(
+        "[[customer]]\nname = \"{customer}\"\nrate = \"{rate}\"\nburst = {burst}\nservices = {services:?}\nplaces = {places:?}\nkeys = {keys:?}\n"
+    )
+}
+
+fn drains(
+    choices: &mut Choices,
+    targets: &[String],
+    domains: &[String],
+    regions: &[String],
+) -> Vec<String> {
+    let candidates = [
+        ("target", &targets[0]),
+        ("domain", &domains[0]),
+        ("region", &regions[0]),
+    ];
+    let count = choices.below(4);
+    let over = choices.pick(&["0 s", "10 m", "1 h"]);
+    candidates[..count]
+        .iter()
+        .map(|(field, name)| format!("[[drain]]\n{field} = \"{name}\"\nover = \"{over}\"\n"))
+        .collect()
+}
