feat(config): typed differences between two configurations

Cause: operators want to see what an apply would change before it does.

Change: `diff::between` sees both configurations as entities with named fields and lists what was added, removed and changed, as lines and as JSON. It is empty exactly where the canonical texts are equal. A hash that differs shows as a change without salt or digest.

--- a/dahliawood-config/src/lib.rs
+++ b/dahliawood-config/src/lib.rs
@@ -7,6 +7,7 @@
 //!   a [`report::CheckReport`] that names every mistake with its line and column.
 //! - [`canonical`] writes a configuration so that the same meaning gives the same bytes, and names
 //!   it by the SHA-256 of them: its revision.
+//! - [`diff`] lists what differs between two configurations.
 //! - [`keys`] makes callers' keys, hashes them and verifies what a caller presents.
 //!
 //! It does not accept or spread a configuration (see `dahliawood-store`), and it does not judge
@@ -15,6 +16,7 @@
 #![forbid(unsafe_code)]
 
 pub mod canonical;
+pub mod diff;
 pub mod keys;
 pub mod parse;
 pub mod report;
--- /dev/null
+++ b/dahliawood-config/tests/main/diff.rs
@@ -0,0 +1,154 @@
+//! The diff: empty for equal configurations, complete for others, silent about secrets.
+
+use crate::{sketch, support};
+use dahliawood_config::{canonical, diff, keys};
+use dahliawood_model::tables::FleetConfig;
+use proptest::prelude::*;
+
+#[test]
+fn empty_exactly_where_the_canonical_texts_are_equal() {
+    let cases = (sketch::reordered_file(), sketch::file());
+    let run = support::runner(128).run(&cases, |((one, reordered), other)| {
+        let one = support::config(&one.text());
+        let reordered = support::config(&reordered.text());
+        let other = support::config(&other.text());
+        prop_assert_eq!(diff::between(&one, &reordered), Vec::new());
+        let is_same = canonical::text(&one) == canonical::text(&other);
+        prop_assert_eq!(diff::between(&one, &other).is_empty(), is_same);
+        Ok(())
+    });
+    run.unwrap();
+}
+
+/// The change that undoes `change`.
+fn mirrored(mut change: diff::ConfigChange) -> diff::ConfigChange {
+    change.change = match change.change {
+        diff::ChangeKind::Added => diff::ChangeKind::Removed,
+        diff::ChangeKind::Removed => diff::ChangeKind::Added,
+        diff::ChangeKind::Changed { field, old, new } => {
+            let (old, new) = (new, old);
+            diff::ChangeKind::Changed { field, old, new }
+        }
+    };
+    change
+}
+
+#[test]
+fn the_way_back_mirrors_the_way_there() {
+    let cases = (sketch::file(), sketch::file());
+    let run = support::runner(128).run(&cases, |(one, other)| {
+        let one = support::config(&one.text());
+        let other = support::config(&other.text());
+        let back = diff::between(&other, &one);
+        let there: Vec<_> = diff::between(&one, &other)
+            .into_iter()
+            .map(mirrored)
+            .collect();
+        prop_assert_eq!(back, there);
+        Ok(())
+    });
+    run.unwrap();
+}
+
+/// One change to one value of a file, as a line of it and the line in its place.
+fn changed_line(text: &str, at: usize) -> Option<String> {
+    let mut lines: Vec<String> = text.lines().map(str::to_owned).collect();
+    let line = lines.get_mut(at)?;
+    let (field, value) = line.split_once(" = ")?;
+    let changed = match (field, value) {
+        ("cap", _) => "\"77 Mbit/s\"".to_owned(),
+        ("rate", _) => "\"77/s\"".to_owned(),
+        ("timeout" | "latency" | "over", _) => "\"77 s\"".to_owned(),
+        ("burst", text) if text.starts_with('"') => "\"77 KiB\"".to_owned(),
+        ("burst" | "weight" | "retry_percent" | "slots", _) => "77".to_owned(),
+        ("connections", _) => "7777".to_owned(),
+        ("address", _) => "\"10.7.7.7:77\"".to_owned(),
+        ("open", "true") => "false".to_owned(),
+        ("open", "false") => "true".to_owned(),
+        _ => return None,
+    };
+    if changed == value {
+        return None;
+    }
+    *line = format!("{field} = {changed}");
+    Some(lines.join("\n"))
+}
+
+#[test]
+fn each_changed_value_is_one_change_that_names_it() {
+    let cases = (sketch::file(), any::<proptest::sample::Index>());
+    let run = support::runner(256).run(&cases, |(sketch, at)| {
+        let old = support::config(&sketch.text());
+        let text = canonical::text(&old);
+        let at = at.index(text.lines().count());
+        let Some(new_text) = changed_line(&text, at) else {
+            return Ok(());
+        };
+        // Slots that outgrow connections, or an open route that is not idempotent, are refused.
+        let Ok(new) = dahliawood_config::parse::file("changed.toml", &new_text) else {
+            return Ok(());
+        };
+        let line = text.lines().nth(at).unwrap();
+        let field_name = line.split(' ').next().unwrap();
+        let changes = diff::between(&old, &new);
+        prop_assert!(!changes.is_empty());
+        let is_route = changes
+            .iter()
+            .all(|change| change.entity == diff::EntityKind::Route);
+        prop_assert!(is_route || changes.len() == 1, "{changes:?}");
+        for change in &changes {
+            let diff::ChangeKind::Changed { field, old, new } = &change.change else {
+                return Err(TestCaseError::fail(format!("{change} is no changed value")));
+            };
+            prop_assert_eq!(field, field_name);
+            prop_assert!(line.contains(old.as_str()), "{line} had {old}");
+            prop_assert!(new_text.lines().nth(at).unwrap().contains(new.as_str()));
+        }
+        Ok(())
+    });
+    run.unwrap();
+}
+
+fn lines(old: &FleetConfig, new: &FleetConfig) -> Vec<String> {
+    let changes = diff::between(old, new);
+    changes.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn changes_read_as_lines_and_as_json() {
+    let old = support::config(support::LIANGUANG);
+    let drained = format!(
+        "{}\n[[drain]]\ntarget = \"catalogue-01\"\nover = \"10 m\"\n",
+        support::LIANGUANG.replace("rate = \"5/s\"", "rate = \"6/s\"")
+    );
+    let new = support::config(&drained);
+    let expected = [
+        "~ customer a-de-lighting: rate 5/s -> 6/s",
+        "+ drain target catalogue-01",
+    ];
+    assert_eq!(lines(&old, &new), expected);
+    let json = serde_json::to_value(diff::between(&old, &new)).unwrap();
+    let expected = serde_json::json!([
+        {"entity": "customer", "name": "a-de-lighting",
+         "change": "changed", "field": "rate", "old": "5/s", "new": "6/s"},
+        {"entity": "drain", "name": "target catalogue-01", "change": "added"},
+    ]);
+    assert_eq!(json, expected);
+}
+
+#[test]
+fn a_changed_hash_is_a_change_that_shows_nothing_of_it() {
+    let old = support::config(support::LIANGUANG);
+    let mut new = old.clone();
+    let customer = new.customers.keys().next().unwrap();
+    let hash = &mut new.customers[customer].keys[0];
+    hash.digest[0] ^= 1;
+    let text = keys::hash_text(hash);
+    let id = hash.id.clone();
+    let changes = diff::between(&old, &new);
+    let expected = format!("~ key {id}: hash (not shown) -> (not shown)");
+    assert_eq!(lines(&old, &new), [expected]);
+    let json = serde_json::to_string(&changes).unwrap();
+    let hidden = text.split(':').skip(2);
+    assert!(hidden.into_iter().all(|part| !json.contains(part)));
+}
--- a/dahliawood-config/tests/main/main.rs
+++ b/dahliawood-config/tests/main/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the configuration package through its public functions.
 
 mod canonical;
+mod diff;
 mod examples;
 mod keys;
 mod mutations;
