--- a/dahliawood-config/tests/main/main.rs
+++ b/dahliawood-config/tests/main/main.rs
@@ -1,5 +1,9 @@
 //! Tests of the configuration package through its public functions.
 
+mod canonical;
+mod diff;
 mod examples;
 mod keys;
+mod mutations;
+mod sketch;
 mod support;
