feat(store): acceptance by all live VMs or none, and a keeper that never goes back

A file must be in force everywhere or nowhere. It is written under its hash, proposed in one head key, held and understood by each live VM, and accepted by compare-and-swap of that head. Each VM keeps the highest revision it knows of, promises each number to one write only, and puts back what a restored store lost. A write that is given up is proved to have no effect before it is called not applied.

--- /dev/null
+++ b/dahliawood-store/src/acceptance/drive/mod.rs
@@ -0,0 +1,354 @@
+//! The calls of acceptance: look, decide, write, look again.
+//!
+//! A write whose reply is lost is settled by the next look, since the head shows the write id.
+
+use super::error::ApplyError;
+use super::judge::{self, WriteProof};
+use super::step::{ApplyRun, ApplyStep, StoreLook};
+use super::{AcceptOptions, ApplyOptions, ApplyOutcome, ForceReport};
+use crate::backoff::RetryPlan;
+use crate::client::error::{StoreError, WriteEffect};
+use crate::client::{PutCall, StoreClient};
+use crate::content::{self, ContentHash, transfer};
+use crate::head::{HEAD_KEY, HeadDocument, RevisionStamp, WriteId};
+use crate::status::{self, STATUS_PREFIX};
+use dahliawood_model::stamp::TimeStamp;
+use std::time::Duration;
+
+/// How much longer the time between two looks gets with each required VM.
+const POLL_PER_VM: Duration = Duration::from_millis(1);
+
+/// Applies a file; returns once it is in force on all required VMs or the time is over.
+pub async fn apply(client: &StoreClient, options: &ApplyOptions) -> ApplyOutcome {
+    let length = options.file_text.len();
+    if length > content::FILE_LIMIT_BYTES {
+        let limit = content::FILE_LIMIT_BYTES;
+        let why = ApplyError::TooLarge { length, limit };
+        return ApplyOutcome::NotApplied { why };
+    }
+    let run = ApplyRun::new(
+        options.write_id.clone(),
+        Some(ContentHash::of(&options.file_text)),
+        options.expect,
+        options.accept.takeover_after,
+    );
+    let mut driver = ApplyDriver::new(client, &options.accept, run);
+    driver.text = Some(&options.file_text);
+    driver.run().await
+}
+
+/// Goes on with a write that its own process left proposed; it may be accepted by this.
+pub async fn resume(
+    client: &StoreClient,
+    write_id: &WriteId,
+    options: &AcceptOptions,
+) -> ApplyOutcome {
+    let run = ApplyRun::new(write_id.clone(), None, None, options.takeover_after);
+    let mut driver = ApplyDriver::new(client, options, run);
+    driver.expected = driver.read_version().await;
+    if driver.expected.is_none() {
+        return driver.unknown();
+    }
+    driver.run().await
+}
+
+/// Says what became of a write whose `apply` has ended.
+///
+/// A write that is still proposed stays [`ApplyOutcome::Unknown`] until it is resumed. One that is
+/// not there is kept from arriving later, so its `NotApplied` is final.
+pub async fn ask(
+    client: &StoreClient,
+    write_id: &WriteId,
+    options: &AcceptOptions,
+) -> ApplyOutcome {
+    let run = ApplyRun::new(write_id.clone(), None, None, options.takeover_after);
+    let mut driver = ApplyDriver::new(client, options, run);
+    driver.keeps_proposal = true;
+    driver.expected = driver.read_version().await;
+    if driver.expected.is_none() {
+        return driver.unknown();
+    }
+    let revision = 0;
+    driver.settle(ApplyError::Overtaken { revision }).await
+}
+
+struct ApplyDriver<'a> {
+    client: &'a StoreClient,
+    options: &'a AcceptOptions,
+    run: ApplyRun,
+    text: Option<&'a str>,
+    /// The highest version that a write with this run's proposal expected.
+    expected: Option<u64>,
+    keeps_proposal: bool,
+    /// The highest version of the head that was seen.
+    seen_version: u64,
+    /// Whether the store went back to an older state while this ran.
+    is_restored: bool,
+    look: StoreLook,
+    failures: u32,
+    last_error: Option<String>,
+}
+
+impl<'a> ApplyDriver<'a> {
+    fn new(client: &'a StoreClient, options: &'a AcceptOptions, run: ApplyRun) -> Self {
+        Self {
+            client,
+            options,
+            run,
+            text: None,
+            expected: None,
+            keeps_proposal: false,
+            seen_version: 0,
+            is_restored: false,
+            look: StoreLook::default(),
+            failures: 0,
+            last_error: None,
+        }
+    }
+
+    async fn run(&mut self) -> ApplyOutcome {
+        match self.accept().await {
+            ApplyStep::Accepted(stamp) => self.applied(&stamp).await,
+            ApplyStep::NoChange(stamp) => ApplyOutcome::NoChange {
+                revision: stamp.revision,
+                report: self.follow(&stamp).await,
+            },
+            ApplyStep::Fail(why) => self.settle(why).await,
+            _ => self.unknown(),
+        }
+    }
+
+    /// Goes on until the write is accepted, found needless or given up.
+    async fn accept(&mut self) -> ApplyStep {
+        let ends_at = self.now().after(self.options.accept_within);
+        let mut is_uploaded = self.text.is_none();
+        while self.now() < ends_at {
+            if !is_uploaded {
+                is_uploaded = self.upload().await;
+                continue;
+            }
+            if !self.take_look().await {
+                continue;
+            }
+            let now = self.now();
+            match self.run.step(&self.look, now) {
+                ApplyStep::Wait => self.pause().await,
+                ApplyStep::Propose(head) => {
+                    self.write_own(&head).await;
+                }
+                ApplyStep::Accept(head, stamp) => {
+                    if self.write_own(&head).await {
+                        return ApplyStep::Accepted(stamp);
+                    }
+                }
+                end => return end,
+            }
+        }
+        ApplyStep::Fail(self.run.late(self.last_error.clone(), &self.look))
+    }
+
+    /// Finds out whether a write that is given up has had or can still have an effect.
+    async fn settle(&mut self, why: ApplyError) -> ApplyOutcome {
+        if self.expected.is_none() {
+            return ApplyOutcome::NotApplied { why };
+        }
+        let ends_at = self.now().after(self.options.settle_within);
+        while self.now() < ends_at {
+            if !self.take_look().await {
+                continue;
+            }
+            match self.prove() {
+                WriteProof::Accepted(stamp) => return self.applied(&stamp).await,
+                WriteProof::Gone if self.is_restored => return self.unknown(),
+                WriteProof::Gone => return ApplyOutcome::NotApplied { why },
+                WriteProof::Forgotten => return self.unknown(),
+                WriteProof::Proposed(_) if self.keeps_proposal => return self.unknown(),
+                WriteProof::Proposed(_) => {
+                    self.write_head(&self.look.head.with_proposal(None)).await
+                }
+                WriteProof::Pending => self.write_head(&self.renewed_head()).await,
+            };
+        }
+        self.unknown()
+    }
+
+    async fn applied(&mut self, stamp: &RevisionStamp) -> ApplyOutcome {
+        (self.options.on_accepted)(stamp);
+        ApplyOutcome::Applied {
+            revision: stamp.revision,
+            report: self.follow(stamp).await,
+        }
+    }
+
+    /// Waits until a revision is in force on all required VMs, and puts it back where the store
+    /// lost it.
+    async fn follow(&mut self, stamp: &RevisionStamp) -> ForceReport {
+        let ends_at = self.now().after(self.options.follow_within);
+        let mut report = judge::report(stamp, &self.look.required, &[]);
+        while self.now() < ends_at {
+            if !self.take_look().await {
+                continue;
+            }
+            if self.look.head.accepted() < Some(stamp) {
+                self.put_back(stamp).await;
+                continue;
+            }
+            report = judge::report(stamp, &self.look.required, &self.look.lines);
+            if report.missing.is_empty() {
+                break;
+            }
+            self.pause().await;
+        }
+        report
+    }
+
+    async fn put_back(&mut self, stamp: &RevisionStamp) {
+        if self.text.is_none() || self.upload().await {
+            self.write_head(&self.look.head.with_accepted(stamp)).await;
+        }
+    }
+
+    fn prove(&self) -> WriteProof {
+        if let Some(stamp) = judge::in_force_by(&self.run.write_id, &self.look.lines) {
+            return WriteProof::Accepted(stamp.clone());
+        }
+        judge::prove(
+            &self.look.head,
+            self.look.version,
+            &self.run.write_id,
+            self.run.revision,
+            self.expected,
+        )
+    }
+
+    fn renewed_head(&self) -> HeadDocument {
+        self.look
+            .head
+            .with_proposal(self.look.head.proposal.clone())
+    }
+
+    fn unknown(&self) -> ApplyOutcome {
+        ApplyOutcome::Unknown {
+            write_id: self.run.write_id.clone(),
+        }
+    }
+
+    async fn upload(&mut self) -> bool {
+        let text = self.text.unwrap_or_default();
+        let result = transfer::upload(self.client, text).await;
+        self.noted(result).await.is_some()
+    }
+
+    /// Writes a head that carries this run's proposal.
+    async fn write_own(&mut self, head: &HeadDocument) -> bool {
+        let before = self.expected;
+        self.expected = before.max(Some(self.look.version));
+        let result = self.put_head(head).await;
+        if let Err(error) = &result
+            && error.effect() == WriteEffect::None
+        {
+            self.expected = before;
+        }
+        self.written(result).await
+    }
+
+    async fn write_head(&mut self, head: &HeadDocument) -> bool {
+        let result = self.put_head(head).await;
+        self.written(result).await
+    }
+
+    /// Notes the version that the store gave a head, or found in place of the expected one.
+    async fn written(&mut self, result: Result<u64, StoreError>) -> bool {
+        let version = match &result {
+            Ok(version) | Err(StoreError::Conflict { found: version }) => Some(*version),
+            Err(_) => None,
+        };
+        if let Some(version) = version {
+            // Writes are never stale, so a version that went down means a restored store.
+            self.is_restored |= version < self.seen_version;
+            self.seen_version = self.seen_version.max(version);
+        }
+        self.noted(result).await.is_some()
+    }
+
+    async fn put_head(&self, head: &HeadDocument) -> Result<u64, StoreError> {
+        (self.client.put)(PutCall {
+            key: HEAD_KEY.to_owned(),
+            value: head.encode(),
+            expected: Some(self.look.version),
+            lease: None,
+        })
+        .await
+    }
+
+    async fn take_look(&mut self) -> bool {
+        let result = futures::try_join!(
+            (self.client.get)(HEAD_KEY.to_owned()),
+            (self.client.list)(STATUS_PREFIX.to_owned()),
+            (self.client.live)(()),
+        );
+        let Some((entry, list, live)) = self.noted(result).await else {
+            return false;
+        };
+        self.look.lines = status::parse(&list);
+        self.look.required = (self.options.required)(&live);
+        self.take_entry(entry.version, entry.value.as_deref()).await
+    }
+
+    async fn take_head(&mut self) -> bool {
+        let result = (self.client.get)(HEAD_KEY.to_owned()).await;
+        let Some(entry) = self.noted(result).await else {
+            return false;
+        };
+        self.take_entry(entry.version, entry.value.as_deref()).await
+    }
+
+    async fn take_entry(&mut self, version: u64, value: Option<&str>) -> bool {
+        let Some(head) = self.noted(HeadDocument::parse(value)).await else {
+            return false;
+        };
+        self.look.head = head;
+        self.look.version = version;
+        self.seen_version = self.seen_version.max(version);
+        true
+    }
+
+    async fn read_version(&mut self) -> Option<u64> {
+        let ends_at = self.now().after(self.options.settle_within);
+        while self.now() < ends_at {
+            if self.take_head().await {
+                return Some(self.look.version);
+            }
+        }
+        None
+    }
+
+    /// Remembers a failure and waits a while after it.
+    async fn noted<T, E: ToString>(&mut self, result: Result<T, E>) -> Option<T> {
+        match result {
+            Ok(value) => {
+                self.failures = 0;
+                self.last_error = None;
+                Some(value)
+            }
+            Err(error) => {
+                self.failures += 1;
+                self.last_error = Some(error.to_string());
+                let draw = (self.options.time.jitter)();
+                let wait = RetryPlan::default().wait(self.failures, draw);
+                (self.options.time.sleep)(wait).await;
+                None
+            }
+        }
+    }
+
+    async fn pause(&self) {
+        let vms = u32::try_from(self.look.required.len()).unwrap_or(u32::MAX);
+        let poll = self.options.poll.max(POLL_PER_VM.saturating_mul(vms));
+        (self.options.time.sleep)(poll).await;
+    }
+
+    fn now(&self) -> TimeStamp {
+        (self.options.time.now)()
+    }
+}
--- a/dahliawood-store/src/client/error/mod.rs
+++ b/dahliawood-store/src/client/error/mod.rs
@@ -79,6 +79,14 @@
 }
 
 impl StoreError {
+    /// Whether the service itself answered, be it by a refusal.
+    pub fn is_answer(&self) -> bool {
+        matches!(
+            self,
+            Self::Conflict { .. } | Self::OverRate | Self::TooLarge | Self::NoLease
+        )
+    }
+
     /// Whether the call, if it was a write, may have taken effect.
     pub fn effect(&self) -> WriteEffect {
         match self {
--- /dev/null
+++ b/dahliawood-store/src/content/transfer/mod.rs
@@ -0,0 +1,126 @@
+//! Files to and from the store.
+
+use super::{ContentError, ContentHash, ContentManifest, ContentPart};
+use crate::client::error::StoreError;
+use crate::client::{PutCall, StoreClient};
+use dahliawood_model::FastMap;
+use snafu::{OptionExt, ResultExt, Snafu};
+
+/// Why a file cannot be had from the store.
+#[derive(Debug, Snafu)]
+pub enum TransferError {
+    /// A call failed.
+    #[snafu(display("{source}"), context(false))]
+    Store {
+        /// The cause.
+        source: StoreError,
+    },
+    /// The store does not hold the manifest or a part.
+    #[snafu(display("the store does not hold {hash}"))]
+    Absent {
+        /// What is missing.
+        hash: ContentHash,
+    },
+    /// A manifest cannot be read.
+    #[snafu(display("the manifest of {hash} cannot be read"))]
+    Manifest {
+        /// Hash of the file.
+        hash: ContentHash,
+        /// The cause.
+        source: serde_json::Error,
+    },
+    /// The store holds another text.
+    #[snafu(display("{source}"), context(false))]
+    Content {
+        /// The cause.
+        source: ContentError,
+    },
+}
+
+/// Writes a file: its parts first, then its manifest. What the store holds already stays.
+///
+/// # Errors
+///
+/// The first call that fails; the same file can be written again.
+///
+/// # Panics
+///
+/// Never: a manifest has a JSON form.
+pub async fn upload(client: &StoreClient, text: &str) -> Result<ContentHash, StoreError> {
+    let hash = ContentHash::of(text);
+    let (manifest, parts) = super::split(text);
+    for part in parts {
+        put_once(client, part_key(&part.hash), part.text).await?;
+    }
+    let manifest = serde_json::to_string(&manifest).expect("a manifest has a JSON form");
+    put_once(client, manifest_key(&hash), manifest).await?;
+    Ok(hash)
+}
+
+/// Reads a file; parts that `known` has are not read again.
+///
+/// # Errors
+///
+/// See [`TransferError`].
+pub async fn download(
+    client: &StoreClient,
+    hash: &ContentHash,
+    known: &[&str],
+) -> Result<String, TransferError> {
+    let entry = (client.get)(manifest_key(hash)).await?;
+    let value = entry.value.context(AbsentSnafu { hash: hash.clone() })?;
+    let manifest = serde_json::from_str(&value).context(ManifestSnafu { hash: hash.clone() })?;
+    let text = match manifest {
+        ContentManifest::Inline(text) => text,
+        ContentManifest::Parts(hashes) => join(client, &hashes, known).await?,
+    };
+    super::verify(hash, &text)?;
+    Ok(text)
+}
+
+async fn join(
+    client: &StoreClient,
+    hashes: &[ContentHash],
+    known: &[&str],
+) -> Result<String, TransferError> {
+    let held: FastMap<ContentHash, String> = known
+        .iter()
+        .flat_map(|text| super::split(text).1)
+        .map(|ContentPart { hash, text }| (hash, text))
+        .collect();
+    let mut text = String::new();
+    for hash in hashes {
+        match held.get(hash) {
+            Some(part) => text.push_str(part),
+            None => text.push_str(&read_part(client, hash).await?),
+        }
+    }
+    Ok(text)
+}
+
+async fn read_part(client: &StoreClient, hash: &ContentHash) -> Result<String, TransferError> {
+    let entry = (client.get)(part_key(hash)).await?;
+    entry.value.context(AbsentSnafu { hash: hash.clone() })
+}
+
+async fn put_once(client: &StoreClient, key: String, value: String) -> Result<(), StoreError> {
+    let call = PutCall {
+        key,
+        value,
+        expected: Some(0),
+        lease: None,
+    };
+    match (client.put)(call).await {
+        // The key names its value by its hash.
+        Ok(_) | Err(StoreError::Conflict { .. }) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+fn manifest_key(hash: &ContentHash) -> String {
+    format!("dahliawood/file/{hash}")
+}
+
+fn part_key(hash: &ContentHash) -> String {
+    format!("dahliawood/part/{hash}")
+}
--- a/dahliawood-store/src/lib.rs
+++ b/dahliawood-store/src/lib.rs
@@ -5,5 +5,14 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod acceptance;
+pub mod backoff;
 pub mod client;
+pub mod clock;
+pub mod content;
+pub mod head;
+pub mod lease;
 pub mod protocol;
+pub mod revision;
+pub mod status;
+pub mod watch;
--- /dev/null
+++ b/dahliawood-store/src/revision/keeper/mod.rs
@@ -0,0 +1,266 @@
+//! What a VM knows of revisions, and the rule that it only goes forward.
+
+use crate::content::{self, ContentError, ContentHash};
+use crate::head::{HeadDocument, RevisionStamp};
+use crate::status::{RefusalCause, RevisionRefusal, StatusLine};
+use std::sync::Arc;
+
+/// Where a VM learned of a revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+pub enum RevisionSource {
+    /// The platform's store.
+    #[display("store")]
+    Store,
+    /// Another VM.
+    #[display("peer")]
+    Peer,
+    /// The `apply` that this VM ran itself.
+    #[display("apply")]
+    Apply,
+}
+
+/// A revision in force with its file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForceRecord {
+    /// Which one.
+    pub stamp: RevisionStamp,
+    /// The file.
+    pub text: Arc<str>,
+    /// Where the VM learned that it is accepted.
+    pub source: RevisionSource,
+}
+
+/// What an accepted revision meant to a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ObserveOutcome {
+    /// It is not above the one known.
+    Old,
+    /// It is now in force.
+    InForce,
+    /// It is the highest known; its file is not here or not understood.
+    Wanted,
+}
+
+/// What a file meant to a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SupplyOutcome {
+    /// Nobody asked for it.
+    Unwanted,
+    /// It is held, for a revision that is proposed only.
+    Staged,
+    /// Its revision is now in force.
+    InForce,
+    /// It is not understood.
+    Refused,
+}
+
+/// Checks a file; the error says in a line why it cannot be in force here.
+pub type FileCheck<'a> = &'a dyn Fn(&str) -> Result<(), String>;
+
+/// The revisions of one VM.
+#[derive(Clone, Debug)]
+pub struct RevisionKeeper {
+    vm: String,
+    incarnation: u64,
+    serial: u64,
+    in_force: Option<ForceRecord>,
+    accepted: Option<(RevisionStamp, RevisionSource)>,
+    proposed: Option<RevisionStamp>,
+    staged: Option<(RevisionStamp, Arc<str>)>,
+    refused: Option<RevisionRefusal>,
+}
+
+impl RevisionKeeper {
+    /// A VM that has just started and knows nothing.
+    pub fn new(vm: &str, incarnation: u64) -> Self {
+        Self {
+            vm: vm.to_owned(),
+            incarnation,
+            serial: 0,
+            in_force: None,
+            accepted: None,
+            proposed: None,
+            staged: None,
+            refused: None,
+        }
+    }
+
+    /// The revision in force; a VM without one takes no work.
+    pub fn in_force(&self) -> Option<&ForceRecord> {
+        self.in_force.as_ref()
+    }
+
+    /// The highest revision known to be accepted, in force here or not.
+    pub fn accepted(&self) -> Option<&RevisionStamp> {
+        self.accepted.as_ref().map(|(stamp, _)| stamp)
+    }
+
+    /// The file of `hash`, where it is in force or staged here.
+    pub fn file(&self, hash: &ContentHash) -> Option<Arc<str>> {
+        let in_force = self
+            .in_force
+            .iter()
+            .map(|record| (&record.stamp, &record.text));
+        let staged = self.staged.iter().map(|(stamp, text)| (stamp, text));
+        in_force
+            .chain(staged)
+            .find(|(stamp, _)| stamp.hash == *hash)
+            .map(|(_, text)| Arc::clone(text))
+    }
+
+    /// Takes in that a revision is accepted.
+    pub fn observe(&mut self, stamp: &RevisionStamp, source: RevisionSource) -> ObserveOutcome {
+        if self.accepted() >= Some(stamp) {
+            return ObserveOutcome::Old;
+        }
+        self.accepted = Some((stamp.clone(), source));
+        self.serial += 1;
+        if self.enforce() {
+            return ObserveOutcome::InForce;
+        }
+        ObserveOutcome::Wanted
+    }
+
+    /// Takes in that a revision is proposed.
+    ///
+    /// The promise to hold it outlasts the proposal: no number that was promised is ever
+    /// promised to another write, so a store that forgot a proposal cannot use its number again.
+    pub fn propose(&mut self, stamp: &RevisionStamp) {
+        if self.proposed.as_ref() == Some(stamp) || self.accepted() == Some(stamp) {
+            return;
+        }
+        if stamp.revision <= self.highest() {
+            let highest = self.highest();
+            self.refuse(stamp, RefusalCause::Behind { highest });
+            return;
+        }
+        self.proposed = Some(stamp.clone());
+        self.serial += 1;
+        // The same file may be here already, from an earlier number of the same write.
+        if let Some(text) = self.file(&stamp.hash) {
+            self.staged = Some((stamp.clone(), text));
+        }
+    }
+
+    /// Hashes of the files to fetch, the most urgent first.
+    pub fn wanted(&self) -> Vec<ContentHash> {
+        let accepted = self.accepted().filter(|stamp| !self.is_done_with(stamp));
+        let proposed = self
+            .proposed
+            .as_ref()
+            .filter(|stamp| !self.is_done_with(stamp));
+        let mut hashes: Vec<_> = accepted
+            .into_iter()
+            .chain(proposed)
+            .map(|stamp| stamp.hash.clone())
+            .collect();
+        hashes.dedup();
+        hashes
+    }
+
+    /// Takes a file in, from wherever it came.
+    ///
+    /// # Errors
+    ///
+    /// [`ContentError::WrongHash`] where it is not the file of `hash`; nothing is changed.
+    pub fn supply(
+        &mut self,
+        hash: &ContentHash,
+        text: &str,
+        check: FileCheck<'_>,
+    ) -> Result<SupplyOutcome, ContentError> {
+        content::verify(hash, text)?;
+        let is_wanted = |stamp: &&RevisionStamp| stamp.hash == *hash;
+        let accepted = self.accepted().filter(is_wanted);
+        let proposed = self.proposed.as_ref().filter(is_wanted);
+        let Some(stamp) = accepted.or(proposed).cloned() else {
+            return Ok(SupplyOutcome::Unwanted);
+        };
+        if let Err(reason) = check(text) {
+            self.refuse(&stamp, RefusalCause::Check { reason });
+            return Ok(SupplyOutcome::Refused);
+        }
+        self.staged = Some((stamp, Arc::from(text)));
+        self.serial += 1;
+        if self.enforce() {
+            return Ok(SupplyOutcome::InForce);
+        }
+        Ok(SupplyOutcome::Staged)
+    }
+
+    /// The head to write where the store lost a revision that is known here to be accepted.
+    pub fn repair(&self, head: &HeadDocument) -> Option<(HeadDocument, ForceRecord)> {
+        let record = self.in_force()?;
+        if head.accepted() >= Some(&record.stamp) {
+            return None;
+        }
+        Some((head.with_accepted(&record.stamp), record.clone()))
+    }
+
+    /// What the VM says of itself.
+    pub fn status(&self) -> StatusLine {
+        StatusLine {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            serial: self.serial,
+            in_force: self.in_force.as_ref().map(|record| record.stamp.clone()),
+            staged: self.staged.as_ref().map(|(stamp, _)| stamp.clone()),
+            refused: self.refused.clone(),
+            highest: self.highest(),
+        }
+    }
+
+    fn highest(&self) -> u64 {
+        let accepted = self.accepted().map_or(0, |stamp| stamp.revision);
+        let proposed = self.proposed.as_ref().map_or(0, |stamp| stamp.revision);
+        accepted.max(proposed)
+    }
+
+    /// Puts the accepted revision in force if its file is here.
+    fn enforce(&mut self) -> bool {
+        let Some((stamp, source)) = self.accepted.clone() else {
+            return false;
+        };
+        let is_in_force = self
+            .in_force
+            .as_ref()
+            .is_some_and(|record| record.stamp >= stamp);
+        let Some(text) = self.file(&stamp.hash).filter(|_| !is_in_force) else {
+            return false;
+        };
+        self.in_force = Some(ForceRecord {
+            stamp,
+            text,
+            source,
+        });
+        true
+    }
+
+    fn refuse(&mut self, stamp: &RevisionStamp, cause: RefusalCause) {
+        let refusal = RevisionRefusal {
+            stamp: stamp.clone(),
+            cause,
+        };
+        if self.refused.as_ref() != Some(&refusal) {
+            self.refused = Some(refusal);
+            self.serial += 1;
+        }
+    }
+
+    /// Whether the file of a revision is here or was refused.
+    fn is_done_with(&self, stamp: &RevisionStamp) -> bool {
+        let is_staged = self
+            .staged
+            .as_ref()
+            .is_some_and(|(staged, _)| staged == stamp);
+        let is_in_force = self
+            .in_force
+            .as_ref()
+            .is_some_and(|record| record.stamp == *stamp);
+        let is_refused = self
+            .refused
+            .as_ref()
+            .is_some_and(|refusal| refusal.stamp == *stamp);
+        is_staged || is_in_force || is_refused
+    }
+}
--- /dev/null
+++ b/dahliawood-store/tests/main/fleet.rs
@@ -0,0 +1,179 @@
+//! VMs and operators over HTTP against the stand-in.
+
+use crate::support::start;
+use async_std::task::{self, JoinHandle};
+use dahliawood_store::acceptance::{self, AcceptOptions, ApplyOptions, ApplyOutcome, error};
+use dahliawood_store::client::StoreClient;
+use dahliawood_store::head::WriteId;
+use dahliawood_store::protocol::{LiveState, LiveVm};
+use dahliawood_store::revision::{self, FollowOptions, RevisionKeeper, SharedKeeper};
+use dahliawood_store::{clock, head};
+use dahliawood_testkit::platform::PlatformHandle;
+use dahliawood_testkit::platform::faults::FaultSettings;
+use std::sync::Arc;
+use std::time::Duration;
+
+struct TestVm {
+    keeper: SharedKeeper,
+    task: Option<JoinHandle<()>>,
+}
+
+fn check(text: &str) -> Result<(), String> {
+    if text.contains("bad") {
+        return Err("line 1: bad".to_owned());
+    }
+    Ok(())
+}
+
+fn start_vms(handle: &PlatformHandle, client: &StoreClient, count: usize) -> Vec<TestVm> {
+    let vms = (0..count).map(|index| {
+        let name = format!("vm-{index}");
+        handle.put_live(LiveVm {
+            name: name.clone(),
+            http: "127.0.0.1:1".into(),
+            peer: "127.0.0.1:2".into(),
+            domain: "north-1".into(),
+            incarnation: Some(1),
+            state: LiveState::Live,
+        });
+        let keeper = RevisionKeeper::new(&name, 1);
+        let keeper = SharedKeeper::new(keeper, Arc::new(check), Arc::new(|_record| ()));
+        let options = FollowOptions::new(keeper.clone(), clock::boot(), count);
+        let client = client.clone();
+        let task = task::spawn(async move { revision::follow(&client, &options).await });
+        TestVm {
+            keeper,
+            task: Some(task),
+        }
+    });
+    vms.collect()
+}
+
+fn options(text: &str) -> ApplyOptions {
+    ApplyOptions {
+        file_text: text.to_owned(),
+        expect: None,
+        write_id: WriteId::random(&mut rand::rng()),
+        accept: AcceptOptions::new(clock::boot()),
+    }
+}
+
+fn applied(outcome: &ApplyOutcome) -> (u64, usize, usize) {
+    match outcome {
+        ApplyOutcome::Applied { revision, report } => {
+            (*revision, report.in_force.len(), report.missing.len())
+        }
+        other => panic!("not applied: {other:?}"),
+    }
+}
+
+#[async_std::test]
+async fn file_is_accepted_and_in_force_on_all() {
+    let (handle, client) = start().await;
+    let vms = start_vms(&handle, &client, 5);
+    let outcome = acceptance::apply(&client, &options("one")).await;
+    assert_eq!(applied(&outcome), (1, 5, 0));
+    let large = "line of a larger file\n".repeat(20_000);
+    let outcome = acceptance::apply(&client, &options(&large)).await;
+    assert_eq!(applied(&outcome), (2, 5, 0));
+    for vm in &vms {
+        let record = vm.keeper.in_force().unwrap();
+        assert_eq!((record.stamp.revision, &*record.text), (2, large.as_str()));
+    }
+    let outcome = acceptance::apply(&client, &options(&large)).await;
+    assert!(matches!(
+        outcome,
+        ApplyOutcome::NoChange { revision: 2, .. }
+    ));
+}
+
+#[async_std::test]
+async fn file_that_one_vm_does_not_understand_is_accepted_by_none() {
+    let (handle, client) = start().await;
+    let vms = start_vms(&handle, &client, 3);
+    let outcome = acceptance::apply(&client, &options("bad")).await;
+    let ApplyOutcome::NotApplied {
+        why: error::ApplyError::Refused { refusals },
+    } = outcome
+    else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(refusals[0].refusal.cause.to_string(), "line 1: bad");
+    assert!(vms.iter().all(|vm| vm.keeper.in_force().is_none()));
+    let entry = (client.get)(head::HEAD_KEY.into()).await.unwrap();
+    let head = head::HeadDocument::parse(entry.value.as_deref()).unwrap();
+    assert_eq!((head.accepted(), &head.proposal), (None, &None));
+}
+
+#[async_std::test]
+async fn expected_revision_must_be_in_force() {
+    let (handle, client) = start().await;
+    let _vms = start_vms(&handle, &client, 2);
+    assert_eq!(
+        applied(&acceptance::apply(&client, &options("one")).await).0,
+        1
+    );
+    let late = ApplyOptions {
+        expect: Some(0),
+        ..options("two")
+    };
+    let why = error::ApplyError::Unexpected {
+        expected: 0,
+        found: 1,
+    };
+    let outcome = acceptance::apply(&client, &late).await;
+    assert_eq!(outcome, ApplyOutcome::NotApplied { why });
+    let right = ApplyOptions {
+        expect: Some(1),
+        ..options("two")
+    };
+    assert_eq!(applied(&acceptance::apply(&client, &right).await).0, 2);
+}
+
+#[async_std::test]
+async fn dead_vm_holds_a_file_back_and_is_named() {
+    let (handle, client) = start().await;
+    let mut vms = start_vms(&handle, &client, 3);
+    vms[2].task.take().unwrap().cancel().await;
+    let mut options = options("one");
+    options.accept.accept_within = Duration::from_millis(500);
+    let why = error::ApplyError::Unconfirmed {
+        vms: vec!["vm-2".into()],
+    };
+    let outcome = acceptance::apply(&client, &options).await;
+    assert_eq!(outcome, ApplyOutcome::NotApplied { why });
+    handle.remove_live("vm-2");
+    let outcome = acceptance::apply(&client, &options).await;
+    assert_eq!(applied(&outcome).1, 2);
+}
+
+#[async_std::test]
+async fn all_replies_lost_is_settled_by_reading_back() {
+    let (handle, client) = start().await;
+    let vms = start_vms(&handle, &client, 3);
+    handle.set_faults(FaultSettings {
+        lose_reply_percent: 100,
+        ..FaultSettings::default()
+    });
+    let outcome = acceptance::apply(&client, &options("one")).await;
+    assert_eq!(applied(&outcome), (1, 3, 0));
+    assert!(vms.iter().all(|vm| vm.keeper.in_force().is_some()));
+}
+
+#[async_std::test]
+async fn restored_store_gets_the_revision_back() {
+    let (handle, client) = start().await;
+    let vms = start_vms(&handle, &client, 3);
+    applied(&acceptance::apply(&client, &options("one")).await);
+    let snapshot = handle.snapshot();
+    assert_eq!(
+        applied(&acceptance::apply(&client, &options("two")).await).0,
+        2
+    );
+    assert!(handle.restore(snapshot));
+    let third = acceptance::apply(&client, &options("three")).await;
+    assert!(applied(&third).0 > 2);
+    for vm in &vms {
+        assert_eq!(&*vm.keeper.in_force().unwrap().text, "three");
+    }
+}
--- a/dahliawood-store/tests/main/main.rs
+++ b/dahliawood-store/tests/main/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the store package.
 
 mod client;
+mod fleet;
 mod support;
