feat(steer): fair waiting queue, and the properties of choices under faults

- queue: requests wait at the VM, by start-time fair queueing; what cannot start before its deadline is refused at once, on arrival or when pushed back.
- choice: probes of another region need headroom on the way; slot_rate for the forecast of the queue.
- tests: random faults against every bound of a choice, reports alone, common causes, loss of a region with and without room, drains over a narrow link, ramps, fair turns, exact weights.

--- a/dahliawood-steer/src/choice/mod.rs
+++ b/dahliawood-steer/src/choice/mod.rs
@@ -115,6 +115,19 @@
     pick::choose(table, query, now, rng)
 }
 
+/// Requests a second that this VM's slots of `states` end, from the latency measured last.
+pub fn slot_rate<'a>(states: impl Iterator<Item = &'a target::TargetState>) -> f64 {
+    let rate = |state: &target::TargetState| {
+        let latency_us = match state.health.samples {
+            0 => ASSUMED_SERVICE.as_micros() as f64,
+            _ => state.health.latency_us.max(1.0),
+        };
+        f64::from(state.limit) * 1e6 / latency_us
+    };
+    let usable = states.filter(|state| state.serving && state.health.ejection.is_none());
+    usable.map(rate).sum()
+}
+
 /// Counts a request as running at a target, `None` where the target is not declared.
 ///
 /// Call it under the same lock as the [`choose`] that named the target.
--- a/dahliawood-steer/src/choice/pick.rs
+++ b/dahliawood-steer/src/choice/pick.rs
@@ -1,6 +1,6 @@
 //! The steps of one choice.
 
-use super::{Choice, ChoiceQuery, NoneCause, SpillRoom};
+use super::{Choice, ChoiceQuery, NoneCause, SpillRoom, slot_rate};
 use crate::{drain, health, target};
 use dahliawood_model::keys::{ArenaKey, RegionKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
@@ -30,7 +30,7 @@
     rng: &mut impl Rng,
 ) -> Choice {
     let candidates = candidates(table, query, now);
-    if let Some(probe) = due_probe(table, &candidates) {
+    if let Some(probe) = due_probe(table, query, &candidates) {
         return chosen(table, probe);
     }
     if candidates.usable.is_empty() {
@@ -101,8 +101,12 @@
     now >= due
 }
 
-/// A target to probe in the home region, or elsewhere where the home region has none declared.
-fn due_probe(table: &target::TargetTable, list: &CandidateList) -> Option<u32> {
+/// A target to probe in the home region, or elsewhere where the home region has none to use.
+fn due_probe(
+    table: &target::TargetTable,
+    query: &ChoiceQuery<'_>,
+    list: &CandidateList,
+) -> Option<u32> {
     let home = table.home;
     let free = list.probes.iter().copied().filter(|index| {
         let state = &table.states[*index as usize];
@@ -111,7 +115,10 @@
     let region = |index: &u32| table.states[*index as usize].region;
     let has_home = list.usable.iter().any(|index| region(index) == home);
     free.min_by_key(|index| (region(index) != home, *index))
-        .filter(|index| region(index) == home || !has_home)
+        .filter(|index| {
+            let region = region(index);
+            region == home || (!has_home && (query.room)(region).least() > 0.0)
+        })
 }
 
 /// The usable targets that drains in progress keep this request away from.
@@ -278,15 +285,7 @@
     states: impl Iterator<Item = &'a target::TargetState>,
     waiting: u32,
 ) -> Option<Duration> {
-    let per_second: f64 = states
-        .map(|state| {
-            let latency_us = match state.health.samples {
-                0 => super::ASSUMED_SERVICE.as_micros() as f64,
-                _ => state.health.latency_us.max(1.0),
-            };
-            f64::from(state.limit) * 1e6 / latency_us
-        })
-        .sum();
+    let per_second = slot_rate(states);
     (per_second > 0.0).then(|| Duration::from_secs_f64(f64::from(waiting + 1) / per_second))
 }
 
--- a/dahliawood-steer/src/lib.rs
+++ b/dahliawood-steer/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod health;
 pub mod lookup;
 pub mod prefix;
+pub mod queue;
 pub mod ramp;
 pub mod rendezvous;
 pub mod split;
--- /dev/null
+++ b/dahliawood-steer/tests/main/faults.rs
@@ -0,0 +1,330 @@
+//! Choices under random faults: failures, lying reports, drains, lost room and slots.
+
+use crate::choice::{query, table};
+use crate::fleet;
+use dahliawood_model::keys::{DomainKey, RegionKey, TargetKey};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_model::tables::{DrainSpec, DrainSubject, FleetConfig};
+use dahliawood_steer::{choice, health, target};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+
+/// Targets of the fleet under test: three regions with two domains of two targets.
+const TARGETS: u32 = 12;
+const SLOTS: u32 = 3;
+
+#[derive(Clone, Copy, Debug)]
+enum FaultStep {
+    Request {
+        idempotent: bool,
+        tried: u32,
+    },
+    Result {
+        which: usize,
+        kind: health::ResultKind,
+        millis: u64,
+    },
+    Limit {
+        target: u32,
+        limit: u32,
+    },
+    Report {
+        target: u32,
+        load: f64,
+        leaving: bool,
+        age_ms: u64,
+    },
+    Drain {
+        subject: DrainSubject,
+    },
+    EndDrains,
+    Room {
+        share: f64,
+    },
+    Wait {
+        millis: u64,
+    },
+}
+
+fn result_kind() -> impl Strategy<Value = health::ResultKind> {
+    prop_oneof![
+        3 => Just(health::ResultKind::Answered),
+        1 => Just(health::ResultKind::Errored),
+        1 => Just(health::ResultKind::Shed),
+        2 => Just(health::ResultKind::ConnectFailed),
+        1 => Just(health::ResultKind::TimedOut),
+        1 => Just(health::ResultKind::Cancelled),
+    ]
+}
+
+fn subject() -> impl Strategy<Value = DrainSubject> {
+    prop_oneof![
+        (0..TARGETS).prop_map(|key| DrainSubject::Target(TargetKey(key))),
+        (0_u32..6).prop_map(|key| DrainSubject::Domain(DomainKey(key))),
+        (0_u32..3).prop_map(|key| DrainSubject::Region(RegionKey(key))),
+    ]
+}
+
+fn step() -> impl Strategy<Value = FaultStep> {
+    let report = (0..TARGETS, -1.0..9.0_f64, any::<bool>(), 0_u64..9_000);
+    prop_oneof![
+        8 => (any::<bool>(), 0..TARGETS)
+            .prop_map(|(idempotent, tried)| FaultStep::Request { idempotent, tried }),
+        6 => (any::<usize>(), result_kind(), 0_u64..500)
+            .prop_map(|(which, kind, millis)| FaultStep::Result { which, kind, millis }),
+        1 => (0..TARGETS, 0..=SLOTS)
+            .prop_map(|(target, limit)| FaultStep::Limit { target, limit }),
+        1 => report.prop_map(|(target, load, leaving, age_ms)| FaultStep::Report {
+            target, load, leaving, age_ms,
+        }),
+        1 => subject().prop_map(|subject| FaultStep::Drain { subject }),
+        1 => Just(FaultStep::EndDrains),
+        1 => prop_oneof![Just(0.0), 0.0..1.0].prop_map(|share| FaultStep::Room { share }),
+        2 => (0_u64..3_000).prop_map(|millis| FaultStep::Wait { millis }),
+    ]
+}
+
+/// The fleet under test and what is known to be true of it.
+struct FaultBench {
+    config: FleetConfig,
+    table: target::TargetTable,
+    rng: SmallRng,
+    now: TimeStamp,
+    room: f64,
+    flights: Vec<target::FlightKey>,
+}
+
+impl FaultBench {
+    fn new() -> Self {
+        let config = fleet::config(3, 2, SLOTS);
+        Self {
+            table: table(&config, SLOTS),
+            config,
+            rng: SmallRng::seed_from_u64(fleet::seed()),
+            now: TimeStamp::ZERO,
+            room: 1.0,
+            flights: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, step: FaultStep) -> Result<(), TestCaseError> {
+        match step {
+            FaultStep::Request { idempotent, tried } => self.request(idempotent, tried)?,
+            FaultStep::Result {
+                which,
+                kind,
+                millis,
+            } => self.result(which, kind, millis),
+            FaultStep::Limit { target, limit } => {
+                self.table.set_slot_limit(TargetKey(target), limit);
+            }
+            FaultStep::Report {
+                target,
+                load,
+                leaving,
+                age_ms,
+            } => {
+                let measured = self.now.before(Duration::from_millis(age_ms));
+                let report = health::LoadReport {
+                    load,
+                    leaving,
+                    measured,
+                };
+                self.table.set_report(TargetKey(target), report);
+            }
+            FaultStep::Drain { subject } => {
+                self.config.drains.push(DrainSpec {
+                    subject,
+                    over: Duration::ZERO,
+                });
+                self.table.reconfigure(&self.config, RegionKey(0), self.now);
+            }
+            FaultStep::EndDrains => {
+                self.config.drains.clear();
+                self.table.reconfigure(&self.config, RegionKey(0), self.now);
+            }
+            FaultStep::Room { share } => self.room = share,
+            FaultStep::Wait { millis } => {
+                self.now = self.now.after(Duration::from_millis(millis));
+            }
+        }
+        Ok(())
+    }
+
+    fn request(&mut self, idempotent: bool, tried: u32) -> Result<(), TestCaseError> {
+        let room = self.room;
+        let room = move |_: RegionKey| choice::SpillRoom {
+            link: room,
+            region: 1.0,
+        };
+        let exclude = [TargetKey(tried)];
+        let query = choice::ChoiceQuery {
+            exclude: &exclude,
+            idempotent,
+            waiting: 5,
+            ..query(&room)
+        };
+        let chosen = choice::choose(&mut self.table, &query, self.now, &mut self.rng);
+        let choice::Choice::Target(key, region) = chosen else {
+            return self.check_not_starved(tried, chosen);
+        };
+        let state = self.table.get(key).unwrap();
+        prop_assert!(state.in_flight < state.limit, "more than its slots");
+        prop_assert!(key != TargetKey(tried), "tried already");
+        prop_assert!(
+            region == RegionKey(0) || self.room > 0.0,
+            "no room on the link"
+        );
+        let drains = &self.config.drains;
+        let leaving = drains
+            .iter()
+            .any(|drain| target::covers(drain.subject, state));
+        prop_assert!(!leaving, "work for a leaving target");
+        if let Some(ejection) = state.health.ejection {
+            prop_assert!(state.in_flight == 0, "two probes at once");
+            prop_assert!(self.now >= ejection.until, "probe before its time");
+        }
+        self.flights.extend(choice::begin(&mut self.table, key));
+        Ok(())
+    }
+
+    /// A target at home that serves, is healthy and free is not passed over.
+    fn check_not_starved(&self, tried: u32, chosen: choice::Choice) -> Result<(), TestCaseError> {
+        let mut home = self
+            .table
+            .iter()
+            .filter(|state| state.region == RegionKey(0));
+        let free = home.any(|state| {
+            state.serving
+                && state.key != TargetKey(tried)
+                && state.health.ejection.is_none()
+                && state.has_room(self.now)
+        });
+        prop_assert!(!free, "{:?} though a target at home is free", chosen);
+        Ok(())
+    }
+
+    fn result(&mut self, which: usize, kind: health::ResultKind, millis: u64) {
+        if self.flights.is_empty() {
+            return;
+        }
+        let flight = self.flights.swap_remove(which % self.flights.len());
+        let report = fleet::outcome(kind, millis);
+        choice::finish(&mut self.table, flight, report, self.now);
+    }
+}
+
+#[test]
+fn no_choice_breaks_a_bound() {
+    let steps = proptest::collection::vec(step(), 1..400);
+    let mut runner = fleet::runner();
+    let result = runner.run(&steps, |steps| {
+        let mut bench = FaultBench::new();
+        steps.into_iter().try_for_each(|step| bench.run(step))
+    });
+    result.unwrap();
+}
+
+#[test]
+fn reports_alone_empty_no_region() {
+    let report = (any::<bool>(), -1.0..9.0_f64, 0_u64..9_000);
+    let reports = proptest::collection::vec(report, TARGETS as usize);
+    let mut runner = fleet::runner();
+    let result = runner.run(&reports, |reports| {
+        let mut bench = FaultBench::new();
+        bench.now = TimeStamp::from_millis(10_000);
+        for (target, (leaving, load, age_ms)) in reports.into_iter().enumerate() {
+            let target = target as u32;
+            bench.run(FaultStep::Report {
+                target,
+                load,
+                leaving,
+                age_ms,
+            })?;
+        }
+        let query = query(&fleet::wide);
+        for _ in 0..4 * SLOTS {
+            let chosen = choice::choose(&mut bench.table, &query, bench.now, &mut bench.rng);
+            let choice::Choice::Target(key, RegionKey(0)) = chosen else {
+                return Err(TestCaseError::fail(format!("{chosen:?}")));
+            };
+            bench.flights.extend(choice::begin(&mut bench.table, key));
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
+
+/// Errors, timeouts and slowness that strike all targets leave most of each region in use.
+#[test]
+fn a_common_cause_empties_no_region() {
+    let soft = prop_oneof![
+        Just(health::ResultKind::Errored),
+        Just(health::ResultKind::TimedOut),
+        Just(health::ResultKind::Answered),
+    ];
+    let results = proptest::collection::vec((0..TARGETS, soft, 1_u64..3_000), 1..400);
+    let mut runner = fleet::runner();
+    let result = runner.run(&results, |results| {
+        let mut bench = FaultBench::new();
+        for (target, kind, millis) in results {
+            let flight = choice::begin(&mut bench.table, TargetKey(target)).unwrap();
+            let report = fleet::outcome(kind, millis);
+            choice::finish(&mut bench.table, flight, report, bench.now);
+        }
+        for region in 0..3 {
+            let of_region = bench.table.iter().filter(|state| state.region.0 == region);
+            let ejected = of_region.filter(|state| state.health.ejection.is_some());
+            prop_assert!(ejected.count() <= health::soft_limit(4));
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
+
+/// The home region dies while no link has headroom: refused at once, and nothing waits.
+#[test]
+fn loss_of_the_region_without_room_is_refused_at_once() {
+    let mut bench = FaultBench::new();
+    for target in 0..4 {
+        for _ in 0..health::CONNECT_FAILURES {
+            let flight = choice::begin(&mut bench.table, TargetKey(target)).unwrap();
+            let report = fleet::outcome(health::ResultKind::ConnectFailed, 1);
+            choice::finish(&mut bench.table, flight, report, bench.now);
+        }
+    }
+    let refused = query(&fleet::shut);
+    let chosen = choice::choose(&mut bench.table, &refused, bench.now, &mut bench.rng);
+    let why = choice::NoneCause::NoRoom;
+    assert!(
+        matches!(chosen, choice::Choice::None { why: seen, .. } if seen == why),
+        "{chosen:?}"
+    );
+    let moved = query(&fleet::wide);
+    let chosen = choice::choose(&mut bench.table, &moved, bench.now, &mut bench.rng);
+    assert!(matches!(chosen, choice::Choice::Target(_, region) if region != RegionKey(0)));
+}
+
+/// Many VMs with the same picture of two equal regions use both.
+#[test]
+fn stale_headroom_does_not_herd() {
+    let config = fleet::config(3, 1, SLOTS);
+    let mut counts = [0_u32; 3];
+    for vm in 0..400 {
+        let mut table = table(&config, SLOTS);
+        let mut rng = SmallRng::seed_from_u64(fleet::seed() + vm);
+        for key in [TargetKey(0), TargetKey(1)] {
+            table.set_slot_limit(key, 0);
+        }
+        let query = query(&fleet::wide);
+        let chosen = choice::choose(&mut table, &query, TimeStamp::ZERO, &mut rng);
+        let choice::Choice::Target(_, region) = chosen else {
+            panic!("{chosen:?}");
+        };
+        counts[region.0 as usize] += 1;
+    }
+    assert_eq!(counts[0], 0);
+    assert!(counts[1].abs_diff(counts[2]) < 100, "{counts:?}");
+}
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -1,5 +1,9 @@
 //! Properties of look-ups, choices, drains and ramps under faults.
 
 mod choice;
+mod drain;
+mod faults;
 mod fleet;
 mod lookup;
+mod queue;
+mod split;
