feat(fate): retry policy with a budget per service and shrinking deadlines

Broken on purpose, the property over all questions caught a policy that looked at the last try's verdict alone instead of that of all tries, and the budget property caught one that earned double; both pass as committed.

--- a/dahliawood-fate/src/lib.rs
+++ b/dahliawood-fate/src/lib.rs
@@ -4,4 +4,6 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod deadline;
+pub mod retry;
 pub mod verdict;
--- /dev/null
+++ b/dahliawood-fate/tests/main/retry/mod.rs
@@ -0,0 +1,99 @@
+//! The retry policy by itself.
+
+use crate::support;
+use dahliawood_fate::verdict::RunVerdict;
+use dahliawood_fate::{deadline, retry};
+use dahliawood_model::stamp;
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn any_verdict() -> impl Strategy<Value = RunVerdict> {
+    prop_oneof![
+        Just(RunVerdict::NotRun),
+        Just(RunVerdict::MayHaveRun),
+        Just(RunVerdict::Ran)
+    ]
+}
+
+fn any_question() -> impl Strategy<Value = retry::RetryQuestion> {
+    let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
+    (flags, 1..5_u32, any_verdict(), any_verdict(), 0..100_u64).prop_map(
+        |((idempotent, shed, answer_begun, body_kept), tries, last, earlier, millis)| {
+            retry::RetryQuestion {
+                idempotent,
+                tries,
+                failure: if shed {
+                    retry::TryFailure::Shed
+                } else {
+                    retry::TryFailure::Broken(last)
+                },
+                earlier,
+                answer_begun,
+                body_kept,
+                deadline: deadline::RequestDeadline {
+                    at: stamp::TimeStamp::from_millis(millis),
+                },
+            }
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(support::property_config(512))]
+
+    #[test]
+    fn what_may_have_run_is_sent_again_only_where_idempotent(
+        question in any_question(),
+        now in 0..100_u64,
+    ) {
+        let mut budget = retry::RetryBudget::new(20, 10);
+        let now = stamp::TimeStamp::from_millis(now);
+        let options = retry::RetryOptions::default();
+        match retry::decide(&question, &options, &mut budget, now) {
+            retry::RetryDecision::Retry { timeout } => {
+                let unsent = question.earlier.combine(question.failure.verdict())
+                    == RunVerdict::NotRun;
+                prop_assert!(question.idempotent || unsent);
+                prop_assert!(!question.answer_begun && question.body_kept);
+                prop_assert!(now.after(timeout) <= question.deadline.at);
+            }
+            retry::RetryDecision::GiveUp { verdict, .. } => {
+                prop_assert!(verdict >= question.earlier);
+                prop_assert!(verdict >= question.failure.verdict());
+            }
+        }
+    }
+
+    #[test]
+    fn retries_stay_a_share_of_first_tries(
+        percent in 0..=100_u32,
+        burst in 0..20_u32,
+        firsts in prop::collection::vec(any::<bool>(), 0..400),
+    ) {
+        let mut budget = retry::RetryBudget::new(percent, burst);
+        let mut first_tries = 0_u64;
+        let mut retries = 0_u64;
+        for first in firsts {
+            if first {
+                budget.earn();
+                first_tries += 1;
+            } else if budget.spend() {
+                retries += 1;
+            }
+            let share = first_tries * u64::from(percent) / 100;
+            prop_assert!(retries <= share + u64::from(burst));
+        }
+    }
+}
+
+#[test]
+fn a_caller_can_only_shorten_its_deadline() {
+    let arrival = stamp::TimeStamp::from_millis(5);
+    let service = Duration::from_secs(2);
+    let longer = deadline::RequestDeadline::new(arrival, service, Some(Duration::from_secs(9)));
+    assert_eq!(longer.at, arrival.after(service));
+    let shorter = Duration::from_millis(300);
+    let shorter = deadline::RequestDeadline::new(arrival, service, Some(shorter));
+    assert_eq!(shorter.at, stamp::TimeStamp::from_millis(305));
+    assert_eq!(shorter.remaining(shorter.at), Duration::ZERO);
+}
