--- a/dahliawood-fate/src/lib.rs
+++ b/dahliawood-fate/src/lib.rs
@@ -5,5 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod deadline;
+pub mod journal;
 pub mod retry;
+pub mod ticket;
 pub mod verdict;
--- /dev/null
+++ b/dahliawood-fate/src/ticket/outcome/mod.rs
@@ -0,0 +1,93 @@
+//! What a ticket's request came to.
+
+use crate::verdict;
+use sha2::{Digest, Sha256};
+
+/// A digest of what a request asks for: method, path with query, and body.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize, derive_more::From,
+)]
+pub struct RequestDigest([u8; 32]);
+
+impl RequestDigest {
+    /// The digest of a request.
+    pub fn new(method: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [method.as_bytes(), path.as_bytes(), body] {
+            hasher.update((part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+}
+
+/// One header of a kept answer.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct KeptHeader {
+    /// Name in lower case.
+    pub name: String,
+    /// Value.
+    pub value: String,
+}
+
+/// A whole answer, kept to be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct KeptAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers in the order in which they are repeated.
+    pub headers: Vec<KeptHeader>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl KeptAnswer {
+    /// About how much memory it takes, bytes.
+    pub fn weight(&self) -> usize {
+        let headers: usize = self
+            .headers
+            .iter()
+            .map(|header| header.name.len() + header.value.len())
+            .sum();
+        self.body.len() + headers
+    }
+}
+
+/// What a ticket's request came to.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TicketOutcome {
+    /// A target answered, and the whole answer is kept.
+    Answered(KeptAnswer),
+    /// A target answered; of the answer only its status is kept, because of its size.
+    AnsweredBrief {
+        /// HTTP status.
+        status: u16,
+    },
+    /// There was no whole answer.
+    Failed {
+        /// Whether the request may have run.
+        verdict: verdict::RunVerdict,
+    },
+}
+
+impl TicketOutcome {
+    /// Whether the request ran.
+    pub fn verdict(&self) -> verdict::RunVerdict {
+        match self {
+            Self::Answered(_) | Self::AnsweredBrief { .. } => verdict::RunVerdict::Ran,
+            Self::Failed { verdict } => *verdict,
+        }
+    }
+
+    /// The same outcome without the answer's content.
+    #[must_use]
+    pub fn brief(&self) -> Self {
+        match self {
+            Self::Answered(answer) => Self::AnsweredBrief {
+                status: answer.status,
+            },
+            other => other.clone(),
+        }
+    }
+}
--- a/dahliawood-fate/tests/main/main.rs
+++ b/dahliawood-fate/tests/main/main.rs
@@ -2,3 +2,4 @@
 
 mod retry;
 mod support;
+mod ticket;
