--- a/dahliawood-cli/src/apply/mod.rs
+++ b/dahliawood-cli/src/apply/mod.rs
@@ -26,10 +26,18 @@
     output: output::OutputMode,
 ) -> Result<(), CommandFailure> {
     let write_id = apply.write_id.clone().unwrap_or_else(random_id);
-    let expect = apply.expect.map(|revision| format!("&expect={revision}")).unwrap_or_default();
+    let expect = apply
+        .expect
+        .map(|revision| format!("&expect={revision}"))
+        .unwrap_or_default();
     let path = format!("/v1/config?write={write_id}&wait={}{expect}", apply.wait);
     let wait = ACCEPT_WAIT + Duration::from_secs(apply.wait);
-    let call = operator::OperatorCall { method: "PUT", path: &path, body: text, wait };
+    let call = operator::OperatorCall {
+        method: "PUT",
+        path: &path,
+        body: text,
+        wait,
+    };
     let mut refusals = Vec::new();
     for address in operator.addresses.split(',').map(str::trim) {
         match operator::call(address, call).await {
@@ -44,12 +52,18 @@
             Err(_) => return ask(operator, &write_id, output).await,
         }
     }
-    Err(CommandFailure::Unreachable(format!("no VM takes the file: {}", refusals.join("; "))))
+    Err(CommandFailure::Unreachable(format!(
+        "no VM takes the file: {}",
+        refusals.join("; ")
+    )))
 }
 
 /// Whether a call failed before anything of it was sent.
 fn is_unsent(error: &dahliawood_wire::simple::error::CallError) -> bool {
-    matches!(error, dahliawood_wire::simple::error::CallError::Connect { .. })
+    matches!(
+        error,
+        dahliawood_wire::simple::error::CallError::Connect { .. }
+    )
 }
 
 /// Asks what became of a write.
@@ -63,10 +77,13 @@
 ) -> Result<(), CommandFailure> {
     let path = format!("/v1/writes/{write_id}");
     let unknown = || {
-        CommandFailure::Unknown(format!("ask again with: dahliawood status --write {write_id}"))
+        CommandFailure::Unknown(format!(
+            "ask again with: dahliawood status --write {write_id}"
+        ))
     };
-    let reply: ApplyReply =
-        operator::get_json(operator, &path).await.map_err(|_| unknown())?;
+    let reply: ApplyReply = operator::get_json(operator, &path)
+        .await
+        .map_err(|_| unknown())?;
     finish(&reply, output)
 }
 
@@ -91,7 +108,11 @@
             )))
         }
         state => {
-            let word = if state == WriteState::NoChange { "no change" } else { "accepted" };
+            let word = if state == WriteState::NoChange {
+                "no change"
+            } else {
+                "accepted"
+            };
             if !output.is_json {
                 println!("revision {} {word}, {place}", reply.revision);
             }
--- a/dahliawood-cli/src/demo/mod.rs
+++ b/dahliawood-cli/src/demo/mod.rs
@@ -12,10 +12,15 @@
 use std::time::Duration;
 
 /// The deployment that the demo runs.
-const LIANGUANG: &str =
-    include_str!(concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/lianguang.toml"));
+const LIANGUANG: &str = include_str!(concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../examples/lianguang.toml"
+));
 /// The example keys, as the page beside the file lists them.
-const KEYS: &str = include_str!(concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/README.md"));
+const KEYS: &str = include_str!(concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../examples/README.md"
+));
 
 /// Entry VMs of the demo, as many as each deployment has today.
 const VMS: usize = 11;
@@ -31,8 +36,11 @@
     keep: bool,
     output: output::OutputMode,
 ) -> Result<(), CommandFailure> {
-    let options =
-        fleet::FleetOptions { file_text: LIANGUANG.to_owned(), vms: VMS, delay: TARGET_DELAY };
+    let options = fleet::FleetOptions {
+        file_text: LIANGUANG.to_owned(),
+        vms: VMS,
+        delay: TARGET_DELAY,
+    };
     let started = fleet::start(&options).await;
     let fleet = started.map_err(|error| CommandFailure::Unreachable(error.to_string()))?;
     if !output.is_json {
@@ -59,7 +67,11 @@
 /// Shows how far the demo is: a bar on a terminal, otherwise a line a second.
 async fn progress(seconds: u64, output: output::OutputMode) {
     let is_live = std::io::stderr().is_terminal();
-    let bar = if is_live { ProgressBar::new(seconds) } else { ProgressBar::hidden() };
+    let bar = if is_live {
+        ProgressBar::new(seconds)
+    } else {
+        ProgressBar::hidden()
+    };
     if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} s of traffic") {
         bar.set_style(style);
     }
--- a/dahliawood-cli/src/demo/summary/mod.rs
+++ b/dahliawood-cli/src/demo/summary/mod.rs
@@ -45,7 +45,9 @@
             answered: sender.results.get("ok").copied().unwrap_or_default(),
             p50_us: sender.latency.value_at_quantile(0.5),
             p99_us: sender.latency.value_at_quantile(0.99),
-            refused: others.map(|(result, count)| (result.clone(), *count)).collect(),
+            refused: others
+                .map(|(result, count)| (result.clone(), *count))
+                .collect(),
         }
     });
     let operator = fleet.daemons[0].operator_listen;
@@ -60,8 +62,13 @@
 fn regions(fleet: &fleet::EmbeddedFleet) -> Vec<RegionRow> {
     let config = &fleet.config;
     let rows = config.regions.iter().map(|(region, spec)| {
-        let mut row =
-            RegionRow { region: spec.name.clone(), slots: 0, peak: 0, runs: 0, shed: 0 };
+        let mut row = RegionRow {
+            region: spec.name.clone(),
+            slots: 0,
+            peak: 0,
+            runs: 0,
+            shed: 0,
+        };
         let here = config.targets.keys().zip(&fleet.targets);
         for (key, target) in here.filter(|(key, _)| config.target_region(*key) == region) {
             let log = target.log();
@@ -83,8 +90,11 @@
             "customer", "service", "answered", "p50 us", "p99 us"
         );
         for row in &self.rows {
-            let refused: Vec<_> =
-                row.refused.iter().map(|(result, count)| format!("{result} {count}")).collect();
+            let refused: Vec<_> = row
+                .refused
+                .iter()
+                .map(|(result, count)| format!("{result} {count}"))
+                .collect();
             println!(
                 "{:<28} {:<14} {:>8} {:>9} {:>9}  {}",
                 row.customer,
@@ -95,7 +105,10 @@
                 refused.join(", ")
             );
         }
-        println!("\n{:<10} {:>6} {:>10} {:>8} {:>6}", "region", "slots", "peak", "runs", "shed");
+        println!(
+            "\n{:<10} {:>6} {:>10} {:>8} {:>6}",
+            "region", "slots", "peak", "runs", "shed"
+        );
         for row in &self.regions {
             println!(
                 "{:<10} {:>6} {:>10} {:>8} {:>6}",
--- a/dahliawood-cli/src/demo/traffic/mod.rs
+++ b/dahliawood-cli/src/demo/traffic/mod.rs
@@ -64,12 +64,16 @@
         let config = &fleet.config;
         let mut senders = Vec::new();
         for customer in config.customers.values() {
-            let Some(key) = example_key(keys, &customer.name) else { continue };
+            let Some(key) = example_key(keys, &customer.name) else {
+                continue;
+            };
             let rate = (customer.rate.per_second() * RATE_SHARE).min(MOST_RATE);
             let share = rate / customer.services.len().max(1) as f64;
             for service in &customer.services {
                 let routes = config.services[*service].routes.iter();
-                let Some(route) = routes.map(|key| &config.routes[*key]).find(|route| !route.open)
+                let Some(route) = routes
+                    .map(|key| &config.routes[*key])
+                    .find(|route| !route.open)
                 else {
                     continue;
                 };
@@ -85,13 +89,19 @@
             }
         }
         let seeds = fleet.daemons.iter().map(|daemon| daemon.listen).collect();
-        Self { senders, seeds, length }
+        Self {
+            senders,
+            seeds,
+            length,
+        }
     }
 }
 
 /// The first key of a customer in the table of example keys.
 fn example_key(keys: &str, customer: &str) -> Option<String> {
-    let row = keys.lines().find(|line| line.starts_with(&format!("| {customer} |")))?;
+    let row = keys
+        .lines()
+        .find(|line| line.starts_with(&format!("| {customer} |")))?;
     let key = row.split('`').nth(1)?;
     Some(key.to_owned())
 }
@@ -107,7 +117,13 @@
             seeds.rotate_left(turn);
             let rng = StdRng::seed_from_u64(SEED + (index * CALLERS + number) as u64);
             let tally = Arc::clone(&tally);
-            tasks.push(task::spawn(send(sender.clone(), seeds, plan.length, rng, tally)));
+            tasks.push(task::spawn(send(
+                sender.clone(),
+                seeds,
+                plan.length,
+                rng,
+                tally,
+            )));
         }
     }
     future::join_all(tasks).await;
@@ -130,7 +146,11 @@
         service: sender.service.clone(),
     };
     let mut caller = caller::FleetCaller::new(options);
-    let body = if sender.is_idempotent { Vec::new() } else { b"{\"demo\":true}".to_vec() };
+    let body = if sender.is_idempotent {
+        Vec::new()
+    } else {
+        b"{\"demo\":true}".to_vec()
+    };
     let request = caller::CallerRequest {
         method: sender.method,
         path: sender.path.clone(),
@@ -165,7 +185,9 @@
         (Some(status), None) => status.to_string(),
     };
     if result == "ok" {
-        entry.latency.saturating_record(outcome.latency.as_micros() as u64);
+        entry
+            .latency
+            .saturating_record(outcome.latency.as_micros() as u64);
     }
     *entry.results.entry(result).or_default() += 1;
 }
--- a/dahliawood-cli/src/edit/mod.rs
+++ b/dahliawood-cli/src/edit/mod.rs
@@ -17,5 +17,14 @@
     pub name: String,
 }
 
-pub async fn drain(_o: &OperatorArgs, _a: &ApplyArgs, _d: &DrainChange, _out: output::OutputMode) -> Result<(), CommandFailure> { Err(CommandFailure::Refused("".into())) }
-pub async fn keys(_c: KeyCommand, _out: output::OutputMode) -> Result<(), CommandFailure> { Err(CommandFailure::Refused("".into())) }
+pub async fn drain(
+    _o: &OperatorArgs,
+    _a: &ApplyArgs,
+    _d: &DrainChange,
+    _out: output::OutputMode,
+) -> Result<(), CommandFailure> {
+    Err(CommandFailure::Refused("".into()))
+}
+pub async fn keys(_c: KeyCommand, _out: output::OutputMode) -> Result<(), CommandFailure> {
+    Err(CommandFailure::Refused("".into()))
+}
--- a/dahliawood-cli/src/events/mod.rs
+++ b/dahliawood-cli/src/events/mod.rs
@@ -48,7 +48,10 @@
         line.gaps.iter().for_each(|gap| eprintln!("{gap}"));
         let shown = line.events.iter().filter(|event| event.stamp >= earliest);
         let is_kind = |event: &&ring::TimedEvent| {
-            filter.kind.as_deref().is_none_or(|kind| event.kind.name() == kind)
+            filter
+                .kind
+                .as_deref()
+                .is_none_or(|kind| event.kind.name() == kind)
         };
         for event in shown.filter(is_kind) {
             output.show(event, || println!("{event}"));
@@ -63,7 +66,9 @@
 /// Wall time before which nothing is shown, microseconds.
 fn earliest_micros(since: Option<u64>) -> u64 {
     let Some(seconds) = since else { return 0 };
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let earliest = now.saturating_sub(Duration::from_secs(seconds));
     u64::try_from(earliest.as_micros()).unwrap_or(u64::MAX)
 }
@@ -82,15 +87,20 @@
         match page(operator, &name, *after).await {
             Ok(page) => {
                 if page.lost > 0 {
-                    line.gaps.push(format!("{name}: {} events are lost", page.lost));
+                    line.gaps
+                        .push(format!("{name}: {} events are lost", page.lost));
                 }
                 *after = page.next;
-                line.events.extend(page.events.into_iter().filter_map(parsed));
+                line.events
+                    .extend(page.events.into_iter().filter_map(parsed));
             }
-            Err(failure) => line.gaps.push(format!("{name}: its events are missing: {failure}")),
+            Err(failure) => line
+                .gaps
+                .push(format!("{name}: its events are missing: {failure}")),
         }
     }
-    line.events.sort_by(|one, other| (one.stamp, &one.vm).cmp(&(other.stamp, &other.vm)));
+    line.events
+        .sort_by(|one, other| (one.stamp, &one.vm).cmp(&(other.stamp, &other.vm)));
     Ok(line)
 }
 
--- a/dahliawood-cli/src/lookup/mod.rs
+++ b/dahliawood-cli/src/lookup/mod.rs
@@ -19,10 +19,17 @@
     output: output::OutputMode,
 ) -> Result<(), CommandFailure> {
     let url = format!("http://{vm}{}?service={service}", api::LOOKUP_PATH);
-    let bearer = env::var(KEY_VARIABLE).map(|key| format!("Bearer {key}")).ok();
-    let headers: Vec<_> =
-        bearer.iter().map(|bearer| ("authorization", bearer.as_str())).collect();
-    let options = simple::CallOptions { headers: &headers, ..simple::CallOptions::new("GET", &url) };
+    let bearer = env::var(KEY_VARIABLE)
+        .map(|key| format!("Bearer {key}"))
+        .ok();
+    let headers: Vec<_> = bearer
+        .iter()
+        .map(|bearer| ("authorization", bearer.as_str()))
+        .collect();
+    let options = simple::CallOptions {
+        headers: &headers,
+        ..simple::CallOptions::new("GET", &url)
+    };
     let outcome = simple::call(&options).await;
     let outcome = outcome.map_err(|error| CommandFailure::Unreachable(error.to_string()))?;
     if outcome.status != 200 {
@@ -30,7 +37,10 @@
     }
     let reply: api::LookupReply = crate::operator::parse(&outcome)?;
     output.show(&reply, || {
-        reply.vms.iter().for_each(|vm| println!("{} {}", vm.url, vm.name));
+        reply
+            .vms
+            .iter()
+            .for_each(|vm| println!("{} {}", vm.url, vm.name));
         println!("revision {}, for {} ms", reply.revision, reply.ttl_ms);
     });
     Ok(())
--- a/dahliawood-cli/src/main.rs
+++ b/dahliawood-cli/src/main.rs
@@ -38,22 +38,53 @@
     match args.command {
         CliCommand::Check { file } => check::run(&file, output),
         CliCommand::Diff { operator, file } => check::diff(&operator, &file, output).await,
-        CliCommand::Apply { operator, apply, file } => {
+        CliCommand::Apply {
+            operator,
+            apply,
+            file,
+        } => {
             let text = check::read(&file, output)?.text;
             apply::run(&operator, &apply, &text, output).await
         }
-        CliCommand::Status { operator, write_id: None } => status::run(&operator, output).await,
-        CliCommand::Status { operator, write_id: Some(id) } => {
-            apply::ask(&operator, &id, output).await
-        }
+        CliCommand::Status {
+            operator,
+            write_id: None,
+        } => status::run(&operator, output).await,
+        CliCommand::Status {
+            operator,
+            write_id: Some(id),
+        } => apply::ask(&operator, &id, output).await,
         CliCommand::Lookup { vm, service } => lookup::run(&vm, &service, output).await,
-        CliCommand::Drain { operator, apply, over, undo, kind, name } => {
-            let drain = edit::DrainChange { over, is_undo: undo, kind, name };
+        CliCommand::Drain {
+            operator,
+            apply,
+            over,
+            undo,
+            kind,
+            name,
+        } => {
+            let drain = edit::DrainChange {
+                over,
+                is_undo: undo,
+                kind,
+                name,
+            };
             edit::drain(&operator, &apply, &drain, output).await
         }
         CliCommand::Keys { command } => edit::keys(command, output).await,
-        CliCommand::Events { operator, since, follow, vm, kind } => {
-            let filter = events::EventFilter { since, is_following: follow, vm, kind };
+        CliCommand::Events {
+            operator,
+            since,
+            follow,
+            vm,
+            kind,
+        } => {
+            let filter = events::EventFilter {
+                since,
+                is_following: follow,
+                vm,
+                kind,
+            };
             events::run(&operator, &filter, output).await
         }
         CliCommand::Demo { seconds, keep } => demo::run(seconds, keep, output).await,
--- a/dahliawood-cli/src/operator/mod.rs
+++ b/dahliawood-cli/src/operator/mod.rs
@@ -25,7 +25,12 @@
 impl<'a> OperatorCall<'a> {
     /// A call that reads.
     pub fn get(path: &'a str) -> Self {
-        Self { method: "GET", path, body: "", wait: Duration::ZERO }
+        Self {
+            method: "GET",
+            path,
+            body: "",
+            wait: Duration::ZERO,
+        }
     }
 }
 
@@ -44,7 +49,10 @@
             Err(error) => failures.push(format!("{address}: {error}")),
         }
     }
-    Err(CommandFailure::Unreachable(format!("no VM answers: {}", failures.join("; "))))
+    Err(CommandFailure::Unreachable(format!(
+        "no VM answers: {}",
+        failures.join("; ")
+    )))
 }
 
 /// Reads JSON from the first VM that answers.
@@ -58,7 +66,10 @@
     let outcome = get(operator, path).await?;
     if outcome.status != 200 {
         let text = outcome.text();
-        return Err(CommandFailure::Unreachable(format!("{}: {text}", outcome.status)));
+        return Err(CommandFailure::Unreachable(format!(
+            "{}: {text}",
+            outcome.status
+        )));
     }
     parse(&outcome)
 }
--- a/dahliawood-cli/src/status/mod.rs
+++ b/dahliawood-cli/src/status/mod.rs
@@ -20,10 +20,15 @@
 
 /// The status for people.
 fn lines(status: &reply::StatusReply) {
-    println!("{} in {}: {}, revision {}", status.name, status.domain, status.phase, status.revision);
+    println!(
+        "{} in {}: {}, revision {}",
+        status.name, status.domain, status.phase, status.revision
+    );
     println!("{} requests in flight", status.in_flight);
     for vm in &status.vms {
-        let heard = vm.heard_ms.map_or("never heard".to_owned(), |ms| format!("heard {ms} ms ago"));
+        let heard = vm
+            .heard_ms
+            .map_or("never heard".to_owned(), |ms| format!("heard {ms} ms ago"));
         println!(
             "  {:<16} {:<14} {:<8} revision {:<6} {:<22} {heard}",
             vm.name, vm.domain, vm.state, vm.revision, vm.http
--- a/dahliawood-daemon/src/clock/mod.rs
+++ b/dahliawood-daemon/src/clock/mod.rs
@@ -19,6 +19,8 @@
 
 /// Wall time, microseconds since the Unix epoch; it may step.
 pub fn wall_micros() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
--- a/dahliawood-daemon/src/control/allowance/mod.rs
+++ b/dahliawood-daemon/src/control/allowance/mod.rs
@@ -5,12 +5,13 @@
 use async_std::future::timeout;
 use async_std::task;
 use dahliawood_model::FastMap;
+use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::tables;
 use dahliawood_peer::allowance;
 use dahliawood_quota::book::{self, effect};
 use dahliawood_quota::shares::{document, holder};
 use dahliawood_quota::{limit, member, message, options};
-use dahliawood_store::client;
+use dahliawood_store::{client, protocol};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,15 +19,15 @@
 /// The key of the share document in the store.
 pub const SHARES_KEY: &str = "dahliawood/shares";
 
+/// How long one watch of the share document waits.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Time between two watches while the store does not answer.
+const RETRY_STORE: Duration = Duration::from_millis(500);
 /// Time between two ticks where nothing waits.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Gives the book the limits of a configuration; makes the book where there is none yet.
-pub fn configure(
-    shared: &shared::SharedState,
-    revision: u64,
-    config: &tables::FleetConfig,
-) {
+pub fn configure(shared: &shared::SharedState, revision: u64, config: &tables::FleetConfig) {
     let now = clock::now();
     let mut desk = shared.desk.lock();
     let book = desk.book.get_or_insert_with(|| {
@@ -37,15 +38,18 @@
 }
 
 /// This VM as the share document has it.
-fn own_entry(
-    shared: &shared::SharedState,
-    config: &tables::FleetConfig,
-) -> member::MemberEntry {
+fn own_entry(shared: &shared::SharedState, config: &tables::FleetConfig) -> member::MemberEntry {
     let domain = shared.settings.domain.clone();
     let found = config.domains.find(|spec| spec.name == domain);
     let region = found.map(|(_, spec)| config.regions[spec.region].name.clone());
     let region = region.unwrap_or_default();
-    member::MemberEntry { id: shared.me, region, domain, leaving: false, epoch: 0 }
+    member::MemberEntry {
+        id: shared.me,
+        region,
+        domain,
+        leaving: false,
+        epoch: 0,
+    }
 }
 
 /// Ticks until the task is cancelled, sooner where a request waits.
@@ -57,19 +61,46 @@
         let effects = {
             let mut desk = shared.desk.lock();
             let now = clock::now();
-            desk.book.as_mut().map(|book| book.tick(now)).unwrap_or_default()
+            desk.book
+                .as_mut()
+                .map(|book| book.tick(now))
+                .unwrap_or_default()
         };
         carry_out(&state, effects);
     }
 }
 
+/// Tells the book who is on the live list that was read from `read_at` on.
+///
+/// The list may not know incarnations: a listed address stands for the incarnation that was heard
+/// there, and where none was, for whichever the share document has there.
+pub fn take_live(state: &ControlState, read_at: TimeStamp) {
+    let mut desk = state.shared.desk.lock();
+    let Some(book) = desk.book.as_mut() else { return };
+    let mut listed = Vec::new();
+    for member in state.members.members() {
+        let address = member.peer;
+        if address == state.shared.me.address {
+            listed.push(state.shared.me);
+        } else if member.incarnation > 0 {
+            listed.push(member::HolderId { address, incarnation: member.incarnation });
+        } else {
+            let holders = book.document().members.iter().map(|entry| entry.id);
+            listed.extend(holders.filter(|id| id.address == address));
+        }
+    }
+    book.live_list(&listed, read_at, clock::now());
+}
+
 /// Takes in messages of another VM.
 pub fn take(state: &Rc<RefCell<ControlState>>, batch: allowance::AllowanceBatch) {
     let shared = state.borrow().shared.clone();
     let mut effects = Vec::new();
     {
         let mut desk = shared.desk.lock();
-        let Some(book) = desk.book.as_mut() else { return };
+        let Some(book) = desk.book.as_mut() else {
+            return;
+        };
         for message in batch.messages {
             effects.extend(book.receive(batch.from, message, clock::now()));
         }
@@ -82,7 +113,9 @@
     let mut outgoing: FastMap<member::HolderId, Vec<message::QuotaMessage>> = FastMap::default();
     for effect in effects {
         match effect {
-            effect::QuotaEffect::Send { to, message } => outgoing.entry(to).or_default().push(message),
+            effect::QuotaEffect::Send { to, message } => {
+                outgoing.entry(to).or_default().push(message)
+            }
             effect::QuotaEffect::ReadShares => {
                 task::spawn_local(read_shares(Rc::clone(state)));
             }
@@ -109,7 +142,9 @@
         let state = state.borrow();
         (state.peers.clone(), state.shared.me)
     };
-    let Ok(connection) = peers.connection(to.address).await else { return };
+    let Ok(connection) = peers.connection(to.address).await else {
+        return;
+    };
     let batch = allowance::AllowanceBatch { from, messages };
     if let Err(error) = connection.quota(&batch).await {
         log::debug!("{to} did not take messages about allowance: {error}");
@@ -117,19 +152,46 @@
     }
 }
 
+/// Waits for changes of the share document until the task is cancelled.
+pub async fn watch(state: Rc<RefCell<ControlState>>) {
+    let store = state.borrow().store.clone();
+    let mut after = 0;
+    loop {
+        let key = SHARES_KEY.to_owned();
+        let watched = (store.watch)(client::WatchCall { key, after, wait: WATCH_WAIT }).await;
+        state.borrow_mut().note_store(watched.is_ok());
+        match watched {
+            Ok(entry) if entry.version == after => {}
+            Ok(entry) => {
+                after = entry.version;
+                take_entry(&state, &entry);
+            }
+            Err(_) => task::sleep(RETRY_STORE).await,
+        }
+    }
+}
+
 /// Reads the share document and passes it on.
 async fn read_shares(state: Rc<RefCell<ControlState>>) {
     let store = state.borrow().store.clone();
     let read = (store.get)(SHARES_KEY.to_owned()).await;
     state.borrow_mut().note_store(read.is_ok());
-    let Ok(entry) = read else { return };
+    if let Ok(entry) = read {
+        take_entry(&state, &entry);
+    }
+}
+
+/// Passes a reading of the share document on.
+fn take_entry(state: &Rc<RefCell<ControlState>>, entry: &protocol::KeyEntry) {
     let version = document::ShareVersion(entry.version);
     let parsed = entry.value.as_deref().map(serde_json::from_str).transpose();
     match parsed {
         Ok(document) => {
             let shared = state.borrow().shared.clone();
             let mut desk = shared.desk.lock();
-            let Some(book) = desk.book.as_mut() else { return };
+            let Some(book) = desk.book.as_mut() else {
+                return;
+            };
             book.share_read(document, version, clock::now());
         }
         Err(error) => log::error!("the share document in the store cannot be read: {error}"),
@@ -144,10 +206,15 @@
     };
     let store = state.borrow().store.clone();
     let expected = Some(write.base.map_or(0, |version| version.0));
-    let call =
-        client::PutCall { key: SHARES_KEY.to_owned(), value, expected, lease: None };
+    let call = client::PutCall {
+        key: SHARES_KEY.to_owned(),
+        value,
+        expected,
+        lease: None,
+    };
     let written = (store.put)(call).await;
-    let is_answered = !matches!(&written, Err(error) if error.effect() == client::error::WriteEffect::Possible);
+    let is_answered =
+        !matches!(&written, Err(error) if error.effect() == client::error::WriteEffect::Possible);
     state.borrow_mut().note_store(is_answered);
     let outcome = match written {
         Ok(version) => holder::WriteOutcome::Applied(document::ShareVersion(version)),
--- a/dahliawood-daemon/src/control/beats/mod.rs
+++ b/dahliawood-daemon/src/control/beats/mod.rs
@@ -18,7 +18,11 @@
     message::VmBeat {
         name: shared.settings.name.clone(),
         incarnation: shared.incarnation,
-        revision: shared.snapshot.load().as_ref().map_or(0, |snapshot| snapshot.state.revision),
+        revision: shared
+            .snapshot
+            .load()
+            .as_ref()
+            .map_or(0, |snapshot| snapshot.state.revision),
         leaving: shared.phase() == crate::shared::DaemonPhase::Leaving,
         clock: shared.events.stamp().0,
         heard: Vec::new(),
@@ -35,9 +39,17 @@
 pub async fn run(state: Rc<RefCell<ControlState>>, member: members::VmMember) {
     while state.borrow().is_member(&member) {
         let ended = exchange(&state, &member).await;
-        state.borrow().shared.counters.count(counters::CounterKind::Beats);
+        state
+            .borrow()
+            .shared
+            .counters
+            .count(counters::CounterKind::Beats);
         if let Err(error) = ended {
-            state.borrow().shared.counters.count(counters::CounterKind::BeatsFailed);
+            state
+                .borrow()
+                .shared
+                .counters
+                .count(counters::CounterKind::BeatsFailed);
             log::debug!("no beat from {}: {error}", member.name);
         }
         task::sleep(BEAT_INTERVAL).await;
--- a/dahliawood-daemon/src/control/follow/mod.rs
+++ b/dahliawood-daemon/src/control/follow/mod.rs
@@ -13,13 +13,20 @@
 pub fn keeper(shared: &Arc<shared::SharedState>) -> revision::SharedKeeper {
     let domain = shared.settings.domain.clone();
     let check = move |text: &str| {
-        install::check(&domain, text).map(|_| ()).map_err(|error| error.to_string())
+        install::check(&domain, text)
+            .map(|_| ())
+            .map_err(|error| error.to_string())
     };
     let installing: Weak<shared::SharedState> = Arc::downgrade(shared);
     let on_force = move |record: &keeper::ForceRecord| {
-        let Some(shared) = installing.upgrade() else { return };
+        let Some(shared) = installing.upgrade() else {
+            return;
+        };
         if let Err(error) = install::install(&shared, record) {
-            log::error!("revision {} is not in force: {error}", record.stamp.revision);
+            log::error!(
+                "revision {} is not in force: {error}",
+                record.stamp.revision
+            );
         }
     };
     let own = keeper::RevisionKeeper::new(&shared.settings.name, shared.incarnation);
@@ -53,9 +60,16 @@
 pub fn take(keeper: &revision::SharedKeeper, file: &message::ConfigText) {
     let hash = content::ContentHash::of(&file.text);
     let write_id = head::WriteId::from(file.write_id.clone());
-    let stamp = head::RevisionStamp { revision: file.revision, write_id, hash: hash.clone() };
+    let stamp = head::RevisionStamp {
+        revision: file.revision,
+        write_id,
+        hash: hash.clone(),
+    };
     if stamp.hash.as_str() != file.hash {
-        return log::warn!("another VM's revision {} has another content", file.revision);
+        return log::warn!(
+            "another VM's revision {} has another content",
+            file.revision
+        );
     }
     keeper.observe(&stamp, keeper::RevisionSource::Peer);
     if let Err(error) = keeper.supply(&hash, &file.text) {
@@ -65,7 +79,9 @@
 
 /// What this VM has in force, for another one.
 pub fn text_above(keeper: &revision::SharedKeeper, above: u64) -> Option<message::ConfigText> {
-    let record = keeper.in_force().filter(|record| record.stamp.revision > above)?;
+    let record = keeper
+        .in_force()
+        .filter(|record| record.stamp.revision > above)?;
     Some(message::ConfigText {
         revision: record.stamp.revision,
         hash: record.stamp.hash.to_string(),
--- a/dahliawood-daemon/src/control/install/mod.rs
+++ b/dahliawood-daemon/src/control/install/mod.rs
@@ -43,23 +43,39 @@
     if let Some(before) = &before {
         record_withdrawn(shared, &before.state.config, &state.config);
     }
-    shared.events.record(kind::EventKind::RevisionInForce { revision: state.revision });
+    shared.events.record(kind::EventKind::RevisionInForce {
+        revision: state.revision,
+    });
     Ok(())
 }
 
 /// Publishes a snapshot over the configuration and the VMs.
 pub fn publish(shared: &shared::SharedState, state: Arc<snapshot::ConfigState>) {
     let members = shared.members.load();
-    let vms: Vec<_> = members.iter().filter_map(|member| entry(&state.config, member)).collect();
+    let vms: Vec<_> = members
+        .iter()
+        .filter_map(|member| entry(&state.config, member))
+        .collect();
     let lookup = lookup::LookupTable::build(&state.config, &vms);
-    shared.snapshot.store(Some(Arc::new(snapshot::RouteSnapshot { state, vms, lookup })));
+    shared
+        .snapshot
+        .store(Some(Arc::new(snapshot::RouteSnapshot {
+            state,
+            vms,
+            lookup,
+        })));
 }
 
 /// The VM as the look-up knows it, `None` where the file does not declare its failure domain.
 fn entry(config: &tables::FleetConfig, member: &members::VmMember) -> Option<lookup::VmEntry> {
     let (domain, _) = config.domains.find(|domain| domain.name == member.domain)?;
     let name = member.name.clone();
-    Some(lookup::VmEntry { name, domain, http: member.http, state: member.state })
+    Some(lookup::VmEntry {
+        name,
+        domain,
+        http: member.http,
+        state: member.state,
+    })
 }
 
 /// Carries the targets' state over to the new configuration.
@@ -80,10 +96,13 @@
 ) {
     for old in before.customers.values() {
         let new = after.customers.find(|customer| customer.name == old.name);
-        let is_kept = |id: &str| new.is_some_and(|(_, new)| new.keys.iter().any(|key| key.id == id));
+        let is_kept =
+            |id: &str| new.is_some_and(|(_, new)| new.keys.iter().any(|key| key.id == id));
         for key in old.keys.iter().filter(|key| !is_kept(&key.id)) {
             let (customer, key_id) = (old.name.clone(), key.id.clone());
-            shared.events.record(kind::EventKind::KeyWithdrawn { customer, key_id });
+            shared
+                .events
+                .record(kind::EventKind::KeyWithdrawn { customer, key_id });
         }
     }
 }
--- a/dahliawood-daemon/src/control/live/mod.rs
+++ b/dahliawood-daemon/src/control/live/mod.rs
@@ -1,6 +1,7 @@
 //! Reads the platform's live list again and again.
 
-use crate::control::{ControlState, beats, members};
+use crate::clock;
+use crate::control::{ControlState, allowance, beats, members};
 use async_std::task;
 use dahliawood_store::client;
 use std::cell::RefCell;
@@ -13,10 +14,12 @@
 /// Reads the list until the task is cancelled; through an outage the last reading stands.
 pub async fn run(state: Rc<RefCell<ControlState>>, live: client::StoreClient) {
     loop {
+        let read_at = clock::now();
         match (live.live)(()).await {
             Ok(list) => {
                 state.borrow_mut().members.take_live(&list);
                 beat_to_new(&state);
+                allowance::take_live(&state.borrow(), read_at);
             }
             Err(error) => log::debug!("the live list cannot be read: {error}"),
         }
--- a/dahliawood-daemon/src/control/members/mod.rs
+++ b/dahliawood-daemon/src/control/members/mod.rs
@@ -86,7 +86,10 @@
 
     /// Takes in a beat; one of an earlier incarnation is ignored.
     pub fn take_beat(&mut self, beat: &message::VmBeat, now: TimeStamp) {
-        let member = self.members.iter_mut().find(|member| member.name == beat.name);
+        let member = self
+            .members
+            .iter_mut()
+            .find(|member| member.name == beat.name);
         let Some(member) = member.filter(|member| member.incarnation <= beat.incarnation) else {
             return;
         };
@@ -112,7 +115,9 @@
 
 /// What look-ups make of a VM: it has to be heard, and to have a configuration in force.
 fn judged(member: &VmMember, now: TimeStamp) -> lookup::VmState {
-    let is_heard = member.heard.is_some_and(|heard| now.since(heard) <= HEARD_WITHIN);
+    let is_heard = member
+        .heard
+        .is_some_and(|heard| now.since(heard) <= HEARD_WITHIN);
     if member.is_leaving {
         lookup::VmState::Leaving
     } else if is_heard && member.revision > 0 {
--- a/dahliawood-daemon/src/control/mod.rs
+++ b/dahliawood-daemon/src/control/mod.rs
@@ -70,25 +70,38 @@
 impl ControlState {
     /// Whether a VM is still a member at that peer address.
     pub fn is_member(&self, member: &members::VmMember) -> bool {
-        self.members.members().iter().any(|known| known.peer == member.peer)
+        self.members
+            .members()
+            .iter()
+            .any(|known| known.peer == member.peer)
     }
 
     /// Takes note of whether the store answered a call.
     pub fn note_store(&mut self, is_up: bool) {
-        self.shared.counters.count(counters::CounterKind::StoreCalls);
+        self.shared
+            .counters
+            .count(counters::CounterKind::StoreCalls);
         if !is_up {
-            self.shared.counters.count(counters::CounterKind::StoreFailed);
+            self.shared
+                .counters
+                .count(counters::CounterKind::StoreFailed);
         }
         if is_up != self.is_store_up {
             self.is_store_up = is_up;
-            let kind = if is_up { kind::EventKind::StoreBack } else { kind::EventKind::StoreLost };
+            let kind = if is_up {
+                kind::EventKind::StoreBack
+            } else {
+                kind::EventKind::StoreLost
+            };
             self.shared.events.record(kind);
         }
     }
 
     /// Publishes the members to the traffic threads.
     pub fn publish_members(&self) {
-        self.shared.members.store(Arc::new(self.members.members().to_vec()));
+        self.shared
+            .members
+            .store(Arc::new(self.members.members().to_vec()));
         if let Some(snapshot) = self.shared.snapshot.load_full() {
             install::publish(&self.shared, Arc::clone(&snapshot.state));
         }
@@ -124,6 +137,7 @@
             }
         }),
         task::spawn_local(allowance::run(Rc::clone(&state))),
+        task::spawn_local(allowance::watch(Rc::clone(&state))),
         task::spawn_local(follow::run(shared, options.keeper, options.store)),
         task::spawn_local(live::run(Rc::clone(&state), options.live)),
         task::spawn_local(tick::run(Rc::clone(&state), options.metrics)),
@@ -153,6 +167,13 @@
 /// A page of this VM's events.
 fn event_page(state: &ControlState, after: u64, most: u32) -> message::EventPage {
     let page = state.shared.events.page(after, most as usize);
-    let events = page.events.iter().filter_map(|event| serde_json::to_string(event).ok());
-    message::EventPage { events: events.collect(), next: page.next, lost: page.lost }
+    let events = page
+        .events
+        .iter()
+        .filter_map(|event| serde_json::to_string(event).ok());
+    message::EventPage {
+        events: events.collect(),
+        next: page.next,
+        lost: page.lost,
+    }
 }
--- a/dahliawood-daemon/src/control/peers/mod.rs
+++ b/dahliawood-daemon/src/control/peers/mod.rs
@@ -38,7 +38,9 @@
         if let Some(connection) = connection.as_ref() {
             return Ok(Rc::clone(connection));
         }
-        let options = client::CallOptions { deadline: CALL_DEADLINE };
+        let options = client::CallOptions {
+            deadline: CALL_DEADLINE,
+        };
         match client::connect(address, options).await {
             Ok(made) => Ok(Rc::clone(connection.insert(Rc::new(made)))),
             Err(error) => {
@@ -53,7 +55,9 @@
         let slot = self.slots.borrow().get(&address).cloned();
         let Some(slot) = slot else { return };
         if let Some(mut connection) = slot.connection.try_lock()
-            && connection.as_ref().is_some_and(|known| Rc::ptr_eq(known, failed))
+            && connection
+                .as_ref()
+                .is_some_and(|known| Rc::ptr_eq(known, failed))
         {
             *connection = None;
         }
@@ -61,6 +65,8 @@
 
     /// Drops what belongs to addresses that are no longer those of members.
     pub fn retain(&self, is_member: impl Fn(SocketAddr) -> bool) {
-        self.slots.borrow_mut().retain(|address, _| is_member(*address));
+        self.slots
+            .borrow_mut()
+            .retain(|address, _| is_member(*address));
     }
 }
--- a/dahliawood-daemon/src/control/question/mod.rs
+++ b/dahliawood-daemon/src/control/question/mod.rs
@@ -51,7 +51,10 @@
     question: impl FnOnce(oneshot::Sender<T>) -> ControlQuestion,
 ) -> Result<T, ControlGone> {
     let (sender, receiver) = oneshot::channel();
-    control.send(question(sender)).await.map_err(|_| ControlGone)?;
+    control
+        .send(question(sender))
+        .await
+        .map_err(|_| ControlGone)?;
     receiver.await.map_err(|_| ControlGone)
 }
 
@@ -79,12 +82,22 @@
 
 async fn page(state: &Rc<RefCell<ControlState>>, question: &EventQuestion) -> EventAnswer {
     if question.vm == state.borrow().shared.settings.name {
-        return Ok(super::event_page(&state.borrow(), question.after, question.most));
+        return Ok(super::event_page(
+            &state.borrow(),
+            question.after,
+            question.most,
+        ));
     }
     let member = state.borrow().members.find(&question.vm).cloned();
     let member = member.ok_or_else(|| format!("no VM is called {:?}", question.vm))?;
-    let options = client::CallOptions { deadline: CALL_DEADLINE };
+    let options = client::CallOptions {
+        deadline: CALL_DEADLINE,
+    };
     let failed = |error: client::error::CallError| format!("{}: {error}", question.vm);
-    let peer = client::connect(member.peer, options).await.map_err(failed)?;
-    peer.events(question.after, question.most).await.map_err(failed)
+    let peer = client::connect(member.peer, options)
+        .await
+        .map_err(failed)?;
+    peer.events(question.after, question.most)
+        .await
+        .map_err(failed)
 }
--- a/dahliawood-daemon/src/control/tick/mod.rs
+++ b/dahliawood-daemon/src/control/tick/mod.rs
@@ -27,7 +27,9 @@
     if changed.is_empty() {
         return;
     }
-    changed.iter().for_each(|member| record(&state.shared, member));
+    changed
+        .iter()
+        .for_each(|member| record(&state.shared, member));
     state.publish_members();
 }
 
--- a/dahliawood-daemon/src/counters/mod.rs
+++ b/dahliawood-daemon/src/counters/mod.rs
@@ -104,14 +104,21 @@
         let client = match statsd {
             None => StatsdClient::from_sink(METRIC_PREFIX, NopMetricSink),
             Some(address) => {
-                let bind = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+                let bind = if address.is_ipv4() {
+                    "0.0.0.0:0"
+                } else {
+                    "[::]:0"
+                };
                 let socket = UdpSocket::bind(bind)?;
                 socket.set_nonblocking(true)?;
                 let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
                 StatsdClient::from_sink(METRIC_PREFIX, sink)
             }
         };
-        Ok(Self { client, sent: vec![0; KINDS.len()] })
+        Ok(Self {
+            client,
+            sent: vec![0; KINDS.len()],
+        })
     }
 
     /// Sends the gains of `table`; a datagram that is lost is lost.
--- a/dahliawood-daemon/src/desk/mod.rs
+++ b/dahliawood-daemon/src/desk/mod.rs
@@ -31,7 +31,11 @@
 impl Default for QuotaDesk {
     fn default() -> Self {
         let (nudge, nudged) = bounded(1);
-        Self { state: Mutex::default(), nudge, nudged }
+        Self {
+            state: Mutex::default(),
+            nudge,
+            nudged,
+        }
     }
 }
 
@@ -55,7 +59,11 @@
             AskOutcome::Granted(permit) => return Ok(permit),
             AskOutcome::Waiting(wait, limit) => (wait, limit),
         };
-        let mut cancel = WaitGuard { desk: self, limit, ticket: Some(wait.ticket) };
+        let mut cancel = WaitGuard {
+            desk: self,
+            limit,
+            ticket: Some(wait.ticket),
+        };
         let admission = wait.receiver.await;
         cancel.ticket = None;
         match admission {
@@ -100,12 +108,7 @@
         }
     }
 
-    fn ask(
-        &self,
-        name: &str,
-        deadline: TimeStamp,
-        now: TimeStamp,
-    ) -> Result<AskOutcome, Duration> {
+    fn ask(&self, name: &str, deadline: TimeStamp, now: TimeStamp) -> Result<AskOutcome, Duration> {
         let mut state = self.lock();
         let book = state.book.as_mut().ok_or(RETRY_UNKNOWN)?;
         let limit = book.limit(name).ok_or(RETRY_UNKNOWN)?;
--- a/dahliawood-daemon/src/eventlog/mod.rs
+++ b/dahliawood-daemon/src/eventlog/mod.rs
@@ -23,7 +23,12 @@
     /// An empty log of `vm`.
     pub fn new(vm: &str) -> Self {
         let ring = ring::EventRing::new(vm, RING_EVENTS);
-        Self { inner: Mutex::new(LogState { ring, clock: hybrid::HybridClock::default() }) }
+        Self {
+            inner: Mutex::new(LogState {
+                ring,
+                clock: hybrid::HybridClock::default(),
+            }),
+        }
     }
 
     /// Records an event now.
--- a/dahliawood-daemon/src/front/api/mod.rs
+++ b/dahliawood-daemon/src/front/api/mod.rs
@@ -63,25 +63,43 @@
     client: IpAddr,
     customer: Option<CustomerKey>,
 ) -> Result<Response, RefusalCause> {
-    let params: LookupParams = request.query().map_err(|_| {
-        RefusalCause::Malformed("ask with /v1/lookup?service=NAME".to_owned())
-    })?;
+    let params: LookupParams = request
+        .query()
+        .map_err(|_| RefusalCause::Malformed("ask with /v1/lookup?service=NAME".to_owned()))?;
     let config = &snapshot.state.config;
-    let found = config.services.find(|service| service.name == params.service);
+    let found = config
+        .services
+        .find(|service| service.name == params.service);
     let (service, _) = found.ok_or(RefusalCause::NoService)?;
     check_grant(snapshot, service, customer)?;
-    let query = lookup::LookupQuery { client, customer, service };
+    let query = lookup::LookupQuery {
+        client,
+        customer,
+        service,
+    };
     let answer = lookup::answer(&snapshot.lookup, query, clock::now(), &mut rand::rng());
-    let vms = answer.vms.iter().map(|key| named(&snapshot.vms[key.0 as usize])).collect();
+    let vms = answer
+        .vms
+        .iter()
+        .map(|key| named(&snapshot.vms[key.0 as usize]))
+        .collect();
     let ttl_ms = u64::try_from(answer.ttl.as_millis()).unwrap_or(u64::MAX);
     let revision = snapshot.state.revision;
     shared.counters.count(counters::CounterKind::Lookups);
-    Ok(reply(&LookupReply { service: params.service, revision, ttl_ms, vms }))
+    Ok(reply(&LookupReply {
+        service: params.service,
+        revision,
+        ttl_ms,
+        vms,
+    }))
 }
 
 /// The VM as a look-up names it.
 fn named(vm: &lookup::VmEntry) -> NamedVm {
-    NamedVm { name: vm.name.clone(), url: format!("http://{}", vm.http) }
+    NamedVm {
+        name: vm.name.clone(),
+        url: format!("http://{}", vm.http),
+    }
 }
 
 /// A service is looked up by its customers, and by all where one of its routes is open to all.
@@ -119,9 +137,19 @@
         shared::DaemonPhase::Serving => StatusCode::Ok,
         _ => StatusCode::ServiceUnavailable,
     };
-    let revision = shared.snapshot.load().as_ref().map_or(0, |snapshot| snapshot.state.revision);
-    let mut response =
-        json(status, &HealthReply { name: shared.settings.name.clone(), phase, revision });
+    let revision = shared
+        .snapshot
+        .load()
+        .as_ref()
+        .map_or(0, |snapshot| snapshot.state.revision);
+    let mut response = json(
+        status,
+        &HealthReply {
+            name: shared.settings.name.clone(),
+            phase,
+            revision,
+        },
+    );
     response.insert_header("cache-control", "no-store");
     response
 }
--- a/dahliawood-daemon/src/front/flight/mod.rs
+++ b/dahliawood-daemon/src/front/flight/mod.rs
@@ -37,8 +37,19 @@
         permit: effect::QuotaPermit,
     ) -> Self {
         let kind = health::ResultKind::Cancelled;
-        let report = health::ResultReport { kind, latency: std::time::Duration::ZERO };
-        Self { shared, key, target, service, started: clock::now(), report, permit: Some(permit) }
+        let report = health::ResultReport {
+            kind,
+            latency: std::time::Duration::ZERO,
+        };
+        Self {
+            shared,
+            key,
+            target,
+            service,
+            started: clock::now(),
+            report,
+            permit: Some(permit),
+        }
     }
 
     /// Notes what became of it; the latency is that up to now.
@@ -70,7 +81,13 @@
 pub fn tie(body: Body, flight: TargetFlight) -> Body {
     let length = body.len();
     let mime = body.mime().clone();
-    let mut tied = Body::from_reader(FlightBody { body, flight: Some(flight) }, length);
+    let mut tied = Body::from_reader(
+        FlightBody {
+            body,
+            flight: Some(flight),
+        },
+        length,
+    );
     tied.set_mime(mime);
     tied
 }
@@ -93,17 +110,16 @@
 }
 
 impl AsyncBufRead for FlightBody {
-    fn poll_fill_buf(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<&[u8]>> {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
         let filled = Pin::new(&mut this.body).poll_fill_buf(context);
         match &filled {
             Poll::Ready(Ok([])) => this.flight = None,
             Poll::Ready(Err(_)) => {
                 let flight = this.flight.take();
-                flight.into_iter().for_each(|mut flight| flight.settle(FAILED));
+                flight
+                    .into_iter()
+                    .for_each(|mut flight| flight.settle(FAILED));
             }
             _ => {}
         }
--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -152,7 +152,10 @@
             Err(failure) => {
                 flight.settle(failure.kind);
                 self.verdict = self.verdict.combine(failure.verdict);
-                return Err(TryFailure { detail: failure.detail, is_final: failure.is_own_body });
+                return Err(TryFailure {
+                    detail: failure.detail,
+                    is_final: failure.is_own_body,
+                });
             }
         };
         self.answer(response, method, flight).await
@@ -170,7 +173,10 @@
             self.verdict = self.verdict.combine(RunVerdict::MayHaveRun);
             let can_go_on = self.is_idempotent && self.tried.len() < MOST_TRIES;
             if can_go_on {
-                return Err(TryFailure { detail: "a target shed it".to_owned(), is_final: false });
+                return Err(TryFailure {
+                    detail: "a target shed it".to_owned(),
+                    is_final: false,
+                });
             }
         } else if response.status().is_server_error() {
             flight.settle(health::ResultKind::Errored);
@@ -207,12 +213,18 @@
             Ok(Err(error)) => {
                 flight.settle(health::ResultKind::Errored);
                 self.verdict = self.verdict.combine(RunVerdict::Ran);
-                Err(TryFailure { detail: format!("the answer broke off: {error}"), is_final: false })
+                Err(TryFailure {
+                    detail: format!("the answer broke off: {error}"),
+                    is_final: false,
+                })
             }
             Err(_) => {
                 flight.settle(health::ResultKind::TimedOut);
                 self.verdict = self.verdict.combine(RunVerdict::Ran);
-                Err(TryFailure { detail: "the answer came too slowly".to_owned(), is_final: true })
+                Err(TryFailure {
+                    detail: "the answer came too slowly".to_owned(),
+                    is_final: true,
+                })
             }
         }
     }
@@ -231,15 +243,25 @@
         let is_late = clock::now() >= self.deadline;
         let (status, name, title) = match (is_late, self.verdict) {
             (true, _) => (StatusCode::GatewayTimeout, "timeout", "No answer in time"),
-            (false, RunVerdict::NotRun) => {
-                (StatusCode::ServiceUnavailable, "unreachable", "No target could be reached")
-            }
+            (false, RunVerdict::NotRun) => (
+                StatusCode::ServiceUnavailable,
+                "unreachable",
+                "No target could be reached",
+            ),
             (false, _) => (StatusCode::BadGateway, "target-failed", "The target failed"),
         };
-        let retry_after = (self.verdict == RunVerdict::NotRun || self.is_idempotent)
-            .then_some(RETRY_FAILED);
+        let retry_after =
+            (self.verdict == RunVerdict::NotRun || self.is_idempotent).then_some(RETRY_FAILED);
         let detail = detail.to_owned();
         let ran = self.verdict;
-        problem::ProblemDocument { name, status, title, detail, ran, retry_after }.into_response()
+        problem::ProblemDocument {
+            name,
+            status,
+            title,
+            detail,
+            ran,
+            retry_after,
+        }
+        .into_response()
     }
 }
--- a/dahliawood-daemon/src/front/forward/outgoing.rs
+++ b/dahliawood-daemon/src/front/forward/outgoing.rs
@@ -43,14 +43,20 @@
     let body = request.take_body();
     let is_short = body.len().is_some_and(|length| length <= REPLAY_BYTES);
     let request_id = hex::encode(rand::random::<[u8; REQUEST_ID_BYTES]>());
-    let way = headers::ForwardedBy { caller: client.ip(), request_id: &request_id };
+    let way = headers::ForwardedBy {
+        caller: client.ip(),
+        request_id: &request_id,
+    };
     headers::prepare_request(&mut request, &way);
     request.remove_header(HOST);
     let body = match is_short || (is_idempotent && body.is_empty() == Some(true)) {
         false => OutgoingBody::Streamed(body),
         true => OutgoingBody::Kept(read_whole(body).await?),
     };
-    Ok(OutgoingRequest { head: request, body })
+    Ok(OutgoingRequest {
+        head: request,
+        body,
+    })
 }
 
 /// Reads a short body.
--- a/dahliawood-daemon/src/front/forward/place.rs
+++ b/dahliawood-daemon/src/front/forward/place.rs
@@ -46,7 +46,9 @@
         }
         let left = query.deadline.since(clock::now());
         let woken = timeout(left, wait).await;
-        woken.map_err(|_| RefusalCause::Busy(choice::SHORTEST_RETRY))?.ok();
+        woken
+            .map_err(|_| RefusalCause::Busy(choice::SHORTEST_RETRY))?
+            .ok();
     }
 }
 
@@ -101,16 +103,23 @@
             let key = choice::begin(table, target).ok_or(RefusalCause::Starting)?;
             drop(guard);
             let shared = Arc::clone(shared);
-            Ok(Picked::Slot(TargetFlight::new(shared, key, target, query.service, permit)))
+            Ok(Picked::Slot(TargetFlight::new(
+                shared,
+                key,
+                target,
+                query.service,
+                permit,
+            )))
         }
         choice::Choice::Wait { expected, .. } if now.after(expected) < query.deadline => {
             Ok(Picked::Later)
-        },
+        }
         choice::Choice::Wait { expected, .. } => {
             Err(RefusalCause::Busy(expected.max(choice::SHORTEST_RETRY)))
         }
-        choice::Choice::None { why, retry_after } => {
-            Err(RefusalCause::NoTarget { detail: why.to_string(), retry_after })
-        }
+        choice::Choice::None { why, retry_after } => Err(RefusalCause::NoTarget {
+            detail: why.to_string(),
+            retry_after,
+        }),
     }
 }
--- a/dahliawood-daemon/src/front/handler/mod.rs
+++ b/dahliawood-daemon/src/front/handler/mod.rs
@@ -82,15 +82,18 @@
     let customer = caller_of(&snapshot, &request, route, client)?;
     let deadline = deadline_of(&snapshot.state, &request, route)?;
     admit(shared, &snapshot.state, customer, deadline).await?;
-    let admitted = forward::AdmittedRequest { request, route, customer, client, deadline };
+    let admitted = forward::AdmittedRequest {
+        request,
+        route,
+        customer,
+        client,
+        deadline,
+    };
     forward::run(Arc::clone(shared), snapshot, admitted).await
 }
 
 /// The route of a request.
-fn route_of(
-    state: &snapshot::ConfigState,
-    request: &Request,
-) -> Result<RouteKey, RefusalCause> {
+fn route_of(state: &snapshot::ConfigState, request: &Request) -> Result<RouteKey, RefusalCause> {
     match state.route(request.method().as_ref(), request.url().path()) {
         snapshot::RouteMatch::Found(route) => Ok(route),
         snapshot::RouteMatch::OtherMethod => Err(RefusalCause::OtherMethod),
@@ -161,7 +164,9 @@
     customer: Option<CustomerKey>,
     deadline: TimeStamp,
 ) -> Result<(), RefusalCause> {
-    let Some(customer) = customer else { return Ok(()) };
+    let Some(customer) = customer else {
+        return Ok(());
+    };
     let limit = format!("customer/{}", state.config.customers[customer].name);
     let admitted = shared.desk.admit(&limit, deadline, clock::now()).await;
     admitted.map_err(RefusalCause::OverRate)?;
--- a/dahliawood-daemon/src/front/listen/mod.rs
+++ b/dahliawood-daemon/src/front/listen/mod.rs
@@ -37,8 +37,10 @@
     if let Err(error) = prepare(&stream) {
         log::debug!("a caller's connection could not be set up: {error}");
     }
-    let options =
-        server::ConnectionOptions { peer: Some(client), ..server::ConnectionOptions::default() };
+    let options = server::ConnectionOptions {
+        peer: Some(client),
+        ..server::ConnectionOptions::default()
+    };
     let closing = || shared.phase() == shared::DaemonPhase::Leaving;
     let handler = |request| handler::answer(Arc::clone(&shared), request, client);
     let ended = server::connection(stream, &options, closing, handler).await;
--- a/dahliawood-daemon/src/front/refusal/mod.rs
+++ b/dahliawood-daemon/src/front/refusal/mod.rs
@@ -84,26 +84,47 @@
             other => other.detail().to_owned(),
         };
         let ran = verdict::RunVerdict::NotRun;
-        problem::ProblemDocument { name, status, title, detail, ran, retry_after }
+        problem::ProblemDocument {
+            name,
+            status,
+            title,
+            detail,
+            ran,
+            retry_after,
+        }
     }
 
     /// Status, stable name and title of the kind of problem.
     fn kind(&self) -> (StatusCode, &'static str, &'static str) {
         use StatusCode as Status;
         match self {
-            Self::Starting => (Status::ServiceUnavailable, "starting", "This VM is starting"),
+            Self::Starting => (
+                Status::ServiceUnavailable,
+                "starting",
+                "This VM is starting",
+            ),
             Self::NoRoute => (Status::NotFound, "no-route", "No such route"),
             Self::OtherMethod => (Status::MethodNotAllowed, "no-method", "No such method here"),
             Self::NoService => (Status::NotFound, "no-service", "No such service"),
             Self::NoKey => (Status::Unauthorized, "no-key", "A key is needed"),
             Self::BadKey => (Status::Unauthorized, "bad-key", "The key is not valid"),
-            Self::NotGranted => (Status::Forbidden, "not-granted", "The service is not granted"),
+            Self::NotGranted => (
+                Status::Forbidden,
+                "not-granted",
+                "The service is not granted",
+            ),
             Self::OtherPlace => (Status::Forbidden, "other-place", "The place is not granted"),
             Self::OverRate(_) => (Status::TooManyRequests, "over-rate", "The rate is used up"),
-            Self::Busy(_) => (Status::ServiceUnavailable, "busy", "No target has room in time"),
-            Self::NoTarget { .. } => {
-                (Status::ServiceUnavailable, "no-target", "No target can be used")
-            }
+            Self::Busy(_) => (
+                Status::ServiceUnavailable,
+                "busy",
+                "No target has room in time",
+            ),
+            Self::NoTarget { .. } => (
+                Status::ServiceUnavailable,
+                "no-target",
+                "No target can be used",
+            ),
             Self::Malformed(_) => (Status::BadRequest, "malformed", "The request is malformed"),
         }
     }
--- a/dahliawood-daemon/src/front/target_call/mod.rs
+++ b/dahliawood-daemon/src/front/target_call/mod.rs
@@ -56,8 +56,13 @@
         answer_timeout: call.left,
         ..client::ExchangeOptions::default()
     };
-    let exchanged = shared.pool.exchange(call.address, choice, request, &options).await;
-    exchanged.map(|outcome| outcome.response).map_err(|error| failure(&error))
+    let exchanged = shared
+        .pool
+        .exchange(call.address, choice, request, &options)
+        .await;
+    exchanged
+        .map(|outcome| outcome.response)
+        .map_err(|error| failure(&error))
 }
 
 /// What an error tells.
@@ -75,11 +80,19 @@
         }
         pool::error::PooledError::Exchange { .. } => (health::ResultKind::Errored, false),
     };
-    CallFailure { kind, verdict: error.verdict(), is_own_body, detail: describe(error) }
+    CallFailure {
+        kind,
+        verdict: error.verdict(),
+        is_own_body,
+        detail: describe(error),
+    }
 }
 
 /// An error with its causes, in one line.
 fn describe(error: &dyn std::error::Error) -> String {
     let causes = std::iter::successors(Some(error), |error| error.source());
-    causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
+    causes
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join(": ")
 }
--- a/dahliawood-daemon/src/main.rs
+++ b/dahliawood-daemon/src/main.rs
@@ -39,7 +39,9 @@
 /// Logs to standard error, its own lines at the level that was set, libraries' from warnings up.
 fn start_log(level: log::LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
     let spec = format!("warn,dahliawood_daemon={level},dahliawood_store={level}");
-    Logger::try_with_str(spec)?.format(flexi_logger::opt_format).start()
+    Logger::try_with_str(spec)?
+        .format(flexi_logger::opt_format)
+        .start()
 }
 
 /// Serves until a signal, then shuts down; a second signal ends it at once.
@@ -79,5 +81,9 @@
 /// Says how many requests were cut.
 fn cut(count: usize) -> ExitCode {
     eprintln!("requests cut: {count}");
-    if count == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_CUT) }
+    if count == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_CUT)
+    }
 }
--- a/dahliawood-daemon/src/operator/apply/mod.rs
+++ b/dahliawood-daemon/src/operator/apply/mod.rs
@@ -65,14 +65,20 @@
 pub async fn run(mut request: tide::Request<OperatorState>) -> tide::Result {
     let params: ApplyParams = request.query()?;
     if !is_write_id(&params.write) {
-        return Ok(refusal(400, "a write is named by 1 to 64 letters, digits and hyphens"));
+        return Ok(refusal(
+            400,
+            "a write is named by 1 to 64 letters, digits and hyphens",
+        ));
     }
     let text = request.body_string().await?;
     if let Err(report) = parse::file("file", &text) {
         return Ok(refusal(422, &report.to_string()));
     }
     let write_id = head::WriteId::from(params.write.clone());
-    let wait = params.wait.map_or(DEFAULT_WAIT, Duration::from_secs).min(MOST_WAIT);
+    let wait = params
+        .wait
+        .map_or(DEFAULT_WAIT, Duration::from_secs)
+        .min(MOST_WAIT);
     let state = request.state();
     let options = acceptance::ApplyOptions {
         file_text: text,
@@ -91,7 +97,10 @@
 pub async fn outcome(request: tide::Request<OperatorState>) -> tide::Result {
     let id = request.param("id")?.to_owned();
     if !is_write_id(&id) {
-        return Ok(refusal(400, "a write is named by 1 to 64 letters, digits and hyphens"));
+        return Ok(refusal(
+            400,
+            "a write is named by 1 to 64 letters, digits and hyphens",
+        ));
     }
     let state = request.state();
     let options = accept_options(state, Duration::from_secs(1));
@@ -108,7 +117,9 @@
     acceptance::AcceptOptions {
         on_accepted: Arc::new(move |stamp| {
             let revision = stamp.revision;
-            shared.events.record(kind::EventKind::RevisionAccepted { revision });
+            shared
+                .events
+                .record(kind::EventKind::RevisionAccepted { revision });
             keeper.observe(stamp, keeper::RevisionSource::Apply);
         }),
         follow_within: wait,
@@ -149,7 +160,9 @@
 /// Whether a name of a write can stand in a path.
 fn is_write_id(text: &str) -> bool {
     let fits = (1..=WRITE_ID_CHARS).contains(&text.len());
-    fits && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
+    fits && text
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
 }
 
 /// A refusal of the request itself.
--- a/dahliawood-daemon/src/operator/mod.rs
+++ b/dahliawood-daemon/src/operator/mod.rs
@@ -54,14 +54,19 @@
 async fn status(request: tide::Request<OperatorState>) -> tide::Result {
     let members = control::ask(&request.state().control, control::ControlQuestion::Members).await;
     let members = members.map_err(unavailable)?;
-    json(StatusCode::Ok, &reply::status(&request.state().shared, &members))
+    json(
+        StatusCode::Ok,
+        &reply::status(&request.state().shared, &members),
+    )
 }
 
 /// `GET /v1/config`: the file in force, as it was applied.
 async fn config(request: tide::Request<OperatorState>) -> tide::Result {
     let snapshot = request.state().shared.snapshot.load_full();
     let Some(snapshot) = snapshot else {
-        return Ok(tide::Response::builder(404).body("no configuration is known yet").build());
+        return Ok(tide::Response::builder(404)
+            .body("no configuration is known yet")
+            .build());
     };
     let response = tide::Response::builder(200)
         .header("dahliawood-revision", snapshot.state.revision.to_string())
@@ -74,14 +79,20 @@
 async fn events(request: tide::Request<OperatorState>) -> tide::Result {
     let params: EventParams = request.query()?;
     let most = params.most.unwrap_or(MOST_EVENTS).min(MOST_EVENTS);
-    let vm = params.vm.unwrap_or_else(|| request.state().shared.settings.name.clone());
-    let question = |answer| control::ControlQuestion::Events(control::EventQuestion {
-        vm,
-        after: params.after,
-        most,
-        answer,
-    });
-    let page = control::ask(&request.state().control, question).await.map_err(unavailable)?;
+    let vm = params
+        .vm
+        .unwrap_or_else(|| request.state().shared.settings.name.clone());
+    let question = |answer| {
+        control::ControlQuestion::Events(control::EventQuestion {
+            vm,
+            after: params.after,
+            most,
+            answer,
+        })
+    };
+    let page = control::ask(&request.state().control, question)
+        .await
+        .map_err(unavailable)?;
     match page {
         Ok(page) => json(StatusCode::Ok, &reply::events(&page)),
         Err(detail) => Ok(tide::Response::builder(502).body(detail).build()),
@@ -95,5 +106,7 @@
 
 /// A JSON answer.
 fn json(status: StatusCode, value: &impl serde::Serialize) -> tide::Result {
-    Ok(tide::Response::builder(status).body(tide::Body::from_json(value)?).build())
+    Ok(tide::Response::builder(status)
+        .body(tide::Body::from_json(value)?)
+        .build())
 }
--- a/dahliawood-daemon/src/operator/reply/mod.rs
+++ b/dahliawood-daemon/src/operator/reply/mod.rs
@@ -71,10 +71,14 @@
 pub fn status(shared: &shared::SharedState, members: &[members::VmMember]) -> StatusReply {
     let snapshot = shared.snapshot.load();
     let state = snapshot.as_ref().map(|snapshot| &snapshot.state);
-    let counters = shared.counters.readings().into_iter().map(|reading| CounterReply {
-        name: reading.name.to_owned(),
-        value: reading.value,
-    });
+    let counters = shared
+        .counters
+        .readings()
+        .into_iter()
+        .map(|reading| CounterReply {
+            name: reading.name.to_owned(),
+            value: reading.value,
+        });
     StatusReply {
         name: shared.settings.name.clone(),
         domain: shared.settings.domain.clone(),
@@ -95,7 +99,9 @@
         lookup::VmState::Suspect => "suspect",
         lookup::VmState::Leaving => "leaving",
     };
-    let heard = member.heard.map(|heard| clock::now().since(heard).as_millis());
+    let heard = member
+        .heard
+        .map(|heard| clock::now().since(heard).as_millis());
     VmReply {
         name: member.name.clone(),
         domain: member.domain.clone(),
@@ -111,5 +117,9 @@
     let event = |text: &String| {
         serde_json::from_str(text).unwrap_or_else(|_| serde_json::Value::String(text.clone()))
     };
-    EventsReply { events: page.events.iter().map(event).collect(), next: page.next, lost: page.lost }
+    EventsReply {
+        events: page.events.iter().map(event).collect(),
+        next: page.next,
+        lost: page.lost,
+    }
 }
--- a/dahliawood-daemon/src/run/mod.rs
+++ b/dahliawood-daemon/src/run/mod.rs
@@ -57,17 +57,28 @@
     let front = bind(settings.listen).await?;
     let peer = bind(settings.peer_listen).await?;
     let operator = bind(settings.operator_listen).await?;
-    let listen = front.local_addr().context(error::BindSnafu { address: settings.listen })?;
-    let peer_listen = peer.local_addr().context(error::BindSnafu { address: listen })?;
-    let operator_listen = operator.local_addr().context(error::BindSnafu { address: listen })?;
+    let listen = front.local_addr().context(error::BindSnafu {
+        address: settings.listen,
+    })?;
+    let peer_listen = peer
+        .local_addr()
+        .context(error::BindSnafu { address: listen })?;
+    let operator_listen = operator
+        .local_addr()
+        .context(error::BindSnafu { address: listen })?;
     let metrics = counters::MetricSender::new(settings.statsd).context(error::MetricsSnafu)?;
     let store = client::http(client::HttpOptions::new(settings.store));
     let live = client::http(client::HttpOptions::new(settings.live_list));
     let incarnation = clock::wall_micros();
-    let me = member::HolderId { address: peer_listen, incarnation };
+    let me = member::HolderId {
+        address: peer_listen,
+        incarnation,
+    };
     let shared = Arc::new(shared::SharedState::new(settings, me));
     let keeper = control::follow::keeper(&shared);
-    shared.events.record(kind::EventKind::VmStarted { incarnation });
+    shared
+        .events
+        .record(kind::EventKind::VmStarted { incarnation });
     let (stop, stopped) = bounded(1);
     let (ask, questions) = bounded(MOST_QUESTIONS);
     let control = control::start(control::ControlOptions {
@@ -80,8 +91,12 @@
         questions,
         stop: stopped,
     });
-    let state =
-        operator::OperatorState { shared: Arc::clone(&shared), store, keeper, control: ask };
+    let state = operator::OperatorState {
+        shared: Arc::clone(&shared),
+        store,
+        keeper,
+        control: ask,
+    };
     Ok(DaemonHandle {
         control: Some(control.context(error::ThreadSnafu)?),
         front: task::spawn(listen::run(front, Arc::clone(&shared))),
@@ -96,7 +111,9 @@
 
 /// Binds an address.
 async fn bind(address: SocketAddr) -> Result<TcpListener, error::StartError> {
-    TcpListener::bind(address).await.context(error::BindSnafu { address })
+    TcpListener::bind(address)
+        .await
+        .context(error::BindSnafu { address })
 }
 
 impl DaemonHandle {
@@ -118,7 +135,9 @@
             task::sleep(DRAIN_POLL).await;
         }
         let cut = self.shared.in_flight.load(Ordering::Acquire);
-        self.shared.events.record(kind::EventKind::VmStopped { cut: cut as u64 });
+        self.shared
+            .events
+            .record(kind::EventKind::VmStopped { cut: cut as u64 });
         self.abort().await;
         ShutdownOutcome { cut }
     }
@@ -128,7 +147,9 @@
         self.front.cancel().await;
         self.operator.cancel().await;
         self.stop.close();
-        let Some(control) = self.control.take() else { return };
+        let Some(control) = self.control.take() else {
+            return;
+        };
         if task::spawn_blocking(move || control.join()).await.is_err() {
             log::error!("the control thread panicked");
         }
--- a/dahliawood-daemon/src/settings/mod.rs
+++ b/dahliawood-daemon/src/settings/mod.rs
@@ -101,15 +101,47 @@
     let mut findings = Vec::new();
     let found = &mut findings;
     let name = required(found, "name", raw.name.as_deref(), ACCEPTS_NAME, parse_name);
-    let domain = required(found, "domain", raw.domain.as_deref(), ACCEPTS_NAME, parse_name);
+    let domain = required(
+        found,
+        "domain",
+        raw.domain.as_deref(),
+        ACCEPTS_NAME,
+        parse_name,
+    );
     let listen = raw.listen.as_deref().unwrap_or(DEFAULT_LISTEN);
-    let listen = required(found, "listen", Some(listen), ACCEPTS_ADDRESS, parse_address);
+    let listen = required(
+        found,
+        "listen",
+        Some(listen),
+        ACCEPTS_ADDRESS,
+        parse_address,
+    );
     let peer = raw.peer_listen.as_deref().unwrap_or(DEFAULT_PEER_LISTEN);
-    let peer = required(found, "peer-listen", Some(peer), ACCEPTS_ADDRESS, parse_address);
-    let operator = raw.operator_listen.as_deref().unwrap_or(DEFAULT_OPERATOR_LISTEN);
-    let operator =
-        required(found, "operator-listen", Some(operator), ACCEPTS_ADDRESS, parse_address);
-    let store = required(found, "store", raw.store.as_deref(), ACCEPTS_ADDRESS, parse_address);
+    let peer = required(
+        found,
+        "peer-listen",
+        Some(peer),
+        ACCEPTS_ADDRESS,
+        parse_address,
+    );
+    let operator = raw
+        .operator_listen
+        .as_deref()
+        .unwrap_or(DEFAULT_OPERATOR_LISTEN);
+    let operator = required(
+        found,
+        "operator-listen",
+        Some(operator),
+        ACCEPTS_ADDRESS,
+        parse_address,
+    );
+    let store = required(
+        found,
+        "store",
+        raw.store.as_deref(),
+        ACCEPTS_ADDRESS,
+        parse_address,
+    );
     let live = optional(found, "live-list", raw.live_list.as_deref(), parse_address);
     let statsd = optional(found, "statsd", raw.statsd.as_deref(), parse_address);
     let limit = match raw.drain_limit.as_deref() {
@@ -117,7 +149,9 @@
         given => required(found, "drain-limit", given, ACCEPTS_SECONDS, parse_limit),
     };
     let level = raw.log.as_deref().unwrap_or("info");
-    let level = required(found, "log", Some(level), ACCEPTS_LEVEL, |text| text.parse().ok());
+    let level = required(found, "log", Some(level), ACCEPTS_LEVEL, |text| {
+        text.parse().ok()
+    });
     let checked = (|| {
         Some(DaemonSettings {
             name: name?,
@@ -148,7 +182,11 @@
 ) -> Option<T> {
     let value = text.and_then(parse);
     if value.is_none() {
-        findings.push(error::SettingFinding { flag, value: text.map(str::to_owned), accepts });
+        findings.push(error::SettingFinding {
+            flag,
+            value: text.map(str::to_owned),
+            accepts,
+        });
     }
     value
 }
@@ -171,7 +209,9 @@
 /// A name as the live list and the file have it.
 fn parse_name(text: &str) -> Option<String> {
     let fits = (1..=63).contains(&text.len());
-    let plain = text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b".-".contains(&byte));
+    let plain = text
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || b".-".contains(&byte));
     (fits && plain).then(|| text.to_owned())
 }
 
--- a/dahliawood-daemon/src/shared/mod.rs
+++ b/dahliawood-daemon/src/shared/mod.rs
@@ -1,11 +1,11 @@
 //! What the control thread and the traffic threads share.
 
-use crate::{counters, desk, eventlog, settings, snapshot, waiters};
 use crate::control::members;
+use crate::{counters, desk, eventlog, settings, snapshot, waiters};
 use arc_swap::{ArcSwap, ArcSwapOption};
-use dahliawood_quota::member;
 use dahliawood_model::keys::RegionKey;
 use dahliawood_model::tables;
+use dahliawood_quota::member;
 use dahliawood_steer::{choice, target};
 use dahliawood_wire::pool;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -100,12 +100,19 @@
     /// Links are not measured yet: a declared one counts as free, and the region's own slots bound
     /// what goes there.
     pub fn spill_room(&self, config: &tables::FleetConfig, region: RegionKey) -> choice::SpillRoom {
-        let home = config.domains.find(|domain| domain.name == self.settings.domain);
-        let Some((_, home)) = home else { return choice::SpillRoom::NONE };
+        let home = config
+            .domains
+            .find(|domain| domain.name == self.settings.domain);
+        let Some((_, home)) = home else {
+            return choice::SpillRoom::NONE;
+        };
         let is_linked = config.link_between(home.region, region).is_some()
             && config.link_between(region, home.region).is_some();
         match is_linked {
-            true => choice::SpillRoom { link: 1.0, region: 1.0 },
+            true => choice::SpillRoom {
+                link: 1.0,
+                region: 1.0,
+            },
             false => choice::SpillRoom::NONE,
         }
     }
--- a/dahliawood-daemon/src/snapshot/mod.rs
+++ b/dahliawood-daemon/src/snapshot/mod.rs
@@ -51,7 +51,15 @@
         let revision = record.stamp.revision;
         let hash = record.stamp.hash.to_string();
         let text = Arc::clone(&record.text);
-        Some(Self { revision, hash, text, config, keys, routes, home })
+        Some(Self {
+            revision,
+            hash,
+            text,
+            config,
+            keys,
+            routes,
+            home,
+        })
     }
 
     /// The route of a request: the longest path prefix that holds whole segments decides.
@@ -67,7 +75,11 @@
                 return RouteMatch::Found(*key);
             }
         }
-        if is_declared { RouteMatch::OtherMethod } else { RouteMatch::None }
+        if is_declared {
+            RouteMatch::OtherMethod
+        } else {
+            RouteMatch::None
+        }
     }
 
     /// Whether a customer may call a service from a place.
@@ -90,6 +102,8 @@
 
 /// Whether `prefix` is `path` or one of its parents.
 fn covers(prefix: &str, path: &str) -> bool {
-    let Some(rest) = path.strip_prefix(prefix) else { return false };
+    let Some(rest) = path.strip_prefix(prefix) else {
+        return false;
+    };
     rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
 }
--- a/dahliawood-daemon/src/waiters/mod.rs
+++ b/dahliawood-daemon/src/waiters/mod.rs
@@ -32,7 +32,9 @@
     /// Wakes the first of a service's queue that still waits.
     pub fn wake(&self, service: ServiceKey) {
         let mut queues = self.lock();
-        let Some(queue) = queues.get_mut(&service) else { return };
+        let Some(queue) = queues.get_mut(&service) else {
+            return;
+        };
         while let Some(waiter) = queue.pop_front() {
             if waiter.send(()).is_ok() {
                 return;
@@ -42,7 +44,9 @@
 
     /// How many wait for a service.
     pub fn waiting(&self, service: ServiceKey) -> u32 {
-        self.lock().get(&service).map_or(0, |queue| queue.len() as u32)
+        self.lock()
+            .get(&service)
+            .map_or(0, |queue| queue.len() as u32)
     }
 
     fn lock(&self) -> MutexGuard<'_, FastMap<ServiceKey, VecDeque<oneshot::Sender<()>>>> {
--- a/dahliawood-peer/src/allowance/mod.rs
+++ b/dahliawood-peer/src/allowance/mod.rs
@@ -136,7 +136,10 @@
     let address = address
         .parse()
         .map_err(|error| capnp::Error::failed(format!("the address of a VM: {error}")))?;
-    Ok(member::HolderId { address, incarnation: reader.get_incarnation() })
+    Ok(member::HolderId {
+        address,
+        incarnation: reader.get_incarnation(),
+    })
 }
 
 /// Whole microseconds of a span.
--- a/dahliawood-peer/src/client/mod.rs
+++ b/dahliawood-peer/src/client/mod.rs
@@ -9,6 +9,7 @@
 use async_std::task;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::AsyncReadExt;
+use futures::future::{AbortHandle, abortable};
 use snafu::ResultExt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -24,18 +25,13 @@
 pub struct PeerClient {
     client: vm_peer::Client,
     options: CallOptions,
-    pump: Option<task::JoinHandle<()>>,
+    pump: AbortHandle,
 }
 
 impl Drop for PeerClient {
     fn drop(&mut self) {
-        if let Some(pump) = self.pump.take() {
-            // Dropping a handle detaches its task, so the pump is cancelled: a silent connection
-            // would otherwise be held for good.
-            task::spawn_local(async move {
-                pump.cancel().await;
-            });
-        }
+        // A silent connection would otherwise be held for good.
+        self.pump.abort();
     }
 }
 
@@ -63,13 +59,14 @@
     );
     let mut system = RpcSystem::new(Box::new(network), None);
     let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
-    let pump = task::spawn_local(async move {
+    let (system, pump) = abortable(system);
+    task::spawn_local(async move {
         let _ended = system.await;
     });
     Ok(PeerClient {
         client,
         options,
-        pump: Some(pump),
+        pump,
     })
 }
 
--- a/dahliawood-testkit/src/caller/mod.rs
+++ b/dahliawood-testkit/src/caller/mod.rs
@@ -96,7 +96,11 @@
     /// A caller that has asked nothing yet.
     pub fn new(options: CallerOptions) -> Self {
         let pool = pool::TargetPool::new(pool::PoolOptions::default());
-        Self { options, pool, answer: None }
+        Self {
+            options,
+            pool,
+            answer: None,
+        }
     }
 
     /// Makes one request.
@@ -112,7 +116,13 @@
             }
         }
         let latency = start.elapsed();
-        CallerOutcome { status: None, problem: None, bytes: 0, latency, tries }
+        CallerOutcome {
+            status: None,
+            problem: None,
+            bytes: 0,
+            latency,
+            tries,
+        }
     }
 
     /// The VMs to use, from the cached answer or a new look-up; the seeds where no VM answers.
@@ -145,9 +155,15 @@
             return None;
         }
         let json: LookupJson = serde_json::from_slice(&answer.body).ok()?;
-        let vms = json.vms.iter().filter_map(|vm| vm.url.strip_prefix("http://")?.parse().ok());
+        let vms = json
+            .vms
+            .iter()
+            .filter_map(|vm| vm.url.strip_prefix("http://")?.parse().ok());
         let expires = Instant::now() + Duration::from_millis(json.ttl_ms);
-        Some(CachedAnswer { vms: vms.collect(), expires })
+        Some(CachedAnswer {
+            vms: vms.collect(),
+            expires,
+        })
     }
 
     /// One exchange with one VM, to the last byte of its answer.
@@ -157,8 +173,12 @@
         request: &CallerRequest,
     ) -> Result<WholeAnswer, NoAnswer> {
         let url = Url::parse(&format!("http://{vm}{}", request.path));
-        let mut sent =
-            Request::new(request.method, url.map_err(|_| NoAnswer { may_have_run: false })?);
+        let mut sent = Request::new(
+            request.method,
+            url.map_err(|_| NoAnswer {
+                may_have_run: false,
+            })?,
+        );
         if let Some(key) = &self.options.key {
             sent.insert_header("authorization", format!("Bearer {key}"));
         }
@@ -182,13 +202,19 @@
         let is_problem = response
             .header("content-type")
             .is_some_and(|value| value.as_str().starts_with("application/problem+json"));
-        Ok(WholeAnswer { status: response.status(), body, is_problem })
+        Ok(WholeAnswer {
+            status: response.status(),
+            body,
+            is_problem,
+        })
     }
 }
 
 /// The outcome of a request that got a whole answer.
 fn outcome(answer: WholeAnswer, start: Instant, tries: usize) -> CallerOutcome {
-    let problem = answer.is_problem.then(|| serde_json::from_slice::<ProblemJson>(&answer.body));
+    let problem = answer
+        .is_problem
+        .then(|| serde_json::from_slice::<ProblemJson>(&answer.body));
     CallerOutcome {
         status: Some(answer.status),
         problem: problem.and_then(Result::ok).map(|problem| problem.r#type),
--- a/dahliawood-testkit/src/fleet/mod.rs
+++ b/dahliawood-testkit/src/fleet/mod.rs
@@ -100,7 +100,13 @@
         platform.put_live(live_entry(&daemon));
         daemons.push(daemon);
     }
-    let fleet = EmbeddedFleet { platform, targets, daemons, text, config };
+    let fleet = EmbeddedFleet {
+        platform,
+        targets,
+        daemons,
+        text,
+        config,
+    };
     fleet.apply(&fleet.text).await?;
     fleet.settle(1).await?;
     Ok(fleet)
@@ -173,10 +179,14 @@
             ..simple::CallOptions::new("PUT", &url)
         };
         let called = simple::call(&options).await;
-        let outcome = called.map_err(|error| FleetError::Apply { detail: error.to_string() })?;
+        let outcome = called.map_err(|error| FleetError::Apply {
+            detail: error.to_string(),
+        })?;
         match outcome.status {
             200 => Ok(()),
-            _ => Err(FleetError::Apply { detail: outcome.text().into_owned() }),
+            _ => Err(FleetError::Apply {
+                detail: outcome.text().into_owned(),
+            }),
         }
     }
 
@@ -187,7 +197,11 @@
     pub async fn settle(&self, revision: u64) -> Result<(), FleetError> {
         let start = Instant::now();
         while start.elapsed() < SETTLE_LIMIT {
-            if self.daemons.iter().all(|daemon| self.is_settled(daemon, revision)) {
+            if self
+                .daemons
+                .iter()
+                .all(|daemon| self.is_settled(daemon, revision))
+            {
                 return Ok(());
             }
             task::sleep(SETTLE_POLL).await;
