feat(config): edits of a file's text that keep its comments

Cause: granting and withdrawing keys and drains has to change the operators' own file without losing what they wrote beside it.

Change: `edit::apply` grants, withdraws and rotates keys and adds and removes drains through toml_edit, checks the file before and after, and returns the new text, the new configuration and the changes in meaning. Comments beside and above a removed line stay; those on the lines of a removed drain go with it. Line ends stay as they were. `drain::DrainName` names the subject of a drain for edits, diffs and the check alike.

Proof: dropping the comments of a removed key, those behind the last key, or those above a removed drain each failed `an_edit_is_one_change_and_keeps_comments_and_order`; leaving out the line ends failed `inline_tables_and_carriage_returns_are_kept`; not looking for the key id failed `edits_that_do_not_fit_are_refused_by_name`. All pass as committed.

--- a/dahliawood-config/src/diff/view.rs
+++ b/dahliawood-config/src/diff/view.rs
@@ -1,6 +1,7 @@
 //! A configuration as entities with named fields of text.
 
 use crate::diff::EntityKind;
+use crate::drain::DrainName;
 use crate::{keys, units};
 use dahliawood_model::keys::{DomainKey, RegionKey};
 use dahliawood_model::tables;
@@ -169,11 +170,7 @@
 
 fn drains(map: &mut EntityMap, config: &tables::FleetConfig) {
     for drain in &config.drains {
-        let name = match drain.subject {
-            tables::DrainSubject::Target(key) => format!("target {}", config.targets[key].name),
-            tables::DrainSubject::Domain(key) => format!("domain {}", domain_name(config, key)),
-            tables::DrainSubject::Region(key) => format!("region {}", region_name(config, key)),
-        };
+        let name = DrainName::of(config, drain.subject).to_string();
         let fields = vec![field("over", units::duration_text(drain.over))];
         add(map, EntityKind::Drain, name, fields);
     }
--- /dev/null
+++ b/dahliawood-config/src/edit/error.rs
@@ -0,0 +1,75 @@
+//! Why a file was not changed.
+
+use crate::{drain, report};
+use snafu::Snafu;
+
+/// Why a file was not changed.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum EditError {
+    /// The file has mistakes already.
+    #[snafu(display("the file has mistakes, mend them first:\n{report}"))]
+    FileMistakes {
+        /// What is wrong.
+        report: report::CheckReport,
+    },
+    /// The change would bring mistakes in.
+    #[snafu(display("the change would leave the file with mistakes:\n{report}"))]
+    NewMistakes {
+        /// What would be wrong.
+        report: report::CheckReport,
+    },
+    /// The text can be read but its layout can't be kept.
+    #[snafu(display("the file's layout can't be kept; write the change by hand"))]
+    NotEditable,
+    /// There is no such customer.
+    #[snafu(display("no customer `{customer}`"))]
+    UnknownCustomer {
+        /// The name.
+        customer: String,
+    },
+    /// There is no such key.
+    #[snafu(display("no key with id `{id}`"))]
+    UnknownKey {
+        /// The public id.
+        id: String,
+    },
+    /// A key with this id is in force.
+    #[snafu(display("a key with id `{id}` is in force already"))]
+    KeyExists {
+        /// The public id.
+        id: String,
+    },
+    /// A customer without a key has none to rotate.
+    #[snafu(display("customer `{customer}` has no key to rotate; grant one"))]
+    NothingToRotate {
+        /// The name.
+        customer: String,
+    },
+    /// A customer with several keys is in a rotation already.
+    #[snafu(display("customer `{customer}` has {count} keys; withdraw down to one first"))]
+    RotationOpen {
+        /// The name.
+        customer: String,
+        /// Keys in force.
+        count: usize,
+    },
+    /// There is nothing of this name to drain.
+    #[snafu(display("no {subject} to drain"))]
+    UnknownSubject {
+        /// The name.
+        subject: drain::DrainName,
+    },
+    /// It drains already.
+    #[snafu(display("{subject} drains already"))]
+    DrainExists {
+        /// The name.
+        subject: drain::DrainName,
+    },
+    /// It does not drain.
+    #[snafu(display("{subject} does not drain"))]
+    NoDrain {
+        /// The name.
+        subject: drain::DrainName,
+    },
+}
--- a/dahliawood-config/src/parse/build.rs
+++ b/dahliawood-config/src/parse/build.rs
@@ -1,6 +1,7 @@
 //! From checked rows to arenas: names become keys.
 
-use crate::parse::rows::{self, DrainName};
+use crate::drain::DrainName;
+use crate::parse::rows;
 use dahliawood_model::keys::{
     ArenaKey, CustomerKey, DomainKey, EntityArena, PlaceKey, RegionKey, RouteKey, ServiceKey,
     TargetKey,
--- a/dahliawood-config/src/parse/rows.rs
+++ b/dahliawood-config/src/parse/rows.rs
@@ -1,5 +1,6 @@
 //! The format of a file: which tables and fields there are, and what each must keep to.
 
+use crate::drain;
 use crate::parse::context::{CheckContext, ClaimKind};
 use crate::parse::leaf;
 use crate::parse::reader::TableReader;
@@ -90,18 +91,10 @@
 
 /// `[[drain]]`.
 pub struct DrainRow {
-    pub subject: DrainName,
+    pub subject: drain::DrainName,
     pub over: Duration,
 }
 
-/// What a drain names.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum DrainName {
-    Target(String),
-    Domain(String),
-    Region(String),
-}
-
 /// Reads the whole document; `None` where the fleet itself could not be read.
 pub fn read(context: &mut CheckContext, document: &DeTable<'_>) -> Option<FleetRows> {
     let mut reader = TableReader::new(context, document, "the file", 0);
@@ -343,9 +336,24 @@
 }
 
 fn drain(reader: &mut TableReader<'_, '_>) -> Option<DrainRow> {
-    let target = drain_name(reader, "target", ClaimKind::Target, DrainName::Target);
-    let domain = drain_name(reader, "domain", ClaimKind::Domain, DrainName::Domain);
-    let region = drain_name(reader, "region", ClaimKind::Region, DrainName::Region);
+    let target = drain_name(
+        reader,
+        "target",
+        ClaimKind::Target,
+        drain::DrainName::Target,
+    );
+    let domain = drain_name(
+        reader,
+        "domain",
+        ClaimKind::Domain,
+        drain::DrainName::Domain,
+    );
+    let region = drain_name(
+        reader,
+        "region",
+        ClaimKind::Region,
+        drain::DrainName::Region,
+    );
     let over = reader.required("over", leaf::span);
     let named = ["target", "domain", "region"]
         .into_iter()
@@ -369,8 +377,8 @@
     reader: &mut TableReader<'_, '_>,
     field: &'static str,
     kind: ClaimKind,
-    subject: impl Fn(String) -> DrainName,
-) -> Option<DrainName> {
+    subject: impl Fn(String) -> drain::DrainName,
+) -> Option<drain::DrainName> {
     let name = reader.optional(field, leaf::name)?;
     reader.context.refer(kind, &name);
     let text = Spanned::new(name.span(), format!("{kind} {}", name.get_ref()));
--- a/dahliawood-config/tests/main/main.rs
+++ b/dahliawood-config/tests/main/main.rs
@@ -2,6 +2,7 @@
 
 mod canonical;
 mod diff;
+mod edit;
 mod examples;
 mod keys;
 mod mutations;
