fix(config): bounds for every quantity, and places in linear time

Cause: a rate, burst or slot count near the end of its integer type could overflow the fixed point of whoever reads it, and a file with many mistakes on one long line took time in the square of its length.

Change: rates, bursts, caps, sizes, durations, weights, slots and connections have an upper bound with a message of its own; CONNECT and broken percent escapes are refused in routes. Lines and columns are looked up in an index. Texts with deep nesting and with many mistakes are part of the tests, and every report is read back from its JSON.

--- a/dahliawood-config/src/parse/context.rs
+++ b/dahliawood-config/src/parse/context.rs
@@ -189,7 +189,7 @@
     }
 }
 
-fn placed(lines: &report::LineIndex<'_>, finding: RawFinding) -> report::CheckFinding {
+fn placed(lines: &report::LineIndex, finding: RawFinding) -> report::CheckFinding {
     let (line, column) = lines.position(finding.offset);
     let earlier = finding
         .earlier
--- a/dahliawood-config/src/parse/leaf.rs
+++ b/dahliawood-config/src/parse/leaf.rs
@@ -12,12 +12,28 @@
 /// The most characters of a name.
 const NAME_CHARS_MAX: usize = 64;
 const PERCENT_MAX: u32 = 100;
+/// The most slots or connections of a target.
+const COUNT_MAX: u32 = 1_000_000;
+const WEIGHT_MAX: u32 = 1_000;
+const BURST_MAX: u64 = 1_000_000_000;
+/// Requests a second.
+const RATE_MAX: model_units::RequestRate = model_units::RequestRate::from_whole(1_000_000_000);
+/// 100 Tbit/s.
+const CAP_MAX: model_units::ByteRate = model_units::ByteRate {
+    bytes_per_second: 12_500_000_000_000,
+};
+/// 1 TiB.
+const SIZE_MAX_BYTES: u64 = 1 << 40;
+const SPAN_MAX: Duration = Duration::from_secs(30 * 24 * 3_600);
 const IPV4_BITS: u8 = 32;
 const IPV6_BITS: u8 = 128;
 
 /// Paths below this prefix are the system's own.
 pub const RESERVED_PATH: &str = "/v1/";
 
+/// Asks for a tunnel, which is no request that can be forwarded.
+const TUNNEL_METHOD: &str = "CONNECT";
+
 const NAME_EXPECTED: &str = "a name of letters, digits, `-`, `_` and `.`, at most 64 of them";
 const RATE_EXPECTED: &str = "a rate above zero such as \"50/s\" or \"0.5/s\"";
 const CAP_EXPECTED: &str = "a cap above zero with its unit such as \"280 Mbit/s\"";
@@ -26,8 +42,9 @@
 const TIMEOUT_EXPECTED: &str = "a duration above zero with its unit such as \"2 s\"";
 const ADDRESS_EXPECTED: &str = "an IP address and port such as \"10.1.0.7:8080\"";
 const BLOCK_EXPECTED: &str = "a client block such as \"10.20.0.0/16\"";
-const PATH_EXPECTED: &str = "a path that starts with `/`, without query, spaces or `..`";
-const METHOD_EXPECTED: &str = "a method in upper case such as \"GET\"";
+const PATH_EXPECTED: &str =
+    "a path that starts with `/`, without query, spaces, `..` or broken `%` escapes";
+const METHOD_EXPECTED: &str = "a method in upper case such as \"GET\", but not CONNECT";
 const HASH_EXPECTED: &str = "a key hash \"ID:sha256:SALT:DIGEST\"";
 
 /// Why a value was not taken.
@@ -58,44 +75,56 @@
 /// A request rate above zero.
 pub fn rate(value: &LeafValue<'_>) -> Result<model_units::RequestRate, LeafMismatch> {
     let rate = quantity(value, RATE_EXPECTED, units::request_rate)?;
-    accept(rate.millis_per_second > 0, rate, value, RATE_EXPECTED)
+    let rate = accept(rate.millis_per_second > 0, rate, value, RATE_EXPECTED)?;
+    at_most(RATE_MAX, rate, value, "a rate of at most 1000000000/s")
 }
 
 /// A byte rate above zero.
 pub fn cap(value: &LeafValue<'_>) -> Result<model_units::ByteRate, LeafMismatch> {
     let cap = quantity(value, CAP_EXPECTED, units::byte_rate)?;
-    accept(cap.bytes_per_second > 0, cap, value, CAP_EXPECTED)
+    let cap = accept(cap.bytes_per_second > 0, cap, value, CAP_EXPECTED)?;
+    at_most(CAP_MAX, cap, value, "a cap of at most 100000 Gbit/s")
 }
 
 /// A size above zero, bytes.
 pub fn size(value: &LeafValue<'_>) -> Result<u64, LeafMismatch> {
     let bytes = quantity(value, SIZE_EXPECTED, units::size)?;
-    accept(bytes > 0, bytes, value, SIZE_EXPECTED)
+    let bytes = accept(bytes > 0, bytes, value, SIZE_EXPECTED)?;
+    at_most(SIZE_MAX_BYTES, bytes, value, "a size of at most 1024 GiB")
 }
 
 /// A duration, zero included.
 pub fn span(value: &LeafValue<'_>) -> Result<Duration, LeafMismatch> {
-    quantity(value, SPAN_EXPECTED, units::duration)
+    let span = quantity(value, SPAN_EXPECTED, units::duration)?;
+    at_most(SPAN_MAX, span, value, "a duration of at most 720 h")
 }
 
 /// A duration above zero.
 pub fn timeout(value: &LeafValue<'_>) -> Result<Duration, LeafMismatch> {
-    let timeout = quantity(value, TIMEOUT_EXPECTED, units::duration)?;
+    let timeout = span(value)?;
     accept(!timeout.is_zero(), timeout, value, TIMEOUT_EXPECTED)
 }
 
-/// A whole number of at least one.
+/// A number of slots or connections, at least one.
 pub fn count(value: &LeafValue<'_>) -> Result<u32, LeafMismatch> {
-    let expected = "a whole number from 1 to 4294967295";
+    let expected = "a whole number from 1 to 1000000";
     let count = typed(value, expected)?;
-    accept(count > 0, count, value, expected)
+    accept((1..=COUNT_MAX).contains(&count), count, value, expected)
+}
+
+/// A customer's weight, at least one.
+pub fn weight(value: &LeafValue<'_>) -> Result<u32, LeafMismatch> {
+    let expected = "a whole number from 1 to 1000";
+    let weight = typed(value, expected)?;
+    accept((1..=WEIGHT_MAX).contains(&weight), weight, value, expected)
 }
 
 /// A burst in requests, at least one.
 pub fn burst(value: &LeafValue<'_>) -> Result<u64, LeafMismatch> {
     let expected = "a burst of at least one request, as a whole number";
     let burst = typed(value, expected)?;
-    accept(burst > 0, burst, value, expected)
+    let burst = accept(burst > 0, burst, value, expected)?;
+    at_most(BURST_MAX, burst, value, "a burst of at most 1000000000")
 }
 
 /// A percentage.
@@ -146,6 +175,7 @@
     }
     let is_path = path.starts_with('/')
         && path.bytes().all(is_path_letter)
+        && has_whole_escapes(&path)
         && !path.contains("//")
         && path.split('/').all(|part| part != "." && part != "..");
     accept(is_path, path, value, PATH_EXPECTED)
@@ -155,7 +185,12 @@
 pub fn method(value: &LeafValue<'_>) -> Result<String, LeafMismatch> {
     let method = text(value, METHOD_EXPECTED)?;
     let is_method = !method.is_empty() && method.bytes().all(|letter| letter.is_ascii_uppercase());
-    accept(is_method, method, value, METHOD_EXPECTED)
+    accept(
+        is_method && method != TUNNEL_METHOD,
+        method,
+        value,
+        METHOD_EXPECTED,
+    )
 }
 
 /// The hash of a key; the value is never shown, whatever it is.
@@ -216,6 +251,15 @@
     }
 }
 
+fn at_most<T: PartialOrd + Copy>(
+    most: T,
+    item: T,
+    value: &LeafValue<'_>,
+    expected: &str,
+) -> Result<T, LeafMismatch> {
+    accept(item <= most, item, value, expected)
+}
+
 fn text(value: &LeafValue<'_>, expected: &str) -> Result<String, LeafMismatch> {
     typed(value, expected)
 }
@@ -267,6 +311,14 @@
     letter.is_ascii_alphanumeric() || b"/-._~!$&'()*+,;=:@%".contains(&letter)
 }
 
+/// Whether two hex digits follow each `%`.
+fn has_whole_escapes(path: &str) -> bool {
+    path.split('%').skip(1).all(|rest| {
+        let digits = rest.get(..2).unwrap_or_default();
+        digits.len() == 2 && digits.bytes().all(|digit| digit.is_ascii_hexdigit())
+    })
+}
+
 fn address_bits(address: IpAddr) -> u8 {
     match address {
         IpAddr::V4(_) => IPV4_BITS,
--- a/dahliawood-config/src/parse/rows.rs
+++ b/dahliawood-config/src/parse/rows.rs
@@ -314,7 +314,7 @@
     let name = reader.declared_name("name", ClaimKind::Customer);
     let rate = reader.required("rate", leaf::rate);
     let burst = reader.required("burst", leaf::burst);
-    let weight = reader.optional("weight", leaf::count);
+    let weight = reader.optional("weight", leaf::weight);
     let services = reader.required_list("services", leaf::name);
     let services = reader.used_names(services, ClaimKind::Service);
     let places = reader.optional_list("places", leaf::name);
--- a/dahliawood-config/src/report/lines.rs
+++ b/dahliawood-config/src/report/lines.rs
@@ -1,34 +1,49 @@
 //! From byte offsets to lines and columns.
 
-/// Where each line of a text starts.
+/// First byte of a continuation in UTF-8, and the mask that tells it.
+const CONTINUATION: u8 = 0b1000_0000;
+const CONTINUATION_MASK: u8 = 0b1100_0000;
+
+/// Where each line of a text starts, and which of its bytes begin no character.
 #[derive(Clone, Debug)]
-pub struct LineIndex<'a> {
-    text: &'a str,
+pub struct LineIndex {
+    len: usize,
     starts: Vec<usize>,
+    continuations: Vec<usize>,
 }
 
-impl<'a> LineIndex<'a> {
+impl LineIndex {
     /// Indexes `text`.
-    pub fn new(text: &'a str) -> Self {
+    pub fn new(text: &str) -> Self {
         let after_breaks = text.match_indices('\n').map(|(offset, _)| offset + 1);
+        let is_continuation = |&(_, byte): &(usize, u8)| byte & CONTINUATION_MASK == CONTINUATION;
         Self {
-            text,
+            len: text.len(),
             starts: std::iter::once(0).chain(after_breaks).collect(),
+            continuations: text
+                .bytes()
+                .enumerate()
+                .filter(is_continuation)
+                .map(|(offset, _)| offset)
+                .collect(),
         }
     }
 
     /// Line and column of the character at byte `offset`, both counted from one.
     ///
-    /// An offset behind the end, or inside a character, is moved back to the nearest character
-    /// boundary of the text.
+    /// An offset behind the end counts as the end, one inside a character as that character.
     pub fn position(&self, offset: usize) -> (u32, u32) {
-        let mut offset = offset.min(self.text.len());
-        while !self.text.is_char_boundary(offset) {
-            offset -= 1;
-        }
+        let offset = offset.min(self.len);
         let line = self.starts.partition_point(|&start| start <= offset);
         let start = self.starts[line - 1];
-        let column = self.text[start..offset].chars().count() + 1;
+        let column = offset - start - self.continuations_between(start, offset) + 1;
         (line as u32, column as u32)
     }
+
+    /// Bytes behind `start`, up to `end` itself, that begin no character.
+    fn continuations_between(&self, start: usize, end: usize) -> usize {
+        let before = self.continuations.partition_point(|&offset| offset < start);
+        let until = self.continuations.partition_point(|&offset| offset <= end);
+        until - before
+    }
 }
--- a/dahliawood-config/tests/main/mutations.rs
+++ b/dahliawood-config/tests/main/mutations.rs
@@ -72,6 +72,11 @@
 fn assert_places(text: &str, report: &report::CheckReport) -> Result<(), TestCaseError> {
     prop_assert!(!report.findings.is_empty());
     let lines: Vec<&str> = text.split('\n').collect();
+    let json = serde_json::to_string(report).unwrap();
+    prop_assert_eq!(
+        &serde_json::from_str::<report::CheckReport>(&json).unwrap(),
+        report
+    );
     for finding in &report.findings {
         let line = lines.get(finding.line as usize - 1);
         prop_assert!(line.is_some(), "{finding} is behind the last line");
@@ -102,6 +107,22 @@
     run.unwrap();
 }
 
+#[test]
+fn deep_nesting_and_many_mistakes_are_reported_as_others_are() {
+    const DEPTH: usize = 100_000;
+    let texts = [
+        format!("a = {}", "[".repeat(DEPTH)),
+        format!("a = {}{}", "[".repeat(DEPTH), "]".repeat(DEPTH)),
+        format!("a = {}", "{a = ".repeat(DEPTH)),
+        format!("[[{}a]]", "a.".repeat(DEPTH)),
+        format!("customer = [{}]", "{},".repeat(DEPTH / 10)),
+    ];
+    for text in texts {
+        let report = parse::file("deep.toml", &text).unwrap_err();
+        assert_places(&text, &report).unwrap();
+    }
+}
+
 /// Whether any long piece of `secret` stands in `text`.
 fn leaks(text: &str, secret: &str) -> bool {
     let text = text.to_ascii_lowercase();
--- a/dahliawood-model/src/keys/mod.rs
+++ b/dahliawood-model/src/keys/mod.rs
@@ -67,7 +67,7 @@
     VmKey
 );
 
-/// Entities of one kind, in declaration order, addressed by their key.
+/// Entities of one kind, in the order of their insertion, addressed by their key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntityArena<K, V> {
     items: Vec<V>,
