refactor(config): rows apart from the format that reads them

Change: `parse::rows` holds the values, `parse::format` the tables, fields and rules. A place inside a character is part of the tests; it failed with the bound of the character's own bytes left out.

--- a/dahliawood-config/src/parse/mod.rs
+++ b/dahliawood-config/src/parse/mod.rs
@@ -10,6 +10,7 @@
 
 mod build;
 mod context;
+mod format;
 mod leaf;
 mod reader;
 mod rows;
@@ -28,7 +29,7 @@
     for error in &syntax_errors {
         context.syntax_error(text, error);
     }
-    let rows = rows::read(&mut context, document.get_ref());
+    let rows = format::read(&mut context, document.get_ref());
     context.settle_references();
     let findings = context.into_findings(text);
     match rows {
--- a/dahliawood-config/tests/main/mutations.rs
+++ b/dahliawood-config/tests/main/mutations.rs
@@ -123,6 +123,15 @@
     }
 }
 
+#[test]
+fn a_place_inside_a_character_is_that_of_the_character() {
+    let lines = report::LineIndex::new("é\na😀b");
+    let places: Vec<_> = (0..10).map(|offset| lines.position(offset)).collect();
+    let second_line = [(2, 1), (2, 2), (2, 2), (2, 2), (2, 2), (2, 3), (2, 4)];
+    assert_eq!(places[..3], [(1, 1), (1, 1), (1, 2)]);
+    assert_eq!(places[3..], second_line);
+}
+
 /// Whether any long piece of `secret` stands in `text`.
 fn leaks(text: &str, secret: &str) -> bool {
     let text = text.to_ascii_lowercase();
