--- a/dahliawood-config/src/canonical/document.rs
+++ b/dahliawood-config/src/canonical/document.rs
@@ -24,6 +24,8 @@
 #[derive(Serialize)]
 struct FleetTable {
     name: String,
+    domain_latency: String,
+    client_latency: String,
 }
 
 #[derive(Serialize, PartialEq, Eq, PartialOrd, Ord)]
@@ -107,6 +109,8 @@
     FleetDocument {
         fleet: FleetTable {
             name: config.name.clone(),
+            domain_latency: units::duration_text(config.domain_latency),
+            client_latency: units::duration_text(config.client_latency),
         },
         region: sorted(
             config
--- a/dahliawood-config/src/diff/view.rs
+++ b/dahliawood-config/src/diff/view.rs
@@ -39,12 +39,7 @@
 /// All entities of `config`.
 pub fn entities(config: &tables::FleetConfig) -> EntityMap {
     let mut map = EntityMap::new();
-    add(
-        &mut map,
-        EntityKind::Fleet,
-        "name",
-        vec![field("value", &config.name)],
-    );
+    fleet(&mut map, config);
     regions(&mut map, config);
     links(&mut map, config);
     places(&mut map, config);
@@ -75,6 +70,21 @@
     }
 }
 
+fn fleet(map: &mut EntityMap, config: &tables::FleetConfig) {
+    let fields = vec![
+        field("name", &config.name),
+        field(
+            "domain_latency",
+            units::duration_text(config.domain_latency),
+        ),
+        field(
+            "client_latency",
+            units::duration_text(config.client_latency),
+        ),
+    ];
+    add(map, EntityKind::Fleet, "itself", fields);
+}
+
 fn regions(map: &mut EntityMap, config: &tables::FleetConfig) {
     for region in config.regions.values() {
         add(map, EntityKind::Region, &region.name, Vec::new());
--- a/dahliawood-config/src/parse/build.rs
+++ b/dahliawood-config/src/parse/build.rs
@@ -14,7 +14,9 @@
 /// Builds the configuration of rows in which every used name is declared once.
 pub fn fleet(rows: rows::FleetRows) -> tables::FleetConfig {
     let mut config = tables::FleetConfig {
-        name: rows.name,
+        name: rows.fleet.name,
+        domain_latency: rows.fleet.domain_latency,
+        client_latency: rows.fleet.client_latency,
         ..Default::default()
     };
     regions(&mut config, rows.regions);
--- a/dahliawood-config/src/parse/format.rs
+++ b/dahliawood-config/src/parse/format.rs
@@ -7,9 +7,14 @@
 use crate::parse::rows;
 use crate::report::FindingKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 use toml::Spanned;
 use toml::de::DeTable;
 
+/// One-way latency between failure domains of a region, where the file does not say.
+pub const DEFAULT_DOMAIN_LATENCY: Duration = Duration::from_micros(500);
+/// One-way latency between callers and their region, where the file does not say.
+pub const DEFAULT_CLIENT_LATENCY: Duration = Duration::from_millis(1);
 /// Bytes that may be sent at once above a link's cap, where the file does not say.
 pub const DEFAULT_LINK_BURST_BYTES: u64 = 256 * 1024;
 /// Retries as a share of first tries, where the file does not say.
@@ -22,7 +27,7 @@
 /// Reads the whole document; `None` where the fleet itself could not be read.
 pub fn read(context: &mut CheckContext, document: &DeTable<'_>) -> Option<rows::FleetRows> {
     let mut reader = TableReader::new(context, document, "the file", 0);
-    let name = reader.required_table("fleet", "fleet", fleet);
+    let fleet = reader.required_table("fleet", "fleet", fleet);
     let regions = reader.required_tables("region", "region", region);
     let links = reader.tables("link", "link", link);
     let places = reader.tables("place", "place", place);
@@ -31,7 +36,7 @@
     let drains = reader.tables("drain", "drain", drain);
     reader.finish();
     Some(rows::FleetRows {
-        name: name?,
+        fleet: fleet?,
         regions,
         links,
         places,
@@ -41,9 +46,15 @@
     })
 }
 
-fn fleet(reader: &mut TableReader<'_, '_>) -> Option<String> {
-    let name = reader.required("name", leaf::name)?;
-    Some(name.into_inner())
+fn fleet(reader: &mut TableReader<'_, '_>) -> Option<rows::FleetRow> {
+    let name = reader.required("name", leaf::name);
+    let domain_latency = reader.optional("domain_latency", leaf::span);
+    let client_latency = reader.optional("client_latency", leaf::span);
+    Some(rows::FleetRow {
+        name: name?.into_inner(),
+        domain_latency: domain_latency.map_or(DEFAULT_DOMAIN_LATENCY, Spanned::into_inner),
+        client_latency: client_latency.map_or(DEFAULT_CLIENT_LATENCY, Spanned::into_inner),
+    })
 }
 
 fn region(reader: &mut TableReader<'_, '_>) -> Option<rows::RegionRow> {
--- a/dahliawood-config/src/parse/rows.rs
+++ b/dahliawood-config/src/parse/rows.rs
@@ -7,7 +7,7 @@
 
 /// A whole file, with names in place of keys.
 pub struct FleetRows {
-    pub name: String,
+    pub fleet: FleetRow,
     pub regions: Vec<RegionRow>,
     pub links: Vec<LinkRow>,
     pub places: Vec<PlaceRow>,
@@ -16,6 +16,13 @@
     pub drains: Vec<DrainRow>,
 }
 
+/// `[fleet]`.
+pub struct FleetRow {
+    pub name: String,
+    pub domain_latency: Duration,
+    pub client_latency: Duration,
+}
+
 /// `[[region]]`.
 pub struct RegionRow {
     pub name: String,
--- a/dahliawood-config/tests/main/diff.rs
+++ b/dahliawood-config/tests/main/diff.rs
@@ -58,7 +58,9 @@
     let changed = match (field, value) {
         ("cap", _) => "\"77 Mbit/s\"".to_owned(),
         ("rate", _) => "\"77/s\"".to_owned(),
-        ("timeout" | "latency" | "over", _) => "\"77 s\"".to_owned(),
+        ("timeout" | "latency" | "over" | "domain_latency" | "client_latency", _) => {
+            "\"77 s\"".to_owned()
+        }
         ("burst", text) if text.starts_with('"') => "\"77 KiB\"".to_owned(),
         ("burst" | "weight" | "retry_percent" | "slots", _) => "77".to_owned(),
         ("connections", _) => "7777".to_owned(),
--- a/dahliawood-config/tests/main/examples.rs
+++ b/dahliawood-config/tests/main/examples.rs
@@ -10,6 +10,8 @@
 type ServiceSize = (&'static str, usize, u32, u32);
 
 fn assert_sizes(config: &FleetConfig, latency: Duration, cap: u64, services: &[ServiceSize]) {
+    assert_eq!(config.domain_latency, Duration::from_micros(500));
+    assert_eq!(config.client_latency, Duration::from_millis(1));
     assert_eq!(config.regions.len(), 3);
     assert_eq!(config.domains.len(), 6);
     assert_eq!(config.links.len(), 6);
@@ -67,9 +69,10 @@
     assert_sizes(&config, Duration::from_millis(35), 35_000_000, &services);
 }
 
-/// Customer and key in clear of each row of the page beside the examples.
+/// Customer and key in clear of each row below the page's heading for keys.
 fn published_keys() -> Vec<(&'static str, &'static str)> {
-    support::EXAMPLES_PAGE
+    let (_, section) = support::EXAMPLES_PAGE.split_once("## The keys").unwrap();
+    section
         .lines()
         .filter_map(|line| line.strip_prefix("| "))
         .filter_map(|line| line.split_once(" | `"))
--- a/dahliawood-config/tests/main/sketch.rs
+++ b/dahliawood-config/tests/main/sketch.rs
@@ -63,7 +63,12 @@
     let regions = named("region", 1 + choices.below(3));
     let services = named("service", 1 + choices.below(3));
     let places = named("place", choices.below(3));
-    let mut blocks = vec!["[fleet]\nname = \"sketch\"\n".to_owned()];
+    let latency = choices.pick(&[
+        "",
+        "domain_latency = \"2 ms\"\n",
+        "client_latency = \"0 s\"\n",
+    ]);
+    let mut blocks = vec![format!("[fleet]\nname = \"sketch\"\n{latency}")];
     let mut domains = Vec::new();
     for region in &regions {
         let own: Vec<String> = (0..=choices.below(2))
--- a/dahliawood-model/src/tables/mod.rs
+++ b/dahliawood-model/src/tables/mod.rs
@@ -13,6 +13,10 @@
 pub struct FleetConfig {
     /// The deployment's name.
     pub name: String,
+    /// One-way latency between failure domains of one region.
+    pub domain_latency: Duration,
+    /// One-way latency between callers and the VMs of their region.
+    pub client_latency: Duration,
     /// Regions.
     pub regions: EntityArena<RegionKey, RegionSpec>,
     /// Failure domains.
