fix(config): a refused edit never repeats a key in clear

Cause: withdrawing by the whole key in place of its id put the secret into the error's text.

Change: what the caller gave is shown as reports show it, with anything that may be a key left out.

Proof: with the id shown as given, `edits_that_do_not_fit_are_refused_by_name` failed; it passes now.

--- a/dahliawood-config/src/edit/error.rs
+++ b/dahliawood-config/src/edit/error.rs
@@ -1,4 +1,6 @@
 //! Why a file was not changed.
+//!
+//! What the caller gave is shown as a report shows it, so that a key in clear is not repeated.
 
 use crate::{drain, report};
 use snafu::Snafu;
@@ -23,19 +25,19 @@
     #[snafu(display("the file's layout can't be kept; write the change by hand"))]
     NotEditable,
     /// There is no such customer.
-    #[snafu(display("no customer `{customer}`"))]
+    #[snafu(display("no customer `{}`", report::excerpt(customer)))]
     UnknownCustomer {
         /// The name.
         customer: String,
     },
     /// There is no such key.
-    #[snafu(display("no key with id `{id}`"))]
+    #[snafu(display("no key with id `{}`", report::excerpt(id)))]
     UnknownKey {
         /// The public id.
         id: String,
     },
     /// A key with this id is in force.
-    #[snafu(display("a key with id `{id}` is in force already"))]
+    #[snafu(display("a key with id `{}` is in force already", report::excerpt(id)))]
     KeyExists {
         /// The public id.
         id: String,
@@ -55,7 +57,7 @@
         count: usize,
     },
     /// There is nothing of this name to drain.
-    #[snafu(display("no {subject} to drain"))]
+    #[snafu(display("no {} to drain", report::excerpt(&subject.to_string())))]
     UnknownSubject {
         /// The name.
         subject: drain::DrainName,
@@ -67,7 +69,7 @@
         subject: drain::DrainName,
     },
     /// It does not drain.
-    #[snafu(display("{subject} does not drain"))]
+    #[snafu(display("{} does not drain", report::excerpt(&subject.to_string())))]
     NoDrain {
         /// The name.
         subject: drain::DrainName,
--- a/dahliawood-config/src/keys/index.rs
+++ b/dahliawood-config/src/keys/index.rs
@@ -15,6 +15,7 @@
 /// Which customer a presented key belongs to.
 ///
 /// Built once for each revision; a withdrawn key is one that the next index does not hold.
+/// The fast hasher is safe here: callers only look ids up, operators alone put them in.
 #[derive(Clone, Debug)]
 pub struct KeyIndex {
     entries: FastMap<String, IndexEntry>,
--- a/dahliawood-config/tests/main/edit.rs
+++ b/dahliawood-config/tests/main/edit.rs
@@ -299,6 +299,19 @@
         refused(edit::FileEdit::RemoveDrain { subject: subject() }),
         "region west does not drain"
     );
+    let clear = format!("dw_khl-1_{}", "5a".repeat(keys::SECRET_BYTES));
+    let mistaken = [
+        edit::FileEdit::WithdrawKey { id: clear.clone() },
+        grant(&clear, "new"),
+        edit::FileEdit::RemoveDrain {
+            subject: drain::DrainName::Target(clear),
+        },
+    ];
+    assert!(
+        mistaken
+            .into_iter()
+            .all(|file_edit| !refused(file_edit).contains("5a5a"))
+    );
     let broken = apply("[fleet]\n", &rotate("acme")).unwrap_err();
     assert!(matches!(broken, edit::EditError::FileMistakes { .. }));
 }
