--- a/dahliawood-config/src/diff/view.rs
+++ b/dahliawood-config/src/diff/view.rs
@@ -1,6 +1,7 @@
 //! A configuration as entities with named fields of text.
 
 use crate::diff::EntityKind;
+use crate::drain::DrainName;
 use crate::{keys, units};
 use dahliawood_model::keys::{DomainKey, RegionKey};
 use dahliawood_model::tables;
@@ -38,12 +39,7 @@
 /// All entities of `config`.
 pub fn entities(config: &tables::FleetConfig) -> EntityMap {
     let mut map = EntityMap::new();
-    add(
-        &mut map,
-        EntityKind::Fleet,
-        "name",
-        vec![field("value", &config.name)],
-    );
+    fleet(&mut map, config);
     regions(&mut map, config);
     links(&mut map, config);
     places(&mut map, config);
@@ -74,6 +70,21 @@
     }
 }
 
+fn fleet(map: &mut EntityMap, config: &tables::FleetConfig) {
+    let fields = vec![
+        field("name", &config.name),
+        field(
+            "domain_latency",
+            units::duration_text(config.domain_latency),
+        ),
+        field(
+            "client_latency",
+            units::duration_text(config.client_latency),
+        ),
+    ];
+    add(map, EntityKind::Fleet, "itself", fields);
+}
+
 fn regions(map: &mut EntityMap, config: &tables::FleetConfig) {
     for region in config.regions.values() {
         add(map, EntityKind::Region, &region.name, Vec::new());
@@ -169,11 +180,7 @@
 
 fn drains(map: &mut EntityMap, config: &tables::FleetConfig) {
     for drain in &config.drains {
-        let name = match drain.subject {
-            tables::DrainSubject::Target(key) => format!("target {}", config.targets[key].name),
-            tables::DrainSubject::Domain(key) => format!("domain {}", domain_name(config, key)),
-            tables::DrainSubject::Region(key) => format!("region {}", region_name(config, key)),
-        };
+        let name = DrainName::of(config, drain.subject).to_string();
         let fields = vec![field("over", units::duration_text(drain.over))];
         add(map, EntityKind::Drain, name, fields);
     }
