--- a/dahliawood-wire/src/body/mod.rs
+++ b/dahliawood-wire/src/body/mod.rs
@@ -2,6 +2,7 @@
 
 use futures::io::{AsyncRead, BufReader};
 use http_types::Body;
+use http_types::headers::{CONTENT_TYPE, Headers};
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -49,6 +50,21 @@
     }
 }
 
+/// Sets the body of a message and leaves its content type alone.
+///
+/// `http-types` adds the type of the body where the message has none; on an answer 304 that would
+/// change the type of what a caller has cached.
+pub(crate) fn replace<M>(message: &mut M, set: impl FnOnce(&mut M))
+where
+    M: AsMut<Headers>,
+{
+    let typed = message.as_mut().get(CONTENT_TYPE).is_some();
+    set(message);
+    if !typed {
+        message.as_mut().remove(CONTENT_TYPE);
+    }
+}
+
 /// A body that declares `length` bytes and has none: for answers of which only the head is sent.
 pub(crate) fn declared(length: Option<usize>) -> Body {
     Body::from_reader(futures::io::empty(), length)
--- a/dahliawood-wire/src/client/mod.rs
+++ b/dahliawood-wire/src/client/mod.rs
@@ -7,7 +7,7 @@
 use error::ExchangeError;
 use futures::future::{self, Either};
 use futures::io::BufReader;
-use http_types::headers::{CONTENT_LENGTH, DATE, TRANSFER_ENCODING};
+use http_types::headers::{CONTENT_LENGTH, CONTENT_TYPE, DATE, TRANSFER_ENCODING};
 use http_types::{Body, Method, Request, Response, StatusCode};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -197,6 +197,9 @@
         let length = usize::try_from(length).ok();
         response.set_body(Body::from_reader(reader, length));
     }
+    if !gate.is_typed() {
+        response.remove_header(CONTENT_TYPE);
+    }
     gate.begin_body(frame, Some(hook));
     response
 }
@@ -205,7 +208,9 @@
 fn encoder(mut request: Request) -> async_h1::client::Encoder {
     request.remove_header(TRANSFER_ENCODING);
     request.remove_header(CONTENT_LENGTH);
-    let unread = request.take_body();
-    request.set_body(body::counted(unread));
+    body::replace(&mut request, |request| {
+        let unread = request.take_body();
+        request.set_body(body::counted(unread));
+    });
     async_h1::client::Encoder::new(request)
 }
--- a/dahliawood-wire/src/gate/mod.rs
+++ b/dahliawood-wire/src/gate/mod.rs
@@ -8,6 +8,7 @@
 use async_std::task;
 use futures::future;
 use futures::io::{AsyncRead, AsyncWrite};
+use http_types::headers::CONTENT_TYPE;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -67,6 +68,7 @@
     start: usize,
     end: usize,
     phase: GatePhase,
+    typed: bool,
     epoch: u64,
     interim: &'static [u8],
     clock: StallClock,
@@ -246,6 +248,7 @@
             start: 0,
             end: 0,
             phase: GatePhase::Body(head::BodyFrame::NONE),
+            typed: false,
             epoch: 0,
             interim: &[],
             clock: StallClock::new(stall),
@@ -275,6 +278,7 @@
                     Err(error) => return Poll::Ready(Ok(HeadArrival::Refused(error))),
                     Ok(Some(end)) => {
                         state.phase = GatePhase::Head { left: end };
+                        state.typed = head::names(&state.received()[..end], &CONTENT_TYPE);
                         return Poll::Ready(Ok(HeadArrival::Found));
                     }
                     Ok(None) => {}
@@ -303,6 +307,11 @@
         .await
     }
 
+    /// Whether the head that came last has a content type; async-h1 adds one where there is none.
+    pub fn is_typed(&self) -> bool {
+        self.lock().typed
+    }
+
     /// Sets how the body of the message ends whose head was handed out.
     pub fn begin_body(&self, frame: head::BodyFrame, hook: Option<EndHook>) {
         let mut state = self.lock();
--- a/dahliawood-wire/src/head/mod.rs
+++ b/dahliawood-wire/src/head/mod.rs
@@ -11,6 +11,8 @@
 
 /// The end of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
+/// The one transfer encoding that is known.
+const CHUNKED: &str = "chunked";
 /// What a caller expects who waits before it sends its body.
 const CONTINUE: &str = "100-continue";
 /// Bytes that would move the path or the authority if they stood in `Host`.
@@ -82,7 +84,22 @@
     if is_bodiless(answer.status(), method) {
         return Ok(BodyFrame::NONE);
     }
-    declared_frame(answer.as_ref())?.ok_or(HeadError::Unbounded)
+    let frame = declared_frame(answer.as_ref())?.ok_or(HeadError::Unbounded)?;
+    // async-h1 knows the encodings of answers in lower case only and takes others for no body.
+    match answer.header(TRANSFER_ENCODING) {
+        Some(encodings) if encodings.as_str() != CHUNKED => Err(HeadError::Encoding),
+        _ => Ok(frame),
+    }
+}
+
+/// Whether a head has a header of this name.
+pub(crate) fn names(head: &[u8], name: &HeaderName) -> bool {
+    let name = name.as_str().as_bytes();
+    head.split(|byte| *byte == b'\n').any(|line| {
+        line.get(..name.len())
+            .is_some_and(|start| start.eq_ignore_ascii_case(name))
+            && line.get(name.len()) == Some(&b':')
+    })
 }
 
 /// Whether an answer of this status to this method has a head only, whatever it declares.
@@ -125,7 +142,7 @@
         },
         (None, Some(encodings)) => {
             let single = encodings.iter().count() == 1;
-            if single && encodings.as_str().eq_ignore_ascii_case("chunked") {
+            if single && encodings.as_str().eq_ignore_ascii_case(CHUNKED) {
                 Ok(Some(BodyFrame::Chunked(chunk::ChunkScanner::default())))
             } else {
                 Err(HeadError::Encoding)
--- a/dahliawood-wire/src/headers/mod.rs
+++ b/dahliawood-wire/src/headers/mod.rs
@@ -5,7 +5,7 @@
     AUTHORIZATION, CONNECTION, COOKIE, EXPECT, FORWARDED, HeaderName, Headers, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use http_types::{Request, url};
+use http_types::{Request, Response, url};
 use std::net::IpAddr;
 use std::str::FromStr;
 
@@ -137,6 +137,12 @@
     request.insert_header(REQUEST_ID, way.request_id);
 }
 
+/// Makes a target's answer fit for the caller: nothing hop-by-hop, and the request id set.
+pub fn prepare_answer(response: &mut Response, request_id: &str) {
+    remove_hop_by_hop(response.as_mut());
+    response.insert_header(REQUEST_ID, request_id);
+}
+
 fn append_listed(request: &mut Request, name: HeaderName, last: &str) {
     let earlier = head::header_tokens(request.as_ref(), &name);
     let listed: Vec<_> = earlier.chain([last]).collect();
--- a/dahliawood-wire/src/lib.rs
+++ b/dahliawood-wire/src/lib.rs
@@ -9,8 +9,7 @@
 //!
 //! Shortcomings: trailers are read and dropped; an answer that ends with its connection is refused
 //! because a cut one looks the same; heads must be ASCII and shorter than 8 KiB; answers with a
-//! status that the `http-types` library does not know are refused; an answer without a content
-//! type is forwarded as `application/octet-stream`.
+//! status that the `http-types` library does not know are refused.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
--- a/dahliawood-wire/src/server/mod.rs
+++ b/dahliawood-wire/src/server/mod.rs
@@ -5,10 +5,10 @@
 
 use crate::{body, gate, head, stream};
 use async_std::future as timed;
-use error::{AnswerCutSnafu, ConnectionError, ReceiveSnafu};
+use error::{ConnectionError, ReceiveSnafu};
 use futures::future::{self, Either};
 use futures::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use http_types::headers::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http_types::headers::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http_types::{Body, Method, Request, Response, StatusCode};
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -112,6 +112,7 @@
         gate,
         options,
         served: 0,
+        written: AtomicU64::new(0),
     };
     loop {
         let step = caller.serve_one(&closing, &handler).await;
@@ -137,6 +138,8 @@
     gate: gate::MessageGate<IO>,
     options: &'a ConnectionOptions,
     served: u64,
+    /// Bytes of the answer at hand that the caller may have.
+    written: AtomicU64,
 }
 
 impl<IO: stream::WireStream> CallerConnection<'_, IO> {
@@ -228,6 +231,9 @@
             let reader = BufReader::with_capacity(body::BUFFER_BYTES, self.gate.reader());
             request.set_body(Body::from_reader(reader, usize::try_from(length).ok()));
         }
+        if !self.gate.is_typed() {
+            request.remove_header(CONTENT_TYPE);
+        }
         if head::expects_continue(&request) && !frame.is_ended() {
             self.gate.ask_for_body();
         }
@@ -256,7 +262,9 @@
         if close {
             response.insert_header(CONNECTION, "close");
         }
-        self.write(response, method).await.context(AnswerCutSnafu)?;
+        if let Err(source) = self.write(response, method).await {
+            return self.cut(source).await;
+        }
         self.served += 1;
         if close {
             return Ok(Step::End(ConnectionEnd::Closed));
@@ -287,10 +295,10 @@
         response: Response,
         method: Method,
     ) -> Result<(), stream::TransferError> {
-        let written = AtomicU64::new(0);
         let mut encoder = encoder(response, method);
         let stall = self.options.stall_timeout;
-        stream::transfer(&mut encoder, &mut self.stream, stall, &written).await
+        self.written = AtomicU64::new(0);
+        stream::transfer(&mut encoder, &mut self.stream, stall, &self.written).await
     }
 
     /// Reads away what the handler left of the body; false where that goes beyond the bounds.
@@ -330,19 +338,21 @@
     response.remove_header(TRANSFER_ENCODING);
     let bodiless = head::is_bodiless(response.status(), method);
     let head_only = bodiless && response.status() != StatusCode::NoContent;
-    if response.status() == StatusCode::NoContent {
-        response.set_body(Body::empty());
-    } else if head_only {
-        let length = length.or(response.len().filter(|length| *length > 0));
-        response.set_body(body::declared(length));
-    } else {
+    body::replace(&mut response, |response| {
         let unread = response.take_body();
-        let unread = match unread.len() {
-            None => Body::from_reader(unread, length),
-            Some(_) => unread,
-        };
-        response.set_body(body::counted(unread));
-    }
+        response.set_body(match (bodiless, head_only) {
+            (true, true) => body::declared(length.or(unread.len().filter(|length| *length > 0))),
+            (true, false) => Body::empty(),
+            (false, _) => body::counted(with_length(unread, length)),
+        });
+    });
     let method = if head_only { Method::Head } else { method };
     async_h1::server::Encoder::new(response, method)
 }
+
+fn with_length(body: Body, length: Option<usize>) -> Body {
+    match body.len() {
+        None => Body::from_reader(body, length),
+        Some(_) => body,
+    }
+}
--- a/dahliawood-wire/src/server/refuse/mod.rs
+++ b/dahliawood-wire/src/server/refuse/mod.rs
@@ -1,11 +1,13 @@
 //! Refusals of requests that no handler sees.
 
-use super::error::ConnectionError;
+use super::error::{AnswerCutSnafu, ConnectionError};
 use super::{CallerConnection, ConnectionEnd, Step};
 use crate::{problem, stream};
 use dahliawood_fate::verdict;
 use http_types::headers::CONNECTION;
 use http_types::{Method, StatusCode};
+use snafu::ResultExt;
+use std::sync::atomic::Ordering;
 
 impl<IO: stream::WireStream> CallerConnection<'_, IO> {
     /// Answers with a problem document and ends the connection: where the next request begins is
@@ -31,6 +33,33 @@
         }
         Ok(Step::End(ConnectionEnd::Refused(status)))
     }
+
+    /// Ends an answer that could not be written whole.
+    ///
+    /// Where none of it has gone out the caller still gets a problem document instead; otherwise
+    /// the connection ends inside the answer, which shows the caller that it is not whole.
+    pub(super) async fn cut(
+        &mut self,
+        source: stream::TransferError,
+    ) -> Result<Step, ConnectionError> {
+        let unbegun = self.written.load(Ordering::Relaxed) == 0;
+        if !unbegun || !matches!(source, stream::TransferError::Produce { .. }) {
+            return Err(ConnectionError::AnswerCut { source });
+        }
+        let document = problem::ProblemDocument {
+            name: "answer-cut",
+            status: StatusCode::BadGateway,
+            title: "The answer was cut",
+            detail: "the target's answer ended before it was whole".to_owned(),
+            ran: verdict::RunVerdict::MayHaveRun,
+            retry_after: None,
+        };
+        let mut response = document.into_response();
+        response.insert_header(CONNECTION, "close");
+        let written = self.write(response, Method::Get).await;
+        written.context(AnswerCutSnafu)?;
+        Ok(Step::End(ConnectionEnd::Closed))
+    }
 }
 
 fn name(status: StatusCode) -> &'static str {
