--- a/dahliawood-cli/src/apply/mod.rs
+++ b/dahliawood-cli/src/apply/mod.rs
@@ -90,7 +90,7 @@
 /// Prints what became of a write and turns it into the command's end.
 fn finish(reply: &ApplyReply, output: output::OutputMode) -> Result<(), CommandFailure> {
     if output.is_json {
-        output.json(reply);
+        output::json(reply);
     }
     let total = reply.in_force.len() + reply.missing.len();
     let place = format!("in force on {} of {total}", reply.in_force.len());
--- a/dahliawood-cli/src/args/mod.rs
+++ b/dahliawood-cli/src/args/mod.rs
@@ -82,7 +82,7 @@
         #[bpaf(long("write"), argument("ID"), optional)]
         write_id: Option<String>,
     },
-    /// Ask which VMs to use for a service; the key is read from DAHLIAWOOD_KEY
+    /// Ask which VMs to use for a service; the key is read from `DAHLIAWOOD_KEY`
     #[bpaf(command)]
     Lookup {
         /// Callers' address of any VM
@@ -170,9 +170,6 @@
         operator: OperatorArgs,
         #[bpaf(external(apply_args))]
         apply: ApplyArgs,
-        /// The customer
-        #[bpaf(positional("CUSTOMER"))]
-        customer: String,
         /// The key's public id
         #[bpaf(positional("ID"))]
         id: String,
--- a/dahliawood-cli/src/check/mod.rs
+++ b/dahliawood-cli/src/check/mod.rs
@@ -38,7 +38,7 @@
         Ok(config) => Ok(CheckedFile { text, config }),
         Err(report) => {
             if output.is_json {
-                output.json(&report);
+                output::json(&report);
             }
             Err(CommandFailure::Refused(report.to_string()))
         }
--- a/dahliawood-cli/src/output/mod.rs
+++ b/dahliawood-cli/src/output/mod.rs
@@ -13,16 +13,16 @@
     /// Prints a result.
     pub fn show(self, value: &impl Serialize, lines: impl FnOnce()) {
         match self.is_json {
-            true => self.json(value),
+            true => json(value),
             false => lines(),
         }
     }
+}
 
-    /// Prints a value as one line of JSON.
-    pub fn json(self, value: &impl Serialize) {
-        match serde_json::to_string(value) {
-            Ok(text) => println!("{text}"),
-            Err(error) => eprintln!("a result could not be printed: {error}"),
-        }
+/// Prints a value as one line of JSON.
+pub fn json(value: &impl Serialize) {
+    match serde_json::to_string(value) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("a result could not be printed: {error}"),
     }
 }
--- a/dahliawood-daemon/src/control/allowance/mod.rs
+++ b/dahliawood-daemon/src/control/allowance/mod.rs
@@ -1,7 +1,7 @@
 //! Runs the allowance book: its ticks, its messages to other VMs, and its document in the store.
 
 use crate::control::ControlState;
-use crate::{clock, shared};
+use crate::{clock, shared, slots};
 use async_std::future::timeout;
 use async_std::task;
 use dahliawood_model::FastMap;
@@ -67,6 +67,7 @@
                 .unwrap_or_default()
         };
         carry_out(&state, effects);
+        slots::tick(&shared);
     }
 }
 
@@ -76,14 +77,19 @@
 /// there, and where none was, for whichever the share document has there.
 pub fn take_live(state: &ControlState, read_at: TimeStamp) {
     let mut desk = state.shared.desk.lock();
-    let Some(book) = desk.book.as_mut() else { return };
+    let Some(book) = desk.book.as_mut() else {
+        return;
+    };
     let mut listed = Vec::new();
     for member in state.members.members() {
         let address = member.peer;
         if address == state.shared.me.address {
             listed.push(state.shared.me);
         } else if member.incarnation > 0 {
-            listed.push(member::HolderId { address, incarnation: member.incarnation });
+            listed.push(member::HolderId {
+                address,
+                incarnation: member.incarnation,
+            });
         } else {
             let holders = book.document().members.iter().map(|entry| entry.id);
             listed.extend(holders.filter(|id| id.address == address));
@@ -114,7 +120,7 @@
     for effect in effects {
         match effect {
             effect::QuotaEffect::Send { to, message } => {
-                outgoing.entry(to).or_default().push(message)
+                outgoing.entry(to).or_default().push(message);
             }
             effect::QuotaEffect::ReadShares => {
                 task::spawn_local(read_shares(Rc::clone(state)));
@@ -158,7 +164,12 @@
     let mut after = 0;
     loop {
         let key = SHARES_KEY.to_owned();
-        let watched = (store.watch)(client::WatchCall { key, after, wait: WATCH_WAIT }).await;
+        let watched = (store.watch)(client::WatchCall {
+            key,
+            after,
+            wait: WATCH_WAIT,
+        })
+        .await;
         state.borrow_mut().note_store(watched.is_ok());
         match watched {
             Ok(entry) if entry.version == after => {}
--- a/dahliawood-daemon/src/control/members/mod.rs
+++ b/dahliawood-daemon/src/control/members/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// A VM that was not heard for longer is suspect.
-const HEARD_WITHIN: Duration = Duration::from_millis(2_000);
+const HEARD_WITHIN: Duration = Duration::from_secs(2);
 
 /// One VM.
 #[derive(Clone, Debug, PartialEq)]
--- a/dahliawood-daemon/src/control/peers/mod.rs
+++ b/dahliawood-daemon/src/control/peers/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// The most that a call to another VM may take.
-const CALL_DEADLINE: Duration = Duration::from_millis(1_000);
+const CALL_DEADLINE: Duration = Duration::from_secs(1);
 /// How long an address is left alone after no connection could be made.
 const RETRY_CONNECT: Duration = Duration::from_millis(200);
 
--- a/dahliawood-daemon/src/front/flight/mod.rs
+++ b/dahliawood-daemon/src/front/flight/mod.rs
@@ -1,6 +1,6 @@
 //! A request that occupies a slot of a target, from the choice until its answer has been read.
 
-use crate::{clock, shared};
+use crate::{clock, shared, slots};
 use dahliawood_model::keys::{ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::book::effect;
@@ -16,6 +16,8 @@
 const FAILED: health::ResultKind = health::ResultKind::Errored;
 
 /// Holds the slot; gives it back when it is dropped.
+#[derive(derive_more::Debug)]
+#[debug("TargetFlight({target})")]
 pub struct TargetFlight {
     shared: Arc<shared::SharedState>,
     key: target::FlightKey,
@@ -67,7 +69,7 @@
         if let Some(permit) = self.permit.take() {
             self.shared.desk.release(permit, clock::now());
         }
-        self.shared.waiters.wake(self.service);
+        slots::dispatch(&self.shared, self.service);
     }
 }
 
--- a/dahliawood-daemon/src/front/forward/place.rs
+++ b/dahliawood-daemon/src/front/forward/place.rs
@@ -1,13 +1,17 @@
-//! Takes a slot at a target for one try, waiting for one where that can end in time.
+//! Takes a slot at a target for one try, waiting its turn where that can come in time.
 
 use crate::front::flight::TargetFlight;
 use crate::front::refusal::RefusalCause;
-use crate::{clock, shared};
+use crate::waiters::WaitingTry;
+use crate::{clock, shared, slots};
 use async_std::future::timeout;
-use dahliawood_model::keys::{CustomerKey, RegionKey, ServiceKey, TargetKey};
+use dahliawood_model::keys::{CustomerKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::tables;
-use dahliawood_steer::choice;
+use dahliawood_steer::queue;
+use futures::channel::oneshot;
+use futures::future::{self, Either};
+use std::pin::pin;
 use std::sync::Arc;
 
 /// One try that wants a slot.
@@ -28,98 +32,73 @@
 
 /// Takes a slot.
 ///
+/// Whoever finds others waiting for the service joins the end of its customer's line.
+///
 /// # Errors
 /// Refuses at once where no target can be used, or where the wait cannot end in time.
 pub async fn take(
     shared: &Arc<shared::SharedState>,
     query: &PlaceQuery<'_>,
 ) -> Result<TargetFlight, RefusalCause> {
-    loop {
-        if let Some(flight) = choose(shared, query)? {
-            return Ok(flight);
-        }
-        let wait = shared.waiters.join(query.service);
-        let wait = wait.ok_or(RefusalCause::Busy(choice::SHORTEST_RETRY))?;
-        // A slot that came free between the choice and the queue would otherwise be missed.
-        if let Some(flight) = choose(shared, query)? {
-            return Ok(flight);
-        }
-        let left = query.deadline.since(clock::now());
-        let woken = timeout(left, wait).await;
-        woken
-            .map_err(|_| RefusalCause::Busy(choice::SHORTEST_RETRY))?
-            .ok();
+    let wanted = match slots::take(shared, query.config, query.slot()) {
+        Ok(slots::SlotOutcome::Taken(flight)) => return Ok(flight),
+        Ok(slots::SlotOutcome::Busy { wanted, .. }) => wanted,
+        Err(cause) => return Err(cause),
+    };
+    let (turn, given) = oneshot::channel();
+    slots::join(shared, query.service, query.entry(turn))?;
+    let given = pin!(given);
+    let asked = pin!(ask_loans(shared, query, wanted));
+    let wait = future::select(given, asked);
+    let left = query.deadline.since(clock::now());
+    match timeout(left, wait).await {
+        Ok(Either::Left((Ok(turn), _))) => turn,
+        _ => Err(RefusalCause::Busy(queue::SHORTEST_RETRY)),
     }
 }
 
-/// Takes a slot that is free now, `None` where there is hope for one in time.
-fn choose(
-    shared: &Arc<shared::SharedState>,
-    query: &PlaceQuery<'_>,
-) -> Result<Option<TargetFlight>, RefusalCause> {
-    let mut passed = query.tried.to_vec();
+/// Asks for loans of a target's slot for as long as this is polled; what comes goes to whoever's
+/// turn it is.
+async fn ask_loans(shared: &Arc<shared::SharedState>, query: &PlaceQuery<'_>, wanted: TargetKey) {
+    let name = slots::limit_name(&query.config.targets[wanted]);
     loop {
-        match choose_among(shared, query, &passed)? {
-            Picked::Slot(flight) => return Ok(Some(flight)),
-            Picked::NoAllowance(target) => passed.push(target),
-            Picked::Later => return Ok(None),
+        match shared.desk.admit(&name, query.deadline, clock::now()).await {
+            Ok(permit) => {
+                shared.desk.release(permit, clock::now());
+                slots::tick(shared);
+            }
+            Err(retry_after) => async_std::task::sleep(retry_after).await,
         }
     }
 }
 
-/// What one choice came to.
-enum Picked {
-    /// A slot was taken.
-    Slot(TargetFlight),
-    /// The target has room, but this VM holds none of its slots.
-    NoAllowance(TargetKey),
-    /// There is hope for a slot in time.
-    Later,
-}
-
-/// One choice among the targets that were not passed over.
-fn choose_among(
-    shared: &Arc<shared::SharedState>,
-    query: &PlaceQuery<'_>,
-    passed: &[TargetKey],
-) -> Result<Picked, RefusalCause> {
-    let now = clock::now();
-    let room = |region: RegionKey| shared.spill_room(query.config, region);
-    let asked = choice::ChoiceQuery {
-        service: query.service,
-        exclude: passed,
-        idempotent: query.is_idempotent,
-        waiting: shared.waiters.waiting(query.service),
-        room: &room,
-    };
-    let mut guard = shared.targets();
-    let table = guard.as_mut().ok_or(RefusalCause::Starting)?;
-    match choice::choose(table, &asked, now, &mut rand::rng()) {
-        choice::Choice::Target(target, _) => {
-            let slots = format!("slots/{}", query.config.targets[target].name);
-            let Some(permit) = shared.desk.try_admit(&slots, query.deadline, now) else {
-                return Ok(Picked::NoAllowance(target));
-            };
-            let key = choice::begin(table, target).ok_or(RefusalCause::Starting)?;
-            drop(guard);
-            let shared = Arc::clone(shared);
-            Ok(Picked::Slot(TargetFlight::new(
-                shared,
-                key,
-                target,
-                query.service,
-                permit,
-            )))
+impl PlaceQuery<'_> {
+    fn slot(&self) -> slots::SlotQuery<'_> {
+        slots::SlotQuery {
+            service: self.service,
+            tried: self.tried,
+            is_idempotent: self.is_idempotent,
+            deadline: self.deadline,
         }
-        choice::Choice::Wait { expected, .. } if now.after(expected) < query.deadline => {
-            Ok(Picked::Later)
-        }
-        choice::Choice::Wait { expected, .. } => {
-            Err(RefusalCause::Busy(expected.max(choice::SHORTEST_RETRY)))
+    }
+
+    fn entry(
+        &self,
+        turn: oneshot::Sender<crate::waiters::TurnResult>,
+    ) -> queue::WaitEntry<WaitingTry> {
+        let weight = self
+            .customer
+            .map_or(1, |customer| self.config.customers[customer].weight);
+        let item = WaitingTry {
+            tried: self.tried.to_vec(),
+            is_idempotent: self.is_idempotent,
+            turn,
+        };
+        queue::WaitEntry {
+            customer: self.customer,
+            weight,
+            deadline: self.deadline,
+            item,
         }
-        choice::Choice::None { why, retry_after } => Err(RefusalCause::NoTarget {
-            detail: why.to_string(),
-            retry_after,
-        }),
     }
 }
--- a/dahliawood-daemon/src/lib.rs
+++ b/dahliawood-daemon/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod run;
 pub mod settings;
 pub mod shared;
+pub mod slots;
 pub mod snapshot;
 pub mod waiters;
--- /dev/null
+++ b/dahliawood-daemon/src/slots/mod.rs
@@ -0,0 +1,227 @@
+//! Slots at targets: what the allowance book holds of them, the choice among them, and the turns of
+//! requests that wait for one.
+
+use crate::front::flight::TargetFlight;
+use crate::front::refusal::RefusalCause;
+use crate::waiters::{DispatchStep, WaitingTry};
+use crate::{clock, shared};
+use dahliawood_model::keys::{RegionKey, ServiceKey, TargetKey};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_model::tables;
+use dahliawood_steer::{choice, queue};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// One try that wants a slot now.
+#[derive(Clone, Copy, Debug)]
+pub struct SlotQuery<'a> {
+    /// The service.
+    pub service: ServiceKey,
+    /// Targets that it was tried at.
+    pub tried: &'a [TargetKey],
+    /// Whether it may run more than once.
+    pub is_idempotent: bool,
+    /// Until when it may take.
+    pub deadline: TimeStamp,
+}
+
+/// What came of asking for a slot.
+pub enum SlotOutcome {
+    /// It was taken.
+    Taken(TargetFlight),
+    /// There is none now.
+    Busy {
+        /// How long the wait is expected to take.
+        expected: Duration,
+        /// The target whose slot would help first, for a loan.
+        wanted: TargetKey,
+    },
+}
+
+/// What one choice came to.
+enum SlotStep {
+    Done(SlotOutcome),
+    /// The target looked free, but this VM holds none of its slots.
+    NotHeld(TargetKey),
+}
+
+/// The name of a target's slots among the limits.
+pub fn limit_name(target: &tables::TargetSpec) -> String {
+    format!("slots/{}", target.name)
+}
+
+/// Takes a slot that is free now.
+///
+/// # Errors
+/// Refuses at once where no target can be used.
+pub fn take(
+    shared: &Arc<shared::SharedState>,
+    config: &tables::FleetConfig,
+    query: SlotQuery<'_>,
+) -> Result<SlotOutcome, RefusalCause> {
+    let mut passed = query.tried.to_vec();
+    let mut wanted = None;
+    loop {
+        match step(shared, config, query, &passed) {
+            Ok(SlotStep::Done(outcome)) => return Ok(outcome),
+            Ok(SlotStep::NotHeld(target)) => {
+                wanted.get_or_insert(target);
+                passed.push(target);
+            }
+            Err(cause) => {
+                let expected = choice::ASSUMED_SERVICE;
+                return wanted
+                    .map(|wanted| SlotOutcome::Busy { expected, wanted })
+                    .ok_or(cause);
+            }
+        }
+    }
+}
+
+/// One choice among the targets that were not passed over.
+fn step(
+    shared: &Arc<shared::SharedState>,
+    config: &tables::FleetConfig,
+    query: SlotQuery<'_>,
+    passed: &[TargetKey],
+) -> Result<SlotStep, RefusalCause> {
+    let now = clock::now();
+    let room = |region: RegionKey| shared.spill_room(config, region);
+    let asked = choice::ChoiceQuery {
+        service: query.service,
+        exclude: passed,
+        idempotent: query.is_idempotent,
+        waiting: shared.waiters.waiting(query.service),
+        room: &room,
+    };
+    let mut guard = shared.targets();
+    let table = guard.as_mut().ok_or(RefusalCause::Starting)?;
+    match choice::choose(table, &asked, now, &mut rand::rng()) {
+        choice::Choice::Target(target, _) => {
+            let name = limit_name(&config.targets[target]);
+            let Some(permit) = shared.desk.try_admit(&name, query.deadline, now) else {
+                return Ok(SlotStep::NotHeld(target));
+            };
+            let key = choice::begin(table, target).ok_or(RefusalCause::Starting)?;
+            drop(guard);
+            let shared = Arc::clone(shared);
+            let flight = TargetFlight::new(shared, key, target, query.service, permit);
+            Ok(SlotStep::Done(SlotOutcome::Taken(flight)))
+        }
+        choice::Choice::Wait { expected, wanted } => {
+            Ok(SlotStep::Done(SlotOutcome::Busy { expected, wanted }))
+        }
+        choice::Choice::None { why, retry_after } => Err(RefusalCause::NoTarget {
+            detail: why.to_string(),
+            retry_after,
+        }),
+    }
+}
+
+/// Gives turns to those who wait for a service, for as long as there are slots.
+pub fn dispatch(shared: &Arc<shared::SharedState>, service: ServiceKey) {
+    let Some(snapshot) = shared.snapshot.load_full() else {
+        return;
+    };
+    let mut spare = None;
+    shared.waiters.dispatch(service, |entry| {
+        let is_spare_fit = |flight: &TargetFlight| !entry.item.tried.contains(&flight.target);
+        if let Some(flight) = spare.take_if(|flight| is_spare_fit(flight)) {
+            spare = give(entry.item, flight);
+            return DispatchStep::Given;
+        }
+        let query = SlotQuery {
+            service,
+            tried: &entry.item.tried,
+            is_idempotent: entry.item.is_idempotent,
+            deadline: entry.deadline,
+        };
+        match take(shared, &snapshot.state.config, query) {
+            Ok(SlotOutcome::Taken(flight)) => spare = give(entry.item, flight),
+            Ok(SlotOutcome::Busy { .. }) => return DispatchStep::NoSlot(entry),
+            Err(cause) => {
+                // Who waited may have left.
+                let _left = entry.item.turn.send(Err(cause));
+            }
+        }
+        DispatchStep::Given
+    });
+}
+
+/// Gives a slot to who waits; comes back with it where that one has left.
+fn give(waiting: WaitingTry, flight: TargetFlight) -> Option<TargetFlight> {
+    waiting.turn.send(Ok(flight)).err().and_then(Result::ok)
+}
+
+/// Tells the choice how many slots of each target this VM holds now, and runs the queues.
+pub fn tick(shared: &Arc<shared::SharedState>) {
+    let Some(snapshot) = shared.snapshot.load_full() else {
+        return;
+    };
+    let config = &snapshot.state.config;
+    refresh_limits(shared, config);
+    let now = clock::now();
+    for service in shared.waiters.services() {
+        dispatch(shared, service);
+        shared
+            .waiters
+            .refuse_late(service, per_second(shared, service), now);
+    }
+}
+
+/// Sets each target's limit to what runs there for this VM and what more it may start.
+fn refresh_limits(shared: &shared::SharedState, config: &tables::FleetConfig) {
+    let now = clock::now();
+    let mut guard = shared.targets();
+    let Some(table) = guard.as_mut() else { return };
+    let mut desk = shared.desk.lock();
+    let Some(book) = desk.book.as_mut() else {
+        return;
+    };
+    for (target, spec) in config.targets.iter() {
+        let Some(limit) = book.limit(&limit_name(spec)) else {
+            continue;
+        };
+        let free = book.available(limit, now).whole() as u32;
+        let running = table.get(target).map_or(0, |state| state.in_flight);
+        table.set_slot_limit(target, running + free);
+    }
+}
+
+/// Slots of a service that come free on this VM in a second, by what it holds and how long requests
+/// run; that of one slot at least.
+pub fn per_second(shared: &shared::SharedState, service: ServiceKey) -> f64 {
+    let guard = shared.targets();
+    let assumed = choice::ASSUMED_SERVICE.as_micros() as f64;
+    let rate = |state: &dahliawood_steer::target::TargetState| {
+        let measured = state.health.samples > 0;
+        let latency = if measured {
+            state.health.latency_us.max(1.0)
+        } else {
+            assumed
+        };
+        f64::from(state.limit) * 1e6 / latency
+    };
+    let held: f64 = guard
+        .iter()
+        .flat_map(|table| table.service(service))
+        .map(rate)
+        .sum();
+    held.max(1e6 / assumed)
+}
+
+/// Joins the queue for a service; the turn comes through the receiver of `entry`.
+///
+/// # Errors
+/// Refused at once: it would not get a slot before its deadline.
+pub fn join(
+    shared: &Arc<shared::SharedState>,
+    service: ServiceKey,
+    entry: queue::WaitEntry<WaitingTry>,
+) -> Result<(), RefusalCause> {
+    let rate = per_second(shared, service);
+    shared.waiters.join(service, entry, rate, clock::now())?;
+    // A slot that came free between the choice and the queue would otherwise be missed.
+    dispatch(shared, service);
+    Ok(())
+}
--- a/dahliawood-daemon/src/waiters/mod.rs
+++ b/dahliawood-daemon/src/waiters/mod.rs
@@ -1,47 +1,96 @@
-//! Requests that wait for a slot, first come first served within a service.
+//! Requests that wait for a slot: a fair queue for each service, dispatched whenever a slot or a
+//! loan comes free.
 
+use crate::front::flight::TargetFlight;
+use crate::front::refusal::RefusalCause;
 use dahliawood_model::FastMap;
-use dahliawood_model::keys::ServiceKey;
+use dahliawood_model::keys::{ServiceKey, TargetKey};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_steer::queue;
 use futures::channel::oneshot;
-use std::collections::VecDeque;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// The most requests that wait for one service on one VM.
-const MOST_WAITING: usize = 512;
+const MOST_WAITING: usize = 4_096;
+
+/// What a waiting request is given in the end.
+pub type TurnResult = Result<TargetFlight, RefusalCause>;
+
+/// A request that waits.
+#[derive(Debug)]
+pub struct WaitingTry {
+    /// Targets that it was tried at.
+    pub tried: Vec<TargetKey>,
+    /// Whether it may run more than once.
+    pub is_idempotent: bool,
+    /// Who is told of its turn.
+    pub turn: oneshot::Sender<TurnResult>,
+}
 
 /// Everyone who waits, by service.
 #[derive(Debug, Default)]
 pub struct WaiterTable {
-    queues: Mutex<FastMap<ServiceKey, VecDeque<oneshot::Sender<()>>>>,
+    queues: Mutex<FastMap<ServiceKey, queue::WaitQueue<WaitingTry>>>,
+}
+
+/// What a dispatcher made of the request whose turn it is.
+pub enum DispatchStep {
+    /// It was given its turn.
+    Given,
+    /// There is no slot for it yet.
+    NoSlot(queue::WaitEntry<WaitingTry>),
 }
 
 impl WaiterTable {
-    /// Joins the end of a service's queue, `None` where it is full.
-    pub fn join(&self, service: ServiceKey) -> Option<oneshot::Receiver<()>> {
+    /// Joins a service's queue.
+    ///
+    /// # Errors
+    /// Refused at once: it would not get a slot before its deadline, or the queue is full.
+    pub fn join(
+        &self,
+        service: ServiceKey,
+        entry: queue::WaitEntry<WaitingTry>,
+        per_second: f64,
+        now: TimeStamp,
+    ) -> Result<(), RefusalCause> {
         let mut queues = self.lock();
         let queue = queues.entry(service).or_default();
-        queue.retain(|waiter| !waiter.is_canceled());
         if queue.len() >= MOST_WAITING {
-            return None;
+            return Err(RefusalCause::Busy(queue::SHORTEST_RETRY));
         }
-        let (sender, receiver) = oneshot::channel();
-        queue.push_back(sender);
-        Some(receiver)
+        let pushed = queue::push(queue, entry, per_second, now);
+        pushed.map_err(|refused| RefusalCause::Busy(refused.retry_after))
     }
 
-    /// Wakes the first of a service's queue that still waits.
-    pub fn wake(&self, service: ServiceKey) {
-        let mut queues = self.lock();
-        let Some(queue) = queues.get_mut(&service) else {
-            return;
-        };
-        while let Some(waiter) = queue.pop_front() {
-            if waiter.send(()).is_ok() {
+    /// Gives turns in order, for as long as `give` finds slots.
+    pub fn dispatch(
+        &self,
+        service: ServiceKey,
+        mut give: impl FnMut(queue::WaitEntry<WaitingTry>) -> DispatchStep,
+    ) {
+        while let Some(entry) = self.pop(service) {
+            if let DispatchStep::NoSlot(entry) = give(entry) {
+                queue::push_back(self.lock().entry(service).or_default(), entry);
                 return;
             }
         }
     }
 
+    /// Refuses those that can no longer get a slot before their deadline.
+    pub fn refuse_late(&self, service: ServiceKey, per_second: f64, now: TimeStamp) {
+        let late = match self.lock().get_mut(&service) {
+            Some(queue) => queue::refuse_late(queue, per_second, now),
+            None => return,
+        };
+        for refused in late {
+            // Who waited may have left.
+            let _left = refused
+                .item
+                .turn
+                .send(Err(RefusalCause::Busy(refused.retry_after)));
+        }
+    }
+
     /// How many wait for a service.
     pub fn waiting(&self, service: ServiceKey) -> u32 {
         self.lock()
@@ -49,7 +98,26 @@
             .map_or(0, |queue| queue.len() as u32)
     }
 
-    fn lock(&self) -> MutexGuard<'_, FastMap<ServiceKey, VecDeque<oneshot::Sender<()>>>> {
+    /// Services that someone waits for.
+    pub fn services(&self) -> Vec<ServiceKey> {
+        let queues = self.lock();
+        let waiting = queues.iter().filter(|(_, queue)| !queue.is_empty());
+        waiting.map(|(service, _)| *service).collect()
+    }
+
+    /// The request whose turn it is, among those that still wait.
+    fn pop(&self, service: ServiceKey) -> Option<queue::WaitEntry<WaitingTry>> {
+        let mut queues = self.lock();
+        let queue = queues.get_mut(&service)?;
+        loop {
+            let entry = queue::pop(queue)?;
+            if !entry.item.turn.is_canceled() {
+                return Some(entry);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FastMap<ServiceKey, queue::WaitQueue<WaitingTry>>> {
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/dahliawood-quota/src/book/mod.rs
+++ b/dahliawood-quota/src/book/mod.rs
@@ -136,6 +136,21 @@
         self.states[limit.index()].bucket()
     }
 
+    /// What this VM could take of a limit at once, out of its shares and its loans.
+    pub fn available(
+        &mut self,
+        limit: limit::LimitKey,
+        now: stamp::TimeStamp,
+    ) -> amount::TokenAmount {
+        let is_active = self.is_active(now);
+        let context = state::StateContext {
+            spans: &self.spans,
+            is_active,
+            now,
+        };
+        self.states[limit.index()].available(context)
+    }
+
     /// Whether this VM may use its shares at `now`; it may use loans in any case.
     pub fn is_active(&mut self, now: stamp::TimeStamp) -> bool {
         self.holder.set_epoch(self.evidence.epoch(&self.spans, now));
--- a/dahliawood-quota/src/book/state/mod.rs
+++ b/dahliawood-quota/src/book/state/mod.rs
@@ -256,7 +256,7 @@
         amount::TokenAmount::ZERO
     }
 
-    fn available(&self, context: StateContext<'_>) -> amount::TokenAmount {
+    pub(crate) fn available(&self, context: StateContext<'_>) -> amount::TokenAmount {
         self.own_level(context.is_active) + self.wallet.available(context.now)
     }
 
--- a/dahliawood-testkit/src/caller/mod.rs
+++ b/dahliawood-testkit/src/caller/mod.rs
@@ -110,7 +110,7 @@
         for vm in self.vms().await {
             tries += 1;
             match self.exchange(vm, request).await {
-                Ok(answer) => return outcome(answer, start, tries),
+                Ok(answer) => return outcome(&answer, start, tries),
                 Err(failure) if failure.may_have_run && !request.is_idempotent => break,
                 Err(_) => self.answer = None,
             }
@@ -211,7 +211,7 @@
 }
 
 /// The outcome of a request that got a whole answer.
-fn outcome(answer: WholeAnswer, start: Instant, tries: usize) -> CallerOutcome {
+fn outcome(answer: &WholeAnswer, start: Instant, tries: usize) -> CallerOutcome {
     let problem = answer
         .is_problem
         .then(|| serde_json::from_slice::<ProblemJson>(&answer.body));
