test(cli): the path as separate processes, and two faults that it found

Cause: in-process runs do not show what separate processes, settings and signals do.

Each VM now uses one client over both services, and requires at least itself and the VMs that it hears.

--- /dev/null
+++ b/dahliawood-cli/tests/cli/path.rs
@@ -0,0 +1,179 @@
+//! From an operator's file to a caller's answer, through separate processes.
+
+use crate::processes::{self, KEY, PlatformPlaces, TestProcess};
+use std::fs;
+use std::path::PathBuf;
+
+/// A small file of two regions with one service, for the targets at `addresses`.
+fn file_text(addresses: &[String]) -> String {
+    let example = include_str!("../../../examples/lianguang.toml");
+    let config = dahliawood_config::parse::file("example", example).expect("the example is right");
+    let mut text = example.to_owned();
+    let targets = config.targets.values().zip(addresses.iter());
+    for (target, address) in targets {
+        text = text.replace(
+            &format!("\"{}\"", target.address),
+            &format!("\"{address}\""),
+        );
+    }
+    text
+}
+
+/// Writes a file of this test's own.
+fn write_file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).expect("the test can write its file");
+    path
+}
+
+/// A fleet of separate processes with the file in force.
+struct ProcessFleet {
+    platform: [TestProcess; 2],
+    places: PlatformPlaces,
+    _targets: TestProcess,
+    daemons: Vec<TestProcess>,
+}
+
+const DOMAINS: [&str; 3] = ["north-a", "central-a", "south-a"];
+
+fn fleet(name: &str) -> ProcessFleet {
+    let platform = [processes::platform(), processes::platform()];
+    let [store, live] = platform
+        .each_ref()
+        .map(|process| process.addresses[0].clone());
+    let places = PlatformPlaces { store, live };
+    let targets = processes::targets(44, 1);
+    let daemons: Vec<_> = DOMAINS
+        .iter()
+        .zip(1..)
+        .map(|(domain, number)| processes::daemon(&places, &format!("vm-{number}"), domain))
+        .collect();
+    let file = write_file(name, &file_text(&targets.addresses));
+    let operator = daemons[0].addresses[2].clone();
+    let applied = processes::cli(&[
+        "apply",
+        "--operator",
+        &operator,
+        file.to_str().expect("plain path"),
+    ]);
+    assert!(
+        applied.status.success(),
+        "{}",
+        String::from_utf8_lossy(&applied.stderr)
+    );
+    let said = String::from_utf8_lossy(&applied.stdout);
+    assert!(
+        said.contains("revision 1 accepted, in force on 3 of 3"),
+        "{said}"
+    );
+    ProcessFleet {
+        platform,
+        places,
+        _targets: targets,
+        daemons,
+    }
+}
+
+/// Asks for a lookup until it names a VM; daemons name each other once they heard each other.
+fn looked_up(vm: &str) -> Vec<String> {
+    processes::eventually("a look-up that names a VM", || {
+        let outcome = processes::cli(&["--json", "lookup", "--vm", vm, "catalogue"]);
+        let json: serde_json::Value = serde_json::from_slice(&outcome.stdout).ok()?;
+        let vms = json["vms"].as_array()?.iter();
+        let urls: Vec<_> = vms
+            .filter_map(|vm| vm["url"].as_str().map(str::to_owned))
+            .collect();
+        (!urls.is_empty()).then_some(urls)
+    })
+}
+
+#[test]
+fn a_request_is_served_end_to_end_and_no_target_sees_the_key() {
+    let fleet = fleet("served.toml");
+    let urls = looked_up(&fleet.daemons[2].addresses[0]);
+    let bearer = format!("Bearer {KEY}");
+    let url = format!("{}/catalogue/1?access_token={KEY}&size=2", urls[0]);
+    let answer = processes::eventually("an answer", || {
+        let headers = [("authorization", bearer.as_str()), ("cookie", "a=1")];
+        let answer = processes::call("GET", &url, &headers, "");
+        (answer.status == 200).then_some(answer)
+    });
+    let text = answer.text().into_owned();
+    let record: serde_json::Value = serde_json::from_str(&text).expect("the target's record");
+    assert_eq!(record["uri"], "/catalogue/1?size=2");
+    assert!(!text.contains(KEY), "the target saw the key: {text}");
+    assert!(!text.to_lowercase().contains("bearer"), "{text}");
+    assert_eq!(record["headers"]["x-forwarded-for"][0], "127.0.0.1");
+
+    let refused = processes::call("GET", &format!("{}/catalogue/1", urls[0]), &[], "");
+    assert_eq!(refused.status, 401);
+    assert!(
+        refused.text().contains("\"ran\":\"not-run\""),
+        "{}",
+        refused.text()
+    );
+}
+
+#[test]
+fn a_killed_vm_costs_nothing_but_itself_and_a_stopped_one_ends_gracefully() {
+    let mut fleet = fleet("killed.toml");
+    let urls = looked_up(&fleet.daemons[1].addresses[0]);
+    fleet.daemons[0].kill();
+    let dead = format!("http://{}", fleet.daemons[0].addresses[0]);
+    let other = fleet.daemons[1].addresses[0].clone();
+    processes::eventually("look-ups that do not name the dead VM", || {
+        let urls = looked_up(&other);
+        (!urls.contains(&dead)).then_some(())
+    });
+    let alive = urls.iter().find(|url| **url != dead).cloned();
+    let url = format!("{}/catalogue/1", alive.unwrap_or(format!("http://{other}")));
+    let bearer = format!("Bearer {KEY}");
+    processes::eventually("an answer through another VM", || {
+        let headers = [("authorization", bearer.as_str())];
+        let answer = processes::call("GET", &url, &headers, "");
+        (answer.status == 200).then_some(())
+    });
+    fleet.daemons[2].terminate();
+    assert!(
+        fleet.daemons[2].wait().success(),
+        "a graceful shutdown ends with success"
+    );
+}
+
+#[test]
+fn a_vm_that_starts_during_an_outage_of_the_store_learns_from_its_peers() {
+    let mut fleet = fleet("outage.toml");
+    fleet.platform[0].kill();
+    let newcomer = processes::daemon(&fleet.places, "vm-4", "north-b");
+    fleet.daemons.push(newcomer);
+    let url = format!("http://{}/v1/health", fleet.daemons[3].addresses[0]);
+    processes::eventually("a newcomer that serves", || {
+        let health = processes::call("GET", &url, &[], "");
+        (health.status == 200 && health.text().contains("\"revision\":1")).then_some(())
+    });
+}
+
+#[test]
+fn two_daemons_cannot_have_one_address() {
+    let platform = processes::platform();
+    let place = platform.addresses[0].clone();
+    let places = PlatformPlaces {
+        store: place.clone(),
+        live: place.clone(),
+    };
+    let first = processes::daemon(&places, "vm-1", "north-a");
+    let arguments = ["--name", "vm-2", "--domain", "north-a", "--store", &place];
+    let listen = [
+        "--listen",
+        &first.addresses[0],
+        "--peer-listen",
+        "127.0.0.1:0",
+    ];
+    let second = processes::run_daemon(&[&arguments[..], &listen[..]].concat());
+    assert_eq!(second.status.code(), Some(1));
+    let said = String::from_utf8_lossy(&second.stderr);
+    assert!(
+        said.contains(&format!("cannot listen at {}", first.addresses[0])),
+        "{said}"
+    );
+}
--- a/dahliawood-daemon/src/control/live/mod.rs
+++ b/dahliawood-daemon/src/control/live/mod.rs
@@ -3,7 +3,6 @@
 use crate::clock;
 use crate::control::{ControlState, allowance, beats, members};
 use async_std::task;
-use dahliawood_store::client;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,10 +11,11 @@
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the list until the task is cancelled; through an outage the last reading stands.
-pub async fn run(state: Rc<RefCell<ControlState>>, live: client::StoreClient) {
+pub async fn run(state: Rc<RefCell<ControlState>>) {
+    let store = state.borrow().store.clone();
     loop {
         let read_at = clock::now();
-        match (live.live)(()).await {
+        match (store.live)(()).await {
             Ok(list) => {
                 state.borrow_mut().members.take_live(&list);
                 beat_to_new(&state);
--- a/dahliawood-daemon/src/control/mod.rs
+++ b/dahliawood-daemon/src/control/mod.rs
@@ -51,10 +51,8 @@
 pub struct ControlOptions {
     /// State to share.
     pub shared: Arc<shared::SharedState>,
-    /// The key-value service.
+    /// The platform's services.
     pub store: client::StoreClient,
-    /// The live list's service.
-    pub live: client::StoreClient,
     /// Where other VMs are answered.
     pub listener: TcpListener,
     /// The revision in force.
@@ -139,7 +137,7 @@
         task::spawn_local(allowance::run(Rc::clone(&state))),
         task::spawn_local(allowance::watch(Rc::clone(&state))),
         task::spawn_local(follow::run(shared, options.keeper, options.store)),
-        task::spawn_local(live::run(Rc::clone(&state), options.live)),
+        task::spawn_local(live::run(Rc::clone(&state))),
         task::spawn_local(tick::run(Rc::clone(&state), options.metrics)),
         task::spawn_local(question::run(Rc::clone(&state), options.questions)),
     ];
--- a/dahliawood-daemon/src/operator/apply/mod.rs
+++ b/dahliawood-daemon/src/operator/apply/mod.rs
@@ -1,11 +1,13 @@
 //! Applying a file, and asking what became of a write.
 
 use crate::operator::{OperatorState, json};
+use crate::shared;
 use dahliawood_config::parse;
 use dahliawood_events::kind;
+use dahliawood_steer::lookup;
 use dahliawood_store::acceptance::{self, ApplyOutcome};
 use dahliawood_store::revision::keeper;
-use dahliawood_store::{clock, head};
+use dahliawood_store::{clock, head, protocol, status};
 use http_types::StatusCode;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -114,7 +116,9 @@
 fn accept_options(state: &OperatorState, wait: Duration) -> acceptance::AcceptOptions {
     let keeper = state.keeper.clone();
     let shared = Arc::clone(&state.shared);
+    let known = Arc::clone(&state.shared);
     acceptance::AcceptOptions {
+        required: Arc::new(move |list| required_vms(&known, list)),
         on_accepted: Arc::new(move |stamp| {
             let revision = stamp.revision;
             shared
@@ -127,6 +131,29 @@
     }
 }
 
+/// The VMs without which nothing is accepted: this one, those on the live list, and those that this
+/// one hears although the lagging list does not have them yet.
+fn required_vms(
+    shared: &shared::SharedState,
+    list: &protocol::LiveList,
+) -> Vec<status::RequiredVm> {
+    let mut required = status::all_live(list);
+    let members = shared.members.load();
+    let heard = members
+        .iter()
+        .filter(|member| member.state == lookup::VmState::Live);
+    let heard = heard.map(|member| member.name.clone());
+    for name in heard.chain([shared.settings.name.clone()]) {
+        if required.iter().all(|vm| vm.name != name) {
+            required.push(status::RequiredVm {
+                name,
+                incarnation: None,
+            });
+        }
+    }
+    required
+}
+
 /// An outcome as it is told.
 fn reply(write_id: &str, outcome: ApplyOutcome) -> ApplyReply {
     let mut reply = ApplyReply {
--- a/dahliawood-daemon/src/run/mod.rs
+++ b/dahliawood-daemon/src/run/mod.rs
@@ -67,8 +67,7 @@
         .local_addr()
         .context(error::BindSnafu { address: listen })?;
     let metrics = counters::MetricSender::new(settings.statsd).context(error::MetricsSnafu)?;
-    let store = client::http(client::HttpOptions::new(settings.store));
-    let live = client::http(client::HttpOptions::new(settings.live_list));
+    let store = platform(&settings);
     let incarnation = clock::wall_micros();
     let me = member::HolderId {
         address: peer_listen,
@@ -84,7 +83,6 @@
     let control = control::start(control::ControlOptions {
         shared: Arc::clone(&shared),
         store: store.clone(),
-        live: live.clone(),
         listener: peer,
         keeper: keeper.clone(),
         metrics,
@@ -109,6 +107,15 @@
     })
 }
 
+/// The platform's two services as one client.
+fn platform(settings: &settings::DaemonSettings) -> client::StoreClient {
+    let live_list = client::http(client::HttpOptions::new(settings.live_list));
+    client::StoreClient {
+        live: live_list.live,
+        ..client::http(client::HttpOptions::new(settings.store))
+    }
+}
+
 /// Binds an address.
 async fn bind(address: SocketAddr) -> Result<TcpListener, error::StartError> {
     TcpListener::bind(address)
