test(store): acceptance over generated histories with faults on a virtual clock

Two operators at once, lost and late replies, outages, stale reads, restores, cut-off and restarted VMs, twice and together, against the drivers as they are: no VM goes back, no two writes win one number, nothing half or not accepted is in force, applied and not applied are true, and all VMs have the highest revision five seconds after the last fault.

--- a/dahliawood-store/src/revision/keeper/mod.rs
+++ b/dahliawood-store/src/revision/keeper/mod.rs
@@ -68,6 +68,7 @@
     proposed: Option<RevisionStamp>,
     staged: Option<(RevisionStamp, Arc<str>)>,
     refused: Option<RevisionRefusal>,
+    floor: u64,
 }
 
 impl RevisionKeeper {
@@ -82,9 +83,18 @@
             proposed: None,
             staged: None,
             refused: None,
+            floor: 0,
         }
     }
 
+    /// Takes in the highest number that a peer knows of, so that this VM promises none below it.
+    ///
+    /// A VM that starts asks its peers; a number that they promised is then not used again after
+    /// they are gone.
+    pub fn raise(&mut self, highest: u64) {
+        self.floor = self.floor.max(highest);
+    }
+
     /// The revision in force; a VM without one takes no work.
     pub fn in_force(&self) -> Option<&ForceRecord> {
         self.in_force.as_ref()
@@ -213,7 +223,7 @@
     fn highest(&self) -> u64 {
         let accepted = self.accepted().map_or(0, |stamp| stamp.revision);
         let proposed = self.proposed.as_ref().map_or(0, |stamp| stamp.revision);
-        accepted.max(proposed)
+        accepted.max(proposed).max(self.floor)
     }
 
     /// Puts the accepted revision in force if its file is here.
--- a/dahliawood-store/src/revision/shared/mod.rs
+++ b/dahliawood-store/src/revision/shared/mod.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Takes in the highest number that a peer knows of; see [`RevisionKeeper::raise`].
+    pub fn raise(&self, highest: u64) {
+        self.lock().raise(highest);
+    }
+
     /// Takes a file in, from any source.
     ///
     /// # Errors
--- /dev/null
+++ b/dahliawood-store/tests/main/history.rs
@@ -0,0 +1,393 @@
+//! Properties of acceptance over generated histories with faults.
+
+use crate::sim::{self, SharedStore, SimClock, SimFaults, SimLink};
+use crate::support;
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_store::acceptance::{self, AcceptOptions, ApplyOptions, ApplyOutcome};
+use dahliawood_store::content::ContentHash;
+use dahliawood_store::head::{RevisionStamp, WriteId};
+use dahliawood_store::protocol::{LiveState, LiveVm};
+use dahliawood_store::revision::keeper::{ForceRecord, RevisionSource};
+use dahliawood_store::revision::{self, FollowOptions, RevisionKeeper, SharedKeeper};
+use dahliawood_testkit::platform::state::KeyTable;
+use futures::executor::LocalPool;
+use futures::future::{AbortHandle, Abortable};
+use proptest::prelude::*;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const VMS: usize = 4;
+/// How long each of acceptance, its proof and its following may take.
+const APPLY_STEP: Duration = Duration::from_secs(5);
+/// How long a dead VM stays on the live list.
+const LIVE_LAG: Duration = Duration::from_secs(2);
+/// How often a VM hears of a peer's revision.
+const RELAY_EVERY: Duration = Duration::from_millis(100);
+/// Within this time after the last fault all live VMs have the highest revision.
+const CONVERGE_WITHIN: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Apply { file: u8, expect_current: bool },
+    Fault { kind: u8, millis: u64 },
+    Cut { vm: usize, millis: u64 },
+    Snapshot,
+    Restore,
+    Restart { vm: usize, millis: u64 },
+}
+
+fn event() -> impl Strategy<Value = (u64, Event)> {
+    let event = prop_oneof![
+        5 => (0u8..6, any::<bool>()).prop_map(|(file, expect_current)| Event::Apply { file, expect_current }),
+        4 => (0u8..5, 100u64..6_000).prop_map(|(kind, millis)| Event::Fault { kind, millis }),
+        1 => (0..VMS, 100u64..6_000).prop_map(|(vm, millis)| Event::Cut { vm, millis }),
+        1 => Just(Event::Snapshot),
+        1 => Just(Event::Restore),
+        2 => (0..VMS, 10u64..4_000).prop_map(|(vm, millis)| Event::Restart { vm, millis }),
+    ];
+    (prop_oneof![3 => 0u64..30, 1 => 30u64..3_000], event)
+}
+
+/// A slot for a VM, whose process may be restarted.
+struct VmSlot {
+    keeper: Option<SharedKeeper>,
+    stop: Option<AbortHandle>,
+    link: SimLink,
+    incarnation: u64,
+}
+
+#[derive(Clone)]
+struct World {
+    clock: SimClock,
+    store: SharedStore,
+    slots: Arc<Mutex<Vec<VmSlot>>>,
+    outcomes: Arc<Mutex<Vec<(WriteId, ApplyOutcome)>>>,
+    faults: Arc<Mutex<Vec<String>>>,
+    snapshot: Arc<Mutex<Option<KeyTable>>>,
+}
+
+fn vm_name(vm: usize) -> String {
+    format!("vm-{vm}")
+}
+
+fn check(text: &str) -> Result<(), String> {
+    if text.starts_with("file 5") {
+        return Err("not understood".to_owned());
+    }
+    Ok(())
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let clock = SimClock::default();
+        let store = sim::store(seed);
+        let slots = (0..VMS).map(|_| VmSlot {
+            keeper: None,
+            stop: None,
+            link: SimLink {
+                clock: clock.clone(),
+                store: Arc::clone(&store),
+                is_cut: Arc::new(AtomicBool::new(false)),
+            },
+            incarnation: 0,
+        });
+        let world = Self {
+            slots: Arc::new(Mutex::new(slots.collect())),
+            clock,
+            store,
+            outcomes: Arc::default(),
+            faults: Arc::default(),
+            snapshot: Arc::default(),
+        };
+        (0..VMS).for_each(|vm| world.start_vm(vm));
+        world
+    }
+
+    /// Starts a VM, which takes the highest revision of its peers before anything else.
+    fn start_vm(&self, vm: usize) {
+        let mut slots = self.slots.lock().unwrap();
+        slots[vm].incarnation += 1;
+        let incarnation = slots[vm].incarnation;
+        let keeper = RevisionKeeper::new(&vm_name(vm), incarnation);
+        let keeper = SharedKeeper::new(keeper, Arc::new(check), self.force_hook(vm));
+        for peer in slots.iter().flat_map(|slot| &slot.keeper) {
+            keeper.raise(peer.status().highest);
+            relay(peer, &keeper);
+        }
+        let client = slots[vm].link.client();
+        let options = FollowOptions::new(keeper.clone(), self.clock.source(vm as u64), VMS);
+        let (stop, registration) = AbortHandle::new_pair();
+        let relays = self.clone().relay_to(vm, keeper.clone());
+        let follow = async move { futures::join!(revision::follow(&client, &options), relays) };
+        self.clock.spawn(async move {
+            let _aborted = Abortable::new(follow, registration).await;
+        });
+        slots[vm].keeper = Some(keeper);
+        slots[vm].stop = Some(stop);
+        drop(slots);
+        let mut store = self.store.lock().unwrap();
+        store.live.retain(|live| live.name != vm_name(vm));
+        store.live.push(LiveVm {
+            name: vm_name(vm),
+            http: String::new(),
+            peer: String::new(),
+            domain: String::new(),
+            incarnation: Some(incarnation),
+            state: LiveState::Live,
+        });
+    }
+
+    fn stop_vm(&self, vm: usize) {
+        let mut slots = self.slots.lock().unwrap();
+        slots[vm].keeper = None;
+        slots[vm].stop.take().unwrap().abort();
+        let (world, incarnation) = (self.clone(), slots[vm].incarnation);
+        let unlist = move || {
+            let mut store = world.store.lock().unwrap();
+            store
+                .live
+                .retain(|live| live.name != vm_name(vm) || live.incarnation != Some(incarnation));
+        };
+        self.clock.after(LIVE_LAG, Box::new(unlist));
+    }
+
+    /// Notes what a VM that goes back, or has in force what nobody accepted, does.
+    fn force_hook(&self, vm: usize) -> revision::shared::ForceHook {
+        let world = self.clone();
+        let last = Mutex::new(None::<RevisionStamp>);
+        let faults = Arc::clone(&self.faults);
+        let store = Arc::clone(&world.store);
+        Arc::new(move |record: &ForceRecord| {
+            let mut last = last.lock().unwrap();
+            let stamp = &record.stamp;
+            let note = |text: &str| {
+                faults
+                    .lock()
+                    .unwrap()
+                    .push(format!("vm {vm} {text}: {stamp:?} after {last:?}"));
+            };
+            if last.as_ref() >= Some(stamp) {
+                note("went back");
+            }
+            if ContentHash::of(&record.text) != stamp.hash || check(&record.text).is_err() {
+                note("has half a file in force");
+            }
+            if !store.lock().unwrap().accepted.contains(stamp) {
+                note("has in force what was not accepted");
+            }
+            *last = Some(stamp.clone());
+        })
+    }
+
+    async fn relay_to(self, vm: usize, keeper: SharedKeeper) {
+        loop {
+            self.clock.sleep(RELAY_EVERY).await;
+            let peers: Vec<_> = {
+                let slots = self.slots.lock().unwrap();
+                let others = slots.iter().enumerate().filter(|(index, _)| *index != vm);
+                others.filter_map(|(_, slot)| slot.keeper.clone()).collect()
+            };
+            for peer in &peers {
+                relay(peer, &keeper);
+            }
+        }
+    }
+
+    fn operator_link(&self) -> SimLink {
+        SimLink {
+            clock: self.clock.clone(),
+            store: Arc::clone(&self.store),
+            is_cut: Arc::new(AtomicBool::new(false)),
+        }
+    }
+
+    fn apply(&self, number: usize, file: u8, expect_current: bool) {
+        let client = self.operator_link().client();
+        let world = self.clone();
+        let text = format!("file {file}\n").repeat(1 + usize::from(file % 2) * 2_000);
+        let current = self.highest_in_force().map_or(0, |stamp| stamp.revision);
+        let write_id = WriteId::from(format!("write-{number}"));
+        let mut accept = AcceptOptions::new(self.clock.source(number as u64));
+        let (told, told_text) = (self.clone(), text.clone());
+        accept.on_accepted = Arc::new(move |stamp| told.tell_daemon(stamp, &told_text));
+        accept.accept_within = APPLY_STEP;
+        accept.settle_within = APPLY_STEP;
+        accept.follow_within = APPLY_STEP;
+        let options = ApplyOptions {
+            file_text: text,
+            expect: expect_current.then_some(current),
+            write_id: write_id.clone(),
+            accept,
+        };
+        let run = async move {
+            let outcome = acceptance::apply(&client, &options).await;
+            world.judge(&write_id, &outcome);
+            world.outcomes.lock().unwrap().push((write_id, outcome));
+        };
+        self.clock.spawn(run);
+    }
+
+    /// The daemon that runs an `apply` is the first VM that lives.
+    fn tell_daemon(&self, stamp: &RevisionStamp, text: &str) {
+        let slots = self.slots.lock().unwrap();
+        let keeper = slots.iter().find_map(|slot| slot.keeper.clone());
+        drop(slots);
+        if let Some(keeper) = keeper {
+            keeper.observe(stamp, RevisionSource::Apply);
+            keeper.supply(&stamp.hash, text).unwrap();
+        }
+    }
+
+    fn judge(&self, write_id: &WriteId, outcome: &ApplyOutcome) {
+        let store = self.store.lock().unwrap();
+        let is_accepted = |number: u64| {
+            let mut stamps = store.accepted.iter();
+            stamps.any(|stamp| stamp.write_id == *write_id && stamp.revision == number)
+        };
+        if let ApplyOutcome::Applied { revision, .. } = outcome
+            && !is_accepted(*revision)
+        {
+            let text = format!("{write_id} is called applied and is not");
+            self.faults.lock().unwrap().push(text);
+        }
+    }
+
+    fn highest_in_force(&self) -> Option<RevisionStamp> {
+        let slots = self.slots.lock().unwrap();
+        let keepers = slots.iter().filter_map(|slot| slot.keeper.as_ref());
+        keepers
+            .filter_map(SharedKeeper::in_force)
+            .map(|record| record.stamp)
+            .max()
+    }
+
+    fn run_event(&self, number: usize, event: Event) {
+        match event {
+            Event::Apply {
+                file,
+                expect_current,
+            } => self.apply(number, file, expect_current),
+            Event::Fault { kind, millis } => self.fault(kind, Duration::from_millis(millis)),
+            Event::Cut { vm, millis } => {
+                let is_cut = Arc::clone(&self.slots.lock().unwrap()[vm].link.is_cut);
+                is_cut.store(true, Ordering::Relaxed);
+                let heal = move || is_cut.store(false, Ordering::Relaxed);
+                self.clock
+                    .after(Duration::from_millis(millis), Box::new(heal));
+            }
+            Event::Snapshot => {
+                let table = self.store.lock().unwrap().table.clone();
+                *self.snapshot.lock().unwrap() = Some(table);
+            }
+            Event::Restore => {
+                let snapshot = self.snapshot.lock().unwrap().clone();
+                if let Some(table) = snapshot {
+                    self.store.lock().unwrap().table = table;
+                }
+            }
+            Event::Restart { vm, millis } => self.restart(vm, Duration::from_millis(millis)),
+        }
+    }
+
+    fn fault(&self, kind: u8, span: Duration) {
+        let mut store = self.store.lock().unwrap();
+        let field = move |faults: &mut SimFaults, percent: u8| match kind {
+            0 => faults.down = percent,
+            1 => faults.down = percent / 3,
+            2 => faults.lost_reply = percent / 2,
+            3 => faults.late_effect = percent / 2,
+            _ => faults.stale = percent / 2,
+        };
+        field(&mut store.faults, 100);
+        let shared = Arc::clone(&self.store);
+        let heal = move || field(&mut shared.lock().unwrap().faults, 0);
+        self.clock.after(span, Box::new(heal));
+    }
+
+    /// Stops a VM and starts it again; the last one that lives is left alone.
+    fn restart(&self, vm: usize, span: Duration) {
+        let slots = self.slots.lock().unwrap();
+        let alive = slots.iter().filter(|slot| slot.keeper.is_some()).count();
+        if alive < 2 || slots[vm].keeper.is_none() {
+            return;
+        }
+        drop(slots);
+        self.stop_vm(vm);
+        let world = self.clone();
+        self.clock.after(span, Box::new(move || world.start_vm(vm)));
+    }
+}
+
+fn relay(from: &SharedKeeper, to: &SharedKeeper) {
+    if let Some(record) = from.in_force() {
+        to.observe(&record.stamp, RevisionSource::Peer);
+        if to.wanted().contains(&record.stamp.hash) {
+            to.supply(&record.stamp.hash, &record.text).unwrap();
+        }
+    }
+}
+
+fn run_history(seed: u64, events: &[(u64, Event)]) -> World {
+    let mut pool = LocalPool::new();
+    let world = World::new(seed);
+    let mut at = TimeStamp::ZERO;
+    for (number, (millis, event)) in events.iter().enumerate() {
+        at = at.after(Duration::from_millis(*millis));
+        world.clock.run_until(&mut pool, at);
+        world.run_event(number, *event);
+    }
+    // The longest fault, then all that `apply` may take, so that every outcome is there.
+    at = at.after(Duration::from_secs(7));
+    world.clock.run_until(&mut pool, at);
+    let highest = world.store.lock().unwrap().accepted.iter().max().cloned();
+    at = at.after(CONVERGE_WITHIN);
+    world.clock.run_until(&mut pool, at);
+    for (vm, slot) in world.slots.lock().unwrap().iter().enumerate() {
+        let own = slot.keeper.as_ref().and_then(SharedKeeper::in_force);
+        if own.map(|record| record.stamp) < highest {
+            let text = format!("vm {vm} has not got {highest:?} in time");
+            world.faults.lock().unwrap().push(text);
+        }
+    }
+    at = at.after(3 * APPLY_STEP);
+    world.clock.run_until(&mut pool, at);
+    world
+}
+
+proptest! {
+    #![proptest_config(support::config(100))]
+
+    #[test]
+    fn acceptance_holds_over_histories(
+        seed in any::<u64>(),
+        events in prop::collection::vec(event(), 1..25),
+    ) {
+        let world = run_history(seed, &events);
+        let faults = world.faults.lock().unwrap().clone();
+        prop_assert!(faults.is_empty(), "{faults:#?}");
+        let accepted = world.store.lock().unwrap().accepted.clone();
+        for left in &accepted {
+            for right in &accepted {
+                prop_assert!(
+                    left == right || left.revision != right.revision,
+                    "two writes won one revision: {left:?} {right:?}"
+                );
+            }
+        }
+        let applies = events.iter().filter(|(_, event)| matches!(event, Event::Apply { .. }));
+        let outcomes = world.outcomes.lock().unwrap().clone();
+        prop_assert_eq!(outcomes.len(), applies.count(), "an apply did not end");
+        for (write_id, outcome) in &outcomes {
+            let is_accepted = accepted.iter().any(|stamp| stamp.write_id == *write_id);
+            let is_denied = matches!(outcome, ApplyOutcome::NotApplied { .. });
+            prop_assert!(!is_accepted || !is_denied, "{write_id} is accepted: {outcome:?}");
+        }
+        let highest = world.highest_in_force();
+        for (vm, slot) in world.slots.lock().unwrap().iter().enumerate() {
+            let own = slot.keeper.as_ref().and_then(SharedKeeper::in_force);
+            prop_assert_eq!(own.map(|record| record.stamp), accepted.iter().max().cloned(), "vm {}", vm);
+        }
+        prop_assert_eq!(highest, accepted.iter().max().cloned());
+    }
+}
--- a/dahliawood-store/tests/main/main.rs
+++ b/dahliawood-store/tests/main/main.rs
@@ -2,4 +2,6 @@
 
 mod client;
 mod fleet;
+mod history;
+mod sim;
 mod support;
--- /dev/null
+++ b/dahliawood-store/tests/main/sim.rs
@@ -0,0 +1,305 @@
+//! A virtual clock and a faulty store on it, for drivers that are given both.
+
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_store::client::error::StoreError;
+use dahliawood_store::client::{PutCall, StoreCall, StoreClient, StoreFuture};
+use dahliawood_store::clock::TimeSource;
+use dahliawood_store::head::{HEAD_KEY, HeadDocument, RevisionStamp};
+use dahliawood_store::protocol::{KeyEntry, LiveList, LiveVm};
+use dahliawood_testkit::platform::state::{KeyTable, WriteRefusal};
+use futures::channel::oneshot;
+use futures::executor::LocalPool;
+use futures::future::BoxFuture;
+use futures::task::LocalSpawnExt;
+use rand::{Rng, SeedableRng, rngs};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+type Effect = Box<dyn FnOnce() + Send>;
+
+#[derive(Default)]
+struct ClockState {
+    now: TimeStamp,
+    timers: BTreeMap<(TimeStamp, u64), Effect>,
+    count: u64,
+}
+
+/// Time that passes only when all tasks wait for it.
+#[derive(Clone, Default)]
+pub struct SimClock {
+    state: Arc<Mutex<ClockState>>,
+    started: Arc<Mutex<Vec<BoxFuture<'static, ()>>>>,
+}
+
+impl SimClock {
+    pub fn now(&self) -> TimeStamp {
+        self.state.lock().unwrap().now
+    }
+
+    pub fn after(&self, span: Duration, effect: Effect) {
+        let mut state = self.state.lock().unwrap();
+        state.count += 1;
+        let key = (state.now.after(span), state.count);
+        state.timers.insert(key, effect);
+    }
+
+    pub fn sleep(&self, span: Duration) -> impl Future<Output = ()> + Send + 'static {
+        let (sender, receiver) = oneshot::channel::<()>();
+        self.after(span, Box::new(move || drop(sender)));
+        async move {
+            let _canceled = receiver.await;
+        }
+    }
+
+    /// Starts a task with the next run.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.started.lock().unwrap().push(Box::pin(task));
+    }
+
+    /// Runs all tasks until `end`.
+    pub fn run_until(&self, pool: &mut LocalPool, end: TimeStamp) {
+        loop {
+            let started = std::mem::take(&mut *self.started.lock().unwrap());
+            for task in started {
+                pool.spawner().spawn_local(task).unwrap();
+            }
+            pool.run_until_stalled();
+            let mut state = self.state.lock().unwrap();
+            let next = state
+                .timers
+                .first_entry()
+                .filter(|timer| timer.key().0 <= end);
+            let Some(timer) = next else {
+                state.now = end;
+                return;
+            };
+            let ((at, _), effect) = timer.remove_entry();
+            state.now = at;
+            drop(state);
+            effect();
+        }
+    }
+
+    pub fn source(&self, seed: u64) -> TimeSource {
+        let (now, sleep) = (self.clone(), self.clone());
+        let rng = Mutex::new(rngs::StdRng::seed_from_u64(seed));
+        TimeSource {
+            now: Arc::new(move || now.now()),
+            sleep: Arc::new(move |span| Box::pin(sleep.sleep(span))),
+            jitter: Arc::new(move || rng.lock().unwrap().random()),
+        }
+    }
+}
+
+/// What goes wrong for calls, percent each.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SimFaults {
+    pub down: u8,
+    pub lost_reply: u8,
+    pub late_effect: u8,
+    pub stale: u8,
+}
+
+/// How many writes a stale read may miss.
+const STALE_DEPTH: usize = 20;
+
+/// The state of the faulty store.
+pub struct SimStore {
+    pub table: KeyTable,
+    pub past: Vec<KeyTable>,
+    pub faults: SimFaults,
+    pub live: Vec<LiveVm>,
+    /// Every revision that was accepted in any state of the store.
+    pub accepted: Vec<RevisionStamp>,
+    rng: rngs::StdRng,
+}
+
+pub type SharedStore = Arc<Mutex<SimStore>>;
+
+pub fn store(seed: u64) -> SharedStore {
+    Arc::new(Mutex::new(SimStore {
+        table: KeyTable::default(),
+        past: Vec::new(),
+        faults: SimFaults::default(),
+        live: Vec::new(),
+        accepted: Vec::new(),
+        rng: rngs::StdRng::seed_from_u64(seed),
+    }))
+}
+
+impl SimStore {
+    fn draw(&mut self, percent: u8) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    /// The state that a read sees.
+    fn read(&mut self) -> &KeyTable {
+        let percent = self.faults.stale;
+        let past = self.past.len();
+        if past > 0 && self.draw(percent) {
+            let index = self
+                .rng
+                .random_range(past.saturating_sub(STALE_DEPTH)..past);
+            return &self.past[index];
+        }
+        &self.table
+    }
+
+    fn put(&mut self, call: PutCall) -> Result<u64, StoreError> {
+        let before = self.table.clone();
+        let result = self.table.put(&call.key, call.value, call.expected, None);
+        if result.is_ok() {
+            self.past.push(before);
+            if self.past.len() > STALE_DEPTH {
+                self.past.remove(0);
+            }
+            let entry = self.table.get(HEAD_KEY);
+            let head = HeadDocument::parse(entry.value.as_deref()).unwrap();
+            let new = head
+                .recent
+                .into_iter()
+                .filter(|stamp| !self.accepted.contains(stamp));
+            let new: Vec<_> = new.collect();
+            self.accepted.extend(new);
+        }
+        result.map_err(|refusal| match refusal {
+            WriteRefusal::Conflict(found) => StoreError::Conflict { found },
+            WriteRefusal::TooLarge => StoreError::TooLarge,
+            WriteRefusal::NoLease => StoreError::NoLease,
+        })
+    }
+}
+
+/// How one process reaches the store.
+#[derive(Clone)]
+pub struct SimLink {
+    pub clock: SimClock,
+    pub store: SharedStore,
+    pub is_cut: Arc<AtomicBool>,
+}
+
+const DEADLINE: Duration = Duration::from_secs(1);
+const WATCH_TICK: Duration = Duration::from_millis(10);
+
+impl SimLink {
+    pub fn client(&self) -> StoreClient {
+        StoreClient {
+            get: self.reader(|store, key: &String| store.read().get(key)),
+            list: self.reader(|store, prefix: &String| store.read().list(prefix)),
+            live: self.reader(|store, ()| LiveList {
+                vms: store.live.clone(),
+            }),
+            put: self.call(|link, call| Box::pin(async move { link.put(call).await })),
+            watch: self.call(|link, call: dahliawood_store::client::WatchCall| {
+                Box::pin(async move { link.watch(&call.key, call.after, call.wait).await })
+            }),
+            delete: self.call(|_, _| unused()),
+            grant_lease: self.call(|_, _| unused()),
+            keep_lease: self.call(|_, _| unused()),
+            revoke_lease: self.call(|_, _| unused()),
+        }
+    }
+
+    fn call<A: 'static, T: 'static>(
+        &self,
+        run: impl Fn(Self, A) -> StoreFuture<T> + Send + Sync + 'static,
+    ) -> StoreCall<A, T> {
+        let link = self.clone();
+        Arc::new(move |argument| run(link.clone(), argument))
+    }
+
+    fn reader<A: Send + 'static, T: Send + 'static>(
+        &self,
+        read: impl Fn(&mut SimStore, &A) -> T + Send + Sync + Copy + 'static,
+    ) -> StoreCall<A, T> {
+        self.call(move |link, argument: A| {
+            Box::pin(async move {
+                link.travel().await?;
+                let answer = read(&mut link.store.lock().unwrap(), &argument);
+                link.travel().await?;
+                Ok(answer)
+            })
+        })
+    }
+
+    /// Some milliseconds on the way, or a broken connection.
+    async fn travel(&self) -> Result<(), StoreError> {
+        let (micros, is_lost) = {
+            let mut store = self.store.lock().unwrap();
+            let down = store.faults.down;
+            (store.rng.random_range(100..3_000), store.draw(down))
+        };
+        self.clock.sleep(Duration::from_micros(micros)).await;
+        if is_lost || self.is_cut.load(Ordering::Relaxed) {
+            return Err(lost());
+        }
+        Ok(())
+    }
+
+    async fn put(&self, call: PutCall) -> Result<u64, StoreError> {
+        self.travel().await?;
+        let (is_late, is_lost) = {
+            let mut store = self.store.lock().unwrap();
+            let faults = store.faults;
+            (
+                store.draw(faults.late_effect),
+                store.draw(faults.lost_reply),
+            )
+        };
+        if is_late {
+            return self.put_late(call).await;
+        }
+        let result = self.store.lock().unwrap().put(call);
+        if is_lost {
+            self.clock.sleep(DEADLINE).await;
+            return Err(StoreError::Timeout { deadline: DEADLINE });
+        }
+        self.travel().await?;
+        result
+    }
+
+    /// The caller gives up before the write takes effect.
+    async fn put_late(&self, call: PutCall) -> Result<u64, StoreError> {
+        let delay = self.store.lock().unwrap().rng.random_range(500..4_000);
+        let store = Arc::clone(&self.store);
+        let effect = move || drop(store.lock().unwrap().put(call));
+        self.clock
+            .after(Duration::from_millis(delay), Box::new(effect));
+        self.clock.sleep(DEADLINE).await;
+        Err(StoreError::Timeout { deadline: DEADLINE })
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<KeyEntry, StoreError> {
+        let ends_at = self.clock.now().after(wait);
+        self.travel().await?;
+        loop {
+            let entry = {
+                let mut store = self.store.lock().unwrap();
+                let table = store.read();
+                let is_due = table.version(key) != after || self.clock.now() >= ends_at;
+                is_due.then(|| table.get(key))
+            };
+            if let Some(entry) = entry {
+                self.travel().await?;
+                return Ok(entry);
+            }
+            self.clock.sleep(WATCH_TICK).await;
+            if self.is_cut.load(Ordering::Relaxed) || self.store.lock().unwrap().faults.down == 100
+            {
+                return Err(lost());
+            }
+        }
+    }
+}
+
+fn lost() -> StoreError {
+    StoreError::Broken {
+        reason: "the fake breaks connections".to_owned(),
+    }
+}
+
+fn unused<T: Send + 'static>() -> StoreFuture<T> {
+    Box::pin(async { unreachable!("the drivers do not make this call") })
+}
--- a/dahliawood-store/tests/main/support.rs
+++ b/dahliawood-store/tests/main/support.rs
@@ -2,8 +2,12 @@
 
 use dahliawood_store::client::{self, StoreClient};
 use dahliawood_testkit::platform::{self, PlatformHandle};
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
+use std::env;
 use std::time::Duration;
 
+const DEFAULT_SEED: u64 = 0x0064_6168_6c69_6100;
+
 /// A stand-in with its defaults and a client with a short deadline.
 pub async fn start() -> (PlatformHandle, StoreClient) {
     let handle = platform::start(platform::PlatformOptions::default())
@@ -25,3 +29,17 @@
         lease: None,
     }
 }
+
+/// The settings of all properties: a fixed seed unless `DAHLIAWOOD_TEST_SEED` gives another.
+pub fn config(cases: u32) -> ProptestConfig {
+    let seed = env::var("DAHLIAWOOD_TEST_SEED").ok();
+    let seed = seed
+        .and_then(|seed| seed.parse().ok())
+        .unwrap_or(DEFAULT_SEED);
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
