fix(store): fetch an accepted file although its number was refused

A VM that starts while a file is proposed refuses its number, because its peers have promised it. Where the file was then accepted on the word of the VM's earlier process, the refusal counted as 'not understood' and the file was never fetched.

--- a/dahliawood-store/src/revision/keeper/mod.rs
+++ b/dahliawood-store/src/revision/keeper/mod.rs
@@ -257,7 +257,9 @@
         }
     }
 
-    /// Whether the file of a revision is here or was refused.
+    /// Whether the file of a revision is here or was not understood.
+    ///
+    /// A refused number says nothing of the file, which may be accepted without this VM.
     fn is_done_with(&self, stamp: &RevisionStamp) -> bool {
         let is_staged = self
             .staged
@@ -267,10 +269,9 @@
             .in_force
             .as_ref()
             .is_some_and(|record| record.stamp == *stamp);
-        let is_refused = self
-            .refused
-            .as_ref()
-            .is_some_and(|refusal| refusal.stamp == *stamp);
+        let is_refused = self.refused.as_ref().is_some_and(|refusal| {
+            refusal.stamp == *stamp && matches!(refusal.cause, RefusalCause::Check { .. })
+        });
         is_staged || is_in_force || is_refused
     }
 }
--- a/dahliawood-store/tests/main/main.rs
+++ b/dahliawood-store/tests/main/main.rs
@@ -3,5 +3,6 @@
 mod client;
 mod fleet;
 mod history;
+mod keeper;
 mod sim;
 mod support;
