feat(steer): measure where requests queue; steadier latency averages, fair slots

measure -- steer runs five candidates that queue at the targets and the package's own policy, which queues at the VM, against one central queue, with the same arrivals, at the sizes of both deployments.

--- a/dahliawood-steer/src/choice/mod.rs
+++ b/dahliawood-steer/src/choice/mod.rs
@@ -118,7 +118,7 @@
 /// Requests a second that this VM's slots of `states` end, from the latency measured last.
 pub fn slot_rate<'a>(states: impl Iterator<Item = &'a target::TargetState>) -> f64 {
     let rate = |state: &target::TargetState| {
-        let latency_us = match state.health.samples {
+        let latency_us = match state.health.answers {
             0 => ASSUMED_SERVICE.as_micros() as f64,
             _ => state.health.latency_us.max(1.0),
         };
@@ -199,7 +199,7 @@
     let mut peers: Vec<f64> = table
         .service(state.service)
         .filter(|peer| peer.key != state.key && peer.is_warm())
-        .filter(|peer| peer.health.samples >= health::MIN_SAMPLES)
+        .filter(|peer| peer.health.answers >= health::MIN_SAMPLES)
         .map(|peer| peer.health.latency_us)
         .collect();
     if peers.is_empty() {
--- a/dahliawood-steer/src/choice/pick.rs
+++ b/dahliawood-steer/src/choice/pick.rs
@@ -192,7 +192,7 @@
 /// How unwelcome one more request is at a target: its latency, by how much of this VM's slots
 /// there are in use. A target that reports leaving or full ranks behind its peers.
 fn score(state: &target::TargetState, now: TimeStamp) -> f64 {
-    let latency_us = if state.health.samples == 0 {
+    let latency_us = if state.health.answers == 0 {
         super::ASSUMED_SERVICE.as_micros() as f64
     } else {
         state.health.latency_us.max(1.0)
--- a/dahliawood-steer/src/health/mod.rs
+++ b/dahliawood-steer/src/health/mod.rs
@@ -17,8 +17,10 @@
 pub const FAILURE_SHARE: f64 = 0.5;
 /// Latency that counts as soft evidence, as a multiple of the median of the peers.
 pub const SLOW_MULTIPLE: f64 = 4.0;
-/// Answers before an average counts.
+/// Answers and failures before the average of failures counts.
 pub const MIN_SAMPLES: u32 = 8;
+/// Answers before the average of latencies counts; heavy tails need more of them.
+pub const MIN_LATENCY_SAMPLES: u32 = 32;
 /// The first ejection time; it doubles with each probe that fails.
 pub const FIRST_EJECTION: Duration = Duration::from_secs(1);
 /// The longest ejection time.
@@ -27,8 +29,10 @@
 pub const SHED_PAUSE: Duration = Duration::from_millis(100);
 /// The oldest report that is used.
 pub const REPORT_AGE: Duration = Duration::from_secs(3);
-/// Weight of the newest answer in a moving average.
-const NEWEST_WEIGHT: f64 = 0.2;
+/// Weight of the newest result in the average of failures.
+const NEWEST_FAILURE: f64 = 0.2;
+/// Least weight of the newest answer in the average of latencies.
+const NEWEST_LATENCY: f64 = 0.05;
 
 /// What became of one request at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -99,7 +103,9 @@
     pub latency_us: f64,
     /// Moving average of failed requests, 0 to 1.
     pub failure_share: f64,
-    /// Answers and failures in the averages.
+    /// Answers in the average of latencies.
+    pub answers: u32,
+    /// Answers and failures in the average of failures.
     pub samples: u32,
     /// Connections that failed in a row.
     pub connect_failures: u32,
@@ -125,16 +131,13 @@
             _ => self.connect_failures = 0,
         }
         let failed = report.kind != ResultKind::Answered;
-        let weight = if self.samples == 0 {
-            1.0
-        } else {
-            NEWEST_WEIGHT
-        };
         if !failed {
+            self.answers = self.answers.saturating_add(1);
+            let weight = (1.0 / f64::from(self.answers)).max(NEWEST_LATENCY);
             let latency_us = report.latency.saturating_sub(link).as_micros() as f64;
             self.latency_us += weight * (latency_us - self.latency_us);
         }
-        self.failure_share += NEWEST_WEIGHT * (f64::from(u8::from(failed)) - self.failure_share);
+        self.failure_share += NEWEST_FAILURE * (f64::from(u8::from(failed)) - self.failure_share);
         self.samples = self.samples.saturating_add(1);
     }
 
@@ -150,7 +153,8 @@
             return Some(EjectCause::Failures);
         }
         let slow = median_us.is_some_and(|median| self.latency_us > SLOW_MULTIPLE * median);
-        slow.then_some(EjectCause::Slow)
+        let measured = self.answers >= MIN_LATENCY_SAMPLES;
+        (slow && measured).then_some(EjectCause::Slow)
     }
 
     /// Ejects the target, for twice as long as the last time where it is a probe that failed.
--- a/dahliawood-steer/src/lookup/mod.rs
+++ b/dahliawood-steer/src/lookup/mod.rs
@@ -20,6 +20,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+/// What [`LookupTable::local_weight`] gives a customer of weight 1 with one home.
+pub const WEIGHT_UNIT: u32 = 1_000;
+
 /// An entry VM as the membership table knows it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct VmEntry {
@@ -115,6 +118,7 @@
 struct CustomerHome {
     hash: u64,
     homes: usize,
+    weight: u32,
 }
 
 /// A region: its VMs by failure domain, and the other regions, nearest first.
@@ -165,6 +169,19 @@
         self.prefixes.memory_bytes()
     }
 
+    /// A customer's weight in the queue of one VM of a region, in thousandths: its weight divided by
+    /// its homes there, so that a customer with many homes gets no more turns in all.
+    pub fn local_weight(&self, customer: Option<CustomerKey>, region: RegionKey) -> u32 {
+        let known = customer.and_then(|key| self.customers.get(key.index()));
+        let (weight, homes) = known.map_or((1, 1), |home| (home.weight, home.homes));
+        let vms: usize = self
+            .regions
+            .get(region.index())
+            .map_or(0, |region| region.domains.iter().map(Vec::len).sum());
+        let homes = homes.min(vms).max(1) as u32;
+        (weight.saturating_mul(WEIGHT_UNIT) / homes).max(1)
+    }
+
     /// The region near `client`: that of its place, or of one picked by its address where no
     /// block holds it.
     fn region_near(&self, client: IpAddr) -> Option<RegionKey> {
@@ -183,6 +200,7 @@
         known.copied().unwrap_or_else(|| CustomerHome {
             hash: client_hash(query.client),
             homes: 1,
+            weight: 1,
         })
     }
 
@@ -366,6 +384,7 @@
         .map(|spec| CustomerHome {
             hash: rendezvous::name_hash(spec.name.as_bytes()),
             homes: homes(spec),
+            weight: spec.weight,
         })
         .collect()
 }
--- a/dahliawood-steer/src/queue/mod.rs
+++ b/dahliawood-steer/src/queue/mod.rs
@@ -21,7 +21,7 @@
 pub struct WaitEntry<T> {
     /// The customer, `None` on a route that is open to all.
     pub customer: Option<CustomerKey>,
-    /// The customer's weight, at least 1.
+    /// The customer's weight at this VM, at least 1; see `lookup::LookupTable::local_weight`.
     pub weight: u32,
     /// The latest time at which it is still of use to start it.
     pub deadline: TimeStamp,
@@ -40,6 +40,25 @@
     pub retry_after: Duration,
 }
 
+/// How badly a VM needs slots: the weights of customers that wait there, over the slots it has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueuePressure {
+    /// Weights of the customers that have requests waiting, added up.
+    pub weight: u64,
+    /// Slots of the service that the VM may use.
+    pub slots: u32,
+}
+
+impl QueuePressure {
+    /// Whether a slot is fairer at `asker` than here: customers there would still have fewer slots
+    /// for their weight than those here.
+    pub fn yields_to(self, asker: Self) -> bool {
+        let here = u128::from(self.weight) * u128::from(asker.slots + 1);
+        let there = u128::from(asker.weight) * u128::from(self.slots.saturating_sub(1));
+        here < there || (self.weight == 0 && asker.weight > 0)
+    }
+}
+
 /// The requests of one customer.
 #[derive(Clone, Debug)]
 struct CustomerLine<T> {
@@ -84,6 +103,15 @@
         line.map_or(0, |line| line.entries.len())
     }
 
+    /// The pressure of what waits on `slots` slots of this VM.
+    pub fn pressure(&self, slots: u32) -> QueuePressure {
+        let waiting = self.lines.values().filter(|line| !line.entries.is_empty());
+        QueuePressure {
+            weight: waiting.map(|line| u64::from(line.weight)).sum(),
+            slots,
+        }
+    }
+
     /// Requests that go before the one at `position` of a customer's line, in all lines.
     fn ahead(&self, customer: Option<CustomerKey>, weight: u32, position: usize) -> f64 {
         let share = (position + 1) as f64 / f64::from(weight);
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -4,6 +4,7 @@
 //! non-zero where a stated target is missed.
 
 mod lookup;
+mod steer;
 
 use bpaf::Bpaf;
 use dahliawood_testkit::figures;
@@ -25,7 +26,7 @@
 type MeasureEntry = (&'static str, fn(u64, &mut figures::FigureReport));
 
 /// All measurements, one line each.
-const MEASUREMENTS: &[MeasureEntry] = &[("lookup", lookup::run)];
+const MEASUREMENTS: &[MeasureEntry] = &[("lookup", lookup::run), ("steer", steer::run)];
 
 fn main() {
     let args = measure_args().run();
