--- a/dahliawood-steer/tests/main/faults.rs
+++ b/dahliawood-steer/tests/main/faults.rs
@@ -284,6 +284,27 @@
     result.unwrap();
 }
 
+/// One request in ten takes eleven times as long, everywhere: no target is slower than its peers.
+#[test]
+fn heavy_tails_eject_nobody() {
+    let slow = proptest::collection::vec(prop::bool::weighted(0.1), 2_000);
+    let mut runner = fleet::runner();
+    let result = runner.run(&slow, |slow| {
+        let mut bench = FaultBench::new();
+        for (index, slow) in slow.into_iter().enumerate() {
+            let target = TargetKey(index as u32 % TARGETS);
+            let flight = choice::begin(&mut bench.table, target).unwrap();
+            let millis = if slow { 110 } else { 10 };
+            let report = fleet::outcome(health::ResultKind::Answered, millis);
+            choice::finish(&mut bench.table, flight, report, bench.now);
+        }
+        let mut states = bench.table.iter();
+        prop_assert!(states.all(|state| state.health.ejection.is_none()));
+        Ok(())
+    });
+    result.unwrap();
+}
+
 /// The home region dies while no link has headroom: refused at once, and nothing waits.
 #[test]
 fn loss_of_the_region_without_room_is_refused_at_once() {
--- a/dahliawood-steer/tests/main/queue.rs
+++ b/dahliawood-steer/tests/main/queue.rs
@@ -1,9 +1,9 @@
 //! Properties of the fair queue.
 
 use crate::fleet;
-use dahliawood_model::keys::CustomerKey;
+use dahliawood_model::keys::{CustomerKey, RegionKey};
 use dahliawood_model::stamp::TimeStamp;
-use dahliawood_steer::queue;
+use dahliawood_steer::{lookup, queue};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -80,6 +80,42 @@
     result.unwrap();
 }
 
+/// Two VMs never hand a slot to and fro.
+#[test]
+fn a_slot_that_moved_does_not_come_back() {
+    let pressure =
+        (0_u64..50, 0_u32..50).prop_map(|(weight, slots)| queue::QueuePressure { weight, slots });
+    let mut runner = fleet::runner();
+    let result = runner.run(&(pressure.clone(), pressure), |(here, there)| {
+        prop_assume!(here.slots > 0 && here.yields_to(there));
+        let here = queue::QueuePressure {
+            slots: here.slots - 1,
+            ..here
+        };
+        let there = queue::QueuePressure {
+            slots: there.slots + 1,
+            ..there
+        };
+        prop_assert!(!there.yields_to(here));
+        Ok(())
+    });
+    result.unwrap();
+}
+
+/// A customer with many homes gets no more turns in all than one of the same weight with one home.
+#[test]
+fn homes_share_the_weight_of_their_customer() {
+    let mut config = fleet::config(2, 1, 3);
+    let large = fleet::add_customer(&mut config, "large", 300);
+    let huge = fleet::add_customer(&mut config, "huge", 100_000);
+    let small = fleet::add_customer(&mut config, "small", 10);
+    let table = lookup::LookupTable::build(&config, &fleet::vms(&config, 4));
+    let weight = |customer| table.local_weight(Some(customer), RegionKey(0));
+    assert_eq!(weight(small), lookup::WEIGHT_UNIT);
+    assert_eq!(weight(large), lookup::WEIGHT_UNIT / 3);
+    assert_eq!(weight(huge), lookup::WEIGHT_UNIT / 8);
+}
+
 #[test]
 fn no_rate_refuses_at_once() {
     let mut waiting = queue::WaitQueue::default();
--- a/dahliawood-testkit/examples/measure/steer/slots.rs
+++ b/dahliawood-testkit/examples/measure/steer/slots.rs
@@ -19,7 +19,7 @@
 
 const SERVICE: ServiceKey = ServiceKey(0);
 /// The shortest time between two asks of one VM, microseconds.
-const ASK_US: u64 = 500;
+const ASK_US: u64 = 5_000;
 /// How long an ask is remembered, microseconds.
 const ASK_LASTS_US: u64 = 50_000;
 /// How often late requests are looked for, microseconds.
