feat(steer): fair refusal by customer where a link is short

A lost region whose requests no link can take was refused in order of arrival, which refuses a small customer as often as a large one. The gate divides what fits max-min by weight, and opens by itself once nothing is short.

Its properties failed against broken variants: shares without regard to demand, a gate that never closes, one that never opens.

--- a/dahliawood-steer/src/lib.rs
+++ b/dahliawood-steer/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod choice;
 pub mod drain;
+pub mod fair;
 pub mod health;
 pub mod lookup;
 pub mod prefix;
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod drain;
+mod fair;
 mod faults;
 mod fleet;
 mod lookup;
