--- /dev/null
+++ b/dahliawood-daemon/src/control/mod.rs
@@ -0,0 +1,179 @@
+//! The control thread: the one place where the daemon's state of the fleet changes.
+//!
+//! Tasks of this thread talk to the store, the live list and other VMs; what they learn goes into
+//! [`ControlState`], and from there, as whole snapshots, to the traffic threads.
+
+pub mod allowance;
+pub mod beats;
+pub mod follow;
+pub mod install;
+pub mod live;
+pub mod members;
+pub mod peers;
+mod question;
+pub mod tick;
+
+pub use question::{ControlGone, ControlQuestion, EventAnswer, EventQuestion, ask};
+
+use crate::{counters, shared};
+use async_std::channel::Receiver;
+use async_std::net::TcpListener;
+use async_std::task;
+use dahliawood_events::kind;
+use dahliawood_model::FastSet;
+use dahliawood_peer::{message, server};
+use dahliawood_store::{client, revision};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+
+/// What the control thread knows.
+pub struct ControlState {
+    /// What it shares with the traffic threads.
+    pub shared: Arc<shared::SharedState>,
+    /// The VMs of the fleet.
+    pub members: members::MemberTable,
+    /// Peer addresses that a task beats to.
+    pub beating: FastSet<SocketAddr>,
+    /// The key-value service.
+    pub store: client::StoreClient,
+    /// The revision in force.
+    pub keeper: revision::SharedKeeper,
+    /// Connections to other VMs.
+    pub peers: peers::PeerTable,
+    /// Whether the store answered last time.
+    is_store_up: bool,
+}
+
+/// What the control thread is started with.
+pub struct ControlOptions {
+    /// State to share.
+    pub shared: Arc<shared::SharedState>,
+    /// The key-value service.
+    pub store: client::StoreClient,
+    /// The live list's service.
+    pub live: client::StoreClient,
+    /// Where other VMs are answered.
+    pub listener: TcpListener,
+    /// The revision in force.
+    pub keeper: revision::SharedKeeper,
+    /// Sends metrics.
+    pub metrics: counters::MetricSender,
+    /// Questions from other threads.
+    pub questions: Receiver<ControlQuestion>,
+    /// Ends the thread when it closes.
+    pub stop: Receiver<()>,
+}
+
+impl ControlState {
+    /// Whether a VM is still a member at that peer address.
+    pub fn is_member(&self, member: &members::VmMember) -> bool {
+        self.members
+            .members()
+            .iter()
+            .any(|known| known.peer == member.peer)
+    }
+
+    /// Takes note of whether the store answered a call.
+    pub fn note_store(&mut self, is_up: bool) {
+        self.shared
+            .counters
+            .count(counters::CounterKind::StoreCalls);
+        if !is_up {
+            self.shared
+                .counters
+                .count(counters::CounterKind::StoreFailed);
+        }
+        if is_up != self.is_store_up {
+            self.is_store_up = is_up;
+            let kind = if is_up {
+                kind::EventKind::StoreBack
+            } else {
+                kind::EventKind::StoreLost
+            };
+            self.shared.events.record(kind);
+        }
+    }
+
+    /// Publishes the members to the traffic threads.
+    pub fn publish_members(&self) {
+        self.shared
+            .members
+            .store(Arc::new(self.members.members().to_vec()));
+        if let Some(snapshot) = self.shared.snapshot.load_full() {
+            install::publish(&self.shared, Arc::clone(&snapshot.state));
+        }
+    }
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+/// Fails where the thread cannot be started.
+pub fn start(options: ControlOptions) -> std::io::Result<thread::JoinHandle<()>> {
+    let builder = thread::Builder::new().name("control".to_owned());
+    builder.spawn(move || task::block_on(run(options)))
+}
+
+/// Runs all tasks of the thread until it is told to stop.
+async fn run(options: ControlOptions) {
+    let shared = Arc::clone(&options.shared);
+    let state = Rc::new(RefCell::new(ControlState {
+        shared: options.shared,
+        members: members::MemberTable::default(),
+        beating: FastSet::default(),
+        store: options.store.clone(),
+        peers: peers::PeerTable::default(),
+        keeper: options.keeper.clone(),
+        is_store_up: true,
+    }));
+    let handlers = Rc::new(peer_handlers(&state));
+    let tasks = [
+        task::spawn_local(async move {
+            if let Err(error) = server::serve(options.listener, handlers).await {
+                log::error!("other VMs can no longer call: {error}");
+            }
+        }),
+        task::spawn_local(allowance::run(Rc::clone(&state))),
+        task::spawn_local(allowance::watch(Rc::clone(&state))),
+        task::spawn_local(follow::run(shared, options.keeper, options.store)),
+        task::spawn_local(live::run(Rc::clone(&state), options.live)),
+        task::spawn_local(tick::run(Rc::clone(&state), options.metrics)),
+        task::spawn_local(question::run(Rc::clone(&state), options.questions)),
+    ];
+    let _closed = options.stop.recv().await;
+    for task in tasks {
+        task.cancel().await;
+    }
+}
+
+/// What other VMs' calls are answered with.
+fn peer_handlers(state: &Rc<RefCell<ControlState>>) -> server::PeerHandlers {
+    let (beat_state, file_state) = (Rc::clone(state), Rc::clone(state));
+    let (quota_state, event_state) = (Rc::clone(state), Rc::clone(state));
+    server::PeerHandlers {
+        beat: Box::new(move |beat| {
+            beats::take_beat(&mut beat_state.borrow_mut(), &beat);
+            beats::own_beat(&beat_state.borrow())
+        }),
+        config: Box::new(move |above| follow::text_above(&file_state.borrow().keeper, above)),
+        quota: Box::new(move |batch| allowance::take(&quota_state, batch)),
+        events: Box::new(move |after, most| event_page(&event_state.borrow(), after, most)),
+    }
+}
+
+/// A page of this VM's events.
+fn event_page(state: &ControlState, after: u64, most: u32) -> message::EventPage {
+    let page = state.shared.events.page(after, most as usize);
+    let events = page
+        .events
+        .iter()
+        .filter_map(|event| serde_json::to_string(event).ok());
+    message::EventPage {
+        events: events.collect(),
+        next: page.next,
+        lost: page.lost,
+    }
+}
--- /dev/null
+++ b/dahliawood-wire/src/server/refuse/mod.rs
@@ -0,0 +1,73 @@
+//! Refusals of requests that no handler sees.
+
+use super::error::{AnswerCutSnafu, ConnectionError};
+use super::{CallerConnection, ConnectionEnd, Step};
+use crate::{problem, stream};
+use dahliawood_fate::verdict;
+use http_types::headers::CONNECTION;
+use http_types::{Method, StatusCode};
+use snafu::ResultExt;
+use std::sync::atomic::Ordering;
+
+impl<IO: stream::WireStream> CallerConnection<'_, IO> {
+    /// Answers with a problem document and ends the connection: where the next request begins is
+    /// not known.
+    pub(super) async fn refuse(
+        &mut self,
+        status: StatusCode,
+        detail: &str,
+    ) -> Result<Step, ConnectionError> {
+        let document = problem::ProblemDocument {
+            name: name(status),
+            status,
+            title: status.canonical_reason(),
+            detail: detail.to_owned(),
+            ran: verdict::RunVerdict::NotRun,
+            retry_after: None,
+        };
+        let mut response = document.into_response();
+        response.insert_header(CONNECTION, "close");
+        let written = self.write(response, Method::Get).await;
+        if let Err(error) = written {
+            log::trace!("a refusal was not written: {error}");
+        }
+        Ok(Step::End(ConnectionEnd::Refused(status)))
+    }
+
+    /// Ends an answer that could not be written whole.
+    ///
+    /// Where none of it has gone out the caller still gets a problem document instead; otherwise
+    /// the connection ends inside the answer, which shows the caller that it is not whole.
+    pub(super) async fn cut(
+        &mut self,
+        source: stream::TransferError,
+    ) -> Result<Step, ConnectionError> {
+        let unbegun = self.written.load(Ordering::Relaxed) == 0;
+        if !unbegun || !matches!(source, stream::TransferError::Produce { .. }) {
+            return Err(ConnectionError::AnswerCut { source });
+        }
+        let document = problem::ProblemDocument {
+            name: "answer-cut",
+            status: StatusCode::BadGateway,
+            title: "The answer was cut",
+            detail: "the target's answer ended before it was whole".to_owned(),
+            ran: verdict::RunVerdict::MayHaveRun,
+            retry_after: None,
+        };
+        let mut response = document.into_response();
+        response.insert_header(CONNECTION, "close");
+        let written = self.write(response, Method::Get).await;
+        written.context(AnswerCutSnafu)?;
+        Ok(Step::End(ConnectionEnd::Closed))
+    }
+}
+
+fn name(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::RequestHeaderFieldsTooLarge => "head-too-large",
+        StatusCode::RequestTimeout => "head-timeout",
+        StatusCode::NotImplemented => "unknown-encoding",
+        StatusCode::ExpectationFailed => "unknown-expectation",
+        _ => "malformed-request",
+    }
+}
