--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -4,6 +4,8 @@
 //! non-zero where a stated target is missed.
 
 mod quota;
+mod lookup;
+mod steer;
 
 use bpaf::Bpaf;
 use dahliawood_testkit::figures;
@@ -26,6 +28,7 @@
 
 /// All measurements, one line each.
 const MEASUREMENTS: &[MeasureEntry] = &[("quota", quota::measure)];
+const MEASUREMENTS: &[MeasureEntry] = &[("lookup", lookup::run), ("steer", steer::run)];
 
 fn main() {
     let args = measure_args().run();
