test(wire): a part of an answer is never a whole one, at any cut and in any pieces

Answers of a target are relayed to a caller that has sent a second request behind the first, cut at every byte, in any pieces, small and large; the judge reads raw bytes.

The linger after a last answer is 500 ms instead of 2 s, for it delays a graceful shutdown.

--- a/dahliawood-wire/src/server/mod.rs
+++ b/dahliawood-wire/src/server/mod.rs
@@ -54,7 +54,7 @@
             closing_keep_alive: Duration::from_millis(500),
             stall_timeout: Duration::from_secs(20),
             drain_bytes: 256 * 1024,
-            drain_timeout: Duration::from_secs(2),
+            drain_timeout: Duration::from_millis(500),
             cancel_on_leave: true,
         }
     }
--- a/dahliawood-wire/tests/main/main.rs
+++ b/dahliawood-wire/tests/main/main.rs
@@ -1,5 +1,7 @@
 //! Tests of connections, exchanges, pools and headers.
 
+mod headers;
 mod loopback;
+mod relay;
 #[path = "../support/mod.rs"]
 mod support;
--- /dev/null
+++ b/dahliawood-wire/tests/main/relay/mod.rs
@@ -0,0 +1,222 @@
+//! A target's answer through this side to a caller: never a part of it as a whole.
+
+use crate::support;
+use async_std::task;
+use dahliawood_wire::{client, server};
+use futures::future;
+use futures::io::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Request, Response, StatusCode};
+use proptest::prelude::*;
+use std::sync::Mutex;
+
+/// Two requests at once: what follows a cut answer must not be taken for the rest of it.
+const REQUESTS: &[u8] = b"GET /path HTTP/1.1\r\nHost: vm\r\n\r\n\
+    GET /second HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n";
+/// Longer than any answer of the target.
+const SECOND_BYTES: usize = 400_000;
+
+/// What the caller can tell of an answer.
+#[derive(Debug, PartialEq, Eq)]
+enum Seen {
+    Whole(Vec<u8>),
+    Part,
+    Refused,
+}
+
+/// Judges raw bytes without any code of this side.
+fn judge(raw: &[u8]) -> Seen {
+    let Some(end) = raw.windows(4).position(|window| window == b"\r\n\r\n") else {
+        return Seen::Part;
+    };
+    let head = String::from_utf8_lossy(&raw[..end]).to_lowercase();
+    let body = &raw[end + 4..];
+    if !head.starts_with("http/1.1 200 ") {
+        return Seen::Refused;
+    }
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map(|length| length.parse::<usize>().unwrap());
+    let whole = match length {
+        Some(length) => body.get(..length).map(<[u8]>::to_vec),
+        None => unchunk(body),
+    };
+    whole.map_or(Seen::Part, Seen::Whole)
+}
+
+/// The content of a chunked body, or `None` where its last chunk is missing.
+fn unchunk(mut rest: &[u8]) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let line = rest.windows(2).position(|window| window == b"\r\n")?;
+        let size = std::str::from_utf8(&rest[..line]).ok()?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(rest.get(line + 2..line + 2 + size)?);
+        rest = rest.get(line + 4 + size..)?;
+    }
+}
+
+/// Relays an answer of which the target sends `sent` before it closes.
+fn relay(sent: &[u8], pieces: Vec<usize>) -> Seen {
+    let (near_target, mut target) = support::connection(pieces);
+    let (near_caller, mut caller) = support::connection(Vec::new());
+    let connection = Mutex::new(Some(near_target));
+    let handler = |_: Request| forward(connection.lock().unwrap().take());
+    let served = async {
+        let options = server::ConnectionOptions::default();
+        drop(server::connection(near_caller, &options, || false, handler).await);
+    };
+    let answered = async move {
+        let mut request = vec![0; 4096];
+        let count = target.read(&mut request).await.unwrap();
+        assert!(request[..count].ends_with(b"\r\n\r\n"));
+        target.write_all(sent).await.unwrap();
+    };
+    let asked = async move {
+        caller.write_all(REQUESTS).await.unwrap();
+        let mut raw = Vec::new();
+        caller.read_to_end(&mut raw).await.unwrap();
+        raw
+    };
+    let ((), (), raw) = task::block_on(future::join3(served, answered, asked));
+    judge(&raw)
+}
+
+/// The target's answer to the first request, and one from here to the second.
+async fn forward(connection: Option<support::PipeEnd>) -> Response {
+    let Some(connection) = connection else {
+        let mut second = Response::new(StatusCode::Ok);
+        second.set_body(vec![b'X'; SECOND_BYTES]);
+        return second;
+    };
+    let url = http_types::Url::parse("http://target/path").unwrap();
+    let options = client::ExchangeOptions::default();
+    let exchanged = client::exchange(connection, Request::get(url), &options, |_| {}).await;
+    exchanged.map_or_else(
+        |_| Response::new(StatusCode::BadGateway),
+        |outcome| outcome.response,
+    )
+}
+
+fn body(length: usize) -> Vec<u8> {
+    (0..length).map(|index| b'a' + (index % 26) as u8).collect()
+}
+
+/// An answer of this body in one framing or the other.
+fn answer(body: &[u8], chunk: Option<usize>) -> Vec<u8> {
+    let mut raw = b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n".to_vec();
+    match chunk {
+        None => {
+            raw.extend(format!("Content-Length: {}\r\n\r\n", body.len()).bytes());
+            raw.extend(body);
+        }
+        Some(size) => {
+            raw.extend(b"Transfer-Encoding: chunked\r\n\r\n");
+            for piece in body.chunks(size) {
+                raw.extend(format!("{:x}\r\n", piece.len()).bytes());
+                raw.extend(piece);
+                raw.extend(b"\r\n");
+            }
+            raw.extend(b"0\r\n\r\n");
+        }
+    }
+    raw
+}
+
+#[test]
+fn an_answer_cut_at_any_byte_is_never_whole() {
+    for chunk in [None, Some(7)] {
+        let body = body(60);
+        let raw = answer(&body, chunk);
+        for cut in 0..raw.len() {
+            let seen = relay(&raw[..cut], Vec::new());
+            assert!(!matches!(seen, Seen::Whole(_)), "cut at {cut}: {seen:?}");
+        }
+        assert_eq!(relay(&raw, Vec::new()), Seen::Whole(body));
+    }
+}
+
+proptest! {
+    #![proptest_config(support::property_config(64))]
+
+    #[test]
+    fn a_large_answer_is_whole_only_where_all_of_it_came(
+        length in 60_000..300_000_usize,
+        chunk in prop::option::of(1_000..90_000_usize),
+        cut in 0.0..1.1_f64,
+        pieces in prop::collection::vec(1..40_000_usize, 0..20),
+    ) {
+        let body = body(length);
+        let raw = answer(&body, chunk);
+        let sent = raw.len().min((raw.len() as f64 * cut) as usize);
+        let seen = relay(&raw[..sent], pieces);
+        if sent == raw.len() {
+            prop_assert!(seen == Seen::Whole(body));
+        } else {
+            prop_assert!(!matches!(seen, Seen::Whole(_)));
+        }
+    }
+
+    #[test]
+    fn an_answer_in_any_pieces_is_the_same(
+        length in 0..200_usize,
+        chunk in prop::option::of(1..50_usize),
+        pieces in prop::collection::vec(1..5_usize, 0..400),
+    ) {
+        let body = body(length);
+        let raw = answer(&body, chunk);
+        prop_assert_eq!(relay(&raw, pieces), Seen::Whole(body));
+    }
+
+    #[test]
+    fn pipelined_requests_in_any_pieces_are_all_answered(
+        requests in prop::collection::vec((0..60_usize, prop::option::of(1..20_usize)), 1..6),
+        pieces in prop::collection::vec(1..9_usize, 0..400),
+    ) {
+        let mut raw = Vec::new();
+        let mut expected = Vec::new();
+        for (length, chunk) in &requests {
+            let body = body(*length);
+            raw.extend(b"POST /echo HTTP/1.1\r\nHost: vm\r\n");
+            let framed = answer(&body, *chunk);
+            let framing = framed.windows(6).position(|window| window == b"200 OK").unwrap();
+            raw.extend(&framed[framing + 8..]);
+            expected.push(body);
+        }
+        prop_assert_eq!(converse(raw, pieces), expected);
+    }
+}
+
+/// Sends requests and returns the bodies that the handler saw.
+fn converse(raw: Vec<u8>, pieces: Vec<usize>) -> Vec<Vec<u8>> {
+    let (near, mut caller) = support::connection(pieces);
+    let seen = Mutex::new(Vec::new());
+    let handler = |mut request: Request| {
+        let seen = &seen;
+        async move {
+            let body = request.body_bytes().await.unwrap();
+            seen.lock().unwrap().push(body);
+            Response::new(200)
+        }
+    };
+    let options = server::ConnectionOptions {
+        cancel_on_leave: false,
+        ..server::ConnectionOptions::default()
+    };
+    let served = async {
+        server::connection(near, &options, || false, handler)
+            .await
+            .unwrap();
+    };
+    let asked = async move {
+        caller.write_all(&raw).await.unwrap();
+        caller.close().await.unwrap();
+        let mut answers = Vec::new();
+        caller.read_to_end(&mut answers).await.unwrap();
+    };
+    task::block_on(future::join(served, asked));
+    seen.into_inner().unwrap()
+}
