feat(wire): a second try tells a silent connection from a slow target

A reused connection that stays without an answer gets a second try on a fresh one, where the caller's budget allows it; if that answers first, older siblings are closed. The test first saw the fresh connection closed along with the silent ones, because silence was kept by generation: connections are now numbered in the order of their opening and only those up to the second try are distrusted.

--- a/dahliawood-wire/src/pool/mod.rs
+++ b/dahliawood-wire/src/pool/mod.rs
@@ -5,6 +5,7 @@
 //! siblings of the same age are closed instead of being tried one deadline after another.
 
 pub mod error;
+pub mod hedge;
 
 use crate::client;
 use async_std::future as timed;
@@ -62,13 +63,13 @@
 pub struct ConnectionAge {
     /// The target's address.
     pub address: SocketAddr,
-    /// Raised each time a connection to the target was found silent.
-    pub generation: u64,
+    /// Its place among all connections ever opened to the target.
+    pub opened: u64,
 }
 
 struct IdleConnection {
     stream: TcpStream,
-    generation: u64,
+    opened: u64,
     since: Instant,
 }
 
@@ -76,7 +77,10 @@
 struct TargetState {
     limit: Option<usize>,
     open: usize,
-    generation: u64,
+    /// Connections ever opened.
+    opened: u64,
+    /// Connections up to this one are held to be silent.
+    silent: u64,
     idle: Vec<IdleConnection>,
 }
 
@@ -141,14 +145,20 @@
         }
     }
 
-    /// Takes note that a connection has gone silent: its siblings that are not younger are closed,
-    /// the idle ones now and those in use at their end.
+    /// The newest connection to a target so far.
+    pub fn newest(&self, address: SocketAddr) -> ConnectionAge {
+        let opened = self.lock().get(&address).map_or(0, |target| target.opened);
+        ConnectionAge { address, opened }
+    }
+
+    /// Takes note that connections up to this age may have gone silent: the idle ones are closed
+    /// now and those in use at their end.
     pub fn report_silent(&self, age: ConnectionAge) {
         let mut targets = self.lock();
         let target = targets.entry(age.address).or_default();
-        target.generation = target.generation.max(age.generation + 1);
-        let generation = target.generation;
-        target.retain_idle(|idle| idle.generation >= generation);
+        target.silent = target.silent.max(age.opened);
+        let silent = target.silent;
+        target.retain_idle(|idle| idle.opened > silent);
     }
 
     /// Opens a connection to see whether new ones work, and keeps it for the next exchange.
@@ -210,14 +220,13 @@
             reused,
             guard,
         } = connection;
-        let age = guard.age;
         let finish = move |reusable| guard.finish(reusable);
         let exchanged = client::exchange(stream, request, options, finish).await;
         if let Err(error) = &exchanged
             && reused
             && error.is_silence()
         {
-            self.report_silent(age);
+            self.report_silent(self.newest(address));
         }
         exchanged.context(ExchangeSnafu)
     }
@@ -245,7 +254,7 @@
         let target = targets.entry(address).or_default();
         let limit = target.limit.unwrap_or(self.options.connections);
         if let Some(idle) = target.take_idle(choice, self.options.idle_timeout) {
-            let guard = self.guard(address, idle.generation, Some(idle.stream.clone()));
+            let guard = self.guard(address, idle.opened, Some(idle.stream.clone()));
             return Ok(Reserved::Idle(PooledConnection {
                 stream: idle.stream,
                 reused: true,
@@ -260,21 +269,19 @@
             return Err(CheckoutError::Exhausted { address, limit });
         }
         target.open += 1;
-        Ok(Reserved::Room(self.guard(address, target.generation, None)))
+        target.opened += 1;
+        Ok(Reserved::Room(self.guard(address, target.opened, None)))
     }
 
     fn guard(
         &self,
         address: SocketAddr,
-        generation: u64,
+        opened: u64,
         stream: Option<TcpStream>,
     ) -> ConnectionGuard {
         ConnectionGuard {
             pool: self.clone(),
-            age: ConnectionAge {
-                address,
-                generation,
-            },
+            age: ConnectionAge { address, opened },
             stream,
         }
     }
@@ -357,13 +364,13 @@
             return;
         };
         let limit = target.limit.unwrap_or(pool.options.connections);
-        if self.age.generation < target.generation || target.open > limit {
+        if self.age.opened <= target.silent || target.open > limit {
             return;
         }
         if let Some(stream) = self.stream.take() {
             target.idle.push(IdleConnection {
                 stream,
-                generation: self.age.generation,
+                opened: self.age.opened,
                 since: Instant::now(),
             });
             // The place stays taken by the idle connection.
--- a/dahliawood-wire/tests/main/loopback/mod.rs
+++ b/dahliawood-wire/tests/main/loopback/mod.rs
@@ -146,3 +146,54 @@
     let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     stream.write_all(answer).await.unwrap();
 }
+
+#[async_std::test]
+async fn a_silent_connection_is_told_from_a_slow_target_by_a_second_try() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = task::spawn(async move {
+        let mut streams: Vec<TcpStream> = Vec::new();
+        for _ in 0..3 {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            answer_once(&mut stream).await;
+            streams.push(stream);
+        }
+        streams
+    });
+    let pool = pool::TargetPool::new(pool::PoolOptions::default());
+    for _ in 0..2 {
+        exchange(&pool, address, pool::ConnectionChoice::Fresh, "").await;
+    }
+    let request = || Request::get(Url::parse(&format!("http://{address}/")).unwrap());
+    let options = client::ExchangeOptions::default();
+    let hedge = pool::hedge::HedgeOptions {
+        after: Duration::from_millis(20),
+        second: address,
+    };
+    let outcome = pool
+        .exchange_hedged(address, request, &options, hedge, || true)
+        .await
+        .unwrap();
+    assert_eq!(outcome.response.status(), 200);
+    drop(outcome);
+    assert_eq!(pool.count(address), pool::PoolCount { open: 1, idle: 1 });
+    drop(target.await);
+}
+
+#[async_std::test]
+async fn a_hedge_that_may_not_be_is_not_sent() {
+    let address = echo_server().await;
+    let pool = pool::TargetPool::new(pool::PoolOptions::default());
+    exchange(&pool, address, pool::ConnectionChoice::Any, "").await;
+    let request = || Request::get(Url::parse(&format!("http://{address}/")).unwrap());
+    let options = client::ExchangeOptions::default();
+    let hedge = pool::hedge::HedgeOptions {
+        after: Duration::ZERO,
+        second: address,
+    };
+    let outcome = pool
+        .exchange_hedged(address, request, &options, hedge, || false)
+        .await;
+    assert!(outcome.is_ok());
+    assert_eq!(pool.count(address).open, 1);
+}
