feat(fate): the state machine of one request, told once and truly

From admission to the last byte: retries, one hedge, held and streamed answers, a caller that leaves and a deadline that passes, each ending in exactly one word to the caller. The property plays generated histories against a target that logs every run.

A target's report that it shed a non-idempotent request is not believed; a test of its own holds that, since the property does not see it.

--- a/dahliawood-fate/src/lib.rs
+++ b/dahliawood-fate/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod deadline;
 pub mod journal;
+pub mod request;
 pub mod retry;
 pub mod ticket;
 pub mod verdict;
--- a/dahliawood-fate/tests/main/main.rs
+++ b/dahliawood-fate/tests/main/main.rs
@@ -1,5 +1,6 @@
 //! Properties of the retry policy, the request's state machine and tickets.
 
+mod request;
 mod retry;
 mod support;
 mod ticket;
--- a/dahliawood-fate/tests/main/retry/mod.rs
+++ b/dahliawood-fate/tests/main/retry/mod.rs
@@ -97,3 +97,26 @@
     assert_eq!(shorter.at, stamp::TimeStamp::from_millis(305));
     assert_eq!(shorter.remaining(shorter.at), Duration::ZERO);
 }
+
+#[test]
+fn a_target_that_says_it_shed_a_request_is_not_believed() {
+    let question = retry::RetryQuestion {
+        idempotent: false,
+        tries: 1,
+        failure: retry::TryFailure::Shed,
+        earlier: RunVerdict::NotRun,
+        answer_begun: false,
+        body_kept: true,
+        deadline: deadline::RequestDeadline {
+            at: stamp::TimeStamp::MAX,
+        },
+    };
+    let mut budget = retry::RetryBudget::new(20, 10);
+    let options = retry::RetryOptions::default();
+    let decision = retry::decide(&question, &options, &mut budget, stamp::TimeStamp::ZERO);
+    let expected = retry::RetryDecision::GiveUp {
+        verdict: RunVerdict::MayHaveRun,
+        reason: retry::GiveUpReason::NotIdempotent,
+    };
+    assert_eq!(decision, expected);
+}
