test(wire): how connections end

Callers that leave, a VM that closes, answers that come before their request was sent, request bodies that fail, bytes that nobody asked for.

--- /dev/null
+++ b/dahliawood-wire/tests/main/endings/mod.rs
@@ -0,0 +1,163 @@
+//! How connections end: callers that leave, a VM that closes, requests that fail half-way.
+
+use crate::support;
+use async_std::task;
+use dahliawood_fate::verdict::RunVerdict;
+use dahliawood_wire::{client, server};
+use futures::future;
+use futures::io::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Body, Request, Response, Url};
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+const REQUEST: &[u8] = b"POST /path HTTP/1.1\r\nHost: vm\r\nContent-Length: 4\r\n\r\ntext";
+
+/// Sets its flag when it is dropped.
+struct DropFlag(Arc<AtomicBool>);
+
+impl Drop for DropFlag {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+#[async_std::test]
+async fn a_handler_is_dropped_when_its_caller_leaves() {
+    let (near, mut caller) = support::connection(Vec::new());
+    let dropped = Arc::new(AtomicBool::new(false));
+    let flag = dropped.clone();
+    let handler = move |mut request: Request| {
+        let flag = DropFlag(flag.clone());
+        async move {
+            request.body_string().await.unwrap();
+            future::pending::<()>().await;
+            drop(flag);
+            Response::new(200)
+        }
+    };
+    caller.write_all(REQUEST).await.unwrap();
+    drop(caller);
+    let options = server::ConnectionOptions::default();
+    let outcome = server::connection(near, &options, || false, handler).await;
+    assert_eq!(outcome.unwrap().end, server::ConnectionEnd::CallerLeft);
+    assert!(dropped.load(Ordering::Relaxed));
+}
+
+#[async_std::test]
+async fn a_closing_vm_answers_what_comes_and_ends_the_connection() {
+    let (near, mut caller) = support::connection(Vec::new());
+    let handler = |_| async { Response::new(200) };
+    caller.write_all(REQUEST).await.unwrap();
+    let asked = async move {
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await.unwrap();
+        answer
+    };
+    let options = server::ConnectionOptions::default();
+    let served = server::connection(near, &options, || true, handler);
+    let (outcome, answer) = future::join(served, asked).await;
+    assert_eq!(outcome.unwrap().end, server::ConnectionEnd::Closed);
+    assert!(answer.contains("connection: close\r\n"), "{answer}");
+}
+
+#[async_std::test]
+async fn a_closing_vm_ends_idle_connections() {
+    let (near, caller) = support::connection(Vec::new());
+    let options = server::ConnectionOptions {
+        closing_keep_alive: Duration::ZERO,
+        drain_timeout: Duration::ZERO,
+        ..server::ConnectionOptions::default()
+    };
+    let handler = |_| async { Response::new(200) };
+    let outcome = server::connection(near, &options, || true, handler).await;
+    assert_eq!(outcome.unwrap().end, server::ConnectionEnd::Closed);
+    drop(caller);
+}
+
+/// Yields its bytes, then fails or waits for ever.
+struct Faulty {
+    bytes: &'static [u8],
+    fails: bool,
+}
+
+impl futures::io::AsyncRead for Faulty {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        output: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.bytes.is_empty() {
+            return if self.fails {
+                Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+            } else {
+                Poll::Pending
+            };
+        }
+        let count = self.bytes.len().min(output.len());
+        output[..count].copy_from_slice(&self.bytes[..count]);
+        self.bytes = &self.bytes[count..];
+        Poll::Ready(Ok(count))
+    }
+}
+
+fn request(bytes: &'static [u8], fails: bool) -> Request {
+    let mut request = Request::post(Url::parse("http://target/path").unwrap());
+    let reader = futures::io::BufReader::new(Faulty { bytes, fails });
+    request.set_body(Body::from_reader(reader, Some(100)));
+    request
+}
+
+#[async_std::test]
+async fn an_answer_before_the_request_was_sent_is_taken_and_ends_the_connection() {
+    let (near, mut target) = support::connection(Vec::new());
+    let reused = Arc::new(AtomicBool::new(true));
+    let end = reused.clone();
+    let on_end = move |reusable| end.store(reusable, Ordering::Relaxed);
+    let answered = task::spawn(async move {
+        let mut head = [0; 16];
+        target.read_exact(&mut head).await.unwrap();
+        let answer = b"HTTP/1.1 413 Payload Too Large\r\nContent-Length: 0\r\n\r\n";
+        target.write_all(answer).await.unwrap();
+        target
+    });
+    let options = client::ExchangeOptions::default();
+    let outcome = client::exchange(near, request(b"part", false), &options, on_end).await;
+    assert_eq!(outcome.unwrap().response.status(), 413);
+    assert!(!reused.load(Ordering::Relaxed));
+    drop(answered.await);
+}
+
+#[async_std::test]
+async fn a_request_whose_body_fails_is_never_whole_at_the_target() {
+    let (near, mut target) = support::connection(Vec::new());
+    let options = client::ExchangeOptions::default();
+    let exchanged = client::exchange(near, request(b"part", true), &options, |_| {}).await;
+    let error = exchanged.unwrap_err();
+    assert!(error.is_own_body());
+    let mut seen = Vec::new();
+    target.read_to_end(&mut seen).await.unwrap();
+    assert!(!seen.ends_with(&[b'x'; 100]) && seen.len() < 200);
+    let expected = match seen.len() {
+        0 => RunVerdict::NotRun,
+        _ => RunVerdict::MayHaveRun,
+    };
+    assert_eq!(error.verdict(), expected);
+}
+
+#[async_std::test]
+async fn a_connection_with_bytes_that_nobody_asked_for_is_not_used() {
+    let (near, mut target) = support::connection(Vec::new());
+    let late = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+    target.write_all(late).await.unwrap();
+    let options = client::ExchangeOptions::default();
+    let request = Request::get(Url::parse("http://target/path").unwrap());
+    let exchanged = client::exchange(near, request, &options, |_| {}).await;
+    assert_eq!(exchanged.unwrap_err().verdict(), RunVerdict::NotRun);
+    let mut seen = Vec::new();
+    target.read_to_end(&mut seen).await.unwrap();
+    assert!(seen.is_empty());
+}
--- a/dahliawood-wire/tests/main/main.rs
+++ b/dahliawood-wire/tests/main/main.rs
@@ -1,5 +1,6 @@
 //! Tests of connections, exchanges, pools and headers.
 
+mod endings;
 mod headers;
 mod loopback;
 mod relay;
