--- a/dahliawood-fate/src/journal/mod.rs
+++ b/dahliawood-fate/src/journal/mod.rs
@@ -37,6 +37,12 @@
     }
 }
 
+/// The least time from one write of a VM to its next, where `vms` of them share so many writes a
+/// second.
+pub fn interval(vms: u32, writes_per_second: u32) -> Duration {
+    Duration::from_secs(1) * vms / writes_per_second.max(1)
+}
+
 /// One outcome.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct JournalEntry {
--- a/dahliawood-fate/tests/main/ticket/mod.rs
+++ b/dahliawood-fate/tests/main/ticket/mod.rs
@@ -397,3 +397,9 @@
     journal.written(second.sequence);
     assert_eq!((second.entries.len(), journal.unwritten()), (1, 0));
 }
+
+#[test]
+fn the_fleet_shares_one_write_budget() {
+    assert_eq!(journal::interval(11, 50), Duration::from_millis(220));
+    assert_eq!(journal::interval(920, 50), Duration::from_millis(18_400));
+}
