perf(wire): smaller first buffers and one timer for the life of a connection

A message began with 64 KiB of zeroed buffer and each awaited head armed a timer, which wakes the runtime's reactor. The buffer starts at 4 KiB and grows for large bodies; the server's timer outlives requests; a pooled connection is looked at once, not twice, before it is used.

--- a/dahliawood-wire/src/body/mod.rs
+++ b/dahliawood-wire/src/body/mod.rs
@@ -8,7 +8,16 @@
 use std::task::{Context, Poll};
 
 /// Bytes buffered in front of a body.
-pub(crate) const BUFFER_BYTES: usize = 16 * 1024;
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// A body of `length` bytes that `reader` yields, or of unknown length.
+pub(crate) fn buffered<R>(reader: R, length: Option<usize>) -> Body
+where
+    R: AsyncRead + Unpin + Send + Sync + 'static,
+{
+    let buffer = length.unwrap_or(BUFFER_BYTES).min(BUFFER_BYTES);
+    Body::from_reader(BufReader::with_capacity(buffer, reader), length)
+}
 
 /// Reads a body of `left` more bytes and fails where it ends before.
 struct CountedReader {
@@ -42,8 +51,7 @@
         Some(length) => {
             let mime = body.mime().clone();
             let reader = CountedReader { body, left: length };
-            let reader = BufReader::with_capacity(BUFFER_BYTES, reader);
-            let mut body = Body::from_reader(reader, Some(length));
+            let mut body = buffered(reader, Some(length));
             body.set_mime(mime);
             body
         }
--- a/dahliawood-wire/src/client/mod.rs
+++ b/dahliawood-wire/src/client/mod.rs
@@ -6,9 +6,8 @@
 use async_std::future as timed;
 use error::ExchangeError;
 use futures::future::{self, Either};
-use futures::io::BufReader;
 use http_types::headers::{CONTENT_LENGTH, CONTENT_TYPE, DATE, TRANSFER_ENCODING};
-use http_types::{Body, Method, Request, Response, StatusCode};
+use http_types::{Method, Request, Response, StatusCode};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -65,6 +64,17 @@
     if !gate.is_quiet().await {
         return Err(ExchangeError::Stale);
     }
+    exchange_quiet(connection, gate, request, options, on_end).await
+}
+
+/// The same over a connection that is known to be quiet.
+pub(crate) async fn exchange_quiet<IO: stream::WireStream>(
+    connection: IO,
+    gate: gate::MessageGate<IO>,
+    request: Request,
+    options: &ExchangeOptions,
+    on_end: impl FnOnce(bool) + Send + 'static,
+) -> Result<ExchangeOutcome, ExchangeError> {
     let sent = AtomicU64::new(0);
     let method = request.method();
     let answered = run(connection, request, &gate, options, &sent);
@@ -193,9 +203,7 @@
     if head::is_bodiless(response.status(), method) {
         drop(response.take_body());
     } else if let head::BodyFrame::Length(length) = frame {
-        let reader = BufReader::with_capacity(body::BUFFER_BYTES, gate.reader());
-        let length = usize::try_from(length).ok();
-        response.set_body(Body::from_reader(reader, length));
+        response.set_body(body::buffered(gate.reader(), usize::try_from(length).ok()));
     }
     if !gate.is_typed() {
         response.remove_header(CONTENT_TYPE);
--- a/dahliawood-wire/src/gate/mod.rs
+++ b/dahliawood-wire/src/gate/mod.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 /// Bytes received ahead of the reader; more than a head or trailers may take.
-const BUFFER_BYTES: usize = 16 * 1024;
+const BUFFER_BYTES: usize = 8 * 1024;
 /// The interim answer that lets a caller send its body.
 const CONTINUE_BYTES: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
--- a/dahliawood-wire/src/pool/hedge/mod.rs
+++ b/dahliawood-wire/src/pool/hedge/mod.rs
@@ -2,7 +2,7 @@
 
 use super::error::{CheckoutSnafu, ExchangeSnafu, PooledError};
 use super::{ConnectionChoice, PooledConnection, TargetPool};
-use crate::client;
+use crate::{client, gate};
 use async_std::task;
 use futures::future::{self, Either};
 use http_types::Request;
@@ -45,7 +45,14 @@
             guard,
         } = connection.context(CheckoutSnafu)?;
         let finish = move |reusable| guard.finish(reusable);
-        let first_try = Box::pin(client::exchange(stream, request(), options, finish));
+        let gate = gate::MessageGate::new(stream.clone(), options.stall_timeout);
+        let first_try = Box::pin(client::exchange_quiet(
+            stream,
+            gate,
+            request(),
+            options,
+            finish,
+        ));
         if !reused {
             return first_try.await.context(ExchangeSnafu);
         }
--- a/dahliawood-wire/src/pool/mod.rs
+++ b/dahliawood-wire/src/pool/mod.rs
@@ -7,7 +7,7 @@
 pub mod error;
 pub mod hedge;
 
-use crate::client;
+use crate::{client, gate};
 use async_std::future as timed;
 use async_std::net::TcpStream;
 use dahliawood_model::FastMap;
@@ -221,7 +221,8 @@
             guard,
         } = connection;
         let finish = move |reusable| guard.finish(reusable);
-        let exchanged = client::exchange(stream, request, options, finish).await;
+        let gate = gate::MessageGate::new(stream.clone(), options.stall_timeout);
+        let exchanged = client::exchange_quiet(stream, gate, request, options, finish).await;
         if let Err(error) = &exchanged
             && reused
             && error.is_silence()
--- a/dahliawood-wire/src/server/mod.rs
+++ b/dahliawood-wire/src/server/mod.rs
@@ -5,13 +5,15 @@
 
 use crate::{body, gate, head, stream};
 use async_std::future as timed;
+use async_std::task;
 use error::{ConnectionError, ReceiveSnafu};
 use futures::future::{self, Either};
-use futures::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use futures::io::{AsyncReadExt, AsyncWriteExt};
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http_types::{Body, Method, Request, Response, StatusCode};
 use snafu::ResultExt;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
 
@@ -113,6 +115,7 @@
         options,
         served: 0,
         written: AtomicU64::new(0),
+        tick: tick(options),
     };
     loop {
         let step = caller.serve_one(&closing, &handler).await;
@@ -140,6 +143,16 @@
     served: u64,
     /// Bytes of the answer at hand that the caller may have.
     written: AtomicU64,
+    /// Outlives requests, for arming a timer costs a wake-up of the runtime's reactor.
+    tick: Pin<Box<dyn Future<Output = ()> + Send>>,
+}
+
+/// When the connection next looks at what it waits for.
+fn tick(options: &ConnectionOptions) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+    let span = CLOSING_POLL
+        .min(options.head_timeout)
+        .min(options.keep_alive);
+    Box::pin(task::sleep(span))
 }
 
 impl<IO: stream::WireStream> CallerConnection<'_, IO> {
@@ -182,41 +195,41 @@
     ) -> Result<Result<gate::HeadArrival, Step>, ConnectionError> {
         let idle = Instant::now();
         let mut begun = self.gate.has_received().then_some(idle);
+        let gate = self.gate.clone();
+        let mut next = Box::pin(gate.next_head(self.options.head_bound));
         loop {
-            let next = self.gate.next_head(self.options.head_bound);
-            if let Ok(arrival) =
-                timed::timeout(CLOSING_POLL.min(self.wait_left(begun, idle)), next).await
-            {
-                return arrival.context(ReceiveSnafu).map(Ok);
+            match future::select(next, &mut self.tick).await {
+                Either::Left((arrival, _)) => return arrival.context(ReceiveSnafu).map(Ok),
+                Either::Right(((), waiting)) => next = waiting,
             }
+            self.tick = tick(self.options);
             if begun.is_none() && self.gate.has_received() {
                 begun = Some(Instant::now());
             }
-            let limit = match begun {
-                Some(_) => self.options.head_timeout,
-                None if closing() => self.options.closing_keep_alive.min(self.options.keep_alive),
-                None => self.options.keep_alive,
-            };
-            if begun.unwrap_or(idle).elapsed() < limit {
-                continue;
+            if begun.unwrap_or(idle).elapsed() >= self.patience(begun.is_some(), closing()) {
+                return self.give_up(begun.is_some(), closing()).await.map(Err);
             }
-            return Ok(Err(match begun {
-                Some(_) => {
-                    self.refuse(StatusCode::RequestTimeout, "the head took too long")
-                        .await?
-                }
-                None if closing() => Step::End(ConnectionEnd::Closed),
-                None => Step::End(ConnectionEnd::Idle),
-            }));
         }
     }
 
-    fn wait_left(&self, begun: Option<Instant>, idle: Instant) -> Duration {
-        let limit = match begun {
-            Some(begun) => self.options.head_timeout.saturating_sub(begun.elapsed()),
-            None => self.options.keep_alive.saturating_sub(idle.elapsed()),
-        };
-        limit.max(Duration::from_millis(1))
+    /// How long a head may be waited for.
+    fn patience(&self, begun: bool, closing: bool) -> Duration {
+        match (begun, closing) {
+            (true, _) => self.options.head_timeout,
+            (false, true) => self.options.closing_keep_alive.min(self.options.keep_alive),
+            (false, false) => self.options.keep_alive,
+        }
+    }
+
+    async fn give_up(&mut self, begun: bool, closing: bool) -> Result<Step, ConnectionError> {
+        match (begun, closing) {
+            (true, _) => {
+                let status = StatusCode::RequestTimeout;
+                self.refuse(status, "the head took too long").await
+            }
+            (false, true) => Ok(Step::End(ConnectionEnd::Closed)),
+            (false, false) => Ok(Step::End(ConnectionEnd::Idle)),
+        }
     }
 
     async fn decode(&mut self) -> Result<Request, head::error::HeadError> {
@@ -228,8 +241,8 @@
         let frame = head::request_frame(&request)?;
         self.gate.begin_body(frame, None);
         if let head::BodyFrame::Length(length) = frame {
-            let reader = BufReader::with_capacity(body::BUFFER_BYTES, self.gate.reader());
-            request.set_body(Body::from_reader(reader, usize::try_from(length).ok()));
+            let length = usize::try_from(length).ok();
+            request.set_body(body::buffered(self.gate.reader(), length));
         }
         if !self.gate.is_typed() {
             request.remove_header(CONTENT_TYPE);
@@ -276,7 +289,7 @@
     }
 
     /// The handler's answer, or `None` where the caller left first and the handler was dropped.
-    async fn handle<H, F>(&self, request: Request, handler: &H) -> Option<Response>
+    async fn handle<H, F>(&mut self, request: Request, handler: &H) -> Option<Response>
     where
         H: Fn(Request) -> F,
         F: Future<Output = Response> + Send,
--- a/dahliawood-wire/src/stream/mod.rs
+++ b/dahliawood-wire/src/stream/mod.rs
@@ -9,7 +9,9 @@
 use std::task::Poll;
 use std::time::Duration;
 
-/// Bytes encoded before they are written.
+/// Bytes encoded before the first write: a head and a small body.
+const FIRST_BATCH_BYTES: usize = 4 * 1024;
+/// Bytes encoded before each later write, so that a large body takes few of them.
 const BATCH_BYTES: usize = 64 * 1024;
 /// Room that the chunk encoder of async-h1 is always given, bytes.
 const LEAST_ROOM: usize = 256;
@@ -54,7 +56,7 @@
     M: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
 {
-    let mut batch = vec![0; BATCH_BYTES];
+    let mut batch = vec![0; FIRST_BATCH_BYTES];
     loop {
         let filled = fill(message, &mut batch)
             .await
@@ -65,6 +67,9 @@
         write_counted(output, &batch[..filled], stall, written)
             .await
             .map_err(|source| TransferError::Accept { source })?;
+        if filled + LEAST_ROOM > batch.len() {
+            batch.resize(BATCH_BYTES, 0);
+        }
     }
     output
         .flush()
