feat(peer): leases of whole shares in the schema; the generator is a package of its own

Cause: the allowance book gained four messages, and the generator, an example of the package that it generates for, could not be built without them. Change: the messages are in the schema; dahliawood-codegen holds the generator. Conclusion: the schema can be changed without a detour.

--- a/dahliawood-cli/tests/cli/processes.rs
+++ b/dahliawood-cli/tests/cli/processes.rs
@@ -56,8 +56,8 @@
 }
 
 /// Starts a program and reads the addresses of its first `lines` lines.
-fn start(program: PathBuf, args: &[String], lines: usize) -> TestProcess {
-    let mut child = Command::new(&program)
+fn start(program: &std::path::Path, args: &[String], lines: usize) -> TestProcess {
+    let mut child = Command::new(program)
         .args(args)
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
@@ -81,14 +81,14 @@
 
 /// The platform's stand-in.
 pub fn platform() -> TestProcess {
-    start(build_folder().join("examples/platform"), &[], 1)
+    start(&build_folder().join("examples/platform"), &[], 1)
 }
 
 /// Stand-ins of `count` targets.
 pub fn targets(count: usize, delay_ms: u64) -> TestProcess {
     let mut args = vec!["--delay-ms".to_owned(), delay_ms.to_string()];
     args.extend(std::iter::repeat_n("127.0.0.1:0".to_owned(), count));
-    start(build_folder().join("examples/target"), &args, count)
+    start(&build_folder().join("examples/target"), &args, count)
 }
 
 /// Where the two services of the platform are.
@@ -114,7 +114,7 @@
     ] {
         args.extend([flag.to_owned(), value.to_owned()]);
     }
-    let daemon = start(build_folder().join("dahliawoodd"), &args, 1);
+    let daemon = start(&build_folder().join("dahliawoodd"), &args, 1);
     let entry = format!(
         r#"{{"name":"{name}","http":"{}","peer":"{}","domain":"{domain}"}}"#,
         daemon.addresses[0], daemon.addresses[1]
--- a/dahliawood-peer/examples/generate.rs
+++ b/dahliawood-codegen/examples/generate.rs
@@ -1,7 +1,7 @@
 //! Writes the generated code anew from the schema; needs the `capnp` compiler, which a build doesn't.
 
 fn main() {
-    let home = env!("CARGO_MANIFEST_DIR");
+    let home = concat!(env!("CARGO_MANIFEST_DIR"), "/../dahliawood-peer");
     capnpc::CompilerCommand::new()
         .src_prefix(format!("{home}/schema"))
         .file(format!("{home}/schema/peer.capnp"))
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -67,6 +67,29 @@
       subject @16 :HolderId;
       silentFor @17 :UInt64;
     }
+    leaseAsk :group {
+      tag @18 :UInt64;
+      serial @19 :UInt64;
+      ask @20 :UInt64;
+    }
+    leaseGrant :group {
+      tag @21 :UInt64;
+      serial @22 :UInt64;
+      ask @23 :UInt64;
+      rate @24 :UInt64;
+      burst @25 :UInt64;
+      tokens @26 :UInt64;
+    }
+    leaseReturn :group {
+      tag @27 :UInt64;
+      serial @28 :UInt64;
+      rate @29 :UInt64;
+      burst @30 :UInt64;
+      tokens @31 :UInt64;
+    }
+    leaseRecall :group {
+      tag @32 :UInt64;
+    }
   }
 }
 
--- a/dahliawood-peer/src/allowance/mod.rs
+++ b/dahliawood-peer/src/allowance/mod.rs
@@ -83,6 +83,32 @@
                 write_holder(subject, group.init_subject());
             }
         }
+        message::QuotaMessage::LeaseAsk(ask) => {
+            let mut group = builder.init_lease_ask();
+            group.set_tag(ask.tag.0);
+            group.set_serial(ask.serial.0);
+            group.set_ask(ask.ask);
+        }
+        message::QuotaMessage::LeaseGrant(grant) => {
+            let mut group = builder.init_lease_grant();
+            group.set_tag(grant.tag.0);
+            group.set_serial(grant.serial.0);
+            group.set_ask(grant.ask);
+            group.set_rate(grant.rate.micros_per_second);
+            group.set_burst(grant.burst.micros);
+            group.set_tokens(grant.tokens.micros);
+        }
+        message::QuotaMessage::LeaseReturn(lease) => {
+            let mut group = builder.init_lease_return();
+            group.set_tag(lease.tag.0);
+            group.set_serial(lease.serial.0);
+            group.set_rate(lease.rate.micros_per_second);
+            group.set_burst(lease.burst.micros);
+            group.set_tokens(lease.tokens.micros);
+        }
+        message::QuotaMessage::LeaseRecall(recall) => {
+            builder.init_lease_recall().set_tag(recall.tag.0);
+        }
     }
 }
 
@@ -116,6 +142,34 @@
             subject: read_subject(group.has_subject(), group.get_subject())?,
             silent_for: Duration::from_micros(group.get_silent_for()),
         }),
+        quota_message::LeaseAsk(group) => message::QuotaMessage::LeaseAsk(message::LeaseAsk {
+            tag: limit::LimitTag(group.get_tag()),
+            serial: message::LoanSerial(group.get_serial()),
+            ask: group.get_ask(),
+        }),
+        quota_message::LeaseGrant(group) => {
+            message::QuotaMessage::LeaseGrant(message::LeaseGrant {
+                tag: limit::LimitTag(group.get_tag()),
+                serial: message::LoanSerial(group.get_serial()),
+                ask: group.get_ask(),
+                rate: amount::TokenRate::from_micros(group.get_rate()),
+                burst: amount::TokenAmount::from_micros(group.get_burst()),
+                tokens: amount::TokenAmount::from_micros(group.get_tokens()),
+            })
+        }
+        quota_message::LeaseReturn(group) => {
+            message::QuotaMessage::LeaseReturn(message::LeaseReturn {
+                tag: limit::LimitTag(group.get_tag()),
+                serial: message::LoanSerial(group.get_serial()),
+                rate: amount::TokenRate::from_micros(group.get_rate()),
+                burst: amount::TokenAmount::from_micros(group.get_burst()),
+                tokens: amount::TokenAmount::from_micros(group.get_tokens()),
+            })
+        }
+        quota_message::LeaseRecall(group) => {
+            let tag = limit::LimitTag(group.get_tag());
+            message::QuotaMessage::LeaseRecall(message::LeaseRecall { tag })
+        }
     })
 }
 
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -3,8 +3,8 @@
 //! Each measurement prints one line a figure, `figure value unit target`; the program exits
 //! non-zero where a stated target is missed.
 
-mod quota;
 mod lookup;
+mod quota;
 mod steer;
 
 use bpaf::Bpaf;
@@ -27,8 +27,11 @@
 type MeasureEntry = (&'static str, fn(u64, &mut figures::FigureReport));
 
 /// All measurements, one line each.
-const MEASUREMENTS: &[MeasureEntry] = &[("quota", quota::measure)];
-const MEASUREMENTS: &[MeasureEntry] = &[("lookup", lookup::run), ("steer", steer::run)];
+const MEASUREMENTS: &[MeasureEntry] = &[
+    ("lookup", lookup::run),
+    ("quota", quota::measure),
+    ("steer", steer::run),
+];
 
 fn main() {
     let args = measure_args().run();
