--- a/dahliawood-quota/src/book/mod.rs
+++ b/dahliawood-quota/src/book/mod.rs
@@ -173,6 +173,17 @@
         self.states[limit.index()].bucket()
     }
 
+    /// What this VM could take of a limit at once, out of its shares and its loans.
+    pub fn available(
+        &mut self,
+        limit: limit::LimitKey,
+        now: stamp::TimeStamp,
+    ) -> amount::TokenAmount {
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
+        self.states[limit.index()].available(context)
+    }
+
     fn shared(&mut self, now: stamp::TimeStamp) -> SharedState {
         let is_active = self.is_active(now);
         let me = self.holder.me();
--- /dev/null
+++ b/dahliawood-wire/tests/main/main.rs
@@ -0,0 +1,8 @@
+//! Tests of connections, exchanges, pools and headers.
+
+mod endings;
+mod headers;
+mod loopback;
+mod relay;
+#[path = "../support/mod.rs"]
+mod support;
