fix(store): know of a write that a restored store forgot by the lines of the VMs

Histories that restore the store in the middle of an apply whose accepting write was not answered showed a file in force that the operator was told was not applied. A VM's line now names the last revisions that it had in force, a VM that sees the store go back writes its line anew, and a write that was to accept is not called gone before VMs had time for that.

--- a/dahliawood-store/src/acceptance/drive/mod.rs
+++ b/dahliawood-store/src/acceptance/drive/mod.rs
@@ -15,6 +15,9 @@
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
 
+/// Within this time VMs notice a restored store and write their lines.
+const NOTICE_WITHIN: Duration = Duration::from_secs(1);
+
 /// How much longer the time between two looks gets with each required VM.
 const POLL_PER_VM: Duration = Duration::from_millis(1);
 
@@ -84,8 +87,11 @@
     seen_version: u64,
     /// Whether the store went back to an older state while this ran.
     is_restored: bool,
+    /// Whether a write that accepts was sent and not answered.
+    is_accept_unsure: bool,
     look: StoreLook,
     failures: u32,
+    failed_effect: WriteEffect,
     last_error: Option<String>,
 }
 
@@ -100,8 +106,10 @@
             keeps_proposal: false,
             seen_version: 0,
             is_restored: false,
+            is_accept_unsure: false,
             look: StoreLook::default(),
             failures: 0,
+            failed_effect: WriteEffect::None,
             last_error: None,
         }
     }
@@ -140,6 +148,7 @@
                     if self.write_own(&head).await {
                         return ApplyStep::Accepted(stamp);
                     }
+                    self.is_accept_unsure |= self.failed_effect == WriteEffect::Possible;
                 }
                 end => return end,
             }
@@ -160,6 +169,13 @@
             match self.prove() {
                 WriteProof::Accepted(stamp) => return self.applied(&stamp).await,
                 WriteProof::Gone if self.is_restored => return self.unknown(),
+                WriteProof::Gone if self.is_accept_unsure => {
+                    // VMs may have it in force and the store may have been restored since: they
+                    // write their lines anew as soon as they notice.
+                    self.is_accept_unsure = false;
+                    (self.options.time.sleep)(NOTICE_WITHIN).await;
+                    true
+                }
                 WriteProof::Gone => return ApplyOutcome::NotApplied { why },
                 WriteProof::Forgotten => return self.unknown(),
                 WriteProof::Proposed(_) if self.keeps_proposal => return self.unknown(),
@@ -244,9 +260,10 @@
         let before = self.expected;
         self.expected = before.max(Some(self.look.version));
         let result = self.put_head(head).await;
-        if let Err(error) = &result
-            && error.effect() == WriteEffect::None
-        {
+        self.failed_effect = result
+            .as_ref()
+            .map_or_else(StoreError::effect, |_| WriteEffect::None);
+        if result.is_err() && self.failed_effect == WriteEffect::None {
             self.expected = before;
         }
         self.written(result).await
--- a/dahliawood-store/src/acceptance/judge/mod.rs
+++ b/dahliawood-store/src/acceptance/judge/mod.rs
@@ -67,11 +67,11 @@
     in_force.chain(head.accepted()).max()
 }
 
-/// The revision that a write brought, where a VM has it in force.
+/// The revision that a write brought, where a VM has or had it in force.
 pub fn in_force_by<'a>(write_id: &WriteId, lines: &'a [StatusLine]) -> Option<&'a RevisionStamp> {
     lines
         .iter()
-        .filter_map(|line| line.in_force.as_ref())
+        .flat_map(|line| line.in_force.iter().chain(&line.past))
         .find(|stamp| stamp.write_id == *write_id)
 }
 
--- a/dahliawood-store/src/revision/follow/mod.rs
+++ b/dahliawood-store/src/revision/follow/mod.rs
@@ -160,7 +160,9 @@
             self.options.keeper.propose(stamp);
         }
         if is_backward {
-            // A stale read; the next may come at once and be as stale.
+            // A restored store has lost the line of this VM too. Where it is a stale read, the next
+            // may come at once and be as stale.
+            self.written = None;
             self.rest().await;
         }
     }
--- a/dahliawood-store/src/revision/keeper/mod.rs
+++ b/dahliawood-store/src/revision/keeper/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::content::{self, ContentError, ContentHash};
 use crate::head::{HeadDocument, RevisionStamp};
-use crate::status::{RefusalCause, RevisionRefusal, StatusLine};
+use crate::status::{PAST_LIMIT, RefusalCause, RevisionRefusal, StatusLine};
 use std::sync::Arc;
 
 /// Where a VM learned of a revision.
@@ -64,6 +64,7 @@
     incarnation: u64,
     serial: u64,
     in_force: Option<ForceRecord>,
+    past: Vec<RevisionStamp>,
     accepted: Option<(RevisionStamp, RevisionSource)>,
     proposed: Option<RevisionStamp>,
     staged: Option<(RevisionStamp, Arc<str>)>,
@@ -79,6 +80,7 @@
             incarnation,
             serial: 0,
             in_force: None,
+            past: Vec::new(),
             accepted: None,
             proposed: None,
             staged: None,
@@ -214,6 +216,7 @@
             incarnation: self.incarnation,
             serial: self.serial,
             in_force: self.in_force.as_ref().map(|record| record.stamp.clone()),
+            past: self.past.clone(),
             staged: self.staged.as_ref().map(|(stamp, _)| stamp.clone()),
             refused: self.refused.clone(),
             highest: self.highest(),
@@ -238,11 +241,15 @@
         let Some(text) = self.file(&stamp.hash).filter(|_| !is_in_force) else {
             return false;
         };
-        self.in_force = Some(ForceRecord {
+        let record = ForceRecord {
             stamp,
             text,
             source,
-        });
+        };
+        if let Some(before) = self.in_force.replace(record) {
+            self.past.insert(0, before.stamp);
+            self.past.truncate(PAST_LIMIT);
+        }
         true
     }
 
--- a/dahliawood-store/src/status/mod.rs
+++ b/dahliawood-store/src/status/mod.rs
@@ -10,6 +10,9 @@
 /// Prefix of the keys of all [`StatusLine`]s; the VM's name follows.
 pub const STATUS_PREFIX: &str = "dahliawood/status/";
 
+/// How many earlier revisions a line names, so that a write that a restored store forgot is known.
+pub const PAST_LIMIT: usize = 4;
+
 /// Why a VM does not hold a proposed revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 #[serde(rename_all = "kebab-case")]
@@ -48,6 +51,9 @@
     pub serial: u64,
     /// The revision in force.
     pub in_force: Option<RevisionStamp>,
+    /// Revisions that were in force before, newest first, at most [`PAST_LIMIT`].
+    #[serde(default)]
+    pub past: Vec<RevisionStamp>,
     /// The last proposed revision that it holds whole and understands.
     pub staged: Option<RevisionStamp>,
     /// The last proposed revision that it refused.
