fix(store): tell a restored store by the marks in the head

A write whose accepting call got no answer, in a store restored right after, was called not applied although one VM had had it in force before it died. The head now carries random marks of its last writes; where the mark of the head that was swapped is missing, the outcome is unknown. A line is also written anew while a proposal stays open, since a restored store may have lost it.

--- a/dahliawood-store/src/acceptance/drive/mod.rs
+++ b/dahliawood-store/src/acceptance/drive/mod.rs
@@ -3,14 +3,14 @@
 //! A write whose reply is lost is settled by the next look, since the head shows the write id.
 
 use super::error::ApplyError;
-use super::judge::{self, WriteProof};
+use super::judge::{self, WriteProof, WriteRecord};
 use super::step::{ApplyRun, ApplyStep, StoreLook};
 use super::{AcceptOptions, ApplyOptions, ApplyOutcome, ForceReport};
 use crate::backoff::RetryPlan;
 use crate::client::error::{StoreError, WriteEffect};
 use crate::client::{PutCall, StoreClient};
 use crate::content::{self, ContentHash, transfer};
-use crate::head::{HEAD_KEY, HeadDocument, RevisionStamp, WriteId};
+use crate::head::{HEAD_KEY, HeadDocument, RevisionStamp, WriteId, WriteMark};
 use crate::status::{self, STATUS_PREFIX};
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
@@ -48,8 +48,8 @@
 ) -> ApplyOutcome {
     let run = ApplyRun::new(write_id.clone(), None, None, options.takeover_after);
     let mut driver = ApplyDriver::new(client, options, run);
-    driver.expected = driver.read_version().await;
-    if driver.expected.is_none() {
+    driver.record.expected = driver.read_version().await;
+    if driver.record.expected.is_none() {
         return driver.unknown();
     }
     driver.run().await
@@ -67,8 +67,8 @@
     let run = ApplyRun::new(write_id.clone(), None, None, options.takeover_after);
     let mut driver = ApplyDriver::new(client, options, run);
     driver.keeps_proposal = true;
-    driver.expected = driver.read_version().await;
-    if driver.expected.is_none() {
+    driver.record.expected = driver.read_version().await;
+    if driver.record.expected.is_none() {
         return driver.unknown();
     }
     let revision = 0;
@@ -80,15 +80,9 @@
     options: &'a AcceptOptions,
     run: ApplyRun,
     text: Option<&'a str>,
-    /// The highest version that a write with this run's proposal expected.
-    expected: Option<u64>,
+    record: WriteRecord,
     keeps_proposal: bool,
-    /// The highest version of the head that was seen.
-    seen_version: u64,
-    /// Whether the store went back to an older state while this ran.
-    is_restored: bool,
-    /// Whether a write that accepts was sent and not answered.
-    is_accept_unsure: bool,
+    has_waited: bool,
     look: StoreLook,
     failures: u32,
     failed_effect: WriteEffect,
@@ -102,11 +96,9 @@
             options,
             run,
             text: None,
-            expected: None,
+            record: WriteRecord::default(),
             keeps_proposal: false,
-            seen_version: 0,
-            is_restored: false,
-            is_accept_unsure: false,
+            has_waited: false,
             look: StoreLook::default(),
             failures: 0,
             failed_effect: WriteEffect::None,
@@ -139,7 +131,8 @@
                 continue;
             }
             let now = self.now();
-            match self.run.step(&self.look, now) {
+            let mark = self.mark();
+            match self.run.step(&self.look, now, mark) {
                 ApplyStep::Wait => self.pause().await,
                 ApplyStep::Propose(head) => {
                     self.write_own(&head).await;
@@ -148,7 +141,9 @@
                     if self.write_own(&head).await {
                         return ApplyStep::Accepted(stamp);
                     }
-                    self.is_accept_unsure |= self.failed_effect == WriteEffect::Possible;
+                    if self.failed_effect == WriteEffect::Possible {
+                        self.record.unsure.extend(self.look.head.trail.first());
+                    }
                 }
                 end => return end,
             }
@@ -158,7 +153,7 @@
 
     /// Finds out whether a write that is given up has had or can still have an effect.
     async fn settle(&mut self, why: ApplyError) -> ApplyOutcome {
-        if self.expected.is_none() {
+        if self.record.expected.is_none() {
             return ApplyOutcome::NotApplied { why };
         }
         let ends_at = self.now().after(self.options.settle_within);
@@ -168,11 +163,10 @@
             }
             match self.prove() {
                 WriteProof::Accepted(stamp) => return self.applied(&stamp).await,
-                WriteProof::Gone if self.is_restored => return self.unknown(),
-                WriteProof::Gone if self.is_accept_unsure => {
+                WriteProof::Gone if !self.record.unsure.is_empty() && !self.has_waited => {
                     // VMs may have it in force and the store may have been restored since: they
                     // write their lines anew as soon as they notice.
-                    self.is_accept_unsure = false;
+                    self.has_waited = true;
                     (self.options.time.sleep)(NOTICE_WITHIN).await;
                     true
                 }
@@ -180,7 +174,8 @@
                 WriteProof::Forgotten => return self.unknown(),
                 WriteProof::Proposed(_) if self.keeps_proposal => return self.unknown(),
                 WriteProof::Proposed(_) => {
-                    self.write_head(&self.look.head.with_proposal(None)).await
+                    self.write_head(&self.look.head.with_proposal(None, self.mark()))
+                        .await
                 }
                 WriteProof::Pending => self.write_head(&self.renewed_head()).await,
             };
@@ -220,27 +215,28 @@
 
     async fn put_back(&mut self, stamp: &RevisionStamp) {
         if self.text.is_none() || self.upload().await {
-            self.write_head(&self.look.head.with_accepted(stamp)).await;
+            self.write_head(&self.look.head.with_accepted(stamp, self.mark()))
+                .await;
         }
     }
 
-    fn prove(&self) -> WriteProof {
+    fn prove(&mut self) -> WriteProof {
         if let Some(stamp) = judge::in_force_by(&self.run.write_id, &self.look.lines) {
             return WriteProof::Accepted(stamp.clone());
         }
+        self.record.revision = self.run.revision;
         judge::prove(
             &self.look.head,
             self.look.version,
             &self.run.write_id,
-            self.run.revision,
-            self.expected,
+            &self.record,
         )
     }
 
     fn renewed_head(&self) -> HeadDocument {
         self.look
             .head
-            .with_proposal(self.look.head.proposal.clone())
+            .with_proposal(self.look.head.proposal.clone(), self.mark())
     }
 
     fn unknown(&self) -> ApplyOutcome {
@@ -257,34 +253,20 @@
 
     /// Writes a head that carries this run's proposal.
     async fn write_own(&mut self, head: &HeadDocument) -> bool {
-        let before = self.expected;
-        self.expected = before.max(Some(self.look.version));
+        let before = self.record.expected;
+        self.record.expected = before.max(Some(self.look.version));
         let result = self.put_head(head).await;
         self.failed_effect = result
             .as_ref()
             .map_or_else(StoreError::effect, |_| WriteEffect::None);
         if result.is_err() && self.failed_effect == WriteEffect::None {
-            self.expected = before;
+            self.record.expected = before;
         }
-        self.written(result).await
+        self.noted(result).await.is_some()
     }
 
     async fn write_head(&mut self, head: &HeadDocument) -> bool {
         let result = self.put_head(head).await;
-        self.written(result).await
-    }
-
-    /// Notes the version that the store gave a head, or found in place of the expected one.
-    async fn written(&mut self, result: Result<u64, StoreError>) -> bool {
-        let version = match &result {
-            Ok(version) | Err(StoreError::Conflict { found: version }) => Some(*version),
-            Err(_) => None,
-        };
-        if let Some(version) = version {
-            // Writes are never stale, so a version that went down means a restored store.
-            self.is_restored |= version < self.seen_version;
-            self.seen_version = self.seen_version.max(version);
-        }
         self.noted(result).await.is_some()
     }
 
@@ -326,7 +308,6 @@
         };
         self.look.head = head;
         self.look.version = version;
-        self.seen_version = self.seen_version.max(version);
         true
     }
 
@@ -365,6 +346,10 @@
         (self.options.time.sleep)(poll).await;
     }
 
+    fn mark(&self) -> WriteMark {
+        WriteMark::drawn((self.options.time.jitter)())
+    }
+
     fn now(&self) -> TimeStamp {
         (self.options.time.now)()
     }
--- a/dahliawood-store/src/acceptance/judge/mod.rs
+++ b/dahliawood-store/src/acceptance/judge/mod.rs
@@ -2,7 +2,7 @@
 
 use super::ForceReport;
 use super::error::VmRefusal;
-use crate::head::{HeadDocument, RevisionStamp, WriteId, WriteTrace};
+use crate::head::{HeadDocument, RevisionStamp, WriteId, WriteMark, WriteTrace};
 use crate::status::{RefusalCause, RequiredVm, StatusLine};
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
@@ -97,21 +97,36 @@
     Forgotten,
 }
 
+/// What a write has sent to the head so far.
+#[derive(Clone, Debug, Default)]
+pub struct WriteRecord {
+    /// The number last proposed, zero for none or not known.
+    pub revision: u64,
+    /// The highest version that a compare-and-swap with this write's proposal expected.
+    pub expected: Option<u64>,
+    /// Marks of the heads that an accepting write was sent on without an answer.
+    pub unsure: Vec<WriteMark>,
+}
+
 /// Judges a write by a head of version `version`.
 ///
-/// A stale read is no danger: whatever state it shows came after all versions below its own.
+/// A stale read is no danger: whatever state it shows came after all versions below its own. A
+/// restored store is one: it may have lost an acceptance that VMs saw. Then the head of that
+/// moment is missing from the trail too.
 pub fn prove(
     head: &HeadDocument,
     version: u64,
     write_id: &WriteId,
-    revision: u64,
-    expected: Option<u64>,
+    record: &WriteRecord,
 ) -> WriteProof {
+    let is_lost = |mark: &WriteMark| !head.trail.contains(mark);
+    let is_forgotten =
+        || head.may_have_forgotten(record.revision) || record.unsure.iter().any(is_lost);
     match head.trace(write_id) {
         WriteTrace::Accepted(stamp) => WriteProof::Accepted(stamp),
         WriteTrace::Proposed(stamp) => WriteProof::Proposed(stamp),
-        WriteTrace::Absent if head.may_have_forgotten(revision) => WriteProof::Forgotten,
-        WriteTrace::Absent if expected.is_none_or(|expected| version > expected) => {
+        WriteTrace::Absent if is_forgotten() => WriteProof::Forgotten,
+        WriteTrace::Absent if record.expected.is_none_or(|expected| version > expected) => {
             WriteProof::Gone
         }
         WriteTrace::Absent => WriteProof::Pending,
--- a/dahliawood-store/src/acceptance/step/mod.rs
+++ b/dahliawood-store/src/acceptance/step/mod.rs
@@ -3,7 +3,7 @@
 use super::error::{self, ApplyError};
 use super::judge::{self, ProposalTimer, StageVerdict};
 use crate::content::ContentHash;
-use crate::head::{HeadDocument, RevisionStamp, WriteId, WriteTrace};
+use crate::head::{HeadDocument, RevisionStamp, WriteId, WriteMark, WriteTrace};
 use crate::status::{RequiredVm, StatusLine};
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
@@ -77,24 +77,24 @@
         }
     }
 
-    /// Decides the next step.
-    pub fn step(&mut self, look: &StoreLook, now: TimeStamp) -> ApplyStep {
+    /// Decides the next step; `mark` is left in the head where that is to be written.
+    pub fn step(&mut self, look: &StoreLook, now: TimeStamp, mark: WriteMark) -> ApplyStep {
         // A restored store may have lost what VMs already have in force.
         if let Some(stamp) = judge::in_force_by(&self.write_id, &look.lines) {
             return ApplyStep::Accepted(stamp.clone());
         }
         match look.head.trace(&self.write_id) {
             WriteTrace::Accepted(stamp) => ApplyStep::Accepted(stamp),
-            WriteTrace::Proposed(stamp) => self.stage(look, &stamp),
-            WriteTrace::Absent => self.start(look, now),
+            WriteTrace::Proposed(stamp) => self.stage(look, &stamp, mark),
+            WriteTrace::Absent => self.start(look, now, mark),
         }
     }
 
-    fn stage(&mut self, look: &StoreLook, stamp: &RevisionStamp) -> ApplyStep {
+    fn stage(&mut self, look: &StoreLook, stamp: &RevisionStamp, mark: WriteMark) -> ApplyStep {
         self.revision = stamp.revision;
         match judge::stage(stamp, &look.required, &look.lines) {
             StageVerdict::Complete => {
-                ApplyStep::Accept(look.head.with_accepted(stamp), stamp.clone())
+                ApplyStep::Accept(look.head.with_accepted(stamp, mark), stamp.clone())
             }
             StageVerdict::Waiting(vms) => {
                 self.waiting = vms;
@@ -102,13 +102,13 @@
             }
             StageVerdict::Behind(highest) => {
                 self.above = self.above.max(highest);
-                self.propose(look, stamp.hash.clone())
+                self.propose(look, stamp.hash.clone(), mark)
             }
             StageVerdict::Refused(refusals) => ApplyStep::Fail(ApplyError::Refused { refusals }),
         }
     }
 
-    fn start(&mut self, look: &StoreLook, now: TimeStamp) -> ApplyStep {
+    fn start(&mut self, look: &StoreLook, now: TimeStamp, mark: WriteMark) -> ApplyStep {
         let current = judge::current(&look.head, &look.lines);
         let found = current.map_or(0, |stamp| stamp.revision);
         let Some(hash) = self.hash.clone() else {
@@ -125,7 +125,7 @@
         if self.must_wait(look, now) {
             return ApplyStep::Wait;
         }
-        self.propose(look, hash)
+        self.propose(look, hash, mark)
     }
 
     fn must_wait(&mut self, look: &StoreLook, now: TimeStamp) -> bool {
@@ -135,7 +135,7 @@
         !self.timer.is_abandoned(other, self.takeover_after, now)
     }
 
-    fn propose(&mut self, look: &StoreLook, hash: ContentHash) -> ApplyStep {
+    fn propose(&mut self, look: &StoreLook, hash: ContentHash, mark: WriteMark) -> ApplyStep {
         let revision = judge::next_revision(&look.head, &look.lines, self.above);
         self.revision = revision;
         let stamp = RevisionStamp {
@@ -143,7 +143,7 @@
             write_id: self.write_id.clone(),
             hash,
         };
-        ApplyStep::Propose(look.head.with_proposal(Some(stamp)))
+        ApplyStep::Propose(look.head.with_proposal(Some(stamp), mark))
     }
 
     /// Why the write is given up when its time is over.
--- a/dahliawood-store/src/head/mod.rs
+++ b/dahliawood-store/src/head/mod.rs
@@ -3,6 +3,7 @@
 use crate::content::ContentHash;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use std::iter;
 
 /// Key of the [`HeadDocument`].
 pub const HEAD_KEY: &str = "dahliawood/head";
@@ -10,6 +11,9 @@
 /// How many accepted revisions a head remembers the write ids of.
 pub const RECENT_LIMIT: usize = 32;
 
+/// How many marks of its last writes a head holds.
+pub const TRAIL_LIMIT: usize = 32;
+
 /// Names one `apply`, so that what became of it can be asked.
 #[derive(
     Clone,
@@ -35,6 +39,18 @@
     }
 }
 
+/// A random number that one write leaves in the head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
+#[serde(transparent)]
+pub struct WriteMark(u32);
+
+impl WriteMark {
+    /// The mark of a number drawn evenly from `0.0..1.0`.
+    pub fn drawn(draw: f64) -> Self {
+        Self((draw * f64::from(u32::MAX)) as u32)
+    }
+}
+
 /// Names a revision; ordered by its number first.
 ///
 /// Two stamps share a number only where a store was restored after all VMs that knew the higher
@@ -67,8 +83,9 @@
     pub recent: Vec<RevisionStamp>,
     /// The revision that VMs are asked to hold.
     pub proposal: Option<RevisionStamp>,
-    /// Number of the writes of this document, so that no two values are the same.
-    pub writes: u64,
+    /// Marks of the last writes of this document, newest first, at most [`TRAIL_LIMIT`]. A mark
+    /// that is not there was written in a state that a restored store has lost, or long ago.
+    pub trail: Vec<WriteMark>,
 }
 
 impl HeadDocument {
@@ -122,17 +139,17 @@
 
     /// This head with another proposal.
     #[must_use]
-    pub fn with_proposal(&self, proposal: Option<RevisionStamp>) -> Self {
+    pub fn with_proposal(&self, proposal: Option<RevisionStamp>, mark: WriteMark) -> Self {
         Self {
             recent: self.recent.clone(),
             proposal,
-            writes: self.writes + 1,
+            trail: self.trail_with(mark),
         }
     }
 
     /// This head with `stamp` accepted; a proposal that it overtakes is dropped.
     #[must_use]
-    pub fn with_accepted(&self, stamp: &RevisionStamp) -> Self {
+    pub fn with_accepted(&self, stamp: &RevisionStamp, mark: WriteMark) -> Self {
         let mut recent = self.recent.clone();
         recent.push(stamp.clone());
         recent.sort_by(|left, right| right.cmp(left));
@@ -145,7 +162,12 @@
         Self {
             recent,
             proposal,
-            writes: self.writes + 1,
+            trail: self.trail_with(mark),
         }
     }
+
+    fn trail_with(&self, mark: WriteMark) -> Vec<WriteMark> {
+        let marks = iter::once(mark).chain(self.trail.iter().copied());
+        marks.take(TRAIL_LIMIT).collect()
+    }
 }
--- a/dahliawood-store/src/revision/follow/mod.rs
+++ b/dahliawood-store/src/revision/follow/mod.rs
@@ -12,7 +12,7 @@
 use crate::client::{PutCall, StoreClient};
 use crate::clock::TimeSource;
 use crate::content::transfer;
-use crate::head::{HEAD_KEY, HeadDocument};
+use crate::head::{HEAD_KEY, HeadDocument, WriteMark};
 use crate::protocol::KeyEntry;
 use crate::status::StatusLine;
 use crate::watch::WatchCursor;
@@ -29,6 +29,9 @@
 /// Share of a spread that each VM adds to reads: 1,000 VMs read in a second.
 const READ_SPREAD_PER_VM: Duration = Duration::from_millis(1);
 
+/// How often a line is written at most while a proposal is open.
+const OPEN_REFRESH: Duration = Duration::from_secs(2);
+
 /// Whether the store answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
 pub enum StoreContact {
@@ -189,7 +192,12 @@
         if self.cursor.version() == 0 && self.contact.is_none() {
             return;
         }
-        if self.options.keeper.repair(&self.head).is_none() {
+        if self
+            .options
+            .keeper
+            .repair(&self.head, self.mark())
+            .is_none()
+        {
             return;
         }
         self.spread(WRITE_SPREAD_PER_VM).await;
@@ -198,7 +206,7 @@
             return;
         };
         self.absorb(&entry).await;
-        let Some((head, record)) = self.options.keeper.repair(&self.head) else {
+        let Some((head, record)) = self.options.keeper.repair(&self.head, self.mark()) else {
             return;
         };
         let uploaded = transfer::upload(self.client, &record.text).await;
@@ -261,23 +269,33 @@
 
     fn is_status_due(&self) -> bool {
         let serial = self.options.keeper.status().serial;
-        match self.written {
-            None => true,
-            Some((written, at)) => {
-                written != serial || self.now().since(at) >= self.options.refresh
-            }
+        self.written.is_none_or(|(written, at)| {
+            written != serial || self.now().since(at) >= self.refresh_after()
+        })
+    }
+
+    /// While a proposal stays open the line may be missing from a restored store.
+    fn refresh_after(&self) -> Duration {
+        if self.head.proposal.is_none() {
+            return self.options.refresh;
         }
+        let spread = WRITE_SPREAD_PER_VM.saturating_mul(self.live_vms());
+        OPEN_REFRESH.max(2 * spread).min(self.options.refresh)
     }
 
     /// A follower with work left looks again soon.
     fn watch_wait(&self) -> Duration {
         let is_behind = !self.options.keeper.wanted().is_empty()
             || self.is_status_due()
-            || self.options.keeper.repair(&self.head).is_some();
+            || self
+                .options
+                .keeper
+                .repair(&self.head, self.mark())
+                .is_some();
         if is_behind {
             return RetryPlan::default().base;
         }
-        self.options.wait
+        self.options.wait.min(self.refresh_after())
     }
 
     fn note_contact<T>(&mut self, result: &Result<T, StoreError>) {
@@ -308,12 +326,19 @@
     }
 
     async fn spread(&self, per_vm: Duration) {
-        let vms = u32::try_from((self.options.live_vms)()).unwrap_or(u32::MAX);
-        let span = per_vm.saturating_mul(vms);
+        let span = per_vm.saturating_mul(self.live_vms());
         let wait = span.mul_f64((self.options.time.jitter)());
         (self.options.time.sleep)(wait).await;
     }
 
+    fn live_vms(&self) -> u32 {
+        u32::try_from((self.options.live_vms)()).unwrap_or(u32::MAX)
+    }
+
+    fn mark(&self) -> WriteMark {
+        WriteMark::drawn((self.options.time.jitter)())
+    }
+
     fn now(&self) -> TimeStamp {
         (self.options.time.now)()
     }
--- a/dahliawood-store/src/revision/keeper/mod.rs
+++ b/dahliawood-store/src/revision/keeper/mod.rs
@@ -1,7 +1,7 @@
 //! What a VM knows of revisions, and the rule that it only goes forward.
 
 use crate::content::{self, ContentError, ContentHash};
-use crate::head::{HeadDocument, RevisionStamp};
+use crate::head::{HeadDocument, RevisionStamp, WriteMark};
 use crate::status::{PAST_LIMIT, RefusalCause, RevisionRefusal, StatusLine};
 use std::sync::Arc;
 
@@ -201,12 +201,16 @@
     }
 
     /// The head to write where the store lost a revision that is known here to be accepted.
-    pub fn repair(&self, head: &HeadDocument) -> Option<(HeadDocument, ForceRecord)> {
+    pub fn repair(
+        &self,
+        head: &HeadDocument,
+        mark: WriteMark,
+    ) -> Option<(HeadDocument, ForceRecord)> {
         let record = self.in_force()?;
         if head.accepted() >= Some(&record.stamp) {
             return None;
         }
-        Some((head.with_accepted(&record.stamp), record.clone()))
+        Some((head.with_accepted(&record.stamp, mark), record.clone()))
     }
 
     /// What the VM says of itself.
--- a/dahliawood-store/src/revision/shared/mod.rs
+++ b/dahliawood-store/src/revision/shared/mod.rs
@@ -2,7 +2,7 @@
 
 use super::keeper::{ForceRecord, ObserveOutcome, RevisionKeeper, RevisionSource, SupplyOutcome};
 use crate::content::{ContentError, ContentHash};
-use crate::head::{HeadDocument, RevisionStamp};
+use crate::head::{HeadDocument, RevisionStamp, WriteMark};
 use crate::status::StatusLine;
 use async_std::channel::{self, Receiver, Sender};
 use std::fmt;
@@ -116,8 +116,12 @@
         self.lock().status()
     }
 
-    pub(super) fn repair(&self, head: &HeadDocument) -> Option<(HeadDocument, ForceRecord)> {
-        self.lock().repair(head)
+    pub(super) fn repair(
+        &self,
+        head: &HeadDocument,
+        mark: WriteMark,
+    ) -> Option<(HeadDocument, ForceRecord)> {
+        self.lock().repair(head, mark)
     }
 
     /// Resolves after the next change.
--- a/dahliawood-store/tests/main/keeper.rs
+++ b/dahliawood-store/tests/main/keeper.rs
@@ -1,7 +1,7 @@
 //! The keeper's rules, one at a time.
 
 use dahliawood_store::content::ContentHash;
-use dahliawood_store::head::{HeadDocument, RevisionStamp, WriteId};
+use dahliawood_store::head::{HeadDocument, RevisionStamp, WriteId, WriteMark};
 use dahliawood_store::revision::keeper::{
     ObserveOutcome, RevisionKeeper, RevisionSource, SupplyOutcome,
 };
@@ -71,11 +71,11 @@
 #[test]
 fn lost_revision_is_put_back_into_the_head() {
     let mut keeper = RevisionKeeper::new("vm", 1);
-    let lost = HeadDocument::default().with_accepted(&stamp(1, "one"));
-    assert!(keeper.repair(&lost).is_none());
+    let lost = HeadDocument::default().with_accepted(&stamp(1, "one"), WriteMark::drawn(0.5));
+    assert!(keeper.repair(&lost, WriteMark::drawn(0.5)).is_none());
     keeper.observe(&stamp(2, "two"), RevisionSource::Store);
     supply(&mut keeper, "two");
-    let (head, _) = keeper.repair(&lost).unwrap();
+    let (head, _) = keeper.repair(&lost, WriteMark::drawn(0.5)).unwrap();
     assert_eq!(head.accepted(), Some(&stamp(2, "two")));
-    assert!(keeper.repair(&head).is_none());
+    assert!(keeper.repair(&head, WriteMark::drawn(0.5)).is_none());
 }
