feat(steer): hand a request over to a region; measure shift

measure -- shift loses a region's targets, brings them back cold, and drains the region, at the sizes of the ledgers in Colombia.

The property of hand_over failed with a hand-over whatever the wait and with one to a leaving region; that of the gate with a share of zero.

--- a/dahliawood-steer/src/choice/mod.rs
+++ b/dahliawood-steer/src/choice/mod.rs
@@ -16,6 +16,8 @@
 
 /// Service time that is assumed before the first answer.
 pub const ASSUMED_SERVICE: Duration = Duration::from_millis(20);
+/// The wait that is expected where this VM holds no slot at all.
+pub const NO_SLOT_WAIT: Duration = Duration::from_secs(1);
 /// The soonest time after which a caller is told to come back.
 pub const SHORTEST_RETRY: Duration = Duration::from_secs(1);
 
@@ -115,6 +117,21 @@
     pick::choose(table, query, now, rng)
 }
 
+/// A region to whose VMs a request is handed over, for one that [`choose`] would let wait for
+/// `expected`, or refuse.
+///
+/// A slot used from afar is taken for the way there and back as well; a VM over there uses it for
+/// the service time alone. The region is drawn by headroom of link and region, and only where
+/// waiting takes longer than the way. A request that was handed over once is not handed on.
+pub fn hand_over(
+    table: &target::TargetTable,
+    query: &ChoiceQuery<'_>,
+    expected: Option<Duration>,
+    rng: &mut impl Rng,
+) -> Option<RegionKey> {
+    pick::hand_over(table, query, expected, rng)
+}
+
 /// Requests a second that this VM's slots of `states` end, from the latency measured last.
 pub fn slot_rate<'a>(states: impl Iterator<Item = &'a target::TargetState>) -> f64 {
     let rate = |state: &target::TargetState| {
--- a/dahliawood-steer/src/choice/pick.rs
+++ b/dahliawood-steer/src/choice/pick.rs
@@ -42,7 +42,7 @@
         return chosen(table, index);
     }
     let spill = spill_regions(table, query, &preferred, now);
-    if let Some(index) = spilled(table, query, &preferred, &spill, now, rng) {
+    if let Some(index) = spilled(table, &preferred, &spill, now, rng) {
         return chosen(table, index);
     }
     if let Some(index) = local(table, &candidates.avoided, now, rng) {
@@ -235,12 +235,17 @@
 /// Draws a region by weight and takes its best target.
 fn spilled(
     table: &mut target::TargetTable,
-    _query: &ChoiceQuery<'_>,
     preferred: &[u32],
     spill: &[SpillRegion],
     now: TimeStamp,
     rng: &mut impl Rng,
 ) -> Option<u32> {
+    let region = drawn_region(spill, rng)?;
+    best(table, preferred, region, now, rng)
+}
+
+/// Draws a region by weight.
+fn drawn_region(spill: &[SpillRegion], rng: &mut impl Rng) -> Option<RegionKey> {
     let total: f64 = spill.iter().map(|spill| spill.weight).sum();
     if total <= 0.0 {
         return None;
@@ -250,8 +255,34 @@
         draw -= spill.weight;
         draw < 0.0
     });
-    let region = drawn.or(spill.last())?.region;
-    best(table, preferred, region, now, rng)
+    drawn.or(spill.last()).map(|spill| spill.region)
+}
+
+pub(super) fn hand_over(
+    table: &target::TargetTable,
+    query: &ChoiceQuery<'_>,
+    expected: Option<Duration>,
+    rng: &mut impl Rng,
+) -> Option<RegionKey> {
+    let mut regions: Vec<RegionKey> = table
+        .service(query.service)
+        .filter(|state| state.serving && state.region != table.home)
+        .map(|state| state.region)
+        .collect();
+    regions.sort_unstable();
+    regions.dedup();
+    let spill: Vec<SpillRegion> = regions
+        .into_iter()
+        .filter(|region| {
+            let way = table.link_latency(*region).map(|way| way * 2);
+            way.is_some_and(|way| expected.is_none_or(|expected| expected > way))
+        })
+        .map(|region| SpillRegion {
+            region,
+            weight: (query.room)(region).least(),
+        })
+        .collect();
+    drawn_region(&spill, rng)
 }
 
 fn free_slots(
@@ -318,7 +349,7 @@
     match wanted {
         Some(wanted) => Choice::Wait {
             expected: expected_wait(open.iter().copied(), query.waiting)
-                .unwrap_or(super::ASSUMED_SERVICE),
+                .unwrap_or(super::NO_SLOT_WAIT),
             wanted: wanted.key,
         },
         None => refuse(NoneCause::NoRoom, super::SHORTEST_RETRY),
--- a/dahliawood-steer/src/fair/mod.rs
+++ b/dahliawood-steer/src/fair/mod.rs
@@ -19,6 +19,8 @@
 const GROWTH: f64 = 1.1;
 /// Weight of the newest window in a customer's rate.
 const NEWEST_WEIGHT: f64 = 0.5;
+/// The smallest share, requests a window, so that a closed gate still finds out what fits.
+const SMALLEST_SHARE: f64 = 1.0;
 /// Requests a window below which a customer is forgotten.
 const FORGOTTEN_RATE: f64 = 0.01;
 
@@ -117,7 +119,7 @@
         left -= flow.rate;
         weight -= flow.weight;
     }
-    left.max(0.0) / weight.max(1.0)
+    (left / weight.max(1.0)).max(SMALLEST_SHARE)
 }
 
 fn set_splits(gate: &mut FairGate) {
--- a/dahliawood-steer/src/health/mod.rs
+++ b/dahliawood-steer/src/health/mod.rs
@@ -24,7 +24,7 @@
 /// The first ejection time; it doubles with each probe that fails.
 pub const FIRST_EJECTION: Duration = Duration::from_secs(1);
 /// The longest ejection time.
-pub const LONGEST_EJECTION: Duration = Duration::from_secs(16);
+pub const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 /// How long a target that shed a request gets nothing new.
 pub const SHED_PAUSE: Duration = Duration::from_millis(100);
 /// The oldest report that is used.
--- a/dahliawood-steer/tests/main/fair.rs
+++ b/dahliawood-steer/tests/main/fair.rs
@@ -82,6 +82,14 @@
     result.unwrap();
 }
 
+#[test]
+fn the_gate_opens_again_after_nothing_fitted() {
+    let mut bench = GateBench::new(vec![10, 300]);
+    (0..10).for_each(|_| bench.window(0));
+    (0..20).for_each(|_| bench.window(1_000));
+    assert_eq!(bench.served, [10, 300]);
+}
+
 #[test]
 fn the_gate_opens_again() {
     let mut bench = GateBench::new(vec![10, 300]);
--- a/dahliawood-steer/tests/main/faults.rs
+++ b/dahliawood-steer/tests/main/faults.rs
@@ -328,6 +328,40 @@
     assert!(matches!(chosen, choice::Choice::Target(_, region) if region != RegionKey(0)));
 }
 
+/// A request is handed over only to another region that serves, with headroom, and where waiting
+/// takes longer than the way.
+#[test]
+fn a_hand_over_needs_headroom_and_a_long_wait() {
+    let share = || prop_oneof![Just(0.0), 0.0..1.0];
+    let mut runner = fleet::runner();
+    let wait = proptest::option::of(0_u64..100);
+    let result = runner.run(
+        &(share(), share(), wait, any::<bool>()),
+        |(one, two, wait, left)| {
+            let mut bench = FaultBench::new();
+            if left {
+                let subject = DrainSubject::Region(RegionKey(1));
+                bench.run(FaultStep::Drain { subject })?;
+            }
+            let room = move |region: RegionKey| choice::SpillRoom {
+                link: if region == RegionKey(1) { one } else { two },
+                region: 1.0,
+            };
+            let expected = wait.map(Duration::from_millis);
+            let to = choice::hand_over(&bench.table, &query(&room), expected, &mut bench.rng);
+            let is_long = wait.is_none_or(|wait| wait > 20);
+            match to {
+                Some(RegionKey(1)) => prop_assert!(one > 0.0 && !left && is_long),
+                Some(RegionKey(2)) => prop_assert!(two > 0.0 && is_long),
+                Some(_) => prop_assert!(false, "to the home region"),
+                None => prop_assert!(!is_long || two <= 0.0 && (left || one <= 0.0)),
+            }
+            Ok(())
+        },
+    );
+    result.unwrap();
+}
+
 /// Many VMs with the same picture of two equal regions use both.
 #[test]
 fn stale_headroom_does_not_herd() {
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -4,6 +4,7 @@
 //! non-zero where a stated target is missed.
 
 mod lookup;
+mod shift;
 mod steer;
 
 use bpaf::Bpaf;
@@ -26,7 +27,11 @@
 type MeasureEntry = (&'static str, fn(u64, &mut figures::FigureReport));
 
 /// All measurements, one line each.
-const MEASUREMENTS: &[MeasureEntry] = &[("lookup", lookup::run), ("steer", steer::run)];
+const MEASUREMENTS: &[MeasureEntry] = &[
+    ("lookup", lookup::run),
+    ("steer", steer::run),
+    ("shift", shift::run),
+];
 
 fn main() {
     let args = measure_args().run();
--- a/dahliawood-testkit/examples/measure/steer/mod.rs
+++ b/dahliawood-testkit/examples/measure/steer/mod.rs
@@ -3,8 +3,8 @@
 //! A short event loop around the real tables; every policy gets the same arrivals and demands.
 
 mod central;
-mod clock;
-mod load;
+pub mod clock;
+pub mod load;
 mod pushed;
 mod score;
 mod slots;
