--- a/dahliawood-testkit/examples/measure/shift/bench.rs
+++ b/dahliawood-testkit/examples/measure/shift/bench/mod.rs
@@ -1,25 +1,27 @@
 //! The event loop.
 
+mod outcome;
+mod tick;
+
+pub use outcome::ShiftOutcome;
+
+use super::case::{FAULT_US, RETURN_US, ShiftCase, ShiftFault, ShiftWay};
 use super::link::PacedLink;
 use crate::steer::clock::EventClock;
 use crate::steer::load::{
-    COLOMBIA, CUSTOMERS, LARGE_CUSTOMERS, LoadCase, LoadFault, LoadRequest, REGIONS, ServiceSpread,
-    requests, target_region, vm_region,
+    COLOMBIA, CUSTOMERS, LoadCase, LoadFault, LoadRequest, REGIONS, ServiceSpread, requests,
+    target_region, vm_region,
 };
 use dahliawood_model::keys::{CustomerKey, RegionKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::tables;
-use dahliawood_steer::{choice, drain, fair, health, queue, target};
+use dahliawood_steer::{choice, fair, health, queue, target};
 use hdrhistogram::Histogram;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::time::Duration;
 
-/// The time that a planned drain is given.
-pub const DRAIN_OVER: Duration = Duration::from_secs(30);
 const SERVICE: ServiceKey = ServiceKey(0);
-const FAULT_US: u64 = 20_000_000;
-const RETURN_US: u64 = 60_000_000;
 const SECONDS: u64 = 100;
 const LINK_BYTES_PER_US: f64 = 35.0;
 const TICK_US: u64 = 10_000;
@@ -33,72 +35,6 @@
 const COLD_EXTRA: f64 = 3.0;
 const WARMING_ANSWERS: f64 = 200.0;
 
-/// What happens to the first region.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ShiftFault {
-    /// Its targets refuse connections for a while and come back cold.
-    Lost,
-    /// It is drained.
-    Drained,
-}
-
-/// How a request reaches another region.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub enum ShiftWay {
-    /// Straight to a target, on a slot that is taken for the way as well.
-    #[display("direct")]
-    Direct,
-    /// Handed over to a VM there.
-    #[display("handed-over")]
-    HandedOver,
-}
-
-/// One case.
-#[derive(Clone, Copy, Debug)]
-pub struct ShiftCase {
-    /// What happens.
-    pub fault: ShiftFault,
-    /// How requests reach another region.
-    pub way: ShiftWay,
-    /// Size of an answer, bytes.
-    pub answer_bytes: f64,
-    /// Requests, percent of what all slots can serve.
-    pub percent: u32,
-}
-
-impl ShiftCase {
-    /// Slots of a target that the VMs of its own region hold, and those of each other one.
-    fn held(&self, is_moved: bool) -> (u32, u32) {
-        match (self.way, is_moved) {
-            (ShiftWay::HandedOver, _) => (8, 0),
-            (ShiftWay::Direct, false) => (6, 1),
-            (ShiftWay::Direct, true) => (4, 4),
-        }
-    }
-}
-
-/// What was seen.
-#[derive(Clone, Debug, Default)]
-pub struct ShiftOutcome {
-    pub sent_in_fault: u64,
-    pub failed: u64,
-    /// Of requests of the region that were sent while it was lost or drained.
-    pub refused: u64,
-    /// Of all others: of other regions, before and after.
-    pub refused_outside: u64,
-    pub small_refused: f64,
-    pub large_refused: f64,
-    pub last_failed_try_ms: f64,
-    pub returned_ms: f64,
-    pub return_p99_ms: f64,
-    pub before_p99_ms: f64,
-    pub fault_p99_ms: f64,
-    pub drained_ms: f64,
-    pub longest_ms: f64,
-    pub peak_link: f64,
-    pub peak_region: f64,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ShiftEvent {
     Arrival(usize),
@@ -240,19 +176,6 @@
         }
     }
 
-    fn is_lost(&self, target: usize, now_us: u64) -> bool {
-        let lost = self.case.fault == ShiftFault::Lost && (FAULT_US..RETURN_US).contains(&now_us);
-        lost && target_region(target) == 0
-    }
-
-    fn in_fault(&self, now_us: u64) -> bool {
-        let end_us = match self.case.fault {
-            ShiftFault::Lost => RETURN_US,
-            ShiftFault::Drained => FAULT_US + DRAIN_OVER.as_micros() as u64,
-        };
-        (FAULT_US..end_us).contains(&now_us)
-    }
-
     /// The region of the VM that has the request now.
     fn region(&self, index: usize) -> usize {
         let handed = self.states[index].handed;
@@ -266,7 +189,7 @@
     fn arrive(&mut self, now_us: u64, index: usize) {
         let region = self.region(index);
         let customer = self.requests[index].customer;
-        if region == 0 && self.in_fault(now_us) {
+        if region == 0 && self.case.in_fault(now_us) {
             self.outcome.sent_in_fault += 1;
             self.sent[customer] += 1;
         }
@@ -358,20 +281,10 @@
         }
     }
 
-    fn refuse(&mut self, index: usize) {
-        let request = self.requests[index];
-        if self.caller_region(index) != 0 || !self.in_fault(request.arrival_us) {
-            self.outcome.refused_outside += 1;
-            return;
-        }
-        self.outcome.refused += 1;
-        self.refused[request.customer] += 1;
-    }
-
     fn send(&mut self, now_us: u64, index: usize, target: usize) {
         let way_us = COLOMBIA.way_us(self.region(index), target_region(target));
         self.states[index].sent_us = now_us;
-        if self.is_lost(target, now_us) {
+        if self.case.is_lost(target, now_us) {
             let failed_us = now_us + 2 * way_us;
             self.clock
                 .at(failed_us, ShiftEvent::Failed { index, target });
@@ -433,31 +346,6 @@
         self.serve(now_us, region);
     }
 
-    fn note_latency(&mut self, now_us: u64, index: usize, target: usize) {
-        if self.caller_region(index) != 0 {
-            return;
-        }
-        let back_us = self.states[index].handed.map_or(0, |_| COLOMBIA.far_us);
-        let latency_us = now_us + back_us - self.requests[index].arrival_us;
-        let latencies = match now_us {
-            before if before < FAULT_US => &mut self.before,
-            during if self.in_fault(during) => &mut self.during,
-            _ => &mut self.after,
-        };
-        latencies.saturating_record(latency_us);
-        let longest_ms = self.outcome.longest_ms;
-        self.outcome.longest_ms = longest_ms.max(latency_us as f64 / 1e3);
-        if target_region(target) == 0 {
-            let second = (now_us / 1_000_000) as usize;
-            if let Some(answers) = self.near_answers.get_mut(second) {
-                *answers += 1;
-            }
-            if now_us > FAULT_US {
-                self.outcome.drained_ms = (now_us - FAULT_US) as f64 / 1e3;
-            }
-        }
-    }
-
     fn serve(&mut self, now_us: u64, region: usize) {
         while let Some(entry) = queue::pop(&mut self.regions[region].waiting) {
             if !self.place(now_us, entry.item) {
@@ -466,102 +354,4 @@
             }
         }
     }
-
-    fn tick(&mut self, now_us: u64) {
-        if self.case.fault == ShiftFault::Drained && now_us == FAULT_US {
-            self.start_drain(now_us);
-        }
-        if now_us == FAULT_US + LAG_TICKS * TICK_US {
-            self.move_slots(false);
-        }
-        if now_us == FAULT_US + RETURNED_US {
-            self.move_slots(true);
-        }
-        if now_us.is_multiple_of(LAG_TICKS * TICK_US) {
-            self.hear();
-        }
-        for region in 0..REGIONS {
-            let rooms = self.rooms(now_us, region);
-            let room = move |to: RegionKey| rooms[to.0 as usize];
-            let vms = &mut self.regions[region];
-            drain::tick(&mut vms.table, &room, stamp(now_us));
-            fair::tick(&mut vms.gate, stamp(now_us));
-            let rate = choice::slot_rate(vms.table.service(SERVICE));
-            for late in queue::refuse_late(&mut vms.waiting, rate, stamp(now_us)) {
-                self.refuse(late.item);
-            }
-            self.serve(now_us, region);
-        }
-        if now_us < SECONDS * 1_000_000 {
-            self.clock.at(now_us + TICK_US, ShiftEvent::Tick);
-        }
-    }
-
-    /// Slots move to the region in need, which has them once those that ran have ended: a stand-in
-    /// for loans.
-    fn move_slots(&mut self, are_free: bool) {
-        let (near, far) = self.case.held(true);
-        for key in self.config.targets.keys() {
-            let home = self.config.target_region(key).0 as usize;
-            for (region, vms) in self.regions.iter_mut().enumerate() {
-                let slots = match region {
-                    region if region == home => near,
-                    0 if are_free => far,
-                    _ => 0,
-                };
-                vms.table.set_slot_limit(key, slots);
-            }
-        }
-    }
-
-    /// Takes in how many slots each region has free.
-    fn hear(&mut self) {
-        for (region, heard) in self.heard.iter_mut().enumerate() {
-            let targets = COLOMBIA.near_targets(region);
-            let running: u32 = targets.iter().map(|target| self.running[*target]).sum();
-            let slots = targets.len() as u32 * COLOMBIA.slots;
-            *heard = 1.0 - f64::from(running) / f64::from(slots);
-        }
-    }
-
-    fn start_drain(&mut self, now_us: u64) {
-        self.config.drains.push(tables::DrainSpec {
-            subject: tables::DrainSubject::Region(RegionKey(0)),
-            over: DRAIN_OVER,
-        });
-        for (region, vms) in self.regions.iter_mut().enumerate() {
-            let home = RegionKey(region as u32);
-            vms.table.reconfigure(&self.config, home, stamp(now_us));
-        }
-    }
-
-    fn into_outcome(self) -> ShiftOutcome {
-        let p99_ms = |latencies: &Histogram<u64>| latencies.value_at_quantile(0.99) as f64 / 1e3;
-        let share = |customers: std::ops::Range<usize>| {
-            let refused: u64 = self.refused[customers.clone()].iter().sum();
-            let sent: u64 = self.sent[customers].iter().sum();
-            refused as f64 / sent.max(1) as f64
-        };
-        let links = self.regions.iter().flat_map(|vms| &vms.links);
-        ShiftOutcome {
-            small_refused: share(LARGE_CUSTOMERS..CUSTOMERS),
-            large_refused: share(0..LARGE_CUSTOMERS),
-            before_p99_ms: p99_ms(&self.before),
-            fault_p99_ms: p99_ms(&self.during),
-            return_p99_ms: p99_ms(&self.after),
-            returned_ms: self.returned_ms(),
-            peak_link: links.map(|link| link.peak).fold(0.0, f64::max),
-            ..self.outcome
-        }
-    }
-
-    /// From the return until the region answers nine tenths of what it answered before.
-    fn returned_ms(&self) -> f64 {
-        let before = &self.near_answers[5..(FAULT_US / 1_000_000) as usize];
-        let usual = f64::from(before.iter().sum::<u32>()) / before.len() as f64;
-        let first = (RETURN_US / 1_000_000) as usize;
-        let back = self.near_answers[first..].iter();
-        let seconds = back.take_while(|answers| f64::from(**answers) < 0.9 * usual);
-        seconds.count() as f64 * 1e3
-    }
 }
--- a/dahliawood-testkit/examples/measure/shift/mod.rs
+++ b/dahliawood-testkit/examples/measure/shift/mod.rs
@@ -5,9 +5,10 @@
 //! for the allowances of `dahliawood-quota`.
 
 mod bench;
+mod case;
 mod link;
 
-use bench::{ShiftCase, ShiftFault, ShiftWay};
+use case::{ShiftCase, ShiftFault, ShiftWay};
 use dahliawood_testkit::figures::{FigureReport, FigureTarget};
 
 /// An answer that the links can carry for all that moves, bytes.
@@ -81,7 +82,7 @@
         "requests",
         none,
     );
-    let planned_ms = bench::DRAIN_OVER.as_secs_f64() * 1e3;
+    let planned_ms = case::DRAIN_OVER.as_secs_f64() * 1e3;
     let held = FigureTarget::AtMost(planned_ms + outcome.longest_ms);
     report.figure(
         format!("{prefix}.last-answer"),
