--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -5,6 +5,7 @@
 
 mod lookup;
 mod quota;
+mod shift;
 mod steer;
 
 use bpaf::Bpaf;
@@ -30,6 +31,7 @@
 const MEASUREMENTS: &[MeasureEntry] = &[
     ("lookup", lookup::run),
     ("quota", quota::measure),
+    ("shift", shift::run),
     ("steer", steer::run),
 ];
 
