feat(wire): ask a target before the body of a non-idempotent request is sent

A target that died before it read a filing, or a connection gone silent, left it in doubt because bytes had been written. With Expect: 100-continue the body stays here until it is asked for, and a failure before that is a true not-run.

--- a/dahliawood-wire/src/client/error/mod.rs
+++ b/dahliawood-wire/src/client/error/mod.rs
@@ -11,6 +11,9 @@
     /// The connection had ended, or held bytes that nobody asked for, before anything was sent.
     #[snafu(display("the connection was stale"))]
     Stale,
+    /// The target did not ask for the body, which stayed here.
+    #[snafu(display("the target did not ask for the body in time"))]
+    NotAsked,
     /// The request was not sent whole.
     #[snafu(display("the request was not sent whole, {sent} bytes were"))]
     Send {
@@ -50,7 +53,8 @@
 }
 
 impl ExchangeError {
-    /// Whether the request may have run: not where no byte of it left this VM.
+    /// Whether the request may have run: not where no byte of it left this VM, nor where its body
+    /// was withheld to the end, see [`super::ask`].
     pub fn verdict(&self) -> verdict::RunVerdict {
         match self.sent() {
             0 => verdict::RunVerdict::NotRun,
@@ -58,10 +62,10 @@
         }
     }
 
-    /// Bytes of the request that the connection took.
+    /// Bytes of the request that the connection took, zero while its body was withheld.
     pub fn sent(&self) -> u64 {
         match self {
-            Self::Stale => 0,
+            Self::Stale | Self::NotAsked => 0,
             Self::Send { sent, .. }
             | Self::Receive { sent, .. }
             | Self::Closed { sent }
@@ -72,7 +76,7 @@
 
     /// Whether the connection may have gone silent: the request left and nothing came back.
     pub fn is_silence(&self) -> bool {
-        matches!(self, Self::Timeout { sent } if *sent > 0)
+        matches!(self, Self::Timeout { .. } | Self::NotAsked)
     }
 
     /// Whether the request's own body failed, so that no other target would fare better.
--- a/dahliawood-wire/src/client/mod.rs
+++ b/dahliawood-wire/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! One exchange with a target over one connection.
 
+pub mod ask;
 pub mod error;
 
 use crate::{body, gate, head, server, stream};
@@ -8,7 +9,7 @@
 use futures::future::{self, Either};
 use http_types::headers::{CONTENT_LENGTH, CONTENT_TYPE, DATE, TRANSFER_ENCODING};
 use http_types::{Method, Request, Response, StatusCode};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Interim answers that are skipped before the target is held to be broken.
@@ -23,6 +24,8 @@
     pub answer_timeout: Duration,
     /// How long the body may go without a byte, in either direction.
     pub stall_timeout: Duration,
+    /// Whether the target is asked before the body is sent: for non-idempotent requests.
+    pub ask_first: Option<ask::AskOptions>,
 }
 
 impl Default for ExchangeOptions {
@@ -31,6 +34,7 @@
             head_bound: server::HEAD_BYTES,
             answer_timeout: Duration::from_secs(10),
             stall_timeout: Duration::from_secs(10),
+            ask_first: None,
         }
     }
 }
@@ -71,15 +75,25 @@
 pub(crate) async fn exchange_quiet<IO: stream::WireStream>(
     connection: IO,
     gate: gate::MessageGate<IO>,
-    request: Request,
+    mut request: Request,
     options: &ExchangeOptions,
     on_end: impl FnOnce(bool) + Send + 'static,
 ) -> Result<ExchangeOutcome, ExchangeError> {
-    let sent = AtomicU64::new(0);
+    let sent = Arc::new(ask::SentCount::default());
     let method = request.method();
-    let answered = run(connection, request, &gate, options, &sent);
-    let answered = timed::timeout(options.answer_timeout, answered).await;
-    let sent = sent.into_inner();
+    if options.ask_first.is_some() {
+        ask::withhold(&mut request, &sent);
+    }
+    let talked = run(connection, request, &gate, options, &sent);
+    let patience = ask::patience(options.ask_first, &sent);
+    let talked = async {
+        match future::select(Box::pin(talked), Box::pin(patience)).await {
+            Either::Left((answered, _)) => answered,
+            Either::Right((error, _)) => Err(error),
+        }
+    };
+    let answered = timed::timeout(options.answer_timeout, talked).await;
+    let sent = sent.counted();
     let (answer, whole) = answered.map_err(|_| ExchangeError::Timeout { sent })??;
     let reusable = whole && !head::says_close(answer.response.as_ref());
     let hook = Box::new(move |clean| on_end(clean && reusable));
@@ -103,18 +117,23 @@
     request: Request,
     gate: &gate::MessageGate<IO>,
     options: &ExchangeOptions,
-    sent: &AtomicU64,
+    sent: &ask::SentCount,
 ) -> Result<(AnswerHead, bool), ExchangeError> {
     let method = request.method();
     let mut encoder = encoder(request);
-    let sending = stream::transfer(&mut encoder, &mut connection, options.stall_timeout, sent);
+    let sending = stream::transfer(
+        &mut encoder,
+        &mut connection,
+        options.stall_timeout,
+        &sent.bytes,
+    );
     let sending = std::pin::pin!(sending);
     let receiving = std::pin::pin!(receive(gate, method, options.head_bound, sent));
     match future::select(sending, receiving).await {
         Either::Left((Ok(()), receiving)) => Ok((receiving.await?, true)),
         Either::Left((Err(source), receiving)) => {
             let early = matches!(source, stream::TransferError::Accept { .. });
-            let sent = sent.load(Ordering::Relaxed);
+            let sent = sent.counted();
             let unsent = ExchangeError::Send { sent, source };
             if !early || sent == 0 {
                 return Err(unsent);
@@ -132,11 +151,10 @@
     gate: &gate::MessageGate<IO>,
     method: Method,
     bound: usize,
-    sent: &AtomicU64,
+    sent: &ask::SentCount,
 ) -> Result<AnswerHead, ExchangeError> {
-    let sent = || sent.load(Ordering::Relaxed);
     let refused = |source| ExchangeError::Answer {
-        sent: sent(),
+        sent: sent.counted(),
         source,
     };
     for interim in 0..=MOST_INTERIM {
@@ -144,12 +162,14 @@
         match arrival {
             Ok(gate::HeadArrival::Found) => {}
             Ok(gate::HeadArrival::Ended { .. }) => {
-                return Err(ExchangeError::Closed { sent: sent() });
+                return Err(ExchangeError::Closed {
+                    sent: sent.counted(),
+                });
             }
             Ok(gate::HeadArrival::Refused(error)) => return Err(refused(error)),
             Err(source) => {
                 return Err(ExchangeError::Receive {
-                    sent: sent(),
+                    sent: sent.counted(),
                     source,
                 });
             }
@@ -158,6 +178,9 @@
         if response.status() == StatusCode::SwitchingProtocols {
             return Err(refused(malformed("an upgrade that was not asked for")));
         }
+        if response.status() == StatusCode::Continue {
+            sent.release();
+        }
         if !response.status().is_informational() {
             let frame = head::answer_frame(&response, method).map_err(refused)?;
             return Ok(AnswerHead {
--- a/dahliawood-wire/tests/main/endings/mod.rs
+++ b/dahliawood-wire/tests/main/endings/mod.rs
@@ -161,3 +161,94 @@
     target.read_to_end(&mut seen).await.unwrap();
     assert!(seen.is_empty());
 }
+
+fn asking(unanswered: client::ask::UnansweredAsk) -> client::ExchangeOptions {
+    client::ExchangeOptions {
+        ask_first: Some(client::ask::AskOptions {
+            patience: Duration::from_millis(30),
+            unanswered,
+        }),
+        ..client::ExchangeOptions::default()
+    }
+}
+
+fn filing() -> Request {
+    let mut request = Request::post(Url::parse("http://target/filings").unwrap());
+    request.set_body("filing");
+    request
+}
+
+/// What the target has read, after it said `first` and, where `second` is given, that.
+async fn converse(
+    options: client::ExchangeOptions,
+    first: Option<&'static [u8]>,
+    second: Option<&'static [u8]>,
+) -> (String, Result<u16, RunVerdict>) {
+    let (near, mut target) = support::connection(Vec::new());
+    let answered = async move {
+        let mut seen = vec![0; 4096];
+        let mut count = target.read(&mut seen).await.unwrap();
+        if let Some(first) = first {
+            target.write_all(first).await.unwrap();
+        }
+        if let Some(second) = second {
+            count += target.read(&mut seen[count..]).await.unwrap();
+            target.write_all(second).await.unwrap();
+        }
+        if first.is_some() || second.is_some() {
+            target.close().await.unwrap();
+        }
+        let mut rest = Vec::new();
+        target.read_to_end(&mut rest).await.unwrap();
+        String::from_utf8([&seen[..count], &rest[..]].concat()).unwrap()
+    };
+    let asked = async {
+        let exchanged = client::exchange(near, filing(), &options, |_| {}).await;
+        exchanged
+            .map(|outcome| outcome.response.status().into())
+            .map_err(|error| error.verdict())
+    };
+    future::join(answered, asked).await
+}
+
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+const CREATED: &[u8] = b"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n";
+
+#[async_std::test]
+async fn a_body_is_sent_once_the_target_asks_for_it() {
+    let options = asking(client::ask::UnansweredAsk::GiveUp);
+    let (seen, outcome) = converse(options, Some(CONTINUE), Some(CREATED)).await;
+    assert_eq!(outcome, Ok(201));
+    assert!(seen.contains("expect: 100-continue\r\n") && seen.ends_with("filing"));
+}
+
+#[async_std::test]
+async fn a_target_that_dies_before_it_asks_has_not_run_a_request() {
+    let options = asking(client::ask::UnansweredAsk::GiveUp);
+    let (seen, outcome) = converse(options, Some(b""), None).await;
+    assert_eq!(outcome, Err(RunVerdict::NotRun));
+    assert!(!seen.contains("filing\r\n\r\n") && !seen.ends_with("filing"));
+}
+
+#[async_std::test]
+async fn a_target_that_dies_after_it_asked_may_have_run_a_request() {
+    let options = asking(client::ask::UnansweredAsk::GiveUp);
+    let (_, outcome) = converse(options, Some(CONTINUE), Some(b"")).await;
+    assert_eq!(outcome, Err(RunVerdict::MayHaveRun));
+}
+
+#[async_std::test]
+async fn a_silent_connection_has_not_run_a_request_that_asks_first() {
+    let options = asking(client::ask::UnansweredAsk::GiveUp);
+    let (seen, outcome) = converse(options, None, None).await;
+    assert_eq!(outcome, Err(RunVerdict::NotRun));
+    assert!(!seen.ends_with("filing"));
+}
+
+#[async_std::test]
+async fn a_target_that_does_not_know_the_question_gets_the_body_all_the_same() {
+    let options = asking(client::ask::UnansweredAsk::SendBody);
+    let (seen, outcome) = converse(options, None, Some(CREATED)).await;
+    assert_eq!(outcome, Ok(201));
+    assert!(seen.ends_with("filing"));
+}
