--- /dev/null
+++ b/dahliawood-daemon/src/control/install/mod.rs
@@ -0,0 +1,108 @@
+//! Brings an accepted file into force on this VM, and follows changes of the membership.
+
+pub mod error;
+
+use crate::control::{allowance, members};
+use crate::{clock, shared, snapshot};
+use dahliawood_config::parse;
+use dahliawood_events::kind;
+use dahliawood_model::tables;
+use dahliawood_steer::{lookup, target};
+use dahliawood_store::revision::keeper;
+use snafu::OptionExt;
+use std::sync::Arc;
+
+/// Checks whether a VM of a failure domain could bring a file into force.
+///
+/// # Errors
+/// Says why not: mistakes in the file, or a failure domain that it does not declare.
+pub fn check(domain: &str, text: &str) -> Result<tables::FleetConfig, error::InstallError> {
+    let checked = parse::file("accepted", text);
+    let config = checked.map_err(|report| error::InstallError::Mistakes { report })?;
+    let declared = config.domains.find(|spec| spec.name == domain);
+    declared.context(error::DomainSnafu { domain })?;
+    Ok(config)
+}
+
+/// Brings a revision into force; revisions come in their order.
+///
+/// # Errors
+/// Says why this VM cannot.
+pub fn install(
+    shared: &shared::SharedState,
+    record: &keeper::ForceRecord,
+) -> Result<(), error::InstallError> {
+    let domain = &shared.settings.domain;
+    let config = check(domain, &record.text)?;
+    let state = snapshot::ConfigState::build(record, config, domain);
+    let state = Arc::new(state.context(error::DomainSnafu { domain })?);
+    let before = shared.snapshot.load_full();
+    retarget(shared, &state);
+    allowance::configure(shared, state.revision, &state.config);
+    publish(shared, Arc::clone(&state));
+    if let Some(before) = &before {
+        record_withdrawn(shared, &before.state.config, &state.config);
+    }
+    shared.events.record(kind::EventKind::RevisionInForce {
+        revision: state.revision,
+    });
+    Ok(())
+}
+
+/// Publishes a snapshot over the configuration and the VMs.
+pub fn publish(shared: &shared::SharedState, state: Arc<snapshot::ConfigState>) {
+    let members = shared.members.load();
+    let vms: Vec<_> = members
+        .iter()
+        .filter_map(|member| entry(&state.config, member))
+        .collect();
+    let lookup = lookup::LookupTable::build(&state.config, &vms);
+    shared
+        .snapshot
+        .store(Some(Arc::new(snapshot::RouteSnapshot {
+            state,
+            vms,
+            lookup,
+        })));
+}
+
+/// The VM as the look-up knows it, `None` where the file does not declare its failure domain.
+fn entry(config: &tables::FleetConfig, member: &members::VmMember) -> Option<lookup::VmEntry> {
+    let (domain, _) = config.domains.find(|domain| domain.name == member.domain)?;
+    let name = member.name.clone();
+    Some(lookup::VmEntry {
+        name,
+        domain,
+        http: member.http,
+        state: member.state,
+    })
+}
+
+/// Carries the targets' state over to the new configuration.
+fn retarget(shared: &shared::SharedState, state: &snapshot::ConfigState) {
+    let now = clock::now();
+    let mut targets = shared.targets();
+    match targets.as_mut() {
+        Some(table) => table.reconfigure(&state.config, state.home, now),
+        None => *targets = Some(target::TargetTable::build(&state.config, state.home, now)),
+    }
+}
+
+/// Records each key that was valid before and is not now.
+fn record_withdrawn(
+    shared: &shared::SharedState,
+    before: &tables::FleetConfig,
+    after: &tables::FleetConfig,
+) {
+    for old in before.customers.values() {
+        let new = after.customers.find(|customer| customer.name == old.name);
+        let is_kept =
+            |id: &str| new.is_some_and(|(_, new)| new.keys.iter().any(|key| key.id == id));
+        for key in old.keys.iter().filter(|key| !is_kept(&key.id)) {
+            let (customer, key_id) = (old.name.clone(), key.id.clone());
+            shared
+                .events
+                .record(kind::EventKind::KeyWithdrawn { customer, key_id });
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-daemon/src/front/forward/place.rs
@@ -0,0 +1,104 @@
+//! Takes a slot at a target for one try, waiting its turn where that can come in time.
+
+use crate::front::flight::TargetFlight;
+use crate::front::refusal::RefusalCause;
+use crate::waiters::WaitingTry;
+use crate::{clock, shared, slots};
+use async_std::future::timeout;
+use dahliawood_model::keys::{CustomerKey, ServiceKey, TargetKey};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_model::tables;
+use dahliawood_steer::queue;
+use futures::channel::oneshot;
+use futures::future::{self, Either};
+use std::pin::pin;
+use std::sync::Arc;
+
+/// One try that wants a slot.
+pub struct PlaceQuery<'a> {
+    /// The configuration in force.
+    pub config: &'a tables::FleetConfig,
+    /// The service.
+    pub service: ServiceKey,
+    /// Whose request it is.
+    pub customer: Option<CustomerKey>,
+    /// Whether it may run more than once.
+    pub is_idempotent: bool,
+    /// Targets that it was tried at.
+    pub tried: &'a [TargetKey],
+    /// Until when it may take.
+    pub deadline: TimeStamp,
+}
+
+/// Takes a slot.
+///
+/// Whoever finds others waiting for the service joins the end of its customer's line.
+///
+/// # Errors
+/// Refuses at once where no target can be used, or where the wait cannot end in time.
+pub async fn take(
+    shared: &Arc<shared::SharedState>,
+    query: &PlaceQuery<'_>,
+) -> Result<TargetFlight, RefusalCause> {
+    let wanted = match slots::take(shared, query.config, query.slot()) {
+        Ok(slots::SlotOutcome::Taken(flight)) => return Ok(flight),
+        Ok(slots::SlotOutcome::Busy { wanted, .. }) => wanted,
+        Err(cause) => return Err(cause),
+    };
+    let (turn, given) = oneshot::channel();
+    slots::join(shared, query.service, query.entry(turn))?;
+    let given = pin!(given);
+    let asked = pin!(ask_loans(shared, query, wanted));
+    let wait = future::select(given, asked);
+    let left = query.deadline.since(clock::now());
+    match timeout(left, wait).await {
+        Ok(Either::Left((Ok(turn), _))) => turn,
+        _ => Err(RefusalCause::Busy(queue::SHORTEST_RETRY)),
+    }
+}
+
+/// Asks for loans of a target's slot for as long as this is polled; what comes goes to whoever's
+/// turn it is.
+async fn ask_loans(shared: &Arc<shared::SharedState>, query: &PlaceQuery<'_>, wanted: TargetKey) {
+    let name = slots::limit_name(&query.config.targets[wanted]);
+    loop {
+        match shared.desk.admit(&name, query.deadline, clock::now()).await {
+            Ok(permit) => {
+                shared.desk.release(permit, clock::now());
+                slots::tick(shared);
+            }
+            Err(retry_after) => async_std::task::sleep(retry_after).await,
+        }
+    }
+}
+
+impl PlaceQuery<'_> {
+    fn slot(&self) -> slots::SlotQuery<'_> {
+        slots::SlotQuery {
+            service: self.service,
+            tried: self.tried,
+            is_idempotent: self.is_idempotent,
+            deadline: self.deadline,
+        }
+    }
+
+    fn entry(
+        &self,
+        turn: oneshot::Sender<crate::waiters::TurnResult>,
+    ) -> queue::WaitEntry<WaitingTry> {
+        let weight = self
+            .customer
+            .map_or(1, |customer| self.config.customers[customer].weight);
+        let item = WaitingTry {
+            tried: self.tried.to_vec(),
+            is_idempotent: self.is_idempotent,
+            turn,
+        };
+        queue::WaitEntry {
+            customer: self.customer,
+            weight,
+            deadline: self.deadline,
+            item,
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-quota/src/shares/evidence/mod.rs
@@ -0,0 +1,388 @@
+//! Proof that a VM is alive or gone.
+//!
+//! A VM uses its shares only while it has fresh proof that nobody may take them: it read itself in
+//! the live list, or a majority of the members answered its probe. A member is reclaimed only
+//! after it was absent from the live list *and* silent at a majority for a longer time, each of
+//! which has asked it in vain. A VM that declared a member silent answers none of its probes for
+//! that time, so that both proofs cannot be had at once. A member whose proof has lapsed writes the
+//! document with a new epoch before it uses its shares again; that write makes every older one
+//! fail, and whoever reads it starts to wait anew.
+//!
+//! The live list may lag by less than `absence_hold - blind_stop`; a longer lag breaks the proof.
+//!
+//! Where half of the members die at once, no majority can declare them silent until other VMs
+//! have joined or the dead were replaced at their addresses.
+
+use crate::{member, message, options};
+use dahliawood_model::{FastMap, stamp};
+use std::time::Duration;
+
+/// Parts of [`options::QuotaOptions::blind_stop`] between two probes, and after which the answers
+/// to a probe are too old to act on.
+const PROBES_PER_STOP: u32 = 4;
+/// Parts of [`options::QuotaOptions::absence_hold`] for which an asked VM may take to answer.
+const ANSWERS_PER_HOLD: u32 = 4;
+
+/// How long a member has been absent from the live list, by this VM's readings.
+#[derive(Clone, Copy, Debug)]
+struct AbsenceSpan {
+    first: stamp::TimeStamp,
+    last: stamp::TimeStamp,
+    epoch: u64,
+}
+
+impl AbsenceSpan {
+    fn is_continued(
+        &self,
+        member: &member::MemberEntry,
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> bool {
+        self.epoch == member.epoch && now < self.last.after(spans.blind_stop)
+    }
+
+    fn is_ripe(&self, member: &member::MemberEntry, spans: &options::QuotaOptions) -> bool {
+        self.epoch == member.epoch && spans.absence_hold <= self.last.since(self.first)
+    }
+}
+
+/// A probe that is out.
+#[derive(Clone, Debug)]
+struct OpenProbe {
+    serial: u64,
+    sent_at: stamp::TimeStamp,
+    agreed: Vec<member::HolderId>,
+}
+
+/// What one VM knows about who is alive.
+#[derive(Clone, Debug)]
+pub struct LiveEvidence {
+    me: member::HolderId,
+    started_at: stamp::TimeStamp,
+    proven_at: stamp::TimeStamp,
+    is_lapsed: bool,
+    epoch: u64,
+    absences: FastMap<member::HolderId, AbsenceSpan>,
+    heard_at: FastMap<member::HolderId, stamp::TimeStamp>,
+    asked_at: FastMap<member::HolderId, stamp::TimeStamp>,
+    declared_until: FastMap<member::HolderId, stamp::TimeStamp>,
+    own_probe: Option<OpenProbe>,
+    polls: FastMap<member::HolderId, OpenProbe>,
+    last_serial: u64,
+}
+
+/// A probe and who it is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DueProbe {
+    /// Who is asked.
+    pub to: member::HolderId,
+    /// The probe.
+    pub probe: message::PeerProbe,
+}
+
+impl LiveEvidence {
+    /// The evidence of a VM that starts at `now`.
+    pub fn new(me: member::HolderId, now: stamp::TimeStamp) -> Self {
+        Self {
+            me,
+            started_at: now,
+            proven_at: now,
+            is_lapsed: false,
+            epoch: 0,
+            absences: FastMap::default(),
+            asked_at: FastMap::default(),
+            heard_at: FastMap::default(),
+            declared_until: FastMap::default(),
+            own_probe: None,
+            polls: FastMap::default(),
+            last_serial: 0,
+        }
+    }
+
+    /// Whether there is fresh proof that nobody may take this VM's shares.
+    pub fn is_proven(&self, spans: &options::QuotaOptions, now: stamp::TimeStamp) -> bool {
+        now < self.proven_at.after(spans.blind_stop)
+    }
+
+    /// The number of times that the proof has lapsed up to `now`.
+    pub fn epoch(&mut self, spans: &options::QuotaOptions, now: stamp::TimeStamp) -> u64 {
+        if !self.is_lapsed && !self.is_proven(spans, now) {
+            self.is_lapsed = true;
+            self.epoch += 1;
+        }
+        self.epoch
+    }
+
+    fn prove(
+        &mut self,
+        at: stamp::TimeStamp,
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) {
+        self.epoch(spans, now);
+        self.proven_at = self.proven_at.max(at);
+        self.is_lapsed &= !self.is_proven(spans, now);
+    }
+
+    /// Notes that a message from `from` arrived.
+    pub fn hear(&mut self, from: member::HolderId, now: stamp::TimeStamp) {
+        self.heard_at.insert(from, now);
+    }
+
+    /// Takes a live list whose reading began at `read_at`.
+    pub fn read_live_list(
+        &mut self,
+        list: &[member::HolderId],
+        members: &[member::MemberEntry],
+        spans: &options::QuotaOptions,
+        read_at: stamp::TimeStamp,
+        now: stamp::TimeStamp,
+    ) {
+        if list.contains(&self.me) {
+            self.prove(read_at, spans, now);
+        }
+        let mut absences = FastMap::default();
+        for member in members.iter().filter(|member| !list.contains(&member.id)) {
+            let known = self.absences.get(&member.id).copied();
+            let known = known.filter(|span| span.is_continued(member, spans, now));
+            let first = known.map_or(now, |span| span.first);
+            absences.insert(
+                member.id,
+                AbsenceSpan {
+                    first,
+                    last: now,
+                    epoch: member.epoch,
+                },
+            );
+        }
+        self.absences = absences;
+    }
+
+    /// Answers a probe; `None` where its sender was declared silent.
+    pub fn answer(
+        &mut self,
+        from: member::HolderId,
+        probe: message::PeerProbe,
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> Option<message::PeerEcho> {
+        let silent_for = match probe.subject {
+            None if self.is_declared(from, now) => return None,
+            None => Duration::ZERO,
+            Some(subject) => self.declare_silence(subject, spans, now),
+        };
+        Some(message::PeerEcho {
+            serial: probe.serial,
+            subject: probe.subject,
+            silent_for,
+        })
+    }
+
+    fn is_declared(&self, id: member::HolderId, now: stamp::TimeStamp) -> bool {
+        self.declared_until
+            .get(&id)
+            .is_some_and(|until| now < *until)
+    }
+
+    /// How long `subject` has been silent, nothing where it was not asked in vain.
+    fn declare_silence(
+        &mut self,
+        subject: member::HolderId,
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> Duration {
+        let heard_at = self.heard_at.get(&subject).copied().unwrap_or_default();
+        let heard_at = heard_at.max(self.started_at);
+        let asked_at = self
+            .asked_at
+            .get(&subject)
+            .filter(|asked| heard_at <= **asked);
+        let answer = spans.absence_hold / ANSWERS_PER_HOLD;
+        let in_vain = asked_at.is_some_and(|asked| asked.after(answer) <= now);
+        if subject == self.me || !in_vain || now.since(heard_at) < spans.absence_hold {
+            return Duration::ZERO;
+        }
+        self.declared_until
+            .insert(subject, now.after(spans.absence_hold));
+        now.since(heard_at)
+    }
+
+    /// The probe that asks `subject` for a sign of life, where it was not asked since it was heard.
+    pub fn ask_subject(
+        &mut self,
+        subject: member::HolderId,
+        now: stamp::TimeStamp,
+    ) -> Option<DueProbe> {
+        let heard_at = self.heard_at.get(&subject).copied().unwrap_or_default();
+        let asked_at = self.asked_at.get(&subject);
+        if subject == self.me || asked_at.is_some_and(|asked| heard_at <= *asked) {
+            return None;
+        }
+        self.asked_at.insert(subject, now);
+        let probe = self.next_probe(None);
+        Some(DueProbe { to: subject, probe })
+    }
+
+    /// Takes the answer to a probe of this VM.
+    pub fn take_echo(
+        &mut self,
+        from: member::HolderId,
+        echo: message::PeerEcho,
+        members: &[member::MemberEntry],
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) {
+        let probe = match echo.subject {
+            None => self.own_probe.as_mut(),
+            Some(subject) => self.polls.get_mut(&subject),
+        };
+        let Some(probe) = probe.filter(|probe| probe.serial == echo.serial) else {
+            return;
+        };
+        let agrees = echo.subject.is_none() || spans.absence_hold <= echo.silent_for;
+        let is_member = members.iter().any(|member| member.id == from);
+        if agrees && is_member && !probe.agreed.contains(&from) {
+            probe.agreed.push(from);
+        }
+        let sent_at = probe.sent_at;
+        if echo.subject.is_none() && is_majority(probe.agreed.len() + 1, members) {
+            self.prove(sent_at, spans, now);
+        }
+    }
+
+    /// The probes that are due: to be heard, and to learn whether absent members were.
+    pub fn due_probes(
+        &mut self,
+        members: &[member::MemberEntry],
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> Vec<DueProbe> {
+        let mut due = Vec::new();
+        if self.proven_at.after(spans.blind_stop / 2) <= now {
+            self.probe_self(members, spans, &mut due, now);
+        }
+        let ripe = members
+            .iter()
+            .filter(|member| self.is_absent(member, spans));
+        let subjects: Vec<_> = ripe.map(|member| member.id).collect();
+        for subject in subjects {
+            self.poll_subject(subject, members, spans, &mut due, now);
+        }
+        due
+    }
+
+    fn is_absent(&self, member: &member::MemberEntry, spans: &options::QuotaOptions) -> bool {
+        let span = self.absences.get(&member.id);
+        span.is_some_and(|span| span.is_ripe(member, spans))
+    }
+
+    fn probe_self(
+        &mut self,
+        members: &[member::MemberEntry],
+        spans: &options::QuotaOptions,
+        due: &mut Vec<DueProbe>,
+        now: stamp::TimeStamp,
+    ) {
+        if is_majority(1, members) {
+            self.prove(now, spans, now);
+            return;
+        }
+        let every = spans.blind_stop / PROBES_PER_STOP;
+        let is_open = |probe: &OpenProbe| now < probe.sent_at.after(every);
+        if self.own_probe.as_ref().is_some_and(is_open) {
+            return;
+        }
+        let probe = self.next_probe(None);
+        self.own_probe = Some(open_probe(probe, now));
+        due.extend(probe_members(members, self.me, probe));
+    }
+
+    fn poll_subject(
+        &mut self,
+        subject: member::HolderId,
+        members: &[member::MemberEntry],
+        spans: &options::QuotaOptions,
+        due: &mut Vec<DueProbe>,
+        now: stamp::TimeStamp,
+    ) {
+        due.extend(self.ask_subject(subject, now));
+        let every = spans.blind_stop / PROBES_PER_STOP;
+        let is_open = |probe: &OpenProbe| now < probe.sent_at.after(every);
+        if self.polls.get(&subject).is_some_and(is_open) {
+            return;
+        }
+        let probe = self.next_probe(Some(subject));
+        let mut open = open_probe(probe, now);
+        if spans.absence_hold <= self.declare_silence(subject, spans, now) {
+            open.agreed.push(self.me);
+        }
+        self.polls.insert(subject, open);
+        due.extend(probe_members(members, self.me, probe));
+    }
+
+    fn next_probe(&mut self, subject: Option<member::HolderId>) -> message::PeerProbe {
+        self.last_serial += 1;
+        message::PeerProbe {
+            serial: self.last_serial,
+            subject,
+        }
+    }
+
+    /// Members whose shares may be reclaimed at `now`.
+    pub fn gone(
+        &self,
+        members: &[member::MemberEntry],
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> Vec<member::HolderId> {
+        let is_gone = |member: &member::MemberEntry| {
+            let poll = self.polls.get(&member.id);
+            let is_agreed = poll.is_some_and(|poll| is_agreed(poll, members, spans, now));
+            self.is_absent(member, spans) && is_agreed
+        };
+        let replaced_at = self.started_at.after(spans.longest_loan);
+        let is_replaced = |id: member::HolderId| {
+            id.address == self.me.address && id != self.me && replaced_at <= now
+        };
+        let gone = members
+            .iter()
+            .filter(|member| is_gone(member) || is_replaced(member.id));
+        gone.map(|member| member.id).collect()
+    }
+}
+
+fn is_agreed(
+    poll: &OpenProbe,
+    members: &[member::MemberEntry],
+    spans: &options::QuotaOptions,
+    now: stamp::TimeStamp,
+) -> bool {
+    let is_fresh = now < poll.sent_at.after(spans.blind_stop / PROBES_PER_STOP);
+    is_fresh && is_majority(poll.agreed.len(), members)
+}
+
+fn is_majority(count: usize, members: &[member::MemberEntry]) -> bool {
+    members.len() < count * 2
+}
+
+fn open_probe(probe: message::PeerProbe, now: stamp::TimeStamp) -> OpenProbe {
+    OpenProbe {
+        serial: probe.serial,
+        sent_at: now,
+        agreed: Vec::new(),
+    }
+}
+
+fn probe_members(
+    members: &[member::MemberEntry],
+    me: member::HolderId,
+    probe: message::PeerProbe,
+) -> impl Iterator<Item = DueProbe> {
+    let others = members
+        .iter()
+        .map(|member| member.id)
+        .filter(move |id| *id != me);
+    others
+        .filter(move |id| Some(*id) != probe.subject)
+        .map(move |to| DueProbe { to, probe })
+}
--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -5,4 +5,8 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod caller;
 pub mod figures;
+pub mod fleet;
+pub mod platform;
+pub mod target;
