fix(daemon): waits for slots neither spin nor linger, homes come first in look-ups

Cause: a request that asked for a loan of a slot which was free but not chosen was granted it again at once, without end, and held its thread: a request got no answer within 10 s. Grants that arrived between two ticks, and answers of stand-ins whose body waited for a delayed acknowledgement, added up to 50 ms.

Change: a pause between two asks; turns are given when messages arrive; what a release asks for is carried out and not dropped; the stand-in sets TCP_NODELAY; a look-up names the VMs that issue the customer's allowance first; a shutdown gives up its shares.

--- a/dahliawood-cli/src/demo/traffic/mod.rs
+++ b/dahliawood-cli/src/demo/traffic/mod.rs
@@ -187,7 +187,8 @@
     if result == "ok" {
         entry
             .latency
-            .saturating_record(outcome.latency.as_micros() as u64);
+            .record(outcome.latency.as_micros() as u64)
+            .expect("a resizing histogram holds any latency");
     }
     *entry.results.entry(result).or_default() += 1;
 }
--- a/dahliawood-daemon/src/control/allowance/mod.rs
+++ b/dahliawood-daemon/src/control/allowance/mod.rs
@@ -58,14 +58,7 @@
     loop {
         // Either a request waits, or the interval is over.
         let _nudged = timeout(TICK_INTERVAL, shared.desk.nudged.recv()).await;
-        let effects = {
-            let mut desk = shared.desk.lock();
-            let now = clock::now();
-            desk.book
-                .as_mut()
-                .map(|book| book.tick(now))
-                .unwrap_or_default()
-        };
+        let effects = shared.desk.lock().tick(clock::now());
         carry_out(&state, effects);
         slots::tick(&shared);
     }
@@ -112,6 +105,8 @@
         }
     }
     carry_out(state, effects);
+    // A loan may be what somebody waits for.
+    slots::tick(&shared);
 }
 
 /// Carries out what the book asks for.
@@ -198,17 +193,30 @@
     let parsed = entry.value.as_deref().map(serde_json::from_str).transpose();
     match parsed {
         Ok(document) => {
-            let shared = state.borrow().shared.clone();
-            let mut desk = shared.desk.lock();
-            let Some(book) = desk.book.as_mut() else {
-                return;
-            };
-            book.share_read(document, version, clock::now());
+            let state = state.borrow();
+            if read_document(&state.shared, document, version) {
+                state.publish_members();
+            }
         }
         Err(error) => log::error!("the share document in the store cannot be read: {error}"),
     }
 }
 
+/// Passes the share document to the book; says whether other VMs hold shares by it than before.
+fn read_document(
+    shared: &shared::SharedState,
+    document: Option<document::ShareDocument>,
+    version: document::ShareVersion,
+) -> bool {
+    let mut desk = shared.desk.lock();
+    let Some(book) = desk.book.as_mut() else {
+        return false;
+    };
+    let before = book.document().members.clone();
+    book.share_read(document, version, clock::now());
+    book.document().members != before
+}
+
 /// Writes the share document and passes on what became of it.
 async fn write_shares(state: Rc<RefCell<ControlState>>, write: holder::ShareWrite) {
     let value = match serde_json::to_string(&write.document) {
--- a/dahliawood-daemon/src/control/install/mod.rs
+++ b/dahliawood-daemon/src/control/install/mod.rs
@@ -6,7 +6,9 @@
 use crate::{clock, shared, snapshot};
 use dahliawood_config::parse;
 use dahliawood_events::kind;
+use dahliawood_model::keys::{ArenaKey, VmKey};
 use dahliawood_model::tables;
+use dahliawood_quota::member;
 use dahliawood_steer::{lookup, target};
 use dahliawood_store::revision::keeper;
 use snafu::OptionExt;
@@ -52,18 +54,51 @@
 /// Publishes a snapshot over the configuration and the VMs.
 pub fn publish(shared: &shared::SharedState, state: Arc<snapshot::ConfigState>) {
     let members = shared.members.load();
+    let declared = |member: &&members::VmMember| entry(&state.config, member).is_some();
+    let members: Vec<_> = members.iter().filter(declared).collect();
     let vms: Vec<_> = members
         .iter()
         .filter_map(|member| entry(&state.config, member))
         .collect();
     let lookup = lookup::LookupTable::build(&state.config, &vms);
-    shared
-        .snapshot
-        .store(Some(Arc::new(snapshot::RouteSnapshot {
-            state,
-            vms,
-            lookup,
-        })));
+    let homes = homes(shared, &state.config, &members);
+    let snapshot = snapshot::RouteSnapshot {
+        state,
+        vms,
+        lookup,
+        homes,
+    };
+    shared.snapshot.store(Some(Arc::new(snapshot)));
+}
+
+/// The live homes of each customer, for callers of each region.
+fn homes(
+    shared: &shared::SharedState,
+    config: &tables::FleetConfig,
+    members: &[&members::VmMember],
+) -> Vec<snapshot::RegionHomes> {
+    let desk = shared.desk.lock();
+    let Some(book) = &desk.book else {
+        return Vec::new();
+    };
+    let live = |home: &member::HolderId| {
+        let found = members.iter().position(|member| {
+            member.peer == home.address && member.state == lookup::VmState::Live
+        });
+        found.map(VmKey::from_index)
+    };
+    let of_customer = |customer: &tables::CustomerSpec, region: &tables::RegionSpec| {
+        let limit = book.limit(&format!("customer/{}", customer.name));
+        let homes = limit.map(|limit| book.homes(limit, &region.name));
+        homes.iter().flatten().filter_map(live).collect()
+    };
+    let of_region = |region: &tables::RegionSpec| {
+        let customers = config.customers.values();
+        customers
+            .map(|customer| of_customer(customer, region))
+            .collect()
+    };
+    config.regions.values().map(of_region).collect()
 }
 
 /// The VM as the look-up knows it, `None` where the file does not declare its failure domain.
--- a/dahliawood-daemon/src/desk/mod.rs
+++ b/dahliawood-daemon/src/desk/mod.rs
@@ -25,6 +25,8 @@
 pub struct DeskState {
     /// The book, `None` until a configuration is known.
     pub book: Option<book::QuotaBook>,
+    /// What the control thread still has to carry out.
+    backlog: Vec<effect::QuotaEffect>,
     waiting: FastMap<effect::WaitTicket, oneshot::Sender<effect::Admission>>,
 }
 
@@ -95,10 +97,10 @@
 
     /// Gives back a unit of a count.
     pub fn release(&self, permit: effect::QuotaPermit, now: TimeStamp) {
-        if let Some(book) = self.lock().book.as_mut() {
-            book.release(permit, now);
+        let has_backlog = self.lock().release(permit, now);
+        if has_backlog {
+            self.nudge();
         }
-        self.nudge();
     }
 
     /// Wakes the control thread; one wake-up that is not yet taken is enough.
@@ -127,6 +129,30 @@
 }
 
 impl DeskState {
+    /// Gives back a unit of a count; who is served by it is told at once, the rest is left to the
+    /// control thread. Says whether there is something left to it.
+    fn release(&mut self, permit: effect::QuotaPermit, now: TimeStamp) -> bool {
+        let Some(book) = self.book.as_mut() else {
+            return false;
+        };
+        for effect in book.release(permit, now) {
+            match effect {
+                effect::QuotaEffect::Resolved { ticket, admission } => {
+                    self.resolve(ticket, admission);
+                }
+                other => self.backlog.push(other),
+            }
+        }
+        !self.backlog.is_empty()
+    }
+
+    /// One step of the book, and what is to be carried out.
+    pub fn tick(&mut self, now: TimeStamp) -> Vec<effect::QuotaEffect> {
+        let mut effects = std::mem::take(&mut self.backlog);
+        effects.extend(self.book.iter_mut().flat_map(|book| book.tick(now)));
+        effects
+    }
+
     /// Passes on the answer to a request that waits; a grant that nobody takes any more is lost to
     /// the customer until its bucket refills.
     pub fn resolve(&mut self, ticket: effect::WaitTicket, admission: effect::Admission) {
--- a/dahliawood-daemon/src/front/api/mod.rs
+++ b/dahliawood-daemon/src/front/api/mod.rs
@@ -78,8 +78,8 @@
         service,
     };
     let answer = lookup::answer(&snapshot.lookup, query, clock::now(), &mut rand::rng());
-    let vms = answer
-        .vms
+    let vms = snapshot.homes_first(answer.vms, customer, answer.region);
+    let vms = vms
         .iter()
         .map(|key| named(&snapshot.vms[key.0 as usize]))
         .collect();
--- a/dahliawood-daemon/src/front/forward/place.rs
+++ b/dahliawood-daemon/src/front/forward/place.rs
@@ -13,6 +13,10 @@
 use futures::future::{self, Either};
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two asks for a loan by one request.
+const LOAN_PAUSE: Duration = Duration::from_millis(20);
 
 /// One try that wants a slot.
 pub struct PlaceQuery<'a> {
@@ -66,6 +70,9 @@
             Ok(permit) => {
                 shared.desk.release(permit, clock::now());
                 slots::tick(shared);
+                // Where the slot was free and the choice still does not take it, the next ask would
+                // be granted at once, again and again.
+                async_std::task::sleep(LOAN_PAUSE).await;
             }
             Err(retry_after) => async_std::task::sleep(retry_after).await,
         }
--- a/dahliawood-daemon/src/run/mod.rs
+++ b/dahliawood-daemon/src/run/mod.rs
@@ -8,6 +8,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use dahliawood_events::kind;
+use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::member;
 use dahliawood_store::client;
 use snafu::ResultExt;
@@ -23,6 +24,8 @@
 /// within two beats, and callers with older answers are still served meanwhile.
 const QUIET_BEFORE_END: Duration = Duration::from_millis(1_500);
 
+/// How long the shutdown waits until its shares are given up; later they are reclaimed by others.
+const RELEASE_LIMIT: Duration = Duration::from_secs(5);
 /// Questions to the control thread that may wait.
 const MOST_QUESTIONS: usize = 64;
 
@@ -130,13 +133,17 @@
         if !self.shared.leave() {
             self.shared.events.record(kind::EventKind::VmLeaving);
         }
+        if let Some(book) = self.shared.desk.lock().book.as_mut() {
+            book.leave();
+        }
         let limit = clock::now().after(self.shared.settings.drain_limit);
         let mut quiet_since = clock::now();
         while clock::now() < limit {
             if self.shared.in_flight.load(Ordering::Acquire) > 0 {
                 quiet_since = clock::now();
             }
-            if clock::now().since(quiet_since) >= QUIET_BEFORE_END {
+            let is_quiet = clock::now().since(quiet_since) >= QUIET_BEFORE_END;
+            if is_quiet && self.has_given_up(quiet_since) {
                 break;
             }
             task::sleep(DRAIN_POLL).await;
@@ -149,6 +156,13 @@
         ShutdownOutcome { cut }
     }
 
+    /// Whether the shares are given up, or the store has had long enough for that.
+    fn has_given_up(&self, quiet_since: TimeStamp) -> bool {
+        let desk = self.shared.desk.lock();
+        let is_released = desk.book.as_ref().is_none_or(|book| book.is_released());
+        is_released || clock::now().since(quiet_since) >= RELEASE_LIMIT
+    }
+
     /// Ends at once: whatever is in flight is cut.
     pub async fn abort(mut self) {
         self.front.cancel().await;
--- a/dahliawood-daemon/src/snapshot/mod.rs
+++ b/dahliawood-daemon/src/snapshot/mod.rs
@@ -1,7 +1,7 @@
 //! The configuration in force with its indexes, read by every traffic thread without a lock.
 
 use dahliawood_config::keys;
-use dahliawood_model::keys::{CustomerKey, RegionKey, RouteKey};
+use dahliawood_model::keys::{ArenaKey, CustomerKey, RegionKey, RouteKey, VmKey};
 use dahliawood_model::tables;
 use dahliawood_steer::lookup;
 use dahliawood_store::revision::keeper;
@@ -34,6 +34,8 @@
     pub vms: Vec<lookup::VmEntry>,
     /// Look-up answers over both.
     pub lookup: lookup::LookupTable,
+    /// The live VMs that issue each customer's allowance, best first, for callers of each region.
+    pub homes: Vec<RegionHomes>,
 }
 
 impl ConfigState {
@@ -89,6 +91,28 @@
     }
 }
 
+/// The homes of all customers for callers of one region, by the customers' keys.
+pub type RegionHomes = Vec<Vec<VmKey>>;
+
+impl RouteSnapshot {
+    /// Puts the homes of a customer before the other VMs of a look-up's answer, as many as it has.
+    pub fn homes_first(
+        &self,
+        vms: Vec<VmKey>,
+        customer: Option<CustomerKey>,
+        region: Option<RegionKey>,
+    ) -> Vec<VmKey> {
+        let homes = region
+            .and_then(|region| self.homes.get(region.index()))
+            .zip(customer)
+            .and_then(|(homes, customer)| homes.get(customer.index()));
+        let Some(homes) = homes else { return vms };
+        let most = vms.len();
+        let others = vms.into_iter().filter(|vm| !homes.contains(vm));
+        homes.iter().copied().chain(others).take(most).collect()
+    }
+}
+
 /// What a request's method and path lead to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteMatch {
--- a/dahliawood-testkit/src/target/mod.rs
+++ b/dahliawood-testkit/src/target/mod.rs
@@ -5,6 +5,7 @@
 
 use async_std::task;
 use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -104,6 +105,9 @@
 /// Fails where the address cannot be bound.
 pub fn start(address: SocketAddr, options: TargetOptions) -> io::Result<TargetHandle> {
     let listener = TcpListener::bind(address)?;
+    // Accepted connections inherit it; without it an answer's body waits for a delayed
+    // acknowledgement of its head.
+    SockRef::from(&listener).set_tcp_nodelay(true)?;
     let handle = TargetHandle {
         address: listener.local_addr()?,
         log: Arc::default(),
