feat(quota): fair queues, pacing of links, and a leave that waits for its own join

Cause: one VM has to share itself fairly between customers, and bytes of a link wait instead of being refused. The property found a VM that left while its join was still on its way and kept a third of a limit for good. Change: deficit round robin by weight with a short and a long lane, deadlines and refusals at once; paced limits and slots wait for what accrues or comes back; a VM counts as released only when no write of its own can take effect any more. Conclusion: giving reserved bytes back was left out, since a window could have them twice.

--- a/dahliawood-quota/src/book/mod.rs
+++ b/dahliawood-quota/src/book/mod.rs
@@ -98,7 +98,7 @@
         self.specs = specs;
         for (key, spec) in self.table.iter() {
             match self.states.get_mut(key.index()) {
-                Some(state) => state.set_terms(spec.terms),
+                Some(state) => state.set_spec(spec),
                 None => self.states.push(state::LimitState::new(key, spec, now)),
             }
         }
--- a/dahliawood-quota/src/book/state/mod.rs
+++ b/dahliawood-quota/src/book/state/mod.rs
@@ -90,6 +90,7 @@
     key: limit::LimitKey,
     tag: limit::LimitTag,
     terms: limit::LimitTerms,
+    is_paced: bool,
     account: lease::ShareAccount,
     ledger: ledger::LoanLedger,
     wallet: wallet::LoanWallet,
@@ -116,6 +117,7 @@
             key,
             tag: limit::LimitTag::of(&spec.name),
             terms: spec.terms,
+            is_paced: spec.is_paced,
             account: lease::ShareAccount::new(now),
             ledger: ledger::LoanLedger::default(),
             wallet: wallet::LoanWallet::default(),
@@ -130,8 +132,9 @@
         }
     }
 
-    pub(crate) fn set_terms(&mut self, terms: limit::LimitTerms) {
-        self.terms = terms;
+    pub(crate) fn set_spec(&mut self, spec: &limit::LimitSpec) {
+        self.terms = spec.terms;
+        self.is_paced = spec.is_paced;
     }
 
     pub(crate) fn bucket(&self) -> &bucket::TokenBucket {
@@ -314,11 +317,14 @@
 
     /// Whether a request for `amount`, behind all that wait, may be served in time.
     fn has_hope(&self, amount: amount::TokenAmount, context: StateContext<'_>) -> bool {
+        let asks = self.wallet.awaits_answer() || self.next_lender(context).is_some();
+        if self.terms.is_count() || self.is_paced {
+            return asks || !self.homes.is_empty();
+        }
         let needed = (self.waiting() + amount).less(self.wallet.available(context.now));
         let limit = context.spans.accrual_wait.as_micros();
         let accrues = self.account.bucket().wait_micros(needed);
         let accrues = accrues.is_some_and(|wait| u128::from(wait) <= limit);
-        let asks = self.wallet.awaits_answer() || self.next_lender(context).is_some();
         asks || (context.is_active && accrues)
     }
 
@@ -513,6 +519,12 @@
             .min(most)
     }
 
+    /// What a lender keeps for its own requests that wait: half of what there is.
+    fn kept(&self) -> amount::TokenAmount {
+        let half = self.account.bucket().level().micros / 2;
+        self.waiting().min(amount::TokenAmount::from_micros(half))
+    }
+
     /// What a lender keeps from VMs that only stock up.
     fn reserve(&self) -> amount::TokenAmount {
         amount::TokenAmount::from_micros(self.terms.burst().micros / RESERVES_PER_BURST)
@@ -568,6 +580,7 @@
             ask.want = amount::TokenAmount::ZERO;
         }
         let judge = ledger::GrantOptions {
+            kept: self.kept(),
             reserve: self.reserve(),
             is_count: self.terms.is_count(),
         };
--- a/dahliawood-quota/src/lib.rs
+++ b/dahliawood-quota/src/lib.rs
@@ -19,4 +19,6 @@
 pub mod member;
 pub mod message;
 pub mod options;
+pub mod pacer;
+pub mod queue;
 pub mod shares;
--- a/dahliawood-quota/src/limit/mod.rs
+++ b/dahliawood-quota/src/limit/mod.rs
@@ -111,15 +111,20 @@
     pub terms: LimitTerms,
     /// Who holds its shares.
     pub homes: HomeRule,
+    /// Whether requests wait for tokens to accrue, as bytes of a link do, instead of being refused.
+    #[serde(default)]
+    pub is_paced: bool,
 }
 
 impl LimitSpec {
     /// Whether one VM should not take all of its requests.
     pub fn is_large(&self) -> bool {
-        TokenRate::from_whole(RATE_PER_HOME) <= self.terms.rate()
+        TokenRate::from_whole(LARGE_RATE) <= self.terms.rate()
     }
 }
 
+/// Requests a second from which on callers are spread over all homes of a customer.
+const LARGE_RATE: u64 = 2_000;
 /// Requests a second that one home VM issues before a customer is given another.
 const RATE_PER_HOME: u64 = 200;
 /// The least number of home VMs of a customer: the loss of one costs a small part of its rate.
@@ -137,6 +142,7 @@
             region: None,
             homes_max: (HOMES_LEAST + more) as u32,
         },
+        is_paced: false,
     }
 }
 
@@ -163,6 +169,7 @@
             region: Some(from.clone()),
             homes_max: 0,
         },
+        is_paced: true,
     }
 }
 
@@ -178,6 +185,7 @@
             region: Some(fleet.regions[region].name.clone()),
             homes_max: target.slots.min(SLOT_HOMES_MOST),
         },
+        is_paced: false,
     }
 }
 
--- a/dahliawood-quota/src/loans/ledger/mod.rs
+++ b/dahliawood-quota/src/loans/ledger/mod.rs
@@ -6,6 +6,8 @@
 
 /// The longest time for which a lender says that it has nothing.
 const RETRY_MOST: Duration = Duration::from_secs(1);
+/// When a lender of a count should be asked again.
+const RETRY_COUNT: Duration = Duration::from_millis(15);
 /// The shortest such time.
 const RETRY_LEAST: Duration = Duration::from_millis(2);
 
@@ -41,6 +43,8 @@
 /// How an ask is judged.
 #[derive(Clone, Copy, Debug)]
 pub struct GrantOptions {
+    /// What the lender keeps for its own requests that wait.
+    pub kept: amount::TokenAmount,
     /// What the lender keeps for its own demand where the borrower has no request waiting.
     pub reserve: amount::TokenAmount,
     /// Whether the limit is a count, which is lent in whole units.
@@ -81,7 +85,11 @@
         tag: ask.tag,
         serial: ask.serial,
         granted,
-        retry_after: retry_after(bucket),
+        retry_after: if judge.is_count {
+            RETRY_COUNT
+        } else {
+            retry_after(bucket)
+        },
     }
 }
 
@@ -118,7 +126,7 @@
     ask: message::LoanAsk,
     judge: GrantOptions,
 ) -> amount::TokenAmount {
-    let level = bucket.level();
+    let level = bucket.level().less(judge.kept);
     let needed = if ask.need <= level {
         ask.need
     } else {
--- a/dahliawood-quota/src/shares/holder/mod.rs
+++ b/dahliawood-quota/src/shares/holder/mod.rs
@@ -134,9 +134,11 @@
         self.me.leaving = true;
     }
 
-    /// Whether a planned stop has given up all shares.
+    /// Whether a planned stop has given up all shares, and no write of this VM that would join it
+    /// can take effect any more.
     pub fn is_released(&self) -> bool {
-        self.me.leaving && self.has_read && self.document.member(self.me.id).is_none()
+        let is_out = self.has_read && self.document.member(self.me.id).is_none();
+        self.me.leaving && is_out && self.may_raise()
     }
 
     /// Whether the store has confirmed this VM, in its present epoch, as a member.
--- a/dahliawood-quota/tests/quota/fleet/mod.rs
+++ b/dahliawood-quota/tests/quota/fleet/mod.rs
@@ -109,6 +109,7 @@
             region: None,
             homes_max: 3,
         },
+        is_paced: false,
     };
     let count = limit::LimitSpec {
         name: "slots/target".into(),
@@ -119,6 +120,7 @@
             region: Some("north".into()),
             homes_max: 2,
         },
+        is_paced: false,
     };
     vec![rate, count]
 }
--- a/dahliawood-quota/tests/quota/main.rs
+++ b/dahliawood-quota/tests/quota/main.rs
@@ -5,5 +5,6 @@
 mod history;
 mod oracle;
 mod promises;
+mod queue;
 mod seed;
 mod store;
