feat(store): a fair share of the store's calls for each daemon

The store's rates do not grow with the fleet. A daemon reserves each call in a bucket that fills at the fleet's rate divided by the live VMs, and a call that would wait too long is refused unsent.

--- a/dahliawood-store/src/lib.rs
+++ b/dahliawood-store/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod acceptance;
 pub mod backoff;
+pub mod budget;
 pub mod client;
 pub mod clock;
 pub mod content;
--- a/dahliawood-store/tests/main/main.rs
+++ b/dahliawood-store/tests/main/main.rs
@@ -4,5 +4,6 @@
 mod fleet;
 mod history;
 mod keeper;
+mod rules;
 mod sim;
 mod support;
