--- a/dahliawood-fate/src/lib.rs
+++ b/dahliawood-fate/src/lib.rs
@@ -4,4 +4,9 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod deadline;
+pub mod journal;
+pub mod request;
+pub mod retry;
+pub mod ticket;
 pub mod verdict;
--- /dev/null
+++ b/dahliawood-steer/tests/main/main.rs
@@ -0,0 +1,10 @@
+//! Properties of look-ups, choices, drains and ramps under faults.
+
+mod choice;
+mod drain;
+mod fair;
+mod faults;
+mod fleet;
+mod lookup;
+mod queue;
+mod split;
