--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -6,6 +6,7 @@
 mod lookup;
 mod quota;
 mod steer;
+mod store_budget;
 
 use bpaf::Bpaf;
 use dahliawood_testkit::figures;
@@ -31,6 +32,7 @@
     ("lookup", lookup::run),
     ("quota", quota::measure),
     ("steer", steer::run),
+    ("store-budget", store_budget::run),
 ];
 
 fn main() {
