--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -7,6 +7,7 @@
 mod quota;
 mod shift;
 mod steer;
+mod store_budget;
 
 use bpaf::Bpaf;
 use dahliawood_testkit::figures;
@@ -33,6 +34,7 @@
     ("quota", quota::measure),
     ("shift", shift::run),
     ("steer", steer::run),
+    ("store-budget", store_budget::run),
 ];
 
 fn main() {
