--- a/dahliawood-cli/tests/cli/path.rs
+++ b/dahliawood-cli/tests/cli/path.rs
@@ -1,6 +1,7 @@
 //! From an operator's file to a caller's answer, through separate processes.
 
 use crate::processes::{self, KEY, PlatformPlaces, TestProcess};
+use dahliawood_wire::simple;
 use std::fs;
 use std::path::PathBuf;
 
@@ -78,15 +79,25 @@
 fn looked_up(vm: &str) -> Vec<String> {
     processes::eventually("a look-up that names a VM", || {
         let outcome = processes::cli(&["--json", "lookup", "--vm", vm, "catalogue"]);
-        let json: serde_json::Value = serde_json::from_slice(&outcome.stdout).ok()?;
-        let vms = json["vms"].as_array()?.iter();
+        let said = String::from_utf8_lossy(&outcome.stdout).into_owned();
+        let json: serde_json::Value = serde_json::from_str(&said).unwrap_or_default();
+        let vms = json["vms"].as_array().into_iter().flatten();
         let urls: Vec<_> = vms
             .filter_map(|vm| vm["url"].as_str().map(str::to_owned))
             .collect();
-        (!urls.is_empty()).then_some(urls)
+        if urls.is_empty() { Err(said) } else { Ok(urls) }
     })
 }
 
+/// The answer where it is one of a target, otherwise what it says.
+fn whole(answer: simple::CallOutcome) -> Result<simple::CallOutcome, String> {
+    if answer.status == 200 {
+        Ok(answer)
+    } else {
+        Err(answer.text().into_owned())
+    }
+}
+
 #[test]
 fn a_request_is_served_end_to_end_and_no_target_sees_the_key() {
     let fleet = fleet("served.toml");
@@ -96,7 +107,7 @@
     let answer = processes::eventually("an answer", || {
         let headers = [("authorization", bearer.as_str()), ("cookie", "a=1")];
         let answer = processes::call("GET", &url, &headers, "");
-        (answer.status == 200).then_some(answer)
+        whole(answer)
     });
     let text = answer.text().into_owned();
     let record: serde_json::Value = serde_json::from_str(&text).expect("the target's record");
@@ -123,7 +134,11 @@
     let other = fleet.daemons[1].addresses[0].clone();
     processes::eventually("look-ups that do not name the dead VM", || {
         let urls = looked_up(&other);
-        (!urls.contains(&dead)).then_some(())
+        if urls.contains(&dead) {
+            Err(urls.join(" "))
+        } else {
+            Ok(())
+        }
     });
     let alive = urls.iter().find(|url| **url != dead).cloned();
     let url = format!("{}/catalogue/1", alive.unwrap_or(format!("http://{other}")));
@@ -131,7 +146,7 @@
     processes::eventually("an answer through another VM", || {
         let headers = [("authorization", bearer.as_str())];
         let answer = processes::call("GET", &url, &headers, "");
-        (answer.status == 200).then_some(())
+        whole(answer)
     });
     fleet.daemons[2].terminate();
     assert!(
@@ -149,7 +164,9 @@
     let url = format!("http://{}/v1/health", fleet.daemons[3].addresses[0]);
     processes::eventually("a newcomer that serves", || {
         let health = processes::call("GET", &url, &[], "");
-        (health.status == 200 && health.text().contains("\"revision\":1")).then_some(())
+        let text = health.text().into_owned();
+        let serves = health.status == 200 && text.contains("\"revision\":1");
+        if serves { Ok(()) } else { Err(text) }
     });
 }
 
--- a/dahliawood-cli/tests/cli/processes.rs
+++ b/dahliawood-cli/tests/cli/processes.rs
@@ -150,14 +150,17 @@
     task::block_on(simple::call(&options)).unwrap_or_else(|error| panic!("{url}: {error}"))
 }
 
-/// Asks again and again until `answer` is there.
-pub fn eventually<T>(what: &str, mut answer: impl FnMut() -> Option<T>) -> T {
+/// Asks again and again until `answer` is there; says what the last one was where it never is.
+pub fn eventually<T>(what: &str, mut answer: impl FnMut() -> Result<T, String>) -> T {
     let start = std::time::Instant::now();
     loop {
-        if let Some(answer) = answer() {
-            return answer;
+        match answer() {
+            Ok(answer) => return answer,
+            Err(last) => assert!(
+                start.elapsed() < PATIENCE,
+                "no {what}, the last was: {last}"
+            ),
         }
-        assert!(start.elapsed() < PATIENCE, "{what} did not come about");
         std::thread::sleep(Duration::from_millis(50));
     }
 }
