--- a/dahliawood-quota/src/limit/mod.rs
+++ b/dahliawood-quota/src/limit/mod.rs
@@ -113,21 +113,26 @@
     pub homes: HomeRule,
 }
 
+impl LimitSpec {
+    /// Whether one VM should not take all of its requests.
+    pub fn is_large(&self) -> bool {
+        TokenRate::from_whole(RATE_PER_HOME) <= self.terms.rate()
+    }
+}
+
 /// Requests a second that one home VM issues before a customer is given another.
 const RATE_PER_HOME: u64 = 200;
-/// The least number of home VMs of a customer, so that the loss of one leaves another.
-const HOMES_LEAST: u64 = 2;
+/// The least number of home VMs of a customer: the loss of one costs a small part of its rate.
+const HOMES_LEAST: u64 = 5;
+/// The most VMs that hold slots of one target.
+const SLOT_HOMES_MOST: u32 = 2;
 
-/// The limit of a customer's requests.
-pub fn customer_limit(customer: &tables::CustomerSpec) -> LimitSpec {
-    let rate = TokenRate::from(customer.rate);
+/// A rate limit whose homes grow with its rate.
+pub fn rate_limit(name: String, rate: TokenRate, burst: TokenAmount) -> LimitSpec {
     let more = rate.micros_per_second / TokenRate::from_whole(RATE_PER_HOME).micros_per_second;
     LimitSpec {
-        name: format!("customer/{}", customer.name),
-        terms: LimitTerms::Rate {
-            rate,
-            burst: TokenAmount::from_whole(customer.burst),
-        },
+        name,
+        terms: LimitTerms::Rate { rate, burst },
         homes: HomeRule {
             region: None,
             homes_max: (HOMES_LEAST + more) as u32,
@@ -135,6 +140,15 @@
     }
 }
 
+/// The limit of a customer's requests.
+pub fn customer_limit(customer: &tables::CustomerSpec) -> LimitSpec {
+    rate_limit(
+        format!("customer/{}", customer.name),
+        TokenRate::from(customer.rate),
+        TokenAmount::from_whole(customer.burst),
+    )
+}
+
 /// The limit of the bytes of one direction of a link, held by the VMs of the sending region.
 pub fn link_limit(fleet: &tables::FleetConfig, link: &tables::LinkSpec) -> LimitSpec {
     let from = &fleet.regions[link.from].name;
@@ -162,7 +176,7 @@
         },
         homes: HomeRule {
             region: Some(fleet.regions[region].name.clone()),
-            homes_max: target.slots.min(HOMES_LEAST as u32),
+            homes_max: target.slots.min(SLOT_HOMES_MOST),
         },
     }
 }
--- a/dahliawood-store/tests/main/main.rs
+++ b/dahliawood-store/tests/main/main.rs
@@ -2,4 +2,7 @@
 
 mod client;
 mod fleet;
+mod history;
+mod keeper;
+mod sim;
 mod support;
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -4,6 +4,7 @@
 //! non-zero where a stated target is missed.
 
 mod lookup;
+mod quota;
 mod shift;
 mod steer;
 
@@ -29,8 +30,9 @@
 /// All measurements, one line each.
 const MEASUREMENTS: &[MeasureEntry] = &[
     ("lookup", lookup::run),
-    ("steer", steer::run),
+    ("quota", quota::measure),
     ("shift", shift::run),
+    ("steer", steer::run),
 ];
 
 fn main() {
--- a/dahliawood-wire/tests/main/relay/mod.rs
+++ b/dahliawood-wire/tests/main/relay/mod.rs
@@ -9,7 +9,11 @@
 use proptest::prelude::*;
 use std::sync::Mutex;
 
-const REQUEST: &[u8] = b"GET /path HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n";
+/// Two requests at once: what follows a cut answer must not be taken for the rest of it.
+const REQUESTS: &[u8] = b"GET /path HTTP/1.1\r\nHost: vm\r\n\r\n\
+    GET /second HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n";
+/// Longer than any answer of the target.
+const SECOND_BYTES: usize = 400_000;
 
 /// What the caller can tell of an answer.
 #[derive(Debug, PartialEq, Eq)]
@@ -33,27 +37,25 @@
         .lines()
         .find_map(|line| line.strip_prefix("content-length: "))
         .map(|length| length.parse::<usize>().unwrap());
-    match length {
-        Some(length) if body.len() == length => Seen::Whole(body.to_vec()),
-        None if body.ends_with(b"0\r\n\r\n") => Seen::Whole(unchunk(body)),
-        _ => Seen::Part,
-    }
+    let whole = match length {
+        Some(length) => body.get(..length).map(<[u8]>::to_vec),
+        None => unchunk(body),
+    };
+    whole.map_or(Seen::Part, Seen::Whole)
 }
 
-fn unchunk(mut rest: &[u8]) -> Vec<u8> {
+/// The content of a chunked body, or `None` where its last chunk is missing.
+fn unchunk(mut rest: &[u8]) -> Option<Vec<u8>> {
     let mut body = Vec::new();
     loop {
-        let line = rest
-            .windows(2)
-            .position(|window| window == b"\r\n")
-            .unwrap();
-        let size = std::str::from_utf8(&rest[..line]).unwrap();
-        let size = usize::from_str_radix(size, 16).unwrap();
+        let line = rest.windows(2).position(|window| window == b"\r\n")?;
+        let size = std::str::from_utf8(&rest[..line]).ok()?;
+        let size = usize::from_str_radix(size, 16).ok()?;
         if size == 0 {
-            return body;
+            return Some(body);
         }
-        body.extend_from_slice(&rest[line + 2..line + 2 + size]);
-        rest = &rest[line + 4 + size..];
+        body.extend_from_slice(rest.get(line + 2..line + 2 + size)?);
+        rest = rest.get(line + 4 + size..)?;
     }
 }
 
@@ -62,10 +64,7 @@
     let (near_target, mut target) = support::connection(pieces);
     let (near_caller, mut caller) = support::connection(Vec::new());
     let connection = Mutex::new(Some(near_target));
-    let handler = |_: Request| {
-        let connection = connection.lock().unwrap().take().unwrap();
-        forward(connection)
-    };
+    let handler = |_: Request| forward(connection.lock().unwrap().take());
     let served = async {
         let options = server::ConnectionOptions::default();
         drop(server::connection(near_caller, &options, || false, handler).await);
@@ -77,7 +76,7 @@
         target.write_all(sent).await.unwrap();
     };
     let asked = async move {
-        caller.write_all(REQUEST).await.unwrap();
+        caller.write_all(REQUESTS).await.unwrap();
         let mut raw = Vec::new();
         caller.read_to_end(&mut raw).await.unwrap();
         raw
@@ -86,7 +85,13 @@
     judge(&raw)
 }
 
-async fn forward(connection: support::PipeEnd) -> Response {
+/// The target's answer to the first request, and one from here to the second.
+async fn forward(connection: Option<support::PipeEnd>) -> Response {
+    let Some(connection) = connection else {
+        let mut second = Response::new(StatusCode::Ok);
+        second.set_body(vec![b'X'; SECOND_BYTES]);
+        return second;
+    };
     let url = http_types::Url::parse("http://target/path").unwrap();
     let options = client::ExchangeOptions::default();
     let exchanged = client::exchange(connection, Request::get(url), &options, |_| {}).await;
