--- a/dahliawood-testkit/examples/measure/steer/mod.rs
+++ b/dahliawood-testkit/examples/measure/steer/mod.rs
@@ -4,6 +4,7 @@
 
 mod central;
 pub mod clock;
+mod decision;
 pub mod load;
 mod pushed;
 mod score;
@@ -31,6 +32,7 @@
 /// Runs the measurement.
 pub fn run(seed: u64, report: &mut FigureReport) {
     for size in [load::TAIWAN, load::COLOMBIA] {
+        decision::run(size, seed, report);
         for spread in [load::ServiceSpread::Light, load::ServiceSpread::Heavy] {
             for percent in [50, 80, 95] {
                 let case = case(size, spread, percent, load::LoadFault::None);
