fix(steer): heavy tails no longer eject at twice the capacity

The average of latencies moves by one in fifty and counts from 64 answers on, for a target and its peers alike: with one in twenty, one to two targets were ejected as slow at a time on some VM under heavy tails.

--- a/dahliawood-steer/src/choice/mod.rs
+++ b/dahliawood-steer/src/choice/mod.rs
@@ -216,7 +216,7 @@
     let mut peers: Vec<f64> = table
         .service(state.service)
         .filter(|peer| peer.key != state.key && peer.is_warm())
-        .filter(|peer| peer.health.answers >= health::MIN_SAMPLES)
+        .filter(|peer| peer.health.answers >= health::MIN_LATENCY_SAMPLES)
         .map(|peer| peer.health.latency_us)
         .collect();
     if peers.is_empty() {
--- a/dahliawood-steer/src/health/mod.rs
+++ b/dahliawood-steer/src/health/mod.rs
@@ -20,7 +20,7 @@
 /// Answers and failures before the average of failures counts.
 pub const MIN_SAMPLES: u32 = 8;
 /// Answers before the average of latencies counts; heavy tails need more of them.
-pub const MIN_LATENCY_SAMPLES: u32 = 32;
+pub const MIN_LATENCY_SAMPLES: u32 = 64;
 /// The first ejection time; it doubles with each probe that fails.
 pub const FIRST_EJECTION: Duration = Duration::from_secs(1);
 /// The longest ejection time.
@@ -32,7 +32,7 @@
 /// Weight of the newest result in the average of failures.
 const NEWEST_FAILURE: f64 = 0.2;
 /// Least weight of the newest answer in the average of latencies.
-const NEWEST_LATENCY: f64 = 0.05;
+const NEWEST_LATENCY: f64 = 0.02;
 
 /// What became of one request at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/dahliawood-steer/tests/main/drain.rs
+++ b/dahliawood-steer/tests/main/drain.rs
@@ -175,7 +175,7 @@
     let config = fleet::config(1, 2, 4);
     let mut table = table(&config, 4);
     for warm in 1..4 {
-        for _ in 0..health::MIN_SAMPLES {
+        for _ in 0..health::MIN_LATENCY_SAMPLES {
             answer(&mut table, TargetKey(warm), 10, TimeStamp::ZERO);
         }
     }
--- a/dahliawood-testkit/examples/measure/steer/central.rs
+++ b/dahliawood-testkit/examples/measure/steer/central.rs
@@ -17,7 +17,7 @@
 
 /// Runs a case.
 pub fn run(case: &LoadCase, requests: &[LoadRequest]) -> RunScore {
-    let mut score = RunScore::new(case);
+    let mut score = RunScore::new(case, requests);
     let mut clock = EventClock::new();
     for (index, request) in requests.iter().enumerate() {
         clock.at(request.arrival_us, CentralEvent::Arrival(index));
--- a/dahliawood-testkit/examples/measure/steer/pushed.rs
+++ b/dahliawood-testkit/examples/measure/steer/pushed.rs
@@ -69,7 +69,7 @@
 
 /// Runs a case.
 pub fn run(policy: PushPolicy, case: &LoadCase, requests: &[LoadRequest], seed: u64) -> RunScore {
-    let mut score = RunScore::new(case);
+    let mut score = RunScore::new(case, requests);
     let mut bench = PushBench {
         case,
         requests,
--- a/dahliawood-testkit/examples/measure/steer/score.rs
+++ b/dahliawood-testkit/examples/measure/steer/score.rs
@@ -1,6 +1,6 @@
 //! What became of the requests of one run.
 
-use super::load::{CUSTOMERS, DEADLINE_US, LoadCase, LoadRequest, MEAN_SERVICE_US};
+use super::load::{CUSTOMERS, DEADLINE_US, LoadCase, LoadRequest};
 use hdrhistogram::Histogram;
 
 /// Requests before this share of a run do not count.
@@ -26,8 +26,10 @@
 }
 
 impl RunScore {
-    /// An empty score.
-    pub fn new(case: &LoadCase) -> Self {
+    /// An empty score; capacity is that of all slots for what these requests take on average.
+    pub fn new(case: &LoadCase, requests: &[LoadRequest]) -> Self {
+        let demand_us: u64 = requests.iter().map(|request| request.demand_us).sum();
+        let mean_us = demand_us as f64 / requests.len().max(1) as f64;
         let end_us = case.seconds as f64 * 1e6;
         let customer = |_| CustomerScore {
             latencies: histogram(),
@@ -37,7 +39,7 @@
         Self {
             counted_from_us: (end_us * WARM_UP) as u64,
             counted_us: end_us * (1.0 - WARM_UP),
-            capacity: case.size.all_slots() as f64 / MEAN_SERVICE_US,
+            capacity: case.size.all_slots() as f64 / mean_us,
             latencies: histogram(),
             customers: (0..CUSTOMERS).map(customer).collect(),
             in_time: 0,
--- a/dahliawood-testkit/examples/measure/steer/slots.rs
+++ b/dahliawood-testkit/examples/measure/steer/slots.rs
@@ -108,7 +108,7 @@
     requests: &[LoadRequest],
     seed: u64,
 ) -> (RunScore, SlotCost) {
-    let mut score = RunScore::new(case);
+    let mut score = RunScore::new(case, requests);
     let mut bench = SlotBench {
         case,
         requests,
