--- a/dahliawood-steer/src/lookup/mod.rs
+++ b/dahliawood-steer/src/lookup/mod.rs
@@ -22,6 +22,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+/// What [`LookupTable::local_weight`] gives a customer of weight 1 with one home.
+pub const WEIGHT_UNIT: u32 = 1_000;
+
 /// An entry VM as the membership table knows it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct VmEntry {
@@ -95,7 +98,6 @@
 #[derive(Clone, Copy, Debug)]
 struct VmSeat {
     vm: VmKey,
-    domain: DomainKey,
     hash: u64,
 }
 
@@ -103,10 +105,14 @@
 #[derive(Clone, Copy, Debug)]
 struct ScoredSeat {
     vm: VmKey,
-    domain: DomainKey,
     score: u64,
-    /// How many seats of its failure domain have a higher score.
-    round: u32,
+}
+
+impl ScoredSeat {
+    /// Sorts the highest score first.
+    fn order(&self) -> (Reverse<u64>, VmKey) {
+        (Reverse(self.score), self.vm)
+    }
 }
 
 /// What an answer needs of a customer.
@@ -114,12 +120,13 @@
 struct CustomerHome {
     hash: u64,
     homes: usize,
+    weight: u32,
 }
 
-/// A region: its VMs and the other regions, nearest first.
+/// A region: its VMs by failure domain, and the other regions, nearest first.
 #[derive(Clone, Debug, Default)]
 struct RegionSeats {
-    seats: Vec<VmSeat>,
+    domains: Vec<Vec<VmSeat>>,
     others: Vec<RegionKey>,
 }
 
@@ -164,6 +171,19 @@
         self.prefixes.memory_bytes()
     }
 
+    /// A customer's weight in the queue of one VM of a region, in thousandths: its weight divided by
+    /// its homes there, so that a customer with many homes gets no more turns in all.
+    pub fn local_weight(&self, customer: Option<CustomerKey>, region: RegionKey) -> u32 {
+        let known = customer.and_then(|key| self.customers.get(key.index()));
+        let (weight, homes) = known.map_or((1, 1), |home| (home.weight, home.homes));
+        let vms: usize = self
+            .regions
+            .get(region.index())
+            .map_or(0, |region| region.domains.iter().map(Vec::len).sum());
+        let homes = homes.min(vms).max(1) as u32;
+        (weight.saturating_mul(WEIGHT_UNIT) / homes).max(1)
+    }
+
     /// The place whose blocks hold `client`, by longest prefix.
     pub fn place_of(&self, client: IpAddr) -> Option<PlaceKey> {
         self.prefixes.place_of(client)
@@ -187,6 +207,7 @@
         known.copied().unwrap_or_else(|| CustomerHome {
             hash: client_hash(query.client),
             homes: 1,
+            weight: 1,
         })
     }
 
@@ -232,10 +253,10 @@
     let named = table.options.named;
     let fallback = table
         .fallback_regions(near, query.service)
-        .find_map(|region| best(&table.regions[region.index()].seats, home.hash));
+        .find_map(|region| best(&table.regions[region.index()], home.hash));
     let near_count = named - usize::from(fallback.is_some() && named > 1);
-    let seats = &table.regions[near.index()].seats;
-    let mut vms = ranked(seats, home.hash, near_count.max(home.homes));
+    let region = &table.regions[near.index()];
+    let mut vms = ranked(region, home.hash, near_count.max(home.homes));
     let homes = home.homes.min(vms.len());
     if homes > 1 {
         vms[..homes].rotate_left(rng.random_range(0..homes));
@@ -247,41 +268,66 @@
 
 /// The first `count` seats for a customer: the highest score among the least used failure domains,
 /// again and again. A seat that is not taken has no say in which others are.
-fn ranked(seats: &[VmSeat], customer: u64, count: usize) -> Vec<VmKey> {
-    let mut scored = scored_seats(seats, customer);
-    scored.sort_unstable_by_key(|seat| (Reverse(seat.score), seat.vm));
-    let mut used: Vec<(DomainKey, u32)> = Vec::new();
-    for seat in &mut scored {
-        match used.iter_mut().find(|(domain, _)| *domain == seat.domain) {
-            Some((_, round)) => {
-                *round += 1;
-                seat.round = *round;
-            }
-            None => used.push((seat.domain, 0)),
+fn ranked(region: &RegionSeats, customer: u64, count: usize) -> Vec<VmKey> {
+    let rounds = rounds(region, count);
+    let domains = region.domains.iter();
+    let tops: Vec<Vec<ScoredSeat>> = domains
+        .map(|seats| top_seats(seats, customer, rounds))
+        .collect();
+    let mut vms = Vec::with_capacity(count + tops.len());
+    for round in 0..rounds {
+        let mut seats: Vec<ScoredSeat> = tops
+            .iter()
+            .filter_map(|top| top.get(round))
+            .copied()
+            .collect();
+        seats.sort_unstable_by_key(ScoredSeat::order);
+        vms.extend(seats.iter().map(|seat| seat.vm));
+    }
+    vms.truncate(count);
+    vms
+}
+
+/// How often the failure domains of a region take turns until they have given `count` seats.
+fn rounds(region: &RegionSeats, count: usize) -> usize {
+    let given = |rounds: usize| -> usize {
+        let domains = region.domains.iter();
+        domains.map(|seats| seats.len().min(rounds)).sum()
+    };
+    let largest = region.domains.iter().map(Vec::len).max().unwrap_or(0);
+    let enough = (0..=largest).find(|rounds| given(*rounds) >= count);
+    enough.unwrap_or(largest)
+}
+
+/// The `count` seats of one failure domain with the highest scores, in order.
+fn top_seats(seats: &[VmSeat], customer: u64, count: usize) -> Vec<ScoredSeat> {
+    let mut top: Vec<ScoredSeat> = Vec::with_capacity(count + 1);
+    for seat in seats {
+        let seat = ScoredSeat {
+            vm: seat.vm,
+            score: rendezvous::score(customer, seat.hash),
+        };
+        let full = top.len() >= count;
+        if full && top.last().is_none_or(|last| last.order() <= seat.order()) {
+            continue;
         }
+        let place = top.partition_point(|other| other.order() < seat.order());
+        top.insert(place, seat);
+        top.truncate(count);
     }
-    scored.sort_by_key(|seat| seat.round);
-    scored.iter().map(|seat| seat.vm).take(count).collect()
+    top
 }
 
-/// The seat with the highest score for a customer.
-fn best(seats: &[VmSeat], customer: u64) -> Option<VmKey> {
-    let best = seats
+/// The seat of a region with the highest score for a customer.
+fn best(region: &RegionSeats, customer: u64) -> Option<VmKey> {
+    let best = region
+        .domains
         .iter()
+        .flatten()
         .max_by_key(|seat| (rendezvous::score(customer, seat.hash), Reverse(seat.vm)));
     best.map(|seat| seat.vm)
 }
 
-fn scored_seats(seats: &[VmSeat], customer: u64) -> Vec<ScoredSeat> {
-    let scored = seats.iter().map(|seat| ScoredSeat {
-        vm: seat.vm,
-        domain: seat.domain,
-        score: rendezvous::score(customer, seat.hash),
-        round: 0,
-    });
-    scored.collect()
-}
-
 /// A time to live between three quarters of `ttl` and the whole.
 fn jittered(ttl: Duration, rng: &mut impl Rng) -> Duration {
     ttl.mul_f64(rng.random_range(0.75..=1.0))
@@ -295,27 +341,33 @@
 }
 
 fn region_seats(config: &FleetConfig, vms: &[VmEntry]) -> Vec<RegionSeats> {
-    let any_live = vms.iter().any(|vm| vm.state == VmState::Live);
-    let may_name = |state| state == VmState::Live || (state == VmState::Suspect && !any_live);
-    let mut regions: Vec<RegionSeats> = config
-        .regions
-        .keys()
+    let regions = config.regions.keys();
+    regions
         .map(|region| RegionSeats {
-            seats: Vec::new(),
+            domains: domain_seats(config, vms, region),
             others: regions_by_latency(config, region),
         })
-        .collect();
-    for (index, vm) in vms.iter().enumerate().filter(|(_, vm)| may_name(vm.state)) {
-        let Some(domain) = config.domains.get(vm.domain) else {
-            continue;
-        };
-        regions[domain.region.index()].seats.push(VmSeat {
-            vm: VmKey::from_index(index),
-            domain: vm.domain,
-            hash: rendezvous::name_hash(vm.name.as_bytes()),
-        });
-    }
-    regions
+        .collect()
+}
+
+/// The VMs of a region that may be named, by failure domain.
+fn domain_seats(config: &FleetConfig, vms: &[VmEntry], region: RegionKey) -> Vec<Vec<VmSeat>> {
+    let any_live = vms.iter().any(|vm| vm.state == VmState::Live);
+    let may_name = |state| state == VmState::Live || (state == VmState::Suspect && !any_live);
+    let seats = |domain: DomainKey| {
+        let vms = vms.iter().enumerate();
+        vms.filter(|(_, vm)| vm.domain == domain && may_name(vm.state))
+            .map(|(index, vm)| VmSeat {
+                vm: VmKey::from_index(index),
+                hash: rendezvous::name_hash(vm.name.as_bytes()),
+            })
+            .collect()
+    };
+    let domains = config.domains.iter();
+    domains
+        .filter(|(_, spec)| spec.region == region)
+        .map(|(domain, _)| seats(domain))
+        .collect()
 }
 
 fn regions_by_latency(config: &FleetConfig, from: RegionKey) -> Vec<RegionKey> {
@@ -339,6 +391,7 @@
         .map(|spec| CustomerHome {
             hash: rendezvous::name_hash(spec.name.as_bytes()),
             homes: homes(spec),
+            weight: spec.weight,
         })
         .collect()
 }
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -4,6 +4,10 @@
 //! non-zero where a stated target is missed.
 
 mod fate;
+mod lookup;
+mod quota;
+mod silent;
+mod steer;
 
 use bpaf::Bpaf;
 use dahliawood_testkit::figures;
@@ -25,7 +29,13 @@
 type MeasureEntry = (&'static str, fn(u64, &mut figures::FigureReport));
 
 /// All measurements, one line each.
-const MEASUREMENTS: &[MeasureEntry] = &[("fate", fate::run)];
+const MEASUREMENTS: &[MeasureEntry] = &[
+    ("fate", fate::run),
+    ("lookup", lookup::run),
+    ("quota", quota::measure),
+    ("silent", silent::run),
+    ("steer", steer::run),
+];
 
 fn main() {
     let args = measure_args().run();
