fix(wire): nobody is asked for a body in the middle of an answer

A handler that answered with the request's own unread body made the gate write 100 Continue once the answer had begun.

--- a/dahliawood-wire/src/gate/mod.rs
+++ b/dahliawood-wire/src/gate/mod.rs
@@ -4,8 +4,9 @@
 //! what follows a message, counts a body to its end, fails where the connection ends or stalls
 //! before, and reports when the connection is free for its next message.
 
+mod stall;
+
 use crate::{chunk, head, stream};
-use async_std::task;
 use futures::future;
 use futures::io::{AsyncRead, AsyncWrite};
 use http_types::headers::CONTENT_TYPE;
@@ -13,7 +14,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker, ready};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Bytes received ahead of the reader; more than a head or trailers may take.
 const BUFFER_BYTES: usize = 8 * 1024;
@@ -30,38 +31,6 @@
     Body(head::BodyFrame),
 }
 
-/// Measures how long a read has been waiting.
-struct StallClock {
-    limit: Duration,
-    waiting: Option<Instant>,
-    timer: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
-}
-
-impl StallClock {
-    fn new(limit: Duration) -> Self {
-        Self {
-            limit,
-            waiting: None,
-            timer: None,
-        }
-    }
-
-    fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        let started = *self.waiting.get_or_insert_with(Instant::now);
-        loop {
-            let left = self.limit.saturating_sub(started.elapsed());
-            if left.is_zero() {
-                return Poll::Ready(());
-            }
-            let timer = self
-                .timer
-                .get_or_insert_with(|| Box::pin(task::sleep(left)));
-            ready!(timer.as_mut().poll(context));
-            self.timer = None;
-        }
-    }
-}
-
 struct GateState<IO> {
     connection: IO,
     buffer: Vec<u8>,
@@ -71,7 +40,7 @@
     typed: bool,
     epoch: u64,
     interim: &'static [u8],
-    clock: StallClock,
+    clock: stall::StallClock,
     hook: Option<EndHook>,
     watcher: Option<Waker>,
 }
@@ -132,7 +101,7 @@
             ready!(self.clock.poll_expired(context));
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        self.clock.waiting = None;
+        self.clock.reset();
         self.finish_if_ended();
         polled
     }
@@ -251,7 +220,7 @@
             typed: false,
             epoch: 0,
             interim: &[],
-            clock: StallClock::new(stall),
+            clock: stall::StallClock::new(stall),
             hook: None,
             watcher: None,
         };
@@ -325,6 +294,15 @@
         self.lock().interim = CONTINUE_BYTES;
     }
 
+    /// Makes an unread body unreadable, so that nobody is asked for it any more.
+    ///
+    /// Once the answer has begun, asking for the body would write into the middle of it.
+    pub fn give_up_body(&self) {
+        let mut state = self.lock();
+        state.interim = &[];
+        state.epoch += 1;
+    }
+
     /// Whether the body has been read to its end.
     pub fn is_ended(&self) -> bool {
         matches!(self.lock().phase, GatePhase::Body(frame) if frame.is_ended())
--- /dev/null
+++ b/dahliawood-wire/src/gate/stall/mod.rs
@@ -0,0 +1,44 @@
+//! How long a read has been waiting.
+
+use async_std::task;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+/// Measures how long a read has been waiting.
+pub(super) struct StallClock {
+    limit: Duration,
+    waiting: Option<Instant>,
+    timer: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+}
+
+impl StallClock {
+    pub(super) fn new(limit: Duration) -> Self {
+        Self {
+            limit,
+            waiting: None,
+            timer: None,
+        }
+    }
+
+    /// A byte came.
+    pub(super) fn reset(&mut self) {
+        self.waiting = None;
+    }
+
+    /// Ready once no byte has come for the limit; called whenever a read is pending.
+    pub(super) fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let started = *self.waiting.get_or_insert_with(Instant::now);
+        loop {
+            let left = self.limit.saturating_sub(started.elapsed());
+            if left.is_zero() {
+                return Poll::Ready(());
+            }
+            let timer = self
+                .timer
+                .get_or_insert_with(|| Box::pin(task::sleep(left)));
+            ready!(timer.as_mut().poll(context));
+            self.timer = None;
+        }
+    }
+}
--- a/dahliawood-wire/src/lib.rs
+++ b/dahliawood-wire/src/lib.rs
@@ -9,7 +9,9 @@
 //!
 //! Shortcomings: trailers are read and dropped; an answer that ends with its connection is refused
 //! because a cut one looks the same; heads must be ASCII and shorter than 8 KiB; answers with a
-//! status that the `http-types` library does not know are refused.
+//! status that the `http-types` library does not know are refused; a caller that closes its sending
+//! side while it waits counts as gone, because a caller that left looks the same; a request body that
+//! was not asked for before the answer began is never read.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
--- a/dahliawood-wire/src/server/mod.rs
+++ b/dahliawood-wire/src/server/mod.rs
@@ -271,6 +271,9 @@
             return Ok(Step::End(ConnectionEnd::CallerLeft));
         };
         let unasked = self.gate.awaits_ask();
+        if unasked {
+            self.gate.give_up_body();
+        }
         let close = caller_closes || unasked || closing() || head::says_close(response.as_ref());
         if close {
             response.insert_header(CONNECTION, "close");
--- a/dahliawood-wire/tests/golden/main.rs
+++ b/dahliawood-wire/tests/golden/main.rs
@@ -171,6 +171,7 @@
                 response.set_status(http_types::StatusCode::BadRequest);
             }
         },
+        "/stream" => response.set_body(request.take_body()),
         "/short" => response.set_body(Body::from_reader(&b"abc"[..], Some(10))),
         "/fails" => response.set_body(Body::from_reader(failing(), None)),
         "/chunked" => response.set_body(Body::from_reader(&b"abc"[..], None)),
