--- a/dahliawood-wire/src/lib.rs
+++ b/dahliawood-wire/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod headers;
 pub mod pool;
 pub mod problem;
+pub mod resume;
 pub mod server;
 pub mod simple;
 pub mod stream;
--- a/dahliawood-wire/tests/main/main.rs
+++ b/dahliawood-wire/tests/main/main.rs
@@ -4,5 +4,6 @@
 mod headers;
 mod loopback;
 mod relay;
+mod resume;
 #[path = "../support/mod.rs"]
 mod support;
