--- a/dahliawood-fate/src/journal/mod.rs
+++ b/dahliawood-fate/src/journal/mod.rs
@@ -4,8 +4,9 @@
 //! its own and the same content on each attempt, so a lost reply is answered by writing it again.
 
 use crate::ticket::outcome::TicketOutcome;
-use crate::ticket::status::{KnownBy, TicketReport};
-use crate::ticket::table;
+use crate::ticket::status::{KnownBy, TicketAsker, TicketReport, TicketState};
+use crate::ticket::{self, table};
+use crate::verdict;
 use dahliawood_model::stamp;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -55,8 +56,7 @@
 }
 
 impl JournalEntry {
-    /// What a customer or operator is told from it.
-    pub fn report(&self) -> TicketReport {
+    fn report(&self) -> TicketReport {
         TicketReport {
             state: table::outcome_state(&self.outcome),
             ran: self.outcome.verdict(),
@@ -72,6 +72,27 @@
     }
 }
 
+/// What is told of a ticket whose holder is gone: `entry` is what the journal has for it, if
+/// anything. A customer is told of its own tickets only.
+pub fn report(entry: Option<&JournalEntry>, asker: TicketAsker<'_>) -> TicketReport {
+    let Some(entry) = entry else {
+        return TicketReport::holder_gone();
+    };
+    match asker {
+        TicketAsker::Customer(customer) if customer != entry.customer => TicketReport {
+            state: TicketState::Unknown,
+            ran: verdict::RunVerdict::NotRun,
+            known_by: KnownBy::Journal,
+        },
+        _ => entry.report(),
+    }
+}
+
+/// What the keys of all batches of a holder begin with.
+pub fn key_prefix(holder: ticket::VmIncarnation) -> String {
+    format!("journal/{}/{:016x}/", holder.address, holder.incarnation)
+}
+
 /// Outcomes that are written at once.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct JournalBatch {
@@ -81,6 +102,13 @@
     pub entries: Vec<JournalEntry>,
 }
 
+impl JournalBatch {
+    /// Its key in the store; in the order of writing among those of its holder.
+    pub fn key(&self, holder: ticket::VmIncarnation) -> String {
+        format!("{}{:016x}", key_prefix(holder), self.sequence)
+    }
+}
+
 /// Outcomes that wait to be written.
 #[derive(Clone, Debug)]
 pub struct OutcomeJournal {
--- a/dahliawood-fate/tests/main/ticket/mod.rs
+++ b/dahliawood-fate/tests/main/ticket/mod.rs
@@ -249,12 +249,9 @@
         let asker = status::TicketAsker::Customer(CUSTOMERS[customer]);
         let report = match self.route(&ticket, 0) {
             Some(holder) => self.vms[holder].tickets.report(&ticket, asker, self.now),
-            None => self.stored.get(&key(&ticket)).map_or_else(
-                status::TicketReport::holder_gone,
-                journal::JournalEntry::report,
-            ),
+            None => journal::report(self.stored.get(&key(&ticket)), asker),
         };
-        if owner != customer && report.known_by == status::KnownBy::Holder {
+        if owner != customer && report.known_by != status::KnownBy::HolderGone {
             prop_assert_eq!(report.state, status::TicketState::Unknown);
             return Ok(());
         }
@@ -403,3 +400,18 @@
     assert_eq!(journal::interval(11, 50), Duration::from_millis(220));
     assert_eq!(journal::interval(920, 50), Duration::from_millis(18_400));
 }
+
+#[test]
+fn batches_have_keys_in_their_order() {
+    let holder = vm(0, 7).own;
+    let keys: Vec<_> = [9, 10, 300]
+        .map(|sequence| journal::JournalBatch {
+            sequence,
+            entries: Vec::new(),
+        })
+        .iter()
+        .map(|batch| batch.key(holder))
+        .collect();
+    assert!(keys.is_sorted());
+    assert!(keys[0].starts_with(&journal::key_prefix(holder)));
+}
--- a/dahliawood-wire/tests/main/loopback/mod.rs
+++ b/dahliawood-wire/tests/main/loopback/mod.rs
@@ -197,3 +197,18 @@
     assert!(outcome.is_ok());
     assert_eq!(pool.count(address).open, 1);
 }
+
+#[async_std::test]
+async fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    let address = echo_server().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "GET / HTTP/1.1\r\nHost: vm\r\nX-Large: {}\r\n\r\n",
+        "a".repeat(65_536)
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
+    assert!(answer.ends_with("\"ran\":\"not-run\"}"), "{answer}");
+}
