--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -4,9 +4,11 @@
 //! non-zero where a stated target is missed.
 
 mod cold;
+mod fate;
 mod lookup;
 mod quota;
 mod shift;
+mod silent;
 mod steer;
 mod store_budget;
 
@@ -32,9 +34,11 @@
 /// All measurements, one line each.
 const MEASUREMENTS: &[MeasureEntry] = &[
     ("cold", cold::run),
+    ("fate", fate::run),
     ("lookup", lookup::run),
     ("quota", quota::measure),
     ("shift", shift::run),
+    ("silent", silent::run),
     ("steer", steer::run),
     ("store-budget", store_budget::run),
 ];
