feat(measure): links, slots and fairness; smaller modules in quota

Change: measure links floods one link direction from all VMs and from one and overloads 60 slots from all VMs; measure fairness runs one VM with and without the hog.

--- /dev/null
+++ b/dahliawood-quota/src/book/inbox/mod.rs
@@ -0,0 +1,153 @@
+//! What a VM does about messages of its peers.
+
+use crate::book::{QuotaBook, effect};
+use crate::{member, message};
+use dahliawood_model::stamp;
+
+impl QuotaBook {
+    /// Takes a message of a peer and returns what to do about it.
+    pub fn receive(
+        &mut self,
+        from: member::HolderId,
+        message: message::QuotaMessage,
+        now: stamp::TimeStamp,
+    ) -> Vec<effect::QuotaEffect> {
+        self.evidence.hear(from, now);
+        self.silent.remove(&from);
+        match message {
+            message::QuotaMessage::Ask(ask) => self.take_ask(from, ask, now),
+            message::QuotaMessage::Grant(grant) => self.take_grant(from, &grant, now),
+            message::QuotaMessage::Report(report) => self.take_report(from, report, now),
+            message::QuotaMessage::LeaseAsk(ask) => self.take_lease_ask(from, ask, now),
+            message::QuotaMessage::LeaseGrant(grant) => self.take_lease(from, &grant, now),
+            message::QuotaMessage::LeaseReturn(back) => self.take_lease_back(from, back, now),
+            message::QuotaMessage::LeaseRecall(recall) => self.take_recall(from, recall, now),
+            message::QuotaMessage::Probe(probe) => self.take_probe(from, probe, now),
+            message::QuotaMessage::Echo(echo) => self.take_echo(from, echo, now),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    pub(super) fn take_ask(
+        &mut self,
+        from: member::HolderId,
+        ask: message::LoanAsk,
+        now: stamp::TimeStamp,
+    ) {
+        let Some(key) = self.table.by_tag(ask.tag) else {
+            return;
+        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
+        let grant = self.states[key.index()].lend(from, ask, context);
+        self.send(from, grant);
+    }
+
+    pub(super) fn take_grant(
+        &mut self,
+        from: member::HolderId,
+        grant: &message::LoanGrant,
+        now: stamp::TimeStamp,
+    ) {
+        if let Some(key) = self.table.by_tag(grant.tag) {
+            self.states[key.index()].take_grant(from, grant, now);
+            self.serve(key, now);
+            self.report(key, now);
+            self.borrow(key, now);
+        }
+    }
+
+    pub(super) fn take_report(
+        &mut self,
+        from: member::HolderId,
+        report: message::LoanReport,
+        now: stamp::TimeStamp,
+    ) {
+        if let Some(key) = self.table.by_tag(report.tag) {
+            self.states[key.index()].take_report(from, report, now);
+        }
+    }
+
+    pub(super) fn take_lease_ask(
+        &mut self,
+        from: member::HolderId,
+        ask: message::LeaseAsk,
+        now: stamp::TimeStamp,
+    ) {
+        let Some(key) = self.table.by_tag(ask.tag) else {
+            return;
+        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
+        if let Some(grant) = self.states[key.index()].lend_share(from, ask, context) {
+            self.send(from, grant);
+        }
+    }
+
+    pub(super) fn take_lease(
+        &mut self,
+        from: member::HolderId,
+        grant: &message::LeaseGrant,
+        now: stamp::TimeStamp,
+    ) {
+        let Some(key) = self.table.by_tag(grant.tag) else {
+            return;
+        };
+        let shared = self.shared(now);
+        let context = shared.context(&self.spans, &self.silent, now);
+        self.states[key.index()].take_lease(from, grant, context);
+        self.serve(key, now);
+    }
+
+    pub(super) fn take_lease_back(
+        &mut self,
+        from: member::HolderId,
+        back: message::LeaseReturn,
+        now: stamp::TimeStamp,
+    ) {
+        if let Some(key) = self.table.by_tag(back.tag) {
+            self.states[key.index()].take_lease_back(from, back, now);
+            self.serve(key, now);
+        }
+    }
+
+    pub(super) fn take_recall(
+        &mut self,
+        from: member::HolderId,
+        recall: message::LeaseRecall,
+        now: stamp::TimeStamp,
+    ) {
+        if let Some(key) = self.table.by_tag(recall.tag) {
+            let due = self.states[key.index()].take_recall(from, now);
+            self.send_leases(due);
+        }
+    }
+
+    pub(super) fn take_probe(
+        &mut self,
+        from: member::HolderId,
+        probe: message::PeerProbe,
+        now: stamp::TimeStamp,
+    ) {
+        let due = probe
+            .subject
+            .and_then(|subject| self.evidence.ask_subject(subject, now));
+        if let Some(due) = due {
+            self.send(due.to, due.probe);
+        }
+        if let Some(echo) = self.evidence.answer(from, probe, &self.spans, now) {
+            self.send(from, echo);
+        }
+    }
+
+    pub(super) fn take_echo(
+        &mut self,
+        from: member::HolderId,
+        echo: message::PeerEcho,
+        now: stamp::TimeStamp,
+    ) {
+        let members = &self.holder.document().members;
+        self.evidence
+            .take_echo(from, echo, members, &self.spans, now);
+    }
+}
--- /dev/null
+++ b/dahliawood-quota/src/book/state/admission/mod.rs
@@ -0,0 +1,168 @@
+//! Requests for one limit: granted, waiting or refused.
+
+use super::{LimitState, ResolvedRequest, StateContext, WaitingRequest};
+use crate::amount;
+use crate::book::effect;
+use dahliawood_model::stamp;
+use std::time::Duration;
+
+/// Bounds of the time after which a refused caller may try again.
+const RETRY_LEAST: Duration = Duration::from_millis(10);
+const RETRY_MOST: Duration = Duration::from_secs(60);
+
+impl LimitState {
+    /// Takes allowance for a request, or lets it wait where the wait can end in time.
+    pub(crate) fn admit(
+        &mut self,
+        ticket: effect::WaitTicket,
+        amount: amount::TokenAmount,
+        deadline: stamp::TimeStamp,
+        context: StateContext<'_>,
+    ) -> effect::Admission {
+        self.forecast.count(amount, context.now);
+        self.demand_at = Some(context.now);
+        self.account.refresh(context.now);
+        if self.waiters.is_empty()
+            && let Some(permit) = self.take(amount, deadline, context)
+        {
+            return effect::Admission::Granted(permit);
+        }
+        let is_full = context.spans.waiters_max <= self.waiters.len();
+        if is_full || deadline <= context.now || !self.has_hope(amount, context) {
+            return self.refusal(amount);
+        }
+        let until = context.now.after(context.spans.wait_limit).min(deadline);
+        self.waiters.push_back(WaitingRequest {
+            ticket,
+            amount,
+            until,
+            deadline,
+        });
+        effect::Admission::Waiting { ticket, until }
+    }
+
+    pub(super) fn refusal(&self, amount: amount::TokenAmount) -> effect::Admission {
+        let missing = u128::from((self.waiting() + amount).micros);
+        let rate = u128::from(self.terms.rate().micros_per_second).max(1);
+        let millis = missing * 1_000 / rate;
+        let wait = Duration::from_millis(u64::try_from(millis).unwrap_or(u64::MAX));
+        effect::Admission::Refused {
+            retry_after: wait.clamp(RETRY_LEAST, RETRY_MOST),
+        }
+    }
+
+    pub(super) fn take(
+        &mut self,
+        amount: amount::TokenAmount,
+        deadline: stamp::TimeStamp,
+        context: StateContext<'_>,
+    ) -> Option<effect::QuotaPermit> {
+        if self.terms.is_count() {
+            return self.take_unit(deadline, context);
+        }
+        let own = self.own_level(context.is_active);
+        let borrowed = self.wallet.available(context.now);
+        if own + borrowed < amount {
+            return None;
+        }
+        let own_first = if borrowed < own {
+            amount.min(own)
+        } else {
+            amount.less(borrowed)
+        };
+        let rest = amount.less(own_first);
+        let spent = self.wallet.spend(rest, context.now);
+        self.account
+            .bucket_mut()
+            .spend(own_first + rest.less(spent));
+        Some(self.permit(effect::PermitSource::Spent, stamp::TimeStamp::MAX))
+    }
+
+    pub(super) fn take_unit(
+        &mut self,
+        deadline: stamp::TimeStamp,
+        context: StateContext<'_>,
+    ) -> Option<effect::QuotaPermit> {
+        if context.is_active && self.account.bucket_mut().lend(amount::TokenAmount::ONE) {
+            return Some(self.permit(effect::PermitSource::Share, deadline));
+        }
+        let unit = self.wallet.occupy(context.now)?;
+        let source = effect::PermitSource::Loan(unit.serial);
+        Some(self.permit(source, unit.usable_until.min(deadline)))
+    }
+
+    pub(super) fn permit(
+        &self,
+        source: effect::PermitSource,
+        usable_until: stamp::TimeStamp,
+    ) -> effect::QuotaPermit {
+        effect::QuotaPermit {
+            limit: self.key,
+            source,
+            usable_until,
+        }
+    }
+
+    /// Ends the use of a permit of a count.
+    pub(crate) fn release(&mut self, source: effect::PermitSource) {
+        match source {
+            effect::PermitSource::Spent => {}
+            effect::PermitSource::Share => {
+                self.account.bucket_mut().restore(amount::TokenAmount::ONE);
+            }
+            effect::PermitSource::Loan(serial) => self.wallet.vacate(serial),
+        }
+    }
+
+    /// Whether a request for `amount`, behind all that wait, may be served in time.
+    pub(super) fn has_hope(&self, amount: amount::TokenAmount, context: StateContext<'_>) -> bool {
+        let asks = self.wallet.awaits_answer() || self.next_lender(context).is_some();
+        if self.terms.is_count() || self.is_paced {
+            return asks || !self.homes.is_empty();
+        }
+        let needed = (self.waiting() + amount).less(self.wallet.available(context.now));
+        let limit = context.spans.accrual_wait.as_micros();
+        let accrues = self.account.bucket().wait_micros(needed);
+        let accrues = accrues.is_some_and(|wait| u128::from(wait) <= limit);
+        asks || (context.is_active && accrues)
+    }
+
+    /// Removes a request that no longer waits.
+    pub(crate) fn cancel(&mut self, ticket: effect::WaitTicket) {
+        self.waiters.retain(|waiter| waiter.ticket != ticket);
+    }
+
+    /// Serves waiting requests in order, and refuses those whose wait cannot end in time.
+    pub(crate) fn serve(&mut self, context: StateContext<'_>) -> Vec<ResolvedRequest> {
+        let mut resolved = Vec::new();
+        self.account.refresh(context.now);
+        while let Some(waiter) = self.waiters.front().copied() {
+            if waiter.until <= context.now {
+                resolved.push(self.refuse(waiter));
+            } else if let Some(permit) = self.take(waiter.amount, waiter.deadline, context) {
+                resolved.push(ResolvedRequest {
+                    ticket: waiter.ticket,
+                    admission: effect::Admission::Granted(permit),
+                });
+            } else {
+                break;
+            }
+            self.waiters.pop_front();
+        }
+        while let Some(waiter) = self.waiters.back().copied() {
+            if self.has_hope(amount::TokenAmount::ZERO, context) {
+                break;
+            }
+            self.waiters.pop_back();
+            resolved.push(self.refuse(waiter));
+        }
+        resolved
+    }
+
+    pub(super) fn refuse(&self, waiter: WaitingRequest) -> ResolvedRequest {
+        ResolvedRequest {
+            ticket: waiter.ticket,
+            admission: self.refusal(waiter.amount),
+        }
+    }
+}
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -3,6 +3,8 @@
 //! Each measurement prints one line a figure, `figure value unit target`; the program exits
 //! non-zero where a stated target is missed.
 
+mod fairness;
+mod links;
 mod lookup;
 mod quota;
 mod steer;
@@ -28,6 +30,8 @@
 
 /// All measurements, one line each.
 const MEASUREMENTS: &[MeasureEntry] = &[
+    ("fairness", fairness::measure),
+    ("links", links::measure),
     ("lookup", lookup::run),
     ("quota", quota::measure),
     ("steer", steer::run),
