--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -4,7 +4,9 @@
 //! non-zero where a stated target is missed.
 
 mod cold;
+mod fairness;
 mod fate;
+mod links;
 mod lookup;
 mod quota;
 mod shift;
@@ -34,7 +36,9 @@
 /// All measurements, one line each.
 const MEASUREMENTS: &[MeasureEntry] = &[
     ("cold", cold::run),
+    ("fairness", fairness::measure),
     ("fate", fate::run),
+    ("links", links::measure),
     ("lookup", lookup::run),
     ("quota", quota::measure),
     ("shift", shift::run),
