feat(store): write the status line of a peer that is cut off from the store

A VM that does not reach the store held every change back although its peers do. A peer now passes it proposals and files and writes its line, unless the store holds a newer one.

--- a/dahliawood-store/src/revision/keeper/mod.rs
+++ b/dahliawood-store/src/revision/keeper/mod.rs
@@ -107,6 +107,11 @@
         self.accepted.as_ref().map(|(stamp, _)| stamp)
     }
 
+    /// The revision last proposed, accepted or not.
+    pub fn proposed(&self) -> Option<&RevisionStamp> {
+        self.proposed.as_ref()
+    }
+
     /// The file of `hash`, where it is in force or staged here.
     pub fn file(&self, hash: &ContentHash) -> Option<Arc<str>> {
         let in_force = self
--- a/dahliawood-store/src/revision/mod.rs
+++ b/dahliawood-store/src/revision/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod follow;
 pub mod keeper;
+pub mod relay;
 pub mod shared;
 
 pub use self::follow::{FollowOptions, follow};
--- a/dahliawood-store/src/revision/shared/mod.rs
+++ b/dahliawood-store/src/revision/shared/mod.rs
@@ -101,6 +101,11 @@
         self.lock().accepted().cloned()
     }
 
+    /// The revision last proposed, for a peer that does not reach the store.
+    pub fn proposed(&self) -> Option<RevisionStamp> {
+        self.lock().proposed().cloned()
+    }
+
     /// Hashes of the files to fetch, the most urgent first.
     pub fn wanted(&self) -> Vec<ContentHash> {
         self.lock().wanted()
--- a/dahliawood-store/tests/main/fleet.rs
+++ b/dahliawood-store/tests/main/fleet.rs
@@ -6,6 +6,8 @@
 use dahliawood_store::client::StoreClient;
 use dahliawood_store::head::WriteId;
 use dahliawood_store::protocol::{LiveState, LiveVm};
+use dahliawood_store::revision::keeper::RevisionSource;
+use dahliawood_store::revision::relay;
 use dahliawood_store::revision::{self, FollowOptions, RevisionKeeper, SharedKeeper};
 use dahliawood_store::{clock, head};
 use dahliawood_testkit::platform::PlatformHandle;
@@ -211,3 +213,40 @@
     let outcome = acceptance::ask(&client, &other, &accept).await;
     assert!(matches!(outcome, ApplyOutcome::NotApplied { .. }));
 }
+
+#[async_std::test]
+async fn vm_cut_off_from_the_store_confirms_through_a_peer() {
+    let (handle, client) = start().await;
+    let mut vms = start_vms(&handle, &client, 3);
+    vms[2].task.take().unwrap().cancel().await;
+    let (peer, cut) = (vms[0].keeper.clone(), vms[2].keeper.clone());
+    let store = client.clone();
+    let relays = task::spawn(async move {
+        loop {
+            if let Some(stamp) = peer.proposed() {
+                cut.propose(&stamp);
+            }
+            if let Some(stamp) = peer.accepted() {
+                cut.observe(&stamp, RevisionSource::Peer);
+            }
+            for hash in cut.wanted() {
+                if let Some(text) = peer.file(&hash) {
+                    cut.supply(&hash, &text).unwrap();
+                }
+            }
+            relay::report(&store, &cut.status()).await.unwrap();
+            task::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    let outcome = acceptance::apply(&client, &options("one")).await;
+    assert_eq!(applied(&outcome), (1, 3, 0));
+    assert_eq!(
+        vms[2].keeper.in_force().unwrap().source,
+        RevisionSource::Peer
+    );
+    relays.cancel().await;
+    let old = relay::report(&client, &vms[2].keeper.status())
+        .await
+        .unwrap();
+    assert_eq!(old, relay::ReportOutcome::Old);
+}
