--- a/dahliawood-steer/src/drain/mod.rs
+++ b/dahliawood-steer/src/drain/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A drain over no time makes its targets leave at once. A drain over a time lowers the weight of
 //! its targets step by step; a step that finds too little room of slots, region or link holds, and
-//! trouble takes the last step back. The targets leave once the weight is zero. A drain for which
+//! trouble takes the last step back. Later steps make up for lost time, with a pause between them. The targets leave once the weight is zero. A drain for which
 //! there is no room elsewhere therefore never ends by itself, and says so in its progress.
 
 mod room;
@@ -16,8 +16,8 @@
 
 /// Steps of a drain over a time.
 pub const STEPS: u32 = 20;
-/// The shortest time between two steps.
-pub const SHORTEST_STEP: Duration = Duration::from_millis(500);
+/// The shortest time between two steps, and between two tries of one that does not fit.
+pub const SHORTEST_STEP: Duration = Duration::from_millis(200);
 
 /// What was seen since the last step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +72,7 @@
     name: String,
     pub(crate) split: split::WeightSplit,
     over: Duration,
+    started: TimeStamp,
     steps: u32,
     held: u32,
     next_step: TimeStamp,
@@ -90,6 +91,7 @@
             name: subject_name(spec.subject, config),
             split: split::WeightSplit::new(split::FULL_WEIGHT),
             over: spec.over,
+            started: now,
             steps,
             held: 0,
             next_step: now,
@@ -97,7 +99,7 @@
             kept: 0,
         };
         plan.set_steps(steps);
-        plan.next_step = now.after(plan.step_time());
+        plan.next_step = plan.due();
         plan
     }
 
@@ -128,10 +130,11 @@
     /// How far it has come; `in_flight` is what still runs at its targets.
     pub fn progress(&self, in_flight: u32, now: TimeStamp) -> DrainProgress {
         let left_steps = STEPS - self.steps;
-        let later_steps = self.step_time() * left_steps.saturating_sub(1);
+        let planned = self.started.after(self.step_time() * STEPS).since(now);
+        let soonest = self.next_step.since(now) + SHORTEST_STEP * left_steps.saturating_sub(1);
         let left = match left_steps {
             0 => Duration::ZERO,
-            _ => self.next_step.since(now) + later_steps,
+            _ => planned.max(soonest),
         };
         DrainProgress {
             subject: self.subject,
@@ -146,6 +149,11 @@
         (self.over / STEPS).max(SHORTEST_STEP)
     }
 
+    /// When the next step is planned.
+    fn due(&self) -> TimeStamp {
+        self.started.after(self.step_time() * (self.steps + 1))
+    }
+
     fn set_steps(&mut self, steps: u32) {
         self.steps = steps;
         self.split
@@ -195,20 +203,22 @@
     if now < plan.next_step {
         return DrainStep::Waiting;
     }
-    plan.next_step = now.after(plan.step_time());
     plan.moved = 0;
     plan.kept = 0;
     if signals.trouble {
         plan.held += 1;
         plan.set_steps(plan.steps.saturating_sub(1));
+        plan.next_step = now.after(plan.step_time());
         return DrainStep::WentBack;
     }
     if !signals.room {
         plan.held += 1;
+        plan.next_step = now.after(SHORTEST_STEP);
         return DrainStep::Held;
     }
     plan.held = 0;
     plan.set_steps(plan.steps + 1);
+    plan.next_step = plan.due().max(now.after(SHORTEST_STEP));
     if plan.is_leaving() {
         return DrainStep::Leaving;
     }
