feat(membership): members from heartbeats, votes, incarnations and the live list

The daemon beat to every other VM, so its cost grew with the fleet, and one lost path made a VM suspect. The new package keeps the table of members without I/O: each VM beats to three watchers spread over failure domains and regions, votes and refutations travel as deltas, and an anti-entropy exchange mends what was lost. A fake fleet in the testkit runs whole fleets in a time of its own, and the measurement `membership` runs it at 11, 50, 200 and 920 members.

--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -3,6 +3,8 @@
 //! Each measurement prints one line a figure, `figure value unit target`; the program exits
 //! non-zero where a stated target is missed.
 
+mod membership;
+
 use bpaf::Bpaf;
 use dahliawood_testkit::figures;
 use std::process;
@@ -23,7 +25,7 @@
 type MeasureEntry = (&'static str, fn(u64, &mut figures::FigureReport));
 
 /// All measurements, one line each.
-const MEASUREMENTS: &[MeasureEntry] = &[];
+const MEASUREMENTS: &[MeasureEntry] = &[("membership", membership::run)];
 
 fn main() {
     let args = measure_args().run();
--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod caller;
 pub mod figures;
 pub mod fleet;
+pub mod members;
 pub mod platform;
 pub mod target;
