test(membership): deaths, cuts, lives, lists, cost and histories of faults

Whole fleets of 2 to 200 members run under loss, delay, repeats, pauses, deaths, restarts, cut regions and a live list that lags or is wrong.

--- a/dahliawood-membership/src/row/mod.rs
+++ b/dahliawood-membership/src/row/mod.rs
@@ -20,6 +20,7 @@
     pub(crate) life: Option<LifeRecord>,
     pub(crate) voters: Vec<VmTag>,
     pub(crate) voted_at: Option<TimeStamp>,
+    pub(crate) silent_since: Option<TimeStamp>,
     pub(crate) listing: ListStanding,
     pub(crate) heard_at: Option<TimeStamp>,
     pub(crate) state: MemberState,
--- a/dahliawood-membership/src/rumour/mod.rs
+++ b/dahliawood-membership/src/rumour/mod.rs
@@ -5,8 +5,6 @@
 
 /// Sends of each piece of news on heartbeats, beyond half the logarithm of the fleet's size.
 const EXTRA_SENDS: u32 = 2;
-/// Neighbours that have sent the same news, from which on it is not pushed any more.
-const KNOWN_BY: u32 = 2;
 /// The most pieces of news that wait; the oldest goes first, anti-entropy carries it then.
 const QUEUE_MOST: usize = 4_096;
 
@@ -16,7 +14,14 @@
     delta: MemberDelta,
     is_pushed: bool,
     sends_left: u32,
-    known_by: u32,
+    known_by: Vec<VmTag>,
+}
+
+/// News to be pushed, with the neighbours that need not be told.
+#[derive(Clone, Debug)]
+pub(crate) struct UnpushedDelta {
+    pub(crate) delta: MemberDelta,
+    pub(crate) known_by: Vec<VmTag>,
 }
 
 /// All news that is still being passed on.
@@ -37,28 +42,33 @@
             delta,
             is_pushed: false,
             sends_left: fleet.max(1).ilog2() / 2 + EXTRA_SENDS,
-            known_by: 0,
+            known_by: Vec::new(),
         });
     }
 
-    /// Takes in that a neighbour knows a piece of news already: it needs fewer sends.
-    pub(crate) fn heard_again(&mut self, delta: &MemberDelta) {
+    /// Takes in that a neighbour knows a piece of news: it is not pushed there, and needs one send
+    /// less.
+    pub(crate) fn known_by(&mut self, neighbour: VmTag, delta: &MemberDelta) {
         let entry = self.entries.iter_mut().find(|entry| entry.delta == *delta);
         let Some(entry) = entry else { return };
-        entry.known_by += 1;
-        entry.is_pushed |= entry.known_by >= KNOWN_BY;
         entry.sends_left = entry.sends_left.saturating_sub(1);
+        if !entry.is_pushed {
+            entry.known_by.push(neighbour);
+        }
         self.drop_spent();
     }
 
-    /// News that no neighbour was sent yet, at most `most`; each is given out once.
-    pub(crate) fn take_unpushed(&mut self, most: usize) -> Vec<MemberDelta> {
+    /// News that was not pushed yet, at most `most`; each is given out once.
+    pub(crate) fn take_unpushed(&mut self, most: usize) -> Vec<UnpushedDelta> {
         let unpushed = self.entries.iter_mut().filter(|entry| !entry.is_pushed);
         unpushed
             .take(most)
             .map(|entry| {
                 entry.is_pushed = true;
-                entry.delta
+                UnpushedDelta {
+                    delta: entry.delta,
+                    known_by: std::mem::take(&mut entry.known_by),
+                }
             })
             .collect()
     }
--- a/dahliawood-membership/src/table/judge.rs
+++ b/dahliawood-membership/src/table/judge.rs
@@ -2,6 +2,7 @@
 
 use super::view::placed;
 use super::{MemberChange, MemberState, MemberTable};
+use crate::choice::PlacedVm;
 use crate::row::MemberRow;
 use dahliawood_model::keys::{ArenaKey, DomainKey, VmKey};
 use dahliawood_model::stamp::TimeStamp;
@@ -9,6 +10,9 @@
 /// Voters' failure domains that are needed against a VM, where there are so many.
 const QUORUM_DOMAINS: usize = 2;
 
+/// Voters' regions that are needed where none is the VM's own, where there are so many.
+const QUORUM_REGIONS: usize = 2;
+
 /// How far a member can be heard, whatever it announced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Hearing {
@@ -30,28 +34,39 @@
         }
     }
 
-    /// Counts the members that may vote, by failure domain.
+    /// Counts the members that may vote, by failure domain and region.
     fn count_domains(&mut self) {
         let mut living = vec![0; self.domains.len()];
         let mut unaccused = vec![0; self.domains.len()];
         living[self.place.domain.index()] += 1;
         unaccused[self.place.domain.index()] += 1;
+        let mut regions = vec![0; self.regions.len()];
+        regions[self.place.region.index()] += 1;
         let rows = self.index.values().map(|key| &self.rows[*key]);
         for row in rows.filter(|row| row.life.is_some() && row.state != MemberState::Gone) {
             living[row.domain.index()] += 1;
             unaccused[row.domain.index()] += u32::from(row.voters.is_empty());
+            regions[row.region.index()] += u32::from(row.voters.is_empty());
         }
         self.judging.living = living;
         self.judging.unaccused = unaccused;
+        self.judging.unaccused_regions = regions;
     }
 
     /// Judges one row.
     fn judge_row(&mut self, key: VmKey, now: TimeStamp) {
-        let row = &self.rows[key];
-        if !self.index.contains_key(&row.tag) {
+        if !self.index.contains_key(&self.rows[key].tag) {
             return;
         }
-        let (before, after) = (row.state, self.judged(row));
+        let hearing = self.hearing(&self.rows[key]);
+        let row = &mut self.rows[key];
+        match hearing {
+            Hearing::Heard => row.silent_since = None,
+            Hearing::Unreached | Hearing::Silent => {
+                row.silent_since.get_or_insert(now);
+            }
+        }
+        let (before, after) = (row.state, self.judged(&self.rows[key], hearing, now));
         if before == after {
             return;
         }
@@ -71,9 +86,8 @@
     }
 
     /// The state of a row.
-    fn judged(&self, row: &MemberRow) -> MemberState {
-        let hearing = self.hearing(row);
-        if self.is_gone(row, hearing) {
+    fn judged(&self, row: &MemberRow, hearing: Hearing, now: TimeStamp) -> MemberState {
+        if self.is_gone(row, hearing, now) {
             return MemberState::Gone;
         }
         let is_leaving = row.listing.leaving || row.life.is_some_and(|life| life.leaving);
@@ -101,7 +115,8 @@
         if is_near && is_quorum(&self.judging.living) {
             return Hearing::Silent;
         }
-        let is_unreached = is_quorum(&self.judging.unaccused)
+        let is_far_quorum = is_near || self.is_region_quorum(voters.clone(), row);
+        let is_unreached = is_quorum(&self.judging.unaccused) && is_far_quorum
             || self.reach.is_cut(placed(row).region)
             || self.judging.is_isolated;
         if is_unreached {
@@ -111,15 +126,29 @@
         }
     }
 
-    /// Whether a silent member was absent from the list, over readings, for its hold time.
-    fn is_gone(&self, row: &MemberRow, hearing: Hearing) -> bool {
+    /// Whether voters of other regions are of enough different ones, so that they do not all stand
+    /// behind one cut link.
+    fn is_region_quorum(&self, voters: impl Iterator<Item = PlacedVm>, row: &MemberRow) -> bool {
+        let mut regions: Vec<_> = voters.map(|voter| voter.region).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        let counts = self.judging.unaccused_regions.iter().enumerate();
+        let others = counts.filter(|(index, count)| *index != row.region.index() && **count > 0);
+        regions.len() >= others.count().min(QUORUM_REGIONS)
+    }
+
+    /// Whether a member has been silent, and absent from the list over readings, for its hold
+    /// time.
+    fn is_gone(&self, row: &MemberRow, hearing: Hearing, now: TimeStamp) -> bool {
         let hold = match hearing {
             Hearing::Heard => return false,
             Hearing::Unreached => self.options.unreached_hold,
             Hearing::Silent => self.options.absent_hold,
         };
-        let span = row.listing.absent_since.zip(self.list_read_at);
-        span.is_some_and(|(since, read_at)| read_at.since(since) >= hold)
+        let absent = row.listing.absent_since.zip(self.list_read_at);
+        let is_absent = absent.is_some_and(|(since, read_at)| read_at.since(since) >= hold);
+        let silent = row.silent_since;
+        is_absent && silent.is_some_and(|since| now.since(since) >= hold)
     }
 }
 
--- a/dahliawood-membership/src/table/merge.rs
+++ b/dahliawood-membership/src/table/merge.rs
@@ -9,12 +9,18 @@
 
 impl MemberTable {
     /// Takes in one piece of news; gives the tag of a VM that is not known.
-    pub(super) fn merge(&mut self, delta: &MemberDelta, now: TimeStamp) -> Option<VmTag> {
-        self.rumours.heard_again(delta);
-        match delta {
+    pub(super) fn merge(
+        &mut self,
+        delta: &MemberDelta,
+        from: VmTag,
+        now: TimeStamp,
+    ) -> Option<VmTag> {
+        let unknown = match delta {
             MemberDelta::Life(life) => self.merge_life(life),
             MemberDelta::Vote(vote) => self.merge_vote(vote, now),
-        }
+        };
+        self.rumours.known_by(from, delta);
+        unknown
     }
 
     /// Takes in a life; gives its tag where the VM is not known.
--- a/dahliawood-membership/src/table/mod.rs
+++ b/dahliawood-membership/src/table/mod.rs
@@ -64,6 +64,8 @@
     living: Vec<u32>,
     /// The same without those that anybody votes against.
     unaccused: Vec<u32>,
+    /// The same by region.
+    unaccused_regions: Vec<u32>,
     are_watchers_stale: bool,
 }
 
@@ -242,6 +244,7 @@
             life: None,
             voters: Vec::new(),
             voted_at: None,
+            silent_since: None,
             listing,
             heard_at: None,
             state: MemberState::Suspect,
--- a/dahliawood-membership/src/table/receive.rs
+++ b/dahliawood-membership/src/table/receive.rs
@@ -27,7 +27,7 @@
         let mut unknown: Vec<VmTag> = self.merge_life(&sender).into_iter().collect();
         self.note_heard(&sender, now);
         for delta in &message.deltas {
-            unknown.extend(self.merge(delta, now));
+            unknown.extend(self.merge(delta, sender.tag, now));
         }
         let reply = self.answer(message, &mut unknown, now);
         let reply = self.complete(reply, message, unknown, now);
--- a/dahliawood-membership/src/table/spread.rs
+++ b/dahliawood-membership/src/table/spread.rs
@@ -68,7 +68,11 @@
             self.push_tokens -= cost;
             let deltas = self.rumours.take_unpushed(self.options.deltas_most);
             for tag in &contacts {
-                effects.extend(self.send(*tag, MessageBody::News, deltas.clone()));
+                let unknown = deltas.iter().filter(|entry| !entry.known_by.contains(tag));
+                let unknown: Vec<_> = unknown.map(|entry| entry.delta).collect();
+                if !unknown.is_empty() {
+                    effects.extend(self.send(*tag, MessageBody::News, unknown));
+                }
             }
         }
         effects
--- a/dahliawood-membership/src/table/sync.rs
+++ b/dahliawood-membership/src/table/sync.rs
@@ -2,7 +2,7 @@
 
 use super::{MemberState, MemberTable};
 use crate::identity::{LifeRecord, VmTag, mix};
-use crate::message::{DIGEST_BUCKETS, MemberDelta, SyncPart, SyncRecord, VoteRecord};
+use crate::message::{DIGEST_BUCKETS, SyncPart, SyncRecord, VoteRecord};
 use dahliawood_model::FastMap;
 use dahliawood_model::stamp::TimeStamp;
 
@@ -103,7 +103,7 @@
                 counter: record.life.counter,
                 voter: *voter,
             };
-            self.merge(&MemberDelta::Vote(vote), now);
+            self.merge_vote(&vote, now);
         }
     }
 }
--- a/dahliawood-membership/src/table/tick.rs
+++ b/dahliawood-membership/src/table/tick.rs
@@ -204,7 +204,8 @@
         probed.collect()
     }
 
-    /// Probes anybody where nobody was heard for a while; after longer, all are unreached.
+    /// Probes two others, one of them near, where nobody was heard for a while; after longer, all
+    /// are unreached.
     fn probe_when_lonely(&mut self, now: TimeStamp) -> Vec<MemberEffect> {
         let Some(heard) = self.heard[0] else {
             return Vec::new();
@@ -218,8 +219,10 @@
             return Vec::new();
         }
         self.due.lonely = now.after(LONELY_EVERY);
-        let drawn = [(); 2].map(|()| self.draw(|row| row.state != MemberState::Gone));
-        let drawn = drawn.into_iter().flatten();
+        let region = self.place.region;
+        let near = self.draw(|row| row.state != MemberState::Gone && row.region == region);
+        let any = self.draw(|row| row.state != MemberState::Gone);
+        let drawn = near.into_iter().chain(any);
         drawn.filter_map(|tag| self.probe(tag)).collect()
     }
 
--- /dev/null
+++ b/dahliawood-membership/tests/main/history.rs
@@ -0,0 +1,155 @@
+//! Whole histories of faults, several at once.
+
+use crate::support;
+use dahliawood_membership::table::{MemberState, MemberTable};
+use dahliawood_testkit::members::{MemberFleet, RegionCut};
+use proptest::prelude::*;
+use proptest::sample::Index;
+use std::time::Duration;
+
+/// Time between two looks at the fleet.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Time for the fleet to agree again after the last fault.
+const SETTLE: Duration = Duration::from_secs(60);
+/// Time after a cut or a pause before a VM counts as connected again.
+const RECONNECT: Duration = Duration::from_secs(3);
+
+/// Something that goes wrong, or right again.
+#[derive(Clone, Debug)]
+enum FaultStep {
+    Loss(f64),
+    Repeat(f64),
+    Jitter(u64),
+    Pause(Index, u64),
+    Kill(Index),
+    Restart(Index),
+    Cut(usize, usize),
+    Heal,
+    Omit(Index),
+    ListLag(u64),
+    ListDown(bool),
+}
+
+fn fault_step() -> impl Strategy<Value = FaultStep> {
+    prop_oneof![
+        (0.0..0.05f64).prop_map(FaultStep::Loss),
+        (0.0..0.2f64).prop_map(FaultStep::Repeat),
+        (0u64..80).prop_map(FaultStep::Jitter),
+        (any::<Index>(), 200u64..5_000).prop_map(|(vm, millis)| FaultStep::Pause(vm, millis)),
+        any::<Index>().prop_map(FaultStep::Kill),
+        any::<Index>().prop_map(FaultStep::Restart),
+        (0usize..3, 1usize..3).prop_map(|(one, step)| FaultStep::Cut(one, (one + step) % 3)),
+        Just(FaultStep::Heal),
+        any::<Index>().prop_map(FaultStep::Omit),
+        (0u64..20).prop_map(FaultStep::ListLag),
+        any::<bool>().prop_map(FaultStep::ListDown),
+    ]
+}
+
+/// Applies a step; a restart of a VM that runs replaces it.
+fn apply(fleet: &mut MemberFleet, step: &FaultStep) {
+    let members = fleet.vms.len();
+    match step {
+        FaultStep::Loss(share) => fleet.faults.loss = *share,
+        FaultStep::Repeat(share) => fleet.faults.repeat = *share,
+        FaultStep::Jitter(millis) => fleet.faults.jitter = Duration::from_millis(*millis),
+        FaultStep::Pause(vm, millis) => {
+            fleet.pause(vm.index(members), Duration::from_millis(*millis));
+        }
+        FaultStep::Kill(vm) => fleet.kill(vm.index(members)),
+        FaultStep::Restart(vm) => {
+            fleet.kill(vm.index(members));
+            fleet.start(vm.index(members));
+        }
+        FaultStep::Cut(one, other) => fleet.faults.cuts.push(RegionCut {
+            one: *one,
+            other: *other,
+        }),
+        FaultStep::Heal => fleet.faults.cuts.clear(),
+        FaultStep::Omit(vm) => {
+            let name = fleet.vms[vm.index(members)].profile.name.clone();
+            fleet.list.omitted.insert(name);
+        }
+        FaultStep::ListLag(seconds) => fleet.list.lag = support::seconds(*seconds),
+        FaultStep::ListDown(is_down) => fleet.list.is_down = *is_down,
+    }
+}
+
+/// Pairs of running VMs of which the first takes the second for gone.
+fn gone(fleet: &MemberFleet) -> Vec<(usize, usize)> {
+    let is_cut = |one: usize, other: usize| {
+        let regions = (fleet.vms[one].region, fleet.vms[other].region);
+        let mut cuts = fleet.faults.cuts.iter();
+        cuts.any(|cut| regions == (cut.one, cut.other) || regions == (cut.other, cut.one))
+    };
+    let pairs = fleet
+        .running()
+        .flat_map(|one| fleet.running().map(move |other| (one, other)));
+    pairs
+        .filter(|(one, other)| {
+            let is_steady = fleet.vms[*other].paused_until.after(RECONNECT) <= fleet.now();
+            let state = fleet.state(*one, *other);
+            state == Some(MemberState::Gone) && is_steady && !is_cut(*one, *other)
+        })
+        .collect()
+}
+
+/// Pairs of which the first is wrong about the second.
+fn disagreeing(fleet: &MemberFleet) -> Vec<(usize, usize, Option<MemberState>)> {
+    let subjects = 0..fleet.vms.len();
+    let pairs = fleet
+        .running()
+        .flat_map(|one| subjects.clone().map(move |other| (one, other)));
+    let states = pairs.map(|(one, other)| (one, other, fleet.state(one, other)));
+    states
+        .filter(|(_, other, state)| {
+            let is_live = *state == Some(MemberState::Live);
+            is_live != fleet.vms[*other].table.is_some()
+        })
+        .collect()
+}
+
+/// The incarnations that some VM holds of a running one, where they are not the right ones.
+fn outdated(fleet: &MemberFleet) -> usize {
+    let tables = fleet.vms.iter().filter_map(|vm| vm.table.as_ref());
+    let views = tables.flat_map(MemberTable::members);
+    views
+        .filter(|view| view.state == MemberState::Live)
+        .filter(|view| {
+            let subject = fleet
+                .vms
+                .iter()
+                .find(|vm| vm.profile.name == view.profile.name);
+            let right = subject.map(|vm| vm.incarnation);
+            view.life.map(|life| life.incarnation) != right
+        })
+        .count()
+}
+
+proptest! {
+    #![proptest_config(support::property_config(24))]
+
+    #[test]
+    fn the_living_are_never_gone_and_all_agree_in_the_end(
+        members in prop_oneof![4 => 5usize..40, 1 => 40usize..120],
+        seed in any::<u64>(),
+        steps in prop::collection::vec((fault_step(), 100u64..6_000), 1..12),
+    ) {
+        let mut fleet = support::fleet(members, seed);
+        for (step, millis) in &steps {
+            apply(&mut fleet, step);
+            for _ in 0..=millis / 250 {
+                fleet.run(LOOK_EVERY);
+                let gone = gone(&fleet);
+                prop_assert!(gone.is_empty(), "after {step:?}: {gone:?} are taken for gone");
+            }
+        }
+        fleet.faults = dahliawood_testkit::members::NetworkFaults::default();
+        fleet.list.omitted.clear();
+        fleet.list.is_down = false;
+        fleet.run(SETTLE);
+        let disagreeing = disagreeing(&fleet);
+        prop_assert!(disagreeing.is_empty(), "{disagreeing:?}");
+        prop_assert_eq!(outdated(&fleet), 0);
+    }
+}
