fix(membership): regions that are cut off from here still count as possible voters

With one link cut, observers at its ends took the far region for unable to vote, and the votes of one region alone made their own VMs unreached.

--- a/dahliawood-membership/src/table/judge.rs
+++ b/dahliawood-membership/src/table/judge.rs
@@ -46,11 +46,11 @@
         for row in rows.filter(|row| row.life.is_some() && row.state != MemberState::Gone) {
             living[row.domain.index()] += 1;
             unaccused[row.domain.index()] += u32::from(row.voters.is_empty());
-            regions[row.region.index()] += u32::from(row.voters.is_empty());
+            regions[row.region.index()] += u32::from(row.state != MemberState::Suspect);
         }
         self.judging.living = living;
         self.judging.unaccused = unaccused;
-        self.judging.unaccused_regions = regions;
+        self.judging.possible_regions = regions;
     }
 
     /// Judges one row.
@@ -132,7 +132,7 @@
         let mut regions: Vec<_> = voters.map(|voter| voter.region).collect();
         regions.sort_unstable();
         regions.dedup();
-        let counts = self.judging.unaccused_regions.iter().enumerate();
+        let counts = self.judging.possible_regions.iter().enumerate();
         let others = counts.filter(|(index, count)| *index != row.region.index() && **count > 0);
         regions.len() >= others.count().min(QUORUM_REGIONS)
     }
--- a/dahliawood-membership/src/table/mod.rs
+++ b/dahliawood-membership/src/table/mod.rs
@@ -64,8 +64,8 @@
     living: Vec<u32>,
     /// The same without those that anybody votes against.
     unaccused: Vec<u32>,
-    /// The same by region.
-    unaccused_regions: Vec<u32>,
+    /// Members of each region that may live, be they reached from here or not.
+    possible_regions: Vec<u32>,
     are_watchers_stale: bool,
 }
 
