--- a/dahliawood-daemon/src/run/mod.rs
+++ b/dahliawood-daemon/src/run/mod.rs
@@ -9,6 +9,7 @@
 use async_std::task;
 use dahliawood_events::kind;
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_quota::book::QuotaBook;
 use dahliawood_quota::member;
 use dahliawood_store::client;
 use snafu::ResultExt;
@@ -159,7 +160,8 @@
     /// Whether the shares are given up, or the store has had long enough for that.
     fn has_given_up(&self, quiet_since: TimeStamp) -> bool {
         let desk = self.shared.desk.lock();
-        let is_released = desk.book.as_ref().is_none_or(|book| book.is_released());
+        let book = desk.book.as_ref();
+        let is_released = book.is_none_or(QuotaBook::is_released);
         is_released || clock::now().since(quiet_since) >= RELEASE_LIMIT
     }
 
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -8,6 +8,7 @@
 mod fate;
 mod links;
 mod lookup;
+mod membership;
 mod quota;
 mod shift;
 mod silent;
@@ -40,6 +41,7 @@
     ("fate", fate::run),
     ("links", links::measure),
     ("lookup", lookup::run),
+    ("membership", membership::run),
     ("quota", quota::measure),
     ("shift", shift::run),
     ("silent", silent::run),
