feat(testkit): measure forward, and look-ups over loopback HTTP

Cause: the stated targets for the path had no program. Change: exchanges through one VM beside the same with a target, and look-ups beside a bare async-h1 server, each in one run.

--- /dev/null
+++ b/dahliawood-testkit/examples/measure/lookup/loopback.rs
@@ -0,0 +1,106 @@
+//! Look-ups over loopback HTTP from one daemon, against a bare async-h1 server that answers a
+//! constant.
+
+use crate::exchange;
+use async_std::net::TcpListener;
+use async_std::stream::StreamExt;
+use async_std::task;
+use dahliawood_testkit::{figures, fleet};
+use figures::FigureTarget;
+use http_types::{Response, StatusCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The deployment that is run.
+const FILE: &str = include_str!("../../../../examples/lianguang.toml");
+/// A customer's example key, as the page beside the file lists it.
+const KEY: &str = "dw_yongguang-1_de280036edad085a7cd92da224714f8d2f5ef85876497792f7396e1a677e0172";
+/// Connections at once.
+const CONNECTIONS: usize = 16;
+/// Look-ups of each connection.
+const LOOKUPS: usize = 2_000;
+/// The constant: about as long as a look-up's answer.
+const CONSTANT: &str = "{\"service\":\"catalogue\",\"revision\":1,\"ttl_ms\":20000,\"vms\":[\
+    {\"name\":\"vm-01\",\"url\":\"http://127.0.0.1:10001\"},\
+    {\"name\":\"vm-02\",\"url\":\"http://127.0.0.1:10002\"}]}";
+
+/// Measures both in one run.
+pub async fn measure(report: &mut figures::FigureReport) {
+    let options = fleet::FleetOptions {
+        file_text: FILE.to_owned(),
+        vms: 3,
+        delay: Duration::ZERO,
+    };
+    let (fleet, bare) = match (fleet::start(&options).await, bare_server().await) {
+        (Ok(fleet), Ok(bare)) => (fleet, bare),
+        _ => return report.figure("lookup.http.started", 0.0, "-", FigureTarget::AtLeast(1.0)),
+    };
+    let plan = |address, path: &str| exchange::ExchangePlan {
+        address,
+        path: path.to_owned(),
+        bearer: Some(format!("Bearer {KEY}")),
+        connections: CONNECTIONS,
+        exchanges: LOOKUPS,
+    };
+    let constant = exchange::run(&plan(bare, "/")).await;
+    let path = "/v1/lookup?service=catalogue";
+    let lookups = exchange::run(&plan(fleet.daemons[0].listen, path)).await;
+    let ratio = lookups.per_second() / constant.per_second();
+    let failed = (lookups.failed + constant.failed) as f64;
+    report.figure(
+        "lookup.http.failed",
+        failed,
+        "requests",
+        FigureTarget::AtMost(0.0),
+    );
+    report.figure(
+        "lookup.http.rate",
+        lookups.per_second(),
+        "1/s",
+        FigureTarget::None,
+    );
+    report.figure(
+        "lookup.http.p99",
+        lookups.quantile(0.99),
+        "us",
+        FigureTarget::None,
+    );
+    report.figure(
+        "lookup.bare.rate",
+        constant.per_second(),
+        "1/s",
+        FigureTarget::None,
+    );
+    report.figure(
+        "lookup.bare.p99",
+        constant.quantile(0.99),
+        "us",
+        FigureTarget::None,
+    );
+    report.figure(
+        "lookup.http.rate_ratio",
+        ratio,
+        "times",
+        FigureTarget::AtLeast(0.5),
+    );
+    fleet.shutdown().await;
+}
+
+/// A server of async-h1 alone.
+async fn bare_server() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(fleet::any_port()).await?;
+    let address = listener.local_addr()?;
+    task::spawn(async move {
+        let mut incoming = listener.incoming();
+        while let Some(Ok(stream)) = incoming.next().await {
+            // A connection without it would be slower than ours for no fault of its server.
+            let _unset = stream.set_nodelay(true);
+            task::spawn(async_h1::accept(stream, |_request| async {
+                let mut response = Response::new(StatusCode::Ok);
+                response.set_body(CONSTANT);
+                Ok(response)
+            }));
+        }
+    });
+    Ok(address)
+}
--- a/dahliawood-testkit/examples/measure/lookup/mod.rs
+++ b/dahliawood-testkit/examples/measure/lookup/mod.rs
@@ -1,4 +1,6 @@
-//! The look-up: the decision alone, at the sizes of two years out.
+//! The look-up: the decision alone, at the sizes of two years out, and whole over loopback HTTP.
+
+mod loopback;
 
 use dahliawood_model::keys::{CustomerKey, DomainKey, PlaceKey, RegionKey, ServiceKey};
 use dahliawood_model::stamp::TimeStamp;
@@ -30,6 +32,7 @@
 pub fn run(seed: u64, report: &mut FigureReport) {
     let mut rng = SmallRng::seed_from_u64(seed);
     decision(&mut rng, report);
+    async_std::task::block_on(loopback::measure(report));
 }
 
 fn decision(rng: &mut SmallRng, report: &mut FigureReport) {
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -4,8 +4,10 @@
 //! non-zero where a stated target is missed.
 
 mod cold;
+mod exchange;
 mod fairness;
 mod fate;
+mod forward;
 mod links;
 mod lookup;
 mod membership;
@@ -39,6 +41,7 @@
     ("cold", cold::run),
     ("fairness", fairness::measure),
     ("fate", fate::run),
+    ("forward", forward::run),
     ("links", links::measure),
     ("lookup", lookup::run),
     ("membership", membership::run),
