test(steer): a drain that loses its room is judged by its events

It now wants steps that held and steps that went back among all events, which is stricter: a drain that ignores room and one that never goes back both fail it.

--- a/dahliawood-steer/tests/main/drain.rs
+++ b/dahliawood-steer/tests/main/drain.rs
@@ -152,10 +152,15 @@
     let before = bench.table.drains(bench.now)[0];
     assert!(before.steps > 5 && before.left > Duration::ZERO);
     bench.link = 1;
-    bench.run(500);
+    let steps: Vec<_> = (0..500)
+        .filter_map(|_| bench.tick())
+        .map(|event| event.step)
+        .collect();
+    let count = |wanted| steps.iter().filter(|step| **step == wanted).count();
     let after = bench.table.drains(bench.now)[0];
     assert!(after.steps < before.steps, "{after:?}");
-    assert!(after.held > 0);
+    assert!(count(drain::DrainStep::Held) > 0);
+    assert!(count(drain::DrainStep::WentBack) > 0);
     assert_eq!(bench.refused, 0);
 }
 
