--- a/dahliawood-store/src/acceptance/drive/mod.rs
+++ b/dahliawood-store/src/acceptance/drive/mod.rs
@@ -2,17 +2,16 @@
 //!
 //! A write whose reply is lost is settled by the next look, since the head shows the write id.
 
-use super::error::ApplyError;
-use super::judge::{self, WriteProof, WriteRecord};
-use super::step::{ApplyRun, ApplyStep, StoreLook};
-use super::{AcceptOptions, ApplyOptions, ApplyOutcome, ForceReport};
-use crate::backoff::RetryPlan;
-use crate::client::error::{StoreError, WriteEffect};
-use crate::client::{PutCall, StoreClient};
-use crate::content::{self, ContentHash, transfer};
-use crate::head::{HEAD_KEY, HeadDocument, RevisionStamp, WriteId, WriteMark};
-use crate::status::{self, STATUS_PREFIX};
-use dahliawood_model::stamp::TimeStamp;
+use super::error;
+use super::judge;
+use super::step;
+use crate::backoff;
+use crate::client;
+use crate::content;
+use crate::content::transfer;
+use crate::head;
+use crate::status;
+use dahliawood_model::stamp;
 use std::time::Duration;
 
 /// Within this time VMs notice a restored store and write their lines.
@@ -22,16 +21,19 @@
 const POLL_PER_VM: Duration = Duration::from_millis(1);
 
 /// Applies a file; returns once it is in force on all required VMs or the time is over.
-pub async fn apply(client: &StoreClient, options: &ApplyOptions) -> ApplyOutcome {
+pub async fn apply(
+    client: &client::StoreClient,
+    options: &super::ApplyOptions,
+) -> super::ApplyOutcome {
     let length = options.file_text.len();
     if length > content::FILE_LIMIT_BYTES {
         let limit = content::FILE_LIMIT_BYTES;
-        let why = ApplyError::TooLarge { length, limit };
-        return ApplyOutcome::NotApplied { why };
+        let why = error::ApplyError::TooLarge { length, limit };
+        return super::ApplyOutcome::NotApplied { why };
     }
-    let run = ApplyRun::new(
+    let run = step::ApplyRun::new(
         options.write_id.clone(),
-        Some(ContentHash::of(&options.file_text)),
+        Some(content::ContentHash::of(&options.file_text)),
         options.expect,
         options.accept.takeover_after,
     );
@@ -42,11 +44,11 @@
 
 /// Goes on with a write that its own process left proposed; it may be accepted by this.
 pub async fn resume(
-    client: &StoreClient,
-    write_id: &WriteId,
-    options: &AcceptOptions,
-) -> ApplyOutcome {
-    let run = ApplyRun::new(write_id.clone(), None, None, options.takeover_after);
+    client: &client::StoreClient,
+    write_id: &head::WriteId,
+    options: &super::AcceptOptions,
+) -> super::ApplyOutcome {
+    let run = step::ApplyRun::new(write_id.clone(), None, None, options.takeover_after);
     let mut driver = ApplyDriver::new(client, options, run);
     driver.record.expected = driver.read_version().await;
     if driver.record.expected.is_none() {
@@ -57,14 +59,14 @@
 
 /// Says what became of a write whose `apply` has ended.
 ///
-/// A write that is still proposed stays [`ApplyOutcome::Unknown`] until it is resumed. One that is
+/// A write that is still proposed stays [`super::ApplyOutcome::Unknown`] until it is resumed. One that is
 /// not there is kept from arriving later, so its `NotApplied` is final.
 pub async fn ask(
-    client: &StoreClient,
-    write_id: &WriteId,
-    options: &AcceptOptions,
-) -> ApplyOutcome {
-    let run = ApplyRun::new(write_id.clone(), None, None, options.takeover_after);
+    client: &client::StoreClient,
+    write_id: &head::WriteId,
+    options: &super::AcceptOptions,
+) -> super::ApplyOutcome {
+    let run = step::ApplyRun::new(write_id.clone(), None, None, options.takeover_after);
     let mut driver = ApplyDriver::new(client, options, run);
     driver.keeps_proposal = true;
     driver.record.expected = driver.read_version().await;
@@ -72,54 +74,60 @@
         return driver.unknown();
     }
     let revision = 0;
-    driver.settle(ApplyError::Overtaken { revision }).await
+    driver
+        .settle(error::ApplyError::Overtaken { revision })
+        .await
 }
 
 struct ApplyDriver<'a> {
-    client: &'a StoreClient,
-    options: &'a AcceptOptions,
-    run: ApplyRun,
+    client: &'a client::StoreClient,
+    options: &'a super::AcceptOptions,
+    run: step::ApplyRun,
     text: Option<&'a str>,
-    record: WriteRecord,
+    record: judge::WriteRecord,
     keeps_proposal: bool,
     has_waited: bool,
-    look: StoreLook,
+    look: step::StoreLook,
     failures: u32,
-    failed_effect: WriteEffect,
+    failed_effect: client::error::WriteEffect,
     last_error: Option<String>,
 }
 
 impl<'a> ApplyDriver<'a> {
-    fn new(client: &'a StoreClient, options: &'a AcceptOptions, run: ApplyRun) -> Self {
+    fn new(
+        client: &'a client::StoreClient,
+        options: &'a super::AcceptOptions,
+        run: step::ApplyRun,
+    ) -> Self {
         Self {
             client,
             options,
             run,
             text: None,
-            record: WriteRecord::default(),
+            record: judge::WriteRecord::default(),
             keeps_proposal: false,
             has_waited: false,
-            look: StoreLook::default(),
+            look: step::StoreLook::default(),
             failures: 0,
-            failed_effect: WriteEffect::None,
+            failed_effect: client::error::WriteEffect::None,
             last_error: None,
         }
     }
 
-    async fn run(&mut self) -> ApplyOutcome {
+    async fn run(&mut self) -> super::ApplyOutcome {
         match self.accept().await {
-            ApplyStep::Accepted(stamp) => self.applied(&stamp).await,
-            ApplyStep::NoChange(stamp) => ApplyOutcome::NoChange {
+            step::ApplyStep::Accepted(stamp) => self.applied(&stamp).await,
+            step::ApplyStep::NoChange(stamp) => super::ApplyOutcome::NoChange {
                 revision: stamp.revision,
                 report: self.follow(&stamp).await,
             },
-            ApplyStep::Fail(why) => self.settle(why).await,
+            step::ApplyStep::Fail(why) => self.settle(why).await,
             _ => self.unknown(),
         }
     }
 
     /// Goes on until the write is accepted, found needless or given up.
-    async fn accept(&mut self) -> ApplyStep {
+    async fn accept(&mut self) -> step::ApplyStep {
         let ends_at = self.now().after(self.options.accept_within);
         let mut is_uploaded = self.text.is_none();
         while self.now() < ends_at {
@@ -133,28 +141,28 @@
             let now = self.now();
             let mark = self.mark();
             match self.run.step(&self.look, now, mark) {
-                ApplyStep::Wait => self.pause().await,
-                ApplyStep::Propose(head) => {
+                step::ApplyStep::Wait => self.pause().await,
+                step::ApplyStep::Propose(head) => {
                     self.write_own(&head).await;
                 }
-                ApplyStep::Accept(head, stamp) => {
+                step::ApplyStep::Accept(head, stamp) => {
                     if self.write_own(&head).await {
-                        return ApplyStep::Accepted(stamp);
+                        return step::ApplyStep::Accepted(stamp);
                     }
-                    if self.failed_effect == WriteEffect::Possible {
+                    if self.failed_effect == client::error::WriteEffect::Possible {
                         self.record.unsure.extend(self.look.head.trail.first());
                     }
                 }
                 end => return end,
             }
         }
-        ApplyStep::Fail(self.run.late(self.last_error.clone(), &self.look))
+        step::ApplyStep::Fail(self.run.late(self.last_error.clone(), &self.look))
     }
 
     /// Finds out whether a write that is given up has had or can still have an effect.
-    async fn settle(&mut self, why: ApplyError) -> ApplyOutcome {
+    async fn settle(&mut self, why: error::ApplyError) -> super::ApplyOutcome {
         if self.record.expected.is_none() {
-            return ApplyOutcome::NotApplied { why };
+            return super::ApplyOutcome::NotApplied { why };
         }
         let ends_at = self.now().after(self.options.settle_within);
         while self.now() < ends_at {
@@ -162,30 +170,30 @@
                 continue;
             }
             match self.prove() {
-                WriteProof::Accepted(stamp) => return self.applied(&stamp).await,
-                WriteProof::Gone if !self.record.unsure.is_empty() && !self.has_waited => {
+                judge::WriteProof::Accepted(stamp) => return self.applied(&stamp).await,
+                judge::WriteProof::Gone if !self.record.unsure.is_empty() && !self.has_waited => {
                     // VMs may have it in force and the store may have been restored since: they
                     // write their lines anew as soon as they notice.
                     self.has_waited = true;
                     (self.options.time.sleep)(NOTICE_WITHIN).await;
                     true
                 }
-                WriteProof::Gone => return ApplyOutcome::NotApplied { why },
-                WriteProof::Forgotten => return self.unknown(),
-                WriteProof::Proposed(_) if self.keeps_proposal => return self.unknown(),
-                WriteProof::Proposed(_) => {
+                judge::WriteProof::Gone => return super::ApplyOutcome::NotApplied { why },
+                judge::WriteProof::Forgotten => return self.unknown(),
+                judge::WriteProof::Proposed(_) if self.keeps_proposal => return self.unknown(),
+                judge::WriteProof::Proposed(_) => {
                     self.write_head(&self.look.head.with_proposal(None, self.mark()))
                         .await
                 }
-                WriteProof::Pending => self.write_head(&self.renewed_head()).await,
+                judge::WriteProof::Pending => self.write_head(&self.renewed_head()).await,
             };
         }
         self.unknown()
     }
 
-    async fn applied(&mut self, stamp: &RevisionStamp) -> ApplyOutcome {
+    async fn applied(&mut self, stamp: &head::RevisionStamp) -> super::ApplyOutcome {
         (self.options.on_accepted)(stamp);
-        ApplyOutcome::Applied {
+        super::ApplyOutcome::Applied {
             revision: stamp.revision,
             report: self.follow(stamp).await,
         }
@@ -193,7 +201,7 @@
 
     /// Waits until a revision is in force on all required VMs, and puts it back where the store
     /// lost it.
-    async fn follow(&mut self, stamp: &RevisionStamp) -> ForceReport {
+    async fn follow(&mut self, stamp: &head::RevisionStamp) -> super::ForceReport {
         let ends_at = self.now().after(self.options.follow_within);
         let mut report = judge::report(stamp, &self.look.required, &[]);
         while self.now() < ends_at {
@@ -213,16 +221,16 @@
         report
     }
 
-    async fn put_back(&mut self, stamp: &RevisionStamp) {
+    async fn put_back(&mut self, stamp: &head::RevisionStamp) {
         if self.text.is_none() || self.upload().await {
             self.write_head(&self.look.head.with_accepted(stamp, self.mark()))
                 .await;
         }
     }
 
-    fn prove(&mut self) -> WriteProof {
+    fn prove(&mut self) -> judge::WriteProof {
         if let Some(stamp) = judge::in_force_by(&self.run.write_id, &self.look.lines) {
-            return WriteProof::Accepted(stamp.clone());
+            return judge::WriteProof::Accepted(stamp.clone());
         }
         self.record.revision = self.run.revision;
         judge::prove(
@@ -233,14 +241,14 @@
         )
     }
 
-    fn renewed_head(&self) -> HeadDocument {
+    fn renewed_head(&self) -> head::HeadDocument {
         self.look
             .head
             .with_proposal(self.look.head.proposal.clone(), self.mark())
     }
 
-    fn unknown(&self) -> ApplyOutcome {
-        ApplyOutcome::Unknown {
+    fn unknown(&self) -> super::ApplyOutcome {
+        super::ApplyOutcome::Unknown {
             write_id: self.run.write_id.clone(),
         }
     }
@@ -252,27 +260,29 @@
     }
 
     /// Writes a head that carries this run's proposal.
-    async fn write_own(&mut self, head: &HeadDocument) -> bool {
+    async fn write_own(&mut self, head: &head::HeadDocument) -> bool {
         let before = self.record.expected;
         self.record.expected = before.max(Some(self.look.version));
         let result = self.put_head(head).await;
         self.failed_effect = result
             .as_ref()
-            .map_or_else(StoreError::effect, |_| WriteEffect::None);
-        if result.is_err() && self.failed_effect == WriteEffect::None {
+            .map_or_else(client::error::StoreError::effect, |_| {
+                client::error::WriteEffect::None
+            });
+        if result.is_err() && self.failed_effect == client::error::WriteEffect::None {
             self.record.expected = before;
         }
         self.noted(result).await.is_some()
     }
 
-    async fn write_head(&mut self, head: &HeadDocument) -> bool {
+    async fn write_head(&mut self, head: &head::HeadDocument) -> bool {
         let result = self.put_head(head).await;
         self.noted(result).await.is_some()
     }
 
-    async fn put_head(&self, head: &HeadDocument) -> Result<u64, StoreError> {
-        (self.client.put)(PutCall {
-            key: HEAD_KEY.to_owned(),
+    async fn put_head(&self, head: &head::HeadDocument) -> Result<u64, client::error::StoreError> {
+        (self.client.put)(client::PutCall {
+            key: head::HEAD_KEY.to_owned(),
             value: head.encode(),
             expected: Some(self.look.version),
             lease: None,
@@ -282,8 +292,8 @@
 
     async fn take_look(&mut self) -> bool {
         let result = futures::try_join!(
-            (self.client.get)(HEAD_KEY.to_owned()),
-            (self.client.list)(STATUS_PREFIX.to_owned()),
+            (self.client.get)(head::HEAD_KEY.to_owned()),
+            (self.client.list)(status::STATUS_PREFIX.to_owned()),
             (self.client.live)(()),
         );
         let Some((entry, list, live)) = self.noted(result).await else {
@@ -295,7 +305,7 @@
     }
 
     async fn take_head(&mut self) -> bool {
-        let result = (self.client.get)(HEAD_KEY.to_owned()).await;
+        let result = (self.client.get)(head::HEAD_KEY.to_owned()).await;
         let Some(entry) = self.noted(result).await else {
             return false;
         };
@@ -303,7 +313,7 @@
     }
 
     async fn take_entry(&mut self, version: u64, value: Option<&str>) -> bool {
-        let Some(head) = self.noted(HeadDocument::parse(value)).await else {
+        let Some(head) = self.noted(head::HeadDocument::parse(value)).await else {
             return false;
         };
         self.look.head = head;
@@ -333,7 +343,7 @@
                 self.failures += 1;
                 self.last_error = Some(error.to_string());
                 let draw = (self.options.time.jitter)();
-                let wait = RetryPlan::default().wait(self.failures, draw);
+                let wait = backoff::RetryPlan::default().wait(self.failures, draw);
                 (self.options.time.sleep)(wait).await;
                 None
             }
@@ -346,11 +356,11 @@
         (self.options.time.sleep)(poll).await;
     }
 
-    fn mark(&self) -> WriteMark {
-        WriteMark::drawn((self.options.time.jitter)())
+    fn mark(&self) -> head::WriteMark {
+        head::WriteMark::drawn((self.options.time.jitter)())
     }
 
-    fn now(&self) -> TimeStamp {
+    fn now(&self) -> stamp::TimeStamp {
         (self.options.time.now)()
     }
 }
--- a/dahliawood-store/src/acceptance/error/mod.rs
+++ b/dahliawood-store/src/acceptance/error/mod.rs
@@ -1,6 +1,6 @@
 //! Why a file was not accepted.
 
-use crate::status::RevisionRefusal;
+use crate::status;
 use derive_more::Display;
 use snafu::Snafu;
 
@@ -11,7 +11,7 @@
     /// Name of the VM.
     pub vm: String,
     /// What it refused and why.
-    pub refusal: RevisionRefusal,
+    pub refusal: status::RevisionRefusal,
 }
 
 /// Why a file is not in force anywhere and never will be by this write.
--- a/dahliawood-store/src/acceptance/judge/mod.rs
+++ b/dahliawood-store/src/acceptance/judge/mod.rs
@@ -1,10 +1,9 @@
 //! The decisions of acceptance, without I/O.
 
-use super::ForceReport;
-use super::error::VmRefusal;
-use crate::head::{HeadDocument, RevisionStamp, WriteId, WriteMark, WriteTrace};
-use crate::status::{RefusalCause, RequiredVm, StatusLine};
-use dahliawood_model::stamp::TimeStamp;
+use super::error;
+use crate::head;
+use crate::status;
+use dahliawood_model::stamp;
 use std::time::Duration;
 
 /// What the VMs say of a proposed revision.
@@ -17,11 +16,15 @@
     /// A VM knows of this number or a higher one, so the proposal needs a higher one still.
     Behind(u64),
     /// These do not understand it.
-    Refused(Vec<VmRefusal>),
+    Refused(Vec<error::VmRefusal>),
 }
 
 /// Judges a proposed revision by the lines of the required VMs.
-pub fn stage(stamp: &RevisionStamp, required: &[RequiredVm], lines: &[StatusLine]) -> StageVerdict {
+pub fn stage(
+    stamp: &head::RevisionStamp,
+    required: &[status::RequiredVm],
+    lines: &[status::StatusLine],
+) -> StageVerdict {
     let refusals: Vec<_> = lines
         .iter()
         .filter(|line| required.iter().any(|vm| vm.name == line.vm))
@@ -34,8 +37,8 @@
     let behind = refusals
         .iter()
         .filter_map(|(_, refusal)| match refusal.cause {
-            RefusalCause::Behind { highest } => Some(highest),
-            RefusalCause::Check { .. } => None,
+            status::RefusalCause::Behind { highest } => Some(highest),
+            status::RefusalCause::Check { .. } => None,
         });
     if let Some(highest) = behind.max() {
         return StageVerdict::Behind(highest);
@@ -51,24 +54,34 @@
 }
 
 /// Where a revision or a higher one is in force.
-pub fn report(stamp: &RevisionStamp, required: &[RequiredVm], lines: &[StatusLine]) -> ForceReport {
+pub fn report(
+    stamp: &head::RevisionStamp,
+    required: &[status::RequiredVm],
+    lines: &[status::StatusLine],
+) -> super::ForceReport {
     let missing = names_without(required, lines, |line| line.has_in_force(stamp));
     let in_force = required
         .iter()
         .map(|vm| vm.name.clone())
         .filter(|name| !missing.contains(name))
         .collect();
-    ForceReport { in_force, missing }
+    super::ForceReport { in_force, missing }
 }
 
 /// The highest revision in force: that of the head, or that of a VM where the store lost it.
-pub fn current<'a>(head: &'a HeadDocument, lines: &'a [StatusLine]) -> Option<&'a RevisionStamp> {
+pub fn current<'a>(
+    head: &'a head::HeadDocument,
+    lines: &'a [status::StatusLine],
+) -> Option<&'a head::RevisionStamp> {
     let in_force = lines.iter().filter_map(|line| line.in_force.as_ref());
     in_force.chain(head.accepted()).max()
 }
 
 /// The revision that a write brought, where a VM has or had it in force.
-pub fn in_force_by<'a>(write_id: &WriteId, lines: &'a [StatusLine]) -> Option<&'a RevisionStamp> {
+pub fn in_force_by<'a>(
+    write_id: &head::WriteId,
+    lines: &'a [status::StatusLine],
+) -> Option<&'a head::RevisionStamp> {
     lines
         .iter()
         .flat_map(|line| line.in_force.iter().chain(&line.past))
@@ -76,7 +89,7 @@
 }
 
 /// The number for a new proposal: above all that anybody has seen.
-pub fn next_revision(head: &HeadDocument, lines: &[StatusLine], above: u64) -> u64 {
+pub fn next_revision(head: &head::HeadDocument, lines: &[status::StatusLine], above: u64) -> u64 {
     let seen = lines.iter().map(|line| line.highest).max().unwrap_or(0);
     1 + seen.max(head.highest()).max(above)
 }
@@ -86,9 +99,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WriteProof {
     /// It is accepted.
-    Accepted(RevisionStamp),
+    Accepted(head::RevisionStamp),
     /// It is proposed, and may be accepted.
-    Proposed(RevisionStamp),
+    Proposed(head::RevisionStamp),
     /// It is not there and can never be: the version has passed all that it expected.
     Gone,
     /// It is not there, but may still arrive.
@@ -105,7 +118,7 @@
     /// The highest version that a compare-and-swap with this write's proposal expected.
     pub expected: Option<u64>,
     /// Marks of the heads that an accepting write was sent on without an answer.
-    pub unsure: Vec<WriteMark>,
+    pub unsure: Vec<head::WriteMark>,
 }
 
 /// Judges a write by a head of version `version`.
@@ -114,38 +127,38 @@
 /// restored store is one: it may have lost an acceptance that VMs saw. Then the head of that
 /// moment is missing from the trail too.
 pub fn prove(
-    head: &HeadDocument,
+    head: &head::HeadDocument,
     version: u64,
-    write_id: &WriteId,
+    write_id: &head::WriteId,
     record: &WriteRecord,
 ) -> WriteProof {
-    let is_lost = |mark: &WriteMark| !head.trail.contains(mark);
+    let is_lost = |mark: &head::WriteMark| !head.trail.contains(mark);
     let is_forgotten =
         || head.may_have_forgotten(record.revision) || record.unsure.iter().any(is_lost);
     match head.trace(write_id) {
-        WriteTrace::Accepted(stamp) => WriteProof::Accepted(stamp),
-        WriteTrace::Proposed(stamp) => WriteProof::Proposed(stamp),
-        WriteTrace::Absent if is_forgotten() => WriteProof::Forgotten,
-        WriteTrace::Absent if record.expected.is_none_or(|expected| version > expected) => {
+        head::WriteTrace::Accepted(stamp) => WriteProof::Accepted(stamp),
+        head::WriteTrace::Proposed(stamp) => WriteProof::Proposed(stamp),
+        head::WriteTrace::Absent if is_forgotten() => WriteProof::Forgotten,
+        head::WriteTrace::Absent if record.expected.is_none_or(|expected| version > expected) => {
             WriteProof::Gone
         }
-        WriteTrace::Absent => WriteProof::Pending,
+        head::WriteTrace::Absent => WriteProof::Pending,
     }
 }
 
 /// Watches whether another operator's proposal is still being worked on.
 #[derive(Clone, Debug, Default)]
 pub struct ProposalTimer {
-    seen: Option<(RevisionStamp, TimeStamp)>,
+    seen: Option<(head::RevisionStamp, stamp::TimeStamp)>,
 }
 
 impl ProposalTimer {
     /// Whether `proposal` has been the same for `span`.
     pub fn is_abandoned(
         &mut self,
-        proposal: &RevisionStamp,
+        proposal: &head::RevisionStamp,
         span: Duration,
-        now: TimeStamp,
+        now: stamp::TimeStamp,
     ) -> bool {
         match &self.seen {
             Some((seen, since)) if seen == proposal => now.since(*since) >= span,
@@ -158,9 +171,9 @@
 }
 
 fn names_without(
-    required: &[RequiredVm],
-    lines: &[StatusLine],
-    is_done: impl Fn(&StatusLine) -> bool,
+    required: &[status::RequiredVm],
+    lines: &[status::StatusLine],
+    is_done: impl Fn(&status::StatusLine) -> bool,
 ) -> Vec<String> {
     required
         .iter()
@@ -169,8 +182,10 @@
         .collect()
 }
 
-fn vm_refusal((line, refusal): (&StatusLine, &crate::status::RevisionRefusal)) -> VmRefusal {
-    VmRefusal {
+fn vm_refusal(
+    (line, refusal): (&status::StatusLine, &crate::status::RevisionRefusal),
+) -> error::VmRefusal {
+    error::VmRefusal {
         vm: line.vm.clone(),
         refusal: refusal.clone(),
     }
--- a/dahliawood-store/src/acceptance/mod.rs
+++ b/dahliawood-store/src/acceptance/mod.rs
@@ -15,19 +15,19 @@
 
 pub use self::drive::{apply, ask, resume};
 
-use crate::clock::TimeSource;
-use crate::head::{RevisionStamp, WriteId};
-use crate::protocol::LiveList;
-use crate::status::{self, RequiredVm};
+use crate::clock;
+use crate::head;
+use crate::protocol;
+use crate::status;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Picks from the live list the VMs without which nothing is accepted.
-pub type RequiredVms = Arc<dyn Fn(&LiveList) -> Vec<RequiredVm> + Send + Sync>;
+pub type RequiredVms = Arc<dyn Fn(&protocol::LiveList) -> Vec<status::RequiredVm> + Send + Sync>;
 
 /// Told once a revision is known to be accepted.
-pub type AcceptedHook = Arc<dyn Fn(&RevisionStamp) + Send + Sync>;
+pub type AcceptedHook = Arc<dyn Fn(&head::RevisionStamp) + Send + Sync>;
 
 /// How acceptance is gone about.
 #[derive(Clone)]
@@ -37,7 +37,7 @@
     /// Told as soon as the revision is accepted, before it is followed.
     pub on_accepted: AcceptedHook,
     /// The clock and the sleep.
-    pub time: TimeSource,
+    pub time: clock::TimeSource,
     /// How long to go on until the file is accepted or given up.
     pub accept_within: Duration,
     /// How long to go on after that until it is known that a write will not take effect.
@@ -52,7 +52,7 @@
 
 impl AcceptOptions {
     /// All live VMs must confirm within ten seconds.
-    pub fn new(time: TimeSource) -> Self {
+    pub fn new(time: clock::TimeSource) -> Self {
         Self {
             required: Arc::new(status::all_live),
             on_accepted: Arc::new(|_stamp| ()),
@@ -84,7 +84,7 @@
     /// The revision that must be in force, zero for none; `None` overwrites any.
     pub expect: Option<u64>,
     /// Names this write.
-    pub write_id: WriteId,
+    pub write_id: head::WriteId,
     /// How acceptance is gone about.
     pub accept: AcceptOptions,
 }
@@ -123,6 +123,6 @@
     /// It may or may not be accepted: [`ask`] later.
     Unknown {
         /// The write to ask about.
-        write_id: WriteId,
+        write_id: head::WriteId,
     },
 }
--- a/dahliawood-store/src/acceptance/step/mod.rs
+++ b/dahliawood-store/src/acceptance/step/mod.rs
@@ -1,50 +1,50 @@
 //! The next step of a write, decided from one look at the store.
 
-use super::error::{self, ApplyError};
-use super::judge::{self, ProposalTimer, StageVerdict};
-use crate::content::ContentHash;
-use crate::head::{HeadDocument, RevisionStamp, WriteId, WriteMark, WriteTrace};
-use crate::status::{RequiredVm, StatusLine};
-use dahliawood_model::stamp::TimeStamp;
+use super::error;
+use super::judge;
+use crate::content;
+use crate::head;
+use crate::status;
+use dahliawood_model::stamp;
 use std::time::Duration;
 
 /// What one look at the store showed.
 #[derive(Clone, Debug, Default)]
 pub struct StoreLook {
     /// The head.
-    pub head: HeadDocument,
+    pub head: head::HeadDocument,
     /// Version of the head.
     pub version: u64,
     /// The lines of all VMs.
-    pub lines: Vec<StatusLine>,
+    pub lines: Vec<status::StatusLine>,
     /// The VMs that must confirm.
-    pub required: Vec<RequiredVm>,
+    pub required: Vec<status::RequiredVm>,
 }
 
 /// What to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ApplyStep {
     /// The file is accepted.
-    Accepted(RevisionStamp),
+    Accepted(head::RevisionStamp),
     /// The same file is in force already.
-    NoChange(RevisionStamp),
+    NoChange(head::RevisionStamp),
     /// Give up, after proving that the write has no effect.
-    Fail(ApplyError),
+    Fail(error::ApplyError),
     /// Look again a little later.
     Wait,
     /// Write this head, expecting the version of the look.
-    Propose(HeadDocument),
+    Propose(head::HeadDocument),
     /// Write this head, expecting the version of the look; that accepts the revision.
-    Accept(HeadDocument, RevisionStamp),
+    Accept(head::HeadDocument, head::RevisionStamp),
 }
 
 /// A write under way.
 #[derive(Clone, Debug)]
 pub struct ApplyRun {
     /// Names the write.
-    pub write_id: WriteId,
+    pub write_id: head::WriteId,
     /// Hash of the file; `None` where only a proposal that is already there may be accepted.
-    pub hash: Option<ContentHash>,
+    pub hash: Option<content::ContentHash>,
     /// The revision that must be in force.
     pub expect: Option<u64>,
     /// How long another operator's proposal must stay unchanged before it is replaced.
@@ -54,14 +54,14 @@
     /// The VMs that were waited for at the last look.
     pub waiting: Vec<String>,
     above: u64,
-    timer: ProposalTimer,
+    timer: judge::ProposalTimer,
 }
 
 impl ApplyRun {
     /// A write that has done nothing yet.
     pub fn new(
-        write_id: WriteId,
-        hash: Option<ContentHash>,
+        write_id: head::WriteId,
+        hash: Option<content::ContentHash>,
         expect: Option<u64>,
         takeover_after: Duration,
     ) -> Self {
@@ -73,46 +73,63 @@
             revision: 0,
             waiting: Vec::new(),
             above: 0,
-            timer: ProposalTimer::default(),
+            timer: judge::ProposalTimer::default(),
         }
     }
 
     /// Decides the next step; `mark` is left in the head where that is to be written.
-    pub fn step(&mut self, look: &StoreLook, now: TimeStamp, mark: WriteMark) -> ApplyStep {
+    pub fn step(
+        &mut self,
+        look: &StoreLook,
+        now: stamp::TimeStamp,
+        mark: head::WriteMark,
+    ) -> ApplyStep {
         // A restored store may have lost what VMs already have in force.
         if let Some(stamp) = judge::in_force_by(&self.write_id, &look.lines) {
             return ApplyStep::Accepted(stamp.clone());
         }
         match look.head.trace(&self.write_id) {
-            WriteTrace::Accepted(stamp) => ApplyStep::Accepted(stamp),
-            WriteTrace::Proposed(stamp) => self.stage(look, &stamp, mark),
-            WriteTrace::Absent => self.start(look, now, mark),
+            head::WriteTrace::Accepted(stamp) => ApplyStep::Accepted(stamp),
+            head::WriteTrace::Proposed(stamp) => self.stage(look, &stamp, mark),
+            head::WriteTrace::Absent => self.start(look, now, mark),
         }
     }
 
-    fn stage(&mut self, look: &StoreLook, stamp: &RevisionStamp, mark: WriteMark) -> ApplyStep {
+    fn stage(
+        &mut self,
+        look: &StoreLook,
+        stamp: &head::RevisionStamp,
+        mark: head::WriteMark,
+    ) -> ApplyStep {
         self.revision = stamp.revision;
         match judge::stage(stamp, &look.required, &look.lines) {
-            StageVerdict::Complete => {
+            judge::StageVerdict::Complete => {
                 ApplyStep::Accept(look.head.with_accepted(stamp, mark), stamp.clone())
             }
-            StageVerdict::Waiting(vms) => {
+            judge::StageVerdict::Waiting(vms) => {
                 self.waiting = vms;
                 ApplyStep::Wait
             }
-            StageVerdict::Behind(highest) => {
+            judge::StageVerdict::Behind(highest) => {
                 self.above = self.above.max(highest);
                 self.propose(look, stamp.hash.clone(), mark)
             }
-            StageVerdict::Refused(refusals) => ApplyStep::Fail(ApplyError::Refused { refusals }),
+            judge::StageVerdict::Refused(refusals) => {
+                ApplyStep::Fail(error::ApplyError::Refused { refusals })
+            }
         }
     }
 
-    fn start(&mut self, look: &StoreLook, now: TimeStamp, mark: WriteMark) -> ApplyStep {
+    fn start(
+        &mut self,
+        look: &StoreLook,
+        now: stamp::TimeStamp,
+        mark: head::WriteMark,
+    ) -> ApplyStep {
         let current = judge::current(&look.head, &look.lines);
         let found = current.map_or(0, |stamp| stamp.revision);
         let Some(hash) = self.hash.clone() else {
-            return ApplyStep::Fail(ApplyError::Overtaken {
+            return ApplyStep::Fail(error::ApplyError::Overtaken {
                 revision: look.head.highest(),
             });
         };
@@ -120,7 +137,7 @@
             return ApplyStep::NoChange(same.clone());
         }
         if let Some(expected) = self.expect.filter(|expected| *expected != found) {
-            return ApplyStep::Fail(ApplyError::Unexpected { expected, found });
+            return ApplyStep::Fail(error::ApplyError::Unexpected { expected, found });
         }
         if self.must_wait(look, now) {
             return ApplyStep::Wait;
@@ -128,17 +145,22 @@
         self.propose(look, hash, mark)
     }
 
-    fn must_wait(&mut self, look: &StoreLook, now: TimeStamp) -> bool {
+    fn must_wait(&mut self, look: &StoreLook, now: stamp::TimeStamp) -> bool {
         let Some(other) = &look.head.proposal else {
             return false;
         };
         !self.timer.is_abandoned(other, self.takeover_after, now)
     }
 
-    fn propose(&mut self, look: &StoreLook, hash: ContentHash, mark: WriteMark) -> ApplyStep {
+    fn propose(
+        &mut self,
+        look: &StoreLook,
+        hash: content::ContentHash,
+        mark: head::WriteMark,
+    ) -> ApplyStep {
         let revision = judge::next_revision(&look.head, &look.lines, self.above);
         self.revision = revision;
-        let stamp = RevisionStamp {
+        let stamp = head::RevisionStamp {
             revision,
             write_id: self.write_id.clone(),
             hash,
@@ -147,12 +169,12 @@
     }
 
     /// Why the write is given up when its time is over.
-    pub fn late(&self, store_error: Option<String>, look: &StoreLook) -> ApplyError {
+    pub fn late(&self, store_error: Option<String>, look: &StoreLook) -> error::ApplyError {
         if let Some(reason) = store_error {
-            return ApplyError::StoreLost { reason };
+            return error::ApplyError::StoreLost { reason };
         }
         match look.head.trace(&self.write_id) {
-            WriteTrace::Proposed(_) => error::UnconfirmedSnafu {
+            head::WriteTrace::Proposed(_) => error::UnconfirmedSnafu {
                 vms: self.waiting.clone(),
             }
             .build(),
--- a/dahliawood-store/src/budget/mod.rs
+++ b/dahliawood-store/src/budget/mod.rs
@@ -4,10 +4,9 @@
 //! divided by the number of live VMs. The number is each daemon's own view: where it lags behind
 //! a fleet that has just grown, the store refuses calls for a while, which backs callers off.
 
-use crate::client::error::StoreError;
-use crate::client::{StoreCall, StoreClient};
-use crate::clock::TimeSource;
-use dahliawood_model::stamp::TimeStamp;
+use crate::client;
+use crate::clock;
+use dahliawood_model::stamp;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -46,7 +45,7 @@
 #[derive(Clone, Copy, Debug)]
 struct CallBucket {
     level: f64,
-    filled_at: TimeStamp,
+    filled_at: stamp::TimeStamp,
 }
 
 /// The share of one daemon.
@@ -60,7 +59,7 @@
 
 impl CallBudget {
     /// A full budget in a fleet of `live_vms`.
-    pub fn new(options: BudgetOptions, live_vms: usize, now: TimeStamp) -> Self {
+    pub fn new(options: BudgetOptions, live_vms: usize, now: stamp::TimeStamp) -> Self {
         let full = CallBucket {
             level: f64::MAX,
             filled_at: now,
@@ -88,7 +87,7 @@
     }
 
     /// Reserves a call and returns how long to wait before it; `None` where that is too long.
-    pub fn reserve(&mut self, kind: CallKind, now: TimeStamp) -> Option<Duration> {
+    pub fn reserve(&mut self, kind: CallKind, now: stamp::TimeStamp) -> Option<Duration> {
         let rate = self.rate(kind);
         let longest = self.options.longest_wait;
         let bucket = match kind {
@@ -112,17 +111,17 @@
 }
 
 /// A client whose calls wait for their turn in `budget`; one that would wait too long fails with
-/// [`StoreError::OverRate`] and is not sent.
+/// [`client::error::StoreError::OverRate`] and is not sent.
 pub fn limit(
-    client: &StoreClient,
+    client: &client::StoreClient,
     budget: &Arc<Mutex<CallBudget>>,
-    time: &TimeSource,
-) -> StoreClient {
+    time: &clock::TimeSource,
+) -> client::StoreClient {
     let turn = CallTurn {
         budget: Arc::clone(budget),
         time: time.clone(),
     };
-    StoreClient {
+    client::StoreClient {
         get: turn.limit(&client.get, CallKind::Read),
         put: turn.limit(&client.put, CallKind::Write),
         delete: turn.limit(&client.delete, CallKind::Write),
@@ -138,15 +137,15 @@
 #[derive(Clone)]
 struct CallTurn {
     budget: Arc<Mutex<CallBudget>>,
-    time: TimeSource,
+    time: clock::TimeSource,
 }
 
 impl CallTurn {
     fn limit<A: Send + 'static, T: Send + 'static>(
         &self,
-        call: &StoreCall<A, T>,
+        call: &client::StoreCall<A, T>,
         kind: CallKind,
-    ) -> StoreCall<A, T> {
+    ) -> client::StoreCall<A, T> {
         let turn = self.clone();
         let call = Arc::clone(call);
         Arc::new(move |argument| {
@@ -159,13 +158,13 @@
         })
     }
 
-    async fn wait(&self, kind: CallKind) -> Result<(), StoreError> {
+    async fn wait(&self, kind: CallKind) -> Result<(), client::error::StoreError> {
         let now = (self.time.now)();
         let wait = {
             let mut budget = self.budget.lock().expect("no holder of the lock panics");
             budget.reserve(kind, now)
         };
-        let wait = wait.ok_or(StoreError::OverRate)?;
+        let wait = wait.ok_or(client::error::StoreError::OverRate)?;
         if !wait.is_zero() {
             (self.time.sleep)(wait).await;
         }
--- a/dahliawood-store/src/client/http/mod.rs
+++ b/dahliawood-store/src/client/http/mod.rs
@@ -3,10 +3,9 @@
 //! A read that fails on a reused connection is tried once more on a new one. A write is sent
 //! once. After any failure all idle connections are closed.
 
-use super::error::{self, StoreError};
-use super::pool::{ConnectionPool, PooledStream};
-use super::{DeleteCall, PutCall, StoreClient, StoreFuture, WatchCall};
-use crate::protocol::{KeyEntry, LeaseBody, LiveList, PutBody, VersionBody};
+use super::error;
+use super::pool;
+use crate::protocol;
 use async_std::future;
 use http_types::{Method, Request, StatusCode, Url};
 use serde::Serialize;
@@ -56,32 +55,36 @@
 
 struct HttpClient {
     options: HttpOptions,
-    pool: ConnectionPool,
+    pool: pool::ConnectionPool,
 }
 
 /// Builds a client that speaks to the service at `options.address`.
-pub fn http(options: HttpOptions) -> StoreClient {
+pub fn http(options: HttpOptions) -> super::StoreClient {
     let client = Arc::new(HttpClient {
-        pool: ConnectionPool::new(options.address, options.idle_connections),
+        pool: pool::ConnectionPool::new(options.address, options.idle_connections),
         options,
     });
-    StoreClient {
+    super::StoreClient {
         get: call(&client, |client, key: String| {
             client.get_key(&key, Vec::new(), Duration::ZERO)
         }),
         put: call(&client, HttpClient::put),
-        delete: call(&client, |client, delete: DeleteCall| client.delete(&delete)),
+        delete: call(&client, |client, delete: super::DeleteCall| {
+            client.delete(&delete)
+        }),
         list: call(&client, |client, prefix: String| {
             let call = client
                 .call(Method::Get, "/v1/list")
                 .query("prefix", &prefix);
             client.answer(call)
         }),
-        watch: call(&client, |client, watch: WatchCall| client.watch(&watch)),
+        watch: call(&client, |client, watch: super::WatchCall| {
+            client.watch(&watch)
+        }),
         grant_lease: call(&client, |client, ttl: Duration| {
             let ttl_ms = ttl.as_millis() as u64;
             let call = client.call(Method::Post, "/v1/leases");
-            client.answer(call.json(&LeaseBody { ttl_ms }))
+            client.answer(call.json(&protocol::LeaseBody { ttl_ms }))
         }),
         keep_lease: call(&client, |client, lease: u64| {
             let call = client.call(Method::Post, &format!("/v1/leases/{lease}"));
@@ -91,16 +94,19 @@
             let call = client.call(Method::Delete, &format!("/v1/leases/{lease}"));
             client.done(call)
         }),
-        live: call(&client, |client, ()| -> StoreFuture<LiveList> {
-            let call = client.call(Method::Get, "/v1/live");
-            client.answer(call)
-        }),
+        live: call(
+            &client,
+            |client, ()| -> super::StoreFuture<protocol::LiveList> {
+                let call = client.call(Method::Get, "/v1/live");
+                client.answer(call)
+            },
+        ),
     }
 }
 
 fn call<A: 'static, T: 'static>(
     client: &Arc<HttpClient>,
-    run: impl Fn(Arc<HttpClient>, A) -> StoreFuture<T> + Send + Sync + 'static,
+    run: impl Fn(Arc<HttpClient>, A) -> super::StoreFuture<T> + Send + Sync + 'static,
 ) -> super::StoreCall<A, T> {
     let client = Arc::clone(client);
     Arc::new(move |argument| run(Arc::clone(&client), argument))
@@ -118,9 +124,9 @@
         self
     }
 
-    fn encode(&self, address: SocketAddr) -> Result<Request, StoreError> {
+    fn encode(&self, address: SocketAddr) -> Result<Request, error::StoreError> {
         let mut url = Url::parse(&format!("http://{address}{}", self.path)).map_err(|error| {
-            StoreError::Invalid {
+            error::StoreError::Invalid {
                 reason: error.to_string(),
             }
         })?;
@@ -156,14 +162,14 @@
         key: &str,
         query: Vec<(&'static str, String)>,
         wait: Duration,
-    ) -> StoreFuture<T> {
+    ) -> super::StoreFuture<T> {
         let mut call = self.call(Method::Get, &key_path(key));
         call.query = query;
         call.deadline += wait;
         self.answer(call)
     }
 
-    fn watch(self: Arc<Self>, watch: &WatchCall) -> StoreFuture<KeyEntry> {
+    fn watch(self: Arc<Self>, watch: &super::WatchCall) -> super::StoreFuture<protocol::KeyEntry> {
         let query = vec![
             ("after", watch.after.to_string()),
             ("wait_ms", watch.wait.as_millis().to_string()),
@@ -171,17 +177,19 @@
         self.get_key(&watch.key, query, watch.wait)
     }
 
-    fn put(self: Arc<Self>, put: PutCall) -> StoreFuture<u64> {
-        let call = self.call(Method::Put, &key_path(&put.key)).json(&PutBody {
-            value: put.value,
-            expected: put.expected,
-            lease: put.lease,
-        });
-        let answer = self.answer::<VersionBody>(call);
+    fn put(self: Arc<Self>, put: super::PutCall) -> super::StoreFuture<u64> {
+        let call = self
+            .call(Method::Put, &key_path(&put.key))
+            .json(&protocol::PutBody {
+                value: put.value,
+                expected: put.expected,
+                lease: put.lease,
+            });
+        let answer = self.answer::<protocol::VersionBody>(call);
         Box::pin(async move { answer.await.map(|body| body.version) })
     }
 
-    fn delete(self: Arc<Self>, delete: &DeleteCall) -> StoreFuture<()> {
+    fn delete(self: Arc<Self>, delete: &super::DeleteCall) -> super::StoreFuture<()> {
         let mut call = self.call(Method::Delete, &key_path(&delete.key));
         if let Some(expected) = delete.expected {
             call = call.query("expected", &expected);
@@ -192,24 +200,24 @@
     fn answer<T: DeserializeOwned + Send + 'static>(
         self: Arc<Self>,
         call: HttpCall,
-    ) -> StoreFuture<T> {
+    ) -> super::StoreFuture<T> {
         Box::pin(async move {
             let body = self.send(&call).await?;
             serde_json::from_slice(&body).context(error::MalformedSnafu)
         })
     }
 
-    fn done(self: Arc<Self>, call: HttpCall) -> StoreFuture<()> {
+    fn done(self: Arc<Self>, call: HttpCall) -> super::StoreFuture<()> {
         Box::pin(async move { self.send(&call).await.map(drop) })
     }
 
-    async fn send(&self, call: &HttpCall) -> Result<Vec<u8>, StoreError> {
+    async fn send(&self, call: &HttpCall) -> Result<Vec<u8>, error::StoreError> {
         let ends_at = Instant::now() + call.deadline;
         let connection = self.pool.take(call.deadline).await?;
         let may_retry = connection.is_reused && call.is_read();
         let first = self.exchange(call, connection, ends_at).await;
         let answer = match first {
-            Err(StoreError::Broken { .. }) if may_retry => {
+            Err(error::StoreError::Broken { .. }) if may_retry => {
                 let connection = self.pool.open(left_until(ends_at)).await?;
                 self.exchange(call, connection, ends_at).await?
             }
@@ -221,9 +229,9 @@
     async fn exchange(
         &self,
         call: &HttpCall,
-        connection: PooledStream,
+        connection: pool::PooledStream,
         ends_at: Instant,
-    ) -> Result<HttpAnswer, StoreError> {
+    ) -> Result<HttpAnswer, error::StoreError> {
         let request = call.encode(self.options.address)?;
         let stream = connection.stream;
         let answer =
@@ -239,7 +247,7 @@
             }
             Err(_elapsed) => {
                 self.pool.clear();
-                Err(StoreError::Timeout {
+                Err(error::StoreError::Timeout {
                     deadline: call.deadline,
                 })
             }
@@ -250,7 +258,7 @@
 async fn read_answer(
     stream: async_std::net::TcpStream,
     request: Request,
-) -> Result<HttpAnswer, StoreError> {
+) -> Result<HttpAnswer, error::StoreError> {
     let mut response = async_h1::connect(stream, request)
         .await
         .map_err(|error| broken(&error))?;
@@ -272,17 +280,17 @@
     })
 }
 
-fn broken(error: &http_types::Error) -> StoreError {
-    StoreError::Broken {
+fn broken(error: &http_types::Error) -> error::StoreError {
+    error::StoreError::Broken {
         reason: error.to_string(),
     }
 }
 
-fn judge(answer: HttpAnswer) -> Result<Vec<u8>, StoreError> {
+fn judge(answer: HttpAnswer) -> Result<Vec<u8>, error::StoreError> {
     match answer.status {
         status if status.is_success() => Ok(answer.body),
         StatusCode::Conflict => {
-            let body: VersionBody =
+            let body: protocol::VersionBody =
                 serde_json::from_slice(&answer.body).context(error::MalformedSnafu)?;
             error::ConflictSnafu {
                 found: body.version,
--- a/dahliawood-store/src/client/mod.rs
+++ b/dahliawood-store/src/client/mod.rs
@@ -11,7 +11,7 @@
 
 pub use self::http::{HttpOptions, http};
 
-use crate::protocol::{KeyEntry, KeyList, LeaseGrant, LiveList};
+use crate::protocol;
 use futures::future::BoxFuture;
 use std::fmt;
 use std::sync::Arc;
@@ -60,23 +60,23 @@
 #[derive(Clone)]
 pub struct StoreClient {
     /// Reads a key; an absent one has version zero.
-    pub get: StoreCall<String, KeyEntry>,
+    pub get: StoreCall<String, protocol::KeyEntry>,
     /// Writes a key and answers its new version.
     pub put: StoreCall<PutCall, u64>,
     /// Removes a key.
     pub delete: StoreCall<DeleteCall, ()>,
     /// Reads all keys under a prefix.
-    pub list: StoreCall<String, KeyList>,
+    pub list: StoreCall<String, protocol::KeyList>,
     /// Waits for a change of a key.
-    pub watch: StoreCall<WatchCall, KeyEntry>,
+    pub watch: StoreCall<WatchCall, protocol::KeyEntry>,
     /// Grants a lease of the given length.
-    pub grant_lease: StoreCall<Duration, LeaseGrant>,
+    pub grant_lease: StoreCall<Duration, protocol::LeaseGrant>,
     /// Keeps a lease of the given id.
-    pub keep_lease: StoreCall<u64, LeaseGrant>,
+    pub keep_lease: StoreCall<u64, protocol::LeaseGrant>,
     /// Ends a lease of the given id.
     pub revoke_lease: StoreCall<u64, ()>,
     /// Reads the live list.
-    pub live: StoreCall<(), LiveList>,
+    pub live: StoreCall<(), protocol::LiveList>,
 }
 
 impl fmt::Debug for StoreClient {
--- a/dahliawood-store/src/client/pool/mod.rs
+++ b/dahliawood-store/src/client/pool/mod.rs
@@ -1,6 +1,6 @@
 //! Idle connections to one address.
 
-use super::error::{self, StoreError};
+use super::error;
 use async_std::future;
 use async_std::net::TcpStream;
 use snafu::ResultExt;
@@ -40,7 +40,7 @@
     /// # Errors
     ///
     /// As [`ConnectionPool::open`].
-    pub async fn take(&self, deadline: Duration) -> Result<PooledStream, StoreError> {
+    pub async fn take(&self, deadline: Duration) -> Result<PooledStream, error::StoreError> {
         let idle = self.lock().pop();
         match idle {
             Some(stream) => Ok(PooledStream {
@@ -55,11 +55,11 @@
     ///
     /// # Errors
     ///
-    /// [`StoreError::Connect`] or [`StoreError::ConnectTimeout`]; nothing was sent.
-    pub async fn open(&self, deadline: Duration) -> Result<PooledStream, StoreError> {
+    /// [`error::StoreError::Connect`] or [`error::StoreError::ConnectTimeout`]; nothing was sent.
+    pub async fn open(&self, deadline: Duration) -> Result<PooledStream, error::StoreError> {
         let stream = future::timeout(deadline, TcpStream::connect(self.address))
             .await
-            .map_err(|_elapsed| StoreError::ConnectTimeout { deadline })?
+            .map_err(|_elapsed| error::StoreError::ConnectTimeout { deadline })?
             .context(error::ConnectSnafu)?;
         // Without it a small request waits for an acknowledgement; a call works either way.
         let _unsupported = stream.set_nodelay(true);
--- a/dahliawood-store/src/clock/mod.rs
+++ b/dahliawood-store/src/clock/mod.rs
@@ -1,7 +1,7 @@
 //! The time and the sleep that drivers are given.
 
 use async_std::task;
-use dahliawood_model::stamp::TimeStamp;
+use dahliawood_model::stamp;
 use futures::future::BoxFuture;
 use rustix::time::{ClockId, clock_gettime};
 use std::fmt;
@@ -12,7 +12,7 @@
 #[derive(Clone)]
 pub struct TimeSource {
     /// The time now.
-    pub now: Arc<dyn Fn() -> TimeStamp + Send + Sync>,
+    pub now: Arc<dyn Fn() -> stamp::TimeStamp + Send + Sync>,
     /// Resolves after a while.
     pub sleep: Arc<dyn Fn(Duration) -> BoxFuture<'static, ()> + Send + Sync>,
     /// A number in `0.0..1.0` that spreads waits.
@@ -28,10 +28,10 @@
 /// The machine's clock since its start, which goes on while the machine is suspended.
 ///
 /// A virtual machine that its host stops without telling it sees no time pass.
-pub fn boot_now() -> TimeStamp {
+pub fn boot_now() -> stamp::TimeStamp {
     let time = clock_gettime(ClockId::Boottime);
     let micros = time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000;
-    TimeStamp::from_micros(micros)
+    stamp::TimeStamp::from_micros(micros)
 }
 
 /// [`boot_now`] and the sleep of the runtime.
--- a/dahliawood-store/src/content/transfer/mod.rs
+++ b/dahliawood-store/src/content/transfer/mod.rs
@@ -1,8 +1,6 @@
 //! Files to and from the store.
 
-use super::{ContentError, ContentHash, ContentManifest, ContentPart};
-use crate::client::error::StoreError;
-use crate::client::{PutCall, StoreClient};
+use crate::client;
 use dahliawood_model::FastMap;
 use snafu::{OptionExt, ResultExt, Snafu};
 
@@ -13,19 +11,19 @@
     #[snafu(display("{source}"), context(false))]
     Store {
         /// The cause.
-        source: StoreError,
+        source: client::error::StoreError,
     },
     /// The store does not hold the manifest or a part.
     #[snafu(display("the store does not hold {hash}"))]
     Absent {
         /// What is missing.
-        hash: ContentHash,
+        hash: super::ContentHash,
     },
     /// A manifest cannot be read.
     #[snafu(display("the manifest of {hash} cannot be read"))]
     Manifest {
         /// Hash of the file.
-        hash: ContentHash,
+        hash: super::ContentHash,
         /// The cause.
         source: serde_json::Error,
     },
@@ -33,7 +31,7 @@
     #[snafu(display("{source}"), context(false))]
     Content {
         /// The cause.
-        source: ContentError,
+        source: super::ContentError,
     },
 }
 
@@ -46,8 +44,11 @@
 /// # Panics
 ///
 /// Never: a manifest has a JSON form.
-pub async fn upload(client: &StoreClient, text: &str) -> Result<ContentHash, StoreError> {
-    let hash = ContentHash::of(text);
+pub async fn upload(
+    client: &client::StoreClient,
+    text: &str,
+) -> Result<super::ContentHash, client::error::StoreError> {
+    let hash = super::ContentHash::of(text);
     let (manifest, parts) = super::split(text);
     for part in parts {
         put_once(client, part_key(&part.hash), part.text).await?;
@@ -63,30 +64,30 @@
 ///
 /// See [`TransferError`].
 pub async fn download(
-    client: &StoreClient,
-    hash: &ContentHash,
+    client: &client::StoreClient,
+    hash: &super::ContentHash,
     known: &[&str],
 ) -> Result<String, TransferError> {
     let entry = (client.get)(manifest_key(hash)).await?;
     let value = entry.value.context(AbsentSnafu { hash: hash.clone() })?;
     let manifest = serde_json::from_str(&value).context(ManifestSnafu { hash: hash.clone() })?;
     let text = match manifest {
-        ContentManifest::Inline(text) => text,
-        ContentManifest::Parts(hashes) => join(client, &hashes, known).await?,
+        super::ContentManifest::Inline(text) => text,
+        super::ContentManifest::Parts(hashes) => join(client, &hashes, known).await?,
     };
     super::verify(hash, &text)?;
     Ok(text)
 }
 
 async fn join(
-    client: &StoreClient,
-    hashes: &[ContentHash],
+    client: &client::StoreClient,
+    hashes: &[super::ContentHash],
     known: &[&str],
 ) -> Result<String, TransferError> {
-    let held: FastMap<ContentHash, String> = known
+    let held: FastMap<super::ContentHash, String> = known
         .iter()
         .flat_map(|text| super::split(text).1)
-        .map(|ContentPart { hash, text }| (hash, text))
+        .map(|super::ContentPart { hash, text }| (hash, text))
         .collect();
     let mut text = String::new();
     for hash in hashes {
@@ -98,13 +99,20 @@
     Ok(text)
 }
 
-async fn read_part(client: &StoreClient, hash: &ContentHash) -> Result<String, TransferError> {
+async fn read_part(
+    client: &client::StoreClient,
+    hash: &super::ContentHash,
+) -> Result<String, TransferError> {
     let entry = (client.get)(part_key(hash)).await?;
     entry.value.context(AbsentSnafu { hash: hash.clone() })
 }
 
-async fn put_once(client: &StoreClient, key: String, value: String) -> Result<(), StoreError> {
-    let call = PutCall {
+async fn put_once(
+    client: &client::StoreClient,
+    key: String,
+    value: String,
+) -> Result<(), client::error::StoreError> {
+    let call = client::PutCall {
         key,
         value,
         expected: Some(0),
@@ -112,15 +120,15 @@
     };
     match (client.put)(call).await {
         // The key names its value by its hash.
-        Ok(_) | Err(StoreError::Conflict { .. }) => Ok(()),
+        Ok(_) | Err(client::error::StoreError::Conflict { .. }) => Ok(()),
         Err(error) => Err(error),
     }
 }
 
-fn manifest_key(hash: &ContentHash) -> String {
+fn manifest_key(hash: &super::ContentHash) -> String {
     format!("dahliawood/file/{hash}")
 }
 
-fn part_key(hash: &ContentHash) -> String {
+fn part_key(hash: &super::ContentHash) -> String {
     format!("dahliawood/part/{hash}")
 }
--- a/dahliawood-store/src/head/mod.rs
+++ b/dahliawood-store/src/head/mod.rs
@@ -1,6 +1,6 @@
 //! The one key that says which revision is accepted and which one is proposed.
 
-use crate::content::ContentHash;
+use crate::content;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::iter;
@@ -62,7 +62,7 @@
     /// The write that brought it.
     pub write_id: WriteId,
     /// Hash of the file.
-    pub hash: ContentHash,
+    pub hash: content::ContentHash,
 }
 
 /// What a head knows of a write.
--- a/dahliawood-store/src/lease/mod.rs
+++ b/dahliawood-store/src/lease/mod.rs
@@ -1,6 +1,6 @@
 //! Leases as their holder judges them.
 
-use dahliawood_model::stamp::TimeStamp;
+use dahliawood_model::stamp;
 use std::time::Duration;
 
 /// A lease that this process holds.
@@ -13,12 +13,12 @@
     /// Id at the service.
     pub lease: u64,
     ttl: Duration,
-    sent_at: TimeStamp,
+    sent_at: stamp::TimeStamp,
 }
 
 impl LeaseClaim {
     /// A lease whose grant was asked for at `sent_at`.
-    pub fn new(lease: u64, ttl: Duration, sent_at: TimeStamp) -> Self {
+    pub fn new(lease: u64, ttl: Duration, sent_at: stamp::TimeStamp) -> Self {
         Self {
             lease,
             ttl,
@@ -29,22 +29,22 @@
     /// Notes that a keep sent at `sent_at` was answered.
     ///
     /// Answers may come out of order: an older keep changes nothing.
-    pub fn kept(&mut self, sent_at: TimeStamp) {
+    pub fn kept(&mut self, sent_at: stamp::TimeStamp) {
         self.sent_at = self.sent_at.max(sent_at);
     }
 
     /// Whether the lease surely holds at `now`.
-    pub fn holds(&self, now: TimeStamp) -> bool {
+    pub fn holds(&self, now: stamp::TimeStamp) -> bool {
         now < self.ends_at()
     }
 
     /// When it ceases to be sure.
-    pub fn ends_at(&self) -> TimeStamp {
+    pub fn ends_at(&self) -> stamp::TimeStamp {
         self.sent_at.after(self.ttl)
     }
 
     /// When the next keep is to be sent: after a third of the time, which leaves room for two more.
-    pub fn keep_at(&self) -> TimeStamp {
+    pub fn keep_at(&self) -> stamp::TimeStamp {
         self.sent_at.after(self.ttl / 3)
     }
 }
--- a/dahliawood-store/src/revision/follow/mod.rs
+++ b/dahliawood-store/src/revision/follow/mod.rs
@@ -1,22 +1,21 @@
-//! Keeps a [`SharedKeeper`] up to date from the store, and the store from it.
+//! Keeps a [`shared::SharedKeeper`] up to date from the store, and the store from it.
 //!
 //! One watch waits on the head. After each answer the follower fetches the files that the keeper
 //! wants, writes the VM's status line where it has changed, and puts back a revision that a
 //! restored store lost. Calls that all VMs make at the same moment are spread over a time that
 //! grows with their number, so that a change stays inside the rates of the store.
 
-use super::keeper::RevisionSource;
-use super::shared::SharedKeeper;
-use crate::backoff::RetryPlan;
-use crate::client::error::StoreError;
-use crate::client::{PutCall, StoreClient};
-use crate::clock::TimeSource;
+use super::keeper;
+use super::shared;
+use crate::backoff;
+use crate::client;
+use crate::clock;
 use crate::content::transfer;
-use crate::head::{HEAD_KEY, HeadDocument, WriteMark};
-use crate::protocol::KeyEntry;
-use crate::status::StatusLine;
-use crate::watch::WatchCursor;
-use dahliawood_model::stamp::TimeStamp;
+use crate::head;
+use crate::protocol;
+use crate::status;
+use crate::watch;
+use dahliawood_model::stamp;
 use futures::future::{self, Either};
 use std::fmt;
 use std::pin::pin;
@@ -47,9 +46,9 @@
 #[derive(Clone)]
 pub struct FollowOptions {
     /// What is kept up to date.
-    pub keeper: SharedKeeper,
+    pub keeper: shared::SharedKeeper,
     /// The clock and the sleep.
-    pub time: TimeSource,
+    pub time: clock::TimeSource,
     /// How many VMs follow the store.
     pub live_vms: Arc<dyn Fn() -> usize + Send + Sync>,
     /// Told when the store is lost or back.
@@ -62,7 +61,7 @@
 
 impl FollowOptions {
     /// Watches of 20 seconds for a fleet of `live_vms`.
-    pub fn new(keeper: SharedKeeper, time: TimeSource, live_vms: usize) -> Self {
+    pub fn new(keeper: shared::SharedKeeper, time: clock::TimeSource, live_vms: usize) -> Self {
         Self {
             keeper,
             time,
@@ -86,7 +85,7 @@
 }
 
 /// Follows the store; never returns.
-pub async fn follow(client: &StoreClient, options: &FollowOptions) {
+pub async fn follow(client: &client::StoreClient, options: &FollowOptions) {
     let mut follower = Follower::new(client, options);
     loop {
         follower.round().await;
@@ -94,24 +93,24 @@
 }
 
 struct Follower<'a> {
-    client: &'a StoreClient,
+    client: &'a client::StoreClient,
     options: &'a FollowOptions,
-    cursor: WatchCursor,
-    head: HeadDocument,
+    cursor: watch::WatchCursor,
+    head: head::HeadDocument,
     head_version: u64,
     status_version: u64,
-    written: Option<(u64, TimeStamp)>,
+    written: Option<(u64, stamp::TimeStamp)>,
     failures: u32,
     contact: Option<StoreContact>,
 }
 
 impl<'a> Follower<'a> {
-    fn new(client: &'a StoreClient, options: &'a FollowOptions) -> Self {
+    fn new(client: &'a client::StoreClient, options: &'a FollowOptions) -> Self {
         Self {
             client,
             options,
-            cursor: WatchCursor::new(HEAD_KEY, (options.time.now)()),
-            head: HeadDocument::default(),
+            cursor: watch::WatchCursor::new(head::HEAD_KEY, (options.time.now)()),
+            head: head::HeadDocument::default(),
             head_version: 0,
             status_version: 0,
             written: None,
@@ -148,8 +147,8 @@
         self.absorb(&entry).await;
     }
 
-    async fn absorb(&mut self, entry: &KeyEntry) {
-        let head = HeadDocument::parse(entry.value.as_deref());
+    async fn absorb(&mut self, entry: &protocol::KeyEntry) {
+        let head = head::HeadDocument::parse(entry.value.as_deref());
         let Some(head) = self.noted(head).await else {
             return;
         };
@@ -157,7 +156,9 @@
         self.head_version = entry.version;
         self.head = head;
         if let Some(stamp) = self.head.accepted() {
-            self.options.keeper.observe(stamp, RevisionSource::Store);
+            self.options
+                .keeper
+                .observe(stamp, keeper::RevisionSource::Store);
         }
         if let Some(stamp) = &self.head.proposal {
             self.options.keeper.propose(stamp);
@@ -201,7 +202,7 @@
             return;
         }
         self.spread(WRITE_SPREAD_PER_VM).await;
-        let entry = (self.client.get)(HEAD_KEY.to_owned()).await;
+        let entry = (self.client.get)(head::HEAD_KEY.to_owned()).await;
         let Some(entry) = self.noted(entry).await else {
             return;
         };
@@ -213,8 +214,8 @@
         if self.noted(uploaded).await.is_none() {
             return;
         }
-        let result = (self.client.put)(PutCall {
-            key: HEAD_KEY.to_owned(),
+        let result = (self.client.put)(client::PutCall {
+            key: head::HEAD_KEY.to_owned(),
             value: head.encode(),
             expected: Some(entry.version),
             lease: None,
@@ -232,8 +233,8 @@
         self.spread(WRITE_SPREAD_PER_VM).await;
         self.options.keeper.clear_changed();
         let line = self.options.keeper.status();
-        let key = StatusLine::key(&line.vm);
-        let result = (self.client.put)(PutCall {
+        let key = status::StatusLine::key(&line.vm);
+        let result = (self.client.put)(client::PutCall {
             key: key.clone(),
             value: serde_json::to_string(&line).expect("a line has a JSON form"),
             expected: Some(self.status_version),
@@ -245,7 +246,9 @@
                 self.status_version = version;
                 self.written = Some((line.serial, self.now()));
             }
-            Err(StoreError::Conflict { .. }) => self.compare_status(key, &line).await,
+            Err(client::error::StoreError::Conflict { .. }) => {
+                self.compare_status(key, &line).await;
+            }
             Err(error) => {
                 self.noted::<(), _>(Err(error)).await;
             }
@@ -253,7 +256,7 @@
     }
 
     /// Another writer was first: a lost reply, a peer, or a process that has replaced this one.
-    async fn compare_status(&mut self, key: String, line: &StatusLine) {
+    async fn compare_status(&mut self, key: String, line: &status::StatusLine) {
         let entry = (self.client.get)(key).await;
         let Some(entry) = self.noted(entry).await else {
             return;
@@ -262,7 +265,7 @@
         let found = entry
             .value
             .and_then(|value| serde_json::from_str(&value).ok());
-        if found.is_some_and(|found: StatusLine| !line.is_newer_than(&found)) {
+        if found.is_some_and(|found: status::StatusLine| !line.is_newer_than(&found)) {
             self.written = Some((line.serial, self.now()));
         }
     }
@@ -293,12 +296,12 @@
                 .repair(&self.head, self.mark())
                 .is_some();
         if is_behind {
-            return RetryPlan::default().base;
+            return backoff::RetryPlan::default().base;
         }
         self.options.wait.min(self.refresh_after())
     }
 
-    fn note_contact<T>(&mut self, result: &Result<T, StoreError>) {
+    fn note_contact<T>(&mut self, result: &Result<T, client::error::StoreError>) {
         let contact = match result {
             Err(error) if !error.is_answer() => StoreContact::Lost,
             _ => StoreContact::Back,
@@ -321,7 +324,8 @@
     }
 
     async fn rest(&self) {
-        let wait = RetryPlan::default().wait(self.failures.max(1), (self.options.time.jitter)());
+        let wait =
+            backoff::RetryPlan::default().wait(self.failures.max(1), (self.options.time.jitter)());
         (self.options.time.sleep)(wait).await;
     }
 
@@ -335,11 +339,11 @@
         u32::try_from((self.options.live_vms)()).unwrap_or(u32::MAX)
     }
 
-    fn mark(&self) -> WriteMark {
-        WriteMark::drawn((self.options.time.jitter)())
+    fn mark(&self) -> head::WriteMark {
+        head::WriteMark::drawn((self.options.time.jitter)())
     }
 
-    fn now(&self) -> TimeStamp {
+    fn now(&self) -> stamp::TimeStamp {
         (self.options.time.now)()
     }
 }
--- a/dahliawood-store/src/revision/keeper/mod.rs
+++ b/dahliawood-store/src/revision/keeper/mod.rs
@@ -1,8 +1,8 @@
 //! What a VM knows of revisions, and the rule that it only goes forward.
 
-use crate::content::{self, ContentError, ContentHash};
-use crate::head::{HeadDocument, RevisionStamp, WriteMark};
-use crate::status::{PAST_LIMIT, RefusalCause, RevisionRefusal, StatusLine};
+use crate::content;
+use crate::head;
+use crate::status;
 use std::sync::Arc;
 
 /// Where a VM learned of a revision.
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForceRecord {
     /// Which one.
-    pub stamp: RevisionStamp,
+    pub stamp: head::RevisionStamp,
     /// The file.
     pub text: Arc<str>,
     /// Where the VM learned that it is accepted.
@@ -64,11 +64,11 @@
     incarnation: u64,
     serial: u64,
     in_force: Option<ForceRecord>,
-    past: Vec<RevisionStamp>,
-    accepted: Option<(RevisionStamp, RevisionSource)>,
-    proposed: Option<RevisionStamp>,
-    staged: Option<(RevisionStamp, Arc<str>)>,
-    refused: Option<RevisionRefusal>,
+    past: Vec<head::RevisionStamp>,
+    accepted: Option<(head::RevisionStamp, RevisionSource)>,
+    proposed: Option<head::RevisionStamp>,
+    staged: Option<(head::RevisionStamp, Arc<str>)>,
+    refused: Option<status::RevisionRefusal>,
     floor: u64,
 }
 
@@ -103,17 +103,17 @@
     }
 
     /// The highest revision known to be accepted, in force here or not.
-    pub fn accepted(&self) -> Option<&RevisionStamp> {
+    pub fn accepted(&self) -> Option<&head::RevisionStamp> {
         self.accepted.as_ref().map(|(stamp, _)| stamp)
     }
 
     /// The revision last proposed, accepted or not.
-    pub fn proposed(&self) -> Option<&RevisionStamp> {
+    pub fn proposed(&self) -> Option<&head::RevisionStamp> {
         self.proposed.as_ref()
     }
 
     /// The file of `hash`, where it is in force or staged here.
-    pub fn file(&self, hash: &ContentHash) -> Option<Arc<str>> {
+    pub fn file(&self, hash: &content::ContentHash) -> Option<Arc<str>> {
         let in_force = self
             .in_force
             .iter()
@@ -126,7 +126,11 @@
     }
 
     /// Takes in that a revision is accepted.
-    pub fn observe(&mut self, stamp: &RevisionStamp, source: RevisionSource) -> ObserveOutcome {
+    pub fn observe(
+        &mut self,
+        stamp: &head::RevisionStamp,
+        source: RevisionSource,
+    ) -> ObserveOutcome {
         if self.accepted() >= Some(stamp) {
             return ObserveOutcome::Old;
         }
@@ -142,13 +146,13 @@
     ///
     /// The promise to hold it outlasts the proposal: no number that was promised is ever
     /// promised to another write, so a store that forgot a proposal cannot use its number again.
-    pub fn propose(&mut self, stamp: &RevisionStamp) {
+    pub fn propose(&mut self, stamp: &head::RevisionStamp) {
         if self.proposed.as_ref() == Some(stamp) || self.accepted() == Some(stamp) {
             return;
         }
         if stamp.revision <= self.highest() {
             let highest = self.highest();
-            self.refuse(stamp, RefusalCause::Behind { highest });
+            self.refuse(stamp, status::RefusalCause::Behind { highest });
             return;
         }
         self.proposed = Some(stamp.clone());
@@ -160,7 +164,7 @@
     }
 
     /// Hashes of the files to fetch, the most urgent first.
-    pub fn wanted(&self) -> Vec<ContentHash> {
+    pub fn wanted(&self) -> Vec<content::ContentHash> {
         let accepted = self.accepted().filter(|stamp| !self.is_done_with(stamp));
         let proposed = self
             .proposed
@@ -179,22 +183,22 @@
     ///
     /// # Errors
     ///
-    /// [`ContentError::WrongHash`] where it is not the file of `hash`; nothing is changed.
+    /// [`content::ContentError::WrongHash`] where it is not the file of `hash`; nothing is changed.
     pub fn supply(
         &mut self,
-        hash: &ContentHash,
+        hash: &content::ContentHash,
         text: &str,
         check: FileCheck<'_>,
-    ) -> Result<SupplyOutcome, ContentError> {
+    ) -> Result<SupplyOutcome, content::ContentError> {
         content::verify(hash, text)?;
-        let is_wanted = |stamp: &&RevisionStamp| stamp.hash == *hash;
+        let is_wanted = |stamp: &&head::RevisionStamp| stamp.hash == *hash;
         let accepted = self.accepted().filter(is_wanted);
         let proposed = self.proposed.as_ref().filter(is_wanted);
         let Some(stamp) = accepted.or(proposed).cloned() else {
             return Ok(SupplyOutcome::Unwanted);
         };
         if let Err(reason) = check(text) {
-            self.refuse(&stamp, RefusalCause::Check { reason });
+            self.refuse(&stamp, status::RefusalCause::Check { reason });
             return Ok(SupplyOutcome::Refused);
         }
         self.staged = Some((stamp, Arc::from(text)));
@@ -208,9 +212,9 @@
     /// The head to write where the store lost a revision that is known here to be accepted.
     pub fn repair(
         &self,
-        head: &HeadDocument,
-        mark: WriteMark,
-    ) -> Option<(HeadDocument, ForceRecord)> {
+        head: &head::HeadDocument,
+        mark: head::WriteMark,
+    ) -> Option<(head::HeadDocument, ForceRecord)> {
         let record = self.in_force()?;
         if head.accepted() >= Some(&record.stamp) {
             return None;
@@ -219,8 +223,8 @@
     }
 
     /// What the VM says of itself.
-    pub fn status(&self) -> StatusLine {
-        StatusLine {
+    pub fn status(&self) -> status::StatusLine {
+        status::StatusLine {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
             serial: self.serial,
@@ -257,13 +261,13 @@
         };
         if let Some(before) = self.in_force.replace(record) {
             self.past.insert(0, before.stamp);
-            self.past.truncate(PAST_LIMIT);
+            self.past.truncate(status::PAST_LIMIT);
         }
         true
     }
 
-    fn refuse(&mut self, stamp: &RevisionStamp, cause: RefusalCause) {
-        let refusal = RevisionRefusal {
+    fn refuse(&mut self, stamp: &head::RevisionStamp, cause: status::RefusalCause) {
+        let refusal = status::RevisionRefusal {
             stamp: stamp.clone(),
             cause,
         };
@@ -276,7 +280,7 @@
     /// Whether the file of a revision is here or was not understood.
     ///
     /// A refused number says nothing of the file, which may be accepted without this VM.
-    fn is_done_with(&self, stamp: &RevisionStamp) -> bool {
+    fn is_done_with(&self, stamp: &head::RevisionStamp) -> bool {
         let is_staged = self
             .staged
             .as_ref()
@@ -286,7 +290,7 @@
             .as_ref()
             .is_some_and(|record| record.stamp == *stamp);
         let is_refused = self.refused.as_ref().is_some_and(|refusal| {
-            refusal.stamp == *stamp && matches!(refusal.cause, RefusalCause::Check { .. })
+            refusal.stamp == *stamp && matches!(refusal.cause, status::RefusalCause::Check { .. })
         });
         is_staged || is_in_force || is_refused
     }
--- a/dahliawood-store/src/revision/relay/mod.rs
+++ b/dahliawood-store/src/revision/relay/mod.rs
@@ -9,9 +9,8 @@
 //! [`SharedKeeper::file`]: super::SharedKeeper::file
 //! [`SharedKeeper::status`]: super::SharedKeeper::status
 
-use crate::client::error::StoreError;
-use crate::client::{PutCall, StoreClient};
-use crate::status::StatusLine;
+use crate::client;
+use crate::status;
 
 /// What became of a peer's line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,16 +30,19 @@
 /// # Panics
 ///
 /// Never: a line has a JSON form.
-pub async fn report(client: &StoreClient, line: &StatusLine) -> Result<ReportOutcome, StoreError> {
-    let key = StatusLine::key(&line.vm);
+pub async fn report(
+    client: &client::StoreClient,
+    line: &status::StatusLine,
+) -> Result<ReportOutcome, client::error::StoreError> {
+    let key = status::StatusLine::key(&line.vm);
     let entry = (client.get)(key.clone()).await?;
     let found = entry
         .value
         .and_then(|value| serde_json::from_str(&value).ok());
-    if found.is_some_and(|found: StatusLine| !line.is_newer_than(&found)) {
+    if found.is_some_and(|found: status::StatusLine| !line.is_newer_than(&found)) {
         return Ok(ReportOutcome::Old);
     }
-    let call = PutCall {
+    let call = client::PutCall {
         key,
         value: serde_json::to_string(line).expect("a line has a JSON form"),
         expected: Some(entry.version),
--- a/dahliawood-store/src/revision/shared/mod.rs
+++ b/dahliawood-store/src/revision/shared/mod.rs
@@ -1,9 +1,9 @@
 //! One keeper for all threads of a daemon.
 
-use super::keeper::{ForceRecord, ObserveOutcome, RevisionKeeper, RevisionSource, SupplyOutcome};
-use crate::content::{ContentError, ContentHash};
-use crate::head::{HeadDocument, RevisionStamp, WriteMark};
-use crate::status::StatusLine;
+use super::keeper;
+use crate::content;
+use crate::head;
+use crate::status;
 use async_std::channel::{self, Receiver, Sender};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -12,12 +12,12 @@
 pub type SharedCheck = Arc<dyn Fn(&str) -> Result<(), String> + Send + Sync>;
 
 /// Told of each revision once it is in force, in order.
-pub type ForceHook = Arc<dyn Fn(&ForceRecord) + Send + Sync>;
+pub type ForceHook = Arc<dyn Fn(&keeper::ForceRecord) + Send + Sync>;
 
-/// A [`RevisionKeeper`] with the check of its files and who is told of changes.
+/// A [`keeper::RevisionKeeper`] with the check of its files and who is told of changes.
 #[derive(Clone)]
 pub struct SharedKeeper {
-    keeper: Arc<Mutex<RevisionKeeper>>,
+    keeper: Arc<Mutex<keeper::RevisionKeeper>>,
     check: SharedCheck,
     on_force: ForceHook,
     wake: Sender<()>,
@@ -35,7 +35,7 @@
 
 impl SharedKeeper {
     /// Shares a keeper.
-    pub fn new(keeper: RevisionKeeper, check: SharedCheck, on_force: ForceHook) -> Self {
+    pub fn new(keeper: keeper::RevisionKeeper, check: SharedCheck, on_force: ForceHook) -> Self {
         let (wake, woken) = channel::bounded(1);
         Self {
             keeper: Arc::new(Mutex::new(keeper)),
@@ -47,20 +47,24 @@
     }
 
     /// Takes in that a revision is accepted, from any source.
-    pub fn observe(&self, stamp: &RevisionStamp, source: RevisionSource) -> ObserveOutcome {
+    pub fn observe(
+        &self,
+        stamp: &head::RevisionStamp,
+        source: keeper::RevisionSource,
+    ) -> keeper::ObserveOutcome {
         let mut keeper = self.lock();
         let outcome = keeper.observe(stamp, source);
-        if outcome == ObserveOutcome::InForce {
+        if outcome == keeper::ObserveOutcome::InForce {
             self.announce(&keeper);
         }
-        if outcome != ObserveOutcome::Old {
+        if outcome != keeper::ObserveOutcome::Old {
             self.wake();
         }
         outcome
     }
 
     /// Takes in that a revision is proposed, from any source.
-    pub fn propose(&self, stamp: &RevisionStamp) {
+    pub fn propose(&self, stamp: &head::RevisionStamp) {
         let mut keeper = self.lock();
         let serial = keeper.status().serial;
         keeper.propose(stamp);
@@ -69,7 +73,7 @@
         }
     }
 
-    /// Takes in the highest number that a peer knows of; see [`RevisionKeeper::raise`].
+    /// Takes in the highest number that a peer knows of; see [`keeper::RevisionKeeper::raise`].
     pub fn raise(&self, highest: u64) {
         self.lock().raise(highest);
     }
@@ -78,54 +82,58 @@
     ///
     /// # Errors
     ///
-    /// As [`RevisionKeeper::supply`].
-    pub fn supply(&self, hash: &ContentHash, text: &str) -> Result<SupplyOutcome, ContentError> {
+    /// As [`keeper::RevisionKeeper::supply`].
+    pub fn supply(
+        &self,
+        hash: &content::ContentHash,
+        text: &str,
+    ) -> Result<keeper::SupplyOutcome, content::ContentError> {
         let mut keeper = self.lock();
         let outcome = keeper.supply(hash, text, &*self.check)?;
-        if outcome == SupplyOutcome::InForce {
+        if outcome == keeper::SupplyOutcome::InForce {
             self.announce(&keeper);
         }
-        if outcome != SupplyOutcome::Unwanted {
+        if outcome != keeper::SupplyOutcome::Unwanted {
             self.wake();
         }
         Ok(outcome)
     }
 
     /// The revision in force.
-    pub fn in_force(&self) -> Option<ForceRecord> {
+    pub fn in_force(&self) -> Option<keeper::ForceRecord> {
         self.lock().in_force().cloned()
     }
 
     /// The highest revision known to be accepted.
-    pub fn accepted(&self) -> Option<RevisionStamp> {
+    pub fn accepted(&self) -> Option<head::RevisionStamp> {
         self.lock().accepted().cloned()
     }
 
     /// The revision last proposed, for a peer that does not reach the store.
-    pub fn proposed(&self) -> Option<RevisionStamp> {
+    pub fn proposed(&self) -> Option<head::RevisionStamp> {
         self.lock().proposed().cloned()
     }
 
     /// Hashes of the files to fetch, the most urgent first.
-    pub fn wanted(&self) -> Vec<ContentHash> {
+    pub fn wanted(&self) -> Vec<content::ContentHash> {
         self.lock().wanted()
     }
 
     /// The file of `hash`, for a peer that wants it.
-    pub fn file(&self, hash: &ContentHash) -> Option<Arc<str>> {
+    pub fn file(&self, hash: &content::ContentHash) -> Option<Arc<str>> {
         self.lock().file(hash)
     }
 
     /// What the VM says of itself, for the store or for a peer that reaches it.
-    pub fn status(&self) -> StatusLine {
+    pub fn status(&self) -> status::StatusLine {
         self.lock().status()
     }
 
     pub(super) fn repair(
         &self,
-        head: &HeadDocument,
-        mark: WriteMark,
-    ) -> Option<(HeadDocument, ForceRecord)> {
+        head: &head::HeadDocument,
+        mark: head::WriteMark,
+    ) -> Option<(head::HeadDocument, keeper::ForceRecord)> {
         self.lock().repair(head, mark)
     }
 
@@ -141,7 +149,7 @@
     }
 
     /// Called under the lock, so that revisions are told in order.
-    fn announce(&self, keeper: &RevisionKeeper) {
+    fn announce(&self, keeper: &keeper::RevisionKeeper) {
         if let Some(record) = keeper.in_force() {
             (self.on_force)(record);
         }
@@ -152,7 +160,7 @@
         let _full = self.wake.try_send(());
     }
 
-    fn lock(&self) -> MutexGuard<'_, RevisionKeeper> {
+    fn lock(&self) -> MutexGuard<'_, keeper::RevisionKeeper> {
         self.keeper.lock().expect("no holder of the lock panics")
     }
 }
--- a/dahliawood-store/src/status/mod.rs
+++ b/dahliawood-store/src/status/mod.rs
@@ -3,8 +3,8 @@
 //! A VM writes its line under its own key and a VM that reaches the store writes those of its
 //! peers that do not, so a line is compared with its `serial` before it replaces another.
 
-use crate::head::{RevisionStamp, WriteId};
-use crate::protocol::{KeyList, LiveList, LiveState};
+use crate::head;
+use crate::protocol;
 use serde::{Deserialize, Serialize};
 
 /// Prefix of the keys of all [`StatusLine`]s; the VM's name follows.
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RevisionRefusal {
     /// The revision.
-    pub stamp: RevisionStamp,
+    pub stamp: head::RevisionStamp,
     /// Why.
     pub cause: RefusalCause,
 }
@@ -50,12 +50,12 @@
     /// Grows with each change of this line.
     pub serial: u64,
     /// The revision in force.
-    pub in_force: Option<RevisionStamp>,
+    pub in_force: Option<head::RevisionStamp>,
     /// Revisions that were in force before, newest first, at most [`PAST_LIMIT`].
     #[serde(default)]
-    pub past: Vec<RevisionStamp>,
+    pub past: Vec<head::RevisionStamp>,
     /// The last proposed revision that it holds whole and understands.
-    pub staged: Option<RevisionStamp>,
+    pub staged: Option<head::RevisionStamp>,
     /// The last proposed revision that it refused.
     pub refused: Option<RevisionRefusal>,
     /// The highest number that it knows of.
@@ -74,17 +74,17 @@
     }
 
     /// Whether the VM holds `stamp` whole and understands it.
-    pub fn acknowledges(&self, stamp: &RevisionStamp) -> bool {
+    pub fn acknowledges(&self, stamp: &head::RevisionStamp) -> bool {
         self.staged.as_ref() == Some(stamp) || self.in_force.as_ref() == Some(stamp)
     }
 
     /// Whether the VM has `stamp` or something higher in force.
-    pub fn has_in_force(&self, stamp: &RevisionStamp) -> bool {
+    pub fn has_in_force(&self, stamp: &head::RevisionStamp) -> bool {
         self.in_force.as_ref().is_some_and(|own| own >= stamp)
     }
 
     /// Why the VM refused a write, if it did.
-    pub fn refusal_of(&self, write_id: &WriteId) -> Option<&RevisionRefusal> {
+    pub fn refusal_of(&self, write_id: &head::WriteId) -> Option<&RevisionRefusal> {
         self.refused
             .as_ref()
             .filter(|refusal| refusal.stamp.write_id == *write_id)
@@ -92,7 +92,7 @@
 }
 
 /// Reads all lines of a list; one that cannot be read counts as absent.
-pub fn parse(list: &KeyList) -> Vec<StatusLine> {
+pub fn parse(list: &protocol::KeyList) -> Vec<StatusLine> {
     list.entries
         .iter()
         .flat_map(|entry| &entry.value)
@@ -120,10 +120,10 @@
 }
 
 /// The VMs of a live list that are not leaving.
-pub fn all_live(list: &LiveList) -> Vec<RequiredVm> {
+pub fn all_live(list: &protocol::LiveList) -> Vec<RequiredVm> {
     list.vms
         .iter()
-        .filter(|vm| vm.state == LiveState::Live)
+        .filter(|vm| vm.state == protocol::LiveState::Live)
         .map(|vm| RequiredVm {
             name: vm.name.clone(),
             incarnation: vm.incarnation,
--- a/dahliawood-store/src/watch/mod.rs
+++ b/dahliawood-store/src/watch/mod.rs
@@ -5,17 +5,17 @@
 //! [`WatchCursor::next_call`] therefore asks without waiting from time to time, and
 //! [`WatchCursor::absorb`] compares values too.
 
-use crate::client::WatchCall;
-use crate::protocol::KeyEntry;
-use dahliawood_model::stamp::TimeStamp;
+use crate::client;
+use crate::protocol;
+use dahliawood_model::stamp;
 use std::time::Duration;
 
 /// What is known of a watched key.
 #[derive(Clone, Debug)]
 pub struct WatchCursor {
-    entry: KeyEntry,
+    entry: protocol::KeyEntry,
     is_known: bool,
-    heard_at: TimeStamp,
+    heard_at: stamp::TimeStamp,
     waits: u32,
 }
 
@@ -24,11 +24,11 @@
 
 impl WatchCursor {
     /// A watch of `key` that has seen nothing.
-    pub fn new(key: &str, now: TimeStamp) -> Self {
+    pub fn new(key: &str, now: stamp::TimeStamp) -> Self {
         Self {
-            entry: KeyEntry {
+            entry: protocol::KeyEntry {
                 key: key.to_owned(),
-                ..KeyEntry::default()
+                ..protocol::KeyEntry::default()
             },
             is_known: false,
             heard_at: now,
@@ -37,10 +37,10 @@
     }
 
     /// The next call to make; one that has seen nothing yet does not wait.
-    pub fn next_call(&mut self, wait: Duration) -> WatchCall {
+    pub fn next_call(&mut self, wait: Duration) -> client::WatchCall {
         let is_plain = !self.is_known || self.waits >= PLAIN_READ_EVERY;
         self.waits = if is_plain { 0 } else { self.waits + 1 };
-        WatchCall {
+        client::WatchCall {
             key: self.entry.key.clone(),
             after: self.entry.version,
             wait: if is_plain { Duration::ZERO } else { wait },
@@ -50,7 +50,11 @@
     /// Takes an answer in; returns the entry where it differs from the last one.
     ///
     /// `sent_at` is when the call was sent: an answer proves only that the service lived then.
-    pub fn absorb(&mut self, entry: KeyEntry, sent_at: TimeStamp) -> Option<&KeyEntry> {
+    pub fn absorb(
+        &mut self,
+        entry: protocol::KeyEntry,
+        sent_at: stamp::TimeStamp,
+    ) -> Option<&protocol::KeyEntry> {
         self.heard_at = self.heard_at.max(sent_at);
         let is_same = self.is_known && self.entry == entry;
         self.is_known = true;
@@ -64,7 +68,7 @@
     }
 
     /// Time since the service was last heard.
-    pub fn silence(&self, now: TimeStamp) -> Duration {
+    pub fn silence(&self, now: stamp::TimeStamp) -> Duration {
         now.since(self.heard_at)
     }
 }
--- a/dahliawood-store/tests/main/client.rs
+++ b/dahliawood-store/tests/main/client.rs
@@ -1,15 +1,17 @@
 //! The HTTP client against the stand-in, under each fault.
 
-use crate::support::{put, start};
+use crate::support::put;
+use crate::support::start;
 use async_std::task;
-use dahliawood_store::client::error::{StoreError, WriteEffect};
-use dahliawood_store::client::{DeleteCall, PutCall, WatchCall};
-use dahliawood_store::protocol::{LiveState, LiveVm, VALUE_LIMIT_BYTES};
-use dahliawood_testkit::platform::{self, faults::FaultSettings, limits::CallRates};
+use dahliawood_store::client;
+use dahliawood_store::protocol;
+use dahliawood_testkit::platform;
+use dahliawood_testkit::platform::faults::FaultSettings;
+use dahliawood_testkit::platform::limits::CallRates;
 use std::time::Duration;
 
-fn watch(key: &str, after: u64, wait: Duration) -> WatchCall {
-    WatchCall {
+fn watch(key: &str, after: u64, wait: Duration) -> client::WatchCall {
+    client::WatchCall {
         key: key.to_owned(),
         after,
         wait,
@@ -25,8 +27,8 @@
     let error = (client.put)(put("a/b c%?", "2", Some(0)))
         .await
         .unwrap_err();
-    assert!(matches!(error, StoreError::Conflict { found } if found == first));
-    assert_eq!(error.effect(), WriteEffect::None);
+    assert!(matches!(error, client::error::StoreError::Conflict { found } if found == first));
+    assert_eq!(error.effect(), client::error::WriteEffect::None);
     let second = (client.put)(put("a/b c%?", "2", Some(first)))
         .await
         .unwrap();
@@ -34,7 +36,7 @@
     let list = (client.list)("a/".into()).await.unwrap();
     assert_eq!(list.entries.len(), 1);
     assert_eq!(list.entries[0].value.as_deref(), Some("2"));
-    let delete = DeleteCall {
+    let delete = client::DeleteCall {
         key: "a/b c%?".into(),
         expected: Some(second),
     };
@@ -45,16 +47,16 @@
 #[async_std::test]
 async fn value_above_the_limit_is_refused_without_effect() {
     let (_handle, client) = start().await;
-    let largest = "x".repeat(VALUE_LIMIT_BYTES);
+    let largest = "x".repeat(protocol::VALUE_LIMIT_BYTES);
     (client.put)(put("k", &largest, Some(0))).await.unwrap();
     let error = (client.put)(put("k", &(largest + "x"), None))
         .await
         .unwrap_err();
-    assert!(matches!(error, StoreError::TooLarge));
+    assert!(matches!(error, client::error::StoreError::TooLarge));
     let entry = (client.get)("k".into()).await.unwrap();
     assert_eq!(
         entry.value.map(|value| value.len()),
-        Some(VALUE_LIMIT_BYTES)
+        Some(protocol::VALUE_LIMIT_BYTES)
     );
 }
 
@@ -78,7 +80,7 @@
         ..FaultSettings::default()
     });
     let error = (client.put)(put("k", "1", Some(0))).await.unwrap_err();
-    assert_eq!(error.effect(), WriteEffect::Possible);
+    assert_eq!(error.effect(), client::error::WriteEffect::Possible);
     let entry = (client.get)("k".into()).await.unwrap();
     assert_eq!(entry.value.as_deref(), Some("1"));
 }
@@ -99,8 +101,11 @@
     for fault in faults {
         handle.set_faults(fault);
         let error = (client.put)(put("k", "1", Some(0))).await.unwrap_err();
-        assert!(matches!(error, StoreError::Timeout { .. }), "{error:?}");
-        assert_eq!(error.effect(), WriteEffect::Possible);
+        assert!(
+            matches!(error, client::error::StoreError::Timeout { .. }),
+            "{error:?}"
+        );
+        assert_eq!(error.effect(), client::error::WriteEffect::Possible);
     }
 }
 
@@ -129,12 +134,12 @@
         let error = (client.put)(put("k", "1", None)).await;
         let Err(error) = error else { continue };
         effects.push(error.effect());
-        if matches!(error, StoreError::Connect { .. }) {
+        if matches!(error, client::error::StoreError::Connect { .. }) {
             break;
         }
         task::sleep(Duration::from_millis(5)).await;
     }
-    assert_eq!(effects.last(), Some(&WriteEffect::None));
+    assert_eq!(effects.last(), Some(&client::error::WriteEffect::None));
 }
 
 #[async_std::test]
@@ -168,7 +173,7 @@
 #[async_std::test]
 async fn key_goes_with_its_lapsed_or_revoked_lease() {
     let (_handle, client) = start().await;
-    let bound = |key: &str, lease| PutCall {
+    let bound = |key: &str, lease| client::PutCall {
         lease: Some(lease),
         ..put(key, "1", None)
     };
@@ -181,7 +186,7 @@
     assert_ne!((client.get)("long".into()).await.unwrap().version, 0);
     assert!(matches!(
         (client.keep_lease)(short.lease).await,
-        Err(StoreError::NoLease)
+        Err(client::error::StoreError::NoLease)
     ));
     assert_eq!((client.keep_lease)(long.lease).await.unwrap(), long);
     (client.revoke_lease)(long.lease).await.unwrap();
@@ -202,21 +207,21 @@
     let client = dahliawood_store::client::http(options);
     (client.put)(put("a", "1", None)).await.unwrap();
     let error = (client.put)(put("b", "1", None)).await.unwrap_err();
-    assert!(matches!(error, StoreError::OverRate));
-    assert_eq!(error.effect(), WriteEffect::None);
+    assert!(matches!(error, client::error::StoreError::OverRate));
+    assert_eq!(error.effect(), client::error::WriteEffect::None);
     assert_eq!(handle.counters().refused, 1);
 }
 
 #[async_std::test]
 async fn live_list_lags_by_the_set_time() {
     let (handle, client) = start().await;
-    let vm = LiveVm {
+    let vm = protocol::LiveVm {
         name: "vm-1".into(),
         http: "127.0.0.1:1".into(),
         peer: "127.0.0.1:2".into(),
         domain: "north-1".into(),
         incarnation: Some(1),
-        state: LiveState::Live,
+        state: protocol::LiveState::Live,
     };
     handle.put_live(vm.clone());
     assert_eq!((client.live)(()).await.unwrap().vms, vec![vm]);
--- a/dahliawood-store/tests/main/fleet.rs
+++ b/dahliawood-store/tests/main/fleet.rs
@@ -2,21 +2,22 @@
 
 use crate::support::start;
 use async_std::task::{self, JoinHandle};
-use dahliawood_store::acceptance::{self, AcceptOptions, ApplyOptions, ApplyOutcome, error};
-use dahliawood_store::client::StoreClient;
-use dahliawood_store::head::WriteId;
-use dahliawood_store::protocol::{LiveState, LiveVm};
-use dahliawood_store::revision::keeper::RevisionSource;
+use dahliawood_store::acceptance;
+use dahliawood_store::acceptance::error;
+use dahliawood_store::client;
+use dahliawood_store::clock;
+use dahliawood_store::head;
+use dahliawood_store::protocol;
+use dahliawood_store::revision;
+use dahliawood_store::revision::keeper;
 use dahliawood_store::revision::relay;
-use dahliawood_store::revision::{self, FollowOptions, RevisionKeeper, SharedKeeper};
-use dahliawood_store::{clock, head};
-use dahliawood_testkit::platform::PlatformHandle;
-use dahliawood_testkit::platform::faults::FaultSettings;
+use dahliawood_testkit::platform;
+use dahliawood_testkit::platform::faults;
 use std::sync::Arc;
 use std::time::Duration;
 
 struct TestVm {
-    keeper: SharedKeeper,
+    keeper: revision::SharedKeeper,
     task: Option<JoinHandle<()>>,
 }
 
@@ -27,20 +28,24 @@
     Ok(())
 }
 
-fn start_vms(handle: &PlatformHandle, client: &StoreClient, count: usize) -> Vec<TestVm> {
+fn start_vms(
+    handle: &platform::PlatformHandle,
+    client: &client::StoreClient,
+    count: usize,
+) -> Vec<TestVm> {
     let vms = (0..count).map(|index| {
         let name = format!("vm-{index}");
-        handle.put_live(LiveVm {
+        handle.put_live(protocol::LiveVm {
             name: name.clone(),
             http: "127.0.0.1:1".into(),
             peer: "127.0.0.1:2".into(),
             domain: "north-1".into(),
             incarnation: Some(1),
-            state: LiveState::Live,
+            state: protocol::LiveState::Live,
         });
-        let keeper = RevisionKeeper::new(&name, 1);
-        let keeper = SharedKeeper::new(keeper, Arc::new(check), Arc::new(|_record| ()));
-        let options = FollowOptions::new(keeper.clone(), clock::boot(), count);
+        let keeper = revision::RevisionKeeper::new(&name, 1);
+        let keeper = revision::SharedKeeper::new(keeper, Arc::new(check), Arc::new(|_record| ()));
+        let options = revision::FollowOptions::new(keeper.clone(), clock::boot(), count);
         let client = client.clone();
         let task = task::spawn(async move { revision::follow(&client, &options).await });
         TestVm {
@@ -51,18 +56,18 @@
     vms.collect()
 }
 
-fn options(text: &str) -> ApplyOptions {
-    ApplyOptions {
+fn options(text: &str) -> acceptance::ApplyOptions {
+    acceptance::ApplyOptions {
         file_text: text.to_owned(),
         expect: None,
-        write_id: WriteId::random(&mut rand::rng()),
-        accept: AcceptOptions::new(clock::boot()),
+        write_id: head::WriteId::random(&mut rand::rng()),
+        accept: acceptance::AcceptOptions::new(clock::boot()),
     }
 }
 
-fn applied(outcome: &ApplyOutcome) -> (u64, usize, usize) {
+fn applied(outcome: &acceptance::ApplyOutcome) -> (u64, usize, usize) {
     match outcome {
-        ApplyOutcome::Applied { revision, report } => {
+        acceptance::ApplyOutcome::Applied { revision, report } => {
             (*revision, report.in_force.len(), report.missing.len())
         }
         other => panic!("not applied: {other:?}"),
@@ -85,7 +90,7 @@
     let outcome = acceptance::apply(&client, &options(&large)).await;
     assert!(matches!(
         outcome,
-        ApplyOutcome::NoChange { revision: 2, .. }
+        acceptance::ApplyOutcome::NoChange { revision: 2, .. }
     ));
 }
 
@@ -94,7 +99,7 @@
     let (handle, client) = start().await;
     let vms = start_vms(&handle, &client, 3);
     let outcome = acceptance::apply(&client, &options("bad")).await;
-    let ApplyOutcome::NotApplied {
+    let acceptance::ApplyOutcome::NotApplied {
         why: error::ApplyError::Refused { refusals },
     } = outcome
     else {
@@ -115,7 +120,7 @@
         applied(&acceptance::apply(&client, &options("one")).await).0,
         1
     );
-    let late = ApplyOptions {
+    let late = acceptance::ApplyOptions {
         expect: Some(0),
         ..options("two")
     };
@@ -124,8 +129,8 @@
         found: 1,
     };
     let outcome = acceptance::apply(&client, &late).await;
-    assert_eq!(outcome, ApplyOutcome::NotApplied { why });
-    let right = ApplyOptions {
+    assert_eq!(outcome, acceptance::ApplyOutcome::NotApplied { why });
+    let right = acceptance::ApplyOptions {
         expect: Some(1),
         ..options("two")
     };
@@ -143,7 +148,7 @@
         vms: vec!["vm-2".into()],
     };
     let outcome = acceptance::apply(&client, &options).await;
-    assert_eq!(outcome, ApplyOutcome::NotApplied { why });
+    assert_eq!(outcome, acceptance::ApplyOutcome::NotApplied { why });
     handle.remove_live("vm-2");
     let outcome = acceptance::apply(&client, &options).await;
     assert_eq!(applied(&outcome).1, 2);
@@ -153,9 +158,9 @@
 async fn all_replies_lost_is_settled_by_reading_back() {
     let (handle, client) = start().await;
     let vms = start_vms(&handle, &client, 3);
-    handle.set_faults(FaultSettings {
+    handle.set_faults(faults::FaultSettings {
         lose_reply_percent: 100,
-        ..FaultSettings::default()
+        ..faults::FaultSettings::default()
     });
     let outcome = acceptance::apply(&client, &options("one")).await;
     assert_eq!(applied(&outcome), (1, 3, 0));
@@ -184,13 +189,13 @@
 async fn interrupted_write_is_asked_about_and_finished_by_another_process() {
     let (handle, client) = start().await;
     let vms = start_vms(&handle, &client, 3);
-    handle.put_live(LiveVm {
+    handle.put_live(protocol::LiveVm {
         name: "vm-late".into(),
         http: "127.0.0.1:1".into(),
         peer: "127.0.0.1:2".into(),
         domain: "north-1".into(),
         incarnation: Some(1),
-        state: LiveState::Live,
+        state: protocol::LiveState::Live,
     });
     let options = options("one");
     let (write_id, accept) = (options.write_id.clone(), options.accept.clone());
@@ -200,7 +205,7 @@
         task::sleep(Duration::from_millis(5)).await;
     }
     run.cancel().await;
-    let unknown = ApplyOutcome::Unknown {
+    let unknown = acceptance::ApplyOutcome::Unknown {
         write_id: write_id.clone(),
     };
     assert_eq!(acceptance::ask(&client, &write_id, &accept).await, unknown);
@@ -209,9 +214,12 @@
     assert_eq!(applied(&outcome), (1, 3, 0));
     let outcome = acceptance::ask(&client, &write_id, &accept).await;
     assert_eq!(applied(&outcome), (1, 3, 0));
-    let other = WriteId::random(&mut rand::rng());
+    let other = head::WriteId::random(&mut rand::rng());
     let outcome = acceptance::ask(&client, &other, &accept).await;
-    assert!(matches!(outcome, ApplyOutcome::NotApplied { .. }));
+    assert!(matches!(
+        outcome,
+        acceptance::ApplyOutcome::NotApplied { .. }
+    ));
 }
 
 #[async_std::test]
@@ -227,7 +235,7 @@
                 cut.propose(&stamp);
             }
             if let Some(stamp) = peer.accepted() {
-                cut.observe(&stamp, RevisionSource::Peer);
+                cut.observe(&stamp, keeper::RevisionSource::Peer);
             }
             for hash in cut.wanted() {
                 if let Some(text) = peer.file(&hash) {
@@ -242,7 +250,7 @@
     assert_eq!(applied(&outcome), (1, 3, 0));
     assert_eq!(
         vms[2].keeper.in_force().unwrap().source,
-        RevisionSource::Peer
+        keeper::RevisionSource::Peer
     );
     relays.cancel().await;
     let old = relay::report(&client, &vms[2].keeper.status())
--- a/dahliawood-store/tests/main/history.rs
+++ b/dahliawood-store/tests/main/history.rs
@@ -1,14 +1,14 @@
 //! Properties of acceptance over generated histories with faults.
 
-use crate::sim::{self, SharedStore, SimClock, SimFaults, SimLink};
+use crate::sim;
 use crate::support;
-use dahliawood_model::stamp::TimeStamp;
-use dahliawood_store::acceptance::{self, AcceptOptions, ApplyOptions, ApplyOutcome};
-use dahliawood_store::content::ContentHash;
-use dahliawood_store::head::{RevisionStamp, WriteId};
-use dahliawood_store::protocol::{LiveState, LiveVm};
-use dahliawood_store::revision::keeper::{ForceRecord, RevisionSource};
-use dahliawood_store::revision::{self, FollowOptions, RevisionKeeper, SharedKeeper};
+use dahliawood_model::stamp;
+use dahliawood_store::acceptance;
+use dahliawood_store::content;
+use dahliawood_store::head;
+use dahliawood_store::protocol;
+use dahliawood_store::revision;
+use dahliawood_store::revision::keeper;
 use futures::executor::LocalPool;
 use futures::future::{AbortHandle, Abortable};
 use proptest::prelude::*;
@@ -49,20 +49,20 @@
 
 /// A slot for a VM, whose process may be restarted.
 struct VmSlot {
-    keeper: Option<SharedKeeper>,
+    keeper: Option<revision::SharedKeeper>,
     stop: Option<AbortHandle>,
-    link: SimLink,
+    link: sim::SimLink,
     incarnation: u64,
 }
 
 #[derive(Clone)]
 struct World {
-    clock: SimClock,
-    store: SharedStore,
+    clock: sim::SimClock,
+    store: sim::SharedStore,
     slots: Arc<Mutex<Vec<VmSlot>>>,
-    outcomes: Arc<Mutex<Vec<(WriteId, ApplyOutcome)>>>,
+    outcomes: Arc<Mutex<Vec<(head::WriteId, acceptance::ApplyOutcome)>>>,
     /// Revisions that a VM had in force or that an operator was told of.
-    known: Arc<Mutex<BTreeSet<RevisionStamp>>>,
+    known: Arc<Mutex<BTreeSet<head::RevisionStamp>>>,
     faults: Arc<Mutex<Vec<String>>>,
 }
 
@@ -79,12 +79,12 @@
 
 impl World {
     fn new(seed: u64) -> Self {
-        let clock = SimClock::default();
+        let clock = sim::SimClock::default();
         let store = sim::store(seed);
         let slots = (0..VMS).map(|_| VmSlot {
             keeper: None,
             stop: None,
-            link: SimLink {
+            link: sim::SimLink {
                 clock: clock.clone(),
                 store: Arc::clone(&store),
                 is_cut: Arc::new(AtomicBool::new(false)),
@@ -108,14 +108,15 @@
         let mut slots = self.slots.lock().unwrap();
         slots[vm].incarnation += 1;
         let incarnation = slots[vm].incarnation;
-        let keeper = RevisionKeeper::new(&vm_name(vm), incarnation);
-        let keeper = SharedKeeper::new(keeper, Arc::new(check), self.force_hook(vm));
+        let keeper = revision::RevisionKeeper::new(&vm_name(vm), incarnation);
+        let keeper = revision::SharedKeeper::new(keeper, Arc::new(check), self.force_hook(vm));
         for peer in slots.iter().flat_map(|slot| &slot.keeper) {
             keeper.raise(peer.status().highest);
             relay(peer, &keeper);
         }
         let client = slots[vm].link.client();
-        let options = FollowOptions::new(keeper.clone(), self.clock.source(vm as u64), VMS);
+        let options =
+            revision::FollowOptions::new(keeper.clone(), self.clock.source(vm as u64), VMS);
         let (stop, registration) = AbortHandle::new_pair();
         let relays = self.clone().relay_to(vm, keeper.clone());
         let follow = async move { futures::join!(revision::follow(&client, &options), relays) };
@@ -127,13 +128,13 @@
         drop(slots);
         let mut store = self.store.lock().unwrap();
         store.live.retain(|live| live.name != vm_name(vm));
-        store.live.push(LiveVm {
+        store.live.push(protocol::LiveVm {
             name: vm_name(vm),
             http: String::new(),
             peer: String::new(),
             domain: String::new(),
             incarnation: Some(incarnation),
-            state: LiveState::Live,
+            state: protocol::LiveState::Live,
         });
     }
 
@@ -154,11 +155,11 @@
     /// Notes what a VM that goes back, or has in force what nobody accepted, does.
     fn force_hook(&self, vm: usize) -> revision::shared::ForceHook {
         let world = self.clone();
-        let last = Mutex::new(None::<RevisionStamp>);
+        let last = Mutex::new(None::<head::RevisionStamp>);
         let faults = Arc::clone(&self.faults);
         let known = Arc::clone(&self.known);
         let store = Arc::clone(&world.store);
-        Arc::new(move |record: &ForceRecord| {
+        Arc::new(move |record: &keeper::ForceRecord| {
             let mut last = last.lock().unwrap();
             let stamp = &record.stamp;
             let note = |text: &str| {
@@ -170,7 +171,8 @@
             if last.as_ref() >= Some(stamp) {
                 note("went back");
             }
-            if ContentHash::of(&record.text) != stamp.hash || check(&record.text).is_err() {
+            if content::ContentHash::of(&record.text) != stamp.hash || check(&record.text).is_err()
+            {
                 note("has half a file in force");
             }
             if !store.lock().unwrap().accepted.contains(stamp) {
@@ -181,7 +183,7 @@
         })
     }
 
-    async fn relay_to(self, vm: usize, keeper: SharedKeeper) {
+    async fn relay_to(self, vm: usize, keeper: revision::SharedKeeper) {
         loop {
             self.clock.sleep(RELAY_EVERY).await;
             let peers: Vec<_> = {
@@ -195,8 +197,8 @@
         }
     }
 
-    fn operator_link(&self) -> SimLink {
-        SimLink {
+    fn operator_link(&self) -> sim::SimLink {
+        sim::SimLink {
             clock: self.clock.clone(),
             store: Arc::clone(&self.store),
             is_cut: Arc::new(AtomicBool::new(false)),
@@ -208,14 +210,14 @@
         let world = self.clone();
         let text = format!("file {file}\n").repeat(1 + usize::from(file % 2) * 2_000);
         let current = self.highest_in_force().map_or(0, |stamp| stamp.revision);
-        let write_id = WriteId::from(format!("write-{number}"));
-        let mut accept = AcceptOptions::new(self.clock.source(number as u64));
+        let write_id = head::WriteId::from(format!("write-{number}"));
+        let mut accept = acceptance::AcceptOptions::new(self.clock.source(number as u64));
         let (told, told_text) = (self.clone(), text.clone());
         accept.on_accepted = Arc::new(move |stamp| told.tell_daemon(stamp, &told_text));
         accept.accept_within = APPLY_STEP;
         accept.settle_within = APPLY_STEP;
         accept.follow_within = APPLY_STEP;
-        let options = ApplyOptions {
+        let options = acceptance::ApplyOptions {
             file_text: text,
             expect: expect_current.then_some(current),
             write_id: write_id.clone(),
@@ -230,24 +232,25 @@
     }
 
     /// The daemon that runs an `apply` is the first VM that lives.
-    fn tell_daemon(&self, stamp: &RevisionStamp, text: &str) {
+    fn tell_daemon(&self, stamp: &head::RevisionStamp, text: &str) {
         let slots = self.slots.lock().unwrap();
         let keeper = slots.iter().find_map(|slot| slot.keeper.clone());
         drop(slots);
         if let Some(keeper) = keeper {
-            keeper.observe(stamp, RevisionSource::Apply);
+            keeper.observe(stamp, keeper::RevisionSource::Apply);
             keeper.supply(&stamp.hash, text).unwrap();
         }
     }
 
     /// Notes an outcome that says applied where nothing was accepted.
-    fn judge(&self, write_id: &WriteId, outcome: &ApplyOutcome) {
-        let ApplyOutcome::Applied { revision, .. } = outcome else {
+    fn judge(&self, write_id: &head::WriteId, outcome: &acceptance::ApplyOutcome) {
+        let acceptance::ApplyOutcome::Applied { revision, .. } = outcome else {
             return;
         };
         let store = self.store.lock().unwrap();
-        let is_it =
-            |stamp: &&RevisionStamp| stamp.write_id == *write_id && stamp.revision == *revision;
+        let is_it = |stamp: &&head::RevisionStamp| {
+            stamp.write_id == *write_id && stamp.revision == *revision
+        };
         if let Some(stamp) = store.accepted.iter().find(is_it) {
             self.known.lock().unwrap().insert(stamp.clone());
         } else {
@@ -256,11 +259,11 @@
         }
     }
 
-    fn highest_in_force(&self) -> Option<RevisionStamp> {
+    fn highest_in_force(&self) -> Option<head::RevisionStamp> {
         let slots = self.slots.lock().unwrap();
         let keepers = slots.iter().filter_map(|slot| slot.keeper.as_ref());
         keepers
-            .filter_map(SharedKeeper::in_force)
+            .filter_map(revision::SharedKeeper::in_force)
             .map(|record| record.stamp)
             .max()
     }
@@ -286,7 +289,7 @@
 
     fn fault(&self, kind: u8, span: Duration) {
         let mut store = self.store.lock().unwrap();
-        let field = move |faults: &mut SimFaults, percent: u8| match kind {
+        let field = move |faults: &mut sim::SimFaults, percent: u8| match kind {
             0 => faults.down = percent,
             1 => faults.down = percent / 3,
             2 => faults.lost_reply = percent / 2,
@@ -313,9 +316,9 @@
     }
 }
 
-fn relay(from: &SharedKeeper, to: &SharedKeeper) {
+fn relay(from: &revision::SharedKeeper, to: &revision::SharedKeeper) {
     if let Some(record) = from.in_force() {
-        to.observe(&record.stamp, RevisionSource::Peer);
+        to.observe(&record.stamp, keeper::RevisionSource::Peer);
         if to.wanted().contains(&record.stamp.hash) {
             to.supply(&record.stamp.hash, &record.text).unwrap();
         }
@@ -325,7 +328,7 @@
 fn run_history(seed: u64, events: &[(u64, Event)]) -> World {
     let mut pool = LocalPool::new();
     let world = World::new(seed);
-    let mut at = TimeStamp::ZERO;
+    let mut at = stamp::TimeStamp::ZERO;
     for (number, (millis, event)) in events.iter().enumerate() {
         at = at.after(Duration::from_millis(*millis));
         world.clock.run_until(&mut pool, at);
@@ -338,7 +341,10 @@
     at = at.after(CONVERGE_WITHIN);
     world.clock.run_until(&mut pool, at);
     for (vm, slot) in world.slots.lock().unwrap().iter().enumerate() {
-        let own = slot.keeper.as_ref().and_then(SharedKeeper::in_force);
+        let own = slot
+            .keeper
+            .as_ref()
+            .and_then(revision::SharedKeeper::in_force);
         if own.map(|record| record.stamp) < highest {
             let text = format!("vm {vm} has not got {highest:?} in time");
             world.faults.lock().unwrap().push(text);
@@ -375,12 +381,12 @@
         prop_assert_eq!(outcomes.len(), applies.count(), "an apply did not end");
         for (write_id, outcome) in &outcomes {
             let is_known = known.iter().any(|stamp| stamp.write_id == *write_id);
-            let is_denied = matches!(outcome, ApplyOutcome::NotApplied { .. });
+            let is_denied = matches!(outcome, acceptance::ApplyOutcome::NotApplied { .. });
             prop_assert!(!is_known || !is_denied, "{write_id} is accepted: {outcome:?}");
         }
         let highest = world.highest_in_force();
         for (vm, slot) in world.slots.lock().unwrap().iter().enumerate() {
-            let own = slot.keeper.as_ref().and_then(SharedKeeper::in_force);
+            let own = slot.keeper.as_ref().and_then(revision::SharedKeeper::in_force);
             prop_assert_eq!(own.map(|record| record.stamp), known.last().cloned(), "vm {}", vm);
         }
         prop_assert_eq!(&highest, &known.last().cloned());
--- a/dahliawood-store/tests/main/rules.rs
+++ b/dahliawood-store/tests/main/rules.rs
@@ -1,101 +1,108 @@
 //! The small decisions: budget, leases, backoff, watches, parts of files, proofs.
 
 use crate::support;
-use dahliawood_model::stamp::TimeStamp;
-use dahliawood_store::acceptance::judge::{self, WriteProof, WriteRecord};
-use dahliawood_store::backoff::RetryPlan;
-use dahliawood_store::budget::{BudgetOptions, CallBudget, CallKind};
-use dahliawood_store::content::{self, ContentHash, ContentManifest};
-use dahliawood_store::head::{HeadDocument, RevisionStamp, WriteId, WriteMark};
-use dahliawood_store::lease::LeaseClaim;
-use dahliawood_store::protocol::KeyEntry;
-use dahliawood_store::revision::RevisionKeeper;
-use dahliawood_store::watch::WatchCursor;
+use dahliawood_model::stamp;
+use dahliawood_store::acceptance::judge;
+use dahliawood_store::backoff;
+use dahliawood_store::budget;
+use dahliawood_store::content;
+use dahliawood_store::head;
+use dahliawood_store::lease;
+use dahliawood_store::protocol;
+use dahliawood_store::revision;
+use dahliawood_store::watch;
 use proptest::prelude::*;
 use std::time::Duration;
 
-fn stamp(revision: u64, write: &str) -> RevisionStamp {
-    RevisionStamp {
+fn stamp(revision: u64, write: &str) -> head::RevisionStamp {
+    head::RevisionStamp {
         revision,
-        write_id: WriteId::from(write.to_owned()),
-        hash: ContentHash::of(write),
+        write_id: head::WriteId::from(write.to_owned()),
+        hash: content::ContentHash::of(write),
     }
 }
 
 #[test]
 fn unseen_write_is_gone_only_once_the_version_has_passed() {
-    let write_id = WriteId::from("own".to_owned());
-    let head = HeadDocument::default().with_accepted(&stamp(1, "other"), WriteMark::drawn(0.1));
-    let mut record = WriteRecord {
+    let write_id = head::WriteId::from("own".to_owned());
+    let head = head::HeadDocument::default()
+        .with_accepted(&stamp(1, "other"), head::WriteMark::drawn(0.1));
+    let mut record = judge::WriteRecord {
         revision: 2,
         expected: Some(7),
         unsure: Vec::new(),
     };
     assert_eq!(
         judge::prove(&head, 7, &write_id, &record),
-        WriteProof::Pending
+        judge::WriteProof::Pending
+    );
+    assert_eq!(
+        judge::prove(&head, 8, &write_id, &record),
+        judge::WriteProof::Gone
+    );
+    record.unsure = vec![head::WriteMark::drawn(0.1)];
+    assert_eq!(
+        judge::prove(&head, 8, &write_id, &record),
+        judge::WriteProof::Gone
     );
-    assert_eq!(judge::prove(&head, 8, &write_id, &record), WriteProof::Gone);
-    record.unsure = vec![WriteMark::drawn(0.1)];
-    assert_eq!(judge::prove(&head, 8, &write_id, &record), WriteProof::Gone);
     // The head that was swapped is not in the past of this one: the store was restored.
-    record.unsure = vec![WriteMark::drawn(0.2)];
+    record.unsure = vec![head::WriteMark::drawn(0.2)];
     assert_eq!(
         judge::prove(&head, 8, &write_id, &record),
-        WriteProof::Forgotten
+        judge::WriteProof::Forgotten
     );
 }
 
 #[test]
 fn number_is_promised_to_one_write() {
-    let mut keeper = RevisionKeeper::new("vm", 1);
+    let mut keeper = revision::RevisionKeeper::new("vm", 1);
     keeper.propose(&stamp(3, "first"));
     keeper.propose(&stamp(3, "second"));
     let line = keeper.status();
     assert_eq!(line.refused.unwrap().stamp, stamp(3, "second"));
-    let head = HeadDocument::default();
+    let head = head::HeadDocument::default();
     assert_eq!(judge::next_revision(&head, &[keeper.status()], 0), 4);
 }
 
 #[test]
 fn lease_ends_at_its_holder_counted_from_the_sending() {
-    let sent_at = TimeStamp::from_millis(1_000);
-    let mut claim = LeaseClaim::new(1, Duration::from_secs(9), sent_at);
-    assert!(claim.holds(TimeStamp::from_millis(9_999)));
-    assert!(!claim.holds(TimeStamp::from_millis(10_000)));
-    assert_eq!(claim.keep_at(), TimeStamp::from_millis(4_000));
-    claim.kept(TimeStamp::from_millis(4_000));
-    claim.kept(TimeStamp::from_millis(2_000));
-    assert_eq!(claim.ends_at(), TimeStamp::from_millis(13_000));
+    let sent_at = stamp::TimeStamp::from_millis(1_000);
+    let mut claim = lease::LeaseClaim::new(1, Duration::from_secs(9), sent_at);
+    assert!(claim.holds(stamp::TimeStamp::from_millis(9_999)));
+    assert!(!claim.holds(stamp::TimeStamp::from_millis(10_000)));
+    assert_eq!(claim.keep_at(), stamp::TimeStamp::from_millis(4_000));
+    claim.kept(stamp::TimeStamp::from_millis(4_000));
+    claim.kept(stamp::TimeStamp::from_millis(2_000));
+    assert_eq!(claim.ends_at(), stamp::TimeStamp::from_millis(13_000));
 }
 
 #[test]
 fn watch_sees_another_value_of_the_same_version_and_its_own_silence() {
     let wait = Duration::from_secs(20);
-    let mut cursor = WatchCursor::new("k", TimeStamp::ZERO);
+    let mut cursor = watch::WatchCursor::new("k", stamp::TimeStamp::ZERO);
     assert_eq!(cursor.next_call(wait).wait, Duration::ZERO);
-    let entry = |value: &str| KeyEntry {
+    let entry = |value: &str| protocol::KeyEntry {
         key: "k".into(),
         version: 5,
         value: Some(value.into()),
     };
     assert!(
         cursor
-            .absorb(entry("a"), TimeStamp::from_millis(10))
+            .absorb(entry("a"), stamp::TimeStamp::from_millis(10))
             .is_some()
     );
     assert!(
         cursor
-            .absorb(entry("a"), TimeStamp::from_millis(20))
+            .absorb(entry("a"), stamp::TimeStamp::from_millis(20))
             .is_none()
     );
     assert!(
         cursor
-            .absorb(entry("b"), TimeStamp::from_millis(30))
+            .absorb(entry("b"), stamp::TimeStamp::from_millis(30))
             .is_some()
     );
     assert_eq!(
-        cursor.silence(TimeStamp::from_millis(50)),
+        cursor.silence(stamp::TimeStamp::from_millis(50)),
         Duration::from_millis(20)
     );
     let waits: Vec<_> = (0..5).map(|_| cursor.next_call(wait).wait).collect();
@@ -111,15 +118,15 @@
         vms in 1usize..1_000,
         gaps in prop::collection::vec(0u64..500, 1..60),
     ) {
-        let options = BudgetOptions::default();
-        let mut budget = CallBudget::new(options, vms, TimeStamp::ZERO);
-        let mut now = TimeStamp::ZERO;
+        let options = budget::BudgetOptions::default();
+        let mut budget = budget::CallBudget::new(options, vms, stamp::TimeStamp::ZERO);
+        let mut now = stamp::TimeStamp::ZERO;
         let mut calls = Vec::new();
         for gap in gaps {
             now = now.after(Duration::from_millis(gap));
-            calls.extend(budget.reserve(CallKind::Write, now).map(|wait| now.after(wait)));
+            calls.extend(budget.reserve(budget::CallKind::Write, now).map(|wait| now.after(wait)));
         }
-        let rate = budget.rate(CallKind::Write);
+        let rate = budget.rate(budget::CallKind::Write);
         for (first, start) in calls.iter().enumerate() {
             for (count, end) in calls[first..].iter().enumerate() {
                 let allowed = rate.max(1.0) + rate * end.since(*start).as_secs_f64();
@@ -130,7 +137,7 @@
 
     #[test]
     fn wait_is_within_its_bound(failures in 0u32..100, draw in 0.0f64..1.0) {
-        let plan = RetryPlan::default();
+        let plan = backoff::RetryPlan::default();
         prop_assert!(plan.wait(failures, draw) <= plan.cap);
         prop_assert!(plan.wait(1, draw) <= plan.base);
     }
@@ -144,8 +151,8 @@
         let (manifest, parts) = content::split(&text);
         let whole: String = parts.iter().map(|part| part.text.as_str()).collect();
         match manifest {
-            ContentManifest::Inline(inline) => prop_assert_eq!(&inline, &text),
-            ContentManifest::Parts(_) => prop_assert_eq!(&whole, &text),
+            content::ContentManifest::Inline(inline) => prop_assert_eq!(&inline, &text),
+            content::ContentManifest::Parts(_) => prop_assert_eq!(&whole, &text),
         }
         let mut lines = lines;
         let index = changed.index(lines.len());
--- a/dahliawood-store/tests/main/sim.rs
+++ b/dahliawood-store/tests/main/sim.rs
@@ -1,12 +1,11 @@
 //! A virtual clock and a faulty store on it, for drivers that are given both.
 
-use dahliawood_model::stamp::TimeStamp;
-use dahliawood_store::client::error::StoreError;
-use dahliawood_store::client::{PutCall, StoreCall, StoreClient, StoreFuture};
-use dahliawood_store::clock::TimeSource;
-use dahliawood_store::head::{HEAD_KEY, HeadDocument, RevisionStamp};
-use dahliawood_store::protocol::{KeyEntry, LiveList, LiveVm};
-use dahliawood_testkit::platform::state::{KeyTable, WriteRefusal};
+use dahliawood_model::stamp;
+use dahliawood_store::client;
+use dahliawood_store::clock;
+use dahliawood_store::head;
+use dahliawood_store::protocol;
+use dahliawood_testkit::platform::state;
 use futures::channel::oneshot;
 use futures::executor::LocalPool;
 use futures::future::BoxFuture;
@@ -21,8 +20,8 @@
 
 #[derive(Default)]
 struct ClockState {
-    now: TimeStamp,
-    timers: BTreeMap<(TimeStamp, u64), Effect>,
+    now: stamp::TimeStamp,
+    timers: BTreeMap<(stamp::TimeStamp, u64), Effect>,
     count: u64,
 }
 
@@ -34,7 +33,7 @@
 }
 
 impl SimClock {
-    pub fn now(&self) -> TimeStamp {
+    pub fn now(&self) -> stamp::TimeStamp {
         self.state.lock().unwrap().now
     }
 
@@ -59,7 +58,7 @@
     }
 
     /// Runs all tasks until `end`.
-    pub fn run_until(&self, pool: &mut LocalPool, end: TimeStamp) {
+    pub fn run_until(&self, pool: &mut LocalPool, end: stamp::TimeStamp) {
         loop {
             let started = std::mem::take(&mut *self.started.lock().unwrap());
             for task in started {
@@ -82,10 +81,10 @@
         }
     }
 
-    pub fn source(&self, seed: u64) -> TimeSource {
+    pub fn source(&self, seed: u64) -> clock::TimeSource {
         let (now, sleep) = (self.clone(), self.clone());
         let rng = Mutex::new(rngs::StdRng::seed_from_u64(seed));
-        TimeSource {
+        clock::TimeSource {
             now: Arc::new(move || now.now()),
             sleep: Arc::new(move |span| Box::pin(sleep.sleep(span))),
             jitter: Arc::new(move || rng.lock().unwrap().random()),
@@ -107,12 +106,12 @@
 
 /// The state of the faulty store.
 pub struct SimStore {
-    pub table: KeyTable,
-    pub past: Vec<KeyTable>,
+    pub table: state::KeyTable,
+    pub past: Vec<state::KeyTable>,
     pub faults: SimFaults,
-    pub live: Vec<LiveVm>,
+    pub live: Vec<protocol::LiveVm>,
     /// Every revision that was accepted in any state of the store.
-    pub accepted: Vec<RevisionStamp>,
+    pub accepted: Vec<head::RevisionStamp>,
     restores: u64,
     rng: rngs::StdRng,
 }
@@ -121,7 +120,7 @@
 
 pub fn store(seed: u64) -> SharedStore {
     Arc::new(Mutex::new(SimStore {
-        table: KeyTable::default(),
+        table: state::KeyTable::default(),
         past: Vec::new(),
         faults: SimFaults::default(),
         live: Vec::new(),
@@ -137,7 +136,7 @@
     }
 
     /// The state that a read sees.
-    fn read(&mut self) -> &KeyTable {
+    fn read(&mut self) -> &state::KeyTable {
         let percent = self.faults.stale;
         let past = self.past.len();
         if past > 0 && self.draw(percent) {
@@ -150,9 +149,9 @@
     }
 
     /// The head as it is.
-    pub fn head(&self) -> HeadDocument {
-        let entry = self.table.get(HEAD_KEY);
-        HeadDocument::parse(entry.value.as_deref()).unwrap()
+    pub fn head(&self) -> head::HeadDocument {
+        let entry = self.table.get(head::HEAD_KEY);
+        head::HeadDocument::parse(entry.value.as_deref()).unwrap()
     }
 
     /// Goes back to the state of some writes ago.
@@ -164,7 +163,7 @@
         }
     }
 
-    fn put(&mut self, call: PutCall) -> Result<u64, StoreError> {
+    fn put(&mut self, call: client::PutCall) -> Result<u64, client::error::StoreError> {
         let before = self.table.clone();
         let result = self.table.put(&call.key, call.value, call.expected, None);
         if result.is_ok() {
@@ -181,9 +180,9 @@
             self.accepted.extend(new);
         }
         result.map_err(|refusal| match refusal {
-            WriteRefusal::Conflict(found) => StoreError::Conflict { found },
-            WriteRefusal::TooLarge => StoreError::TooLarge,
-            WriteRefusal::NoLease => StoreError::NoLease,
+            state::WriteRefusal::Conflict(found) => client::error::StoreError::Conflict { found },
+            state::WriteRefusal::TooLarge => client::error::StoreError::TooLarge,
+            state::WriteRefusal::NoLease => client::error::StoreError::NoLease,
         })
     }
 }
@@ -200,11 +199,11 @@
 const WATCH_TICK: Duration = Duration::from_millis(10);
 
 impl SimLink {
-    pub fn client(&self) -> StoreClient {
-        StoreClient {
+    pub fn client(&self) -> client::StoreClient {
+        client::StoreClient {
             get: self.reader(|store, key: &String| store.read().get(key)),
             list: self.reader(|store, prefix: &String| store.read().list(prefix)),
-            live: self.reader(|store, ()| LiveList {
+            live: self.reader(|store, ()| protocol::LiveList {
                 vms: store.live.clone(),
             }),
             put: self.call(|link, call| Box::pin(async move { link.put(call).await })),
@@ -220,8 +219,8 @@
 
     fn call<A: 'static, T: 'static>(
         &self,
-        run: impl Fn(Self, A) -> StoreFuture<T> + Send + Sync + 'static,
-    ) -> StoreCall<A, T> {
+        run: impl Fn(Self, A) -> client::StoreFuture<T> + Send + Sync + 'static,
+    ) -> client::StoreCall<A, T> {
         let link = self.clone();
         Arc::new(move |argument| run(link.clone(), argument))
     }
@@ -229,7 +228,7 @@
     fn reader<A: Send + 'static, T: Send + 'static>(
         &self,
         read: impl Fn(&mut SimStore, &A) -> T + Send + Sync + Copy + 'static,
-    ) -> StoreCall<A, T> {
+    ) -> client::StoreCall<A, T> {
         self.call(move |link, argument: A| {
             Box::pin(async move {
                 link.travel().await?;
@@ -241,7 +240,7 @@
     }
 
     /// Some milliseconds on the way, or a broken connection.
-    async fn travel(&self) -> Result<(), StoreError> {
+    async fn travel(&self) -> Result<(), client::error::StoreError> {
         let (micros, is_lost) = {
             let mut store = self.store.lock().unwrap();
             let down = store.faults.down;
@@ -254,7 +253,7 @@
         Ok(())
     }
 
-    async fn put(&self, call: PutCall) -> Result<u64, StoreError> {
+    async fn put(&self, call: client::PutCall) -> Result<u64, client::error::StoreError> {
         self.travel().await?;
         let (is_late, is_lost) = {
             let mut store = self.store.lock().unwrap();
@@ -270,14 +269,14 @@
         let result = self.store.lock().unwrap().put(call);
         if is_lost {
             self.clock.sleep(DEADLINE).await;
-            return Err(StoreError::Timeout { deadline: DEADLINE });
+            return Err(client::error::StoreError::Timeout { deadline: DEADLINE });
         }
         self.travel().await?;
         result
     }
 
     /// The caller gives up before the write takes effect.
-    async fn put_late(&self, call: PutCall) -> Result<u64, StoreError> {
+    async fn put_late(&self, call: client::PutCall) -> Result<u64, client::error::StoreError> {
         let delay = self.store.lock().unwrap().rng.random_range(500..4_000);
         let store = Arc::clone(&self.store);
         let restores = store.lock().unwrap().restores;
@@ -291,10 +290,15 @@
         self.clock
             .after(Duration::from_millis(delay), Box::new(effect));
         self.clock.sleep(DEADLINE).await;
-        Err(StoreError::Timeout { deadline: DEADLINE })
+        Err(client::error::StoreError::Timeout { deadline: DEADLINE })
     }
 
-    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<KeyEntry, StoreError> {
+    async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<protocol::KeyEntry, client::error::StoreError> {
         let ends_at = self.clock.now().after(wait);
         self.travel().await?;
         loop {
@@ -317,12 +321,12 @@
     }
 }
 
-fn lost() -> StoreError {
-    StoreError::Broken {
+fn lost() -> client::error::StoreError {
+    client::error::StoreError::Broken {
         reason: "the fake breaks connections".to_owned(),
     }
 }
 
-fn unused<T: Send + 'static>() -> StoreFuture<T> {
+fn unused<T: Send + 'static>() -> client::StoreFuture<T> {
     Box::pin(async { unreachable!("the drivers do not make this call") })
 }
--- a/dahliawood-store/tests/main/support.rs
+++ b/dahliawood-store/tests/main/support.rs
@@ -1,7 +1,7 @@
 //! What the tests share: a stand-in, a client to it, and the fixed seed.
 
-use dahliawood_store::client::{self, StoreClient};
-use dahliawood_testkit::platform::{self, PlatformHandle};
+use dahliawood_store::client;
+use dahliawood_testkit::platform;
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 use std::env;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 const DEFAULT_SEED: u64 = 0x0064_6168_6c69_6100;
 
 /// A stand-in with its defaults and a client with a short deadline.
-pub async fn start() -> (PlatformHandle, StoreClient) {
+pub async fn start() -> (platform::PlatformHandle, client::StoreClient) {
     let handle = platform::start(platform::PlatformOptions::default())
         .await
         .expect("loopback can be listened on");
--- a/dahliawood-testkit/examples/measure/store_budget.rs
+++ b/dahliawood-testkit/examples/measure/store_budget.rs
@@ -5,16 +5,16 @@
 //! and its peaks are no line; its means are also extrapolated along the line from 11 to 200 VMs.
 
 use async_std::task;
-use dahliawood_store::acceptance::{self, AcceptOptions, ApplyOptions, ApplyOutcome};
-use dahliawood_store::budget::{self, BudgetOptions, CallBudget};
-use dahliawood_store::client::{self, HttpOptions, StoreClient};
+use dahliawood_store::acceptance;
+use dahliawood_store::budget;
+use dahliawood_store::client;
 use dahliawood_store::clock;
-use dahliawood_store::head::WriteId;
-use dahliawood_store::protocol::{LiveState, LiveVm};
-use dahliawood_store::revision::{self, FollowOptions, RevisionKeeper, SharedKeeper};
-use dahliawood_testkit::figures::{FigureReport, FigureTarget};
-use dahliawood_testkit::platform::limits::CallCounters;
-use dahliawood_testkit::platform::{self, PlatformHandle};
+use dahliawood_store::head;
+use dahliawood_store::protocol;
+use dahliawood_store::revision;
+use dahliawood_testkit::figures;
+use dahliawood_testkit::platform;
+use dahliawood_testkit::platform::limits;
 use rand::{SeedableRng, rngs};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -33,9 +33,9 @@
 const APPLY_LIMIT: Duration = Duration::from_secs(60);
 const SAMPLE: Duration = Duration::from_millis(100);
 const SAMPLES_PER_SECOND: usize = 10;
-const WRITES_TARGET: FigureTarget = FigureTarget::AtMost(500.0);
-const READS_TARGET: FigureTarget = FigureTarget::AtMost(2_000.0);
-const BYTES_TARGET: FigureTarget = FigureTarget::AtMost(3_000.0);
+const WRITES_TARGET: figures::FigureTarget = figures::FigureTarget::AtMost(500.0);
+const READS_TARGET: figures::FigureTarget = figures::FigureTarget::AtMost(2_000.0);
+const BYTES_TARGET: figures::FigureTarget = figures::FigureTarget::AtMost(3_000.0);
 
 /// What one fleet cost.
 #[derive(Clone, Copy, Debug)]
@@ -53,7 +53,7 @@
 }
 
 /// Runs the measurement.
-pub fn run(seed: u64, report: &mut FigureReport) {
+pub fn run(seed: u64, report: &mut figures::FigureReport) {
     let fleets = FLEETS.map(|vms| task::spawn(measure(vms, seed)));
     let costs: Vec<_> = task::block_on(async {
         let mut costs = Vec::new();
@@ -69,9 +69,9 @@
     print_slope(small, large, report);
 }
 
-fn print_cost(cost: &FleetCost, report: &mut FigureReport) {
+fn print_cost(cost: &FleetCost, report: &mut figures::FigureReport) {
     let vms = cost.vms;
-    let free = FigureTarget::None;
+    let free = figures::FigureTarget::None;
     let lines = [
         ("rest reads", cost.rest_reads, "1/s", READS_TARGET),
         ("rest writes", cost.rest_writes, "1/s", WRITES_TARGET),
@@ -90,7 +90,7 @@
             "calls refused above the rate",
             cost.refused,
             "calls",
-            FigureTarget::AtMost(0.0),
+            figures::FigureTarget::AtMost(0.0),
         ),
     ];
     for (name, value, unit, target) in lines {
@@ -103,7 +103,7 @@
     }
 }
 
-fn print_slope(small: &FleetCost, large: &FleetCost, report: &mut FigureReport) {
+fn print_slope(small: &FleetCost, large: &FleetCost, report: &mut figures::FigureReport) {
     let at = |figure: fn(&FleetCost) -> f64| {
         let slope = (figure(large) - figure(small)) / (large.vms - small.vms);
         figure(large) + slope * (LARGEST_FLEET - large.vms)
@@ -143,7 +143,7 @@
     for index in 0..vms {
         start_vm(&handle, index, vms);
     }
-    let operator = client::http(HttpOptions::new(handle.address()));
+    let operator = client::http(client::HttpOptions::new(handle.address()));
     apply(&operator, &file(0), seed).await;
     let before = handle.counters();
     task::sleep(REST).await;
@@ -169,14 +169,14 @@
 }
 
 /// The most calls in any second of `span`, sampled ten times a second.
-async fn sample(handle: &PlatformHandle, span: Duration) -> (f64, f64) {
-    let mut samples: Vec<CallCounters> = vec![handle.counters()];
+async fn sample(handle: &platform::PlatformHandle, span: Duration) -> (f64, f64) {
+    let mut samples: Vec<limits::CallCounters> = vec![handle.counters()];
     let ends_at = Instant::now() + span;
     while Instant::now() < ends_at {
         task::sleep(SAMPLE).await;
         samples.push(handle.counters());
     }
-    let peak = |count: fn(&CallCounters) -> u64| {
+    let peak = |count: fn(&limits::CallCounters) -> u64| {
         let windows = samples.windows(SAMPLES_PER_SECOND + 1);
         let counts = windows.map(|window| count(&window[SAMPLES_PER_SECOND]) - count(&window[0]));
         counts.max().unwrap_or(0) as f64
@@ -187,45 +187,46 @@
     )
 }
 
-fn start_vm(handle: &PlatformHandle, index: usize, vms: usize) {
+fn start_vm(handle: &platform::PlatformHandle, index: usize, vms: usize) {
     let name = format!("vm-{index}");
-    handle.put_live(LiveVm {
+    handle.put_live(protocol::LiveVm {
         name: name.clone(),
         http: "127.0.0.1:1".into(),
         peer: "127.0.0.1:2".into(),
         domain: "north-1".into(),
         incarnation: Some(1),
-        state: LiveState::Live,
+        state: protocol::LiveState::Live,
     });
     let time = clock::boot();
-    let share = CallBudget::new(BudgetOptions::default(), vms, (time.now)());
+    let share = budget::CallBudget::new(budget::BudgetOptions::default(), vms, (time.now)());
     let share = Arc::new(Mutex::new(share));
-    let client = client::http(HttpOptions::new(handle.address()));
+    let client = client::http(client::HttpOptions::new(handle.address()));
     let client = budget::limit(&client, &share, &time);
-    let keeper = RevisionKeeper::new(&name, 1);
-    let keeper = SharedKeeper::new(keeper, Arc::new(|_text| Ok(())), Arc::new(|_record| ()));
-    let options = FollowOptions::new(keeper, time, vms);
+    let keeper = revision::RevisionKeeper::new(&name, 1);
+    let keeper =
+        revision::SharedKeeper::new(keeper, Arc::new(|_text| Ok(())), Arc::new(|_record| ()));
+    let options = revision::FollowOptions::new(keeper, time, vms);
     task::spawn(async move { revision::follow(&client, &options).await });
 }
 
 /// Applies a file and returns how long that took, seconds.
-async fn apply(client: &StoreClient, text: &str, seed: u64) -> f64 {
+async fn apply(client: &client::StoreClient, text: &str, seed: u64) -> f64 {
     let started = Instant::now();
-    let accept = AcceptOptions {
+    let accept = acceptance::AcceptOptions {
         accept_within: APPLY_LIMIT,
         follow_within: APPLY_LIMIT,
-        ..AcceptOptions::new(clock::boot())
+        ..acceptance::AcceptOptions::new(clock::boot())
     };
-    let options = ApplyOptions {
+    let options = acceptance::ApplyOptions {
         file_text: text.to_owned(),
         expect: None,
-        write_id: WriteId::random(&mut rngs::StdRng::seed_from_u64(seed)),
+        write_id: head::WriteId::random(&mut rngs::StdRng::seed_from_u64(seed)),
         accept,
     };
     let outcome = acceptance::apply(client, &options).await;
     let is_everywhere = matches!(
         &outcome,
-        ApplyOutcome::Applied { report, .. } if report.missing.is_empty()
+        acceptance::ApplyOutcome::Applied { report, .. } if report.missing.is_empty()
     );
     assert!(
         is_everywhere,
--- a/dahliawood-testkit/src/platform/live/mod.rs
+++ b/dahliawood-testkit/src/platform/live/mod.rs
@@ -1,6 +1,6 @@
 //! The live list with its lag.
 
-use dahliawood_store::protocol::{LiveList, LiveVm};
+use dahliawood_store::protocol;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -10,8 +10,8 @@
 /// The VMs as they are and the lists of the last while.
 #[derive(Debug)]
 pub struct LiveHistory {
-    vms: BTreeMap<String, LiveVm>,
-    lists: Vec<(Instant, LiveList)>,
+    vms: BTreeMap<String, protocol::LiveVm>,
+    lists: Vec<(Instant, protocol::LiveList)>,
 }
 
 impl LiveHistory {
@@ -19,12 +19,12 @@
     pub fn new(now: Instant) -> Self {
         Self {
             vms: BTreeMap::new(),
-            lists: vec![(now, LiveList::default())],
+            lists: vec![(now, protocol::LiveList::default())],
         }
     }
 
     /// Adds or replaces a VM.
-    pub fn put(&mut self, vm: LiveVm, now: Instant) {
+    pub fn put(&mut self, vm: protocol::LiveVm, now: Instant) {
         self.vms.insert(vm.name.clone(), vm);
         self.record(now);
     }
@@ -36,7 +36,7 @@
     }
 
     /// The list as it was `lag` before `now`.
-    pub fn read(&self, lag: Duration, now: Instant) -> LiveList {
+    pub fn read(&self, lag: Duration, now: Instant) -> protocol::LiveList {
         self.lists
             .iter()
             .rev()
@@ -48,7 +48,7 @@
 
     fn record(&mut self, now: Instant) {
         let vms = self.vms.values().cloned().collect();
-        self.lists.push((now, LiveList { vms }));
+        self.lists.push((now, protocol::LiveList { vms }));
         let kept = self
             .lists
             .iter()
--- a/dahliawood-testkit/src/platform/mod.rs
+++ b/dahliawood-testkit/src/platform/mod.rs
@@ -20,7 +20,7 @@
 
 use async_std::net::TcpListener;
 use async_std::task;
-use dahliawood_store::protocol::LiveVm;
+use dahliawood_store::protocol;
 use futures::stream::StreamExt;
 use std::io;
 use std::net::SocketAddr;
@@ -82,7 +82,7 @@
     }
 
     /// Adds or replaces a VM of the live list.
-    pub fn put_live(&self, vm: LiveVm) {
+    pub fn put_live(&self, vm: protocol::LiveVm) {
         self.service.put_live(vm);
     }
 
--- a/dahliawood-testkit/src/platform/routes/mod.rs
+++ b/dahliawood-testkit/src/platform/routes/mod.rs
@@ -1,15 +1,16 @@
 //! The HTTP interface of the stand-in.
 
-use super::service::{CallGate, CallKind, PlatformService};
-use super::{faults, state};
-use dahliawood_store::protocol::{LeaseBody, LeaseGrant, LiveVm, PutBody, VersionBody};
+use super::faults;
+use super::service;
+use super::state;
+use dahliawood_store::protocol;
 use http_types::StatusCode;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 use tide::{Body, Request, Response, Server};
 
-type AppState = Arc<PlatformService>;
+type AppState = Arc<service::PlatformService>;
 
 /// Marks an answer that is not sent: the connection closes in its place.
 const DROPPED_HEADER: &str = "dahliawood-dropped";
@@ -70,7 +71,7 @@
 }
 
 async fn get_key(request: Request<AppState>) -> tide::Result {
-    if let Some(refusal) = gate(&request, CallKind::Read).await {
+    if let Some(refusal) = gate(&request, service::CallKind::Read).await {
         return Ok(refusal);
     }
     let key = request.param("key")?;
@@ -86,8 +87,8 @@
 }
 
 async fn put_key(mut request: Request<AppState>) -> tide::Result {
-    let body: PutBody = request.body_json().await?;
-    if let Some(refusal) = gate(&request, CallKind::Write).await {
+    let body: protocol::PutBody = request.body_json().await?;
+    if let Some(refusal) = gate(&request, service::CallKind::Write).await {
         return Ok(refusal);
     }
     let service = request.state();
@@ -100,7 +101,7 @@
 }
 
 async fn delete_key(request: Request<AppState>) -> tide::Result {
-    if let Some(refusal) = gate(&request, CallKind::Write).await {
+    if let Some(refusal) = gate(&request, service::CallKind::Write).await {
         return Ok(refusal);
     }
     let key = request.param("key")?;
@@ -112,7 +113,7 @@
 }
 
 async fn list_keys(request: Request<AppState>) -> tide::Result {
-    if let Some(refusal) = gate(&request, CallKind::Read).await {
+    if let Some(refusal) = gate(&request, service::CallKind::Read).await {
         return Ok(refusal);
     }
     let query: ListQuery = request.query()?;
@@ -120,19 +121,19 @@
 }
 
 async fn grant_lease(mut request: Request<AppState>) -> tide::Result {
-    let body: LeaseBody = request.body_json().await?;
-    if let Some(refusal) = gate(&request, CallKind::Write).await {
+    let body: protocol::LeaseBody = request.body_json().await?;
+    if let Some(refusal) = gate(&request, service::CallKind::Write).await {
         return Ok(refusal);
     }
     let ttl = Duration::from_millis(body.ttl_ms);
     let now = std::time::Instant::now();
     let lease = request.state().write("", |table| table.grant(ttl, now));
     let ttl_ms = body.ttl_ms;
-    answered(&request, &LeaseGrant { lease, ttl_ms })
+    answered(&request, &protocol::LeaseGrant { lease, ttl_ms })
 }
 
 async fn keep_lease(request: Request<AppState>) -> tide::Result {
-    if let Some(refusal) = gate(&request, CallKind::Write).await {
+    if let Some(refusal) = gate(&request, service::CallKind::Write).await {
         return Ok(refusal);
     }
     let lease = request.param("id")?.parse()?;
@@ -141,26 +142,26 @@
         return Ok(Response::new(StatusCode::NotFound));
     };
     let ttl_ms = ttl.as_millis() as u64;
-    answered(&request, &LeaseGrant { lease, ttl_ms })
+    answered(&request, &protocol::LeaseGrant { lease, ttl_ms })
 }
 
 async fn revoke_lease(request: Request<AppState>) -> tide::Result {
-    if let Some(refusal) = gate(&request, CallKind::Write).await {
+    if let Some(refusal) = gate(&request, service::CallKind::Write).await {
         return Ok(refusal);
     }
     request.state().revoke(request.param("id")?.parse()?);
-    answered(&request, &VersionBody { version: 0 })
+    answered(&request, &protocol::VersionBody { version: 0 })
 }
 
 async fn live_list(request: Request<AppState>) -> tide::Result {
-    if let Some(refusal) = gate(&request, CallKind::Read).await {
+    if let Some(refusal) = gate(&request, service::CallKind::Read).await {
         return Ok(refusal);
     }
     json(&request.state().live())
 }
 
 async fn put_live(mut request: Request<AppState>) -> tide::Result {
-    let vm: LiveVm = request.body_json().await?;
+    let vm: protocol::LiveVm = request.body_json().await?;
     request.state().put_live(vm);
     Ok(Response::new(StatusCode::NoContent))
 }
@@ -182,7 +183,7 @@
 
 async fn take_snapshot(request: Request<AppState>) -> tide::Result {
     let version = request.state().snapshot();
-    json(&VersionBody { version })
+    json(&protocol::VersionBody { version })
 }
 
 async fn restore_snapshot(request: Request<AppState>) -> tide::Result {
@@ -199,11 +200,11 @@
     json(&request.state().counters())
 }
 
-async fn gate(request: &Request<AppState>, kind: CallKind) -> Option<Response> {
+async fn gate(request: &Request<AppState>, kind: service::CallKind) -> Option<Response> {
     match request.state().admit(kind).await {
-        CallGate::Open => None,
-        CallGate::OverRate => Some(Response::new(StatusCode::TooManyRequests)),
-        CallGate::Dropped => Some(dropped()),
+        service::CallGate::Open => None,
+        service::CallGate::OverRate => Some(Response::new(StatusCode::TooManyRequests)),
+        service::CallGate::Dropped => Some(dropped()),
     }
 }
 
@@ -217,9 +218,9 @@
 
 fn written(request: &Request<AppState>, result: Result<u64, state::WriteRefusal>) -> tide::Result {
     match result {
-        Ok(version) => answered(request, &VersionBody { version }),
+        Ok(version) => answered(request, &protocol::VersionBody { version }),
         Err(state::WriteRefusal::Conflict(version)) => {
-            let mut response = json(&VersionBody { version })?;
+            let mut response = json(&protocol::VersionBody { version })?;
             response.set_status(StatusCode::Conflict);
             Ok(response)
         }
--- a/dahliawood-testkit/src/platform/service/mod.rs
+++ b/dahliawood-testkit/src/platform/service/mod.rs
@@ -1,9 +1,12 @@
 //! The state that all connections of the stand-in share.
 
-use super::{PlatformOptions, faults, limits, live, state};
+use super::faults;
+use super::limits;
+use super::live;
+use super::state;
 use async_std::future;
 use dahliawood_model::FastMap;
-use dahliawood_store::protocol::{KeyEntry, KeyList, LiveList, LiveVm};
+use dahliawood_store::protocol;
 use futures::FutureExt;
 use futures::channel::oneshot;
 use futures::future::Shared;
@@ -54,7 +57,7 @@
 }
 
 impl PlatformService {
-    pub(super) fn new(options: &PlatformOptions) -> Self {
+    pub(super) fn new(options: &super::PlatformOptions) -> Self {
         let now = Instant::now();
         let (stop, stopped) = oneshot::channel();
         let state = ServiceState {
@@ -112,7 +115,7 @@
         true
     }
 
-    pub(super) fn put_live(&self, vm: LiveVm) {
+    pub(super) fn put_live(&self, vm: protocol::LiveVm) {
         self.lock().live.put(vm, Instant::now());
     }
 
@@ -166,7 +169,7 @@
     }
 
     /// Reads a key as `get` and `list` do.
-    pub(super) fn get(&self, key: &str) -> KeyEntry {
+    pub(super) fn get(&self, key: &str) -> protocol::KeyEntry {
         let mut state = self.lock();
         let entry = state.read_table().get(key);
         state.counters.value_bytes += entry.value.as_ref().map_or(0, String::len) as u64;
@@ -174,7 +177,7 @@
     }
 
     /// Reads all keys under a prefix.
-    pub(super) fn list(&self, prefix: &str) -> KeyList {
+    pub(super) fn list(&self, prefix: &str) -> protocol::KeyList {
         let mut state = self.lock();
         let list = state.read_table().list(prefix);
         let bytes: usize = list
@@ -190,7 +193,12 @@
     /// Waits until a key's version is another than `after`, at most for `wait`.
     ///
     /// Returns `None` where the service goes down meanwhile.
-    pub(super) async fn watch(&self, key: &str, after: u64, wait: Duration) -> Option<KeyEntry> {
+    pub(super) async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Option<protocol::KeyEntry> {
         let ends_at = Instant::now() + wait;
         loop {
             let woken = match self.check_watch(key, after) {
@@ -206,7 +214,7 @@
     }
 
     /// The live list with its lag.
-    pub(super) fn live(&self) -> LiveList {
+    pub(super) fn live(&self) -> protocol::LiveList {
         let state = self.lock();
         let lag = Duration::from_millis(state.faults.live_lag_ms);
         state.live.read(lag, Instant::now())
@@ -262,7 +270,7 @@
 }
 
 enum WatchCheck {
-    Changed(KeyEntry),
+    Changed(protocol::KeyEntry),
     Wait(oneshot::Receiver<()>),
     Down,
 }
--- a/dahliawood-testkit/src/platform/state/mod.rs
+++ b/dahliawood-testkit/src/platform/state/mod.rs
@@ -1,7 +1,7 @@
 //! Keys and leases of the stand-in, without I/O.
 
 use dahliawood_model::FastMap;
-use dahliawood_store::protocol::{KeyEntry, KeyList, VALUE_LIMIT_BYTES};
+use dahliawood_store::protocol;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -42,9 +42,9 @@
 
 impl KeyTable {
     /// The entry of a key.
-    pub fn get(&self, key: &str) -> KeyEntry {
+    pub fn get(&self, key: &str) -> protocol::KeyEntry {
         let record = self.keys.get(key);
-        KeyEntry {
+        protocol::KeyEntry {
             key: key.to_owned(),
             version: record.map_or(0, |record| record.version),
             value: record.map(|record| record.value.clone()),
@@ -57,14 +57,14 @@
     }
 
     /// All keys that start with `prefix`.
-    pub fn list(&self, prefix: &str) -> KeyList {
+    pub fn list(&self, prefix: &str) -> protocol::KeyList {
         let entries = self
             .keys
             .range(prefix.to_owned()..)
             .take_while(|(key, _)| key.starts_with(prefix))
             .map(|(key, _)| self.get(key))
             .collect();
-        KeyList { entries }
+        protocol::KeyList { entries }
     }
 
     /// Writes a key and returns its new version.
@@ -79,7 +79,7 @@
         expected: Option<u64>,
         lease: Option<u64>,
     ) -> Result<u64, WriteRefusal> {
-        if value.len() > VALUE_LIMIT_BYTES {
+        if value.len() > protocol::VALUE_LIMIT_BYTES {
             return Err(WriteRefusal::TooLarge);
         }
         if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
