fix(quota): a VM that is cut off is reclaimed only against every membership it may know

Change: at least half has to be against a member in every membership since a hold time before it was last listed, members removed since counted as not against; a VM that leaves or has lapsed vouches for none; a VM that knew the document later has no say. Half instead of a majority is enough, since the member needs more than half for itself. The three found histories are tests of their own. The recovery check now assumes that a death that is never replaced comes alone, to a fleet that has known itself for two hold times; other losses for good are named in the module as not reclaimed before a replacement.

--- a/dahliawood-quota/src/book/inbox/mod.rs
+++ b/dahliawood-quota/src/book/inbox/mod.rs
@@ -135,7 +135,11 @@
         if let Some(due) = due {
             self.send(due.to, due.probe);
         }
-        if let Some(echo) = self.evidence.answer(from, probe, &self.spans, now) {
+        let is_leaving = self.holder.me().leaving;
+        let echo = self
+            .evidence
+            .answer(from, probe, is_leaving, &self.spans, now);
+        if let Some(echo) = echo {
             self.send(from, echo);
         }
     }
--- a/dahliawood-quota/src/book/mod.rs
+++ b/dahliawood-quota/src/book/mod.rs
@@ -256,6 +256,9 @@
         let me = self.holder.me().id;
         let may_raise = self.holder.may_raise();
         let document = self.holder.document();
+        if self.holder.has_read() {
+            self.evidence.note_members(&document.members, now);
+        }
         for (key, spec) in self.table.iter() {
             let entry = document.limit(&spec.name);
             let grant = entry.and_then(|entry| entry.grant(me));
--- a/dahliawood-quota/src/shares/evidence/mod.rs
+++ b/dahliawood-quota/src/shares/evidence/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A VM uses its shares only while it has fresh proof that nobody may take them: it read itself in
 //! the live list, or a majority of the members answered its probe. A member is reclaimed only
-//! after it was absent from the live list *and* silent at a majority for a longer time, each of
+//! after it was absent from the live list *and* silent at half of them for a longer time, each of
 //! which has asked it in vain. A VM that declared a member silent answers none of its probes for
 //! that time, so that both proofs cannot be had at once. A member whose proof has lapsed writes the
 //! document with a new epoch before it uses its shares again; that write makes every older one
@@ -10,8 +10,15 @@
 //!
 //! The live list may lag by less than `absence_hold - blind_stop`; a longer lag breaks the proof.
 //!
-//! Where half of the members die at once, no majority can declare them silent until other VMs
-//! have joined or the dead were replaced at their addresses.
+//! A VM that is cut off knows an old membership. At least half therefore has to be against it in
+//! every membership since a hold time before it was last listed, and that counts only at a VM that
+//! has read the document since then. So a VM that dies within a hold time of the start of all others is
+//! not reclaimed until it is replaced at its address, nor is one that none of them ever read in
+//! the live list; and a VM that is listed but cannot read the
+//! document for longer than that, while the fleet changes by half, is not covered.
+//!
+//! Where more than half of the members die at once, they cannot be declared silent before they were
+//! replaced at their addresses.
 
 use crate::{member, message, options};
 use dahliawood_model::{FastMap, stamp};
@@ -63,9 +70,16 @@
     is_lapsed: bool,
     epoch: u64,
     absences: FastMap<member::HolderId, AbsenceSpan>,
+    /// When this VM last read each member in the live list.
+    listed_at: FastMap<member::HolderId, stamp::TimeStamp>,
     heard_at: FastMap<member::HolderId, stamp::TimeStamp>,
     asked_at: FastMap<member::HolderId, stamp::TimeStamp>,
     declared_until: FastMap<member::HolderId, stamp::TimeStamp>,
+    /// When this VM first saw each member in the document, and when it first read one.
+    seen_at: FastMap<member::HolderId, stamp::TimeStamp>,
+    read_at: Option<stamp::TimeStamp>,
+    /// When members left the document, for one hold time: their last answers may still count.
+    removed_at: FastMap<member::HolderId, stamp::TimeStamp>,
     own_probe: Option<OpenProbe>,
     polls: FastMap<member::HolderId, OpenProbe>,
     last_serial: u64,
@@ -90,9 +104,13 @@
             is_lapsed: false,
             epoch: 0,
             absences: FastMap::default(),
+            listed_at: FastMap::default(),
             asked_at: FastMap::default(),
             heard_at: FastMap::default(),
             declared_until: FastMap::default(),
+            seen_at: FastMap::default(),
+            read_at: None,
+            removed_at: FastMap::default(),
             own_probe: None,
             polls: FastMap::default(),
             last_serial: 0,
@@ -124,6 +142,54 @@
         self.is_lapsed &= !self.is_proven(spans, now);
     }
 
+    /// Notes the members of a newer document.
+    pub fn note_members(&mut self, members: &[member::MemberEntry], now: stamp::TimeStamp) {
+        self.read_at.get_or_insert(now);
+        let is_member = |id: &member::HolderId| members.iter().any(|member| member.id == *id);
+        let removed = self.seen_at.keys().copied().filter(|id| !is_member(id));
+        self.removed_at.extend(removed.map(|id| (id, now)));
+        self.removed_at.retain(|id, _| !is_member(id));
+        self.seen_at.retain(|id, _| is_member(id));
+        for member in members {
+            self.seen_at.entry(member.id).or_insert(now);
+        }
+    }
+
+    /// Whether the answers to a poll leave `subject` no majority in any membership that it may know.
+    ///
+    /// Members stand in the order in which they joined, so every older membership is a beginning of
+    /// `members`. The subject knows each that this VM saw a hold time before it last
+    /// read the subject in the live list.
+    fn outvotes(
+        &self,
+        subject: member::HolderId,
+        agreed: &[member::HolderId],
+        members: &[member::MemberEntry],
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> bool {
+        let is_recent = |at: &&stamp::TimeStamp| now < at.after(spans.absence_hold);
+        let removed = self.removed_at.values().filter(is_recent).count();
+        let Some(listed_at) = self.listed_at.get(&subject) else {
+            return false;
+        };
+        let since = listed_at.before(spans.absence_hold);
+        let is_old = |id: &member::HolderId| self.seen_at.get(id).is_some_and(|at| *at <= since);
+        let joined = members.iter().position(|member| member.id == subject);
+        let Some(joined) = joined.filter(|_| self.read_at.is_some_and(|at| at <= since)) else {
+            return false;
+        };
+        (joined..members.len()).all(|last| {
+            let is_outdated = members.get(last + 1).is_some_and(|next| is_old(&next.id));
+            let known = &members[..=last];
+            let against = known
+                .iter()
+                .filter(|member| agreed.contains(&member.id))
+                .count();
+            is_outdated || known.len() + removed <= against * 2
+        })
+    }
+
     /// Notes that a message from `from` arrived.
     pub fn hear(&mut self, from: member::HolderId, now: stamp::TimeStamp) {
         self.heard_at.insert(from, now);
@@ -141,6 +207,8 @@
         if list.contains(&self.me) {
             self.prove(read_at, spans, now);
         }
+        let listed = members.iter().filter(|member| list.contains(&member.id));
+        self.listed_at.extend(listed.map(|member| (member.id, now)));
         let mut absences = FastMap::default();
         for member in members.iter().filter(|member| !list.contains(&member.id)) {
             let known = self.absences.get(&member.id).copied();
@@ -158,16 +226,30 @@
         self.absences = absences;
     }
 
-    /// Answers a probe; `None` where its sender was declared silent.
+    /// Whether this VM may count as a member for another: one that leaves, or whose own proof has
+    /// lapsed, may have been taken out of the document.
+    fn may_vouch(
+        &mut self,
+        is_leaving: bool,
+        spans: &options::QuotaOptions,
+        now: stamp::TimeStamp,
+    ) -> bool {
+        self.epoch(spans, now);
+        !is_leaving && !self.is_lapsed
+    }
+
+    /// Answers a probe; `None` where its sender was declared silent or this VM may not vouch.
     pub fn answer(
         &mut self,
         from: member::HolderId,
         probe: message::PeerProbe,
+        is_leaving: bool,
         spans: &options::QuotaOptions,
         now: stamp::TimeStamp,
     ) -> Option<message::PeerEcho> {
         let silent_for = match probe.subject {
             None if self.is_declared(from, now) => return None,
+            None if !self.may_vouch(is_leaving, spans, now) => return None,
             None => Duration::ZERO,
             Some(subject) => self.declare_silence(subject, spans, now),
         };
@@ -337,7 +419,10 @@
     ) -> Vec<member::HolderId> {
         let is_gone = |member: &member::MemberEntry| {
             let poll = self.polls.get(&member.id);
-            let is_agreed = poll.is_some_and(|poll| is_agreed(poll, members, spans, now));
+            let is_agreed = poll.is_some_and(|poll| {
+                is_fresh(poll, spans, now)
+                    && self.outvotes(member.id, &poll.agreed, members, spans, now)
+            });
             self.is_absent(member, spans) && is_agreed
         };
         let replaced_at = self.started_at.after(spans.longest_out());
@@ -351,14 +436,8 @@
     }
 }
 
-fn is_agreed(
-    poll: &OpenProbe,
-    members: &[member::MemberEntry],
-    spans: &options::QuotaOptions,
-    now: stamp::TimeStamp,
-) -> bool {
-    let is_fresh = now < poll.sent_at.after(spans.blind_stop / PROBES_PER_STOP);
-    is_fresh && is_majority(poll.agreed.len(), members)
+fn is_fresh(poll: &OpenProbe, spans: &options::QuotaOptions, now: stamp::TimeStamp) -> bool {
+    now < poll.sent_at.after(spans.blind_stop / PROBES_PER_STOP)
 }
 
 fn is_majority(count: usize, members: &[member::MemberEntry]) -> bool {
--- a/dahliawood-quota/src/shares/holder/mod.rs
+++ b/dahliawood-quota/src/shares/holder/mod.rs
@@ -124,6 +124,11 @@
         &self.document
     }
 
+    /// Whether the store has answered a read.
+    pub fn has_read(&self) -> bool {
+        self.has_read
+    }
+
     /// Sets how often the proof of this VM has lapsed; a new epoch has to be confirmed.
     pub fn set_epoch(&mut self, epoch: u64) {
         self.me.epoch = epoch;
--- a/dahliawood-quota/tests/quota/promises/mod.rs
+++ b/dahliawood-quota/tests/quota/promises/mod.rs
@@ -62,3 +62,66 @@
     };
     keeps(history).expect("its share is free again");
 }
+
+#[test]
+fn a_first_member_that_is_cut_off_is_not_outvoted_by_later_ones() {
+    let cut = history::Fault {
+        kind: history::FaultKind::RegionCut,
+        at: 45_572,
+        span: 4_954_429,
+        whom: 11,
+    };
+    let history = history::History {
+        seed: 2_205_414_495_084_224_968,
+        vms: 3,
+        demand_permille: 740,
+        faults: vec![cut],
+    };
+    keeps(history).expect("it still holds its slots");
+}
+
+#[test]
+fn a_vm_that_was_cut_off_unseen_is_not_outvoted() {
+    let cut = |at, span, whom| history::Fault {
+        kind: history::FaultKind::RegionCut,
+        at,
+        span,
+        whom,
+    };
+    let history = history::History {
+        seed: 2_339_265_503_484_337_432,
+        vms: 4,
+        demand_permille: 990,
+        faults: vec![cut(3_600_001, 4_038_514, 8), cut(209_410, 4_000_000, 3)],
+    };
+    keeps(history).expect("it still holds its slots");
+}
+
+#[test]
+fn the_last_answer_of_a_vm_that_left_still_counts() {
+    use history::FaultKind;
+    let fault = |kind, at, span, whom| history::Fault {
+        kind,
+        at,
+        span,
+        whom,
+    };
+    let history = history::History {
+        seed: 9_494_721_749_009_259_336,
+        vms: 5,
+        demand_permille: 1_534,
+        faults: vec![
+            fault(FaultKind::RegionCut, 3_121_611, 6_149_030, 0),
+            fault(FaultKind::StoreOutage, 9_573_719, 378_025, 0),
+            fault(FaultKind::Leave, 9_396_485, 100_000, 14),
+            fault(
+                FaultKind::Revision { permille: 1_171 },
+                2_084_065,
+                100_000,
+                0,
+            ),
+            fault(FaultKind::Pause, 3_302_323, 513_801, 10),
+        ],
+    };
+    keeps(history).expect("a majority that one VM has left still holds its shares");
+}
