--- a/dahliawood-store/src/revision/keeper/mod.rs
+++ b/dahliawood-store/src/revision/keeper/mod.rs
@@ -1,8 +1,8 @@
 //! What a VM knows of revisions, and the rule that it only goes forward.
 
 use crate::content::{self, ContentError, ContentHash};
-use crate::head::{HeadDocument, RevisionStamp};
-use crate::status::{RefusalCause, RevisionRefusal, StatusLine};
+use crate::head::{HeadDocument, RevisionStamp, WriteMark};
+use crate::status::{PAST_LIMIT, RefusalCause, RevisionRefusal, StatusLine};
 use std::sync::Arc;
 
 /// Where a VM learned of a revision.
@@ -64,6 +64,7 @@
     incarnation: u64,
     serial: u64,
     in_force: Option<ForceRecord>,
+    past: Vec<RevisionStamp>,
     accepted: Option<(RevisionStamp, RevisionSource)>,
     proposed: Option<RevisionStamp>,
     staged: Option<(RevisionStamp, Arc<str>)>,
@@ -79,6 +80,7 @@
             incarnation,
             serial: 0,
             in_force: None,
+            past: Vec::new(),
             accepted: None,
             proposed: None,
             staged: None,
@@ -105,6 +107,11 @@
         self.accepted.as_ref().map(|(stamp, _)| stamp)
     }
 
+    /// The revision last proposed, accepted or not.
+    pub fn proposed(&self) -> Option<&RevisionStamp> {
+        self.proposed.as_ref()
+    }
+
     /// The file of `hash`, where it is in force or staged here.
     pub fn file(&self, hash: &ContentHash) -> Option<Arc<str>> {
         let in_force = self
@@ -199,12 +206,16 @@
     }
 
     /// The head to write where the store lost a revision that is known here to be accepted.
-    pub fn repair(&self, head: &HeadDocument) -> Option<(HeadDocument, ForceRecord)> {
+    pub fn repair(
+        &self,
+        head: &HeadDocument,
+        mark: WriteMark,
+    ) -> Option<(HeadDocument, ForceRecord)> {
         let record = self.in_force()?;
         if head.accepted() >= Some(&record.stamp) {
             return None;
         }
-        Some((head.with_accepted(&record.stamp), record.clone()))
+        Some((head.with_accepted(&record.stamp, mark), record.clone()))
     }
 
     /// What the VM says of itself.
@@ -214,6 +225,7 @@
             incarnation: self.incarnation,
             serial: self.serial,
             in_force: self.in_force.as_ref().map(|record| record.stamp.clone()),
+            past: self.past.clone(),
             staged: self.staged.as_ref().map(|(stamp, _)| stamp.clone()),
             refused: self.refused.clone(),
             highest: self.highest(),
@@ -238,11 +250,15 @@
         let Some(text) = self.file(&stamp.hash).filter(|_| !is_in_force) else {
             return false;
         };
-        self.in_force = Some(ForceRecord {
+        let record = ForceRecord {
             stamp,
             text,
             source,
-        });
+        };
+        if let Some(before) = self.in_force.replace(record) {
+            self.past.insert(0, before.stamp);
+            self.past.truncate(PAST_LIMIT);
+        }
         true
     }
 
--- a/dahliawood-store/src/revision/shared/mod.rs
+++ b/dahliawood-store/src/revision/shared/mod.rs
@@ -2,7 +2,7 @@
 
 use super::keeper::{ForceRecord, ObserveOutcome, RevisionKeeper, RevisionSource, SupplyOutcome};
 use crate::content::{ContentError, ContentHash};
-use crate::head::{HeadDocument, RevisionStamp};
+use crate::head::{HeadDocument, RevisionStamp, WriteMark};
 use crate::status::StatusLine;
 use async_std::channel::{self, Receiver, Sender};
 use std::fmt;
@@ -101,6 +101,11 @@
         self.lock().accepted().cloned()
     }
 
+    /// The revision last proposed, for a peer that does not reach the store.
+    pub fn proposed(&self) -> Option<RevisionStamp> {
+        self.lock().proposed().cloned()
+    }
+
     /// Hashes of the files to fetch, the most urgent first.
     pub fn wanted(&self) -> Vec<ContentHash> {
         self.lock().wanted()
@@ -116,8 +121,12 @@
         self.lock().status()
     }
 
-    pub(super) fn repair(&self, head: &HeadDocument) -> Option<(HeadDocument, ForceRecord)> {
-        self.lock().repair(head)
+    pub(super) fn repair(
+        &self,
+        head: &HeadDocument,
+        mark: WriteMark,
+    ) -> Option<(HeadDocument, ForceRecord)> {
+        self.lock().repair(head, mark)
     }
 
     /// Resolves after the next change.
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -3,11 +3,17 @@
 //! Each measurement prints one line a figure, `figure value unit target`; the program exits
 //! non-zero where a stated target is missed.
 
+mod cold;
 mod fairness;
+mod fate;
 mod links;
 mod lookup;
+mod membership;
 mod quota;
+mod shift;
+mod silent;
 mod steer;
+mod store_budget;
 
 use bpaf::Bpaf;
 use dahliawood_testkit::figures;
@@ -30,11 +36,17 @@
 
 /// All measurements, one line each.
 const MEASUREMENTS: &[MeasureEntry] = &[
+    ("cold", cold::run),
     ("fairness", fairness::measure),
+    ("fate", fate::run),
     ("links", links::measure),
     ("lookup", lookup::run),
+    ("membership", membership::run),
     ("quota", quota::measure),
+    ("shift", shift::run),
+    ("silent", silent::run),
     ("steer", steer::run),
+    ("store-budget", store_budget::run),
 ];
 
 fn main() {
--- /dev/null
+++ b/dahliawood-testkit/examples/measure/shift/bench/mod.rs
@@ -0,0 +1,357 @@
+//! The event loop.
+
+mod outcome;
+mod tick;
+
+pub use outcome::ShiftOutcome;
+
+use super::case::{FAULT_US, RETURN_US, ShiftCase, ShiftFault, ShiftWay};
+use super::link::PacedLink;
+use crate::steer::clock::EventClock;
+use crate::steer::load::{
+    COLOMBIA, CUSTOMERS, LoadCase, LoadFault, LoadRequest, REGIONS, ServiceSpread, requests,
+    target_region, vm_region,
+};
+use dahliawood_model::keys::{CustomerKey, RegionKey, ServiceKey, TargetKey};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_model::tables;
+use dahliawood_steer::{choice, fair, health, queue, target};
+use hdrhistogram::Histogram;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+
+const SERVICE: ServiceKey = ServiceKey(0);
+const SECONDS: u64 = 100;
+const LINK_BYTES_PER_US: f64 = 35.0;
+const TICK_US: u64 = 10_000;
+const LATEST_START_US: u64 = 800_000;
+const TRIES: usize = 3;
+/// When slots that move have come free, after the fault, microseconds.
+const RETURNED_US: u64 = 1_000_000;
+/// The oldest that a region's own figure of its free slots gets, in ticks.
+const LAG_TICKS: u64 = 20;
+/// Time of a cold target as a multiple of a warm one's, above one, and how many answers warm it.
+const COLD_EXTRA: f64 = 3.0;
+const WARMING_ANSWERS: f64 = 200.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ShiftEvent {
+    Arrival(usize),
+    Handed { index: usize, to: usize },
+    Failed { index: usize, target: usize },
+    Answer { index: usize, target: usize },
+    Tick,
+}
+
+/// The VMs of one region.
+struct RegionVms {
+    table: target::TargetTable,
+    waiting: queue::WaitQueue<usize>,
+    gate: fair::FairGate,
+    links: Vec<PacedLink>,
+}
+
+struct RequestState {
+    /// The region that it was handed over to.
+    handed: Option<usize>,
+    flight: Option<target::FlightKey>,
+    tried: Vec<TargetKey>,
+    sent_us: u64,
+}
+
+struct ShiftBench {
+    case: ShiftCase,
+    /// Free share of each region, as last heard.
+    heard: [f64; REGIONS],
+    config: tables::FleetConfig,
+    requests: Vec<LoadRequest>,
+    states: Vec<RequestState>,
+    clock: EventClock<ShiftEvent>,
+    regions: Vec<RegionVms>,
+    running: Vec<u32>,
+    served_cold: f64,
+    sent: [u64; CUSTOMERS],
+    refused: [u64; CUSTOMERS],
+    before: Histogram<u64>,
+    during: Histogram<u64>,
+    after: Histogram<u64>,
+    /// Answers of the first region to its own callers in each second.
+    near_answers: Vec<u32>,
+    outcome: ShiftOutcome,
+    rng: SmallRng,
+}
+
+/// Runs one case.
+pub fn run(case: ShiftCase, seed: u64) -> ShiftOutcome {
+    let load = LoadCase {
+        size: COLOMBIA,
+        spread: ServiceSpread::Light,
+        percent: case.percent,
+        fault: LoadFault::None,
+        seconds: SECONDS,
+    };
+    let requests = requests(&load, seed);
+    let mut bench = bench(case, requests, seed);
+    for (index, request) in bench.requests.iter().enumerate() {
+        bench
+            .clock
+            .at(request.arrival_us, ShiftEvent::Arrival(index));
+    }
+    bench.clock.at(0, ShiftEvent::Tick);
+    while let Some((now_us, event)) = bench.clock.next() {
+        bench.step(now_us, event);
+    }
+    bench.into_outcome()
+}
+
+fn bench(case: ShiftCase, requests: Vec<LoadRequest>, seed: u64) -> ShiftBench {
+    let config = COLOMBIA.config();
+    let state = |_: &LoadRequest| RequestState {
+        handed: None,
+        flight: None,
+        tried: Vec::new(),
+        sent_us: 0,
+    };
+    ShiftBench {
+        case,
+        heard: [1.0; REGIONS],
+        states: requests.iter().map(state).collect(),
+        requests,
+        clock: EventClock::new(),
+        regions: (0..REGIONS)
+            .map(|region| region_vms(&config, &case, region))
+            .collect(),
+        running: vec![0; COLOMBIA.targets],
+        served_cold: 0.0,
+        sent: [0; CUSTOMERS],
+        refused: [0; CUSTOMERS],
+        before: histogram(),
+        during: histogram(),
+        after: histogram(),
+        near_answers: vec![0; SECONDS as usize + 2],
+        outcome: ShiftOutcome::default(),
+        rng: SmallRng::seed_from_u64(seed),
+        config,
+    }
+}
+
+fn region_vms(config: &tables::FleetConfig, case: &ShiftCase, region: usize) -> RegionVms {
+    let home = RegionKey(region as u32);
+    let mut table = target::TargetTable::build(config, home, TimeStamp::ZERO);
+    for key in config.targets.keys() {
+        let (near, far) = case.held(false);
+        let is_near = config.target_region(key) == home;
+        table.set_slot_limit(key, if is_near { near } else { far });
+    }
+    RegionVms {
+        table,
+        waiting: queue::WaitQueue::default(),
+        gate: fair::FairGate::default(),
+        links: (0..REGIONS)
+            .map(|_| PacedLink::new(LINK_BYTES_PER_US))
+            .collect(),
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(100_000_000, 3).expect("three digits are valid")
+}
+
+fn stamp(now_us: u64) -> TimeStamp {
+    TimeStamp::from_micros(now_us)
+}
+
+impl ShiftBench {
+    fn step(&mut self, now_us: u64, event: ShiftEvent) {
+        match event {
+            ShiftEvent::Arrival(index) => self.arrive(now_us, index),
+            ShiftEvent::Handed { index, to } => {
+                self.states[index].handed = Some(to);
+                self.place_or_wait(now_us, index);
+            }
+            ShiftEvent::Failed { index, target } => self.connect_failed(now_us, index, target),
+            ShiftEvent::Answer { index, target } => self.answer(now_us, index, target),
+            ShiftEvent::Tick => self.tick(now_us),
+        }
+    }
+
+    /// The region of the VM that has the request now.
+    fn region(&self, index: usize) -> usize {
+        let handed = self.states[index].handed;
+        handed.unwrap_or_else(|| self.caller_region(index))
+    }
+
+    fn caller_region(&self, index: usize) -> usize {
+        vm_region(self.requests[index].vm)
+    }
+
+    fn arrive(&mut self, now_us: u64, index: usize) {
+        let region = self.region(index);
+        let customer = self.requests[index].customer;
+        if region == 0 && self.case.in_fault(now_us) {
+            self.outcome.sent_in_fault += 1;
+            self.sent[customer] += 1;
+        }
+        let key = Some(CustomerKey(customer as u32));
+        if !fair::admit(&mut self.regions[region].gate, key, 1) {
+            self.refuse(index);
+            return;
+        }
+        self.place_or_wait(now_us, index);
+    }
+
+    fn place_or_wait(&mut self, now_us: u64, index: usize) {
+        let waiting = &self.regions[self.region(index)].waiting;
+        if !waiting.is_empty() || !self.place(now_us, index) {
+            self.wait(now_us, index);
+        }
+    }
+
+    /// Sends a request, hands it over or refuses it; `false` where it has to wait.
+    fn place(&mut self, now_us: u64, index: usize) -> bool {
+        let region = self.region(index);
+        let rooms = self.rooms(now_us, region);
+        let vms = &mut self.regions[region];
+        let room = move |to: RegionKey| rooms[to.0 as usize];
+        let query = choice::ChoiceQuery {
+            service: SERVICE,
+            exclude: &self.states[index].tried,
+            idempotent: true,
+            waiting: vms.waiting.len() as u32,
+            room: &room,
+        };
+        let chosen = choice::choose(&mut vms.table, &query, stamp(now_us), &mut self.rng);
+        let expected = match chosen {
+            choice::Choice::Target(key, to) => {
+                self.states[index].flight = choice::begin(&mut vms.table, key);
+                if to.0 as usize != region {
+                    vms.links[to.0 as usize].take(self.case.answer_bytes, now_us);
+                }
+                self.send(now_us, index, key.0 as usize);
+                return true;
+            }
+            choice::Choice::Wait { expected, .. } => Some(expected),
+            choice::Choice::None { .. } => None,
+        };
+        let may_hand = self.case.way == ShiftWay::HandedOver && self.states[index].handed.is_none();
+        let to = choice::hand_over(&vms.table, &query, expected, &mut self.rng);
+        if let Some(to) = to.filter(|_| may_hand) {
+            let to = to.0 as usize;
+            vms.links[to].take(self.case.answer_bytes, now_us);
+            let handed_us = now_us + COLOMBIA.far_us;
+            self.clock.at(handed_us, ShiftEvent::Handed { index, to });
+            return true;
+        }
+        if expected.is_none() {
+            fair::note_short(&mut vms.gate);
+            self.refuse(index);
+        }
+        expected.is_none()
+    }
+
+    /// Headroom on the way from a region to each.
+    fn rooms(&mut self, now_us: u64, region: usize) -> [choice::SpillRoom; REGIONS] {
+        let bytes = self.case.answer_bytes;
+        let links = &mut self.regions[region].links;
+        // Slots that are held over there are headroom of that region already.
+        let heard = match self.case.way {
+            ShiftWay::Direct => [1.0; REGIONS],
+            ShiftWay::HandedOver => self.heard,
+        };
+        std::array::from_fn(|to| choice::SpillRoom {
+            link: links[to].room(bytes, now_us),
+            region: heard[to],
+        })
+    }
+
+    fn wait(&mut self, now_us: u64, index: usize) {
+        let request = self.requests[index];
+        let region = self.region(index);
+        let vms = &mut self.regions[region];
+        let entry = queue::WaitEntry {
+            customer: Some(CustomerKey(request.customer as u32)),
+            weight: 1,
+            deadline: stamp(request.arrival_us + LATEST_START_US),
+            item: index,
+        };
+        let rate = choice::slot_rate(vms.table.service(SERVICE));
+        if queue::push(&mut vms.waiting, entry, rate, stamp(now_us)).is_err() {
+            self.refuse(index);
+        }
+    }
+
+    fn send(&mut self, now_us: u64, index: usize, target: usize) {
+        let way_us = COLOMBIA.way_us(self.region(index), target_region(target));
+        self.states[index].sent_us = now_us;
+        if self.case.is_lost(target, now_us) {
+            let failed_us = now_us + 2 * way_us;
+            self.clock
+                .at(failed_us, ShiftEvent::Failed { index, target });
+            return;
+        }
+        self.running[target] += 1;
+        let use_of_slots = f64::from(self.running[target]) / f64::from(COLOMBIA.slots);
+        self.outcome.peak_region = self.outcome.peak_region.max(use_of_slots);
+        let service_us = self.service_us(now_us, index, target);
+        let done_us = now_us + 2 * way_us + service_us;
+        self.clock.at(done_us, ShiftEvent::Answer { index, target });
+    }
+
+    fn service_us(&mut self, now_us: u64, index: usize, target: usize) -> u64 {
+        let demand_us = self.requests[index].demand_us;
+        if self.case.fault != ShiftFault::Lost || target_region(target) != 0 || now_us < RETURN_US {
+            return demand_us;
+        }
+        let targets = (COLOMBIA.targets / REGIONS) as f64;
+        self.served_cold += 1.0;
+        let warmth = (-self.served_cold / targets / WARMING_ANSWERS).exp();
+        (demand_us as f64 * (1.0 + COLD_EXTRA * warmth)) as u64
+    }
+
+    fn connect_failed(&mut self, now_us: u64, index: usize, target: usize) {
+        self.finish(now_us, index, health::ResultKind::ConnectFailed);
+        self.outcome.last_failed_try_ms = (now_us - FAULT_US) as f64 / 1e3;
+        let state = &mut self.states[index];
+        state.tried.push(TargetKey(target as u32));
+        if state.tried.len() >= TRIES {
+            self.outcome.failed += 1;
+            return;
+        }
+        self.place_or_wait(now_us, index);
+    }
+
+    fn finish(&mut self, now_us: u64, index: usize, kind: health::ResultKind) {
+        let region = self.region(index);
+        let state = &mut self.states[index];
+        let report = health::ResultReport {
+            kind,
+            latency: Duration::from_micros(now_us - state.sent_us),
+        };
+        if let Some(flight) = state.flight.take() {
+            choice::finish(
+                &mut self.regions[region].table,
+                flight,
+                report,
+                stamp(now_us),
+            );
+        }
+    }
+
+    fn answer(&mut self, now_us: u64, index: usize, target: usize) {
+        self.running[target] -= 1;
+        self.finish(now_us, index, health::ResultKind::Answered);
+        let region = self.region(index);
+        self.note_latency(now_us, index, target);
+        self.serve(now_us, region);
+    }
+
+    fn serve(&mut self, now_us: u64, region: usize) {
+        while let Some(entry) = queue::pop(&mut self.regions[region].waiting) {
+            if !self.place(now_us, entry.item) {
+                queue::push_back(&mut self.regions[region].waiting, entry);
+                return;
+            }
+        }
+    }
+}
