fix(front): second tries come out of the service's retry budget

Cause: a failed try was followed by another whatever the service's retry_percent said, so that a failing service could be sent up to three times its load.

Change: one budget a service, earned by first tries and spent by retries of which a byte may have left; the decision is dahliawood_fate's. A shed answer that may not be tried again goes to the caller as it came. Answers carry the request id.

Conclusion: tries stay at three at most, and their sum within the share in the operators' file. Type-checked; not yet covered by a test of its own.

--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -1,7 +1,7 @@
 //! Forwards an admitted request to a target and brings back its answer.
 //!
 //! A request is tried again only where it is idempotent or cannot have reached a target, on another
-//! target, and only while its body is still at hand. A small answer of an idempotent request is read
+//! target, while its body is still at hand, and within the service's retry budget. A small answer of an idempotent request is read
 //! whole before its first byte goes out, so that a target that dies while it answers costs another
 //! try and not the answer.
 
@@ -13,7 +13,8 @@
 use crate::front::target_call;
 use crate::{clock, counters, shared, snapshot};
 use dahliawood_fate::verdict::RunVerdict;
-use dahliawood_model::keys::{CustomerKey, RouteKey, TargetKey};
+use dahliawood_fate::{deadline, retry};
+use dahliawood_model::keys::{CustomerKey, RouteKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::health;
 use dahliawood_wire::problem;
@@ -22,8 +23,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The most tries of one request, the first one included.
-const MOST_TRIES: usize = 3;
 /// The longest answer that is read whole before it goes out, bytes.
 const HOLD_BYTES: usize = 256 * 1024;
 /// When a caller whose request failed at a target may come back.
@@ -56,9 +55,13 @@
 }
 
 /// How a try ended without an answer.
-struct TryFailure {
+struct FailedTry {
     detail: String,
+    kind: retry::TryFailure,
+    /// Whether no other target would fare better.
     is_final: bool,
+    /// What the target answered, for the caller where there is no other try.
+    answer: Option<Box<Response>>,
 }
 
 /// Forwards a request to its end.
@@ -104,25 +107,38 @@
                 Err(_) => return Ok(self.failure("no other target could be tried")),
             };
             self.tried.push(flight.target);
-            if self.tried.len() > 1 {
-                self.shared.counters.count(counters::CounterKind::Retries);
+            match self.tried.len() {
+                1 => self.budget(retry::RetryBudget::earn),
+                _ => self.shared.counters.count(counters::CounterKind::Retries),
             }
             match self.attempt(&mut outgoing, flight).await {
                 Ok(response) => {
                     self.shared.counters.count(counters::CounterKind::Answered);
                     return Ok(response);
                 }
-                Err(failure) if self.may_retry(&failure, &outgoing) => {}
-                Err(failure) => return Ok(self.failure(&failure.detail)),
+                Err(failed) if self.may_retry(&failed, &outgoing) => {}
+                Err(failed) => return Ok(self.give_up(failed)),
             }
         }
     }
 
+    /// The service of the request's route.
+    fn service(&self) -> ServiceKey {
+        self.snapshot.state.config.routes[self.route].service
+    }
+
+    /// Runs `change` on the service's retry budget.
+    fn budget<T>(&self, change: impl FnOnce(&mut retry::RetryBudget) -> T) -> T {
+        let service = self.service();
+        let percent = self.snapshot.state.config.services[service].retry_percent;
+        self.shared.budgets.with(service, percent, change)
+    }
+
     /// What the choice of a target depends on.
     fn place_query(&self) -> place::PlaceQuery<'_> {
         place::PlaceQuery {
             config: &self.snapshot.state.config,
-            service: self.snapshot.state.config.routes[self.route].service,
+            service: self.service(),
             customer: self.customer,
             is_idempotent: self.is_idempotent,
             tried: &self.tried,
@@ -135,7 +151,7 @@
         &mut self,
         outgoing: &mut outgoing::OutgoingRequest,
         mut flight: TargetFlight,
-    ) -> Result<Response, TryFailure> {
+    ) -> Result<Response, FailedTry> {
         let address = self.snapshot.state.config.targets[flight.target].address;
         let left = self.deadline.since(clock::now());
         let method = outgoing.method();
@@ -151,14 +167,15 @@
             Ok(response) => response,
             Err(failure) => {
                 flight.settle(failure.kind);
-                self.verdict = self.verdict.combine(failure.verdict);
-                return Err(TryFailure {
+                return Err(FailedTry {
                     detail: failure.detail,
+                    kind: retry::TryFailure::Broken(failure.verdict),
                     is_final: failure.is_own_body,
+                    answer: None,
                 });
             }
         };
-        self.answer(response, method, flight).await
+        self.answer(response, method, flight, outgoing).await
     }
 
     /// Takes the answer's head, and its body too where it is small.
@@ -167,25 +184,28 @@
         mut response: Response,
         method: Method,
         mut flight: TargetFlight,
-    ) -> Result<Response, TryFailure> {
-        if response.status() == StatusCode::ServiceUnavailable {
+        outgoing: &outgoing::OutgoingRequest,
+    ) -> Result<Response, FailedTry> {
+        let is_shed = response.status() == StatusCode::ServiceUnavailable;
+        if is_shed {
             flight.settle(health::ResultKind::Shed);
-            self.verdict = self.verdict.combine(RunVerdict::MayHaveRun);
-            let can_go_on = self.is_idempotent && self.tried.len() < MOST_TRIES;
-            if can_go_on {
-                return Err(TryFailure {
-                    detail: "a target shed it".to_owned(),
-                    is_final: false,
-                });
-            }
         } else if response.status().is_server_error() {
             flight.settle(health::ResultKind::Errored);
         } else {
             flight.settle(health::ResultKind::Answered);
         }
-        outgoing::clean_answer(&mut response);
+        outgoing.clean_answer(&mut response);
         let body = response.take_body();
         let is_small = body.len().is_some_and(|length| length <= HOLD_BYTES);
+        if is_shed {
+            outgoing::set_body(&mut response, flight::tie(body, flight));
+            return Err(FailedTry {
+                detail: "a target shed it".to_owned(),
+                kind: retry::TryFailure::Shed,
+                is_final: false,
+                answer: Some(Box::new(response)),
+            });
+        }
         if !self.is_idempotent || !is_small || method == Method::Head {
             outgoing::set_body(&mut response, flight::tie(body, flight));
             return Ok(response);
@@ -199,7 +219,7 @@
         mut response: Response,
         body: Body,
         mut flight: TargetFlight,
-    ) -> Result<Response, TryFailure> {
+    ) -> Result<Response, FailedTry> {
         let mime = body.mime().clone();
         let left = self.deadline.since(clock::now());
         let read = async_std::future::timeout(left, body.into_bytes()).await;
@@ -212,16 +232,18 @@
             }
             Ok(Err(error)) => {
                 flight.settle(health::ResultKind::Errored);
-                self.verdict = self.verdict.combine(RunVerdict::Ran);
-                Err(TryFailure {
+                Err(FailedTry {
+                    kind: retry::TryFailure::Broken(RunVerdict::Ran),
+                    answer: None,
                     detail: format!("the answer broke off: {error}"),
                     is_final: false,
                 })
             }
             Err(_) => {
                 flight.settle(health::ResultKind::TimedOut);
-                self.verdict = self.verdict.combine(RunVerdict::Ran);
-                Err(TryFailure {
+                Err(FailedTry {
+                    kind: retry::TryFailure::Broken(RunVerdict::Ran),
+                    answer: None,
                     detail: "the answer came too slowly".to_owned(),
                     is_final: true,
                 })
@@ -229,12 +251,36 @@
         }
     }
 
-    /// Whether another target may be tried.
-    fn may_retry(&self, failure: &TryFailure, outgoing: &outgoing::OutgoingRequest) -> bool {
-        let is_safe = self.is_idempotent || self.verdict == RunVerdict::NotRun;
-        let has_time = clock::now() < self.deadline;
-        let may_go_on = is_safe && has_time && self.tried.len() < MOST_TRIES;
-        may_go_on && !failure.is_final && outgoing.can_repeat()
+    /// Whether another target may be tried; takes that try out of the service's budget, and notes
+    /// whether the request may have run.
+    fn may_retry(&mut self, failed: &FailedTry, outgoing: &outgoing::OutgoingRequest) -> bool {
+        let earlier = self.verdict;
+        self.verdict = earlier.combine(failed.kind.verdict());
+        if failed.is_final {
+            return false;
+        }
+        let question = retry::RetryQuestion {
+            idempotent: self.is_idempotent,
+            tries: u32::try_from(self.tried.len()).unwrap_or(u32::MAX),
+            failure: failed.kind,
+            earlier,
+            answer_begun: false,
+            body_kept: outgoing.can_repeat(),
+            deadline: deadline::RequestDeadline { at: self.deadline },
+        };
+        let options = retry::RetryOptions::default();
+        let decided =
+            self.budget(|budget| retry::decide(&question, &options, budget, clock::now()));
+        matches!(decided, retry::RetryDecision::Retry { .. })
+    }
+
+    /// What the caller gets where there is no other try: the target's own answer, or what is known.
+    fn give_up(&self, failed: FailedTry) -> Response {
+        let Some(answer) = failed.answer else {
+            return self.failure(&failed.detail);
+        };
+        self.shared.counters.count(counters::CounterKind::Answered);
+        *answer
     }
 
     /// The answer to a request that was tried and got none: what is known of it, said truly.
--- a/dahliawood-daemon/src/front/forward/outgoing.rs
+++ b/dahliawood-daemon/src/front/forward/outgoing.rs
@@ -19,6 +19,7 @@
 /// A request without its body, and the body for as long as it is at hand.
 pub struct OutgoingRequest {
     head: Request,
+    request_id: String,
     body: OutgoingBody,
 }
 
@@ -55,6 +56,7 @@
     };
     Ok(OutgoingRequest {
         head: request,
+        request_id,
         body,
     })
 }
@@ -107,6 +109,11 @@
         request
     }
 
+    /// Removes what concerns the target's connection only, and names the request.
+    pub fn clean_answer(&self, response: &mut Response) {
+        headers::prepare_answer(response, &self.request_id);
+    }
+
     /// The request's path and query at a target.
     fn url(&self, address: SocketAddr) -> Url {
         let mut url = self.head.url().clone();
@@ -117,11 +124,6 @@
     }
 }
 
-/// Removes what concerns the target's connection only.
-pub fn clean_answer(response: &mut Response) {
-    headers::remove_hop_by_hop(response.as_mut());
-}
-
 /// Sets the body of an answer, which gets no content type that the target did not give it.
 pub fn set_body(response: &mut Response, body: Body) {
     let had_type = response.header(CONTENT_TYPE).is_some();
--- a/dahliawood-daemon/src/front/mod.rs
+++ b/dahliawood-daemon/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The callers' side: takes connections, answers look-ups, forwards requests.
 
 pub mod api;
+pub mod budget;
 pub mod flight;
 pub mod forward;
 pub mod handler;
--- a/dahliawood-daemon/src/shared/mod.rs
+++ b/dahliawood-daemon/src/shared/mod.rs
@@ -1,6 +1,7 @@
 //! What the control thread and the traffic threads share.
 
 use crate::control::members;
+use crate::front::budget;
 use crate::{counters, desk, eventlog, settings, snapshot, waiters};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use dahliawood_model::keys::RegionKey;
@@ -33,6 +34,8 @@
     pub waiters: waiters::WaiterTable,
     /// Allowance.
     pub desk: desk::QuotaDesk,
+    /// What services may spend on second tries.
+    pub budgets: budget::BudgetTable,
     /// Connections to targets.
     pub pool: pool::TargetPool,
     targets: Mutex<Option<target::TargetTable>>,
@@ -67,6 +70,7 @@
             in_flight: AtomicUsize::new(0),
             waiters: waiters::WaiterTable::default(),
             desk: desk::QuotaDesk::default(),
+            budgets: budget::BudgetTable::default(),
             pool: pool::TargetPool::new(pool::PoolOptions::default()),
             targets: Mutex::new(None),
             phase: AtomicU64::new(0),
