feat(daemon): what goes between regions is paced, and drains move

Cause: a request that spilled to a target of another region was bounded by nothing on the link, and a drain over a time never took a step, since nobody ran it.

Change: a spill waits for the allowance of the link outward before it leaves, and its answer is read no faster than the allowance of the link homeward; the choice sees how much is free; drains are run each tick, recorded on the time line, and ask for the slots that their next step needs.

Not proved: what a target of another region has on the way, up to the receive windows, is above the cap; only a relay by a VM of that region would pace it where it is sent.

--- a/dahliawood-daemon/src/desk/mod.rs
+++ b/dahliawood-daemon/src/desk/mod.rs
@@ -4,7 +4,7 @@
 use dahliawood_model::FastMap;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::book::{self, effect};
-use dahliawood_quota::limit;
+use dahliawood_quota::{amount, limit};
 use futures::channel::oneshot;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -47,17 +47,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes one unit of a limit, waiting for a loan where that can come in time.
+    /// Takes an amount of a limit, such as bytes of a link, in the same way.
     ///
     /// # Errors
     /// Refused: when it may be worth another try.
-    pub async fn admit(
+    pub async fn admit_amount(
         &self,
         name: &str,
+        amount: amount::TokenAmount,
         deadline: TimeStamp,
         now: TimeStamp,
     ) -> Result<effect::QuotaPermit, Duration> {
-        let (wait, limit) = match self.ask(name, deadline, now)? {
+        let (wait, limit) = match self.ask(name, amount, deadline, now)? {
             AskOutcome::Granted(permit) => return Ok(permit),
             AskOutcome::Waiting(wait, limit) => (wait, limit),
         };
@@ -75,6 +76,21 @@
         }
     }
 
+    /// Takes one unit of a limit, such as a request of a customer, waiting for a loan where that can
+    /// come in time.
+    ///
+    /// # Errors
+    /// Refused: when it may be worth another try.
+    pub async fn admit(
+        &self,
+        name: &str,
+        deadline: TimeStamp,
+        now: TimeStamp,
+    ) -> Result<effect::QuotaPermit, Duration> {
+        self.admit_amount(name, amount::TokenAmount::ONE, deadline, now)
+            .await
+    }
+
     /// Takes one unit only where this VM has it at hand.
     pub fn try_admit(
         &self,
@@ -95,6 +111,22 @@
         }
     }
 
+    /// The part of its burst of a limit that this VM could take now, 0 to 1; 0 where it holds none.
+    pub fn free_share(&self, name: &str, now: TimeStamp) -> f64 {
+        let mut state = self.lock();
+        let Some(book) = state.book.as_mut() else {
+            return 0.0;
+        };
+        let Some(limit) = book.limit(name) else {
+            return 0.0;
+        };
+        let burst = book.share(limit).burst().micros;
+        if burst == 0 {
+            return 0.0;
+        }
+        (book.available(limit, now).micros as f64 / burst as f64).min(1.0)
+    }
+
     /// Gives back a unit of a count.
     pub fn release(&self, permit: effect::QuotaPermit, now: TimeStamp) {
         let has_backlog = self.lock().release(permit, now);
@@ -110,11 +142,17 @@
         }
     }
 
-    fn ask(&self, name: &str, deadline: TimeStamp, now: TimeStamp) -> Result<AskOutcome, Duration> {
+    fn ask(
+        &self,
+        name: &str,
+        amount: amount::TokenAmount,
+        deadline: TimeStamp,
+        now: TimeStamp,
+    ) -> Result<AskOutcome, Duration> {
         let mut state = self.lock();
         let book = state.book.as_mut().ok_or(RETRY_UNKNOWN)?;
         let limit = book.limit(name).ok_or(RETRY_UNKNOWN)?;
-        match book.admit(limit, deadline, now) {
+        match book.admit_amount(limit, amount, deadline, now) {
             effect::Admission::Granted(permit) => Ok(AskOutcome::Granted(permit)),
             effect::Admission::Refused { retry_after } => Err(retry_after),
             effect::Admission::Waiting { ticket, .. } => {
--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -10,11 +10,11 @@
 
 use crate::front::flight::{self, TargetFlight};
 use crate::front::refusal::RefusalCause;
-use crate::front::target_call;
+use crate::front::{pace, target_call};
 use crate::{clock, counters, shared, snapshot};
 use dahliawood_fate::verdict::RunVerdict;
 use dahliawood_fate::{deadline, retry};
-use dahliawood_model::keys::{CustomerKey, RouteKey, ServiceKey, TargetKey};
+use dahliawood_model::keys::{CustomerKey, RegionKey, RouteKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::health;
 use dahliawood_wire::problem;
@@ -25,6 +25,8 @@
 
 /// The longest answer that is read whole before it goes out, bytes.
 const HOLD_BYTES: usize = 256 * 1024;
+/// What a request's head is counted as on a link, bytes.
+const HEAD_ALLOWANCE_BYTES: u64 = 2 * 1024;
 /// When a caller whose request failed at a target may come back.
 const RETRY_FAILED: Duration = Duration::from_secs(1);
 
@@ -156,6 +158,7 @@
         let left = self.deadline.since(clock::now());
         let method = outgoing.method();
         let request = outgoing.request(address, left);
+        let request = self.paced_request(request, flight.target).await;
         let call = target_call::CallOptions {
             address,
             is_retry: self.tried.len() > 1,
@@ -178,6 +181,40 @@
         self.answer(response, method, flight, outgoing).await
     }
 
+    /// The links to a target of another region, `None` for one of this VM's own.
+    fn far_links(&self, target: TargetKey) -> Option<pace::FarLinks> {
+        let config = &self.snapshot.state.config;
+        let (home, far) = (self.snapshot.state.home, config.target_region(target));
+        let name = |from: RegionKey, to: RegionKey| {
+            let (from, to) = (&config.regions[from].name, &config.regions[to].name);
+            format!("link/{from}>{to}")
+        };
+        (home != far).then(|| pace::FarLinks {
+            outward: name(home, far),
+            homeward: name(far, home),
+        })
+    }
+
+    /// A request that leaves the region no faster than the link's allowance.
+    async fn paced_request(&self, mut request: Request, target: TargetKey) -> Request {
+        let Some(links) = self.far_links(target) else {
+            return request;
+        };
+        pace::wait(&self.shared, &links.outward, HEAD_ALLOWANCE_BYTES).await;
+        let body = request.take_body();
+        let body = pace::paced(&self.shared, &links.outward, body);
+        outgoing::set_request_body(&mut request, body);
+        request
+    }
+
+    /// An answer that is read no faster than the link's allowance.
+    fn paced_answer(&self, body: Body, target: TargetKey) -> Body {
+        match self.far_links(target) {
+            Some(links) => pace::paced(&self.shared, &links.homeward, body),
+            None => body,
+        }
+    }
+
     /// Takes the answer's head, and its body too where it is small.
     async fn answer(
         &mut self,
@@ -195,7 +232,7 @@
             flight.settle(health::ResultKind::Answered);
         }
         outgoing.clean_answer(&mut response);
-        let body = response.take_body();
+        let body = self.paced_answer(response.take_body(), flight.target);
         let is_small = body.len().is_some_and(|length| length <= HOLD_BYTES);
         if is_shed {
             outgoing::set_body(&mut response, flight::tie(body, flight));
--- a/dahliawood-daemon/src/front/forward/outgoing.rs
+++ b/dahliawood-daemon/src/front/forward/outgoing.rs
@@ -4,7 +4,7 @@
 use crate::front::refusal::RefusalCause;
 use async_std::future::timeout;
 use dahliawood_wire::headers;
-use http_types::headers::{CONTENT_TYPE, HOST};
+use http_types::headers::{CONTENT_TYPE, HOST, Headers};
 use http_types::{Body, Method, Request, Response, Url};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -94,18 +94,14 @@
         }
         let millis = left.as_millis();
         request.insert_header(TIMEOUT_HEADER, millis.to_string());
-        let had_type = request.header(CONTENT_TYPE).is_some();
         match std::mem::replace(&mut self.body, OutgoingBody::Gone) {
             OutgoingBody::Kept(bytes) => {
-                request.set_body(Body::from_bytes(bytes.clone()));
+                set_request_body(&mut request, Body::from_bytes(bytes.clone()));
                 self.body = OutgoingBody::Kept(bytes);
             }
-            OutgoingBody::Streamed(body) => request.set_body(body),
+            OutgoingBody::Streamed(body) => set_request_body(&mut request, body),
             OutgoingBody::Gone => {}
         }
-        if !had_type {
-            request.remove_header(CONTENT_TYPE);
-        }
         request
     }
 
@@ -126,9 +122,19 @@
 
 /// Sets the body of an answer, which gets no content type that the target did not give it.
 pub fn set_body(response: &mut Response, body: Body) {
-    let had_type = response.header(CONTENT_TYPE).is_some();
-    response.set_body(body);
+    keep_type(response, |response| response.set_body(body));
+}
+
+/// Sets the body of a request, which gets no content type that the caller did not give it.
+pub fn set_request_body(request: &mut Request, body: Body) {
+    keep_type(request, |request| request.set_body(body));
+}
+
+/// Sets a message's body without the content type that the body would bring.
+fn keep_type<M: AsMut<Headers>>(message: &mut M, set: impl FnOnce(&mut M)) {
+    let had_type = message.as_mut().get(CONTENT_TYPE).is_some();
+    set(message);
     if !had_type {
-        response.remove_header(CONTENT_TYPE);
+        message.as_mut().remove(CONTENT_TYPE);
     }
 }
--- a/dahliawood-daemon/src/front/mod.rs
+++ b/dahliawood-daemon/src/front/mod.rs
@@ -6,5 +6,6 @@
 pub mod forward;
 pub mod handler;
 pub mod listen;
+pub mod pace;
 pub mod refusal;
 pub mod target_call;
--- a/dahliawood-daemon/src/shared/mod.rs
+++ b/dahliawood-daemon/src/shared/mod.rs
@@ -2,12 +2,13 @@
 
 use crate::control::members;
 use crate::front::budget;
-use crate::{counters, desk, eventlog, settings, snapshot, waiters};
+use crate::{clock, counters, desk, eventlog, settings, snapshot, waiters};
 use arc_swap::{ArcSwap, ArcSwapOption};
+use dahliawood_model::FastMap;
 use dahliawood_model::keys::RegionKey;
 use dahliawood_model::tables;
 use dahliawood_quota::member;
-use dahliawood_steer::{choice, target};
+use dahliawood_steer::{choice, drain, target};
 use dahliawood_wire::pool;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -39,6 +40,7 @@
     /// Connections to targets.
     pub pool: pool::TargetPool,
     targets: Mutex<Option<target::TargetTable>>,
+    drain_steps: Mutex<FastMap<tables::DrainSubject, drain::DrainStep>>,
     phase: AtomicU64,
 }
 
@@ -73,6 +75,7 @@
             budgets: budget::BudgetTable::default(),
             pool: pool::TargetPool::new(pool::PoolOptions::default()),
             targets: Mutex::new(None),
+            drain_steps: Mutex::default(),
             phase: AtomicU64::new(0),
             settings,
         }
@@ -99,10 +102,18 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The last step of each drain, for the time line.
+    pub fn drain_steps(&self) -> MutexGuard<'_, FastMap<tables::DrainSubject, drain::DrainStep>> {
+        self.drain_steps
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Headroom on the way to another region and back.
     ///
-    /// Links are not measured yet: a declared one counts as free, and the region's own slots bound
-    /// what goes there.
+    /// The way there is measured by what this VM may send on the link now; the way back is paced by
+    /// the same kind of allowance, which this VM does not hold and so cannot see. The region's own
+    /// slots bound what runs there.
     pub fn spill_room(&self, config: &tables::FleetConfig, region: RegionKey) -> choice::SpillRoom {
         let home = config
             .domains
@@ -112,12 +123,16 @@
         };
         let is_linked = config.link_between(home.region, region).is_some()
             && config.link_between(region, home.region).is_some();
-        match is_linked {
-            true => choice::SpillRoom {
-                link: 1.0,
-                region: 1.0,
-            },
-            false => choice::SpillRoom::NONE,
+        if !is_linked {
+            return choice::SpillRoom::NONE;
         }
+        let (from, to) = (
+            &config.regions[home.region].name,
+            &config.regions[region].name,
+        );
+        let link = self
+            .desk
+            .free_share(&format!("link/{from}>{to}"), clock::now());
+        choice::SpillRoom { link, region: 1.0 }
     }
 }
--- a/dahliawood-daemon/src/slots/mod.rs
+++ b/dahliawood-daemon/src/slots/mod.rs
@@ -5,13 +5,17 @@
 use crate::front::refusal::RefusalCause;
 use crate::waiters::{DispatchStep, WaitingTry};
 use crate::{clock, shared};
+use dahliawood_events::kind;
 use dahliawood_model::keys::{RegionKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::tables;
-use dahliawood_steer::{choice, queue};
+use dahliawood_steer::{choice, drain, queue};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How long an ask for a slot that a drain needs may take.
+const DRAIN_ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// One try that wants a slot now.
 #[derive(Clone, Copy, Debug)]
 pub struct SlotQuery<'a> {
@@ -160,6 +164,7 @@
     };
     let config = &snapshot.state.config;
     refresh_limits(shared, config);
+    tick_drains(shared, config);
     let now = clock::now();
     for service in shared.waiters.services() {
         dispatch(shared, service);
@@ -192,22 +197,73 @@
 /// run; that of one slot at least.
 pub fn per_second(shared: &shared::SharedState, service: ServiceKey) -> f64 {
     let guard = shared.targets();
-    let assumed = choice::ASSUMED_SERVICE.as_micros() as f64;
-    let rate = |state: &dahliawood_steer::target::TargetState| {
-        let measured = state.health.samples > 0;
-        let latency = if measured {
-            state.health.latency_us.max(1.0)
-        } else {
-            assumed
-        };
-        f64::from(state.limit) * 1e6 / latency
+    let held = guard
+        .as_ref()
+        .map_or(0.0, |table| choice::slot_rate(table.service(service)));
+    held.max(1.0 / choice::ASSUMED_SERVICE.as_secs_f64())
+}
+
+/// Runs the drains in force, and records what they did.
+fn tick_drains(shared: &Arc<shared::SharedState>, config: &tables::FleetConfig) {
+    let room = |region: RegionKey| shared.spill_room(config, region);
+    let events = match shared.targets().as_mut() {
+        Some(table) => drain::tick(table, &room, clock::now()),
+        None => return,
     };
-    let held: f64 = guard
-        .iter()
-        .flat_map(|table| table.service(service))
-        .map(rate)
-        .sum();
-    held.max(1e6 / assumed)
+    for event in &events {
+        record_drain(shared, config, event);
+        ask_for_drain(shared, config, event.wanted);
+    }
+}
+
+/// Records each step that was taken, and each change to another kind of step.
+fn record_drain(
+    shared: &shared::SharedState,
+    config: &tables::FleetConfig,
+    event: &drain::DrainEvent,
+) {
+    if event.step == drain::DrainStep::Waiting {
+        return;
+    }
+    let last = shared.drain_steps().insert(event.subject, event.step);
+    if last == Some(event.step) && event.step != drain::DrainStep::Moved {
+        return;
+    }
+    let subject = subject_name(config, event.subject);
+    let step = event.step.to_string();
+    shared
+        .events
+        .record(kind::EventKind::DrainStepped { subject, step });
+}
+
+/// Asks for a loan of the slot that a drain needs elsewhere; once it is there, the next step fits.
+fn ask_for_drain(
+    shared: &Arc<shared::SharedState>,
+    config: &tables::FleetConfig,
+    wanted: Option<TargetKey>,
+) {
+    let Some(target) = wanted else { return };
+    let name = limit_name(&config.targets[target]);
+    let shared = Arc::clone(shared);
+    async_std::task::spawn(async move {
+        let now = clock::now();
+        let admitted = shared
+            .desk
+            .admit(&name, now.after(DRAIN_ASK_TIMEOUT), now)
+            .await;
+        if let Ok(permit) = admitted {
+            shared.desk.release(permit, clock::now());
+        }
+    });
+}
+
+/// What a drain is about, as an operator names it.
+fn subject_name(config: &tables::FleetConfig, subject: tables::DrainSubject) -> String {
+    match subject {
+        tables::DrainSubject::Target(key) => format!("target {}", config.targets[key].name),
+        tables::DrainSubject::Domain(key) => format!("domain {}", config.domains[key].name),
+        tables::DrainSubject::Region(key) => format!("region {}", config.regions[key].name),
+    }
 }
 
 /// Joins the queue for a service; the turn comes through the receiver of `entry`.
--- a/dahliawood-events/src/kind/mod.rs
+++ b/dahliawood-events/src/kind/mod.rs
@@ -81,6 +81,14 @@
         /// Which.
         target: String,
     },
+    /// A drain took, held or took back a step.
+    #[display("drain of {subject}: {step}")]
+    DrainStepped {
+        /// What is draining.
+        subject: String,
+        /// What it did.
+        step: String,
+    },
     /// A target was ejected.
     #[display("target {target} ejected")]
     TargetEjected {
@@ -133,6 +141,7 @@
             Self::KeyWithdrawn { .. } => "key-withdrawn",
             Self::ShareMoved { .. } => "share-moved",
             Self::TargetDrained { .. } => "target-drained",
+            Self::DrainStepped { .. } => "drain-stepped",
             Self::TargetEjected { .. } => "target-ejected",
             Self::TargetReturned { .. } => "target-returned",
             Self::RegionShifted { .. } => "region-shifted",
--- a/dahliawood-testkit/examples/measure/lookup/loopback.rs
+++ b/dahliawood-testkit/examples/measure/lookup/loopback.rs
@@ -31,9 +31,9 @@
         vms: 3,
         delay: Duration::ZERO,
     };
-    let (fleet, bare) = match (fleet::start(&options).await, bare_server().await) {
-        (Ok(fleet), Ok(bare)) => (fleet, bare),
-        _ => return report.figure("lookup.http.started", 0.0, "-", FigureTarget::AtLeast(1.0)),
+    let started = (fleet::start(&options).await, bare_server().await);
+    let (Ok(fleet), Ok(bare)) = started else {
+        return report.figure("lookup.http.started", 0.0, "-", FigureTarget::AtLeast(1.0));
     };
     let plan = |address, path: &str| exchange::ExchangePlan {
         address,
