--- a/dahliawood-store/src/acceptance/drive/mod.rs
+++ b/dahliawood-store/src/acceptance/drive/mod.rs
@@ -59,8 +59,8 @@
 
 /// Says what became of a write whose `apply` has ended.
 ///
-/// A write that is still proposed stays [`super::ApplyOutcome::Unknown`] until it is resumed. One that is
-/// not there is kept from arriving later, so its `NotApplied` is final.
+/// A write that is still proposed stays [`super::ApplyOutcome::Unknown`] until it is resumed. One
+/// that is not there is kept from arriving later, so its `NotApplied` is final.
 pub async fn ask(
     client: &client::StoreClient,
     write_id: &head::WriteId,
