--- a/dahliawood-quota/src/shares/evidence/mod.rs
+++ b/dahliawood-quota/src/shares/evidence/mod.rs
@@ -20,6 +20,8 @@
 //! Where more than half of the members die at once, they cannot be declared silent before they were
 //! replaced at their addresses.
 
+mod reclaim;
+
 use crate::{member, message, options};
 use dahliawood_model::{FastMap, stamp};
 use std::time::Duration;
@@ -27,8 +29,6 @@
 /// Parts of [`options::QuotaOptions::blind_stop`] between two probes, and after which the answers
 /// to a probe are too old to act on.
 const PROBES_PER_STOP: u32 = 4;
-/// Parts of [`options::QuotaOptions::absence_hold`] for which an asked VM may take to answer.
-const ANSWERS_PER_HOLD: u32 = 4;
 
 /// How long a member has been absent from the live list, by this VM's readings.
 #[derive(Clone, Copy, Debug)]
@@ -155,41 +155,6 @@
         }
     }
 
-    /// Whether the answers to a poll leave `subject` no majority in any membership that it may know.
-    ///
-    /// Members stand in the order in which they joined, so every older membership is a beginning of
-    /// `members`. The subject knows each that this VM saw a hold time before it last
-    /// read the subject in the live list.
-    fn outvotes(
-        &self,
-        subject: member::HolderId,
-        agreed: &[member::HolderId],
-        members: &[member::MemberEntry],
-        spans: &options::QuotaOptions,
-        now: stamp::TimeStamp,
-    ) -> bool {
-        let is_recent = |at: &&stamp::TimeStamp| now < at.after(spans.absence_hold);
-        let removed = self.removed_at.values().filter(is_recent).count();
-        let Some(listed_at) = self.listed_at.get(&subject) else {
-            return false;
-        };
-        let since = listed_at.before(spans.absence_hold);
-        let is_old = |id: &member::HolderId| self.seen_at.get(id).is_some_and(|at| *at <= since);
-        let joined = members.iter().position(|member| member.id == subject);
-        let Some(joined) = joined.filter(|_| self.read_at.is_some_and(|at| at <= since)) else {
-            return false;
-        };
-        (joined..members.len()).all(|last| {
-            let is_outdated = members.get(last + 1).is_some_and(|next| is_old(&next.id));
-            let known = &members[..=last];
-            let against = known
-                .iter()
-                .filter(|member| agreed.contains(&member.id))
-                .count();
-            is_outdated || known.len() + removed <= against * 2
-        })
-    }
-
     /// Notes that a message from `from` arrived.
     pub fn hear(&mut self, from: member::HolderId, now: stamp::TimeStamp) {
         self.heard_at.insert(from, now);
@@ -266,45 +231,6 @@
             .is_some_and(|until| now < *until)
     }
 
-    /// How long `subject` has been silent, nothing where it was not asked in vain.
-    fn declare_silence(
-        &mut self,
-        subject: member::HolderId,
-        spans: &options::QuotaOptions,
-        now: stamp::TimeStamp,
-    ) -> Duration {
-        let heard_at = self.heard_at.get(&subject).copied().unwrap_or_default();
-        let heard_at = heard_at.max(self.started_at);
-        let asked_at = self
-            .asked_at
-            .get(&subject)
-            .filter(|asked| heard_at <= **asked);
-        let answer = spans.absence_hold / ANSWERS_PER_HOLD;
-        let in_vain = asked_at.is_some_and(|asked| asked.after(answer) <= now);
-        if subject == self.me || !in_vain || now.since(heard_at) < spans.absence_hold {
-            return Duration::ZERO;
-        }
-        self.declared_until
-            .insert(subject, now.after(spans.absence_hold));
-        now.since(heard_at)
-    }
-
-    /// The probe that asks `subject` for a sign of life, where it was not asked since it was heard.
-    pub fn ask_subject(
-        &mut self,
-        subject: member::HolderId,
-        now: stamp::TimeStamp,
-    ) -> Option<DueProbe> {
-        let heard_at = self.heard_at.get(&subject).copied().unwrap_or_default();
-        let asked_at = self.asked_at.get(&subject);
-        if subject == self.me || asked_at.is_some_and(|asked| heard_at <= *asked) {
-            return None;
-        }
-        self.asked_at.insert(subject, now);
-        let probe = self.next_probe(None);
-        Some(DueProbe { to: subject, probe })
-    }
-
     /// Takes the answer to a probe of this VM.
     pub fn take_echo(
         &mut self,
@@ -353,11 +279,6 @@
         due
     }
 
-    fn is_absent(&self, member: &member::MemberEntry, spans: &options::QuotaOptions) -> bool {
-        let span = self.absences.get(&member.id);
-        span.is_some_and(|span| span.is_ripe(member, spans))
-    }
-
     fn probe_self(
         &mut self,
         members: &[member::MemberEntry],
@@ -379,29 +300,6 @@
         due.extend(probe_members(members, self.me, probe));
     }
 
-    fn poll_subject(
-        &mut self,
-        subject: member::HolderId,
-        members: &[member::MemberEntry],
-        spans: &options::QuotaOptions,
-        due: &mut Vec<DueProbe>,
-        now: stamp::TimeStamp,
-    ) {
-        due.extend(self.ask_subject(subject, now));
-        let every = spans.blind_stop / PROBES_PER_STOP;
-        let is_open = |probe: &OpenProbe| now < probe.sent_at.after(every);
-        if self.polls.get(&subject).is_some_and(is_open) {
-            return;
-        }
-        let probe = self.next_probe(Some(subject));
-        let mut open = open_probe(probe, now);
-        if spans.absence_hold <= self.declare_silence(subject, spans, now) {
-            open.agreed.push(self.me);
-        }
-        self.polls.insert(subject, open);
-        due.extend(probe_members(members, self.me, probe));
-    }
-
     fn next_probe(&mut self, subject: Option<member::HolderId>) -> message::PeerProbe {
         self.last_serial += 1;
         message::PeerProbe {
@@ -409,31 +307,6 @@
             subject,
         }
     }
-
-    /// Members whose shares may be reclaimed at `now`.
-    pub fn gone(
-        &self,
-        members: &[member::MemberEntry],
-        spans: &options::QuotaOptions,
-        now: stamp::TimeStamp,
-    ) -> Vec<member::HolderId> {
-        let is_gone = |member: &member::MemberEntry| {
-            let poll = self.polls.get(&member.id);
-            let is_agreed = poll.is_some_and(|poll| {
-                is_fresh(poll, spans, now)
-                    && self.outvotes(member.id, &poll.agreed, members, spans, now)
-            });
-            self.is_absent(member, spans) && is_agreed
-        };
-        let replaced_at = self.started_at.after(spans.longest_out());
-        let is_replaced = |id: member::HolderId| {
-            id.address == self.me.address && id != self.me && replaced_at <= now
-        };
-        let gone = members
-            .iter()
-            .filter(|member| is_gone(member) || is_replaced(member.id));
-        gone.map(|member| member.id).collect()
-    }
 }
 
 fn is_fresh(poll: &OpenProbe, spans: &options::QuotaOptions, now: stamp::TimeStamp) -> bool {
