feat(daemon): a VM that is cut off from everything takes no work; store calls within a share

Cause: a VM that reached neither the store nor another VM kept serving by its old file, where a withdrawn key still worked; and nothing held a daemon to its share of the store's calls. Change: such a VM refuses at once, not run, and says so in its health answer and on the time line; calls on the platform go through the budget, divided by the members of the live list.

--- a/dahliawood-daemon/src/control/allowance/mod.rs
+++ b/dahliawood-daemon/src/control/allowance/mod.rs
@@ -165,7 +165,7 @@
             wait: WATCH_WAIT,
         })
         .await;
-        state.borrow_mut().note_store(watched.is_ok());
+        state.borrow_mut().note_store(is_answered(&watched));
         match watched {
             Ok(entry) if entry.version == after => {}
             Ok(entry) => {
@@ -177,11 +177,19 @@
     }
 }
 
+/// Whether the store answered a call, be it with a refusal.
+fn is_answered<T>(result: &Result<T, client::error::StoreError>) -> bool {
+    result
+        .as_ref()
+        .err()
+        .is_none_or(client::error::StoreError::is_answer)
+}
+
 /// Reads the share document and passes it on.
 async fn read_shares(state: Rc<RefCell<ControlState>>) {
     let store = state.borrow().store.clone();
     let read = (store.get)(SHARES_KEY.to_owned()).await;
-    state.borrow_mut().note_store(read.is_ok());
+    state.borrow_mut().note_store(is_answered(&read));
     if let Ok(entry) = read {
         take_entry(&state, &entry);
     }
@@ -232,9 +240,7 @@
         lease: None,
     };
     let written = (store.put)(call).await;
-    let is_answered =
-        !matches!(&written, Err(error) if error.effect() == client::error::WriteEffect::Possible);
-    state.borrow_mut().note_store(is_answered);
+    state.borrow_mut().note_store(is_answered(&written));
     let outcome = match written {
         Ok(version) => holder::WriteOutcome::Applied(document::ShareVersion(version)),
         Err(error) if error.effect() == client::error::WriteEffect::Possible => {
--- a/dahliawood-daemon/src/control/live/mod.rs
+++ b/dahliawood-daemon/src/control/live/mod.rs
@@ -18,6 +18,7 @@
         match (store.live)(()).await {
             Ok(list) => {
                 state.borrow_mut().members.take_live(&list);
+                state.borrow().share_calls();
                 beat_to_new(&state);
                 allowance::take_live(&state.borrow(), read_at);
             }
--- a/dahliawood-daemon/src/control/mod.rs
+++ b/dahliawood-daemon/src/control/mod.rs
@@ -22,11 +22,11 @@
 use dahliawood_events::kind;
 use dahliawood_model::FastSet;
 use dahliawood_peer::{message, server};
-use dahliawood_store::{client, revision};
+use dahliawood_store::{budget, client, revision};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
 /// What the control thread knows.
@@ -39,6 +39,8 @@
     pub beating: FastSet<SocketAddr>,
     /// The key-value service.
     pub store: client::StoreClient,
+    /// This VM's share of the calls on the store.
+    pub calls: Arc<Mutex<budget::CallBudget>>,
     /// The revision in force.
     pub keeper: revision::SharedKeeper,
     /// Connections to other VMs.
@@ -55,6 +57,8 @@
     pub store: client::StoreClient,
     /// Where other VMs are answered.
     pub listener: TcpListener,
+    /// This VM's share of the calls on the store.
+    pub calls: Arc<Mutex<budget::CallBudget>>,
     /// The revision in force.
     pub keeper: revision::SharedKeeper,
     /// Sends metrics.
@@ -74,6 +78,13 @@
             .any(|known| known.peer == member.peer)
     }
 
+    /// Divides the calls on the store by the members there are now.
+    pub fn share_calls(&self) {
+        let count = self.members.members().len().max(1);
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.set_live_vms(count);
+    }
+
     /// Takes note of whether the store answered a call.
     pub fn note_store(&mut self, is_up: bool) {
         self.shared
@@ -95,6 +106,11 @@
         }
     }
 
+    /// Whether the store answered last time.
+    pub fn is_store_up(&self) -> bool {
+        self.is_store_up
+    }
+
     /// Publishes the members to the traffic threads.
     pub fn publish_members(&self) {
         self.shared
@@ -124,6 +140,7 @@
         beating: FastSet::default(),
         store: options.store.clone(),
         peers: peers::PeerTable::default(),
+        calls: options.calls,
         keeper: options.keeper.clone(),
         is_store_up: true,
     }));
--- a/dahliawood-daemon/src/control/tick/mod.rs
+++ b/dahliawood-daemon/src/control/tick/mod.rs
@@ -12,10 +12,14 @@
 /// Time between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// A VM that has heard no other one for this long, and no store, is isolated.
+const ISOLATED_AFTER: Duration = Duration::from_secs(3);
+
 /// Ticks until the task is cancelled.
 pub async fn run(state: Rc<RefCell<ControlState>>, mut metrics: counters::MetricSender) {
     loop {
         judge(&mut state.borrow_mut());
+        judge_isolation(&state.borrow());
         metrics.send(&state.borrow().shared.counters);
         task::sleep(TICK_INTERVAL).await;
     }
@@ -33,6 +37,30 @@
     state.publish_members();
 }
 
+/// Stops taking work where neither the store answers nor any other VM is heard; what is accepted
+/// elsewhere, a withdrawn key among it, could not reach this VM then.
+fn judge_isolation(state: &ControlState) {
+    let shared = &state.shared;
+    let now = clock::now();
+    let others = || {
+        let members = state.members.members().iter();
+        members.filter(|member| member.name != shared.settings.name)
+    };
+    let is_heard = |member: &members::VmMember| {
+        let heard = member.heard;
+        heard.is_some_and(|heard| now.since(heard) <= ISOLATED_AFTER)
+    };
+    let is_alone = others().next().is_some() && !others().any(is_heard);
+    let is_isolated = is_alone && !state.is_store_up();
+    if shared.set_isolated(is_isolated) {
+        let kind = match is_isolated {
+            true => kind::EventKind::VmIsolated,
+            false => kind::EventKind::VmRejoined,
+        };
+        shared.events.record(kind);
+    }
+}
+
 /// Records a member's change.
 fn record(shared: &shared::SharedState, member: &members::VmMember) {
     let vm = member.name.clone();
--- a/dahliawood-daemon/src/front/handler/mod.rs
+++ b/dahliawood-daemon/src/front/handler/mod.rs
@@ -59,6 +59,7 @@
     request: &Request,
     client: SocketAddr,
 ) -> Result<Response, RefusalCause> {
+    check_phase(shared)?;
     let snapshot = shared.snapshot.load();
     let snapshot = snapshot.as_ref().ok_or(RefusalCause::Starting)?;
     if request.url().path() != api::LOOKUP_PATH {
@@ -77,6 +78,7 @@
     request: Request,
     client: SocketAddr,
 ) -> Result<Response, RefusalCause> {
+    check_phase(shared)?;
     let snapshot = shared.snapshot.load_full().ok_or(RefusalCause::Starting)?;
     let route = route_of(&snapshot.state, &request)?;
     let customer = caller_of(&snapshot, &request, route, client)?;
@@ -92,6 +94,15 @@
     forward::run(Arc::clone(shared), snapshot, admitted).await
 }
 
+/// Whether the VM may take work; one that is leaving does, for callers with older answers.
+fn check_phase(shared: &shared::SharedState) -> Result<(), RefusalCause> {
+    match shared.phase() {
+        shared::DaemonPhase::Starting => Err(RefusalCause::Starting),
+        shared::DaemonPhase::Isolated => Err(RefusalCause::Isolated),
+        shared::DaemonPhase::Serving | shared::DaemonPhase::Leaving => Ok(()),
+    }
+}
+
 /// The route of a request.
 fn route_of(state: &snapshot::ConfigState, request: &Request) -> Result<RouteKey, RefusalCause> {
     match state.route(request.method().as_ref(), request.url().path()) {
--- a/dahliawood-daemon/src/front/refusal/mod.rs
+++ b/dahliawood-daemon/src/front/refusal/mod.rs
@@ -14,6 +14,8 @@
 pub enum RefusalCause {
     /// This VM knows no configuration yet.
     Starting,
+    /// This VM is cut off from the store and from all others.
+    Isolated,
     /// No route has this path.
     NoRoute,
     /// No route of this path has this method.
@@ -74,7 +76,7 @@
     fn into_document(self) -> problem::ProblemDocument {
         let (status, name, title) = self.kind();
         let retry_after = match &self {
-            Self::Starting => Some(RETRY_OTHER_VM),
+            Self::Starting | Self::Isolated => Some(RETRY_OTHER_VM),
             Self::OverRate(wait) | Self::Busy(wait) => Some(*wait),
             Self::NoTarget { retry_after, .. } => Some(*retry_after),
             _ => None,
@@ -103,6 +105,7 @@
                 "starting",
                 "This VM is starting",
             ),
+            Self::Isolated => (Status::ServiceUnavailable, "isolated", "This VM is cut off"),
             Self::NoRoute => (Status::NotFound, "no-route", "No such route"),
             Self::OtherMethod => (Status::MethodNotAllowed, "no-method", "No such method here"),
             Self::NoService => (Status::NotFound, "no-service", "No such service"),
@@ -133,6 +136,7 @@
     fn detail(&self) -> &'static str {
         match self {
             Self::Starting => "no configuration is known to this VM yet; ask another one",
+            Self::Isolated => "this VM could miss a withdrawn key; ask another one",
             Self::NoRoute => "no declared route covers this path",
             Self::OtherMethod => "the routes that cover this path take other methods",
             Self::NoService => "the operators' file declares no such service",
--- a/dahliawood-daemon/src/run/mod.rs
+++ b/dahliawood-daemon/src/run/mod.rs
@@ -11,11 +11,11 @@
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::book::QuotaBook;
 use dahliawood_quota::member;
-use dahliawood_store::client;
+use dahliawood_store::{budget, client, clock as store_clock};
 use snafu::ResultExt;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -27,6 +27,8 @@
 
 /// How long the shutdown waits until its shares are given up; later they are reclaimed by others.
 const RELEASE_LIMIT: Duration = Duration::from_secs(5);
+/// VMs that share the calls on the store, until the live list was read.
+const VMS_ASSUMED: usize = 16;
 /// Questions to the control thread that may wait.
 const MOST_QUESTIONS: usize = 64;
 
@@ -71,7 +73,12 @@
         .local_addr()
         .context(error::BindSnafu { address: listen })?;
     let metrics = counters::MetricSender::new(settings.statsd).context(error::MetricsSnafu)?;
-    let store = platform(&settings);
+    let calls = Arc::new(Mutex::new(budget::CallBudget::new(
+        budget::BudgetOptions::default(),
+        VMS_ASSUMED,
+        clock::now(),
+    )));
+    let store = platform(&settings, &calls);
     let incarnation = clock::wall_micros();
     let me = member::HolderId {
         address: peer_listen,
@@ -89,6 +96,7 @@
         store: store.clone(),
         listener: peer,
         keeper: keeper.clone(),
+        calls,
         metrics,
         questions,
         stop: stopped,
@@ -111,13 +119,17 @@
     })
 }
 
-/// The platform's two services as one client.
-fn platform(settings: &settings::DaemonSettings) -> client::StoreClient {
+/// The platform's two services as one client, within this VM's share of the fleet's calls.
+fn platform(
+    settings: &settings::DaemonSettings,
+    calls: &Arc<Mutex<budget::CallBudget>>,
+) -> client::StoreClient {
     let live_list = client::http(client::HttpOptions::new(settings.live_list));
-    client::StoreClient {
+    let platform = client::StoreClient {
         live: live_list.live,
         ..client::http(client::HttpOptions::new(settings.store))
-    }
+    };
+    budget::limit(&platform, calls, &store_clock::boot())
 }
 
 /// Binds an address.
--- a/dahliawood-daemon/src/shared/mod.rs
+++ b/dahliawood-daemon/src/shared/mod.rs
@@ -10,7 +10,7 @@
 use dahliawood_quota::member;
 use dahliawood_steer::{choice, drain, target};
 use dahliawood_wire::pool;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// State of one daemon, behind an `Arc`.
@@ -41,6 +41,7 @@
     pub pool: pool::TargetPool,
     targets: Mutex<Option<target::TargetTable>>,
     drain_steps: Mutex<FastMap<tables::DrainSubject, drain::DrainStep>>,
+    is_isolated: AtomicBool,
     phase: AtomicU64,
 }
 
@@ -54,6 +55,10 @@
     /// It serves.
     #[display("serving")]
     Serving,
+    /// It reaches neither the store nor another VM, so that it could miss a withdrawn key, and takes
+    /// no work.
+    #[display("isolated")]
+    Isolated,
     /// It finishes what is in flight.
     #[display("leaving")]
     Leaving,
@@ -76,6 +81,7 @@
             pool: pool::TargetPool::new(pool::PoolOptions::default()),
             targets: Mutex::new(None),
             drain_steps: Mutex::default(),
+            is_isolated: AtomicBool::new(false),
             phase: AtomicU64::new(0),
             settings,
         }
@@ -86,10 +92,18 @@
         if self.phase.load(Ordering::Acquire) == 1 {
             return DaemonPhase::Leaving;
         }
-        match self.snapshot.load().is_some() {
-            true => DaemonPhase::Serving,
-            false => DaemonPhase::Starting,
+        if self.snapshot.load().is_none() {
+            return DaemonPhase::Starting;
         }
+        match self.is_isolated.load(Ordering::Acquire) {
+            true => DaemonPhase::Isolated,
+            false => DaemonPhase::Serving,
+        }
+    }
+
+    /// Sets whether the VM is cut off from everything; says whether that is a change.
+    pub fn set_isolated(&self, is_isolated: bool) -> bool {
+        self.is_isolated.swap(is_isolated, Ordering::AcqRel) != is_isolated
     }
 
     /// Begins the shutdown; says whether it had begun before.
--- a/dahliawood-events/src/kind/mod.rs
+++ b/dahliawood-events/src/kind/mod.rs
@@ -23,6 +23,12 @@
         /// Requests still in flight at the end.
         cut: u64,
     },
+    /// The VM reaches neither the store nor another VM, and takes no work.
+    #[display("VM is isolated")]
+    VmIsolated,
+    /// The VM reaches the store or another VM again.
+    #[display("VM is no longer isolated")]
+    VmRejoined,
     /// Another VM joined.
     #[display("{vm} joined")]
     VmJoined {
@@ -132,6 +138,8 @@
             Self::VmStarted { .. } => "vm-started",
             Self::VmLeaving => "vm-leaving",
             Self::VmStopped { .. } => "vm-stopped",
+            Self::VmIsolated => "vm-isolated",
+            Self::VmRejoined => "vm-rejoined",
             Self::VmJoined { .. } => "vm-joined",
             Self::VmSuspect { .. } => "vm-suspect",
             Self::VmGone { .. } => "vm-gone",
