test(cli): an isolated VM, a withdrawn key on an open connection, two operators at once

Cause: three promises had no proof through the real binaries. Change: tests over separate processes, and the measurements spread and withdraw. Before: without the check for isolation the VM went on answering by its old file.

--- a/dahliawood-cli/tests/cli/path.rs
+++ b/dahliawood-cli/tests/cli/path.rs
@@ -198,3 +198,85 @@
         "{said}"
     );
 }
+
+#[test]
+fn a_vm_that_is_cut_off_from_everything_takes_no_work() {
+    let mut fleet = fleet("isolated.toml");
+    looked_up(&fleet.daemons[2].addresses[0]);
+    fleet.platform[0].kill();
+    fleet.daemons[0].kill();
+    fleet.daemons[1].kill();
+    let vm = fleet.daemons[2].addresses[0].clone();
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let refused = processes::eventually("refusal of an isolated VM", || {
+        let answer = processes::call("GET", &format!("http://{vm}/surveys/1"), &headers, "");
+        let text = answer.text().into_owned();
+        if text.contains("problem:isolated") {
+            Ok(answer)
+        } else {
+            Err(text)
+        }
+    });
+    assert_eq!(refused.status, 503);
+    assert!(refused.header("retry-after").is_some());
+    assert!(
+        refused.text().contains("\"ran\":\"not-run\""),
+        "{}",
+        refused.text()
+    );
+}
+
+#[test]
+fn a_withdrawn_key_stops_working_on_an_open_connection() {
+    let fleet = fleet("withdrawn.toml");
+    let vm = fleet.daemons[1].addresses[0].clone();
+    let mut open = processes::OpenConnection::new(&vm);
+    processes::eventually("look-up over the open connection", || {
+        let status = open.get("/v1/lookup?service=drawings", KEY);
+        if status == 200 {
+            Ok(())
+        } else {
+            Err(status.to_string())
+        }
+    });
+    let operator = fleet.daemons[2].addresses[2].clone();
+    let withdrawn = processes::cli(&["keys", "withdraw", "--operator", &operator, "yongguang-1"]);
+    assert!(
+        withdrawn.status.success(),
+        "{}",
+        String::from_utf8_lossy(&withdrawn.stderr)
+    );
+    // It was in force on all three when the command ended.
+    assert_eq!(open.get("/v1/lookup?service=drawings", KEY), 401);
+}
+
+#[test]
+fn of_two_operators_who_expect_one_revision_one_wins() {
+    let fleet = fleet("operators.toml");
+    let operator = |index: usize| fleet.daemons[index].addresses[2].clone();
+    let customers = ["yongguang-lighting", "mingliang"];
+    let (first, second) = (operator(0), operator(1));
+    let [one, other] = std::thread::scope(|scope| {
+        [(&first, customers[0]), (&second, customers[1])]
+            .map(|(operator, customer)| {
+                scope.spawn(move || {
+                    let args = [
+                        "keys",
+                        "grant",
+                        "--operator",
+                        operator,
+                        "--expect",
+                        "1",
+                        customer,
+                    ];
+                    processes::cli(&args)
+                })
+            })
+            .map(|thread| thread.join().expect("the command line can be run"))
+    });
+    let codes = [one.status.code(), other.status.code()];
+    let won = codes.iter().filter(|code| **code == Some(0)).count();
+    let lost = codes.iter().filter(|code| **code == Some(3)).count();
+    assert_eq!((won, lost), (1, 1), "{codes:?}");
+}
--- a/dahliawood-cli/tests/cli/processes.rs
+++ b/dahliawood-cli/tests/cli/processes.rs
@@ -1,7 +1,8 @@
 //! Starts the processes of a small fleet on free ports, and ends each by its id.
 
 use async_std::task;
-use dahliawood_wire::simple;
+use dahliawood_wire::{client, simple};
+use futures::AsyncReadExt;
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
@@ -170,3 +171,43 @@
     let mut command = Command::new(build_folder().join("dahliawoodd"));
     command.args(args).output().expect("the daemon can be run")
 }
+
+/// A connection that stays open between requests.
+pub struct OpenConnection {
+    stream: async_std::net::TcpStream,
+    vm: String,
+}
+
+impl OpenConnection {
+    /// Connects to a VM.
+    pub fn new(vm: &str) -> Self {
+        let connected = task::block_on(async_std::net::TcpStream::connect(vm));
+        let stream = connected.expect("the VM takes the connection");
+        Self {
+            stream,
+            vm: vm.to_owned(),
+        }
+    }
+
+    /// The status of the answer to one request over it.
+    pub fn get(&mut self, path: &str, key: &str) -> u16 {
+        let url: http_types::Url = format!("http://{}{path}", self.vm)
+            .parse()
+            .expect("a plain URL");
+        let mut request = http_types::Request::new(http_types::Method::Get, url);
+        request.insert_header("authorization", format!("Bearer {key}"));
+        let options = client::ExchangeOptions::default();
+        task::block_on(async {
+            let exchanged = client::exchange(self.stream.clone(), request, &options, |_| {}).await;
+            let mut response = exchanged
+                .expect("an answer over the open connection")
+                .response;
+            let mut body = Vec::new();
+            response
+                .read_to_end(&mut body)
+                .await
+                .expect("a whole answer");
+            response.status().into()
+        })
+    }
+}
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -14,6 +14,7 @@
 mod quota;
 mod shift;
 mod silent;
+mod spread;
 mod steer;
 mod store_budget;
 
@@ -48,8 +49,10 @@
     ("quota", quota::measure),
     ("shift", shift::run),
     ("silent", silent::run),
+    ("spread", spread::run),
     ("steer", steer::run),
     ("store-budget", store_budget::run),
+    ("withdraw", spread::withdraw),
 ];
 
 fn main() {
