fix(front): a silent connection costs a first try 100 ms

Cause: an idempotent request that was sent over a reused connection which had gone silent waited for the whole timeout of its service.

Shortcoming: a slow target is not told from a silent connection, so it may run both under one slot; the budget bounds how often.

--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -21,6 +21,7 @@
 use http_types::{Body, Method, Request, Response, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// The longest answer that is read whole before it goes out, bytes.
@@ -51,6 +52,8 @@
     deadline: TimeStamp,
     is_idempotent: bool,
     tried: Vec<TargetKey>,
+    /// Second tries that ran beside a first one.
+    hedges: usize,
     verdict: RunVerdict,
 }
 
@@ -85,6 +88,7 @@
         deadline: admitted.deadline,
         is_idempotent,
         tried: Vec::new(),
+        hedges: 0,
         verdict: RunVerdict::NotRun,
     };
     let outgoing = outgoing::prepare(admitted.request, admitted.client, is_idempotent).await?;
@@ -155,14 +159,19 @@
         let address = self.snapshot.state.config.targets[flight.target].address;
         let left = self.deadline.since(clock::now());
         let method = outgoing.method();
-        let request = outgoing.request(address, left);
         let call = target_call::CallOptions {
             address,
             is_retry: self.tried.len() > 1,
             is_idempotent: self.is_idempotent,
             left,
         };
-        let sent = target_call::send(&self.shared, request, call).await;
+        let sent = match self.is_idempotent && !call.is_retry && outgoing.is_kept() {
+            true => self.send_hedged(outgoing, call).await,
+            false => {
+                let request = outgoing.request(address, left);
+                target_call::send(&self.shared, request, call).await
+            }
+        };
         let response = match sent {
             Ok(response) => response,
             Err(failure) => {
@@ -178,6 +187,28 @@
         self.answer(response, method, flight, outgoing).await
     }
 
+    /// Sends the first try, with a second one beside it where its connection seems silent; that one
+    /// counts as a try and is taken out of the service's budget.
+    async fn send_hedged(
+        &mut self,
+        outgoing: &outgoing::OutgoingRequest,
+        call: target_call::CallOptions,
+    ) -> Result<Response, target_call::CallFailure> {
+        let is_hedged = AtomicBool::new(false);
+        let may_hedge = || {
+            let may_hedge = self.budget(retry::RetryBudget::spend);
+            is_hedged.store(may_hedge, Ordering::Relaxed);
+            may_hedge
+        };
+        let request = || outgoing.copy(call.address, self.deadline.since(clock::now()));
+        let sent = target_call::send_hedged(&self.shared, request, call, may_hedge).await;
+        if is_hedged.into_inner() {
+            self.hedges += 1;
+            self.shared.counters.count(counters::CounterKind::Retries);
+        }
+        sent
+    }
+
     /// Takes the answer's head, and its body too where it is small.
     async fn answer(
         &mut self,
@@ -261,7 +292,7 @@
         }
         let question = retry::RetryQuestion {
             idempotent: self.is_idempotent,
-            tries: u32::try_from(self.tried.len()).unwrap_or(u32::MAX),
+            tries: u32::try_from(self.tried.len() + self.hedges).unwrap_or(u32::MAX),
             failure: failed.kind,
             earlier,
             answer_begun: false,
--- a/dahliawood-daemon/src/front/forward/outgoing.rs
+++ b/dahliawood-daemon/src/front/forward/outgoing.rs
@@ -86,6 +86,33 @@
     /// The request for one try at `address`, with the time that is left; a streamed body goes with
     /// the first.
     pub fn request(&mut self, address: SocketAddr, left: Duration) -> Request {
+        if self.is_kept() {
+            return self.copy(address, left);
+        }
+        let mut request = self.head_copy(address, left);
+        if let OutgoingBody::Streamed(body) = std::mem::replace(&mut self.body, OutgoingBody::Gone)
+        {
+            set_request_body(&mut request, body);
+        }
+        request
+    }
+
+    /// Whether its body is at hand for as many tries as wanted.
+    pub fn is_kept(&self) -> bool {
+        matches!(self.body, OutgoingBody::Kept(_))
+    }
+
+    /// The request for one try of several; its body goes along only where it is kept.
+    pub fn copy(&self, address: SocketAddr, left: Duration) -> Request {
+        let mut request = self.head_copy(address, left);
+        if let OutgoingBody::Kept(bytes) = &self.body {
+            set_request_body(&mut request, Body::from_bytes(bytes.clone()));
+        }
+        request
+    }
+
+    /// The request without its body.
+    fn head_copy(&self, address: SocketAddr, left: Duration) -> Request {
         let mut request = Request::new(self.head.method(), self.url(address));
         for (name, values) in &self.head {
             for value in values {
@@ -94,18 +121,6 @@
         }
         let millis = left.as_millis();
         request.insert_header(TIMEOUT_HEADER, millis.to_string());
-        let had_type = request.header(CONTENT_TYPE).is_some();
-        match std::mem::replace(&mut self.body, OutgoingBody::Gone) {
-            OutgoingBody::Kept(bytes) => {
-                request.set_body(Body::from_bytes(bytes.clone()));
-                self.body = OutgoingBody::Kept(bytes);
-            }
-            OutgoingBody::Streamed(body) => request.set_body(body),
-            OutgoingBody::Gone => {}
-        }
-        if !had_type {
-            request.remove_header(CONTENT_TYPE);
-        }
         request
     }
 
@@ -124,6 +139,15 @@
     }
 }
 
+/// Sets the body of a request, which gets no content type that the caller did not give it.
+fn set_request_body(request: &mut Request, body: Body) {
+    let had_type = request.header(CONTENT_TYPE).is_some();
+    request.set_body(body);
+    if !had_type {
+        request.remove_header(CONTENT_TYPE);
+    }
+}
+
 /// Sets the body of an answer, which gets no content type that the target did not give it.
 pub fn set_body(response: &mut Response, body: Body) {
     let had_type = response.header(CONTENT_TYPE).is_some();
--- a/dahliawood-daemon/src/front/target_call/mod.rs
+++ b/dahliawood-daemon/src/front/target_call/mod.rs
@@ -25,6 +25,10 @@
 /// How long ago a connection may have been used to carry a non-idempotent request.
 const RECENTLY_USED: Duration = Duration::from_secs(1);
 
+/// How long the first try of an idempotent request may go without the head of an answer before a
+/// second one starts on a new connection.
+const HEDGE_AFTER: Duration = Duration::from_millis(100);
+
 /// Why an exchange brought no answer.
 #[derive(Clone, Debug)]
 pub struct CallFailure {
@@ -52,10 +56,7 @@
         (false, true) => pool::ConnectionChoice::Any,
         (false, false) => pool::ConnectionChoice::UsedWithin(RECENTLY_USED),
     };
-    let options = client::ExchangeOptions {
-        answer_timeout: call.left,
-        ..client::ExchangeOptions::default()
-    };
+    let options = exchange_options(call);
     let exchanged = shared
         .pool
         .exchange(call.address, choice, request, &options)
@@ -65,6 +66,43 @@
         .map_err(|error| failure(&error))
 }
 
+/// Sends the first try of an idempotent request, and a second one on a new connection to the same
+/// target where a reused connection stays without an answer for 100 ms and `may_hedge` allows it.
+///
+/// A target that is slow is not told from a connection that is silent until then: such a target
+/// runs both for a while under one slot, and its siblings' idle connections are closed where the
+/// second answers first. `may_hedge` has to bound that.
+///
+/// # Errors
+/// No usable answer by either, with what that tells.
+pub async fn send_hedged(
+    shared: &shared::SharedState,
+    request: impl Fn() -> Request,
+    call: CallOptions,
+    may_hedge: impl FnOnce() -> bool,
+) -> Result<Response, CallFailure> {
+    let options = exchange_options(call);
+    let hedge = pool::hedge::HedgeOptions {
+        after: HEDGE_AFTER,
+        second: call.address,
+    };
+    let exchanged = shared
+        .pool
+        .exchange_hedged(call.address, request, &options, hedge, may_hedge)
+        .await;
+    exchanged
+        .map(|outcome| outcome.response)
+        .map_err(|error| failure(&error))
+}
+
+/// The bounds of one exchange.
+fn exchange_options(call: CallOptions) -> client::ExchangeOptions {
+    client::ExchangeOptions {
+        answer_timeout: call.left,
+        ..client::ExchangeOptions::default()
+    }
+}
+
 /// What an error tells.
 fn failure(error: &pool::error::PooledError) -> CallFailure {
     let (kind, is_own_body) = match error {
