--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -169,13 +169,12 @@
             left,
         };
         let may_hedge = self.is_idempotent && !call.is_retry && !is_far && outgoing.is_kept();
-        let sent = match may_hedge {
-            true => self.send_hedged(outgoing, call).await,
-            false => {
-                let request = outgoing.request(address, left);
-                let request = self.paced_request(request, flight.target).await;
-                target_call::send(&self.shared, request, call).await
-            }
+        let sent = if may_hedge {
+            self.send_hedged(outgoing, call).await
+        } else {
+            let request = outgoing.request(address, left);
+            let request = self.paced_request(request, flight.target).await;
+            target_call::send(&self.shared, request, call).await
         };
         let response = match sent {
             Ok(response) => response,
