--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -4,6 +4,7 @@
 //! non-zero where a stated target is missed.
 
 mod cold;
+mod control;
 mod exchange;
 mod fairness;
 mod fate;
@@ -40,6 +41,7 @@
 /// All measurements, one line each.
 const MEASUREMENTS: &[MeasureEntry] = &[
     ("cold", cold::run),
+    ("control", control::run),
     ("fairness", fairness::measure),
     ("fate", fate::run),
     ("forward", forward::run),
