fix(front): a VM that leaves waits for bodies, and an ended one cuts

Cause: a request counted as in flight only until its answer's head was ready, so that a shutdown could end under a large answer; and the connections that a daemon had taken went on after it was aborted.

Seen: with four callers of 64 MiB answers that read after 7 s, a caller got 4208451 of bytes from a VM that left, once connections ended with the daemon; and all answers of an aborted VM came whole.

Change: the count is held until the answer's body is dropped, and every connection ends with the listener's task.

Conclusion: both cases are covered by the tests that follow.

--- a/dahliawood-daemon/src/front/flight/mod.rs
+++ b/dahliawood-daemon/src/front/flight/mod.rs
@@ -141,3 +141,38 @@
         }
     }
 }
+
+/// A body that keeps something until it is dropped, which is after its last byte was written.
+struct HeldBody<T> {
+    body: Body,
+    _held: T,
+}
+
+/// Keeps `held` for as long as a body is being sent.
+pub fn hold<T: Send + Sync + Unpin + 'static>(body: Body, held: T) -> Body {
+    let length = body.len();
+    let mime = body.mime().clone();
+    let mut kept = Body::from_reader(HeldBody { body, _held: held }, length);
+    kept.set_mime(mime);
+    kept
+}
+
+impl<T: Unpin> AsyncRead for HeldBody<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.body).poll_read(context, buffer)
+    }
+}
+
+impl<T: Unpin> AsyncBufRead for HeldBody<T> {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Pin::new(&mut self.get_mut().body).poll_fill_buf(context)
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amount: usize) {
+        Pin::new(&mut self.body).consume(amount);
+    }
+}
--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -8,6 +8,8 @@
 mod outgoing;
 mod place;
 
+pub use outgoing::set_body;
+
 use crate::front::flight::{self, TargetFlight};
 use crate::front::refusal::RefusalCause;
 use crate::front::target_call;
@@ -165,12 +167,12 @@
             is_idempotent: self.is_idempotent,
             left,
         };
-        let sent = match self.is_idempotent && !call.is_retry && outgoing.is_kept() {
-            true => self.send_hedged(outgoing, call).await,
-            false => {
-                let request = outgoing.request(address, left);
-                target_call::send(&self.shared, request, call).await
-            }
+        let is_hedgeable = self.is_idempotent && !call.is_retry && outgoing.is_kept();
+        let sent = if is_hedgeable {
+            self.send_hedged(outgoing, call).await
+        } else {
+            let request = outgoing.request(address, left);
+            target_call::send(&self.shared, request, call).await
         };
         let response = match sent {
             Ok(response) => response,
--- a/dahliawood-daemon/src/front/handler/mod.rs
+++ b/dahliawood-daemon/src/front/handler/mod.rs
@@ -1,7 +1,7 @@
 //! One request from its head to its answer: route, key, admission, then the forward path.
 
 use crate::front::refusal::RefusalCause;
-use crate::front::{api, forward};
+use crate::front::{api, flight, forward};
 use crate::{clock, counters, shared, snapshot};
 use dahliawood_model::keys::{CustomerKey, RouteKey};
 use dahliawood_model::stamp::TimeStamp;
@@ -19,7 +19,7 @@
 /// Prefix of the paths that the VM answers itself.
 const OWN_PREFIX: &str = "/v1/";
 
-/// Counts a request as in flight until it is dropped.
+/// Counts a request as in flight until it is dropped, with its answer's body.
 struct InFlight(Arc<shared::SharedState>);
 
 impl InFlight {
@@ -41,16 +41,19 @@
     request: Request,
     client: SocketAddr,
 ) -> Response {
-    let _in_flight = InFlight::begin(&shared);
+    let in_flight = InFlight::begin(&shared);
     let outcome = match request.url().path() {
         api::HEALTH_PATH => return api::health(&shared),
         path if path.starts_with(OWN_PREFIX) => own(&shared, &request, client),
         _ => routed(&shared, request, client).await,
     };
-    outcome.unwrap_or_else(|cause| {
+    let mut response = outcome.unwrap_or_else(|cause| {
         shared.counters.count(cause.counter());
         cause.into_response()
-    })
+    });
+    let body = response.take_body();
+    forward::set_body(&mut response, flight::hold(body, in_flight));
+    response
 }
 
 /// Answers a request that the VM serves itself.
--- a/dahliawood-daemon/src/front/listen/mod.rs
+++ b/dahliawood-daemon/src/front/listen/mod.rs
@@ -3,11 +3,13 @@
 use crate::front::handler;
 use crate::{counters, shared};
 use async_std::net::{TcpListener, TcpStream};
-use async_std::task;
+use async_std::{channel, task};
 use dahliawood_wire::server;
+use futures::future;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,12 +18,15 @@
 /// How long to wait after the listener failed, for want of descriptors for instance.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Takes connections until the task is cancelled.
+/// Takes connections until the task is cancelled; that cuts those that it has taken.
 pub async fn run(listener: TcpListener, shared: Arc<shared::SharedState>) {
+    // Dropped with this future, which ends every connection that waits for it.
+    let (_running, stopped) = channel::bounded(1);
     loop {
         match listener.accept().await {
             Ok((stream, client)) => {
-                task::spawn(connection(stream, client, Arc::clone(&shared)));
+                let served = connection(stream, client, Arc::clone(&shared));
+                task::spawn(until(stopped.clone(), served));
             }
             Err(error) => {
                 log::warn!("a connection could not be taken: {error}");
@@ -31,6 +36,11 @@
     }
 }
 
+/// Runs a connection until it ends or the listener is stopped.
+async fn until(stopped: channel::Receiver<()>, served: impl Future<Output = ()>) {
+    future::select(pin!(stopped.recv()), pin!(served)).await;
+}
+
 /// Serves one connection to its end.
 async fn connection(stream: TcpStream, client: SocketAddr, shared: Arc<shared::SharedState>) {
     shared.counters.count(counters::CounterKind::Connections);
