--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -8,6 +8,8 @@
 mod outgoing;
 mod place;
 
+pub use outgoing::set_body;
+
 use crate::front::flight::{self, TargetFlight};
 use crate::front::refusal::RefusalCause;
 use crate::front::{pace, target_call};
@@ -168,8 +170,8 @@
             is_idempotent: self.is_idempotent,
             left,
         };
-        let may_hedge = self.is_idempotent && !call.is_retry && !is_far && outgoing.is_kept();
-        let sent = if may_hedge {
+        let is_hedgeable = self.is_idempotent && !call.is_retry && !is_far && outgoing.is_kept();
+        let sent = if is_hedgeable {
             self.send_hedged(outgoing, call).await
         } else {
             let request = outgoing.request(address, left);
--- a/dahliawood-testkit/examples/measure/control/mod.rs
+++ b/dahliawood-testkit/examples/measure/control/mod.rs
@@ -42,17 +42,37 @@
         .iter()
         .filter_map(|size| task::block_on(fleet_cost(*size, report)))
         .collect();
-    report.figure("control.sizes", costs.len() as f64, "fleets", FigureTarget::AtLeast(3.0));
+    report.figure(
+        "control.sizes",
+        costs.len() as f64,
+        "fleets",
+        FigureTarget::AtLeast(3.0),
+    );
     let core = slope(&costs, |cost| cost.core_percent);
     let bytes = slope(&costs, |cost| cost.bytes_per_second);
     report.figure("control.core.slope", core, "%/daemon", FigureTarget::None);
-    report.figure("control.bytes.slope", bytes, "B/s/daemon", FigureTarget::None);
+    report.figure(
+        "control.bytes.slope",
+        bytes,
+        "B/s/daemon",
+        FigureTarget::None,
+    );
     let Some(last) = costs.last() else { return };
     let more = DAEMONS_LATER - last.daemons;
     let core = last.core_percent + core * more;
     let bytes = last.bytes_per_second + bytes * more;
-    report.figure("control.core.at_920", core, "%", FigureTarget::AtMost(CORE_PERCENT));
-    report.figure("control.bytes.at_920", bytes, "B/s", FigureTarget::AtMost(BYTES_PER_SECOND));
+    report.figure(
+        "control.core.at_920",
+        core,
+        "%",
+        FigureTarget::AtMost(CORE_PERCENT),
+    );
+    report.figure(
+        "control.bytes.at_920",
+        bytes,
+        "B/s",
+        FigureTarget::AtMost(BYTES_PER_SECOND),
+    );
 }
 
 /// The cost of each daemon in a fleet of `size`.
@@ -105,7 +125,10 @@
 
 /// Processor time of all control threads, clock ticks.
 fn control_ticks() -> u64 {
-    let tasks = fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
+    let tasks = fs::read_dir("/proc/self/task")
+        .into_iter()
+        .flatten()
+        .flatten();
     let ticks = tasks.filter_map(|task| {
         let stat = fs::read_to_string(task.path().join("stat")).ok()?;
         let (name, rest) = stat.split_once('(')?.1.rsplit_once(')')?;
@@ -120,7 +143,9 @@
 /// Bytes that the loopback device has sent.
 fn loopback_bytes() -> u64 {
     let table = fs::read_to_string("/proc/net/dev").unwrap_or_default();
-    let line = table.lines().find_map(|line| line.trim().strip_prefix("lo:"));
+    let line = table
+        .lines()
+        .find_map(|line| line.trim().strip_prefix("lo:"));
     let received = line.and_then(|line| line.split_whitespace().next());
     received.and_then(|bytes| bytes.parse().ok()).unwrap_or(0)
 }
@@ -130,5 +155,8 @@
     let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kibibytes = line.and_then(|line| line.split_whitespace().next());
-    kibibytes.and_then(|text| text.parse::<f64>().ok()).unwrap_or(f64::NAN) / 1_024.0
+    kibibytes
+        .and_then(|text| text.parse::<f64>().ok())
+        .unwrap_or(f64::NAN)
+        / 1_024.0
 }
--- a/dahliawood-testkit/examples/measure/forward/mod.rs
+++ b/dahliawood-testkit/examples/measure/forward/mod.rs
@@ -19,7 +19,8 @@
     exchanges: usize,
 }
 
-/// Small answers one after another and beside each other, large ones one after another.
+/// Small answers one after another and beside each other, as many as a target has slots, so that it
+/// sheds none of either side's; large ones one after another.
 const CASES: [ForwardCase; 3] = [
     ForwardCase {
         name: "small",
@@ -30,7 +31,7 @@
     ForwardCase {
         name: "parallel",
         bytes: 512,
-        connections: 8,
+        connections: 3,
         exchanges: 1_000,
     },
     ForwardCase {
@@ -79,10 +80,7 @@
         connections: case.connections,
         exchanges: case.exchanges,
     };
-    // One of three slots, so that the target sheds nothing.
-    plan.connections = case.connections.min(3);
     let direct = exchange::run(&plan).await;
-    plan.connections = case.connections;
     plan.address = fleet.daemons[0].listen;
     let through = exchange::run(&plan).await;
     let name = case.name;
--- a/dahliawood-testkit/examples/measure/spread/mod.rs
+++ b/dahliawood-testkit/examples/measure/spread/mod.rs
@@ -21,8 +21,10 @@
 const VMS: usize = 11;
 /// Changes in a row.
 const CHANGES: u32 = 10;
-/// How often it is looked at.
+/// How often it is looked at whether the last VM has a change.
 const POLL: Duration = Duration::from_millis(5);
+/// How often it is looked at whether the first one has it: the store is to die before others do.
+const FIRST_POLL: Duration = Duration::from_micros(100);
 /// When a change is given up.
 const PATIENCE: Duration = Duration::from_secs(20);
 /// The stated bound, seconds.
@@ -126,15 +128,19 @@
     );
     let applied = fleet.apply(&text);
     let followed = async {
-        let accepted = until(|| in_force(fleet, revision) > 0).await;
+        let accepted = until(FIRST_POLL, || in_force(fleet, revision) > 0).await;
         if dies {
+            eprintln!(
+                "the store dies with the change in force on {}",
+                in_force(fleet, revision)
+            );
             let down = faults::FaultSettings {
                 down: true,
                 ..faults::FaultSettings::default()
             };
             fleet.platform.set_faults(down);
         }
-        until(|| in_force(fleet, revision) == fleet.daemons.len()).await;
+        until(POLL, || in_force(fleet, revision) == fleet.daemons.len()).await;
         accepted.elapsed()
     };
     let (applied, taken) = futures::join!(applied, followed);
@@ -157,10 +163,10 @@
 }
 
 /// Waits for a condition; the moment at which it was seen, or given up.
-async fn until(is_there: impl Fn() -> bool) -> Instant {
+async fn until(poll: Duration, is_there: impl Fn() -> bool) -> Instant {
     let start = Instant::now();
     while !is_there() && start.elapsed() < PATIENCE {
-        task::sleep(POLL).await;
+        task::sleep(poll).await;
     }
     Instant::now()
 }
