test(daemon): a silent connection costs no answer

Targets on loopback answer once a connection and are silent then.

Still not covered: a request refused its retry by a spent budget.

--- a/dahliawood-daemon/tests/main/main.rs
+++ b/dahliawood-daemon/tests/main/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod caller;
+mod silent;
 
 use async_std::task;
 use dahliawood_testkit::fleet;
@@ -14,6 +15,8 @@
 const STREAMED_BYTES: usize = 64 * 1024 * 1024;
 /// How long a caller leaves its answer unread: longer than a VM that leaves waits for new requests.
 const READER_PAUSE: Duration = Duration::from_secs(7);
+/// Targets of the catalogue in the example file.
+const CATALOGUE_TARGETS: u8 = 20;
 /// Callers that stream at once.
 const CALLERS: usize = 4;
 
@@ -63,8 +66,8 @@
     assert_eq!(runs.sum::<usize>(), 0);
 }
 
-/// The file with every target of the catalogue at an address of its own that nobody listens on.
-fn without_catalogue(text: &str, port: u16) -> String {
+/// The file with every target of the catalogue at an address of its own and the given port.
+fn with_catalogue_at(text: &str, port: u16) -> String {
     let parts: Vec<_> = text.split("address = \"").collect();
     let moved = |index: usize, part: &str| {
         let (_, rest) = part.split_once('"').expect("an address ends");
@@ -89,7 +92,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let port = listener.local_addr().expect("it has an address").port();
     drop(listener);
-    let text = without_catalogue(&fleet.text, port);
+    let text = with_catalogue_at(&fleet.text, port);
     task::block_on(fleet.apply(&text)).expect("the file is accepted");
     task::block_on(fleet.settle(2)).expect("the file is in force");
     let answer = ask(
@@ -150,3 +153,20 @@
     }
     assert!(answers.iter().any(|answer| !answer.is_whole()));
 }
+
+#[test]
+fn a_silent_connection_costs_no_answer() {
+    let fleet = start(FILE_TEXT);
+    let port = silent::start(CATALOGUE_TARGETS);
+    let text = with_catalogue_at(&fleet.text, port);
+    task::block_on(fleet.apply(&text)).expect("the file is accepted");
+    task::block_on(fleet.settle(2)).expect("the file is in force");
+    // One more than there are targets, so that a connection is used again.
+    for _ in 0..=CATALOGUE_TARGETS {
+        let head = caller::get("/catalogue/a");
+        let answer = ask(fleet.daemons[0].listen, head.as_bytes());
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        assert_eq!(answer.status, Some(200), "{body}");
+        assert!(answer.is_whole());
+    }
+}
