fix(daemon): a second try beside the first takes a slot of its own

Cause: a second try that was sent since the first one's connection seemed silent ran outside the allowance; a target that was only slow then had one request more than this VM's slots. Change: it is sent only where this VM holds one more slot of the target, and gives it back. Conclusion: no target is sent more than its slots; where a VM holds one slot, it waits instead.

--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -13,17 +13,17 @@
 use crate::front::flight::{self, TargetFlight};
 use crate::front::refusal::RefusalCause;
 use crate::front::{pace, target_call};
-use crate::{clock, counters, shared, snapshot};
+use crate::{clock, counters, shared, slots, snapshot};
 use dahliawood_fate::verdict::RunVerdict;
 use dahliawood_fate::{deadline, retry};
 use dahliawood_model::keys::{CustomerKey, RegionKey, RouteKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_quota::book::effect;
 use dahliawood_steer::health;
 use dahliawood_wire::problem;
 use http_types::{Body, Method, Request, Response, StatusCode};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// The longest answer that is read whole before it goes out, bytes.
@@ -61,6 +61,20 @@
     verdict: RunVerdict,
 }
 
+/// A slot for the second of two tries side by side; given back when it is dropped.
+struct HedgeSlot {
+    shared: Arc<shared::SharedState>,
+    permit: Option<effect::QuotaPermit>,
+}
+
+impl Drop for HedgeSlot {
+    fn drop(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            self.shared.desk.release(permit, clock::now());
+        }
+    }
+}
+
 /// How a try ended without an answer.
 struct FailedTry {
     detail: String,
@@ -172,7 +186,7 @@
         };
         let is_hedgeable = self.is_idempotent && !call.is_retry && !is_far && outgoing.is_kept();
         let sent = if is_hedgeable {
-            self.send_hedged(outgoing, call).await
+            self.send_hedged(outgoing, call, flight.target).await
         } else {
             let request = outgoing.request(address, left);
             let request = self.paced_request(request, flight.target).await;
@@ -227,22 +241,40 @@
         }
     }
 
+    /// One more slot of a target and a part of the service's budget, for a second try beside the
+    /// first; a silent connection and a slow target look alike, and the target may run both.
+    fn hedge_slot(&self, target: TargetKey) -> Option<HedgeSlot> {
+        let name = slots::limit_name(&self.snapshot.state.config.targets[target]);
+        let now = clock::now();
+        let permit = self.shared.desk.try_admit(&name, self.deadline, now)?;
+        let slot = HedgeSlot {
+            shared: Arc::clone(&self.shared),
+            permit: Some(permit),
+        };
+        self.budget(retry::RetryBudget::spend).then_some(slot)
+    }
+
     /// Sends the first try, with a second one beside it where its connection seems silent; that one
     /// counts as a try and is taken out of the service's budget.
     async fn send_hedged(
         &mut self,
         outgoing: &outgoing::OutgoingRequest,
         call: target_call::CallOptions,
+        target: TargetKey,
     ) -> Result<Response, target_call::CallFailure> {
-        let is_hedged = AtomicBool::new(false);
+        let extra_slot = Mutex::new(None);
         let may_hedge = || {
-            let may_hedge = self.budget(retry::RetryBudget::spend);
-            is_hedged.store(may_hedge, Ordering::Relaxed);
+            let slot = self.hedge_slot(target);
+            let may_hedge = slot.is_some();
+            *extra_slot.lock().unwrap_or_else(PoisonError::into_inner) = slot;
             may_hedge
         };
         let request = || outgoing.copy(call.address, self.deadline.since(clock::now()));
         let sent = target_call::send_hedged(&self.shared, request, call, may_hedge).await;
-        if is_hedged.into_inner() {
+        let extra_slot = extra_slot
+            .into_inner()
+            .unwrap_or_else(PoisonError::into_inner);
+        if extra_slot.is_some() {
             self.hedges += 1;
             self.shared.counters.count(counters::CounterKind::Retries);
         }
