--- /dev/null
+++ b/dahliawood-peer/tests/main/main.rs
@@ -0,0 +1,219 @@
+//! Calls between VMs over loopback.
+
+use async_std::net::TcpListener;
+use async_std::task;
+use dahliawood_peer::{allowance, client, message, server};
+use dahliawood_quota::{amount, limit, member, message as quota};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const OPTIONS: client::CallOptions = client::CallOptions {
+    deadline: Duration::from_secs(10),
+};
+
+/// What a served VM was told.
+#[derive(Default)]
+struct HeardCalls {
+    beats: Vec<message::VmBeat>,
+    batches: Vec<allowance::AllowanceBatch>,
+}
+
+/// Serves calls that are written down.
+async fn serve(heard: &Rc<RefCell<HeardCalls>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (beats, batches) = (Rc::clone(heard), Rc::clone(heard));
+    let handlers = server::PeerHandlers {
+        beat: Box::new(move |beat| {
+            beats.borrow_mut().beats.push(beat.clone());
+            message::VmBeat {
+                name: "answer".to_owned(),
+                revision: beat.revision + 1,
+                ..beat
+            }
+        }),
+        config: Box::new(|above| {
+            (above < 5).then(|| message::ConfigText {
+                revision: 5,
+                hash: "hash".to_owned(),
+                write_id: "write".to_owned(),
+                text: "text".repeat(100_000),
+            })
+        }),
+        quota: Box::new(move |batch| batches.borrow_mut().batches.push(batch)),
+        events: Box::new(|after, most| message::EventPage {
+            events: vec!["{}".to_owned(); most as usize],
+            next: after + u64::from(most),
+            lost: 3,
+        }),
+    };
+    task::spawn_local(async move {
+        server::serve(listener, Rc::new(handlers)).await.unwrap();
+    });
+    address
+}
+
+fn holder(port: u16) -> member::HolderId {
+    member::HolderId {
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        incarnation: 7,
+    }
+}
+
+/// One message of each kind, every field with a value of its own.
+fn every_message() -> Vec<quota::QuotaMessage> {
+    let tag = limit::LimitTag(11);
+    let serial = quota::LoanSerial(12);
+    let amount = amount::TokenAmount::from_micros;
+    let rate = amount::TokenRate::from_micros;
+    let (length, retry_after) = (Duration::from_micros(15), Duration::from_micros(17));
+    vec![
+        quota::LoanAsk {
+            tag,
+            serial,
+            need: amount(13),
+            want: amount(14),
+            length,
+        }
+        .into(),
+        quota::LoanGrant {
+            tag,
+            serial,
+            granted: amount(16),
+            retry_after,
+        }
+        .into(),
+        quota::LoanReport {
+            tag,
+            serial,
+            spent: amount(18),
+            returned: amount(19),
+        }
+        .into(),
+        quota::PeerProbe {
+            serial: 20,
+            subject: None,
+        }
+        .into(),
+        quota::PeerProbe {
+            serial: 21,
+            subject: Some(holder(1)),
+        }
+        .into(),
+        quota::PeerEcho {
+            serial: 22,
+            subject: None,
+            silent_for: length,
+        }
+        .into(),
+        quota::PeerEcho {
+            serial: 23,
+            subject: Some(holder(2)),
+            silent_for: length,
+        }
+        .into(),
+        quota::LeaseAsk {
+            tag,
+            serial,
+            ask: 24,
+        }
+        .into(),
+        quota::LeaseGrant {
+            tag,
+            serial,
+            ask: 25,
+            rate: rate(26),
+            burst: amount(27),
+            tokens: amount(28),
+        }
+        .into(),
+        quota::LeaseReturn {
+            tag,
+            serial,
+            rate: rate(29),
+            burst: amount(30),
+            tokens: amount(31),
+        }
+        .into(),
+        quota::LeaseRecall { tag }.into(),
+    ]
+}
+
+#[test]
+fn every_message_arrives_as_it_was_sent() {
+    task::block_on(async {
+        let heard = Rc::default();
+        let address = serve(&heard).await;
+        let peer = client::connect(address, OPTIONS).await.unwrap();
+        let batch = allowance::AllowanceBatch {
+            from: holder(9),
+            messages: every_message(),
+        };
+        peer.quota(&batch).await.unwrap();
+        assert_eq!(heard.borrow().batches, [batch]);
+    });
+}
+
+#[test]
+fn beats_files_and_events_are_answered() {
+    task::block_on(async {
+        let heard = Rc::default();
+        let address = serve(&heard).await;
+        let peer = client::connect(address, OPTIONS).await.unwrap();
+        let beat = message::VmBeat {
+            name: "vm-1".to_owned(),
+            incarnation: 2,
+            revision: 3,
+            leaving: true,
+            clock: 4,
+            heard: vec![message::HeardVm {
+                name: "vm-2".to_owned(),
+                incarnation: 5,
+                age_millis: 6,
+            }],
+        };
+        let answer = peer.beat(&beat).await.unwrap();
+        assert_eq!(answer.revision, 4);
+        assert_eq!(answer.heard, beat.heard);
+        assert_eq!(heard.borrow().beats, [beat]);
+        let file = peer.config(4).await.unwrap().unwrap();
+        assert_eq!((file.revision, file.text.len()), (5, 400_000));
+        assert_eq!(peer.config(5).await.unwrap(), None);
+        let page = peer.events(10, 2).await.unwrap();
+        assert_eq!((page.events.len(), page.next, page.lost), (2, 12, 3));
+    });
+}
+
+#[test]
+fn a_peer_that_never_answers_ends_in_the_deadline() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let options = client::CallOptions {
+            deadline: Duration::from_millis(50),
+        };
+        let peer = client::connect(address, options).await.unwrap();
+        let ended = peer.beat(&message::VmBeat::default()).await;
+        assert!(matches!(ended, Err(client::error::CallError::Deadline)));
+    });
+}
+
+#[test]
+fn a_connection_dropped_in_a_call_ends_without_a_panic() {
+    // A control thread that ended with calls open once aborted the process.
+    let thread = std::thread::spawn(|| {
+        task::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let peer = Rc::new(client::connect(address, OPTIONS).await.unwrap());
+            let calling = Rc::clone(&peer);
+            task::spawn_local(async move {
+                let _cut = calling.beat(&message::VmBeat::default()).await;
+            });
+            task::sleep(Duration::from_millis(20)).await;
+        });
+    });
+    thread.join().unwrap();
+}
