fix(daemon,wire): a second try goes to another target where this one has no slot left

Cause: since second tries take a slot, a VM that held one slot of a target could not send one, and a silent connection cost the whole timeout: a look-up ended with 504. The test of silent connections failed in 4 of 4 runs on the machine at rest; it had passed before only while the VM happened to hold two. Change: the pool asks where the second try goes when it is due; the daemon names the same target with one more of its slots, or another one with a slot of that. What the second occupies is kept until the answer has been read, since either may be the one that answers.

--- a/dahliawood-daemon/src/front/flight/mod.rs
+++ b/dahliawood-daemon/src/front/flight/mod.rs
@@ -29,6 +29,29 @@
     started: TimeStamp,
     report: health::ResultReport,
     permit: Option<effect::QuotaPermit>,
+    companion: Option<Box<HedgeGuard>>,
+}
+
+/// What the second of two tries side by side occupies.
+pub enum HedgeGuard {
+    /// One more slot of the same target.
+    Slot(HedgeSlot),
+    /// A slot of another one.
+    Flight(TargetFlight),
+}
+
+/// One more slot of a target; given back when it is dropped.
+pub struct HedgeSlot {
+    /// State of the daemon.
+    pub shared: Arc<shared::SharedState>,
+    /// The slot.
+    pub permit: effect::QuotaPermit,
+}
+
+impl Drop for HedgeSlot {
+    fn drop(&mut self) {
+        self.shared.desk.release(self.permit, clock::now());
+    }
 }
 
 impl TargetFlight {
@@ -53,9 +76,16 @@
             started: clock::now(),
             report,
             permit: Some(permit),
+            companion: None,
         }
     }
 
+    /// Keeps what a second try occupies for as long as this flight: either may be the one that
+    /// answers.
+    pub fn accompany(&mut self, guard: HedgeGuard) {
+        self.companion = Some(Box::new(guard));
+    }
+
     /// Notes what became of it; the latency is that up to now.
     pub fn settle(&mut self, kind: health::ResultKind) {
         let latency = clock::now().since(self.started);
@@ -65,6 +95,7 @@
 
 impl Drop for TargetFlight {
     fn drop(&mut self) {
+        self.companion = None;
         if let Some(table) = self.shared.targets().as_mut() {
             choice::finish(table, self.key, self.report, clock::now());
         }
--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -18,7 +18,6 @@
 use dahliawood_fate::{deadline, retry};
 use dahliawood_model::keys::{CustomerKey, RegionKey, RouteKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
-use dahliawood_quota::book::effect;
 use dahliawood_steer::health;
 use dahliawood_wire::problem;
 use http_types::{Body, Method, Request, Response, StatusCode};
@@ -61,20 +60,6 @@
     verdict: RunVerdict,
 }
 
-/// A slot for the second of two tries side by side; given back when it is dropped.
-struct HedgeSlot {
-    shared: Arc<shared::SharedState>,
-    permit: Option<effect::QuotaPermit>,
-}
-
-impl Drop for HedgeSlot {
-    fn drop(&mut self) {
-        if let Some(permit) = self.permit.take() {
-            self.shared.desk.release(permit, clock::now());
-        }
-    }
-}
-
 /// How a try ended without an answer.
 struct FailedTry {
     detail: String,
@@ -186,7 +171,7 @@
         };
         let is_hedgeable = self.is_idempotent && !call.is_retry && !is_far && outgoing.is_kept();
         let sent = if is_hedgeable {
-            self.send_hedged(outgoing, call, flight.target).await
+            self.send_hedged(outgoing, call, &mut flight).await
         } else {
             let request = outgoing.request(address, left);
             let request = self.paced_request(request, flight.target).await;
@@ -241,17 +226,29 @@
         }
     }
 
-    /// One more slot of a target and a part of the service's budget, for a second try beside the
-    /// first; a silent connection and a slow target look alike, and the target may run both.
-    fn hedge_slot(&self, target: TargetKey) -> Option<HedgeSlot> {
-        let name = slots::limit_name(&self.snapshot.state.config.targets[target]);
-        let now = clock::now();
-        let permit = self.shared.desk.try_admit(&name, self.deadline, now)?;
-        let slot = HedgeSlot {
-            shared: Arc::clone(&self.shared),
-            permit: Some(permit),
+    /// A slot and a part of the service's budget for a second try beside the first. A silent
+    /// connection and a slow target look alike, so the same target may run both: it takes one more of
+    /// its slots, or else one of another target.
+    fn hedge_guard(&self, target: TargetKey) -> Option<flight::HedgeGuard> {
+        let config = &self.snapshot.state.config;
+        let name = slots::limit_name(&config.targets[target]);
+        let permit = self
+            .shared
+            .desk
+            .try_admit(&name, self.deadline, clock::now());
+        let guard = match permit {
+            Some(permit) => {
+                let shared = Arc::clone(&self.shared);
+                flight::HedgeGuard::Slot(flight::HedgeSlot { shared, permit })
+            }
+            None => match slots::take(&self.shared, config, self.place_query().slot()) {
+                Ok(slots::SlotOutcome::Taken(other)) if self.far_links(other.target).is_none() => {
+                    flight::HedgeGuard::Flight(other)
+                }
+                _ => return None,
+            },
         };
-        self.budget(retry::RetryBudget::spend).then_some(slot)
+        self.budget(retry::RetryBudget::spend).then_some(guard)
     }
 
     /// Sends the first try, with a second one beside it where its connection seems silent; that one
@@ -260,21 +257,25 @@
         &mut self,
         outgoing: &outgoing::OutgoingRequest,
         call: target_call::CallOptions,
-        target: TargetKey,
+        flight: &mut TargetFlight,
     ) -> Result<Response, target_call::CallFailure> {
-        let extra_slot = Mutex::new(None);
-        let may_hedge = || {
-            let slot = self.hedge_slot(target);
-            let may_hedge = slot.is_some();
-            *extra_slot.lock().unwrap_or_else(PoisonError::into_inner) = slot;
-            may_hedge
+        let hedged = Mutex::new(None);
+        let second = || {
+            let guard = self.hedge_guard(flight.target)?;
+            let address = match &guard {
+                flight::HedgeGuard::Slot(_) => call.address,
+                flight::HedgeGuard::Flight(other) => {
+                    self.snapshot.state.config.targets[other.target].address
+                }
+            };
+            *hedged.lock().unwrap_or_else(PoisonError::into_inner) = Some(guard);
+            Some(address)
         };
-        let request = || outgoing.copy(call.address, self.deadline.since(clock::now()));
-        let sent = target_call::send_hedged(&self.shared, request, call, may_hedge).await;
-        let extra_slot = extra_slot
-            .into_inner()
-            .unwrap_or_else(PoisonError::into_inner);
-        if extra_slot.is_some() {
+        let request = |at| outgoing.copy(at, self.deadline.since(clock::now()));
+        let sent = target_call::send_hedged(&self.shared, request, call, second).await;
+        let hedged = hedged.into_inner().unwrap_or_else(PoisonError::into_inner);
+        if let Some(guard) = hedged {
+            flight.accompany(guard);
             self.hedges += 1;
             self.shared.counters.count(counters::CounterKind::Retries);
         }
--- a/dahliawood-daemon/src/front/forward/place.rs
+++ b/dahliawood-daemon/src/front/forward/place.rs
@@ -84,7 +84,8 @@
 }
 
 impl PlaceQuery<'_> {
-    fn slot(&self) -> slots::SlotQuery<'_> {
+    /// The same, as a question for a slot that is free now.
+    pub fn slot(&self) -> slots::SlotQuery<'_> {
         slots::SlotQuery {
             service: self.service,
             tried: self.tried,
--- a/dahliawood-daemon/src/front/target_call/mod.rs
+++ b/dahliawood-daemon/src/front/target_call/mod.rs
@@ -77,18 +77,15 @@
 /// No usable answer by either, with what that tells.
 pub async fn send_hedged(
     shared: &shared::SharedState,
-    request: impl Fn() -> Request,
+    request: impl Fn(SocketAddr) -> Request,
     call: CallOptions,
-    may_hedge: impl FnOnce() -> bool,
+    second: impl FnOnce() -> Option<SocketAddr>,
 ) -> Result<Response, CallFailure> {
     let options = exchange_options(call);
-    let hedge = pool::hedge::HedgeOptions {
-        after: HEDGE_AFTER,
-        second: call.address,
-    };
+    let hedge = pool::hedge::HedgeOptions { after: HEDGE_AFTER };
     let exchanged = shared
         .pool
-        .exchange_hedged(call.address, request, &options, hedge, may_hedge)
+        .exchange_hedged(call.address, request, &options, hedge, second)
         .await;
     exchanged
         .map(|outcome| outcome.response)
--- a/dahliawood-testkit/examples/measure/silent/mod.rs
+++ b/dahliawood-testkit/examples/measure/silent/mod.rs
@@ -133,14 +133,13 @@
             answer_timeout: TIMEOUT,
             ..client::ExchangeOptions::default()
         };
-        let hedge = pool::hedge::HedgeOptions {
-            after: HEDGE_AFTER,
-            second: first,
-        };
-        let request = || Request::get(url.clone());
+        let hedge = pool::hedge::HedgeOptions { after: HEDGE_AFTER };
+        let request = |_| Request::get(url.clone());
         let exchanged = self
             .pool
-            .exchange_hedged(first, request, &options, hedge, || self.may_hedge())
+            .exchange_hedged(first, request, &options, hedge, || {
+                self.may_hedge().then_some(first)
+            })
             .await;
         match exchanged {
             Ok(mut outcome) => outcome.response.body_bytes().await.is_ok(),
--- a/dahliawood-wire/src/pool/hedge/mod.rs
+++ b/dahliawood-wire/src/pool/hedge/mod.rs
@@ -10,13 +10,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// When and where a second try starts.
+/// When a second try starts.
 #[derive(Clone, Copy, Debug)]
 pub struct HedgeOptions {
     /// How long the first try may go without the head of an answer.
     pub after: Duration,
-    /// The target of the second.
-    pub second: SocketAddr,
 }
 
 impl TargetPool {
@@ -25,18 +23,18 @@
     ///
     /// Whichever answers first is taken and the other cancelled. Where it is the second, the first
     /// connection is held to be silent and its siblings are closed, see
-    /// [`TargetPool::report_silent`]. `request` is called once for each try; `may_hedge` is asked
-    /// once, before the second, and is where a budget is spent.
+    /// [`TargetPool::report_silent`]. `request` is called once for each try, with its
+    /// target; `second` is asked once where a second try is due, and is where a budget is spent.
     ///
     /// # Errors
     /// Neither try brought a usable answer: the error of the one that came further.
     pub async fn exchange_hedged(
         &self,
         first: SocketAddr,
-        request: impl Fn() -> Request,
+        request: impl Fn(SocketAddr) -> Request,
         options: &client::ExchangeOptions,
         hedge: HedgeOptions,
-        may_hedge: impl FnOnce() -> bool,
+        second: impl FnOnce() -> Option<SocketAddr>,
     ) -> Result<client::ExchangeOutcome, PooledError> {
         let connection = self.live(first, ConnectionChoice::Any).await;
         let PooledConnection {
@@ -49,7 +47,7 @@
         let first_try = Box::pin(client::exchange_quiet(
             stream,
             gate,
-            request(),
+            request(first),
             options,
             finish,
         ));
@@ -63,7 +61,7 @@
         };
         // Connections that the second try opens are younger than this.
         let age = self.newest(first);
-        if !may_hedge() {
+        let Some(second) = second() else {
             let exchanged = first_try.await;
             if let Err(error) = &exchanged
                 && error.is_silence()
@@ -71,8 +69,8 @@
                 self.report_silent(age);
             }
             return exchanged.context(ExchangeSnafu);
-        }
-        let second_try = self.exchange(hedge.second, ConnectionChoice::Fresh, request(), options);
+        };
+        let second_try = self.exchange(second, ConnectionChoice::Fresh, request(second), options);
         match future::select(first_try, Box::pin(second_try)).await {
             Either::Left((Ok(outcome), _)) => Ok(outcome),
             Either::Left((Err(error), second_try)) => {
--- a/dahliawood-wire/tests/main/loopback/mod.rs
+++ b/dahliawood-wire/tests/main/loopback/mod.rs
@@ -164,14 +164,13 @@
     for _ in 0..2 {
         exchange(&pool, address, pool::ConnectionChoice::Fresh, "").await;
     }
-    let request = || Request::get(Url::parse(&format!("http://{address}/")).unwrap());
+    let request = |at| Request::get(Url::parse(&format!("http://{at}/")).unwrap());
     let options = client::ExchangeOptions::default();
     let hedge = pool::hedge::HedgeOptions {
         after: Duration::from_millis(20),
-        second: address,
     };
     let outcome = pool
-        .exchange_hedged(address, request, &options, hedge, || true)
+        .exchange_hedged(address, request, &options, hedge, || Some(address))
         .await
         .unwrap();
     assert_eq!(outcome.response.status(), 200);
@@ -185,14 +184,13 @@
     let address = echo_server().await;
     let pool = pool::TargetPool::new(pool::PoolOptions::default());
     exchange(&pool, address, pool::ConnectionChoice::Any, "").await;
-    let request = || Request::get(Url::parse(&format!("http://{address}/")).unwrap());
+    let request = |at| Request::get(Url::parse(&format!("http://{at}/")).unwrap());
     let options = client::ExchangeOptions::default();
     let hedge = pool::hedge::HedgeOptions {
         after: Duration::ZERO,
-        second: address,
     };
     let outcome = pool
-        .exchange_hedged(address, request, &options, hedge, || false)
+        .exchange_hedged(address, request, &options, hedge, || None)
         .await;
     assert!(outcome.is_ok());
     assert_eq!(pool.count(address).open, 1);
