fix(daemon): a loan that covers most of a request's time is taken

Cause: a slot on loan was taken only where the loan outlasts the deadline; the longest loan is 10 s and a loan counts from its ask, so a service with a timeout of 10 s could use none. A VM without slots of its own made its requests wait for the whole timeout. Change: three quarters of the time left are enough, and the request's time ends with the loan. Conclusion: loans carry such services again; answers still end before the slot is given away.

--- a/dahliawood-daemon/src/front/flight/mod.rs
+++ b/dahliawood-daemon/src/front/flight/mod.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Until when the slot may be used: without end where it is this VM's own.
+    pub fn usable_until(&self) -> TimeStamp {
+        let loan = self.permit.filter(is_loan);
+        loan.map_or(TimeStamp::MAX, |permit| permit.usable_until)
+    }
+
     /// Keeps what a second try occupies for as long as this flight: either may be the one that
     /// answers.
     pub fn accompany(&mut self, guard: HedgeGuard) {
@@ -114,9 +120,14 @@
     loan_end: Option<Mutex<BoxFuture<'static, ()>>>,
 }
 
+/// Whether a slot is on loan.
+fn is_loan(permit: &effect::QuotaPermit) -> bool {
+    matches!(permit.source, effect::PermitSource::Loan(_))
+}
+
 /// Resolves when the loan of a permit ends, `None` for a slot of this VM's own.
 fn loan_end(permit: Option<effect::QuotaPermit>) -> Option<Mutex<BoxFuture<'static, ()>>> {
-    let loan = permit.filter(|permit| matches!(permit.source, effect::PermitSource::Loan(_)))?;
+    let loan = permit.filter(is_loan)?;
     let left = loan.usable_until.since(clock::now());
     Some(Mutex::new(Box::pin(task::sleep(left))))
 }
--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -160,7 +160,7 @@
         mut flight: TargetFlight,
     ) -> Result<Response, FailedTry> {
         let address = self.snapshot.state.config.targets[flight.target].address;
-        let left = self.deadline.since(clock::now());
+        let left = self.deadline.min(flight.usable_until()).since(clock::now());
         let method = outgoing.method();
         let is_far = self.far_links(flight.target).is_some();
         let call = target_call::CallOptions {
--- a/dahliawood-daemon/src/front/forward/place.rs
+++ b/dahliawood-daemon/src/front/forward/place.rs
@@ -65,8 +65,8 @@
 /// turn it is.
 async fn ask_loans(shared: &Arc<shared::SharedState>, query: &PlaceQuery<'_>, wanted: TargetKey) {
     let name = slots::limit_name(&query.config.targets[wanted]);
-    if query.deadline > clock::now().after(shared.desk.longest_loan()) {
-        // No loan lasts until its end; it waits for one of this VM's own slots.
+    if query.deadline > clock::now().after(shared.desk.longest_loan() * 4 / 3) {
+        // No loan lasts for most of it; it waits for one of this VM's own slots.
         return future::pending().await;
     }
     loop {
--- a/dahliawood-daemon/src/slots/mod.rs
+++ b/dahliawood-daemon/src/slots/mod.rs
@@ -49,6 +49,12 @@
     NotHeld(TargetKey),
 }
 
+/// Whether allowance lasts for three quarters of the time that a request has left; the rest of it is
+/// given up, so that a service whose timeout is that of the longest loan can use loans at all.
+fn lasts(usable_until: TimeStamp, deadline: TimeStamp, now: TimeStamp) -> bool {
+    usable_until.since(now) * 4 >= deadline.since(now) * 3
+}
+
 /// The name of a target's slots among the limits.
 pub fn limit_name(target: &tables::TargetSpec) -> String {
     format!("slots/{}", target.name)
@@ -106,8 +112,8 @@
             let Some(permit) = shared.desk.try_admit(&name, query.deadline, now) else {
                 return Ok(SlotStep::NotHeld(target));
             };
-            if permit.usable_until < query.deadline {
-                // A loan that ends first would cut the answer, or go on beyond the slots.
+            if !lasts(permit.usable_until, query.deadline, now) {
+                // A loan that ends long before would cut the answer, or go on beyond the slots.
                 shared.desk.release(permit, now);
                 return Ok(SlotStep::NotHeld(target));
             }
