refactor(quota,daemon): limits and drains are named in one place

Cause: the names that tie the daemon's requests to the limits of the book (customer/, link/, slots/) were written out in both packages, so that a change of one would have refused everything; and the daemon named drains by a copy of what the file's package has. Change: the names are functions beside the limits that bear them; the daemon calls those, and DrainName for drains. Behaviour is the same.

--- a/dahliawood-daemon/src/control/install/mod.rs
+++ b/dahliawood-daemon/src/control/install/mod.rs
@@ -8,7 +8,7 @@
 use dahliawood_events::kind;
 use dahliawood_model::keys::{ArenaKey, VmKey};
 use dahliawood_model::tables;
-use dahliawood_quota::member;
+use dahliawood_quota::{limit, member};
 use dahliawood_steer::{lookup, target};
 use dahliawood_store::revision::keeper;
 use snafu::OptionExt;
@@ -88,7 +88,7 @@
         found.map(VmKey::from_index)
     };
     let of_customer = |customer: &tables::CustomerSpec, region: &tables::RegionSpec| {
-        let limit = book.limit(&format!("customer/{}", customer.name));
+        let limit = book.limit(&limit::customer_name(customer));
         let homes = limit.map(|limit| book.homes(limit, &region.name));
         homes.iter().flatten().filter_map(live).collect()
     };
--- a/dahliawood-daemon/src/front/forward/mod.rs
+++ b/dahliawood-daemon/src/front/forward/mod.rs
@@ -16,8 +16,9 @@
 use crate::{clock, counters, shared, slots, snapshot};
 use dahliawood_fate::verdict::RunVerdict;
 use dahliawood_fate::{deadline, retry};
-use dahliawood_model::keys::{CustomerKey, RegionKey, RouteKey, ServiceKey, TargetKey};
+use dahliawood_model::keys::{CustomerKey, RouteKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_quota::limit;
 use dahliawood_steer::health;
 use dahliawood_wire::problem;
 use http_types::{Body, Method, Request, Response, StatusCode};
@@ -196,13 +197,9 @@
     fn far_links(&self, target: TargetKey) -> Option<pace::FarLinks> {
         let config = &self.snapshot.state.config;
         let (home, far) = (self.snapshot.state.home, config.target_region(target));
-        let name = |from: RegionKey, to: RegionKey| {
-            let (from, to) = (&config.regions[from].name, &config.regions[to].name);
-            format!("link/{from}>{to}")
-        };
         (home != far).then(|| pace::FarLinks {
-            outward: name(home, far),
-            homeward: name(far, home),
+            outward: limit::link_name(config, home, far),
+            homeward: limit::link_name(config, far, home),
         })
     }
 
@@ -231,7 +228,7 @@
     /// its slots, or else one of another target.
     fn hedge_guard(&self, target: TargetKey) -> Option<flight::HedgeGuard> {
         let config = &self.snapshot.state.config;
-        let name = slots::limit_name(&config.targets[target]);
+        let name = limit::slots_name(&config.targets[target]);
         let permit = self
             .shared
             .desk
--- a/dahliawood-daemon/src/front/forward/place.rs
+++ b/dahliawood-daemon/src/front/forward/place.rs
@@ -8,6 +8,7 @@
 use dahliawood_model::keys::{CustomerKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::tables;
+use dahliawood_quota::limit;
 use dahliawood_steer::queue;
 use futures::channel::oneshot;
 use futures::future::{self, Either};
@@ -64,7 +65,7 @@
 /// Asks for loans of a target's slot for as long as this is polled; what comes goes to whoever's
 /// turn it is.
 async fn ask_loans(shared: &Arc<shared::SharedState>, query: &PlaceQuery<'_>, wanted: TargetKey) {
-    let name = slots::limit_name(&query.config.targets[wanted]);
+    let name = limit::slots_name(&query.config.targets[wanted]);
     if query.deadline > clock::now().after(shared.desk.longest_loan() * 4 / 3) {
         // No loan lasts for most of it; it waits for one of this VM's own slots.
         return future::pending().await;
--- a/dahliawood-daemon/src/front/handler/mod.rs
+++ b/dahliawood-daemon/src/front/handler/mod.rs
@@ -5,6 +5,7 @@
 use crate::{clock, counters, shared, snapshot};
 use dahliawood_model::keys::{CustomerKey, RouteKey};
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_quota::limit;
 use dahliawood_wire::headers as wire_headers;
 use http_types::{Request, Response};
 use std::net::SocketAddr;
@@ -181,8 +182,8 @@
     let Some(customer) = customer else {
         return Ok(());
     };
-    let limit = format!("customer/{}", state.config.customers[customer].name);
-    let admitted = shared.desk.admit(&limit, deadline, clock::now()).await;
+    let name = limit::customer_name(&state.config.customers[customer]);
+    let admitted = shared.desk.admit(&name, deadline, clock::now()).await;
     admitted.map_err(RefusalCause::OverRate)?;
     shared.counters.count(counters::CounterKind::Admitted);
     Ok(())
--- a/dahliawood-daemon/src/shared/mod.rs
+++ b/dahliawood-daemon/src/shared/mod.rs
@@ -7,7 +7,7 @@
 use dahliawood_model::FastMap;
 use dahliawood_model::keys::RegionKey;
 use dahliawood_model::tables;
-use dahliawood_quota::member;
+use dahliawood_quota::{limit, member};
 use dahliawood_steer::{choice, drain, target};
 use dahliawood_wire::pool;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -140,13 +140,9 @@
         if !is_linked {
             return choice::SpillRoom::NONE;
         }
-        let (from, to) = (
-            &config.regions[home.region].name,
-            &config.regions[region].name,
-        );
         let link = self
             .desk
-            .free_share(&format!("link/{from}>{to}"), clock::now());
+            .free_share(&limit::link_name(config, home.region, region), clock::now());
         choice::SpillRoom { link, region: 1.0 }
     }
 }
--- a/dahliawood-daemon/src/slots/mod.rs
+++ b/dahliawood-daemon/src/slots/mod.rs
@@ -5,10 +5,12 @@
 use crate::front::refusal::RefusalCause;
 use crate::waiters::{DispatchStep, WaitingTry};
 use crate::{clock, shared};
+use dahliawood_config::drain as names;
 use dahliawood_events::kind;
 use dahliawood_model::keys::{RegionKey, ServiceKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::tables;
+use dahliawood_quota::limit;
 use dahliawood_steer::{choice, drain, queue};
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,11 +57,6 @@
     usable_until.since(now) * 4 >= deadline.since(now) * 3
 }
 
-/// The name of a target's slots among the limits.
-pub fn limit_name(target: &tables::TargetSpec) -> String {
-    format!("slots/{}", target.name)
-}
-
 /// Takes a slot that is free now.
 ///
 /// # Errors
@@ -108,7 +105,7 @@
     let table = guard.as_mut().ok_or(RefusalCause::Starting)?;
     match choice::choose(table, &asked, now, &mut rand::rng()) {
         choice::Choice::Target(target, _) => {
-            let name = limit_name(&config.targets[target]);
+            let name = limit::slots_name(&config.targets[target]);
             let Some(permit) = shared.desk.try_admit(&name, query.deadline, now) else {
                 return Ok(SlotStep::NotHeld(target));
             };
@@ -195,10 +192,10 @@
         return;
     };
     for (target, spec) in config.targets.iter() {
-        let Some(limit) = book.limit(&limit_name(spec)) else {
+        let Some(key) = book.limit(&limit::slots_name(spec)) else {
             continue;
         };
-        let free = book.available(limit, now).whole() as u32;
+        let free = book.available(key, now).whole() as u32;
         let running = table.get(target).map_or(0, |state| state.in_flight);
         table.set_slot_limit(target, running + free);
     }
@@ -240,7 +237,7 @@
     if last == Some(event.step) && event.step != drain::DrainStep::Moved {
         return;
     }
-    let subject = subject_name(config, event.subject);
+    let subject = names::DrainName::of(config, event.subject).to_string();
     let step = event.step.to_string();
     shared
         .events
@@ -254,7 +251,7 @@
     wanted: Option<TargetKey>,
 ) {
     let Some(target) = wanted else { return };
-    let name = limit_name(&config.targets[target]);
+    let name = limit::slots_name(&config.targets[target]);
     let shared = Arc::clone(shared);
     async_std::task::spawn(async move {
         let now = clock::now();
@@ -268,15 +265,6 @@
     });
 }
 
-/// What a drain is about, as an operator names it.
-fn subject_name(config: &tables::FleetConfig, subject: tables::DrainSubject) -> String {
-    match subject {
-        tables::DrainSubject::Target(key) => format!("target {}", config.targets[key].name),
-        tables::DrainSubject::Domain(key) => format!("domain {}", config.domains[key].name),
-        tables::DrainSubject::Region(key) => format!("region {}", config.regions[key].name),
-    }
-}
-
 /// Joins the queue for a service; the turn comes through the receiver of `entry`.
 ///
 /// # Errors
--- a/dahliawood-quota/src/limit/mod.rs
+++ b/dahliawood-quota/src/limit/mod.rs
@@ -1,6 +1,7 @@
 //! Limits, their stable names and the keys that a VM knows them by.
 
 use crate::amount::{TokenAmount, TokenRate};
+use dahliawood_model::keys::RegionKey;
 use dahliawood_model::{FastMap, tables};
 use serde::{Deserialize, Serialize};
 
@@ -146,10 +147,26 @@
     }
 }
 
+/// The name of the limit of a customer's requests.
+pub fn customer_name(customer: &tables::CustomerSpec) -> String {
+    format!("customer/{}", customer.name)
+}
+
+/// The name of the limit of the bytes of one direction of a link.
+pub fn link_name(fleet: &tables::FleetConfig, from: RegionKey, to: RegionKey) -> String {
+    let (from, to) = (&fleet.regions[from].name, &fleet.regions[to].name);
+    format!("link/{from}>{to}")
+}
+
+/// The name of the limit of the requests in flight at a target.
+pub fn slots_name(target: &tables::TargetSpec) -> String {
+    format!("slots/{}", target.name)
+}
+
 /// The limit of a customer's requests.
 pub fn customer_limit(customer: &tables::CustomerSpec) -> LimitSpec {
     rate_limit(
-        format!("customer/{}", customer.name),
+        customer_name(customer),
         TokenRate::from(customer.rate),
         TokenAmount::from_whole(customer.burst),
     )
@@ -158,9 +175,8 @@
 /// The limit of the bytes of one direction of a link, held by the VMs of the sending region.
 pub fn link_limit(fleet: &tables::FleetConfig, link: &tables::LinkSpec) -> LimitSpec {
     let from = &fleet.regions[link.from].name;
-    let to = &fleet.regions[link.to].name;
     LimitSpec {
-        name: format!("link/{from}>{to}"),
+        name: link_name(fleet, link.from, link.to),
         terms: LimitTerms::Rate {
             rate: TokenRate::from(link.cap),
             burst: TokenAmount::from_whole(link.burst_bytes),
@@ -177,7 +193,7 @@
 pub fn target_limit(fleet: &tables::FleetConfig, target: &tables::TargetSpec) -> LimitSpec {
     let region = fleet.domains[target.domain].region;
     LimitSpec {
-        name: format!("slots/{}", target.name),
+        name: slots_name(target),
         terms: LimitTerms::Count {
             count: TokenAmount::from_whole(u64::from(target.slots)),
         },
