--- a/dahliawood-daemon/src/main.rs
+++ b/dahliawood-daemon/src/main.rs
@@ -2,6 +2,8 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod gateway;
+
 use async_std::stream::StreamExt;
 use async_std::task;
 use dahliawood_daemon::{run, settings};
@@ -18,6 +20,14 @@
 const EXIT_CUT: u8 = 3;
 
 fn main() -> ExitCode {
+    match dahliawood_platform::settings::path() {
+        Some(path) => gateway::main(&path),
+        None => standalone(),
+    }
+}
+
+/// Runs by the product's own settings, with the operators' file and the live list.
+fn standalone() -> ExitCode {
     let raw = settings::raw_settings().run();
     let settings = match settings::check(&raw) {
         Ok(settings) => settings,
--- /dev/null
+++ b/dahliawood-gateway/src/clock/mod.rs
@@ -0,0 +1,18 @@
+//! The gateway's clock, read only at the edge: systems get what is read here as `now`.
+
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_store::clock;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Time since the machine started, suspends included: a lease must not outlive a suspend.
+pub fn now() -> TimeStamp {
+    clock::boot_now()
+}
+
+/// Wall time, milliseconds since the Unix epoch; it may step.
+pub fn wall_millis() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -0,0 +1,64 @@
+//! The control thread: follows the key space, registers this VM, and runs what happens at times.
+
+pub mod follow;
+pub mod register;
+pub mod tick;
+pub mod vms;
+
+use crate::state::SharedState;
+use async_std::channel::Receiver;
+use async_std::task;
+use dahliawood_store::space::call::SpaceClient;
+use dahliawood_store::space::view::SpaceView;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::thread;
+
+/// What the tasks of the control thread share.
+pub struct ControlState {
+    /// What they share with the traffic thread.
+    pub shared: SharedState,
+    /// The key space.
+    pub store: SpaceClient,
+    /// What is known of it.
+    pub view: RefCell<SpaceView>,
+    /// Whether the store answered last time.
+    pub is_store_up: Cell<bool>,
+}
+
+/// What the control thread is started with.
+pub struct ControlOptions {
+    /// State to share.
+    pub shared: SharedState,
+    /// The key space.
+    pub store: SpaceClient,
+    /// Ends the thread when it closes.
+    pub stop: Receiver<()>,
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+/// The thread cannot be started.
+pub fn start(options: ControlOptions) -> std::io::Result<thread::JoinHandle<()>> {
+    let builder = thread::Builder::new().name("control".to_owned());
+    builder.spawn(move || task::block_on(run(options)))
+}
+
+async fn run(options: ControlOptions) {
+    let state = Rc::new(ControlState {
+        shared: options.shared,
+        store: options.store,
+        view: RefCell::new(SpaceView::new(follow::is_leased)),
+        is_store_up: Cell::new(true),
+    });
+    let tasks = [
+        task::spawn_local(follow::run(Rc::clone(&state))),
+        task::spawn_local(register::run(Rc::clone(&state))),
+        task::spawn_local(tick::run(state)),
+    ];
+    let _closed = options.stop.recv().await;
+    for task in tasks {
+        task.cancel().await;
+    }
+}
--- /dev/null
+++ b/dahliawood-gateway/src/control/register/mod.rs
@@ -0,0 +1,77 @@
+//! Registers this VM in the key space for as long as it takes work.
+
+use crate::control::vms::VmRecord;
+use crate::control::{ControlState, follow};
+use async_std::future::timeout;
+use async_std::task;
+use dahliawood_store::client::error::StoreError;
+use dahliawood_store::space::call::WriteCall;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long the registration lasts without being renewed.
+const LEASE_LENGTH: Duration = Duration::from_secs(4);
+/// How often it is renewed.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_300);
+/// The pause after a failed call.
+const FAILED_PAUSE: Duration = Duration::from_millis(400);
+
+/// Keeps this VM registered until it leaves.
+pub async fn run(state: Rc<ControlState>) {
+    let record = VmRecord::own(&state.shared.settings);
+    let mut lease = None;
+    while !state.shared.is_leaving() {
+        let step = match lease {
+            Some(id) => renew(&state, id).await,
+            None => register(&state, &record).await.map(|id| lease = Some(id)),
+        };
+        let pause = match step {
+            Ok(()) => RENEW_INTERVAL,
+            Err(error) => {
+                if matches!(error, StoreError::NoLease) {
+                    lease = None;
+                }
+                follow::note_store(&state, Some(&error));
+                FAILED_PAUSE
+            }
+        };
+        let _leaving = timeout(pause, state.shared.left.recv()).await;
+    }
+    if let Some(id) = lease {
+        revoke(&state, id).await;
+    }
+}
+
+/// Registers anew under a new lease.
+async fn register(state: &ControlState, record: &VmRecord) -> Result<u64, StoreError> {
+    let granted = (state.store.grant_lease)(LEASE_LENGTH).await;
+    state.shared.metrics.store_call("grant", granted.is_ok());
+    let lease = granted?;
+    let value = serde_json::to_vec(record);
+    let value = value.map_err(|source| StoreError::Malformed { source })?;
+    let call = WriteCall {
+        key: record.key(),
+        value,
+        lease: Some(lease),
+    };
+    let written = (state.store.write)(call).await;
+    state.shared.metrics.store_call("write", written.is_ok());
+    written.map(|_| lease)
+}
+
+async fn renew(state: &ControlState, lease: u64) -> Result<(), StoreError> {
+    let kept = (state.store.keep_lease)(lease).await;
+    state.shared.metrics.store_call("keep", kept.is_ok());
+    kept
+}
+
+/// Ends the registration, so that no look-up names this VM any more.
+async fn revoke(state: &ControlState, lease: u64) {
+    while let Err(error) = (state.store.revoke_lease)(lease).await {
+        if matches!(error, StoreError::NoLease) {
+            return;
+        }
+        log::warn!("the registration cannot be ended yet: {error}");
+        task::sleep(FAILED_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -0,0 +1,27 @@
+//! What is done at fixed times.
+
+use crate::clock;
+use crate::control::{ControlState, follow};
+use async_std::task;
+use dahliawood_steer::place::{choose, spill};
+use std::rc::Rc;
+
+/// Ticks between two sweeps of idle connections.
+const SWEEP_TICKS: u32 = 2;
+
+/// Ticks until the task is cancelled.
+pub async fn run(state: Rc<ControlState>) {
+    let mut ticks = 0_u32;
+    loop {
+        task::sleep(spill::STEP_INTERVAL).await;
+        let now = clock::now();
+        let own = state.shared.own().clone();
+        choose::step(&mut state.shared.place(), &own, now);
+        let gone = state.view.borrow_mut().expire(now);
+        follow::take(&state, &gone);
+        ticks = ticks.wrapping_add(1);
+        if ticks.is_multiple_of(SWEEP_TICKS) {
+            state.shared.pool.sweep();
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-gateway/src/directory/mod.rs
@@ -0,0 +1,63 @@
+//! Answers the calls on the VM itself: whether it takes work, and which VMs to use.
+
+use crate::control::vms;
+use crate::front::connection::CallerRequest;
+use crate::front::refusal::FrontAnswer;
+use crate::state::SharedState;
+use crate::words::{LookupQuery, OwnCall};
+use dahliawood_wire::raw::fields::FieldList;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers one call.
+pub async fn answer(state: SharedState, request: CallerRequest) -> FrontAnswer {
+    match (state.words.read_call)(&request.head) {
+        OwnCall::Ready if state.is_ready() => plain(200, "ready"),
+        OwnCall::Ready => plain(503, "not ready"),
+        OwnCall::Lookup(query) => lookup(&state, &query),
+        OwnCall::Unknown => plain(404, "no such call"),
+    }
+}
+
+/// Answers a reader of metrics.
+pub async fn metrics(state: SharedState, request: CallerRequest) -> FrontAnswer {
+    match request.head.path() {
+        METRICS_PATH => plain(200, &state.metrics.text()),
+        _ => plain(404, "no such path"),
+    }
+}
+
+/// Names the VMs that a caller should use.
+fn lookup(state: &SharedState, query: &LookupQuery) -> FrontAnswer {
+    let vms = state.vms.load();
+    let own = &state.settings.name;
+    let mut live: Vec<_> = vms.iter().cloned().collect();
+    if state.is_leaving() {
+        live.retain(|vm| vm.name != *own);
+    }
+    let addresses = vms::named(&live, &query.domain, &query.region);
+    let outcome = if addresses.is_empty() { "empty" } else { "answered" };
+    state.metrics.lookups.with_label_values(&[outcome]).inc();
+    if addresses.is_empty() {
+        return plain(503, "no VM is known");
+    }
+    let lifetime = state.settings.bounds.lookup_lifetime;
+    let mut fields = FieldList::default();
+    fields.push("Content-Type", "application/json");
+    FrontAnswer {
+        status: 200,
+        fields,
+        body: (state.words.write_lookup)(&addresses, lifetime),
+    }
+}
+
+fn plain(status: u16, text: &str) -> FrontAnswer {
+    let mut fields = FieldList::default();
+    fields.push("Content-Type", "text/plain");
+    FrontAnswer {
+        status,
+        fields,
+        body: text.as_bytes().to_vec(),
+    }
+}
--- /dev/null
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -0,0 +1,363 @@
+//! Forwards a routed request to a target and brings back its answer.
+//!
+//! A request is tried again, on another target, only where it is idempotent or has not run, within
+//! its route's attempts and the service's budget of second tries.
+
+use crate::clock;
+use crate::front::connection::CallerRequest;
+use crate::front::refusal::{FrontAnswer, RefusalCause};
+use crate::line::LineRank;
+use crate::state::GatewayState;
+use crate::target_call::{self, CallFailure, TargetAnswer, TargetCall};
+use crate::words::{RequestWords, TargetMark};
+use dahliawood_fate::retry::RetryBudget;
+use dahliawood_fate::verdict::RunVerdict;
+use dahliawood_model::catalog::{CatalogRoute, FleetCatalog, RequestKind};
+use dahliawood_model::keys::{CustomerKey, RouteKey, TargetKey};
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_steer::health::ResultKind;
+use dahliawood_steer::place::choose::{self, ColdBound, PlaceChoice, PlaceQuery};
+use dahliawood_steer::place::table::TargetResult;
+use dahliawood_steer::rendezvous;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Less time than this left is not worth a try.
+const LEAST_TIME: Duration = Duration::from_millis(30);
+/// The least part of a route's target latency that a request may wait for a slot.
+const LEAST_PATIENCE: f64 = 0.25;
+/// The part of an idempotent request's time that its first try may take.
+const FIRST_TRY: f64 = 0.6;
+/// A first try is not cut before so many average service times.
+const FIRST_TRY_TIMES: u32 = 3;
+/// Statuses that say that a request has not run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+/// When to come back after a target shed the request.
+const RETRY_SHED: Duration = Duration::from_millis(200);
+
+/// A request with its route and customer.
+#[derive(Clone, Debug)]
+pub struct RoutedRequest {
+    /// Its route.
+    pub route: RouteKey,
+    /// Whose key came with it.
+    pub customer: Option<CustomerKey>,
+    /// Name of the service that serves it.
+    pub service: String,
+    /// When it came.
+    pub started: TimeStamp,
+    /// When it has to have its final answer.
+    pub deadline: TimeStamp,
+}
+
+/// A line on a try that brought no answer.
+#[derive(Serialize)]
+struct TryLine<'a> {
+    id: Option<&'a str>,
+    target: &'a str,
+    verdict: String,
+    detail: &'a str,
+    tries: usize,
+}
+
+/// What all tries of one request share.
+struct ForwardRun<'a> {
+    state: &'a GatewayState,
+    catalog: &'a FleetCatalog,
+    request: &'a CallerRequest,
+    words: &'a RequestWords,
+    routed: &'a RoutedRequest,
+    tried: Vec<TargetKey>,
+    verdict: RunVerdict,
+    /// The target's own answer to the last try, where it made one.
+    last: Option<TargetAnswer>,
+    has_timed_out: bool,
+}
+
+/// Where a try goes.
+struct TryTarget {
+    key: TargetKey,
+    id: String,
+    address: SocketAddr,
+}
+
+/// Forwards a request to its end; dropped, it closes the target's connection.
+///
+/// # Errors
+/// There is no target's answer, and why.
+pub async fn run(
+    state: &GatewayState,
+    catalog: &FleetCatalog,
+    request: &CallerRequest,
+    words: &RequestWords,
+    routed: &RoutedRequest,
+) -> Result<FrontAnswer, RefusalCause> {
+    let run = ForwardRun {
+        state,
+        catalog,
+        request,
+        words,
+        routed,
+        tried: Vec::new(),
+        verdict: RunVerdict::NotRun,
+        last: None,
+        has_timed_out: false,
+    };
+    run.tries().await
+}
+
+/// Notes the end of a try in the table, also where the caller left before.
+struct Flight<'a> {
+    state: &'a GatewayState,
+    key: TargetKey,
+    started: TimeStamp,
+    result: TargetResult,
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        let now = clock::now();
+        self.result.taken = now.since(self.started);
+        self.state.place().finish(self.key, self.result, now);
+    }
+}
+
+impl ForwardRun<'_> {
+    fn route(&self) -> &CatalogRoute {
+        &self.catalog.routes[self.routed.route]
+    }
+
+    async fn tries(mut self) -> Result<FrontAnswer, RefusalCause> {
+        loop {
+            let target = match self.choose() {
+                Ok(target) => target,
+                Err(cause) if self.tried.is_empty() => return Err(cause),
+                Err(_) => return self.give_up(),
+            };
+            if self.tried.is_empty() {
+                self.state.budget(&self.routed.service, RetryBudget::earn);
+            }
+            self.tried.push(target.key);
+            match self.attempt(&target).await {
+                Ok(answer) if self.is_final(&answer) => return Ok(front_answer(answer)),
+                Ok(answer) => self.take_refusal(&target, answer),
+                Err(failure) => self.take_failure(&target, &failure),
+            }
+            if !self.may_retry() {
+                return self.give_up();
+            }
+        }
+    }
+
+    /// Chooses a target and takes its place there.
+    fn choose(&self) -> Result<TryTarget, RefusalCause> {
+        let now = clock::now();
+        let route = self.route();
+        let customer = self.routed.customer;
+        let customer_regions: &[String] =
+            customer.map_or(&[], |key| &self.catalog.customers[key].regions);
+        let object = self.words.object.as_ref().filter(|_| route.has_affinity);
+        let mut place = self.state.place();
+        let query = PlaceQuery {
+            service: &self.routed.service,
+            object: object.map(|name| rendezvous::name_hash(name.as_bytes())),
+            is_bulk: route.kind == RequestKind::Download,
+            regions: [&route.regions, customer_regions],
+            tried: &self.tried,
+            patience: self.patience(place.usual(&self.routed.service), now),
+            cold: self.cold_bound(),
+        };
+        let own = self.state.own().clone();
+        match choose::choose(&mut place, &own, &query, now) {
+            PlaceChoice::Target(key) => {
+                place.begin(key, now);
+                let target = place.get(key).ok_or(RefusalCause::NoTarget)?;
+                Ok(TryTarget {
+                    key,
+                    id: target.entry.id.clone(),
+                    address: target.entry.address,
+                })
+            }
+            PlaceChoice::Busy { retry_after } => Err(RefusalCause::Busy(retry_after)),
+            PlaceChoice::None => Err(RefusalCause::NoTarget),
+        }
+    }
+
+    /// How long the request may wait for a slot and still be answered promptly.
+    fn patience(&self, usual: Duration, now: TimeStamp) -> Duration {
+        let latency = self.route().target_latency;
+        let spent = now.since(self.routed.started);
+        let left = latency.saturating_sub(spent).saturating_sub(usual);
+        left.max(latency.mul_f64(LEAST_PATIENCE))
+    }
+
+    fn cold_bound(&self) -> ColdBound {
+        let bounds = &self.state.settings.bounds;
+        let service = self.catalog.services.get(&self.routed.service);
+        let rate = service.map_or(0.0, |service| service.cold_rate);
+        ColdBound {
+            per_second: rate * bounds.cold_factor + bounds.cold_slack,
+        }
+    }
+
+    /// Sends the request to a target.
+    async fn attempt(&self, target: &TryTarget) -> Result<TargetAnswer, CallFailure> {
+        let now = clock::now();
+        let mut flight = Flight {
+            state: self.state,
+            key: target.key,
+            started: now,
+            result: TargetResult {
+                kind: ResultKind::Cancelled,
+                taken: Duration::ZERO,
+                load: None,
+            },
+        };
+        let left = self.routed.deadline.since(now);
+        let customer = self.routed.customer;
+        let call = TargetCall {
+            head: &self.request.head,
+            body: &self.request.body,
+            attempt_id: self.words.attempt_id.as_deref(),
+            address: target.address,
+            mark: TargetMark {
+                target_id: &target.id,
+                left,
+                customer: customer.map(|key| self.catalog.customers[key].name.as_str()),
+            },
+            is_idempotent: self.route().kind.is_idempotent(),
+            is_retry: self.tried.len() > 1,
+            limit: self.limit(left),
+        };
+        let answered = target_call::send(self.state, &call).await;
+        flight.result.kind = match &answered {
+            Ok(answer) => {
+                flight.result.load = answer.words.load;
+                judge(answer)
+            }
+            Err(failure) => failure.kind,
+        };
+        self.state.metrics.send(label(flight.result.kind));
+        answered
+    }
+
+    /// How long a try may take: a first one leaves time for another where there may be one.
+    fn limit(&self, left: Duration) -> Duration {
+        let is_last = self.tried.len() >= self.route().max_attempts as usize;
+        if is_last || !self.route().kind.is_idempotent() {
+            return left;
+        }
+        let usual = self.state.place().usual(&self.routed.service);
+        left.mul_f64(FIRST_TRY).max(usual * FIRST_TRY_TIMES).min(left)
+    }
+
+    /// Whether a target's answer goes to the caller as it is.
+    fn is_final(&self, answer: &TargetAnswer) -> bool {
+        match judge(answer) {
+            ResultKind::Answered => true,
+            ResultKind::Errored => !self.route().kind.is_idempotent() && is_passed_on(answer),
+            _ => false,
+        }
+    }
+
+    /// Takes an answer that does not end the request.
+    fn take_refusal(&mut self, target: &TryTarget, answer: TargetAnswer) {
+        if answer.words.is_misdirected {
+            self.state.place().remove(&target.id);
+        }
+        let verdict = match answer.words.has_not_run {
+            true => RunVerdict::NotRun,
+            false => RunVerdict::MayHaveRun,
+        };
+        let detail = format!("status {}", answer.head.status);
+        self.note(target, verdict, &detail);
+        self.last = Some(answer).filter(|answer| !answer.words.has_not_run);
+    }
+
+    /// Takes a try that brought no answer.
+    fn take_failure(&mut self, target: &TryTarget, failure: &CallFailure) {
+        self.has_timed_out |= failure.kind == ResultKind::TimedOut;
+        self.note(target, failure.verdict, &failure.detail);
+        self.last = None;
+    }
+
+    fn note(&mut self, target: &TryTarget, verdict: RunVerdict, detail: &str) {
+        self.verdict = self.verdict.combine(verdict);
+        let tries = self.tried.len();
+        self.state.lines.write(LineRank::Notable, "try", || TryLine {
+            id: self.words.attempt_id.as_deref(),
+            target: &target.id,
+            verdict: verdict.to_string(),
+            detail,
+            tries,
+        });
+    }
+
+    /// Whether the request may be sent once more, and takes it out of the budget.
+    fn may_retry(&self) -> bool {
+        let route = self.route();
+        let left = self.routed.deadline.since(clock::now());
+        let is_allowed = self.verdict == RunVerdict::NotRun || route.kind.is_idempotent();
+        is_allowed
+            && left >= LEAST_TIME
+            && self.tried.len() < route.max_attempts as usize
+            && self.state.budget(&self.routed.service, RetryBudget::spend)
+    }
+
+    /// The final answer where no try brought one.
+    fn give_up(mut self) -> Result<FrontAnswer, RefusalCause> {
+        if self.verdict == RunVerdict::NotRun {
+            return Err(RefusalCause::Busy(RETRY_SHED));
+        }
+        let last = self.last.take();
+        if let Some(answer) = last.filter(is_passed_on) {
+            return Ok(front_answer(answer));
+        }
+        match self.has_timed_out {
+            true => Err(RefusalCause::TimedOut),
+            false => Err(RefusalCause::Failed),
+        }
+    }
+}
+
+/// What an answer tells of its target.
+fn judge(answer: &TargetAnswer) -> ResultKind {
+    let words = &answer.words;
+    match answer.head.status {
+        _ if words.is_misdirected => ResultKind::ConnectFailed,
+        _ if words.has_not_run => ResultKind::Shed,
+        status if NOT_RUN_STATUSES.contains(&status) => ResultKind::Errored,
+        200..=499 if words.is_signed => ResultKind::Answered,
+        _ => ResultKind::Errored,
+    }
+}
+
+/// Whether a failure that a target reports may go to the caller as it is.
+fn is_passed_on(answer: &TargetAnswer) -> bool {
+    let status = answer.head.status;
+    answer.words.is_signed && status >= 400 && !NOT_RUN_STATUSES.contains(&status)
+}
+
+fn label(kind: ResultKind) -> &'static str {
+    match kind {
+        ResultKind::Answered => "answered",
+        ResultKind::Errored => "errored",
+        ResultKind::Shed => "shed",
+        ResultKind::ConnectFailed => "unreached",
+        ResultKind::TimedOut => "timed-out",
+        ResultKind::Cancelled => "cancelled",
+    }
+}
+
+/// A target's answer as the caller gets it.
+fn front_answer(answer: TargetAnswer) -> FrontAnswer {
+    let mut fields = answer.head.fields;
+    fields.remove_hop_by_hop();
+    fields.remove("content-length");
+    FrontAnswer {
+        status: answer.head.status,
+        fields,
+        body: answer.body,
+    }
+}
--- /dev/null
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -0,0 +1,146 @@
+//! The keep-alive loop over one connection.
+
+use crate::front::refusal::{FrontAnswer, RefusalCause};
+use crate::state::SharedState;
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use dahliawood_model::catalog::CallerLimits;
+use dahliawood_wire::raw::error::ReadError;
+use dahliawood_wire::raw::head::RequestHead;
+use dahliawood_wire::raw::reader::ConnectionReader;
+use dahliawood_wire::raw::write;
+use futures::future::{self, Either};
+use futures::io::AsyncWriteExt;
+use std::pin::pin;
+use std::time::Duration;
+
+/// How long a connection stays open for one more request once the VM is leaving.
+const LEAVING_IDLE: Duration = Duration::from_millis(1_500);
+/// How long the caller may take to take an answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes of further requests that are read while one is served.
+const AHEAD_BYTES: usize = 64 * 1024;
+/// The interim answer that lets a caller send its body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// A whole request of a caller.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// Serves requests from one connection, in their order, until it ends.
+pub async fn serve<F: Future<Output = FrontAnswer>>(
+    state: SharedState,
+    stream: TcpStream,
+    answer: impl Fn(CallerRequest) -> F,
+) {
+    let mut reader = ConnectionReader::new(stream.clone());
+    loop {
+        let catalog = state.catalog.load();
+        let limits = catalog.as_ref().map(|catalog| catalog.limits);
+        drop(catalog);
+        let limits = limits.unwrap_or_default();
+        let request = match next(&state, &mut reader, &stream, &limits).await {
+            Ok(Some(request)) => request,
+            Ok(None) => return,
+            Err(cause) => {
+                let _closing = write_answer(&stream, &cause.answer(), false, true).await;
+                return;
+            }
+        };
+        let is_head = request.head.method == "HEAD";
+        let wants_close = request.head.wants_close();
+        let answered = {
+            let answering = pin!(answer(request));
+            let ended = pin!(reader.ended(AHEAD_BYTES));
+            match future::select(answering, ended).await {
+                Either::Left((answered, _)) => answered,
+                // The caller has left: dropping the work closes the target's connection.
+                Either::Right(((), _)) => return,
+            }
+        };
+        let close = wants_close || state.is_leaving();
+        let written = write_answer(&stream, &answered, is_head, close).await;
+        if close || written.is_none() {
+            return;
+        }
+    }
+}
+
+/// The next request, `None` where the connection is over.
+async fn next(
+    state: &SharedState,
+    reader: &mut ConnectionReader<TcpStream>,
+    stream: &TcpStream,
+    limits: &CallerLimits,
+) -> Result<Option<CallerRequest>, RefusalCause> {
+    let Some(head) = next_head(state, reader, limits).await? else {
+        return Ok(None);
+    };
+    let frame = head.frame().map_err(|error| refuse(&error))?;
+    if head.fields.has_token("expect", "100-continue") {
+        let mut output = stream;
+        if output.write_all(CONTINUE).await.is_err() {
+            return Ok(None);
+        }
+    }
+    let body = timeout(limits.idle_timeout, reader.body(frame, limits.body_bytes)).await;
+    match body {
+        Ok(Ok(body)) => Ok(Some(CallerRequest { head, body })),
+        Ok(Err(ReadError::CutShort | ReadError::Connection { .. })) => Ok(None),
+        Ok(Err(error)) => Err(refuse(&error)),
+        Err(_) => Err(RefusalCause::TooSlow),
+    }
+}
+
+/// The next head, `None` where the connection is over.
+async fn next_head(
+    state: &SharedState,
+    reader: &mut ConnectionReader<TcpStream>,
+    limits: &CallerLimits,
+) -> Result<Option<RequestHead>, RefusalCause> {
+    let arriving = timeout(limits.idle_timeout, reader.request_head(limits.head_bytes));
+    let arriving = pin!(arriving);
+    let arrived = match future::select(arriving, pin!(state.left.recv())).await {
+        Either::Left((arrived, _)) => arrived.ok(),
+        Either::Right((_, arriving)) => timeout(LEAVING_IDLE, arriving)
+            .await
+            .ok()
+            .and_then(Result::ok),
+    };
+    match arrived {
+        None => Ok(None),
+        Some(Ok(head)) => Ok(head),
+        Some(Err(ReadError::CutShort | ReadError::Connection { .. })) => Ok(None),
+        Some(Err(error)) => Err(refuse(&error)),
+    }
+}
+
+fn refuse(error: &ReadError) -> RefusalCause {
+    match error {
+        ReadError::HeadTooLarge { .. } => RefusalCause::HeadTooLong,
+        ReadError::BodyTooLarge { .. } => RefusalCause::BodyTooLong,
+        error => RefusalCause::Malformed(error.to_string()),
+    }
+}
+
+/// Writes an answer, `None` where the caller does not take it.
+async fn write_answer(
+    stream: &TcpStream,
+    answer: &FrontAnswer,
+    is_head: bool,
+    close: bool,
+) -> Option<()> {
+    let mut fields = answer.fields.clone();
+    if close {
+        fields.push("Connection", "close");
+    }
+    let bytes = write::answer(answer.status, &fields, &answer.body, is_head);
+    let mut output = stream;
+    let written = timeout(WRITE_TIMEOUT, output.write_all(&bytes)).await;
+    matches!(written, Ok(Ok(()))).then_some(())
+}
--- /dev/null
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -0,0 +1,169 @@
+//! One request from its head to its answer: route, key, limit, then the forward path.
+
+use crate::clock;
+use crate::forward::{self, RoutedRequest};
+use crate::front::connection::CallerRequest;
+use crate::front::refusal::{FrontAnswer, RefusalCause};
+use crate::line::LineRank;
+use crate::state::{GatewayState, SharedState};
+use crate::words::RequestWords;
+use dahliawood_model::catalog::{CatalogCustomer, FleetCatalog};
+use dahliawood_model::keys::{CustomerKey, RouteKey};
+use dahliawood_model::stamp::TimeStamp;
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How much sooner than its route's timeout a request is given its final answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(40);
+
+/// A line on an answered request.
+#[derive(Serialize)]
+struct RequestLine<'a> {
+    id: Option<&'a str>,
+    version: u64,
+    route: Option<&'a str>,
+    customer: Option<&'a str>,
+    status: u16,
+    cause: Option<String>,
+    taken_ms: u128,
+}
+
+/// Answers one request of a caller.
+pub async fn answer(state: SharedState, request: CallerRequest) -> FrontAnswer {
+    let started = clock::now();
+    state.metrics.in_flight.inc();
+    let words = (state.words.read_request)(&request.head);
+    let catalog = state.catalog.load_full();
+    let routed = route(&state, catalog.as_ref(), &request, &words, started);
+    let outcome = match (routed, &catalog) {
+        (Ok(routed), Some(catalog)) => {
+            let sent = forward::run(&state, catalog, &request, &words, &routed).await;
+            (sent, Some(routed))
+        }
+        (Ok(_), None) => (Err(RefusalCause::Unknown), None),
+        (Err(cause), _) => (Err(cause), None),
+    };
+    state.metrics.in_flight.dec();
+    report(&state, catalog.as_deref(), &words, &outcome, started);
+    outcome.0.unwrap_or_else(|cause| cause.answer())
+}
+
+/// Counts and logs what became of a request.
+fn report(
+    state: &GatewayState,
+    catalog: Option<&FleetCatalog>,
+    words: &RequestWords,
+    outcome: &(Result<FrontAnswer, RefusalCause>, Option<RoutedRequest>),
+    started: TimeStamp,
+) {
+    let taken = clock::now().since(started);
+    let (status, cause) = match &outcome.0 {
+        Ok(answer) => (answer.status, None),
+        Err(cause) => (cause.status(), Some(cause)),
+    };
+    let label = match cause {
+        None => "answered",
+        Some(cause) if cause.retry_after().is_some() => "refused",
+        Some(_) => "failed",
+    };
+    state.metrics.request(label, taken);
+    let rank = if cause.is_none() && status < 500 {
+        LineRank::Routine
+    } else {
+        LineRank::Notable
+    };
+    state.lines.write(rank, "request", || RequestLine {
+        id: words.attempt_id.as_deref(),
+        version: catalog.map_or(0, |catalog| catalog.version),
+        route: catalog.zip(outcome.1.as_ref()).map(|(catalog, routed)| {
+            catalog.routes[routed.route].name.as_str()
+        }),
+        customer: catalog
+            .zip(outcome.1.as_ref().and_then(|routed| routed.customer))
+            .map(|(catalog, customer)| catalog.customers[customer].name.as_str()),
+        status,
+        cause: cause.map(ToString::to_string),
+        taken_ms: taken.as_millis(),
+    });
+}
+
+/// Finds the route and the customer of a request, and counts it against the customer's limit.
+fn route(
+    state: &GatewayState,
+    catalog: Option<&Arc<FleetCatalog>>,
+    request: &CallerRequest,
+    words: &RequestWords,
+    now: TimeStamp,
+) -> Result<RoutedRequest, RefusalCause> {
+    let catalog = catalog.ok_or(RefusalCause::Unknown)?;
+    let host = request.head.fields.get("host").unwrap_or_default();
+    let route = catalog.route(host, request.head.path());
+    let route = route.ok_or(RefusalCause::NoRoute)?;
+    let customer = customer(catalog, route, words)?;
+    let timeout = catalog.routes[route].timeout;
+    let patience = words.patience.unwrap_or(timeout).min(timeout);
+    let service = service(state, catalog, route);
+    if let Some(customer) = customer {
+        admit(state, &catalog.customers[customer], now)?;
+    }
+    Ok(RoutedRequest {
+        route,
+        customer,
+        service,
+        started: now,
+        deadline: now.after(patience.saturating_sub(ANSWER_MARGIN)),
+    })
+}
+
+/// Whose key came with a request, `None` on a route that is open to all.
+fn customer(
+    catalog: &FleetCatalog,
+    route: RouteKey,
+    words: &RequestWords,
+) -> Result<Option<CustomerKey>, RefusalCause> {
+    if catalog.routes[route].is_open || catalog.customers.is_empty() {
+        return Ok(None);
+    }
+    let key = words.key.as_ref().ok_or(RefusalCause::BadKey)?;
+    let customer = catalog.keys.get(key).ok_or(RefusalCause::BadKey)?;
+    Ok(Some(*customer))
+}
+
+/// Counts a request against this VM's part of the customer's limit.
+fn admit(
+    state: &GatewayState,
+    customer: &CatalogCustomer,
+    now: TimeStamp,
+) -> Result<(), RefusalCause> {
+    if customer.rate <= 0.0 {
+        return Ok(());
+    }
+    let most = limit(state, customer);
+    let admitted = state.windows().admit(&customer.name, most, now);
+    admitted.map_err(RefusalCause::OverLimit)
+}
+
+/// This VM's part of a customer's limit, in a window.
+fn limit(state: &GatewayState, customer: &CatalogCustomer) -> f64 {
+    let bounds = &state.settings.bounds;
+    let window = bounds.quota_window.as_secs_f64();
+    let whole = customer.rate * window + customer.burst;
+    let vms = state.vms.load().len().max(1) as f64;
+    (whole + bounds.quota_slack) / vms
+}
+
+/// The service that serves the next request of a route.
+fn service(state: &GatewayState, catalog: &FleetCatalog, route: RouteKey) -> String {
+    let route = &catalog.routes[route];
+    match route.parts.as_slice() {
+        [] => String::new(),
+        [part] => part.service.clone(),
+        parts => {
+            let mut splits = state.splits();
+            let split = splits.entry(route.name.clone()).or_default();
+            let next = split.next(parts.iter().map(|part| part.weight));
+            parts[next].service.clone()
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -0,0 +1,85 @@
+//! Counters and latency histograms, served as text.
+
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use std::time::Duration;
+
+/// Upper bounds of the latency histogram, seconds.
+const LATENCY_BOUNDS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0];
+
+/// All metrics of a gateway.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests of callers, by what became of them.
+    pub requests: IntCounterVec,
+    /// Requests sent to targets, by what became of them.
+    pub sends: IntCounterVec,
+    /// Calls to the store, by kind and outcome.
+    pub store_calls: IntCounterVec,
+    /// Look-ups, by outcome.
+    pub lookups: IntCounterVec,
+    /// From a request's head to its answer.
+    pub latency: Histogram,
+    /// Requests that are being served.
+    pub in_flight: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Metrics that are all zero.
+    ///
+    /// # Errors
+    /// A name is refused or stands twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new_custom(Some("dahliawood".to_owned()), None)?;
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let requests = counter("requests_total", "Requests of callers.", &["outcome"])?;
+        let sends = counter("sends_total", "Requests sent to targets.", &["outcome"])?;
+        let store_calls = counter("store_calls_total", "Calls to the store.", &["call", "outcome"])?;
+        let lookups = counter("lookups_total", "Look-ups.", &["outcome"])?;
+        let options = HistogramOpts::new("request_seconds", "From a request to its answer.");
+        let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
+        registry.register(Box::new(latency.clone()))?;
+        let in_flight = IntGauge::new("requests_in_flight", "Requests that are being served.")?;
+        registry.register(Box::new(in_flight.clone()))?;
+        Ok(Self {
+            registry,
+            requests,
+            sends,
+            store_calls,
+            lookups,
+            latency,
+            in_flight,
+        })
+    }
+
+    /// Counts a request of a caller.
+    pub fn request(&self, outcome: &str, taken: Duration) {
+        self.requests.with_label_values(&[outcome]).inc();
+        self.latency.observe(taken.as_secs_f64());
+    }
+
+    /// Counts a request sent to a target.
+    pub fn send(&self, outcome: &str) {
+        self.sends.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, call: &str, is_answered: bool) {
+        let outcome = if is_answered { "answered" } else { "failed" };
+        self.store_calls.with_label_values(&[call, outcome]).inc();
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|error| {
+                log::error!("the metrics cannot be written: {error}");
+                String::new()
+            })
+    }
+}
--- /dev/null
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -0,0 +1,146 @@
+//! A gateway from its start to the end of its graceful shutdown.
+
+pub mod error;
+
+use crate::front::connection::{self, CallerRequest};
+use crate::front::refusal::FrontAnswer;
+use crate::front::{handler, listen};
+use crate::line::LineRank;
+use crate::metrics::GatewayMetrics;
+use crate::settings::GatewaySettings;
+use crate::state::{GatewayState, SharedState};
+use crate::words::PlatformWords;
+use crate::{clock, control, directory};
+use async_std::channel::{Sender, bounded};
+use async_std::net::TcpListener;
+use async_std::task;
+use dahliawood_store::space::call::SpaceClient;
+use error::{BindSnafu, MetricsSnafu, StartError, ThreadSnafu};
+use serde::Serialize;
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// How often the shutdown looks whether everything has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// How long callers with older look-ups are served once the VM is leaving.
+const LEAST_LEAVE: Duration = Duration::from_millis(2_000);
+/// How much sooner than its limit a shutdown ends.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+
+/// A running gateway; it runs on the thread that started it.
+pub struct GatewayHandle {
+    /// Its state.
+    pub state: SharedState,
+    listeners: Vec<task::JoinHandle<()>>,
+    control: thread::JoinHandle<()>,
+    stop: Sender<()>,
+}
+
+/// A line at start and stop.
+#[derive(Serialize)]
+struct LifeLine<'a> {
+    vm: &'a str,
+    domain: &'a str,
+    in_flight: i64,
+}
+
+/// Starts a gateway; must run inside `task::block_on`, whose thread is the traffic thread.
+///
+/// # Errors
+/// An address cannot be bound, or the control thread cannot be started.
+pub async fn start(
+    settings: GatewaySettings,
+    words: PlatformWords,
+    store: SpaceClient,
+) -> Result<GatewayHandle, StartError> {
+    let metrics = GatewayMetrics::new().context(MetricsSnafu)?;
+    let state: SharedState = Arc::new(GatewayState::new(settings, words, metrics));
+    let settings = &state.settings;
+    let own = |request, state| directory::answer(state, request);
+    let text = |request, state| directory::metrics(state, request);
+    let front = |request, state| handler::answer(state, request);
+    let listeners = vec![
+        serve(&state, settings.front, front).await?,
+        serve(&state, settings.ready, own).await?,
+        serve(&state, settings.directory, own).await?,
+        serve(&state, settings.metrics, text).await?,
+    ];
+    let (stop, stopped) = bounded(1);
+    let control = control::start(control::ControlOptions {
+        shared: Arc::clone(&state),
+        store,
+        stop: stopped,
+    });
+    let control = control.context(ThreadSnafu)?;
+    write_life(&state, "start");
+    Ok(GatewayHandle {
+        state,
+        listeners,
+        control,
+        stop,
+    })
+}
+
+/// Answers requests at an address.
+async fn serve<F, A>(
+    state: &SharedState,
+    address: SocketAddr,
+    answer: A,
+) -> Result<task::JoinHandle<()>, StartError>
+where
+    F: Future<Output = FrontAnswer> + 'static,
+    A: Fn(CallerRequest, SharedState) -> F + Copy + 'static,
+{
+    let listener = TcpListener::bind(address)
+        .await
+        .context(BindSnafu { address })?;
+    let state = Arc::clone(state);
+    Ok(task::spawn_local(listen(listener, move |stream| {
+        let shared = Arc::clone(&state);
+        let answer = move |request| answer(request, Arc::clone(&shared));
+        connection::serve(Arc::clone(&state), stream, answer)
+    })))
+}
+
+fn write_life(state: &GatewayState, event: &str) {
+    state.lines.write(LineRank::State, event, || LifeLine {
+        vm: &state.settings.name,
+        domain: &state.settings.domain,
+        in_flight: state.metrics.in_flight.get(),
+    });
+}
+
+impl GatewayHandle {
+    /// Shuts down: look-ups no longer name this VM, requests in flight end, up to the limit of the
+    /// settings.
+    pub async fn shutdown(self) {
+        self.state.leave();
+        write_life(&self.state, "leaving");
+        let started = clock::now();
+        let limit = self.state.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+        loop {
+            task::sleep(DRAIN_POLL).await;
+            let spent = clock::now().since(started);
+            let is_idle = self.state.metrics.in_flight.get() == 0;
+            if spent >= limit || (spent >= LEAST_LEAVE && is_idle) {
+                break;
+            }
+        }
+        write_life(&self.state, "stop");
+        self.abort().await;
+    }
+
+    /// Ends at once: whatever is in flight is cut.
+    pub async fn abort(self) {
+        for listener in self.listeners {
+            listener.cancel().await;
+        }
+        self.stop.close();
+        if self.control.join().is_err() {
+            log::error!("the control thread panicked");
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -0,0 +1,153 @@
+//! What the control thread and the traffic thread share.
+
+use crate::control::vms::VmRecord;
+use crate::line::LineLog;
+use crate::metrics::GatewayMetrics;
+use crate::settings::GatewaySettings;
+use crate::words::PlatformWords;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use async_std::channel::{Receiver, Sender, bounded};
+use dahliawood_fate::retry::RetryBudget;
+use dahliawood_model::FastMap;
+use dahliawood_model::catalog::FleetCatalog;
+use dahliawood_quota::window::CustomerWindows;
+use dahliawood_steer::place::choose::OwnPlace;
+use dahliawood_steer::place::table::PlaceTable;
+use dahliawood_steer::split::parts::PartSplit;
+use dahliawood_wire::pool::{PoolOptions, TargetPool};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How long opening a connection to a target may take: a round trip between regions, and some more.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a connection to a target may be idle, where the target says nothing.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long sent bytes may stay unacknowledged.
+const USER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What the threads share; locks are held for a few instructions and never over an await.
+#[derive(derive_more::Debug)]
+#[debug("GatewayState({})", settings.name)]
+pub struct GatewayState {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// The platform's words.
+    pub words: PlatformWords,
+    /// What is declared, `None` until it is known.
+    pub catalog: ArcSwapOption<FleetCatalog>,
+    /// The VMs that live, this one included.
+    pub vms: ArcSwap<Vec<VmRecord>>,
+    /// Connections to targets.
+    pub pool: TargetPool,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// Log lines.
+    pub lines: LineLog,
+    place: Mutex<PlaceTable>,
+    own: Mutex<OwnPlace>,
+    budgets: Mutex<FastMap<String, RetryBudget>>,
+    splits: Mutex<FastMap<String, PartSplit>>,
+    windows: Mutex<CustomerWindows>,
+    is_leaving: AtomicBool,
+    leave: Sender<()>,
+    /// Closed once the VM leaves.
+    pub left: Receiver<()>,
+}
+
+impl GatewayState {
+    /// A VM that knows nothing yet.
+    pub fn new(settings: GatewaySettings, words: PlatformWords, metrics: GatewayMetrics) -> Self {
+        let (leave, left) = bounded(1);
+        let own = OwnPlace {
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            vms: 1,
+        };
+        let options = PoolOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            tcp_user_timeout: USER_TIMEOUT,
+            ..PoolOptions::default()
+        };
+        Self {
+            words,
+            catalog: ArcSwapOption::empty(),
+            vms: ArcSwap::from_pointee(Vec::new()),
+            pool: TargetPool::new(options),
+            metrics,
+            lines: LineLog::default(),
+            place: Mutex::new(PlaceTable::new(settings.regions.clone())),
+            own: Mutex::new(own),
+            budgets: Mutex::default(),
+            splits: Mutex::default(),
+            windows: Mutex::new(CustomerWindows::new(settings.bounds.quota_window)),
+            is_leaving: AtomicBool::new(false),
+            leave,
+            left,
+            settings,
+        }
+    }
+
+    /// The targets.
+    pub fn place(&self) -> MutexGuard<'_, PlaceTable> {
+        lock(&self.place)
+    }
+
+    /// Where this VM stands.
+    pub fn own(&self) -> MutexGuard<'_, OwnPlace> {
+        lock(&self.own)
+    }
+
+    /// What customers have sent.
+    pub fn windows(&self) -> MutexGuard<'_, CustomerWindows> {
+        lock(&self.windows)
+    }
+
+    /// The state of each route's split.
+    pub fn splits(&self) -> MutexGuard<'_, FastMap<String, PartSplit>> {
+        lock(&self.splits)
+    }
+
+    /// Works with a service's budget of second tries, a VM's part of the fleet's.
+    pub fn budget<T>(&self, service: &str, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        if !budgets.contains_key(service) {
+            budgets.insert(service.to_owned(), self.new_budget());
+        }
+        let budget = budgets.entry(service.to_owned()).or_insert_with(|| self.new_budget());
+        work(budget)
+    }
+
+    fn new_budget(&self) -> RetryBudget {
+        let bounds = &self.settings.bounds;
+        let vms = self.vms.load().len().max(1) as f64;
+        let percent = (bounds.retry_ratio * 100.0) as u32;
+        RetryBudget::new(percent, (bounds.retry_extra / vms) as u32)
+    }
+
+    /// Whether the VM is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
+    /// Starts the shutdown.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+        self.leave.close();
+    }
+
+    /// Whether the VM takes work.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.catalog.load().is_some()
+    }
+}
+
+/// Locks; a thread that panicked while it held the lock left the state whole.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The state as the threads hold it.
+pub type SharedState = Arc<GatewayState>;
+
--- /dev/null
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -0,0 +1,221 @@
+//! One exchange with a target, and what its failure tells.
+
+use crate::clock;
+use crate::state::GatewayState;
+use crate::words::{AnswerWords, TargetMark};
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use dahliawood_fate::verdict::RunVerdict;
+use dahliawood_steer::health::ResultKind;
+use dahliawood_wire::pool::{ConnectionChoice, PooledConnection};
+use dahliawood_wire::raw::error::ReadError;
+use dahliawood_wire::raw::head::{AnswerHead, RequestHead};
+use dahliawood_wire::raw::reader::ConnectionReader;
+use dahliawood_wire::raw::write;
+use futures::future::{self, Either};
+use futures::io::AsyncWriteExt;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+/// The longest head of an answer, bytes.
+const HEAD_BYTES: usize = 16 * 1024;
+/// The longest answer that is forwarded, bytes.
+const BODY_BYTES: usize = 32 * 1024 * 1024;
+/// Answers to other requests that are read past before the connection is given up.
+const MOST_STRAYS: usize = 3;
+/// How long ago a connection may have been used to carry a non-idempotent request: targets drop
+/// idle connections, and a request that meets the end of one may have run.
+const RECENTLY_USED: Duration = Duration::from_millis(700);
+/// How much sooner than its target a connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
+
+/// A request to be sent to a target.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetCall<'a> {
+    /// The request's head as it came.
+    pub head: &'a RequestHead,
+    /// Its whole body.
+    pub body: &'a [u8],
+    /// Names the try.
+    pub attempt_id: Option<&'a str>,
+    /// Where the target answers.
+    pub address: SocketAddr,
+    /// What the target is told.
+    pub mark: TargetMark<'a>,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// Whether the request was tried before.
+    pub is_retry: bool,
+    /// How long this try may take.
+    pub limit: Duration,
+}
+
+/// A whole answer of a target.
+#[derive(Clone, Debug)]
+pub struct TargetAnswer {
+    /// Its head.
+    pub head: AnswerHead,
+    /// What the head says to the system.
+    pub words: AnswerWords,
+    /// Its whole body.
+    pub body: Vec<u8>,
+}
+
+/// Why an exchange brought no whole answer.
+#[derive(Clone, Debug)]
+pub struct CallFailure {
+    /// What it tells of the target.
+    pub kind: ResultKind,
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// What happened.
+    pub detail: String,
+}
+
+/// Sends a request and reads the whole answer; dropped, it closes the connection, which tells the
+/// target to stop.
+///
+/// # Errors
+/// No whole answer, and whether the request may have run.
+pub async fn send(
+    state: &GatewayState,
+    call: &TargetCall<'_>,
+) -> Result<TargetAnswer, CallFailure> {
+    let choice = match (call.is_retry, call.is_idempotent) {
+        (true, _) => ConnectionChoice::Fresh,
+        (false, true) => ConnectionChoice::Any,
+        (false, false) => ConnectionChoice::UsedWithin(RECENTLY_USED),
+    };
+    let connection = match state.pool.live(call.address, choice).await {
+        Ok(connection) => connection,
+        Err(error) => return Err(not_run(&error)),
+    };
+    let is_reused = connection.reused;
+    let age = connection.guard.age();
+    let exchanged = timeout(call.limit, exchange(state, call, connection)).await;
+    match exchanged {
+        Ok(answered) => answered,
+        Err(_) => {
+            if is_reused {
+                state.pool.report_silent(age);
+            }
+            Err(may_have_run(
+                ResultKind::TimedOut,
+                "no answer in time".to_owned(),
+            ))
+        }
+    }
+}
+
+fn not_run(error: &dyn std::error::Error) -> CallFailure {
+    CallFailure {
+        kind: ResultKind::ConnectFailed,
+        verdict: RunVerdict::NotRun,
+        detail: error.to_string(),
+    }
+}
+
+fn may_have_run(kind: ResultKind, detail: String) -> CallFailure {
+    CallFailure {
+        kind,
+        verdict: RunVerdict::MayHaveRun,
+        detail,
+    }
+}
+
+/// The request as bytes, with what the target is told.
+fn encode(state: &GatewayState, call: &TargetCall<'_>) -> Vec<u8> {
+    let mut fields = call.head.fields.clone();
+    (state.words.mark_request)(&mut fields, &call.mark);
+    write::request(&call.head.method, &call.head.target, &fields, call.body)
+}
+
+async fn exchange(
+    state: &GatewayState,
+    call: &TargetCall<'_>,
+    connection: PooledConnection,
+) -> Result<TargetAnswer, CallFailure> {
+    let PooledConnection { stream, guard, .. } = connection;
+    let bytes = encode(state, call);
+    let mut reader = ConnectionReader::new(stream.clone());
+    let (answer, is_clean) = talk(state, call, &stream, &bytes, &mut reader).await?;
+    let is_reusable = is_clean && !answer.head.says_close() && reader.into_clean().is_some();
+    drop(stream);
+    guard.finish_within(is_reusable, idle_limit(&answer.head));
+    Ok(answer)
+}
+
+/// Writes the request while the answer is read; answers whether the connection is where both sides
+/// expect it.
+async fn talk(
+    state: &GatewayState,
+    call: &TargetCall<'_>,
+    stream: &TcpStream,
+    bytes: &[u8],
+    reader: &mut ConnectionReader<TcpStream>,
+) -> Result<(TargetAnswer, bool), CallFailure> {
+    let mut output = stream;
+    let sending = pin!(output.write_all(bytes));
+    let receiving = pin!(receive(state, call, reader));
+    match future::select(sending, receiving).await {
+        Either::Left((_, receiving)) => receiving.await,
+        // An early answer: what is left of the request must not be taken for the next one.
+        Either::Right((answered, _)) => answered.map(|(answer, _)| (answer, false)),
+    }
+}
+
+/// Reads until the answer to this try is there, past late answers to others.
+async fn receive(
+    state: &GatewayState,
+    call: &TargetCall<'_>,
+    reader: &mut ConnectionReader<TcpStream>,
+) -> Result<(TargetAnswer, bool), CallFailure> {
+    for strays in 0..=MOST_STRAYS {
+        let answer = receive_one(state, call, reader).await?;
+        let is_own = match (&answer.words.attempt_id, call.attempt_id) {
+            (Some(echoed), Some(sent)) => echoed == sent,
+            (None, _) => answer.words.has_not_run || !answer.words.is_signed,
+            (Some(_), None) => true,
+        };
+        if is_own {
+            return Ok((answer, strays == 0));
+        }
+    }
+    Err(may_have_run(
+        ResultKind::Errored,
+        "answers to other requests came".to_owned(),
+    ))
+}
+
+async fn receive_one(
+    state: &GatewayState,
+    call: &TargetCall<'_>,
+    reader: &mut ConnectionReader<TcpStream>,
+) -> Result<TargetAnswer, CallFailure> {
+    let failed = |error: ReadError| may_have_run(ResultKind::Errored, error.to_string());
+    loop {
+        let head = reader.answer_head(HEAD_BYTES).await.map_err(failed)?;
+        let head = head.ok_or_else(|| failed(ReadError::CutShort))?;
+        if head.status < 200 {
+            continue;
+        }
+        let frame = head.frame(&call.head.method).map_err(failed)?;
+        let body = reader.body(frame, BODY_BYTES).await.map_err(failed)?;
+        let words = (state.words.read_answer)(&head, clock::now());
+        return Ok(TargetAnswer { head, words, body });
+    }
+}
+
+/// How long the target keeps the connection, and some less.
+fn idle_limit(head: &AnswerHead) -> Duration {
+    let stated = head
+        .fields
+        .all("keep-alive")
+        .flat_map(|value| value.split(','))
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.trim().parse().ok());
+    stated.map_or(Duration::MAX, |seconds| {
+        Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN)
+    })
+}
--- a/dahliawood-model/src/lib.rs
+++ b/dahliawood-model/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod catalog;
 pub mod keys;
 pub mod stamp;
 pub mod tables;
--- a/dahliawood-quota/src/lib.rs
+++ b/dahliawood-quota/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod pacer;
 pub mod queue;
 pub mod shares;
+pub mod window;
--- /dev/null
+++ b/dahliawood-quota/src/window/mod.rs
@@ -0,0 +1,90 @@
+//! What customers sent through this VM lately, against this VM's part of their limits.
+//!
+//! A limit holds over any window of a fixed length, summed over all VMs. Each VM keeps within its
+//! part of the limit in every window by itself; who has which part is decided elsewhere.
+
+use dahliawood_model::FastMap;
+use dahliawood_model::stamp::TimeStamp;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Counts of a window are kept in so many steps.
+const STEPS: u32 = 20;
+
+/// What one customer sent.
+#[derive(Clone, Debug, Default)]
+struct SentWindow {
+    steps: VecDeque<(TimeStamp, u32)>,
+    total: u32,
+}
+
+/// The windows of all customers.
+#[derive(Clone, Debug)]
+pub struct CustomerWindows {
+    length: Duration,
+    sent: FastMap<String, SentWindow>,
+}
+
+impl CustomerWindows {
+    /// Nothing was sent yet; limits hold over windows of `length`.
+    pub fn new(length: Duration) -> Self {
+        let sent = FastMap::default();
+        Self { length, sent }
+    }
+
+    /// The length of a window.
+    pub fn length(&self) -> Duration {
+        self.length
+    }
+
+    /// Counts a request, `most` in a window.
+    ///
+    /// # Errors
+    /// There is no room for it: answers how long until there is.
+    pub fn admit(&mut self, customer: &str, most: f64, now: TimeStamp) -> Result<(), Duration> {
+        let step = self.length / STEPS;
+        if !self.sent.contains_key(customer) {
+            self.sent.insert(customer.to_owned(), SentWindow::default());
+        }
+        let Some(window) = self.sent.get_mut(customer) else {
+            return Ok(());
+        };
+        window.forget(now, self.length + step);
+        if f64::from(window.total) + 1.0 > most {
+            let oldest = window.steps.front().map_or(now, |(at, _)| *at);
+            let room_at = oldest.after(self.length + step);
+            return Err(room_at.since(now));
+        }
+        window.note(now, step);
+        Ok(())
+    }
+
+    /// Requests that each customer sent within the last window.
+    pub fn totals(&mut self, now: TimeStamp) -> impl Iterator<Item = (&String, u32)> {
+        let length = self.length;
+        self.sent
+            .values_mut()
+            .for_each(|window| window.forget(now, length));
+        self.sent.iter().map(|(name, window)| (name, window.total))
+    }
+}
+
+impl SentWindow {
+    fn forget(&mut self, now: TimeStamp, length: Duration) {
+        while let Some((at, count)) = self.steps.front().copied() {
+            if now.since(at) < length {
+                return;
+            }
+            self.steps.pop_front();
+            self.total -= count;
+        }
+    }
+
+    fn note(&mut self, now: TimeStamp, step: Duration) {
+        self.total += 1;
+        match self.steps.back_mut() {
+            Some((at, count)) if now.since(*at) < step => *count += 1,
+            _ => self.steps.push_back((now, 1)),
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-steer/src/place/choose/mod.rs
@@ -0,0 +1,296 @@
+//! The choice of one target for one request.
+
+use crate::place::spill::SpillLevel;
+use crate::place::table::{PlaceTable, PlacedTarget};
+use crate::rendezvous;
+use dahliawood_model::keys::TargetKey;
+use dahliawood_model::stamp::TimeStamp;
+use std::time::Duration;
+
+/// Targets of a region that an object is spread over when the first is busy.
+const SPREAD: usize = 3;
+/// A target this many times slower than its service's average is passed over.
+const SLOW_FACTOR: f64 = 3.0;
+/// The share of what a cold target bears that is used: VMs may disagree on who lives.
+const COLD_SHARE: f64 = 0.8;
+/// The least that a refused caller is told to wait.
+const LEAST_RETRY: Duration = Duration::from_millis(150);
+/// The usual use of the fleet's slots, for the first guess of what a small region hands over.
+const ASSUMED_USE: f64 = 0.4;
+
+/// Where this VM stands.
+#[derive(Clone, Debug, Default)]
+pub struct OwnPlace {
+    /// Its failure domain.
+    pub domain: String,
+    /// Its region.
+    pub region: String,
+    /// Live VMs of its region, itself included.
+    pub vms: usize,
+}
+
+/// What a cold target bears from all VMs together.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdBound {
+    /// Requests in a second.
+    pub per_second: f64,
+}
+
+/// One request that wants a target.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceQuery<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Hash of the object that it concerns.
+    pub object: Option<u64>,
+    /// Whether its answer is large, so that its way matters.
+    pub is_bulk: bool,
+    /// Regions that may serve it, for the route and for the customer; empty for all.
+    pub regions: [&'a [String]; 2],
+    /// Targets that it was tried at.
+    pub tried: &'a [TargetKey],
+    /// How long it may wait for a slot.
+    pub patience: Duration,
+    /// What a cold target bears.
+    pub cold: ColdBound,
+}
+
+/// What the choice came to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum PlaceChoice {
+    /// Send it there.
+    Target(TargetKey),
+    /// No target would start it in time.
+    Busy {
+        /// When there may be room.
+        retry_after: Duration,
+    },
+    /// No target may serve it.
+    None,
+}
+
+/// A target that could serve, in the order of preference.
+struct Candidate {
+    key: TargetKey,
+    wait: Duration,
+}
+
+/// Chooses a target.
+pub fn choose(
+    table: &mut PlaceTable,
+    own: &OwnPlace,
+    query: &PlaceQuery<'_>,
+    now: TimeStamp,
+) -> PlaceChoice {
+    let object = query.object.unwrap_or_else(rand::random);
+    start_spill(table, own, query.service);
+    let level = spill(table, query.service).map_or(0.0, |spill| spill.level());
+    let is_away = is_spilled(object, level) && allows(query, &own.region);
+    let own_list = candidates(table, own, query, object, &own.region, now);
+    let is_served = !own_list.is_empty();
+    let here = first_in_time(&own_list, query.patience);
+    if let Some(spill) = spill_mut(table, query.service)
+        && query.tried.is_empty()
+    {
+        spill.note(is_served && here.is_none());
+    }
+    if !is_away && let Some(candidate) = here {
+        return PlaceChoice::Target(candidate);
+    }
+    let away = away(table, own, query, object, now);
+    let there = first_in_time(&away, query.patience);
+    let may_leave = is_away || !is_served || may_stray(table, query.service);
+    if may_leave && let Some(candidate) = there {
+        return PlaceChoice::Target(candidate);
+    }
+    if let Some(candidate) = here {
+        return PlaceChoice::Target(candidate);
+    }
+    busy(own_list.iter().chain(&away), query.patience)
+}
+
+/// What to say where nothing is in time.
+fn busy<'a>(all: impl Iterator<Item = &'a Candidate>, patience: Duration) -> PlaceChoice {
+    match all.map(|candidate| candidate.wait).min() {
+        None => PlaceChoice::None,
+        Some(wait) => PlaceChoice::Busy {
+            retry_after: wait.saturating_sub(patience).max(LEAST_RETRY),
+        },
+    }
+}
+
+/// The first candidate that starts the request in time, in the order of preference.
+fn first_in_time(list: &[Candidate], patience: Duration) -> Option<TargetKey> {
+    let spread = &list[..list.len().min(SPREAD)];
+    let idle = spread.iter().find(|candidate| candidate.wait.is_zero());
+    let least = || spread.iter().min_by_key(|candidate| candidate.wait);
+    idle.or_else(least)
+        .filter(|candidate| candidate.wait <= patience)
+        .map(|candidate| candidate.key)
+}
+
+/// Whether the route and the customer may be served in a region.
+fn allows(query: &PlaceQuery<'_>, region: &str) -> bool {
+    let is_allowed = |regions: &&[String]| {
+        regions.is_empty() || regions.iter().any(|allowed| allowed == region)
+    };
+    query.regions.iter().all(is_allowed)
+}
+
+/// The targets of other regions, those of each object's own next region first.
+fn away(
+    table: &mut PlaceTable,
+    own: &OwnPlace,
+    query: &PlaceQuery<'_>,
+    object: u64,
+    now: TimeStamp,
+) -> Vec<Candidate> {
+    let mut regions: Vec<(u64, String)> = Vec::new();
+    for target in targets(table, query.service) {
+        let region = &target.region;
+        if *region != own.region && !regions.iter().any(|(_, known)| known == region) {
+            let hash = rendezvous::name_hash(region.as_bytes());
+            regions.push((rendezvous::score(object, hash), region.clone()));
+        }
+    }
+    regions.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+    let lists = regions
+        .iter()
+        .map(|(_, region)| candidates(table, own, query, object, region, now));
+    let mut lists: Vec<_> = lists.collect();
+    lists.sort_by_key(|list| first_in_time(list, query.patience).is_none());
+    lists.into_iter().flatten().collect()
+}
+
+/// The targets of one region that could serve, in the order of preference.
+fn candidates(
+    table: &mut PlaceTable,
+    own: &OwnPlace,
+    query: &PlaceQuery<'_>,
+    object: u64,
+    region: &str,
+    now: TimeStamp,
+) -> Vec<Candidate> {
+    if !allows(query, region) {
+        return Vec::new();
+    }
+    let usual = table.usual(query.service);
+    let Some(pool) = table.services.get(query.service) else {
+        return Vec::new();
+    };
+    let mut ranked = Vec::new();
+    for key in pool.targets.clone() {
+        let Some(target) = table.get(key) else {
+            continue;
+        };
+        if target.region != region || !table.is_open(target) || query.tried.contains(&key) {
+            continue;
+        }
+        let is_usable = target.sick.is_usable(target.load.in_flight, now)
+            && target.load.service_time(usual, now) <= usual.mul_f64(SLOW_FACTOR);
+        if !is_usable || !bears(table, own, query, key, now) {
+            continue;
+        }
+        let Some(target) = table.get(key) else {
+            continue;
+        };
+        let is_far = query.is_bulk && target.entry.domain != own.domain;
+        let wait = target.load.wait(target.entry.slots, usual, now);
+        let score = rendezvous::score(object, target.hash);
+        ranked.push((is_far, std::cmp::Reverse(score), Candidate { key, wait }));
+    }
+    ranked.sort_by_key(|(is_far, score, _)| (*is_far, *score));
+    ranked
+        .into_iter()
+        .map(|(_, _, candidate)| candidate)
+        .collect()
+}
+
+/// Whether a target is warm, or bears one more request of this VM now: those of its own region
+/// divide what it bears.
+fn bears(
+    table: &mut PlaceTable,
+    own: &OwnPlace,
+    query: &PlaceQuery<'_>,
+    key: TargetKey,
+    now: TimeStamp,
+) -> bool {
+    let Some(target) = table.get_mut(key) else {
+        return false;
+    };
+    if now >= target.cold_until {
+        return true;
+    }
+    let most = query.cold.per_second * COLD_SHARE / own.vms.max(1) as f64;
+    target.region == own.region && target.cold.has_room(most as usize, now)
+}
+
+/// Whether an object belongs to the part that goes elsewhere.
+fn is_spilled(object: u64, level: f64) -> bool {
+    let place = rendezvous::score(object, 0) as f64 / u64::MAX as f64;
+    place < level
+}
+
+fn spill<'a>(table: &'a PlaceTable, service: &str) -> Option<&'a SpillLevel> {
+    table.services.get(service).map(|pool| &pool.spill)
+}
+
+fn spill_mut<'a>(table: &'a mut PlaceTable, service: &str) -> Option<&'a mut SpillLevel> {
+    table.services.get_mut(service).map(|pool| &mut pool.spill)
+}
+
+fn may_stray(table: &mut PlaceTable, service: &str) -> bool {
+    spill_mut(table, service).is_some_and(SpillLevel::may_stray)
+}
+
+/// The targets of a service.
+fn targets<'a>(table: &'a PlaceTable, service: &str) -> impl Iterator<Item = &'a PlacedTarget> {
+    let keys = table.services.get(service).map(|pool| &pool.targets);
+    keys.into_iter()
+        .flatten()
+        .filter_map(|key| table.get(*key))
+}
+
+/// Slots of a service's open targets in this region and in all.
+fn room(table: &PlaceTable, own: &OwnPlace, service: &str) -> (f64, f64, usize) {
+    let mut regions: Vec<&str> = Vec::new();
+    let (mut here, mut all) = (0.0, 0.0);
+    for target in targets(table, service).filter(|target| table.is_open(target)) {
+        let slots = f64::from(target.entry.slots);
+        all += slots;
+        here += if target.region == own.region { slots } else { 0.0 };
+        if !regions.contains(&target.region.as_str()) {
+            regions.push(&target.region);
+        }
+    }
+    (here, all, regions.len())
+}
+
+/// Guesses what a region with few targets hands over from the start.
+fn start_spill(table: &mut PlaceTable, own: &OwnPlace, service: &str) {
+    if spill(table, service).is_none_or(SpillLevel::is_started) {
+        return;
+    }
+    let (here, all, regions) = room(table, own, service);
+    let demand = all * ASSUMED_USE / regions.max(1) as f64;
+    if let Some(spill) = spill_mut(table, service) {
+        spill.start(1.0 - here / demand.max(1.0));
+    }
+}
+
+/// Moves the spill levels of all services by one step.
+pub fn step(table: &mut PlaceTable, own: &OwnPlace, now: TimeStamp) {
+    let services: Vec<String> = table.services.keys().cloned().collect();
+    for service in services {
+        let usual = table.usual(&service);
+        let (here, _, _) = room(table, own, &service);
+        let used: f64 = targets(table, &service)
+            .filter(|target| target.region == own.region && table.is_open(target))
+            .map(|target| target.load.outstanding(usual, now))
+            .sum();
+        let usage = if here > 0.0 { used / here } else { 1.0 };
+        if let Some(spill) = spill_mut(table, &service) {
+            spill.step(usage);
+        }
+    }
+}
--- a/dahliawood-store/src/lib.rs
+++ b/dahliawood-store/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod lease;
 pub mod protocol;
 pub mod revision;
+pub mod space;
 pub mod status;
 pub mod watch;
--- /dev/null
+++ b/dahliawood-store/src/space/view/mod.rs
@@ -0,0 +1,181 @@
+//! What is known of a key space, which never goes back to an older revision of a key.
+//!
+//! Leases may lapse while the service is away, though their holders live. Keys of that kind which
+//! are gone when the service returns are kept for a while, and dropped if nobody writes them again.
+
+use crate::space::call::SpaceItem;
+use dahliawood_model::FastMap;
+use dahliawood_model::stamp::TimeStamp;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long after the service's return its keys settle: holders that live write them again within
+/// two seconds, and this VM hears of it a little later.
+pub const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+
+/// The bytes of a key with the revision of their write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownValue {
+    /// The bytes.
+    pub value: Arc<[u8]>,
+    /// Revision of the write.
+    pub revision: u64,
+}
+
+/// A change of what is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ViewChange {
+    /// The key.
+    pub key: String,
+    /// Its bytes, `None` where it is gone.
+    pub value: Option<Arc<[u8]>>,
+}
+
+/// What is known of a key space.
+#[derive(Clone, Debug)]
+pub struct SpaceView {
+    known: FastMap<String, KnownValue>,
+    removed: FastMap<String, u64>,
+    held: FastMap<String, TimeStamp>,
+    revision: u64,
+    settled_at: TimeStamp,
+    is_away: bool,
+    is_leased: fn(&str) -> bool,
+}
+
+impl SpaceView {
+    /// Nothing is known yet. `is_leased` says which keys go with a lease.
+    pub fn new(is_leased: fn(&str) -> bool) -> Self {
+        Self {
+            known: FastMap::default(),
+            removed: FastMap::default(),
+            held: FastMap::default(),
+            revision: 0,
+            settled_at: TimeStamp::ZERO,
+            is_away: false,
+            is_leased,
+        }
+    }
+
+    /// The revision up to which everything is known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// All keys that are known.
+    pub fn known(&self) -> impl Iterator<Item = (&String, &KnownValue)> {
+        self.known.iter()
+    }
+
+    /// Notes whether the service answers.
+    pub fn set_away(&mut self, is_away: bool, now: TimeStamp) {
+        if self.is_away && !is_away {
+            self.settled_at = now.after(SETTLE_TIME);
+        }
+        self.is_away = is_away;
+    }
+
+    /// Takes changes up to `revision`, and answers what is different now.
+    pub fn apply(
+        &mut self,
+        items: Vec<SpaceItem>,
+        revision: u64,
+        now: TimeStamp,
+    ) -> Vec<ViewChange> {
+        let changes = items
+            .into_iter()
+            .filter_map(|item| self.take(item, now))
+            .collect();
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    /// Takes the whole space as it was at `revision`.
+    pub fn replace(
+        &mut self,
+        items: Vec<SpaceItem>,
+        revision: u64,
+        now: TimeStamp,
+    ) -> Vec<ViewChange> {
+        let is_listed = |key: &String| items.iter().any(|item| item.key == *key);
+        let gone: Vec<String> = self
+            .known
+            .iter()
+            .filter(|(key, known)| known.revision <= revision && !is_listed(key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let gone = gone.into_iter().map(|key| SpaceItem {
+            key,
+            value: None,
+            revision,
+        });
+        let all: Vec<_> = gone.collect::<Vec<_>>().into_iter().chain(items).collect();
+        self.apply(all, revision, now)
+    }
+
+    /// Drops the keys whose time is over.
+    pub fn expire(&mut self, now: TimeStamp) -> Vec<ViewChange> {
+        if self.is_away {
+            return Vec::new();
+        }
+        let due: Vec<String> = self
+            .held
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        due.into_iter().filter_map(|key| self.drop_key(key)).collect()
+    }
+
+    /// Whether removals are held back now.
+    fn is_settling(&self, now: TimeStamp) -> bool {
+        self.is_away || now < self.settled_at
+    }
+
+    /// Takes one change.
+    fn take(&mut self, item: SpaceItem, now: TimeStamp) -> Option<ViewChange> {
+        let known = self.known.get(&item.key).map_or(0, |known| known.revision);
+        let removed = self.removed.get(&item.key).copied().unwrap_or(0);
+        let is_news = item.revision > known.max(removed);
+        match item.value {
+            Some(value) if is_news => {
+                let value: Arc<[u8]> = value.into();
+                let revision = item.revision;
+                let entry = KnownValue {
+                    value: Arc::clone(&value),
+                    revision,
+                };
+                self.held.remove(&item.key);
+                let before = self.known.insert(item.key.clone(), entry);
+                let is_same = before.is_some_and(|before| before.value == value);
+                (!is_same).then_some(ViewChange {
+                    key: item.key,
+                    value: Some(value),
+                })
+            }
+            None if item.revision >= known => {
+                self.removed.insert(item.key.clone(), item.revision);
+                self.remove(item.key, now)
+            }
+            _ => None,
+        }
+    }
+
+    fn remove(&mut self, key: String, now: TimeStamp) -> Option<ViewChange> {
+        if !self.known.contains_key(&key) {
+            return None;
+        }
+        if (self.is_leased)(&key) && self.is_settling(now) {
+            let until = self.settled_at.max(now.after(SETTLE_TIME));
+            self.held.entry(key).or_insert(until);
+            return None;
+        }
+        self.drop_key(key)
+    }
+
+    fn drop_key(&mut self, key: String) -> Option<ViewChange> {
+        self.held.remove(&key);
+        self.known.remove(&key)?;
+        Some(ViewChange { key, value: None })
+    }
+}
--- a/dahliawood-wire/src/chunk/mod.rs
+++ b/dahliawood-wire/src/chunk/mod.rs
@@ -44,6 +44,20 @@
         self.state == ScanState::Done
     }
 
+    /// One step for a reader that keeps only content: how many of the bytes in front of `bytes` are
+    /// used up, and whether they are content. Zero means that more bytes are needed.
+    ///
+    /// # Errors
+    /// The framing is broken.
+    pub fn step_content(&mut self, bytes: &[u8]) -> Result<(usize, bool), ChunkError> {
+        let (limit, is_content) = match self.state {
+            ScanState::Data { left } => (usize::try_from(left).unwrap_or(usize::MAX), true),
+            ScanState::Trailers => (TRAILER_BYTES, false),
+            _ => (1, false),
+        };
+        Ok((self.release(bytes, limit)?, is_content))
+    }
+
     /// How many of the bytes in front of `bytes` may be handed out now, at most `limit`.
     ///
     /// Zero means that more bytes are needed, or that the body is done. Trailers are released whole
--- a/dahliawood-wire/src/lib.rs
+++ b/dahliawood-wire/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod headers;
 pub mod pool;
 pub mod problem;
+pub mod raw;
 pub mod resume;
 pub mod server;
 pub mod simple;
--- a/dahliawood-wire/src/pool/mod.rs
+++ b/dahliawood-wire/src/pool/mod.rs
@@ -71,6 +71,8 @@
     stream: TcpStream,
     opened: u64,
     since: Instant,
+    /// How long it may wait unused.
+    lasts: Duration,
 }
 
 #[derive(Default)]
@@ -132,9 +134,8 @@
 
     /// Closes connections that have waited unused for too long; call it every second or so.
     pub fn sweep(&self) {
-        let timeout = self.options.idle_timeout;
         for target in self.lock().values_mut() {
-            target.retain_idle(|idle| idle.since.elapsed() < timeout);
+            target.retain_idle(|idle| idle.since.elapsed() < idle.lasts);
         }
     }
 
@@ -232,8 +233,11 @@
         exchanged.context(ExchangeSnafu)
     }
 
-    /// A connection that has not ended.
-    async fn live(
+    /// Takes a connection that has not ended and holds nothing that was not asked for.
+    ///
+    /// # Errors
+    /// All are in use, or the target takes no new one. Nothing has been sent.
+    pub async fn live(
         &self,
         address: SocketAddr,
         choice: ConnectionChoice,
@@ -254,7 +258,7 @@
         let mut targets = self.lock();
         let target = targets.entry(address).or_default();
         let limit = target.limit.unwrap_or(self.options.connections);
-        if let Some(idle) = target.take_idle(choice, self.options.idle_timeout) {
+        if let Some(idle) = target.take_idle(choice) {
             let guard = self.guard(address, idle.opened, Some(idle.stream.clone()));
             return Ok(Reserved::Idle(PooledConnection {
                 stream: idle.stream,
@@ -298,15 +302,15 @@
 }
 
 impl TargetState {
-    fn take_idle(&mut self, choice: ConnectionChoice, timeout: Duration) -> Option<IdleConnection> {
+    fn take_idle(&mut self, choice: ConnectionChoice) -> Option<IdleConnection> {
         let longest = match choice {
-            ConnectionChoice::Any => timeout,
-            ConnectionChoice::UsedWithin(span) => span.min(timeout),
+            ConnectionChoice::Any => Duration::MAX,
+            ConnectionChoice::UsedWithin(span) => span,
             ConnectionChoice::Fresh => return None,
         };
         // The one used last is the least likely to have gone silent.
-        let idle = self.idle.pop_if(|idle| idle.since.elapsed() < longest)?;
-        Some(idle)
+        self.idle
+            .pop_if(|idle| idle.since.elapsed() < longest.min(idle.lasts))
     }
 
     fn retain_idle(&mut self, keep: impl FnMut(&IdleConnection) -> bool) {
@@ -355,10 +359,17 @@
     }
 
     /// Gives the connection back where it is `reusable` and its target not found silent since.
-    pub fn finish(mut self, reusable: bool) {
+    pub fn finish(self, reusable: bool) {
+        let lasts = self.pool.options.idle_timeout;
+        self.finish_within(reusable, lasts);
+    }
+
+    /// The same for a connection that its target closes once it was unused for `lasts`.
+    pub fn finish_within(mut self, reusable: bool, lasts: Duration) {
         if !reusable {
             return;
         }
+        let lasts = lasts.min(self.pool.options.idle_timeout);
         let pool = self.pool.clone();
         let mut targets = pool.lock();
         let Some(target) = targets.get_mut(&self.age.address) else {
@@ -373,6 +384,7 @@
                 stream,
                 opened: self.age.opened,
                 since: Instant::now(),
+                lasts,
             });
             // The place stays taken by the idle connection.
             target.open += 1;
--- /dev/null
+++ b/dahliawood-wire/src/raw/head/mod.rs
@@ -0,0 +1,158 @@
+//! Heads of requests and answers, and how their bodies end.
+
+use crate::chunk::ChunkScanner;
+use crate::raw::error::ReadError;
+use crate::raw::fields::FieldList;
+
+/// The most fields in one head.
+const MOST_FIELDS: usize = 100;
+/// Statuses whose answers never have a body.
+const BODILESS: [u16; 2] = [204, 304];
+
+/// How the end of a body is known.
+#[derive(Clone, Copy, Debug)]
+pub enum BodyFrame {
+    /// So many bytes.
+    Length(usize),
+    /// Chunks.
+    Chunked(ChunkScanner),
+    /// Everything up to the end of the connection.
+    UntilClose,
+}
+
+impl BodyFrame {
+    /// No body.
+    pub const NONE: Self = Self::Length(0);
+}
+
+/// The head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Its method.
+    pub method: String,
+    /// Its target, path and query as they were written.
+    pub target: String,
+    /// Whether the sender speaks HTTP/1.0.
+    pub is_old: bool,
+    /// Its fields.
+    pub fields: FieldList,
+}
+
+impl RequestHead {
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// Whether the sender wants the connection closed after the answer.
+    pub fn wants_close(&self) -> bool {
+        let is_kept = self.fields.has_token("connection", "keep-alive");
+        self.fields.has_token("connection", "close") || (self.is_old && !is_kept)
+    }
+
+    /// How its body ends.
+    ///
+    /// # Errors
+    /// The framing is ambiguous.
+    pub fn frame(&self) -> Result<BodyFrame, ReadError> {
+        declared_frame(&self.fields).map(|frame| frame.unwrap_or(BodyFrame::NONE))
+    }
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// Its status.
+    pub status: u16,
+    /// Whether the sender speaks HTTP/1.0.
+    pub is_old: bool,
+    /// Its fields.
+    pub fields: FieldList,
+}
+
+impl AnswerHead {
+    /// Whether the sender closes the connection after this answer.
+    pub fn says_close(&self) -> bool {
+        self.is_old || self.fields.has_token("connection", "close")
+    }
+
+    /// How the body of the answer to `method` ends.
+    ///
+    /// # Errors
+    /// The framing is ambiguous.
+    pub fn frame(&self, method: &str) -> Result<BodyFrame, ReadError> {
+        if method == "HEAD" || self.status < 200 || BODILESS.contains(&self.status) {
+            return Ok(BodyFrame::NONE);
+        }
+        declared_frame(&self.fields).map(|frame| frame.unwrap_or(BodyFrame::UntilClose))
+    }
+}
+
+/// Parses a whole head of a request.
+///
+/// # Errors
+/// It is no HTTP/1.1.
+pub fn parse_request(bytes: &[u8]) -> Result<RequestHead, ReadError> {
+    let mut storage = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut parsed = httparse::Request::new(&mut storage);
+    let status = parsed.parse(bytes).map_err(ReadError::malformed)?;
+    if status.is_partial() {
+        return Err(ReadError::malformed("the head is not whole"));
+    }
+    Ok(RequestHead {
+        method: parsed.method.unwrap_or_default().to_owned(),
+        target: parsed.path.unwrap_or_default().to_owned(),
+        is_old: parsed.version == Some(0),
+        fields: fields(parsed.headers),
+    })
+}
+
+/// Parses a whole head of an answer.
+///
+/// # Errors
+/// It is no HTTP/1.1.
+pub fn parse_answer(bytes: &[u8]) -> Result<AnswerHead, ReadError> {
+    let mut storage = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut parsed = httparse::Response::new(&mut storage);
+    let status = parsed.parse(bytes).map_err(ReadError::malformed)?;
+    if status.is_partial() {
+        return Err(ReadError::malformed("the head is not whole"));
+    }
+    Ok(AnswerHead {
+        status: parsed.code.unwrap_or_default(),
+        is_old: parsed.version == Some(0),
+        fields: fields(parsed.headers),
+    })
+}
+
+fn fields(headers: &[httparse::Header<'_>]) -> FieldList {
+    let mut list = FieldList::default();
+    for header in headers {
+        list.push(header.name, header.value);
+    }
+    list
+}
+
+/// The framing that the fields declare, `None` where they declare none.
+fn declared_frame(fields: &FieldList) -> Result<Option<BodyFrame>, ReadError> {
+    let lengths = fields.count("content-length");
+    let encodings = fields.count("transfer-encoding");
+    match (lengths, encodings) {
+        (0, 0) => Ok(None),
+        (1, 0) => {
+            let value = fields.get("content-length").unwrap_or_default();
+            let is_plain = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
+            let length = value.parse().ok().filter(|_| is_plain);
+            let length = length.ok_or_else(|| ReadError::malformed("a length is digits"))?;
+            Ok(Some(BodyFrame::Length(length)))
+        }
+        (0, 1) if fields.has_token("transfer-encoding", "chunked") => {
+            let value = fields.get("transfer-encoding").unwrap_or_default();
+            if !value.eq_ignore_ascii_case("chunked") {
+                return Err(ReadError::malformed("an unknown transfer encoding"));
+            }
+            Ok(Some(BodyFrame::Chunked(ChunkScanner::default())))
+        }
+        _ => Err(ReadError::malformed("the body's length is ambiguous")),
+    }
+}
--- /dev/null
+++ b/dahliawood-wire/src/raw/reader/mod.rs
@@ -0,0 +1,190 @@
+//! Reads messages from one connection, and not a byte more.
+
+use crate::chunk::ChunkScanner;
+use crate::raw::error::{ChunksSnafu, ConnectionSnafu, ReadError};
+use crate::raw::head::{self, AnswerHead, BodyFrame, RequestHead};
+use futures::io::{AsyncRead, AsyncReadExt};
+use snafu::ResultExt;
+
+/// Bytes asked of the connection at once.
+const READ_BYTES: usize = 8 * 1024;
+/// Bytes asked of the connection at once inside a long body.
+const BODY_READ_BYTES: usize = 64 * 1024;
+/// The end of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// A connection with the bytes that were received and not read yet.
+#[derive(Debug)]
+pub struct ConnectionReader<R> {
+    input: R,
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl<R: AsyncRead + Unpin> ConnectionReader<R> {
+    /// A reader of a new connection.
+    pub fn new(input: R) -> Self {
+        let buffer = Vec::new();
+        let start = 0;
+        Self {
+            input,
+            buffer,
+            start,
+        }
+    }
+
+    /// What was received and not read yet.
+    pub fn received(&self) -> &[u8] {
+        &self.buffer[self.start..]
+    }
+
+    /// The connection, where nothing is left unread.
+    pub fn into_clean(self) -> Option<R> {
+        (self.start == self.buffer.len()).then_some(self.input)
+    }
+
+    /// Receives more bytes; zero where the connection has ended.
+    async fn fill(&mut self, most: usize) -> Result<usize, ReadError> {
+        if self.start == self.buffer.len() {
+            self.buffer.clear();
+            self.start = 0;
+        }
+        let length = self.buffer.len();
+        self.buffer.resize(length + most, 0);
+        let read = self.input.read(&mut self.buffer[length..]).await;
+        self.buffer.truncate(length + read.as_ref().unwrap_or(&0));
+        read.context(ConnectionSnafu)
+    }
+
+    /// Takes `count` received bytes.
+    fn take(&mut self, count: usize) -> Vec<u8> {
+        let taken = self.buffer[self.start..self.start + count].to_vec();
+        self.start += count;
+        taken
+    }
+
+    /// The bytes of the next head, `None` where the connection ended before it.
+    async fn head_bytes(&mut self, bound: usize) -> Result<Option<Vec<u8>>, ReadError> {
+        let mut scanned = 0;
+        loop {
+            while scanned == 0 && self.received().starts_with(b"\r\n") {
+                self.start += 2;
+            }
+            let received = self.received();
+            let from = scanned.min(received.len());
+            let end = received[from..]
+                .windows(HEAD_END.len())
+                .position(|window| window == HEAD_END)
+                .map(|position| from + position + HEAD_END.len());
+            match end {
+                Some(end) if end <= bound => return Ok(Some(self.take(end))),
+                None if received.len() < bound => {}
+                _ => return Err(ReadError::HeadTooLarge { bound }),
+            }
+            scanned = received.len().saturating_sub(HEAD_END.len() - 1);
+            if self.fill(READ_BYTES).await? == 0 {
+                return match self.received().is_empty() {
+                    true => Ok(None),
+                    false => Err(ReadError::CutShort),
+                };
+            }
+        }
+    }
+
+    /// The next request's head of at most `bound` bytes, `None` where the connection ended.
+    ///
+    /// # Errors
+    /// The connection failed, or what came is no request.
+    pub async fn request_head(&mut self, bound: usize) -> Result<Option<RequestHead>, ReadError> {
+        let bytes = self.head_bytes(bound).await?;
+        bytes.map(|bytes| head::parse_request(&bytes)).transpose()
+    }
+
+    /// The next answer's head of at most `bound` bytes, `None` where the connection ended.
+    ///
+    /// # Errors
+    /// The connection failed, or what came is no answer.
+    pub async fn answer_head(&mut self, bound: usize) -> Result<Option<AnswerHead>, ReadError> {
+        let bytes = self.head_bytes(bound).await?;
+        bytes.map(|bytes| head::parse_answer(&bytes)).transpose()
+    }
+
+    /// A whole body of at most `bound` bytes.
+    ///
+    /// # Errors
+    /// It is longer, broken, or the connection failed or ended before its end.
+    pub async fn body(&mut self, frame: BodyFrame, bound: usize) -> Result<Vec<u8>, ReadError> {
+        match frame {
+            BodyFrame::Length(length) if length > bound => Err(ReadError::BodyTooLarge { bound }),
+            BodyFrame::Length(length) => self.sized_body(length).await,
+            BodyFrame::Chunked(scanner) => self.chunked_body(scanner, bound).await,
+            BodyFrame::UntilClose => self.open_body(bound).await,
+        }
+    }
+
+    async fn sized_body(&mut self, length: usize) -> Result<Vec<u8>, ReadError> {
+        let buffered = self.received().len().min(length);
+        let mut body = self.take(buffered);
+        if buffered == length {
+            return Ok(body);
+        }
+        body.resize(length, 0);
+        let read = self.input.read_exact(&mut body[buffered..]).await;
+        match read {
+            Ok(()) => Ok(body),
+            Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => {
+                Err(ReadError::CutShort)
+            }
+            Err(source) => Err(ReadError::Connection { source }),
+        }
+    }
+
+    async fn chunked_body(
+        &mut self,
+        mut scanner: ChunkScanner,
+        bound: usize,
+    ) -> Result<Vec<u8>, ReadError> {
+        let mut body = Vec::new();
+        loop {
+            let received = &self.buffer[self.start..];
+            let (count, is_content) = scanner.step_content(received).context(ChunksSnafu)?;
+            if is_content {
+                body.extend_from_slice(&self.buffer[self.start..self.start + count]);
+            }
+            self.start += count;
+            if scanner.is_done() {
+                return Ok(body);
+            }
+            if body.len() > bound {
+                return Err(ReadError::BodyTooLarge { bound });
+            }
+            if count == 0 && self.fill(READ_BYTES).await? == 0 {
+                return Err(ReadError::CutShort);
+            }
+        }
+    }
+
+    async fn open_body(&mut self, bound: usize) -> Result<Vec<u8>, ReadError> {
+        while self.fill(BODY_READ_BYTES).await? > 0 {
+            if self.received().len() > bound {
+                return Err(ReadError::BodyTooLarge { bound });
+            }
+        }
+        let count = self.received().len();
+        Ok(self.take(count))
+    }
+
+    /// Waits until the other side ends the connection; bytes that come meanwhile are kept.
+    ///
+    /// Once `bound` bytes wait this stays pending for ever.
+    pub async fn ended(&mut self, bound: usize) {
+        loop {
+            if self.received().len() >= bound {
+                return futures::future::pending().await;
+            }
+            if !matches!(self.fill(READ_BYTES).await, Ok(count) if count > 0) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/dahliawood-wire/src/raw/write/mod.rs
@@ -0,0 +1,58 @@
+//! Heads as bytes.
+
+use crate::raw::fields::FieldList;
+use std::io::Write;
+
+/// Bytes that the head and a small body of a message usually take.
+const USUAL_BYTES: usize = 1024;
+
+/// A request with its body as bytes; `fields` must declare no framing.
+pub fn request(method: &str, target: &str, fields: &FieldList, body: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(USUAL_BYTES + body.len());
+    append(&mut bytes, format_args!("{method} {target} HTTP/1.1\r\n"));
+    write_fields(&mut bytes, fields);
+    if !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+        append(&mut bytes, format_args!("Content-Length: {}\r\n", body.len()));
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+/// An answer with its body as bytes; `fields` must declare no framing.
+pub fn answer(status: u16, fields: &FieldList, body: &[u8], is_head: bool) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(USUAL_BYTES + body.len());
+    let reason = reason(status);
+    append(&mut bytes, format_args!("HTTP/1.1 {status} {reason}\r\n"));
+    write_fields(&mut bytes, fields);
+    if !matches!(status, 204 | 304) {
+        append(&mut bytes, format_args!("Content-Length: {}\r\n", body.len()));
+    }
+    bytes.extend_from_slice(b"\r\n");
+    if !is_head {
+        bytes.extend_from_slice(body);
+    }
+    bytes
+}
+
+fn write_fields(bytes: &mut Vec<u8>, fields: &FieldList) {
+    for field in fields.iter() {
+        if field.name.eq_ignore_ascii_case("content-length") {
+            continue;
+        }
+        bytes.extend_from_slice(field.name.as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(&field.value);
+        bytes.extend_from_slice(b"\r\n");
+    }
+}
+
+fn append(bytes: &mut Vec<u8>, text: std::fmt::Arguments<'_>) {
+    // Writing to a vector cannot fail.
+    let _written = bytes.write_fmt(text);
+}
+
+/// The reason phrase of a status.
+fn reason(status: u16) -> &'static str {
+    http_types::StatusCode::try_from(status).map_or("", |status| status.canonical_reason())
+}
