fix(wire): a read that is dropped leaves no byte behind

Cause: the reader grew its buffer before the read and a dropped read left zeros there; the wait for a caller's end is dropped with each answer, so the next request on the connection was malformed. Test: raw::a_read_that_is_dropped_leaves_no_byte_behind.

--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -1,6 +1,7 @@
 //! The keep-alive loop over one connection.
 
 use crate::front::refusal::{FrontAnswer, RefusalCause};
+use crate::line::LineRank;
 use crate::state::SharedState;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -11,6 +12,7 @@
 use dahliawood_wire::raw::write;
 use futures::future::{self, Either};
 use futures::io::AsyncWriteExt;
+use serde::Serialize;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -48,6 +50,7 @@
             Ok(Some(request)) => request,
             Ok(None) => return,
             Err(cause) => {
+                log_refusal(&state, &cause);
                 let _closing = write_answer(&stream, &cause.answer(), false, true).await;
                 return;
             }
@@ -71,6 +74,21 @@
     }
 }
 
+/// A line on bytes that are no request.
+#[derive(Serialize)]
+struct UnreadLine {
+    status: u16,
+    cause: String,
+}
+
+fn log_refusal(state: &SharedState, cause: &RefusalCause) {
+    state.metrics.request("unread", Duration::ZERO);
+    state.lines.write(LineRank::Notable, "unread", || UnreadLine {
+        status: cause.status(),
+        cause: cause.to_string(),
+    });
+}
+
 /// The next request, `None` where the connection is over.
 async fn next(
     state: &SharedState,
--- a/dahliawood-wire/src/raw/reader/mod.rs
+++ b/dahliawood-wire/src/raw/reader/mod.rs
@@ -19,17 +19,18 @@
     input: R,
     buffer: Vec<u8>,
     start: usize,
+    /// Where bytes are received before they count: a read that is dropped leaves nothing behind.
+    scratch: Vec<u8>,
 }
 
 impl<R: AsyncRead + Unpin> ConnectionReader<R> {
     /// A reader of a new connection.
     pub fn new(input: R) -> Self {
-        let buffer = Vec::new();
-        let start = 0;
         Self {
             input,
-            buffer,
-            start,
+            buffer: Vec::new(),
+            start: 0,
+            scratch: Vec::new(),
         }
     }
 
@@ -49,11 +50,11 @@
             self.buffer.clear();
             self.start = 0;
         }
-        let length = self.buffer.len();
-        self.buffer.resize(length + most, 0);
-        let read = self.input.read(&mut self.buffer[length..]).await;
-        self.buffer.truncate(length + read.as_ref().unwrap_or(&0));
-        read.context(ConnectionSnafu)
+        self.scratch.resize(most, 0);
+        let read = self.input.read(&mut self.scratch).await;
+        let count = read.context(ConnectionSnafu)?;
+        self.buffer.extend_from_slice(&self.scratch[..count]);
+        Ok(count)
     }
 
     /// Takes `count` received bytes.
--- a/dahliawood-wire/tests/main/main.rs
+++ b/dahliawood-wire/tests/main/main.rs
@@ -3,6 +3,7 @@
 mod endings;
 mod headers;
 mod loopback;
+mod raw;
 mod relay;
 mod resume;
 #[path = "../support/mod.rs"]
--- /dev/null
+++ b/dahliawood-wire/tests/main/raw/mod.rs
@@ -0,0 +1,135 @@
+//! Messages as bytes: exact ends, dropped reads, ambiguous framing.
+
+use dahliawood_wire::raw::error::ReadError;
+use dahliawood_wire::raw::head::BodyFrame;
+use dahliawood_wire::raw::reader::ConnectionReader;
+use futures::executor::block_on;
+use futures::future;
+use futures::io::AsyncRead;
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+const HEAD_BYTES: usize = 1024;
+const BODY_BYTES: usize = 64;
+
+/// A connection that yields given pieces, and is pending where a piece is `None`.
+struct PieceStream(VecDeque<Option<&'static [u8]>>);
+
+impl AsyncRead for PieceStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        output: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.0.pop_front() {
+            None => Poll::Ready(Ok(0)),
+            Some(None) => Poll::Pending,
+            Some(Some(piece)) => {
+                let count = piece.len().min(output.len());
+                output[..count].copy_from_slice(&piece[..count]);
+                if count < piece.len() {
+                    self.0.push_front(Some(&piece[count..]));
+                }
+                Poll::Ready(Ok(count))
+            }
+        }
+    }
+}
+
+fn reader(pieces: &[Option<&'static [u8]>]) -> ConnectionReader<PieceStream> {
+    ConnectionReader::new(PieceStream(pieces.iter().copied().collect()))
+}
+
+/// The body of an answer that comes in the given pieces.
+fn answer(pieces: &[&'static [u8]]) -> Result<Vec<u8>, ReadError> {
+    let pieces: Vec<_> = pieces.iter().copied().map(Some).collect();
+    let mut reader = reader(&pieces);
+    block_on(async {
+        let head = reader.answer_head(HEAD_BYTES).await?;
+        let head = head.ok_or(ReadError::CutShort)?;
+        reader.body(head.frame("GET")?, BODY_BYTES).await
+    })
+}
+
+#[test]
+fn a_read_that_is_dropped_leaves_no_byte_behind() {
+    let mut reader = reader(&[None, Some(b"GET /a HTTP/1.1\r\nHost: b\r\n\r\n")]);
+    block_on(async {
+        let waiting = future::select(
+            Box::pin(reader.ended(HEAD_BYTES)),
+            future::ready(()),
+        );
+        drop(waiting.await);
+        let head = reader.request_head(HEAD_BYTES).await.unwrap().unwrap();
+        assert_eq!(head.target, "/a");
+    });
+}
+
+#[test]
+fn a_request_target_is_kept_as_it_was_written() {
+    let mut reader = reader(&[Some(b"GET /a/../%7e//b?x=%2f HTTP/1.1\r\nHost: b\r\n\r\n")]);
+    let head = block_on(reader.request_head(HEAD_BYTES)).unwrap().unwrap();
+    assert_eq!(head.target, "/a/../%7e//b?x=%2f");
+    assert_eq!(head.path(), "/a/../%7e//b");
+}
+
+#[test]
+fn a_body_of_known_length_ends_there_and_the_next_message_is_kept() {
+    let bytes = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 500 No\r\n\r\n";
+    let mut reader = reader(&[Some(bytes)]);
+    block_on(async {
+        let head = reader.answer_head(HEAD_BYTES).await.unwrap().unwrap();
+        let body = reader.body(head.frame("GET").unwrap(), BODY_BYTES).await;
+        assert_eq!(body.unwrap(), b"abc");
+        assert!(reader.into_clean().is_none(), "bytes nobody asked for follow");
+    });
+}
+
+#[test]
+fn a_body_cut_short_is_an_error_whatever_its_framing() {
+    let cut: [&[&'static [u8]]; 3] = [
+        &[b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab"],
+        &[b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"],
+        &[b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"],
+    ];
+    for pieces in cut {
+        assert!(matches!(answer(pieces), Err(ReadError::CutShort)));
+    }
+}
+
+#[test]
+fn chunks_in_any_pieces_make_one_body() {
+    let bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3;x=y\r\ncde\r\n0\r\n\r\n";
+    for split in 1..bytes.len() {
+        let (first, second) = bytes.split_at(split);
+        assert_eq!(answer(&[first, second]).unwrap(), b"abcde");
+    }
+}
+
+#[test]
+fn an_answer_without_length_ends_with_its_connection() {
+    let body = answer(&[b"HTTP/1.1 200 OK\r\n\r\nab", b"cd"]);
+    assert_eq!(body.unwrap(), b"abcd");
+}
+
+#[test]
+fn ambiguous_framing_is_refused() {
+    let heads: [&'static [u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\nabc",
+    ];
+    for head in heads {
+        assert!(matches!(answer(&[head]), Err(ReadError::Malformed { .. })));
+    }
+}
+
+#[test]
+fn a_body_beyond_its_bound_is_refused() {
+    let mut reader = reader(&[]);
+    let body = block_on(reader.body(BodyFrame::Length(BODY_BYTES + 1), BODY_BYTES));
+    assert!(matches!(body, Err(ReadError::BodyTooLarge { .. })));
+}
