--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -5,25 +5,30 @@
 use crate::control::vms::{VMS_PREFIX, VmRecord};
 use crate::line::LineRank;
 use crate::words::SpaceRecord;
+use async_std::future::timeout;
 use async_std::task;
 use dahliawood_model::FastSet;
 use dahliawood_model::catalog::FleetCatalog;
 use dahliawood_store::client::error::StoreError;
 use dahliawood_store::space::call::{FollowCall, FollowOutcome, RangeCall, SpaceItem};
 use dahliawood_store::space::view::ViewChange;
+use futures::future::{self, Either};
 use serde::Serialize;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// How long a call waits for changes; the store's silence shows a little after that.
 const FOLLOW_WAIT: Duration = Duration::from_secs(5);
+/// The same where the store did not answer last time: whether it does now is to be known soon.
+const FIRST_WAIT: Duration = Duration::from_millis(200);
 /// How long changes are gathered before the next call.
 const GATHER_TIME: Duration = Duration::from_millis(120);
 /// The first pause after a failed call; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause after a failed call.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// The prefix of all keys: one call waits for all changes.
 const EVERYTHING: &str = "";
 /// Under which operators write, without leases.
@@ -67,7 +72,8 @@
             }
             Err(error) => {
                 note_store(&state, Some(&error));
-                task::sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
+                let spread = pause.mul_f64(0.5 + rand::random::<f64>());
+                let _rung = timeout(spread, state.store_bell.1.recv()).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
@@ -79,6 +85,8 @@
     let is_up = error.is_none_or(StoreError::is_answer);
     state.view.borrow_mut().set_away(!is_up, clock::now());
     if state.is_store_up.replace(is_up) != is_up {
+        // One ring that waits is enough.
+        let _rung = state.store_bell.0.try_send(());
         let cause = error.map_or(String::new(), ToString::to_string);
         let line = || StoreLine { is_up, cause };
         state.shared.lines.write(LineRank::State, "store", line);
@@ -115,14 +123,35 @@
     Ok(())
 }
 
+/// Waits until another call finds that the store does not answer.
+async fn lost(state: &ControlState) {
+    while state.store_bell.1.recv().await.is_ok() {
+        if !state.is_store_up.get() {
+            return;
+        }
+    }
+    future::pending().await
+}
+
 /// Waits for changes; false where the space has to be read anew.
 async fn follow(state: &ControlState) -> Result<bool, StoreError> {
     let call = FollowCall {
         prefix: EVERYTHING.to_owned(),
         after: state.view.borrow().revision(),
-        wait: FOLLOW_WAIT,
+        wait: match state.is_store_up.get() {
+            true => FOLLOW_WAIT,
+            false => FIRST_WAIT,
+        },
+    };
+    // A connection that has gone silent shows first where the registration is renewed.
+    let following = pin!((state.store.follow)(call));
+    let lost = pin!(lost(state));
+    let followed = match future::select(following, lost).await {
+        Either::Left((followed, _)) => followed,
+        Either::Right(((), _)) => Err(StoreError::Broken {
+            reason: "another call got no answer".to_owned(),
+        }),
     };
-    let followed = (state.store.follow)(call).await;
     state.shared.metrics.store_call("follow", followed.is_ok());
     let FollowOutcome::Changes { items, revision } = followed? else {
         return Ok(false);
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -6,7 +6,7 @@
 pub mod vms;
 
 use crate::state::SharedState;
-use async_std::channel::Receiver;
+use async_std::channel::{Receiver, Sender, bounded};
 use async_std::task;
 use dahliawood_store::space::call::SpaceClient;
 use dahliawood_store::space::view::SpaceView;
@@ -24,6 +24,8 @@
     pub view: RefCell<SpaceView>,
     /// Whether the store answered last time.
     pub is_store_up: Cell<bool>,
+    /// Rings whenever that changes.
+    pub store_bell: (Sender<()>, Receiver<()>),
 }
 
 /// What the control thread is started with.
@@ -51,6 +53,7 @@
         store: options.store,
         view: RefCell::new(SpaceView::new(follow::is_leased)),
         is_store_up: Cell::new(true),
+        store_bell: bounded(1),
     });
     let tasks = [
         task::spawn_local(follow::run(Rc::clone(&state))),
--- a/dahliawood-gateway/src/directory/mod.rs
+++ b/dahliawood-gateway/src/directory/mod.rs
@@ -6,10 +6,14 @@
 use crate::state::SharedState;
 use crate::words::{LookupQuery, OwnCall};
 use dahliawood_wire::raw::fields::FieldList;
+use std::time::Duration;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// How long an answer may be used at most: a VM that leaves takes no connection after some seconds.
+const LONGEST_LIFETIME: Duration = Duration::from_secs(3);
+
 /// Answers one call.
 pub async fn answer(state: SharedState, request: CallerRequest) -> FrontAnswer {
     match (state.words.read_call)(&request.head) {
@@ -42,7 +46,7 @@
     if addresses.is_empty() {
         return plain(503, "no VM is known");
     }
-    let lifetime = state.settings.bounds.lookup_lifetime;
+    let lifetime = state.settings.bounds.lookup_lifetime.min(LONGEST_LIFETIME);
     let mut fields = FieldList::default();
     fields.push("Content-Type", "application/json");
     FrontAnswer {
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -27,10 +27,6 @@
 const LEAST_TIME: Duration = Duration::from_millis(30);
 /// The least part of a route's target latency that a request may wait for a slot.
 const LEAST_PATIENCE: f64 = 0.25;
-/// The part of an idempotent request's time that its first try may take.
-const FIRST_TRY: f64 = 0.6;
-/// A first try is not cut before so many average service times.
-const FIRST_TRY_TIMES: u32 = 3;
 /// Statuses that say that a request has not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// When to come back after a target shed the request.
@@ -228,7 +224,7 @@
             },
             is_idempotent: self.route().kind.is_idempotent(),
             is_retry: self.tried.len() > 1,
-            limit: self.limit(left),
+            limit: left,
         };
         let answered = target_call::send(self.state, &call).await;
         flight.result.kind = match &answered {
@@ -242,16 +238,6 @@
         answered
     }
 
-    /// How long a try may take: a first one leaves time for another where there may be one.
-    fn limit(&self, left: Duration) -> Duration {
-        let is_last = self.tried.len() >= self.route().max_attempts as usize;
-        if is_last || !self.route().kind.is_idempotent() {
-            return left;
-        }
-        let usual = self.state.place().usual(&self.routed.service);
-        left.mul_f64(FIRST_TRY).max(usual * FIRST_TRY_TIMES).min(left)
-    }
-
     /// Whether a target's answer goes to the caller as it is.
     fn is_final(&self, answer: &TargetAnswer) -> bool {
         match judge(answer) {
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -25,8 +25,9 @@
 
 /// How often the shutdown looks whether everything has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
-/// How long callers with older look-ups are served once the VM is leaving.
-const LEAST_LEAVE: Duration = Duration::from_millis(2_000);
+/// How long callers with older look-ups are served once the VM is leaving; then it takes no new
+/// connection, so that what it has taken ends within the limit.
+const LEAST_LEAVE: Duration = Duration::from_millis(2_200);
 /// How much sooner than its limit a shutdown ends.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -119,18 +120,24 @@
     pub async fn shutdown(self) {
         self.state.leave();
         write_life(&self.state, "leaving");
-        let started = clock::now();
         let limit = self.state.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
-        loop {
+        let limit = clock::now().after(limit);
+        task::sleep(LEAST_LEAVE).await;
+        let Self {
+            state,
+            listeners,
+            control,
+            stop,
+        } = self;
+        for listener in listeners {
+            listener.cancel().await;
+        }
+        while clock::now() < limit && state.metrics.in_flight.get() > 0 {
             task::sleep(DRAIN_POLL).await;
-            let spent = clock::now().since(started);
-            let is_idle = self.state.metrics.in_flight.get() == 0;
-            if spent >= limit || (spent >= LEAST_LEAVE && is_idle) {
-                break;
-            }
         }
-        write_life(&self.state, "stop");
-        self.abort().await;
+        write_life(&state, "stop");
+        stop.close();
+        join(control);
     }
 
     /// Ends at once: whatever is in flight is cut.
@@ -139,8 +146,12 @@
             listener.cancel().await;
         }
         self.stop.close();
-        if self.control.join().is_err() {
-            log::error!("the control thread panicked");
-        }
+        join(self.control);
+    }
+}
+
+fn join(control: thread::JoinHandle<()>) {
+    if control.join().is_err() {
+        log::error!("the control thread panicked");
     }
 }
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -24,7 +24,7 @@
 /// How long a connection to a target may be idle, where the target says nothing.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// How long sent bytes may stay unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_secs(1);
+const USER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// What the threads share; locks are held for a few instructions and never over an await.
 #[derive(derive_more::Debug)]
--- a/dahliawood-store/src/space/view/mod.rs
+++ b/dahliawood-store/src/space/view/mod.rs
@@ -11,7 +11,9 @@
 
 /// How long after the service's return its keys settle: holders that live write them again within
 /// two seconds, and this VM hears of it a little later.
-pub const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+pub const SETTLE_TIME: Duration = Duration::from_millis(2_400);
+/// Leases last at least this long without the service.
+const LEASES_LAST: Duration = Duration::from_secs(2);
 
 /// The bytes of a key with the revision of their write.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,7 +41,7 @@
     held: FastMap<String, TimeStamp>,
     revision: u64,
     settled_at: TimeStamp,
-    is_away: bool,
+    away_since: Option<TimeStamp>,
     is_leased: fn(&str) -> bool,
 }
 
@@ -52,7 +54,7 @@
             held: FastMap::default(),
             revision: 0,
             settled_at: TimeStamp::ZERO,
-            is_away: false,
+            away_since: None,
             is_leased,
         }
     }
@@ -67,12 +69,20 @@
         self.known.iter()
     }
 
-    /// Notes whether the service answers.
+    /// Notes whether the service answers. A short failure while keys settle does not make them
+    /// settle anew.
     pub fn set_away(&mut self, is_away: bool, now: TimeStamp) {
-        if self.is_away && !is_away {
+        if is_away {
+            self.away_since.get_or_insert(now);
+            return;
+        }
+        let Some(since) = self.away_since.take() else {
+            return;
+        };
+        let was_settling = since < self.settled_at;
+        if !was_settling || now.since(since) > LEASES_LAST {
             self.settled_at = now.after(SETTLE_TIME);
         }
-        self.is_away = is_away;
     }
 
     /// Takes changes up to `revision`, and answers what is different now.
@@ -115,7 +125,7 @@
 
     /// Drops the keys whose time is over.
     pub fn expire(&mut self, now: TimeStamp) -> Vec<ViewChange> {
-        if self.is_away {
+        if self.away_since.is_some() {
             return Vec::new();
         }
         let due: Vec<String> = self
@@ -129,7 +139,7 @@
 
     /// Whether removals are held back now.
     fn is_settling(&self, now: TimeStamp) -> bool {
-        self.is_away || now < self.settled_at
+        self.away_since.is_some() || now < self.settled_at
     }
 
     /// Takes one change.
