feat(steer): objects stay at their first target while it starts them in time

Now the order of preference is strict below 0.6 of the patience, and strays between regions are fewer.

--- a/dahliawood-steer/src/place/choose/mod.rs
+++ b/dahliawood-steer/src/place/choose/mod.rs
@@ -9,6 +9,8 @@
 
 /// Targets of a region that an object is spread over when the first is busy.
 const SPREAD: usize = 3;
+/// The part of its patience that a request waits for the target that knows its object best.
+const SOON_SHARE: f64 = 0.6;
 /// A target this many times slower than its service's average is passed over.
 const SLOW_FACTOR: f64 = 3.0;
 /// The share of what a cold target bears that is used: VMs may disagree on who lives.
@@ -99,11 +101,13 @@
     }
     let away = away(table, own, query, object, now);
     let there = first_in_time(&away, query.patience);
-    let may_leave = is_away || !is_served || may_stray(table, query.service);
-    if may_leave && let Some(candidate) = there {
-        return PlaceChoice::Target(candidate);
-    }
-    if let Some(candidate) = here {
+    let stays = is_away && there.is_none();
+    let leaves = !is_away && is_served;
+    let is_stray = stays || leaves;
+    let candidate = there.or(here);
+    if let Some(candidate) = candidate
+        && (!is_stray || may_stray(table, query.service))
+    {
         return PlaceChoice::Target(candidate);
     }
     busy(own_list.iter().chain(&away), query.patience)
@@ -119,12 +123,15 @@
     }
 }
 
-/// The first candidate that starts the request in time, in the order of preference.
+/// The first candidate that starts the request well in time, in the order of preference: another
+/// one knows the object less. Where there is none, the one that starts it soonest.
 fn first_in_time(list: &[Candidate], patience: Duration) -> Option<TargetKey> {
     let spread = &list[..list.len().min(SPREAD)];
-    let idle = spread.iter().find(|candidate| candidate.wait.is_zero());
+    let soon = patience.mul_f64(SOON_SHARE);
+    let first = spread.iter().find(|candidate| candidate.wait <= soon);
     let least = || spread.iter().min_by_key(|candidate| candidate.wait);
-    idle.or_else(least)
+    first
+        .or_else(least)
         .filter(|candidate| candidate.wait <= patience)
         .map(|candidate| candidate.key)
 }
--- a/dahliawood-steer/src/place/spill/mod.rs
+++ b/dahliawood-steer/src/place/spill/mod.rs
@@ -9,7 +9,7 @@
 /// How often the level moves.
 pub const STEP_INTERVAL: Duration = Duration::from_millis(500);
 /// The most that the level rises in a step.
-const RISE: f64 = 0.03;
+const RISE: f64 = 0.02;
 /// The most that the level falls in a step.
 const FALL: f64 = 0.015;
 /// The share of requests without room from which on the level rises.
@@ -19,7 +19,7 @@
 /// Use of the region's slots above which objects go.
 const HIGH_USE: f64 = 0.85;
 /// Most of the requests in a step that may leave one by one, beside whole objects.
-const STRAY_SHARE: f64 = 0.04;
+const STRAY_SHARE: f64 = 0.03;
 
 /// The level of one service in this VM's region, and what was seen since the last step.
 #[derive(Clone, Copy, Debug, Default)]
@@ -58,7 +58,7 @@
 
     /// Whether a single request may leave the region now, beside the objects that do.
     pub fn may_stray(&mut self) -> bool {
-        let most = 1.0 + f64::from(self.asked) * STRAY_SHARE;
+        let most = f64::from(self.asked) * STRAY_SHARE;
         let may = f64::from(self.strayed) < most;
         self.strayed += u32::from(may);
         may
--- a/dahliawood-steer/src/place/table/mod.rs
+++ b/dahliawood-steer/src/place/table/mod.rs
@@ -205,6 +205,10 @@
         if result.kind != ResultKind::Answered {
             return;
         }
+        if result.load.is_some_and(|load| load.waiting > 0) {
+            // Its time was spent in the target's queue for the most part.
+            return;
+        }
         target.load.answered(result.taken, now);
         if let Some(pool) = self.services.get_mut(&target.entry.service) {
             pool.usual = pool.usual.mul_f64(1.0 - NEWEST) + result.taken.mul_f64(NEWEST);
