--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -1,13 +1,18 @@
 //! The control thread: follows the key space, registers this VM, and runs what happens at times.
 
 pub mod follow;
+pub mod peers;
 pub mod register;
+pub mod relay;
+pub mod shares;
 pub mod tick;
 pub mod vms;
 
 use crate::state::SharedState;
 use async_std::channel::{Receiver, Sender, bounded};
+use async_std::net::TcpListener;
 use async_std::task;
+use dahliawood_quota::grant::book::PartBook;
 use dahliawood_store::space::call::SpaceClient;
 use dahliawood_store::space::view::SpaceView;
 use std::cell::{Cell, RefCell};
@@ -24,6 +29,10 @@
     pub view: RefCell<SpaceView>,
     /// Whether the store answered last time.
     pub is_store_up: Cell<bool>,
+    /// Connections to other VMs.
+    pub peers: peers::PeerTable,
+    /// The parts of customers' limits, where this VM is the head.
+    pub book: RefCell<PartBook>,
     /// Rings whenever that changes.
     pub store_bell: (Sender<()>, Receiver<()>),
 }
@@ -34,6 +43,8 @@
     pub shared: SharedState,
     /// The key space.
     pub store: SpaceClient,
+    /// Where other VMs are answered.
+    pub listener: TcpListener,
     /// Ends the thread when it closes.
     pub stop: Receiver<()>,
 }
@@ -54,8 +65,13 @@
         view: RefCell::new(SpaceView::new(follow::is_leased)),
         is_store_up: Cell::new(true),
         store_bell: bounded(1),
+        peers: peers::PeerTable::default(),
+        book: RefCell::default(),
     });
     let tasks = [
+        task::spawn_local(peers::serve(Rc::clone(&state), options.listener)),
+        task::spawn_local(shares::run(Rc::clone(&state))),
+        task::spawn_local(relay::run(Rc::clone(&state))),
         task::spawn_local(follow::run(Rc::clone(&state))),
         task::spawn_local(register::run(Rc::clone(&state))),
         task::spawn_local(tick::run(state)),
--- /dev/null
+++ b/dahliawood-gateway/src/control/peers/mod.rs
@@ -0,0 +1,85 @@
+//! Calls between the VMs.
+
+use crate::clock;
+use crate::control::vms::VmRecord;
+use crate::control::{ControlState, shares};
+use async_std::net::TcpListener;
+use dahliawood_model::FastMap;
+use dahliawood_peer::client::CallOptions;
+use dahliawood_peer::client::error::CallError;
+use dahliawood_peer::gateway::client::{self, GatewayClient};
+use dahliawood_peer::gateway::message::{SpaceAnswer, SpaceKey};
+use dahliawood_peer::gateway::server::{self, GatewayHandlers};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The most that a call may take: a round trip between regions and some more, so that a silent
+/// connection is given up soon.
+const CALL_DEADLINE: Duration = Duration::from_millis(400);
+
+/// Connections to other VMs, kept between calls.
+#[derive(Default)]
+pub struct PeerTable {
+    clients: RefCell<FastMap<SocketAddr, Rc<GatewayClient>>>,
+}
+
+impl PeerTable {
+    /// A connection to the VM at `address`.
+    ///
+    /// # Errors
+    /// It does not take one.
+    pub async fn client(&self, address: SocketAddr) -> Result<Rc<GatewayClient>, CallError> {
+        if let Some(known) = self.clients.borrow().get(&address) {
+            return Ok(Rc::clone(known));
+        }
+        let options = CallOptions {
+            deadline: CALL_DEADLINE,
+        };
+        let opened = Rc::new(client::connect(address, options).await?);
+        let mut clients = self.clients.borrow_mut();
+        clients.insert(address, Rc::clone(&opened));
+        Ok(opened)
+    }
+
+    /// Drops a connection on which a call failed.
+    pub fn forget(&self, address: SocketAddr) {
+        self.clients.borrow_mut().remove(&address);
+    }
+
+    /// Drops the connections to VMs that are gone.
+    pub fn retain(&self, vms: &[VmRecord]) {
+        let is_known = |address: &SocketAddr| vms.iter().any(|vm| vm.peer == *address);
+        self.clients
+            .borrow_mut()
+            .retain(|address, _| is_known(address));
+    }
+}
+
+/// Answers other VMs until the listener fails.
+pub async fn serve(state: Rc<ControlState>, listener: TcpListener) {
+    let (share_state, space_state) = (Rc::clone(&state), state);
+    let handlers = GatewayHandlers {
+        shares: Box::new(move |from, entries| shares::answer(&share_state, from, entries)),
+        space: Box::new(move |above| space(&space_state, above)),
+    };
+    if let Err(error) = server::serve(listener, Rc::new(handlers)).await {
+        log::error!("other VMs can no longer call: {error}");
+    }
+}
+
+/// All keys that this VM knows.
+fn space(state: &ControlState, above: u64) -> SpaceAnswer {
+    let view = state.view.borrow();
+    let keys = view.known().map(|(key, known)| SpaceKey {
+        key: key.clone(),
+        revision: known.revision,
+        value: (known.revision > above).then(|| known.value.to_vec()),
+    });
+    SpaceAnswer {
+        revision: view.revision(),
+        is_settled: state.is_store_up.get() && !view.is_settling(clock::now()),
+        keys: keys.collect(),
+    }
+}
--- /dev/null
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -0,0 +1,76 @@
+//! Learns from other VMs what the store would say, while it does not answer this VM.
+
+use crate::clock;
+use crate::control::vms::VmRecord;
+use crate::control::{ControlState, follow};
+use async_std::task;
+use dahliawood_model::FastSet;
+use dahliawood_peer::client::error::CallError;
+use dahliawood_peer::gateway::message::SpaceAnswer;
+use dahliawood_store::space::call::SpaceItem;
+use dahliawood_store::space::view::RelaySource;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often another VM is asked.
+const RELAY_INTERVAL: Duration = Duration::from_millis(350);
+
+/// Asks other VMs in turn while the store does not answer, until the task is cancelled.
+pub async fn run(state: Rc<ControlState>) {
+    let mut turn: usize = rand::random::<u16>().into();
+    loop {
+        task::sleep(RELAY_INTERVAL).await;
+        if state.is_store_up.get() {
+            continue;
+        }
+        turn += 1;
+        let vms = state.shared.vms.load_full();
+        let Some(vm) = other(&vms, &state.shared.settings.name, turn) else {
+            continue;
+        };
+        match ask(&state, vm).await {
+            Ok(answer) => take(&state, answer),
+            Err(error) => {
+                state.peers.forget(vm.peer);
+                log::debug!("{} does not relay: {error}", vm.name);
+            }
+        }
+    }
+}
+
+/// One of the other VMs, each in its turn.
+fn other<'a>(vms: &'a [VmRecord], own: &str, turn: usize) -> Option<&'a VmRecord> {
+    let others: Vec<_> = vms.iter().filter(|vm| vm.name != own).collect();
+    let index = turn.checked_rem(others.len())?;
+    others.get(index).copied()
+}
+
+async fn ask(state: &ControlState, vm: &VmRecord) -> Result<SpaceAnswer, CallError> {
+    let client = state.peers.client(vm.peer).await?;
+    let above = state.view.borrow().revision();
+    client.space(above).await
+}
+
+/// Takes what is newer than what this VM knows.
+fn take(state: &ControlState, answer: SpaceAnswer) {
+    if answer.revision <= state.view.borrow().revision() {
+        return;
+    }
+    let listed: FastSet<String> = answer.keys.iter().map(|key| key.key.clone()).collect();
+    let news = answer.keys.into_iter().filter(|key| key.value.is_some());
+    let items = news.map(|key| SpaceItem {
+        key: key.key,
+        value: key.value,
+        revision: key.revision,
+    });
+    let source = RelaySource {
+        revision: answer.revision,
+        is_settled: answer.is_settled,
+    };
+    let changes =
+        state
+            .view
+            .borrow_mut()
+            .relay(items.collect(), &listed, source, clock::now());
+    follow::take(state, &changes);
+}
--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -17,6 +17,9 @@
 /// How much sooner than its route's timeout a request is given its final answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(40);
 
+/// The part of what is tolerated beyond a limit that is used: parts may overlap for a moment.
+const SLACK_SHARE: f64 = 0.5;
+
 /// A line on an answered request.
 #[derive(Serialize)]
 struct RequestLine<'a> {
@@ -139,18 +142,20 @@
     if customer.rate <= 0.0 {
         return Ok(());
     }
-    let most = limit(state, customer);
+    let most = limit(state, customer, now);
     let admitted = state.windows().admit(&customer.name, most, now);
     admitted.map_err(RefusalCause::OverLimit)
 }
 
 /// This VM's part of a customer's limit, in a window.
-fn limit(state: &GatewayState, customer: &CatalogCustomer) -> f64 {
+fn limit(state: &GatewayState, customer: &CatalogCustomer, now: TimeStamp) -> f64 {
     let bounds = &state.settings.bounds;
     let window = bounds.quota_window.as_secs_f64();
     let whole = customer.rate * window + customer.burst;
-    let vms = state.vms.load().len().max(1) as f64;
-    (whole + bounds.quota_slack) / vms
+    let part = state
+        .parts()
+        .usable(&customer.name, state.vms.load().len(), now);
+    (whole + bounds.quota_slack * SLACK_SHARE) * part
 }
 
 /// The service that serves the next request of a route.
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -69,10 +69,14 @@
         serve(&state, settings.directory, own).await?,
         serve(&state, settings.metrics, text).await?,
     ];
+    let address = settings.peer;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.context(BindSnafu { address })?;
     let (stop, stopped) = bounded(1);
     let control = control::start(control::ControlOptions {
         shared: Arc::clone(&state),
         store,
+        listener,
         stop: stopped,
     });
     let control = control.context(ThreadSnafu)?;
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -10,6 +10,7 @@
 use dahliawood_fate::retry::RetryBudget;
 use dahliawood_model::FastMap;
 use dahliawood_model::catalog::FleetCatalog;
+use dahliawood_quota::grant::holder::PartHolder;
 use dahliawood_quota::window::CustomerWindows;
 use dahliawood_steer::place::choose::OwnPlace;
 use dahliawood_steer::place::table::PlaceTable;
@@ -49,6 +50,7 @@
     budgets: Mutex<FastMap<String, RetryBudget>>,
     splits: Mutex<FastMap<String, PartSplit>>,
     windows: Mutex<CustomerWindows>,
+    parts: Mutex<PartHolder>,
     is_leaving: AtomicBool,
     leave: Sender<()>,
     /// Closed once the VM leaves.
@@ -82,6 +84,7 @@
             budgets: Mutex::default(),
             splits: Mutex::default(),
             windows: Mutex::new(CustomerWindows::new(settings.bounds.quota_window)),
+            parts: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             leave,
             left,
@@ -104,6 +107,11 @@
         lock(&self.windows)
     }
 
+    /// This VM's parts of customers' limits.
+    pub fn parts(&self) -> MutexGuard<'_, PartHolder> {
+        lock(&self.parts)
+    }
+
     /// The state of each route's split.
     pub fn splits(&self) -> MutexGuard<'_, FastMap<String, PartSplit>> {
         lock(&self.splits)
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -103,3 +103,27 @@
   # Events after a position in the callee's ring, each as JSON.
   events @2 (after :UInt64, most :UInt32) -> (events :List(Text), next :UInt64, lost :UInt64);
 }
+
+# A customer at one VM.
+struct CustomerShare {
+  customer @0 :Text;
+  # Requests a second that were asked for there.
+  demand @1 :Float64;
+  # The part of the customer's limit that the VM may use, 0 to 1.
+  share @2 :Float64;
+}
+
+# A key of the key space; the value is left out where the caller knows this revision.
+struct SpaceKey {
+  key @0 :Text;
+  revision @1 :UInt64;
+  value @2 :Data;
+  isKnown @3 :Bool;
+}
+
+interface GatewayPeer {
+  # Demand and shares of the caller, answered with the shares that it may use from now on.
+  shares @0 (from :Text, entries :List(CustomerShare)) -> (isHead :Bool, entries :List(CustomerShare));
+  # All keys that the callee knows.
+  space @1 (above :UInt64) -> (revision :UInt64, isSettled :Bool, keys :List(SpaceKey));
+}
--- a/dahliawood-peer/src/client/mod.rs
+++ b/dahliawood-peer/src/client/mod.rs
@@ -7,6 +7,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task;
+use capnp::capability::FromClientHook;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::AsyncReadExt;
 use futures::future::{AbortHandle, abortable};
@@ -24,11 +25,16 @@
 /// A connection to another VM; after any error it is to be dropped and made anew.
 pub struct PeerClient {
     client: vm_peer::Client,
+    connection: PeerConnection,
+}
+
+/// What keeps a connection going, and the deadline of its calls.
+pub(crate) struct PeerConnection {
     options: CallOptions,
     pump: AbortHandle,
 }
 
-impl Drop for PeerClient {
+impl Drop for PeerConnection {
     fn drop(&mut self) {
         // A silent connection would otherwise be held for good.
         self.pump.abort();
@@ -43,31 +49,49 @@
     address: SocketAddr,
     options: CallOptions,
 ) -> Result<PeerClient, error::CallError> {
-    let stream = timeout(options.deadline, TcpStream::connect(address))
-        .await
-        .map_err(|_| error::CallError::Deadline)?
-        .context(error::ConnectSnafu { address })?;
-    stream
-        .set_nodelay(true)
-        .context(error::ConnectSnafu { address })?;
-    let (reader, writer) = stream.split();
-    let network = twoparty::VatNetwork::new(
-        reader,
-        writer,
-        rpc_twoparty_capnp::Side::Client,
-        capnp::message::ReaderOptions::default(),
-    );
-    let mut system = RpcSystem::new(Box::new(network), None);
-    let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
-    let (system, pump) = abortable(system);
-    task::spawn_local(async move {
-        let _ended = system.await;
-    });
-    Ok(PeerClient {
-        client,
-        options,
-        pump,
-    })
+    let (client, connection) = PeerConnection::open(address, options).await?;
+    Ok(PeerClient { client, connection })
+}
+
+impl PeerConnection {
+    /// Connects to `address`, and answers the interface that is served there.
+    pub(crate) async fn open<C: FromClientHook>(
+        address: SocketAddr,
+        options: CallOptions,
+    ) -> Result<(C, Self), error::CallError> {
+        let stream = timeout(options.deadline, TcpStream::connect(address))
+            .await
+            .map_err(|_| error::CallError::Deadline)?
+            .context(error::ConnectSnafu { address })?;
+        stream
+            .set_nodelay(true)
+            .context(error::ConnectSnafu { address })?;
+        let (reader, writer) = stream.split();
+        let network = twoparty::VatNetwork::new(
+            reader,
+            writer,
+            rpc_twoparty_capnp::Side::Client,
+            capnp::message::ReaderOptions::default(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        let (system, pump) = abortable(system);
+        task::spawn_local(async move {
+            let _ended = system.await;
+        });
+        Ok((client, Self { options, pump }))
+    }
+
+    /// Waits for an answer within the deadline.
+    pub(crate) async fn bounded<T>(
+        &self,
+        answer: impl Future<Output = capnp::Result<T>>,
+    ) -> Result<T, error::CallError> {
+        timeout(self.options.deadline, answer)
+            .await
+            .map_err(|_| error::CallError::Deadline)?
+            .context(error::CallSnafu)
+    }
 }
 
 impl PeerClient {
@@ -78,7 +102,7 @@
     pub async fn beat(&self, beat: &message::VmBeat) -> Result<message::VmBeat, error::CallError> {
         let mut request = self.client.beat_request();
         message::write_beat(beat, request.get().init_beat()).context(error::CallSnafu)?;
-        let response = self.bounded(request.send().promise).await?;
+        let response = self.connection.bounded(request.send().promise).await?;
         let results = response.get().context(error::CallSnafu)?;
         let reader = results.get_beat().context(error::CallSnafu)?;
         message::read_beat(reader).context(error::CallSnafu)
@@ -94,7 +118,7 @@
     ) -> Result<Option<message::ConfigText>, error::CallError> {
         let mut request = self.client.config_request();
         request.get().set_above(above);
-        let response = self.bounded(request.send().promise).await?;
+        let response = self.connection.bounded(request.send().promise).await?;
         let results = response.get().context(error::CallSnafu)?;
         let reader = results.get_config().context(error::CallSnafu)?;
         if reader.get_revision() <= above {
@@ -119,7 +143,7 @@
     pub async fn quota(&self, batch: &allowance::AllowanceBatch) -> Result<(), error::CallError> {
         let mut request = self.client.quota_request();
         allowance::write(batch, request.get()).context(error::CallSnafu)?;
-        self.bounded(request.send().promise).await.map(|_| ())
+        self.connection.bounded(request.send().promise).await.map(|_| ())
     }
 
     /// A page of the other VM's events.
@@ -134,7 +158,7 @@
         let mut request = self.client.events_request();
         request.get().set_after(after);
         request.get().set_most(most);
-        let response = self.bounded(request.send().promise).await?;
+        let response = self.connection.bounded(request.send().promise).await?;
         let results = response.get().context(error::CallSnafu)?;
         let mut page = message::EventPage {
             next: results.get_next(),
@@ -152,15 +176,4 @@
         }
         Ok(page)
     }
-
-    /// Waits for an answer within the deadline.
-    async fn bounded<T>(
-        &self,
-        answer: impl Future<Output = capnp::Result<T>>,
-    ) -> Result<T, error::CallError> {
-        timeout(self.options.deadline, answer)
-            .await
-            .map_err(|_| error::CallError::Deadline)?
-            .context(error::CallSnafu)
-    }
 }
--- a/dahliawood-peer/src/lib.rs
+++ b/dahliawood-peer/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod allowance;
 pub mod client;
+pub mod gateway;
 /// Code generated from `schema/peer.capnp` by `dahliawood-codegen`.
 #[allow(missing_docs, unused_qualifications, clippy::all, clippy::pedantic, elided_lifetimes_in_paths)]
 #[rustfmt::skip]
--- a/dahliawood-peer/src/server/mod.rs
+++ b/dahliawood-peer/src/server/mod.rs
@@ -78,6 +78,14 @@
 /// Returns the error that ended the listener.
 pub async fn serve(listener: TcpListener, handlers: Rc<PeerHandlers>) -> std::io::Result<()> {
     let client: vm_peer::Client = capnp_rpc::new_client_from_rc(handlers);
+    accept(listener, client.client).await
+}
+
+/// Takes connections until the listener fails, each served by the same interface.
+pub(crate) async fn accept(
+    listener: TcpListener,
+    client: capnp::capability::Client,
+) -> std::io::Result<()> {
     loop {
         let (stream, _) = listener.accept().await?;
         task::spawn_local(connection(stream, client.clone()));
@@ -85,7 +93,7 @@
 }
 
 /// Serves one connection to its end.
-async fn connection(stream: TcpStream, client: vm_peer::Client) {
+async fn connection(stream: TcpStream, client: capnp::capability::Client) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("a peer connection without nodelay: {error}");
     }
@@ -96,6 +104,6 @@
         rpc_twoparty_capnp::Side::Server,
         capnp::message::ReaderOptions::default(),
     );
-    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let system = RpcSystem::new(Box::new(network), Some(client));
     let _ended = system.map(|_| ()).await;
 }
--- /dev/null
+++ b/dahliawood-quota/src/grant/book/mod.rs
@@ -0,0 +1,130 @@
+//! What the head knows of the parts in force, and how it gives them out.
+
+use crate::grant::holder::usable;
+use crate::grant::{EVEN_PART, PART_LIFE};
+use dahliawood_model::FastMap;
+use dahliawood_model::stamp::TimeStamp;
+use std::time::Duration;
+
+/// Demand that every VM counts with, so that one with no callers yet holds something.
+const LEAST_DEMAND: f64 = 0.5;
+
+/// A customer at one VM.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartReport {
+    /// The customer.
+    pub customer: String,
+    /// Requests a second that were asked for there.
+    pub demand: f64,
+    /// What the VM holds of the limit.
+    pub part: f64,
+}
+
+/// What one VM may use of one customer's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct PartRow {
+    demand: f64,
+    part: f64,
+    at: TimeStamp,
+}
+
+/// The parts of all VMs.
+#[derive(Clone, Debug, Default)]
+pub struct PartBook {
+    rows: FastMap<String, FastMap<String, PartRow>>,
+    heard: FastMap<String, TimeStamp>,
+    head_since: Option<TimeStamp>,
+}
+
+impl PartBook {
+    /// Takes a VM's report, and answers what it may use from now on. `members` are the VMs that
+    /// live, the reporter among them.
+    pub fn report(
+        &mut self,
+        from: &str,
+        reports: &[PartReport],
+        members: &[&str],
+        now: TimeStamp,
+    ) -> Vec<(String, f64)> {
+        let since = *self.head_since.get_or_insert(now);
+        self.heard.insert(from.to_owned(), now);
+        let may_raise = now.since(since) >= PART_LIFE || self.is_complete(members, now);
+        reports
+            .iter()
+            .map(|report| {
+                let part = self.give(from, report, members, may_raise, now);
+                (report.customer.clone(), part)
+            })
+            .collect()
+    }
+
+    /// Notes that this VM is not the head: what it knew of others ages.
+    pub fn step_down(&mut self) {
+        self.head_since = None;
+        self.heard.clear();
+        self.rows.clear();
+    }
+
+    /// Whether every member has reported within the life of a part.
+    fn is_complete(&self, members: &[&str], now: TimeStamp) -> bool {
+        let is_heard = |name: &&&str| self.is_heard(name, PART_LIFE, now);
+        members.iter().filter(is_heard).count() == members.len()
+    }
+
+    /// Whether more than half of the members have reported: a head that is cut off gives nothing.
+    pub fn has_majority(&self, members: &[&str], now: TimeStamp) -> bool {
+        let is_heard = |name: &&&str| self.is_heard(name, PART_LIFE, now);
+        members.iter().filter(is_heard).count() * 2 > members.len()
+    }
+
+    fn is_heard(&self, name: &str, within: Duration, now: TimeStamp) -> bool {
+        let heard = self.heard.get(name);
+        heard.is_some_and(|heard| now.since(*heard) < within)
+    }
+
+    /// Gives a VM its part of one limit.
+    fn give(
+        &mut self,
+        from: &str,
+        report: &PartReport,
+        members: &[&str],
+        may_raise: bool,
+        now: TimeStamp,
+    ) -> f64 {
+        let rows = self.rows.entry(report.customer.clone()).or_default();
+        let is_fresh = |row: &PartRow| now.since(row.at) < PART_LIFE;
+        rows.retain(|_, row| is_fresh(row) || usable(row.part, row.at, now) > 0.0);
+        let others = rows.iter().filter(|(name, _)| *name != from);
+        let in_force: f64 = others
+            .clone()
+            .map(|(_, row)| usable(row.part, row.at, now))
+            .sum();
+        let is_member = |name: &str| members.contains(&name);
+        let demand = |name: &str| {
+            let row = rows.get(name).filter(|row| is_fresh(row));
+            row.map_or(0.0, |row| row.demand) + LEAST_DEMAND
+        };
+        let own = report.demand + LEAST_DEMAND;
+        let all: f64 = members
+            .iter()
+            .filter(|name| **name != from)
+            .map(|name| demand(name))
+            .sum::<f64>()
+            + own;
+        let wanted = match is_member(from) {
+            true => (1.0 - EVEN_PART) * own / all,
+            false => 0.0,
+        };
+        let free = (1.0 - EVEN_PART - in_force).max(0.0);
+        let most = if may_raise { free } else { free.min(report.part) };
+        let part = wanted.min(most);
+        let row = PartRow {
+            demand: report.demand,
+            // Until its next report the VM may go on with what it held.
+            part: part.max(report.part),
+            at: now,
+        };
+        rows.insert(from.to_owned(), row);
+        part
+    }
+}
--- a/dahliawood-quota/src/lib.rs
+++ b/dahliawood-quota/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod amount;
 pub mod book;
 pub mod bucket;
+pub mod grant;
 pub mod home;
 pub mod limit;
 pub mod loans;
--- a/dahliawood-quota/src/window/mod.rs
+++ b/dahliawood-quota/src/window/mod.rs
@@ -11,11 +11,17 @@
 /// Counts of a window are kept in so many steps.
 const STEPS: u32 = 20;
 
+/// The span over which demand is averaged.
+const DEMAND_SPAN: Duration = Duration::from_millis(1_500);
+
 /// What one customer sent.
 #[derive(Clone, Debug, Default)]
 struct SentWindow {
     steps: VecDeque<(TimeStamp, u32)>,
     total: u32,
+    /// Requests asked for a second, as a moving average, and when it was brought up to date.
+    demand: f64,
+    demand_at: TimeStamp,
 }
 
 /// The windows of all customers.
@@ -49,6 +55,7 @@
         let Some(window) = self.sent.get_mut(customer) else {
             return Ok(());
         };
+        window.ask(now);
         window.forget(now, self.length + step);
         if f64::from(window.total) + 1.0 > most {
             let oldest = window.steps.front().map_or(now, |(at, _)| *at);
@@ -59,17 +66,28 @@
         Ok(())
     }
 
-    /// Requests that each customer sent within the last window.
-    pub fn totals(&mut self, now: TimeStamp) -> impl Iterator<Item = (&String, u32)> {
-        let length = self.length;
+    /// Requests a second that were asked for, of each customer, whether they were admitted or not.
+    pub fn demands(&self, now: TimeStamp) -> impl Iterator<Item = (&String, f64)> {
+        let demand = move |window: &SentWindow| window.demand * window.faded(now);
         self.sent
-            .values_mut()
-            .for_each(|window| window.forget(now, length));
-        self.sent.iter().map(|(name, window)| (name, window.total))
+            .iter()
+            .map(move |(name, window)| (name, demand(window)))
     }
 }
 
 impl SentWindow {
+    /// What is left of the average of demand now.
+    fn faded(&self, now: TimeStamp) -> f64 {
+        let age = now.since(self.demand_at).as_secs_f64();
+        (-age / DEMAND_SPAN.as_secs_f64()).exp()
+    }
+
+    /// Notes that a request was asked for.
+    fn ask(&mut self, now: TimeStamp) {
+        self.demand = self.demand * self.faded(now) + 1.0 / DEMAND_SPAN.as_secs_f64();
+        self.demand_at = now;
+    }
+
     fn forget(&mut self, now: TimeStamp, length: Duration) {
         while let Some((at, count)) = self.steps.front().copied() {
             if now.since(at) < length {
--- a/dahliawood-store/src/space/view/mod.rs
+++ b/dahliawood-store/src/space/view/mod.rs
@@ -4,7 +4,7 @@
 //! are gone when the service returns are kept for a while, and dropped if nobody writes them again.
 
 use crate::space::call::SpaceItem;
-use dahliawood_model::FastMap;
+use dahliawood_model::{FastMap, FastSet};
 use dahliawood_model::stamp::TimeStamp;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +33,15 @@
     pub value: Option<Arc<[u8]>>,
 }
 
+/// Where relayed keys come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RelaySource {
+    /// The revision up to which the other VM knows everything.
+    pub revision: u64,
+    /// Whether the service answers the other VM, and has for a while.
+    pub is_settled: bool,
+}
+
 /// What is known of a key space.
 #[derive(Clone, Debug)]
 pub struct SpaceView {
@@ -107,20 +116,51 @@
         revision: u64,
         now: TimeStamp,
     ) -> Vec<ViewChange> {
-        let is_listed = |key: &String| items.iter().any(|item| item.key == *key);
-        let gone: Vec<String> = self
-            .known
+        let listed: FastSet<String> = items.iter().map(|item| item.key.clone()).collect();
+        let mut changes = self.apply(items, revision, now);
+        changes.extend(self.remove_others(&listed, revision, now));
+        changes
+    }
+
+    /// Takes what another VM knows up to `revision`: the keys that it lists are there, `items` are
+    /// those that are news to this VM. Where the service answers that VM, what it no longer lists
+    /// is gone; its word counts more than this VM's own wait.
+    pub fn relay(
+        &mut self,
+        items: Vec<SpaceItem>,
+        listed: &FastSet<String>,
+        source: RelaySource,
+        now: TimeStamp,
+    ) -> Vec<ViewChange> {
+        let mut changes = self.apply(items, source.revision, now);
+        if source.is_settled {
+            let gone = self.missing(listed, source.revision);
+            changes.extend(gone.into_iter().filter_map(|key| self.drop_key(key)));
+        }
+        changes
+    }
+
+    /// Keys that are known from before `revision` and not listed at it.
+    fn missing(&self, listed: &FastSet<String>, revision: u64) -> Vec<String> {
+        let is_missing =
+            |key: &str, known: &KnownValue| known.revision <= revision && !listed.contains(key);
+        self.known
             .iter()
-            .filter(|(key, known)| known.revision <= revision && !is_listed(key))
+            .filter(|(key, known)| is_missing(key, known))
             .map(|(key, _)| key.clone())
-            .collect();
-        let gone = gone.into_iter().map(|key| SpaceItem {
-            key,
-            value: None,
-            revision,
-        });
-        let all: Vec<_> = gone.collect::<Vec<_>>().into_iter().chain(items).collect();
-        self.apply(all, revision, now)
+            .collect()
+    }
+
+    fn remove_others(
+        &mut self,
+        listed: &FastSet<String>,
+        revision: u64,
+        now: TimeStamp,
+    ) -> Vec<ViewChange> {
+        let gone = self.missing(listed, revision);
+        gone.into_iter()
+            .filter_map(|key| self.remove(key, now))
+            .collect()
     }
 
     /// Drops the keys whose time is over.
@@ -138,7 +178,7 @@
     }
 
     /// Whether removals are held back now.
-    fn is_settling(&self, now: TimeStamp) -> bool {
+    pub fn is_settling(&self, now: TimeStamp) -> bool {
         self.away_since.is_some() || now < self.settled_at
     }
 
