--- a/dahliawood-gateway/src/control/peers/mod.rs
+++ b/dahliawood-gateway/src/control/peers/mod.rs
@@ -61,7 +61,7 @@
 pub async fn serve(state: Rc<ControlState>, listener: TcpListener) {
     let (share_state, space_state) = (Rc::clone(&state), state);
     let handlers = GatewayHandlers {
-        shares: Box::new(move |from, entries| shares::answer(&share_state, from, entries)),
+        shares: Box::new(move |report| shares::answer(&share_state, report)),
         space: Box::new(move |above| space(&space_state, above)),
     };
     if let Err(error) = server::serve(listener, Rc::new(handlers)).await {
--- a/dahliawood-gateway/src/control/shares/mod.rs
+++ b/dahliawood-gateway/src/control/shares/mod.rs
@@ -4,36 +4,43 @@
 use crate::control::ControlState;
 use crate::control::vms::VmRecord;
 use async_std::task;
+use dahliawood_model::catalog::CatalogCustomer;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_peer::client::error::CallError;
-use dahliawood_peer::gateway::message::{CustomerShare, ShareAnswer};
+use dahliawood_peer::gateway::message::{CustomerShare, ShareAnswer, ShareReport};
 use dahliawood_quota::grant::book::PartReport;
 use dahliawood_steer::rendezvous;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// How often demand is reported.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The same while this VM holds no part.
+const FIRST_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Reports until the task is cancelled.
 pub async fn run(state: Rc<ControlState>) {
+    let mut has_parts = false;
     loop {
-        task::sleep(REPORT_INTERVAL).await;
+        task::sleep(if has_parts { REPORT_INTERVAL } else { FIRST_INTERVAL }).await;
         let vms = state.shared.vms.load_full();
         let Some(head) = head(&vms) else {
             continue;
         };
         let asked = clock::now();
-        let entries = entries(&state, asked);
-        let own = &state.shared.settings.name;
-        let answered = match head.name == *own {
-            true => Ok(answer(&state, own, &entries)),
-            false => ask(&state, head, &entries).await,
+        let report = report(&state, asked);
+        let answered = match head.name == report.from {
+            true => Ok(answer(&state, &report)),
+            false => ask(&state, head, &report).await,
         };
         match answered {
-            Ok(answer) if answer.is_head => take(&state, &answer, asked),
-            Ok(_) => {}
+            Ok(answer) => {
+                has_parts = answer.is_head && !answer.entries.is_empty();
+                take(&state, &answer, asked);
+            }
             Err(error) => {
+                has_parts = false;
                 state.peers.forget(head.peer);
                 log::debug!("the head does not answer: {error}");
             }
@@ -48,26 +55,38 @@
         .min_by_key(|vm| rendezvous::name_hash(vm.name.as_bytes()))
 }
 
-/// Demand and parts of this VM.
+/// What this VM reports.
+fn report(state: &ControlState, now: TimeStamp) -> ShareReport {
+    ShareReport {
+        from: state.shared.settings.name.clone(),
+        is_leaving: state.shared.is_closed(),
+        entries: entries(state, now),
+    }
+}
+
+/// Demand and parts of this VM, for every customer that has a limit.
 fn entries(state: &ControlState, now: TimeStamp) -> Vec<CustomerShare> {
-    let is_leaving = state.shared.is_leaving();
+    let Some(catalog) = state.shared.catalog.load_full() else {
+        return Vec::new();
+    };
     let windows = state.shared.windows();
     let parts = state.shared.parts();
-    let entry = |(customer, demand): (&String, f64)| CustomerShare {
-        customer: customer.clone(),
-        demand: if is_leaving { 0.0 } else { demand },
-        share: parts.held(customer, now),
+    let limited = catalog.customers.values().filter(|spec| spec.rate > 0.0);
+    let entry = |customer: &CatalogCustomer| CustomerShare {
+        customer: customer.name.clone(),
+        demand: windows.demand(&customer.name, now),
+        share: parts.held(&customer.name, now),
     };
-    windows.demands(now).map(entry).collect()
+    limited.map(entry).collect()
 }
 
 async fn ask(
     state: &ControlState,
     head: &VmRecord,
-    entries: &[CustomerShare],
+    report: &ShareReport,
 ) -> Result<ShareAnswer, CallError> {
     let client = state.peers.client(head.peer).await?;
-    client.shares(&state.shared.settings.name, entries).await
+    client.shares(report).await
 }
 
 fn take(state: &ControlState, answer: &ShareAnswer, asked: TimeStamp) {
@@ -78,7 +97,7 @@
 }
 
 /// Answers a VM that takes this one for the head.
-pub fn answer(state: &ControlState, from: &str, entries: &[CustomerShare]) -> ShareAnswer {
+pub fn answer(state: &ControlState, report: &ShareReport) -> ShareAnswer {
     let vms = state.shared.vms.load();
     let own = &state.shared.settings.name;
     let mut book = state.book.borrow_mut();
@@ -86,10 +105,14 @@
         book.step_down();
         return ShareAnswer::default();
     }
+    if report.is_leaving {
+        book.release(&report.from);
+        return ShareAnswer::default();
+    }
     let members: Vec<&str> = vms.iter().map(|vm| vm.name.as_str()).collect();
-    let reports: Vec<PartReport> = entries.iter().map(report).collect();
+    let reports: Vec<PartReport> = report.entries.iter().map(part_report).collect();
     let now = clock::now();
-    let parts = book.report(from, &reports, &members, now);
+    let parts = book.report(&report.from, &reports, &members, now);
     if !book.has_majority(&members, now) {
         return ShareAnswer::default();
     }
@@ -104,7 +127,7 @@
     }
 }
 
-fn report(entry: &CustomerShare) -> PartReport {
+fn part_report(entry: &CustomerShare) -> PartReport {
     PartReport {
         customer: entry.customer.clone(),
         demand: entry.demand,
--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -32,6 +32,18 @@
     taken_ms: u128,
 }
 
+/// A line on a customer's limit that was reached on this VM.
+#[derive(Serialize)]
+struct LimitLine<'a> {
+    customer: &'a str,
+    rate: f64,
+    burst: f64,
+    /// The part of the limit that this VM holds beside the even part.
+    part: f64,
+    /// Requests that this VM takes in a window.
+    most: f64,
+}
+
 /// Answers one request of a caller.
 pub async fn answer(state: SharedState, request: CallerRequest) -> FrontAnswer {
     let started = clock::now();
@@ -144,7 +156,17 @@
     }
     let most = limit(state, customer, now);
     let admitted = state.windows().admit(&customer.name, most, now);
-    admitted.map_err(RefusalCause::OverLimit)
+    admitted.map_err(|wait| {
+        let line = || LimitLine {
+            customer: &customer.name,
+            rate: customer.rate,
+            burst: customer.burst,
+            part: state.parts().held(&customer.name, now),
+            most,
+        };
+        state.lines.write(LineRank::Notable, "limit", line);
+        RefusalCause::OverLimit(wait)
+    })
 }
 
 /// This VM's part of a customer's limit, in a window.
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -10,6 +10,7 @@
 use crate::settings::GatewaySettings;
 use crate::state::{GatewayState, SharedState};
 use crate::words::PlatformWords;
+use crate::control::shares;
 use crate::{clock, control, directory};
 use async_std::channel::{Sender, bounded};
 use async_std::net::TcpListener;
@@ -136,6 +137,9 @@
         for listener in listeners {
             listener.cancel().await;
         }
+        state.close();
+        // The parts of customers' limits are given back meanwhile.
+        task::sleep(shares::REPORT_INTERVAL).await;
         while clock::now() < limit && state.metrics.in_flight.get() > 0 {
             task::sleep(DRAIN_POLL).await;
         }
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -52,6 +52,7 @@
     windows: Mutex<CustomerWindows>,
     parts: Mutex<PartHolder>,
     is_leaving: AtomicBool,
+    is_closed: AtomicBool,
     leave: Sender<()>,
     /// Closed once the VM leaves.
     pub left: Receiver<()>,
@@ -86,6 +87,7 @@
             windows: Mutex::new(CustomerWindows::new(settings.bounds.quota_window)),
             parts: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
             leave,
             left,
             settings,
@@ -145,6 +147,16 @@
         self.leave.close();
     }
 
+    /// Whether the VM has stopped taking requests.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Acquire)
+    }
+
+    /// Notes that the VM has stopped taking requests.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Release);
+    }
+
     /// Whether the VM takes work.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.catalog.load().is_some()
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -122,8 +122,9 @@
 }
 
 interface GatewayPeer {
-  # Demand and shares of the caller, answered with the shares that it may use from now on.
-  shares @0 (from :Text, entries :List(CustomerShare)) -> (isHead :Bool, entries :List(CustomerShare));
+  # Demand and shares of the caller, answered with the shares that it may use from now on; one that
+  # is leaving uses none any more.
+  shares @0 (from :Text, entries :List(CustomerShare), isLeaving :Bool) -> (isHead :Bool, entries :List(CustomerShare));
   # All keys that the callee knows.
   space @1 (above :UInt64) -> (revision :UInt64, isSettled :Bool, keys :List(SpaceKey));
 }
--- a/dahliawood-peer/src/gateway/client/mod.rs
+++ b/dahliawood-peer/src/gateway/client/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::client::error::{CallError, CallSnafu};
 use crate::client::{CallOptions, PeerConnection};
-use crate::gateway::message::{self, CustomerShare, ShareAnswer, SpaceAnswer};
+use crate::gateway::message::{self, ShareAnswer, ShareReport, SpaceAnswer};
 use crate::generated::peer_capnp::gateway_peer;
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -26,19 +26,16 @@
 }
 
 impl GatewayClient {
-    /// Reports demand and shares of the VM `from`, and answers the shares that it may use.
+    /// Reports demand and shares of this VM, and answers the shares that it may use.
     ///
     /// # Errors
     /// Fails where the call fails or no answer comes within the deadline.
-    pub async fn shares(
-        &self,
-        from: &str,
-        entries: &[CustomerShare],
-    ) -> Result<ShareAnswer, CallError> {
+    pub async fn shares(&self, report: &ShareReport) -> Result<ShareAnswer, CallError> {
         let mut request = self.client.shares_request();
-        let count = message::length(entries.len()).context(CallSnafu)?;
-        request.get().set_from(from);
-        message::write_shares(entries, request.get().init_entries(count));
+        let count = message::length(report.entries.len()).context(CallSnafu)?;
+        request.get().set_from(&report.from);
+        request.get().set_is_leaving(report.is_leaving);
+        message::write_shares(&report.entries, request.get().init_entries(count));
         let response = self.connection.bounded(request.send().promise).await?;
         let results = response.get().context(CallSnafu)?;
         let list = results.get_entries().context(CallSnafu)?;
--- a/dahliawood-peer/src/gateway/message/mod.rs
+++ b/dahliawood-peer/src/gateway/message/mod.rs
@@ -14,6 +14,17 @@
     pub share: f64,
 }
 
+/// What a VM reports of its customers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ShareReport {
+    /// The VM's name.
+    pub from: String,
+    /// Whether it has stopped taking requests.
+    pub is_leaving: bool,
+    /// Its customers.
+    pub entries: Vec<CustomerShare>,
+}
+
 /// The shares that a VM may use.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ShareAnswer {
--- a/dahliawood-peer/src/gateway/server/mod.rs
+++ b/dahliawood-peer/src/gateway/server/mod.rs
@@ -1,14 +1,14 @@
 //! Answers other gateways' calls through closures.
 
-use crate::gateway::message::{self, CustomerShare, ShareAnswer, SpaceAnswer};
+use crate::gateway::message::{self, ShareAnswer, ShareReport, SpaceAnswer};
 use crate::generated::peer_capnp::gateway_peer;
 use async_std::net::TcpListener;
 use std::rc::Rc;
 
 /// What answers each call.
 pub struct GatewayHandlers {
-    /// Takes a VM's name with its customers' demand and shares, and answers with its shares.
-    pub shares: Box<dyn Fn(&str, &[CustomerShare]) -> ShareAnswer>,
+    /// Takes a VM's report and answers with its shares.
+    pub shares: Box<dyn Fn(&ShareReport) -> ShareAnswer>,
     /// All keys that are known, without the values up to a revision.
     pub space: Box<dyn Fn(u64) -> SpaceAnswer>,
 }
@@ -20,8 +20,12 @@
         mut results: gateway_peer::SharesResults,
     ) -> capnp::Result<()> {
         let params = params.get()?;
-        let entries = message::read_shares(params.get_entries()?)?;
-        let answer = (self.shares)(params.get_from()?.to_str()?, &entries);
+        let report = ShareReport {
+            from: params.get_from()?.to_string()?,
+            is_leaving: params.get_is_leaving(),
+            entries: message::read_shares(params.get_entries()?)?,
+        };
+        let answer = (self.shares)(&report);
         let count = message::length(answer.entries.len())?;
         let mut builder = results.get();
         builder.set_is_head(answer.is_head);
--- a/dahliawood-quota/src/grant/book/mod.rs
+++ b/dahliawood-quota/src/grant/book/mod.rs
@@ -37,8 +37,8 @@
 }
 
 impl PartBook {
-    /// Takes a VM's report, and answers what it may use from now on. `members` are the VMs that
-    /// live, the reporter among them.
+    /// Takes a VM's report, and answers what it may use from now on. `members` are the VMs that are
+    /// known to live; one that reports lives, whether it is known or not.
     pub fn report(
         &mut self,
         from: &str,
@@ -58,6 +58,14 @@
             .collect()
     }
 
+    /// Forgets a VM that has stopped using its parts.
+    pub fn release(&mut self, from: &str) {
+        self.rows.values_mut().for_each(|rows| {
+            rows.remove(from);
+        });
+        self.heard.remove(from);
+    }
+
     /// Notes that this VM is not the head: what it knew of others ages.
     pub fn step_down(&mut self) {
         self.head_since = None;
@@ -99,22 +107,15 @@
             .clone()
             .map(|(_, row)| usable(row.part, row.at, now))
             .sum();
-        let is_member = |name: &str| members.contains(&name);
-        let demand = |name: &str| {
-            let row = rows.get(name).filter(|row| is_fresh(row));
-            row.map_or(0.0, |row| row.demand) + LEAST_DEMAND
-        };
-        let own = report.demand + LEAST_DEMAND;
-        let all: f64 = members
+        let reported: f64 = rows
             .iter()
-            .filter(|name| **name != from)
-            .map(|name| demand(name))
-            .sum::<f64>()
-            + own;
-        let wanted = match is_member(from) {
-            true => (1.0 - EVEN_PART) * own / all,
-            false => 0.0,
-        };
+            .filter(|(name, row)| *name != from && is_fresh(row))
+            .map(|(_, row)| row.demand + LEAST_DEMAND)
+            .sum();
+        let is_silent = |name: &&&str| **name != from && rows.get(**name).is_none_or(|row| !is_fresh(row));
+        let silent = members.iter().filter(is_silent).count() as f64 * LEAST_DEMAND;
+        let own = report.demand + LEAST_DEMAND;
+        let wanted = (1.0 - EVEN_PART) * own / (own + reported + silent);
         let free = (1.0 - EVEN_PART - in_force).max(0.0);
         let most = if may_raise { free } else { free.min(report.part) };
         let part = wanted.min(most);
--- a/dahliawood-quota/src/window/mod.rs
+++ b/dahliawood-quota/src/window/mod.rs
@@ -66,12 +66,10 @@
         Ok(())
     }
 
-    /// Requests a second that were asked for, of each customer, whether they were admitted or not.
-    pub fn demands(&self, now: TimeStamp) -> impl Iterator<Item = (&String, f64)> {
-        let demand = move |window: &SentWindow| window.demand * window.faded(now);
-        self.sent
-            .iter()
-            .map(move |(name, window)| (name, demand(window)))
+    /// Requests a second that were asked for of a customer, whether they were admitted or not.
+    pub fn demand(&self, customer: &str, now: TimeStamp) -> f64 {
+        let window = self.sent.get(customer);
+        window.map_or(0.0, |window| window.demand * window.faded(now))
     }
 }
 
