--- a/dahliawood-steer/src/place/choose/mod.rs
+++ b/dahliawood-steer/src/place/choose/mod.rs
@@ -85,7 +85,7 @@
     now: TimeStamp,
 ) -> PlaceChoice {
     let object = query.object.unwrap_or_else(rand::random);
-    start_spill(table, own, query.service);
+    start_spill(table, own, query);
     let level = spill(table, query.service).map_or(0.0, |spill| spill.level());
     let is_away = is_spilled(object, level) && allows(query, &own.region);
     let own_list = candidates(table, own, query, object, &own.region, now);
@@ -273,14 +273,17 @@
     (here, all, regions.len())
 }
 
-/// Guesses what a region with few targets hands over from the start.
-fn start_spill(table: &mut PlaceTable, own: &OwnPlace, service: &str) {
-    if spill(table, service).is_none_or(SpillLevel::is_started) {
+/// Guesses what a region with few targets hands over from the start: as much as makes all regions
+/// equally busy, where callers are spread evenly. A large answer's way costs more than that gains,
+/// so those go only where the usual demand does not fit.
+fn start_spill(table: &mut PlaceTable, own: &OwnPlace, query: &PlaceQuery<'_>) {
+    if spill(table, query.service).is_none_or(SpillLevel::is_started) {
         return;
     }
-    let (here, all, regions) = room(table, own, service);
-    let demand = all * ASSUMED_USE / regions.max(1) as f64;
-    if let Some(spill) = spill_mut(table, service) {
+    let (here, all, regions) = room(table, own, query.service);
+    let usage = if query.is_bulk { ASSUMED_USE } else { 1.0 };
+    let demand = all * usage / regions.max(1) as f64;
+    if let Some(spill) = spill_mut(table, query.service) {
         spill.start(1.0 - here / demand.max(1.0));
     }
 }
