--- a/dahliawood-quota/tests/quota/main.rs
+++ b/dahliawood-quota/tests/quota/main.rs
@@ -2,9 +2,11 @@
 
 mod bucket;
 mod fleet;
+mod grant;
 mod history;
 mod oracle;
 mod promises;
 mod queue;
 mod seed;
 mod store;
+mod window;
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -6,5 +6,6 @@
 mod faults;
 mod fleet;
 mod lookup;
+mod place;
 mod queue;
 mod split;
--- /dev/null
+++ b/dahliawood-steer/tests/main/place.rs
@@ -0,0 +1,345 @@
+//! Targets that register by themselves: objects, cold targets, regions, overload.
+
+use crate::fleet;
+use dahliawood_model::catalog::{TargetEntry, TargetLoad};
+use dahliawood_model::keys::TargetKey;
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_model::{FastMap, FastSet};
+use dahliawood_steer::health::ResultKind;
+use dahliawood_steer::place::choose::{self, ColdBound, OwnPlace, PlaceChoice, PlaceQuery};
+use dahliawood_steer::place::spill;
+use dahliawood_steer::place::table::{PlaceTable, TargetResult};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const SERVICE: &str = "service";
+const SLOTS: u32 = 3;
+const START: TimeStamp = TimeStamp::from_millis(1_000_000);
+const WARM_TIME: Duration = Duration::from_millis(120);
+
+fn regions() -> FastMap<String, String> {
+    let pairs = [("a-1", "a"), ("a-2", "a"), ("b-1", "b"), ("c-1", "c")];
+    pairs
+        .into_iter()
+        .map(|(domain, region)| (domain.to_owned(), region.to_owned()))
+        .collect()
+}
+
+fn own(domain: &str, vms: usize) -> OwnPlace {
+    OwnPlace {
+        domain: domain.to_owned(),
+        region: regions()[domain].clone(),
+        vms,
+    }
+}
+
+fn entry(id: usize, domain: &str) -> TargetEntry {
+    TargetEntry {
+        id: format!("target-{id}"),
+        address: ([10, 0, 0, id as u8], 80).into(),
+        service: SERVICE.to_owned(),
+        domain: domain.to_owned(),
+        slots: SLOTS,
+        is_draining: false,
+        cold_for: Duration::ZERO,
+        born_millis: 1,
+    }
+}
+
+/// So many targets in each failure domain.
+fn table(counts: &[(&str, usize)]) -> PlaceTable {
+    let mut table = PlaceTable::new(regions());
+    let domains = counts
+        .iter()
+        .flat_map(|(domain, count)| std::iter::repeat_n(*domain, *count));
+    for (id, domain) in domains.enumerate() {
+        table.upsert(entry(id, domain), START);
+    }
+    table
+}
+
+fn query(object: u64) -> PlaceQuery<'static> {
+    PlaceQuery {
+        service: SERVICE,
+        object: Some(object),
+        is_bulk: false,
+        regions: [&[], &[]],
+        tried: &[],
+        patience: Duration::from_millis(100),
+        cold: ColdBound { per_second: 20.0 },
+    }
+}
+
+fn chosen(choice: PlaceChoice) -> Option<TargetKey> {
+    match choice {
+        PlaceChoice::Target(key) => Some(key),
+        _ => None,
+    }
+}
+
+fn domain_of(table: &PlaceTable, key: TargetKey) -> String {
+    table.get(key).unwrap().entry.domain.clone()
+}
+
+fn answered(load: Option<TargetLoad>) -> TargetResult {
+    TargetResult {
+        kind: ResultKind::Answered,
+        taken: WARM_TIME,
+        load,
+    }
+}
+
+/// What a target that is busy with `waiting` requests in its queue says.
+fn full(waiting: u32, now: TimeStamp) -> TargetResult {
+    answered(Some(TargetLoad {
+        running: SLOTS,
+        waiting,
+        slots: SLOTS,
+        seen: now,
+    }))
+}
+
+fn fill(table: &mut PlaceTable, domain: &str, waiting: u32, now: TimeStamp) {
+    let keys = table.services[SERVICE].targets.clone();
+    for key in keys {
+        if domain_of(table, key) == domain {
+            table.begin(key, now);
+            table.finish(key, full(waiting, now), now);
+        }
+    }
+}
+
+#[test]
+fn every_vm_sends_an_object_to_the_same_target() {
+    let objects = prop::collection::vec(any::<u64>(), 1..50);
+    let order = Just((0_usize..8).collect::<Vec<_>>()).prop_shuffle();
+    let result = fleet::runner().run(&(objects, order), |(objects, order)| {
+        let mut first = table(&[("a-1", 4), ("a-2", 4)]);
+        let mut second = PlaceTable::new(regions());
+        for id in order {
+            let domain = if id < 4 { "a-1" } else { "a-2" };
+            second.upsert(entry(id, domain), START);
+        }
+        for object in objects {
+            let one = choose::choose(&mut first, &own("a-1", 2), &query(object), START);
+            let other = choose::choose(&mut second, &own("a-2", 2), &query(object), START);
+            let id = |table: &PlaceTable, choice| {
+                table.get(chosen(choice).unwrap()).unwrap().entry.id.clone()
+            };
+            prop_assert_eq!(id(&first, one), id(&second, other));
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn a_target_that_leaves_moves_only_its_own_objects() {
+    let mut before = table(&[("a-1", 8)]);
+    let mut after = table(&[("a-1", 8)]);
+    after.remove("target-3");
+    for object in 0..500 {
+        let old = chosen(choose::choose(&mut before, &own("a-1", 1), &query(object), START));
+        let new = chosen(choose::choose(&mut after, &own("a-1", 1), &query(object), START));
+        let old = before.get(old.unwrap()).unwrap().entry.id.clone();
+        let new = after.get(new.unwrap()).unwrap().entry.id.clone();
+        assert!(old == new || old == "target-3", "{object}: {old} to {new}");
+    }
+}
+
+#[test]
+fn a_busy_target_keeps_its_objects_while_it_starts_them_in_time() {
+    let mut table = table(&[("a-1", 4)]);
+    let first = chosen(choose::choose(&mut table, &own("a-1", 1), &query(7), START)).unwrap();
+    table.begin(first, START);
+    let now = START.after(Duration::from_millis(1));
+    table.finish(first, full(0, now), now);
+    let patient = PlaceQuery {
+        patience: Duration::from_millis(400),
+        ..query(7)
+    };
+    assert_eq!(
+        choose::choose(&mut table, &own("a-1", 1), &patient, now),
+        PlaceChoice::Target(first)
+    );
+    let hasty = PlaceQuery {
+        patience: Duration::from_millis(10),
+        ..query(7)
+    };
+    let other = chosen(choose::choose(&mut table, &own("a-1", 1), &hasty, now));
+    assert!(other.is_some_and(|other| other != first));
+}
+
+#[test]
+fn what_cannot_start_in_time_is_refused_at_once_with_a_time_to_come_back() {
+    let mut table = table(&[("a-1", 3)]);
+    fill(&mut table, "a-1", 9, START);
+    let refused = choose::choose(&mut table, &own("a-1", 1), &query(1), START);
+    let PlaceChoice::Busy { retry_after } = refused else {
+        panic!("{refused:?}");
+    };
+    assert!(retry_after > Duration::from_millis(100), "{retry_after:?}");
+}
+
+#[test]
+fn cold_targets_get_no_more_than_they_bear_whoever_sends() {
+    let gaps = prop::collection::vec(0_u64..40, 50..400);
+    let result = fleet::runner().run(&(gaps, 1_usize..6), |(gaps, vms)| {
+        let mut tables: Vec<_> = (0..vms).map(|_| table(&[])).collect();
+        for table in &mut tables {
+            let mut cold = entry(0, "a-1");
+            cold.cold_for = Duration::from_secs(60);
+            table.upsert(cold, START);
+        }
+        let mut now = START;
+        let mut sent: Vec<TimeStamp> = Vec::new();
+        for (turn, gap) in gaps.iter().enumerate() {
+            now = now.after(Duration::from_millis(*gap));
+            let table = &mut tables[turn % vms];
+            let choice = choose::choose(table, &own("a-1", vms), &query(turn as u64), now);
+            if let Some(key) = chosen(choice) {
+                table.begin(key, now);
+                table.finish(key, answered(None), now);
+                sent.push(now);
+            }
+            let second = sent.iter().filter(|at| now.since(**at) < Duration::from_secs(1));
+            prop_assert!(second.count() <= 20);
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn targets_that_drain_or_are_evacuated_get_nothing() {
+    let mut table = table(&[("a-1", 2), ("a-2", 2)]);
+    let mut draining = entry(0, "a-1");
+    draining.is_draining = true;
+    table.upsert(draining, START);
+    table.set_evacuated(FastSet::from_iter(["a-2".to_owned()]));
+    for object in 0..100 {
+        let choice = choose::choose(&mut table, &own("a-1", 1), &query(object), START);
+        let target = table.get(chosen(choice).unwrap()).unwrap();
+        assert_eq!(target.entry.id, "target-1");
+    }
+    table.set_evacuated(FastSet::from_iter(["a-1".to_owned(), "a-2".to_owned()]));
+    let choice = choose::choose(&mut table, &own("a-1", 1), &query(0), START);
+    assert_eq!(choice, PlaceChoice::None);
+}
+
+#[test]
+fn a_later_start_under_the_same_id_is_another_target() {
+    let mut table = table(&[("a-1", 1)]);
+    let old = table.services[SERVICE].targets[0];
+    table.begin(old, START);
+    let mut reborn = entry(0, "a-1");
+    reborn.born_millis = 2;
+    table.upsert(reborn, START);
+    let new = table.services[SERVICE].targets[0];
+    assert_ne!(old, new);
+    assert!(table.get(old).is_none());
+    assert_eq!(table.get(new).unwrap().load.in_flight, 0);
+    // The end of what was sent to the old one does not count for the new one.
+    table.finish(old, full(9, START), START);
+    assert!(table.get(new).unwrap().load.outstanding(WARM_TIME, START) < 0.5);
+}
+
+#[test]
+fn routes_and_customers_with_homes_never_leave_them() {
+    let mut table = table(&[("a-1", 1), ("b-1", 4), ("c-1", 4)]);
+    fill(&mut table, "a-1", 9, START);
+    let (homes, customer) = (["a".to_owned(), "b".to_owned()], ["b".to_owned()]);
+    for object in 0..100 {
+        let homed = PlaceQuery {
+            regions: [&homes, &customer],
+            ..query(object)
+        };
+        let choice = choose::choose(&mut table, &own("a-1", 1), &homed, START);
+        assert_eq!(domain_of(&table, chosen(choice).unwrap()), "b-1");
+    }
+}
+
+/// Where each of `count` requests ran, by region, at a rate that the VM sees.
+fn play(table: &mut PlaceTable, now: &mut TimeStamp, per_second: u64, steps: u32) -> Vec<String> {
+    let here = own("a-1", 1);
+    let mut ran = Vec::new();
+    let mut due: Vec<(TimeStamp, TargetKey)> = Vec::new();
+    for _ in 0..steps {
+        let step_end = now.after(spill::STEP_INTERVAL);
+        while *now < step_end {
+            *now = now.after(Duration::from_micros(1_000_000 / per_second));
+            let (over, left): (Vec<_>, _) = due.iter().partition(|(end, _)| end <= now);
+            due = left;
+            for (_, key) in over {
+                let running = due.iter().filter(|(_, other)| *other == key).count() as u32;
+                let load = TargetLoad {
+                    running: running.min(SLOTS),
+                    waiting: running.saturating_sub(SLOTS),
+                    slots: SLOTS,
+                    seen: *now,
+                };
+                table.finish(key, answered(Some(load)), *now);
+            }
+            let object = now.as_micros() / 1_000 * 37 % 101;
+            let object = dahliawood_steer::rendezvous::name_hash(&object.to_le_bytes());
+            if let Some(key) = chosen(choose::choose(table, &here, &query(object), *now)) {
+                table.begin(key, *now);
+                due.push((now.after(WARM_TIME), key));
+                ran.push(domain_of(table, key));
+            }
+        }
+        choose::step(table, &here, *now);
+    }
+    ran
+}
+
+/// The share of requests that ran outside of region a.
+fn share_away(ran: &[String]) -> f64 {
+    let away = ran.iter().filter(|domain| !domain.starts_with('a')).count();
+    away as f64 / ran.len().max(1) as f64
+}
+
+#[test]
+fn a_moved_crowd_changes_the_region_of_few_requests_in_two_seconds() {
+    let mut table = table(&[("a-1", 2), ("b-1", 9), ("c-1", 9)]);
+    let mut now = START;
+    let mut last = share_away(&play(&mut table, &mut now, 40, 8));
+    for per_second in [40, 40, 90, 90, 90, 90, 40, 40, 40] {
+        // Four steps are two seconds.
+        let share = share_away(&play(&mut table, &mut now, per_second, 4));
+        let change = (share - last).abs();
+        assert!(change <= 0.15, "{last:.2} to {share:.2} at {per_second}/s");
+        last = share;
+    }
+}
+
+#[test]
+fn a_region_whose_targets_are_all_lost_is_served_by_the_others_at_once() {
+    let mut table = table(&[("a-1", 6), ("b-1", 6)]);
+    let mut now = START;
+    play(&mut table, &mut now, 40, 4);
+    table.set_evacuated(FastSet::from_iter(["a-1".to_owned()]));
+    let ran = play(&mut table, &mut now, 40, 1);
+    assert!(ran.len() >= 19, "{} of 20 were served", ran.len());
+}
+
+#[test]
+fn a_target_that_fails_is_passed_over_and_comes_back_one_request_at_a_time() {
+    let mut table = table(&[("a-1", 1)]);
+    let key = table.services[SERVICE].targets[0];
+    let lost = TargetResult {
+        kind: ResultKind::ConnectFailed,
+        taken: Duration::ZERO,
+        load: None,
+    };
+    table.begin(key, START);
+    table.finish(key, lost, START);
+    let here = own("a-1", 1);
+    assert_eq!(chosen(choose::choose(&mut table, &here, &query(0), START)), None);
+    let later = START.after(Duration::from_secs(1));
+    assert_eq!(chosen(choose::choose(&mut table, &here, &query(0), later)), Some(key));
+    table.begin(key, later);
+    assert_eq!(chosen(choose::choose(&mut table, &here, &query(1), later)), None);
+    table.finish(key, answered(None), later);
+    assert_eq!(chosen(choose::choose(&mut table, &here, &query(1), later)), Some(key));
+}
--- a/dahliawood-steer/tests/main/split.rs
+++ b/dahliawood-steer/tests/main/split.rs
@@ -21,3 +21,22 @@
     );
     result.unwrap();
 }
+
+#[test]
+fn any_run_of_requests_is_divided_by_weight_within_one_for_each_part() {
+    let weights = prop::collection::vec(1_u32..100, 2..5);
+    let result = fleet::runner().run(&(weights, 1_usize..600), |(weights, count)| {
+        let mut split = split::parts::PartSplit::default();
+        let mut counts = vec![0_u32; weights.len()];
+        for _ in 0..count {
+            counts[split.next(weights.iter().map(|weight| f64::from(*weight)))] += 1;
+        }
+        let total: f64 = weights.iter().map(|weight| f64::from(*weight)).sum();
+        for (weight, got) in weights.iter().zip(&counts) {
+            let due = f64::from(*weight) / total * count as f64;
+            prop_assert!((f64::from(*got) - due).abs() <= weights.len() as f64);
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
