--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -257,6 +257,14 @@
     state.shared.lines.write(LineRank::State, "change", line);
 }
 
+/// Counts the VMs of this region.
+pub fn count_vms(state: &ControlState) {
+    let region = &state.shared.settings.region;
+    let vms = state.shared.vms.load();
+    let near = vms.iter().filter(|vm| vm.region == *region).count();
+    state.shared.own().set_vms(near.max(1), clock::now());
+}
+
 /// Publishes the VMs that are registered.
 fn publish_vms(state: &ControlState) {
     let view = state.view.borrow();
@@ -268,12 +276,10 @@
         }
     }
     vms.sort_by(|a, b| a.name.cmp(&b.name));
-    let region = &state.shared.settings.region;
-    let near = vms.iter().filter(|vm| vm.region == *region).count();
-    state.shared.own().vms = near.max(1);
     let names: Vec<&str> = vms.iter().map(|vm| vm.name.as_str()).collect();
     log_change(state, VMS_PREFIX, "vms", vms.len() as u64, names.join(" "));
     state.shared.vms.store(Arc::new(vms));
+    count_vms(state);
 }
 
 /// Publishes the failure domains whose targets get nothing.
--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -15,6 +15,7 @@
     loop {
         task::sleep(spill::STEP_INTERVAL).await;
         let now = clock::now();
+        follow::count_vms(&state);
         let own = state.shared.own().clone();
         choose::step(&mut state.shared.place(), &own, now);
         let gone = state.view.borrow_mut().expire(now);
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -66,6 +66,7 @@
             domain: settings.domain.clone(),
             region: settings.region.clone(),
             vms: 1,
+            ..OwnPlace::default()
         };
         let options = PoolOptions {
             connect_timeout: CONNECT_TIMEOUT,
--- a/dahliawood-steer/src/place/choose/mod.rs
+++ b/dahliawood-steer/src/place/choose/mod.rs
@@ -17,6 +17,8 @@
 const COLD_SHARE: f64 = 0.8;
 /// The least that a refused caller is told to wait.
 const LEAST_RETRY: Duration = Duration::from_millis(150);
+/// How long a VM that is no longer named is taken to be sending.
+const VMS_LINGER: Duration = Duration::from_secs(8);
 /// The usual use of the fleet's slots, for the first guess of what a small region hands over.
 const ASSUMED_USE: f64 = 0.4;
 
@@ -27,8 +29,23 @@
     pub domain: String,
     /// Its region.
     pub region: String,
-    /// Live VMs of its region, itself included.
+    /// VMs of its region that may be sending, itself included.
     pub vms: usize,
+    /// Until when a lower count waits.
+    pub vms_until: TimeStamp,
+}
+
+impl OwnPlace {
+    /// Takes how many VMs of the region are known to live. A VM that is no longer named, since it is
+    /// leaving or its registration lapsed, may still be sending, so a lower count waits.
+    pub fn set_vms(&mut self, count: usize, now: TimeStamp) {
+        if count >= self.vms || now >= self.vms_until {
+            self.vms = count;
+        }
+        if count >= self.vms {
+            self.vms_until = now.after(VMS_LINGER);
+        }
+    }
 }
 
 /// What a cold target bears from all VMs together.
--- a/dahliawood-steer/tests/main/place.rs
+++ b/dahliawood-steer/tests/main/place.rs
@@ -33,6 +33,7 @@
         domain: domain.to_owned(),
         region: regions()[domain].clone(),
         vms,
+        ..OwnPlace::default()
     }
 }
 
@@ -225,6 +226,19 @@
     result.unwrap();
 }
 
+#[test]
+fn a_vm_that_is_no_longer_named_still_counts_for_cold_targets() {
+    let mut here = own("a-1", 1);
+    here.set_vms(4, START);
+    let soon = START.after(Duration::from_secs(5));
+    here.set_vms(3, soon);
+    assert_eq!(here.vms, 4);
+    here.set_vms(3, START.after(Duration::from_secs(9)));
+    assert_eq!(here.vms, 3);
+    here.set_vms(5, START.after(Duration::from_secs(10)));
+    assert_eq!(here.vms, 5);
+}
+
 #[test]
 fn targets_that_drain_or_are_evacuated_get_nothing() {
     let mut table = table(&[("a-1", 2), ("a-2", 2)]);
