--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -19,12 +19,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long a call waits for changes; the store's silence shows a little after that.
-const FOLLOW_WAIT: Duration = Duration::from_secs(5);
+/// How long a call waits for changes; a connection that goes silent meanwhile is found by TCP.
+const FOLLOW_WAIT: Duration = Duration::from_secs(15);
 /// The same where the store did not answer last time: whether it does now is to be known soon.
 const FIRST_WAIT: Duration = Duration::from_millis(200);
-/// How long changes are gathered before the next call.
-const GATHER_TIME: Duration = Duration::from_millis(120);
+/// How long changes are gathered before the next call: each change would otherwise cost a call of
+/// every VM.
+const GATHER_TIME: Duration = Duration::from_millis(350);
 /// The first pause after a failed call; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause after a failed call.
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -23,7 +23,7 @@
 /// How long opening a connection to a target may take: a round trip between regions, and some more.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a connection to a target may be idle, where the target says nothing.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(7);
 /// How long sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_millis(700);
 
