--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -49,7 +49,8 @@
     in_flight: i64,
 }
 
-/// Starts a gateway; must run inside `task::block_on`, whose thread is the traffic thread.
+/// Starts a gateway; ports may be 0. It must run inside
+/// `task::block_on`, whose thread is the traffic thread.
 ///
 /// # Errors
 /// An address cannot be bound, or the control thread cannot be started.
@@ -59,20 +60,22 @@
     store: SpaceClient,
 ) -> Result<GatewayHandle, StartError> {
     let metrics = GatewayMetrics::new().context(MetricsSnafu)?;
+    let mut settings = settings;
+    let front = bind(&mut settings.front).await?;
+    let ready = bind(&mut settings.ready).await?;
+    let directory = bind(&mut settings.directory).await?;
+    let reader = bind(&mut settings.metrics).await?;
+    let listener = bind(&mut settings.peer).await?;
     let state: SharedState = Arc::new(GatewayState::new(settings, words, metrics));
-    let settings = &state.settings;
     let own = |request, state| directory::answer(state, request);
     let text = |request, state| directory::metrics(state, request);
-    let front = |request, state| handler::answer(state, request);
+    let calls = |request, state| handler::answer(state, request);
     let listeners = vec![
-        serve(&state, settings.front, front).await?,
-        serve(&state, settings.ready, own).await?,
-        serve(&state, settings.directory, own).await?,
-        serve(&state, settings.metrics, text).await?,
+        serve(&state, front, calls),
+        serve(&state, ready, own),
+        serve(&state, directory, own),
+        serve(&state, reader, text),
     ];
-    let address = settings.peer;
-    let listener = TcpListener::bind(address).await;
-    let listener = listener.context(BindSnafu { address })?;
     let (stop, stopped) = bounded(1);
     let control = control::start(control::ControlOptions {
         shared: Arc::clone(&state),
@@ -90,25 +93,29 @@
     })
 }
 
-/// Answers requests at an address.
-async fn serve<F, A>(
-    state: &SharedState,
-    address: SocketAddr,
-    answer: A,
-) -> Result<task::JoinHandle<()>, StartError>
+/// Binds an address; port 0 becomes the one that was found.
+async fn bind(address: &mut SocketAddr) -> Result<TcpListener, StartError> {
+    let wanted = *address;
+    let bound = TcpListener::bind(wanted).await;
+    let listener = bound.context(BindSnafu { address: wanted })?;
+    *address = listener
+        .local_addr()
+        .context(BindSnafu { address: wanted })?;
+    Ok(listener)
+}
+
+/// Answers requests that come to a listener.
+fn serve<F, A>(state: &SharedState, listener: TcpListener, answer: A) -> task::JoinHandle<()>
 where
     F: Future<Output = FrontAnswer> + 'static,
     A: Fn(CallerRequest, SharedState) -> F + Copy + 'static,
 {
-    let listener = TcpListener::bind(address)
-        .await
-        .context(BindSnafu { address })?;
     let state = Arc::clone(state);
-    Ok(task::spawn_local(listen(listener, move |stream| {
+    task::spawn_local(listen(listener, move |stream| {
         let shared = Arc::clone(&state);
         let answer = move |request| answer(request, Arc::clone(&shared));
         connection::serve(Arc::clone(&state), stream, answer)
-    })))
+    }))
 }
 
 fn write_life(state: &GatewayState, event: &str) {
--- /dev/null
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -0,0 +1,194 @@
+//! A stand-in for a target of the users' platform: one that registers, checks whom a request is
+//! meant for, names the try that it answers, and can be told to misbehave.
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use dahliawood_wire::raw::fields::FieldList;
+use dahliawood_wire::raw::head::RequestHead;
+use dahliawood_wire::raw::reader::ConnectionReader;
+use dahliawood_wire::raw::write;
+use futures::io::AsyncWriteExt;
+use serde_json::{Value, json};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// The longest message, bytes.
+const MESSAGE_BYTES: usize = 1 << 20;
+
+/// What a target does with the requests that it runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum InstanceMood {
+    /// It answers each.
+    #[default]
+    Calm,
+    /// It is full: it refuses each and says that it has not run.
+    Full,
+    /// It runs each and closes the connection without an answer.
+    Lost,
+    /// It runs each and breaks the answer off in the middle.
+    Cut,
+    /// It answers with the id of another try first, and with its own then.
+    Late,
+    /// It sends bytes after each answer that belong to nothing.
+    Extra,
+    /// It gives the length of no answer and ends the connection instead.
+    Unframed,
+    /// It runs each and reports a failure.
+    Failing,
+    /// It runs each without end.
+    Hanging,
+}
+
+/// A request that reached a target and was run there.
+#[derive(Clone, Debug)]
+pub struct RunRequest {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct InstanceState {
+    mood: InstanceMood,
+    runs: Vec<RunRequest>,
+    hung_up: usize,
+}
+
+/// The target; clones share it.
+#[derive(Clone, Debug)]
+pub struct TargetInstance {
+    /// Its id.
+    pub id: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    state: Arc<Mutex<InstanceState>>,
+}
+
+/// Starts a target on a free port of loopback.
+///
+/// # Errors
+/// No port can be bound.
+pub async fn start(id: &str) -> io::Result<TargetInstance> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let instance = TargetInstance {
+        id: id.to_owned(),
+        address: listener.local_addr()?,
+        state: Arc::default(),
+    };
+    let served = instance.clone();
+    task::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            task::spawn(served.clone().serve(stream));
+        }
+    });
+    Ok(instance)
+}
+
+impl TargetInstance {
+    fn lock(&self) -> MutexGuard<'_, InstanceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets what it does with requests.
+    pub fn set_mood(&self, mood: InstanceMood) {
+        self.lock().mood = mood;
+    }
+
+    /// The requests that it ran.
+    pub fn runs(&self) -> Vec<RunRequest> {
+        self.lock().runs.clone()
+    }
+
+    /// Connections that were closed by the other side while a request ran.
+    pub fn hung_up(&self) -> usize {
+        self.lock().hung_up
+    }
+
+    /// The key that it registers under.
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    /// What it registers with.
+    pub fn entry(&self, service: &str, domain: &str) -> Value {
+        json!({
+            "address": self.address.to_string(),
+            "born": 1,
+            "info": {"service": service, "version": "v1", "zone": domain, "slots": 3},
+            "status": {"state": "ready", "sequence": 1, "cold_remaining_s": 0},
+        })
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let mut reader = ConnectionReader::new(stream.clone());
+        let mut output = stream;
+        while let Ok(Some(head)) = reader.request_head(MESSAGE_BYTES).await {
+            let Ok(frame) = head.frame() else { return };
+            let Ok(body) = reader.body(frame, MESSAGE_BYTES).await else {
+                return;
+            };
+            let (bytes, is_last) = self.answer(head, body);
+            if self.lock().mood == InstanceMood::Hanging {
+                reader.ended(MESSAGE_BYTES).await;
+                self.lock().hung_up += 1;
+                return;
+            }
+            let written = output.write_all(&bytes).await;
+            if is_last || written.is_err() {
+                // Bytes reach the other side before the end of the connection.
+                task::sleep(Duration::from_millis(5)).await;
+                return;
+            }
+        }
+    }
+
+    /// The bytes of an answer, and whether the connection ends after them.
+    fn answer(&self, head: RequestHead, body: Vec<u8>) -> (Vec<u8>, bool) {
+        let get = |name: &str| head.fields.get(name).unwrap_or_default().to_owned();
+        let mut state = self.lock();
+        if get("X-Dahliawood-Expected-Instance") != self.id {
+            return (refusal(421), false);
+        }
+        if state.mood == InstanceMood::Full {
+            return (refusal(503), false);
+        }
+        let attempt = get("X-Dahliawood-Attempt-Id");
+        state.runs.push(RunRequest { head, body });
+        let text = format!("run by {}", self.id);
+        let whole = |attempt: &str, status| {
+            let mut fields = FieldList::default();
+            fields.push("X-Dahliawood-Attempt-Id", attempt);
+            fields.push("X-Dahliawood-Response-Signature", "signature");
+            fields.push("X-Dahliawood-Server-Load", "1,0,3");
+            write::answer(status, &fields, text.as_bytes(), false)
+        };
+        let own = whole(&attempt, 200);
+        match state.mood {
+            InstanceMood::Lost => (Vec::new(), true),
+            InstanceMood::Cut => (own[..own.len() - 3].to_vec(), true),
+            InstanceMood::Late => ([whole("another", 200), own].concat(), false),
+            InstanceMood::Extra => ([own, b"HTTP/1.1 200 OK\r\n\r\n".to_vec()].concat(), false),
+            InstanceMood::Unframed => (without_length(&own), true),
+            InstanceMood::Failing => (whole(&attempt, 500), false),
+            _ => (own, false),
+        }
+    }
+}
+
+fn refusal(status: u16) -> Vec<u8> {
+    let mut fields = FieldList::default();
+    fields.push("X-Dahliawood-Not-Executed", "1");
+    write::answer(status, &fields, b"", false)
+}
+
+fn without_length(answer: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(answer);
+    let lines = text.split("\r\n");
+    let kept: Vec<&str> = lines
+        .filter(|line| !line.starts_with("Content-Length"))
+        .collect();
+    kept.join("\r\n").into_bytes()
+}
--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod caller;
 pub mod figures;
 pub mod fleet;
+pub mod instance;
+pub mod keyspace;
 pub mod members;
 pub mod platform;
 pub mod target;
