--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -49,7 +49,6 @@
     dropped: u64,
     revision: u64,
     leases: u64,
-    mood: StoreMood,
     calls: u64,
 }
 
@@ -59,6 +58,7 @@
     /// Where it answers.
     pub address: SocketAddr,
     state: Arc<Mutex<StoreState>>,
+    mood: Arc<Mutex<StoreMood>>,
 }
 
 /// Starts a store on a free port of loopback.
@@ -66,10 +66,19 @@
 /// # Errors
 /// No port can be bound.
 pub async fn start() -> io::Result<KeyspaceStore> {
+    open(Arc::default()).await
+}
+
+/// Serves a state at a free port, with a mood of its own.
+async fn open(state: Arc<Mutex<StoreState>>) -> io::Result<KeyspaceStore> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
-    let state = Arc::default();
-    let store = KeyspaceStore { address, state };
+    let mood = Arc::default();
+    let store = KeyspaceStore {
+        address,
+        state,
+        mood,
+    };
     let served = store.clone();
     task::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
@@ -84,9 +93,21 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets how callers are treated.
+    /// The same store at another address, for callers that it treats in another way.
+    ///
+    /// # Errors
+    /// No port can be bound.
+    pub async fn second_address(&self) -> io::Result<Self> {
+        open(Arc::clone(&self.state)).await
+    }
+
+    /// Sets how callers at this address are treated.
     pub fn set_mood(&self, mood: StoreMood) {
-        self.lock().mood = mood;
+        *self.mood.lock().unwrap_or_else(PoisonError::into_inner) = mood;
+    }
+
+    fn mood(&self) -> StoreMood {
+        *self.mood.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Calls that came, refused ones included.
@@ -147,12 +168,8 @@
     }
 
     async fn answer(&self, head: &RequestHead, body: &[u8]) -> (u16, String) {
-        let mood = {
-            let mut state = self.lock();
-            state.calls += 1;
-            state.mood
-        };
-        match mood {
+        self.lock().calls += 1;
+        match self.mood() {
             StoreMood::Calm => {}
             StoreMood::Busy => return (503, String::new()),
             StoreMood::Silent => return futures::future::pending().await,
@@ -198,8 +215,10 @@
                     return (410, String::new());
                 }
                 let events = state.events(prefix, after);
-                if !events.is_empty() || started.elapsed() >= wait || state.mood != StoreMood::Calm
-                {
+                if self.mood() != StoreMood::Calm {
+                    return (503, String::new());
+                }
+                if !events.is_empty() || started.elapsed() >= wait {
                     let revision = state.revision;
                     let answer = json!({"events": events, "store_revision": revision});
                     return (200, answer.to_string());
