--- a/dahliawood-store/src/space/view/mod.rs
+++ b/dahliawood-store/src/space/view/mod.rs
@@ -47,7 +47,8 @@
 pub struct SpaceView {
     known: FastMap<String, KnownValue>,
     removed: FastMap<String, u64>,
-    held: FastMap<String, TimeStamp>,
+    /// Keys that are gone, and kept until their holders had time to write them again.
+    held: FastSet<String>,
     revision: u64,
     settled_at: TimeStamp,
     away_since: Option<TimeStamp>,
@@ -60,7 +61,7 @@
         Self {
             known: FastMap::default(),
             removed: FastMap::default(),
-            held: FastMap::default(),
+            held: FastSet::default(),
             revision: 0,
             settled_at: TimeStamp::ZERO,
             away_since: None,
@@ -163,17 +164,12 @@
             .collect()
     }
 
-    /// Drops the keys whose time is over.
+    /// Drops the keys that nobody wrote again while the space settled.
     pub fn expire(&mut self, now: TimeStamp) -> Vec<ViewChange> {
-        if self.away_since.is_some() {
+        if self.is_settling(now) {
             return Vec::new();
         }
-        let due: Vec<String> = self
-            .held
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(key, _)| key.clone())
-            .collect();
+        let due = std::mem::take(&mut self.held);
         due.into_iter()
             .filter_map(|key| self.drop_key(key))
             .collect()
@@ -218,8 +214,7 @@
             return None;
         }
         if (self.is_leased)(&key) && self.is_settling(now) {
-            let until = self.settled_at.max(now.after(SETTLE_TIME));
-            self.held.entry(key).or_insert(until);
+            self.held.insert(key);
             return None;
         }
         self.drop_key(key)
--- a/dahliawood-store/tests/main/main.rs
+++ b/dahliawood-store/tests/main/main.rs
@@ -7,3 +7,4 @@
 mod rules;
 mod sim;
 mod support;
+mod view;
