--- a/dahliawood-store/tests/main/view.rs
+++ b/dahliawood-store/tests/main/view.rs
@@ -107,7 +107,10 @@
     for (is_settled, expected) in [(true, vec![gone("b")]), (false, vec![])] {
         let mut view = view();
         view.set_away(true, at(0));
-        let listed: FastSet<String> = ["a", "fixed/a", "fixed/b"].map(str::to_owned).into();
+        let listed: FastSet<String> = ["a", "fixed/a", "fixed/b"]
+            .map(str::to_owned)
+            .into_iter()
+            .collect();
         let source = RelaySource {
             revision: 9,
             is_settled,
