--- a/dahliawood-store/src/space/view/mod.rs
+++ b/dahliawood-store/src/space/view/mod.rs
@@ -202,7 +202,8 @@
                 })
             }
             None if item.revision >= known => {
-                self.removed.insert(item.key.clone(), item.revision);
+                self.removed
+                    .insert(item.key.clone(), item.revision.max(removed));
                 self.remove(item.key, now)
             }
             _ => None,
