--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -131,7 +131,7 @@
             return;
         }
     }
-    future::pending().await
+    future::pending::<()>().await;
 }
 
 /// Waits for changes; false where the space has to be read anew.
@@ -175,16 +175,15 @@
             is_vm_changed = true;
             continue;
         }
-        match &change.value {
-            Some(value) => match (state.shared.words.read_item)(&change.key, value) {
-                Some(SpaceRecord::Evacuated(_)) => is_evacuation_changed = true,
-                Some(record) => take_record(state, &change.key, record),
-                None => {}
-            },
-            None => {
-                is_evacuation_changed |= change.key.starts_with(OPERATORS_PREFIX);
-                remove(state, &change.key);
-            }
+        let Some(value) = &change.value else {
+            is_evacuation_changed |= change.key.starts_with(OPERATORS_PREFIX);
+            remove(state, &change.key);
+            continue;
+        };
+        match (state.shared.words.read_item)(&change.key, value) {
+            Some(SpaceRecord::Evacuated(_)) => is_evacuation_changed = true,
+            Some(record) => take_record(state, &change.key, record),
+            None => {}
         }
     }
     if is_vm_changed {
@@ -195,11 +194,6 @@
     }
 }
 
-/// The last part of a key, which is the id of a target.
-fn id_of(key: &str) -> &str {
-    key.rsplit('/').next().unwrap_or(key)
-}
-
 fn take_record(state: &ControlState, key: &str, record: SpaceRecord) {
     let mut place = state.shared.place();
     match record {
@@ -221,7 +215,9 @@
             take_catalog(state, key, catalog);
         }
         SpaceRecord::Unreadable { reason } => {
-            place.remove(id_of(key));
+            if let Some(id) = (state.shared.words.target_id)(key) {
+                place.remove(id);
+            }
             log_change(state, key, "unreadable", 0, reason);
         }
         SpaceRecord::Evacuated(_) => {}
@@ -243,7 +239,8 @@
 }
 
 fn remove(state: &ControlState, key: &str) {
-    if state.shared.place().remove(id_of(key)) {
+    let id = (state.shared.words.target_id)(key);
+    if id.is_some_and(|id| state.shared.place().remove(id)) {
         log_change(state, key, "target-gone", 0, String::new());
     }
 }
--- a/dahliawood-gateway/src/directory/mod.rs
+++ b/dahliawood-gateway/src/directory/mod.rs
@@ -3,7 +3,7 @@
 use crate::control::vms;
 use crate::front::connection::CallerRequest;
 use crate::front::refusal::FrontAnswer;
-use crate::state::SharedState;
+use crate::state::GatewayState;
 use crate::words::{LookupQuery, OwnCall};
 use dahliawood_wire::raw::fields::FieldList;
 use std::time::Duration;
@@ -15,17 +15,17 @@
 const LONGEST_LIFETIME: Duration = Duration::from_secs(3);
 
 /// Answers one call.
-pub async fn answer(state: SharedState, request: CallerRequest) -> FrontAnswer {
+pub fn answer(state: &GatewayState, request: &CallerRequest) -> FrontAnswer {
     match (state.words.read_call)(&request.head) {
         OwnCall::Ready if state.is_ready() => plain(200, "ready"),
         OwnCall::Ready => plain(503, "not ready"),
-        OwnCall::Lookup(query) => lookup(&state, &query),
+        OwnCall::Lookup(query) => lookup(state, &query),
         OwnCall::Unknown => plain(404, "no such call"),
     }
 }
 
 /// Answers a reader of metrics.
-pub async fn metrics(state: SharedState, request: CallerRequest) -> FrontAnswer {
+pub fn metrics(state: &GatewayState, request: &CallerRequest) -> FrontAnswer {
     match request.head.path() {
         METRICS_PATH => plain(200, &state.metrics.text()),
         _ => plain(404, "no such path"),
@@ -33,7 +33,7 @@
 }
 
 /// Names the VMs that a caller should use.
-fn lookup(state: &SharedState, query: &LookupQuery) -> FrontAnswer {
+fn lookup(state: &GatewayState, query: &LookupQuery) -> FrontAnswer {
     let vms = state.vms.load();
     let own = &state.settings.name;
     let mut live: Vec<_> = vms.iter().cloned().collect();
--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -133,9 +133,8 @@
             .and_then(Result::ok),
     };
     match arrived {
-        None => Ok(None),
+        None | Some(Err(ReadError::CutShort | ReadError::Connection { .. })) => Ok(None),
         Some(Ok(head)) => Ok(head),
-        Some(Err(ReadError::CutShort | ReadError::Connection { .. })) => Ok(None),
         Some(Err(error)) => Err(refuse(&error)),
     }
 }
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -19,6 +19,7 @@
 use error::{BindSnafu, MetricsSnafu, StartError, ThreadSnafu};
 use serde::Serialize;
 use snafu::ResultExt;
+use std::future::ready;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -62,17 +63,17 @@
     let metrics = GatewayMetrics::new().context(MetricsSnafu)?;
     let mut settings = settings;
     let front = bind(&mut settings.front).await?;
-    let ready = bind(&mut settings.ready).await?;
+    let platform = bind(&mut settings.ready).await?;
     let directory = bind(&mut settings.directory).await?;
     let reader = bind(&mut settings.metrics).await?;
     let listener = bind(&mut settings.peer).await?;
     let state: SharedState = Arc::new(GatewayState::new(settings, words, metrics));
-    let own = |request, state| directory::answer(state, request);
-    let text = |request, state| directory::metrics(state, request);
+    let own = |request, state: SharedState| ready(directory::answer(&state, &request));
+    let text = |request, state: SharedState| ready(directory::metrics(&state, &request));
     let calls = |request, state| handler::answer(state, request);
     let listeners = vec![
         serve(&state, front, calls),
-        serve(&state, ready, own),
+        serve(&state, platform, own),
         serve(&state, directory, own),
         serve(&state, reader, text),
     ];
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -94,18 +94,13 @@
     let is_reused = connection.reused;
     let age = connection.guard.age();
     let exchanged = timeout(call.limit, exchange(state, call, connection)).await;
-    match exchanged {
-        Ok(answered) => answered,
-        Err(_) => {
-            if is_reused {
-                state.pool.report_silent(age);
-            }
-            Err(may_have_run(
-                ResultKind::TimedOut,
-                "no answer in time".to_owned(),
-            ))
+    exchanged.unwrap_or_else(|_| {
+        if is_reused {
+            state.pool.report_silent(age);
         }
-    }
+        let detail = "no answer in time".to_owned();
+        Err(may_have_run(ResultKind::TimedOut, detail))
+    })
 }
 
 fn not_run(error: &dyn std::error::Error) -> CallFailure {
--- a/dahliawood-gateway/src/words/mod.rs
+++ b/dahliawood-gateway/src/words/mod.rs
@@ -20,6 +20,8 @@
     pub read_call: fn(&RequestHead) -> OwnCall,
     /// Writes the answer to a look-up: addresses, and how long they may be used.
     pub write_lookup: fn(&[SocketAddr], Duration) -> Vec<u8>,
+    /// The id of the target that a key belongs to.
+    pub target_id: for<'a> fn(&'a str) -> Option<&'a str>,
     /// Reads an item of the key space; `None` where the key is none of the platform's.
     pub read_item: fn(&str, &[u8]) -> Option<SpaceRecord>,
 }
--- a/dahliawood-steer/src/place/choose/mod.rs
+++ b/dahliawood-steer/src/place/choose/mod.rs
@@ -103,7 +103,7 @@
 ) -> PlaceChoice {
     let object = query.object.unwrap_or_else(rand::random);
     start_spill(table, own, query);
-    let level = spill(table, query.service).map_or(0.0, |spill| spill.level());
+    let level = spill(table, query.service).map_or(0.0, SpillLevel::level);
     let is_away = is_spilled(object, level) && allows(query, &own.region);
     let own_list = candidates(table, own, query, object, &own.region, now);
     let is_served = !own_list.is_empty();
--- a/dahliawood-steer/tests/main/place.rs
+++ b/dahliawood-steer/tests/main/place.rs
@@ -279,11 +279,11 @@
     fill(&mut table, "a-1", 9, START);
     let (homes, customer) = (["a".to_owned(), "b".to_owned()], ["b".to_owned()]);
     for object in 0..100 {
-        let homed = PlaceQuery {
+        let asked = PlaceQuery {
             regions: [&homes, &customer],
             ..query(object)
         };
-        let choice = choose::choose(&mut table, &own("a-1", 1), &homed, START);
+        let choice = choose::choose(&mut table, &own("a-1", 1), &asked, START);
         assert_eq!(domain_of(&table, chosen(choice).unwrap()), "b-1");
     }
 }
--- a/dahliawood-wire/src/raw/error/mod.rs
+++ b/dahliawood-wire/src/raw/error/mod.rs
@@ -44,7 +44,7 @@
 
 impl ReadError {
     /// A malformed head.
-    pub fn malformed(reason: impl ToString) -> Self {
+    pub fn malformed(reason: &(impl ToString + ?Sized)) -> Self {
         let reason = reason.to_string();
         Self::Malformed { reason }
     }
--- a/dahliawood-wire/src/raw/head/mod.rs
+++ b/dahliawood-wire/src/raw/head/mod.rs
@@ -95,7 +95,9 @@
 pub fn parse_request(bytes: &[u8]) -> Result<RequestHead, ReadError> {
     let mut storage = [httparse::EMPTY_HEADER; MOST_FIELDS];
     let mut parsed = httparse::Request::new(&mut storage);
-    let status = parsed.parse(bytes).map_err(ReadError::malformed)?;
+    let status = parsed
+        .parse(bytes)
+        .map_err(|error| ReadError::malformed(&error))?;
     if status.is_partial() {
         return Err(ReadError::malformed("the head is not whole"));
     }
@@ -114,7 +116,9 @@
 pub fn parse_answer(bytes: &[u8]) -> Result<AnswerHead, ReadError> {
     let mut storage = [httparse::EMPTY_HEADER; MOST_FIELDS];
     let mut parsed = httparse::Response::new(&mut storage);
-    let status = parsed.parse(bytes).map_err(ReadError::malformed)?;
+    let status = parsed
+        .parse(bytes)
+        .map_err(|error| ReadError::malformed(&error))?;
     if status.is_partial() {
         return Err(ReadError::malformed("the head is not whole"));
     }
