--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -123,9 +123,6 @@
     /// Works with a service's budget of second tries, a VM's part of the fleet's.
     pub fn budget<T>(&self, service: &str, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = lock(&self.budgets);
-        if !budgets.contains_key(service) {
-            budgets.insert(service.to_owned(), self.new_budget());
-        }
         let budget = budgets
             .entry(service.to_owned())
             .or_insert_with(|| self.new_budget());
--- a/dahliawood-model/src/catalog/mod.rs
+++ b/dahliawood-model/src/catalog/mod.rs
@@ -164,11 +164,6 @@
             .copied()
             .find(|key| path.starts_with(&self.routes[*key].prefix))
     }
-
-    /// Whether any route has this host.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.hosts.contains_key(host)
-    }
 }
 
 /// What a target says of itself where it registers.
--- a/dahliawood-quota/src/window/mod.rs
+++ b/dahliawood-quota/src/window/mod.rs
@@ -38,11 +38,6 @@
         Self { length, sent }
     }
 
-    /// The length of a window.
-    pub fn length(&self) -> Duration {
-        self.length
-    }
-
     /// Counts a request, `most` in a window.
     ///
     /// # Errors
--- a/dahliawood-steer/src/place/sick/mod.rs
+++ b/dahliawood-steer/src/place/sick/mod.rs
@@ -61,9 +61,4 @@
     pub fn is_usable(&self, in_flight: u32, now: TimeStamp) -> bool {
         now >= self.paused_until && (!self.is_probing || in_flight == 0)
     }
-
-    /// How long the pause lasts from now on.
-    pub fn pause_left(&self, now: TimeStamp) -> Duration {
-        self.paused_until.since(now)
-    }
 }
--- a/dahliawood-wire/src/pool/mod.rs
+++ b/dahliawood-wire/src/pool/mod.rs
@@ -326,6 +326,13 @@
     Room(ConnectionGuard),
 }
 
+/// Whether the other end has neither closed a connection nor sent anything unasked.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    let peeked = SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// A connection taken from a pool.
 pub struct PooledConnection {
     /// The connection.
@@ -337,11 +344,8 @@
 }
 
 impl PooledConnection {
-    /// Whether the other end has neither closed it nor sent anything unasked.
     fn is_quiet(&self) -> bool {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
-        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        is_quiet(&self.stream)
     }
 }
 
