--- a/dahliawood-gateway/src/settings/mod.rs
+++ b/dahliawood-gateway/src/settings/mod.rs
@@ -25,10 +25,6 @@
     pub peer: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
-    /// Memory that the process may use, bytes.
-    pub memory_bytes: u64,
-    /// Descriptors that the process may use.
-    pub descriptors: u64,
     /// What the fleet promises.
     pub bounds: FleetBounds,
 }
