fix(gateway): a request is in flight until its answer is written

Ruled out: the grace time, of which 3.3 s were left. Test: fleet::a_request_is_in_flight_until_its_answer_is_written.

--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -34,6 +34,22 @@
     pub body: Vec<u8>,
 }
 
+/// Counts a request as in flight until it is dropped.
+struct InFlight(SharedState);
+
+impl InFlight {
+    fn begin(state: &SharedState) -> Self {
+        state.metrics.in_flight.inc();
+        Self(SharedState::clone(state))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.dec();
+    }
+}
+
 /// Serves requests from one connection, in their order, until it ends.
 pub async fn serve<F: Future<Output = FrontAnswer>>(
     state: SharedState,
@@ -55,6 +71,8 @@
                 return;
             }
         };
+        // Until its answer is written: a shutdown waits for that.
+        let _in_flight = InFlight::begin(&state);
         let is_head = request.head.method == "HEAD";
         let wants_close = request.head.wants_close();
         let answered = {
--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -48,7 +48,6 @@
 /// Answers one request of a caller.
 pub async fn answer(state: SharedState, request: CallerRequest) -> FrontAnswer {
     let started = clock::now();
-    state.metrics.in_flight.inc();
     let words = (state.words.read_request)(&request.head);
     let catalog = state.catalog.load_full();
     let routed = route(&state, catalog.as_ref(), &request, &words, started);
@@ -60,7 +59,6 @@
         (Ok(_), None) => (Err(RefusalCause::Unknown), None),
         (Err(cause), _) => (Err(cause), None),
     };
-    state.metrics.in_flight.dec();
     report(&state, catalog.as_deref(), &words, &outcome, started);
     outcome.0.unwrap_or_else(|cause| cause.answer())
 }
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -156,6 +156,8 @@
         while clock::now() < limit && state.metrics.in_flight.get() > 0 {
             task::sleep(DRAIN_POLL).await;
         }
+        // What was written last leaves the VM.
+        task::sleep(DRAIN_POLL).await;
         write_life(&state, "stop");
         stop.close();
         join(control);
