--- a/dahliawood-quota/src/grant/book/mod.rs
+++ b/dahliawood-quota/src/grant/book/mod.rs
@@ -4,7 +4,6 @@
 use crate::grant::{EVEN_PART, PART_LIFE};
 use dahliawood_model::FastMap;
 use dahliawood_model::stamp::TimeStamp;
-use std::time::Duration;
 
 /// Demand that every VM counts with, so that one with no callers yet holds something.
 const LEAST_DEMAND: f64 = 0.5;
@@ -83,19 +82,18 @@
 
     /// Whether every member has reported within the life of a part.
     fn is_complete(&self, members: &[&str], now: TimeStamp) -> bool {
-        let is_heard = |name: &&&str| self.is_heard(name, PART_LIFE, now);
-        members.iter().filter(is_heard).count() == members.len()
+        self.count_heard(members, now) == members.len()
     }
 
     /// Whether more than half of the members have reported: a head that is cut off gives nothing.
     pub fn has_majority(&self, members: &[&str], now: TimeStamp) -> bool {
-        let is_heard = |name: &&&str| self.is_heard(name, PART_LIFE, now);
-        members.iter().filter(is_heard).count() * 2 > members.len()
+        self.count_heard(members, now) * 2 > members.len()
     }
 
-    fn is_heard(&self, name: &str, within: Duration, now: TimeStamp) -> bool {
-        let heard = self.heard.get(name);
-        heard.is_some_and(|heard| now.since(*heard) < within)
+    /// Members that have reported within the life of a part.
+    fn count_heard(&self, members: &[&str], now: TimeStamp) -> usize {
+        let heard = members.iter().filter_map(|name| self.heard.get(*name));
+        heard.filter(|heard| now.since(**heard) < PART_LIFE).count()
     }
 
     /// Gives a VM its part of one limit.
