fix(store,gateway): a VM goes on from its own revision after an unsettled one told it news

Cause: a relayed view took over the revision of a VM that had itself lost the service. A key that that VM had already dropped stayed here, since its removal lies before the revision that the next call follows from; it went only when the space was read anew. Found by reading, no run showed it. Ruled out: dropping what an unsettled VM does not list, since its list says nothing of leases. Change: the revision that is followed from rises by a settled source only; what was heard of is kept beside it, so that the same news is not asked for again. Test: a_removal_that_an_unsettled_vm_knew_of_is_heard_from_the_service fails on the old code (the revision was 9, the removal at 6 was never told). The assertion that the revision is 9 after an unsettled source was wrong for that reason; it is 4 there now, and 9 for the revision heard of.

--- a/dahliawood-gateway/src/control/peers/mod.rs
+++ b/dahliawood-gateway/src/control/peers/mod.rs
@@ -77,9 +77,13 @@
         revision: known.revision,
         value: (known.revision > above).then(|| known.value.to_vec()),
     });
+    let is_settled = state.is_store_up.get() && !view.is_settling(clock::now());
     SpaceAnswer {
-        revision: view.revision(),
-        is_settled: state.is_store_up.get() && !view.is_settling(clock::now()),
+        revision: match is_settled {
+            true => view.revision(),
+            false => view.heard_revision(),
+        },
+        is_settled,
         keys: keys.collect(),
     }
 }
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -47,13 +47,17 @@
 
 async fn ask(state: &ControlState, vm: &VmRecord) -> Result<SpaceAnswer, CallError> {
     let client = state.peers.client(vm.peer).await?;
-    let above = state.view.borrow().revision();
+    let above = state.view.borrow().heard_revision();
     client.space(above).await
 }
 
 /// Takes what is newer than what this VM knows.
 fn take(state: &ControlState, answer: SpaceAnswer) {
-    if answer.revision <= state.view.borrow().revision() {
+    let source = RelaySource {
+        revision: answer.revision,
+        is_settled: answer.is_settled,
+    };
+    if !state.view.borrow().is_news(source) {
         return;
     }
     let listed: FastSet<String> = answer.keys.iter().map(|key| key.key.clone()).collect();
@@ -63,10 +67,6 @@
         value: key.value,
         revision: key.revision,
     });
-    let source = RelaySource {
-        revision: answer.revision,
-        is_settled: answer.is_settled,
-    };
     let changes = state
         .view
         .borrow_mut()
--- a/dahliawood-store/src/space/view/mod.rs
+++ b/dahliawood-store/src/space/view/mod.rs
@@ -50,6 +50,8 @@
     /// Keys that are gone, and kept until their holders had time to write them again.
     held: FastSet<String>,
     revision: u64,
+    /// The newest revision that another VM told of, at least `revision`.
+    heard_revision: u64,
     settled_at: TimeStamp,
     away_since: Option<TimeStamp>,
     is_leased: fn(&str) -> bool,
@@ -63,6 +65,7 @@
             removed: FastMap::default(),
             held: FastSet::default(),
             revision: 0,
+            heard_revision: 0,
             settled_at: TimeStamp::ZERO,
             away_since: None,
             is_leased,
@@ -74,6 +77,12 @@
         self.revision
     }
 
+    /// The newest revision that was heard of, from the service or another VM. Writes up to it are
+    /// known; removals only up to [`SpaceView::revision`].
+    pub fn heard_revision(&self) -> u64 {
+        self.heard_revision.max(self.revision)
+    }
+
     /// All keys that are known.
     pub fn known(&self) -> impl Iterator<Item = (&String, &KnownValue)> {
         self.known.iter()
@@ -123,9 +132,10 @@
         changes
     }
 
-    /// Takes what another VM knows up to `revision`: the keys that it lists are there, `items` are
-    /// those that are news to this VM. Where the service answers that VM, what it no longer lists
-    /// is gone; its word counts more than this VM's own wait.
+    /// Takes what another VM knows up to `source.revision`: the keys that it lists are there,
+    /// `items` are those that are news to this VM. Where the service answers that VM, what it no
+    /// longer lists is gone; its word counts more than this VM's own wait. Otherwise this VM goes
+    /// on following from its own revision, since removals up to the other's are still to be heard.
     pub fn relay(
         &mut self,
         items: Vec<SpaceItem>,
@@ -133,14 +143,24 @@
         source: RelaySource,
         now: TimeStamp,
     ) -> Vec<ViewChange> {
-        let mut changes = self.apply(items, source.revision, now);
-        if source.is_settled {
-            let gone = self.missing(listed, source.revision);
-            changes.extend(gone.into_iter().filter_map(|key| self.drop_key(key)));
+        self.heard_revision = self.heard_revision.max(source.revision);
+        if !source.is_settled {
+            return self.apply(items, self.revision, now);
         }
+        let mut changes = self.apply(items, source.revision, now);
+        let gone = self.missing(listed, source.revision);
+        changes.extend(gone.into_iter().filter_map(|key| self.drop_key(key)));
         changes
     }
 
+    /// Whether a source can tell what this view does not know.
+    pub fn is_news(&self, source: RelaySource) -> bool {
+        match source.is_settled {
+            true => source.revision > self.revision,
+            false => source.revision > self.heard_revision(),
+        }
+    }
+
     /// Keys that are known from before `revision` and not listed at it.
     fn missing(&self, listed: &FastSet<String>, revision: u64) -> Vec<String> {
         let is_missing =
--- a/dahliawood-store/tests/main/view.rs
+++ b/dahliawood-store/tests/main/view.rs
@@ -102,24 +102,64 @@
     );
 }
 
+fn listed(keys: &[&str]) -> FastSet<String> {
+    keys.iter().map(|key| (*key).to_owned()).collect()
+}
+
 #[test]
 fn another_vm_that_the_service_answers_is_believed_at_once() {
-    for (is_settled, expected) in [(true, vec![gone("b")]), (false, vec![])] {
+    let cases = [(true, vec![gone("b")], 9), (false, vec![], 4)];
+    for (is_settled, expected, follows_from) in cases {
         let mut view = view();
         view.set_away(true, at(0));
-        let listed: FastSet<String> = ["a", "fixed/a", "fixed/b"]
-            .map(str::to_owned)
-            .into_iter()
-            .collect();
         let source = RelaySource {
             revision: 9,
             is_settled,
         };
+        assert!(view.is_news(source));
+        let listed = listed(&["a", "fixed/a", "fixed/b"]);
         assert_eq!(view.relay(Vec::new(), &listed, source, at(100)), expected);
-        assert_eq!(view.revision(), 9);
+        assert_eq!(view.revision(), follows_from);
+        assert_eq!(view.heard_revision(), 9);
+        assert!(!view.is_news(source), "the same again tells nothing");
     }
 }
 
+#[test]
+fn a_removal_that_an_unsettled_vm_knew_of_is_heard_from_the_service() {
+    let mut view = view();
+    view.set_away(true, at(0));
+    // The other VM heard of the removal of "fixed/b" at 6, and then lost the service as well.
+    let source = RelaySource {
+        revision: 9,
+        is_settled: false,
+    };
+    let news = vec![written("fixed/c", "1", 9)];
+    let listed = listed(&["a", "b", "fixed/a", "fixed/c"]);
+    assert_eq!(view.relay(news, &listed, source, at(100)).len(), 1);
+    view.set_away(false, at(5_000));
+    let from = view.revision();
+    let log = [removed("fixed/b", 6), written("fixed/c", "1", 9)];
+    let told = log.into_iter().filter(|item| item.revision > from);
+    let changes = view.apply(told.collect(), 9, at(5_100));
+    assert_eq!(changes, [gone("fixed/b")]);
+}
+
+#[test]
+fn a_settled_vm_is_heard_after_an_unsettled_one_told_of_the_same_writes() {
+    let mut view = view();
+    view.set_away(true, at(0));
+    let listed = listed(&["a", "fixed/a", "fixed/b"]);
+    let source = |is_settled| RelaySource {
+        revision: 9,
+        is_settled,
+    };
+    assert_eq!(view.relay(Vec::new(), &listed, source(false), at(100)), []);
+    assert!(view.is_news(source(true)));
+    let changes = view.relay(Vec::new(), &listed, source(true), at(200));
+    assert_eq!(changes, [gone("b")]);
+}
+
 #[test]
 fn no_order_of_messages_takes_a_key_back_to_an_older_write() {
     let writes = prop::collection::vec((0_u64..40, any::<bool>()), 1..60);
