feat(testkit,daemon): a soak of real processes, with faults from outside them

Three daemons as processes, a store whose leases lapse, eight targets and eight callers on loopback. From a seed: links to the store and to targets that are slow, reset, silent or one-way; processes that are paused, killed, ended and started again, or read their settings; a store that refuses calls or drops its history; targets whose address another takes; routes that change. Checked: nothing unasked, writes once, refused writes not run, answers their own, a customer's limit in every window, memory, ends, the fleet whole again; by hand also drains, versions, lost requests and a calm end in seconds. cargo test plays seeds 1 and 2 without bounds of time. Not yet shown: that each check can fail; links between VMs are not cut alone, clocks are not set.

--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -12,10 +12,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest message, bytes.
 const MESSAGE_BYTES: usize = 1 << 20;
+/// Requests with this in their path are answered with it.
+const ECHO_PATH: &str = "/echo/";
 
 /// What a target does with the requests that it runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,11 +50,14 @@
     pub head: RequestHead,
     /// Its body.
     pub body: Vec<u8>,
+    /// When it came.
+    pub at: Instant,
 }
 
 #[derive(Debug, Default)]
 struct InstanceState {
     mood: InstanceMood,
+    work: Duration,
     runs: Vec<RunRequest>,
     hung_up: usize,
 }
@@ -97,6 +102,11 @@
         self.lock().mood = mood;
     }
 
+    /// Sets how long it works on each request.
+    pub fn set_work(&self, work: Duration) {
+        self.lock().work = work;
+    }
+
     /// The requests that it ran.
     pub fn runs(&self) -> Vec<RunRequest> {
         self.lock().runs.clone()
@@ -136,6 +146,10 @@
                 self.lock().hung_up += 1;
                 return;
             }
+            let work = self.lock().work;
+            if !work.is_zero() {
+                task::sleep(work).await;
+            }
             let written = output.write_all(&bytes).await;
             if is_last || written.is_err() {
                 // Bytes reach the other side before the end of the connection.
@@ -156,8 +170,12 @@
             return (refusal(503), false);
         }
         let attempt = get("X-Dahliawood-Attempt-Id");
-        state.runs.push(RunRequest { head, body });
-        let text = format!("run by {}", self.id);
+        let text = match head.target.contains(ECHO_PATH) {
+            true => head.target.clone(),
+            false => format!("run by {}", self.id),
+        };
+        let at = Instant::now();
+        state.runs.push(RunRequest { head, body, at });
         let whole = |attempt: &str, status| {
             let mut fields = FieldList::default();
             fields.push("X-Dahliawood-Attempt-Id", attempt);
--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -14,10 +14,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How often a waiting call looks for changes.
 const WAIT_POLL: Duration = Duration::from_millis(10);
+/// Where leases are renewed.
+const KEEP_PATH: &str = "/api/kv-keep/";
 /// The longest message, bytes.
 const MESSAGE_BYTES: usize = 1 << 20;
 
@@ -48,7 +50,9 @@
     /// The revision up to which the history was dropped.
     dropped: u64,
     revision: u64,
-    leases: u64,
+    /// Leases by id: how long they last, and when they lapse.
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    last_lease: u64,
     calls: u64,
 }
 
@@ -89,8 +93,11 @@
 }
 
 impl KeyspaceStore {
+    /// The state, without the keys of leases that are over.
     fn lock(&self) -> MutexGuard<'_, StoreState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.expire();
+        state
     }
 
     /// The same store at another address, for callers that it treats in another way.
@@ -189,15 +196,14 @@
                 self.watch(&argument("prefix"), after, wait).await
             }
             ("POST", "/api/kv-txn") => self.change(body),
-            ("POST", "/api/kv-lease") => {
-                let mut state = self.lock();
-                state.leases += 1;
-                (
-                    200,
-                    json!({"lease": state.leases, "ttl_s_time": 4}).to_string(),
-                )
+            ("POST", "/api/kv-lease") => self.grant(body),
+            ("POST", path) if path.starts_with(KEEP_PATH) => {
+                let id = path.strip_prefix(KEEP_PATH).and_then(|id| id.parse().ok());
+                match self.lock().keep(id.unwrap_or(0)) {
+                    true => (200, "{}".to_owned()),
+                    false => (404, String::new()),
+                }
             }
-            ("POST", path) if path.starts_with("/api/kv-keep/") => (200, "{}".to_owned()),
             ("DELETE", path) => match path.strip_prefix("/api/kv-lease-end/") {
                 Some(id) => self.end_lease(id.parse().unwrap_or(0)),
                 None => (404, String::new()),
@@ -207,7 +213,7 @@
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, String) {
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         loop {
             {
                 let state = self.lock();
@@ -242,17 +248,55 @@
         (200, json!({"revision": state.revision}).to_string())
     }
 
+    fn grant(&self, body: &[u8]) -> (u16, String) {
+        let asked: Value = serde_json::from_slice(body).unwrap_or_default();
+        let Some(length) = asked["ttl_s_time"].as_f64() else {
+            return (400, String::new());
+        };
+        let id = self.lock().grant(Duration::from_secs_f64(length));
+        let answer = json!({"lease": id, "ttl_s_time": length});
+        (200, answer.to_string())
+    }
+
     fn end_lease(&self, lease: u64) -> (u16, String) {
-        let mut state = self.lock();
-        let items = state.items.iter();
-        let held = items.filter(|(_, item)| item.lease == lease);
-        let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
-        keys.iter().for_each(|key| state.remove(key));
+        self.lock().end(lease);
         (200, "{}".to_owned())
     }
 }
 
 impl StoreState {
+    fn grant(&mut self, length: Duration) -> u64 {
+        self.last_lease += 1;
+        let lease = (length, Instant::now() + length);
+        self.leases.insert(self.last_lease, lease);
+        self.last_lease
+    }
+
+    /// Renews a lease; false where there is none.
+    fn keep(&mut self, id: u64) -> bool {
+        let lease = self.leases.get_mut(&id);
+        lease.is_some_and(|(length, until)| {
+            *until = Instant::now() + *length;
+            true
+        })
+    }
+
+    /// Ends a lease with all its keys.
+    fn end(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let held = self.items.iter().filter(|(_, item)| item.lease == id);
+        let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.remove(key));
+    }
+
+    /// Ends the leases that nobody renewed.
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over = self.leases.iter().filter(|(_, (_, until))| *until <= now);
+        let over: Vec<u64> = over.map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|id| self.end(id));
+    }
+
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
         let revision = self.revision;
--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod keyspace;
 pub mod members;
 pub mod platform;
+pub mod soak;
 pub mod target;
--- /dev/null
+++ b/dahliawood-testkit/src/soak/caller/mod.rs
@@ -0,0 +1,196 @@
+//! Callers that keep connections open, and write down what became of each request.
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use async_std::task;
+use dahliawood_wire::raw::fields::FieldList;
+use dahliawood_wire::raw::reader::ConnectionReader;
+use dahliawood_wire::raw::write;
+use futures::io::AsyncWriteExt;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// The key of the customer whose limit is not reached.
+pub const LARGE_KEY: &str = "key-large";
+/// The key of the customer whose limit is passed all the time.
+pub const SMALL_KEY: &str = "key-small";
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+/// What it tells the VM of that.
+const DEADLINE_MS: &str = "2000";
+/// How long connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest pause between two requests, milliseconds.
+const PAUSE_MS: u64 = 30;
+/// The longest answer, bytes.
+const MESSAGE_BYTES: usize = 1 << 20;
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerEnd {
+    /// With an answer.
+    Answer {
+        /// Its status.
+        status: u16,
+        /// Whether its body is the one for this request.
+        is_own: bool,
+    },
+    /// The connection ended.
+    Closed,
+    /// Nothing came in time.
+    TimedOut,
+    /// No connection was made.
+    NotSent,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct CallerRecord {
+    /// Its path, which no other request has.
+    pub path: String,
+    /// Whether it may run once at most.
+    pub is_write: bool,
+    /// Whether it is of the customer with the small limit.
+    pub is_small: bool,
+    /// The VM that it was sent to.
+    pub vm: usize,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// How it ended.
+    pub end: CallerEnd,
+}
+
+impl CallerRecord {
+    /// Whether it was answered with success.
+    pub fn is_served(&self) -> bool {
+        matches!(self.end, CallerEnd::Answer { status: 200, .. })
+    }
+}
+
+/// A caller with one connection to each VM.
+pub struct SoakCaller {
+    random: StdRng,
+    index: usize,
+    fronts: Vec<SocketAddr>,
+    connections: Vec<Option<Connection>>,
+}
+
+struct Connection {
+    stream: TcpStream,
+    reader: ConnectionReader<TcpStream>,
+}
+
+impl SoakCaller {
+    /// A caller that sends nothing yet.
+    pub fn new(seed: u64, index: usize, fronts: Vec<SocketAddr>) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(seed ^ (index as u64 + 1) << 32),
+            index,
+            connections: fronts.iter().map(|_| None).collect(),
+            fronts,
+        }
+    }
+
+    /// Sends requests until a time, and answers what became of them.
+    pub async fn run(mut self, until: Instant) -> Vec<CallerRecord> {
+        let mut records = Vec::new();
+        while Instant::now() < until {
+            let pause = self.random.random_range(0..PAUSE_MS);
+            task::sleep(Duration::from_millis(pause)).await;
+            let record = self.request(records.len()).await;
+            records.push(record);
+        }
+        records
+    }
+
+    async fn request(&mut self, count: usize) -> CallerRecord {
+        let is_write = self.random.random_bool(0.4);
+        let is_small = self.random.random_bool(0.2);
+        let vm = self.random.random_range(0..self.fronts.len());
+        let kind = if is_write { "write" } else { "read" };
+        let path = format!("/{kind}/echo/{}-{count}", self.index);
+        let sent = Instant::now();
+        let end = timeout(PATIENCE, self.exchange(vm, &path, is_write, is_small)).await;
+        let end = end.unwrap_or(CallerEnd::TimedOut);
+        if end == CallerEnd::TimedOut {
+            self.connections[vm] = None;
+        }
+        CallerRecord {
+            path,
+            is_write,
+            is_small,
+            vm,
+            sent,
+            ended: Instant::now(),
+            end,
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        vm: usize,
+        path: &str,
+        is_write: bool,
+        is_small: bool,
+    ) -> CallerEnd {
+        let mut connection = match self.connections[vm].take() {
+            Some(connection) => connection,
+            None => match connect(self.fronts[vm]).await {
+                Some(connection) => connection,
+                None => return CallerEnd::NotSent,
+            },
+        };
+        let object = self.random.random_range(0..40_u32);
+        let bytes = message(path, object, is_write, is_small);
+        if connection.stream.write_all(&bytes).await.is_err() {
+            return CallerEnd::Closed;
+        }
+        match connection.answer(path).await {
+            Some((end, is_kept)) => {
+                self.connections[vm] = is_kept.then_some(connection);
+                end
+            }
+            None => CallerEnd::Closed,
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<Connection> {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = connected.ok()?.ok()?;
+    let reader = ConnectionReader::new(stream.clone());
+    Some(Connection { stream, reader })
+}
+
+fn message(path: &str, object: u32, is_write: bool, is_small: bool) -> Vec<u8> {
+    let key = if is_small { SMALL_KEY } else { LARGE_KEY };
+    let mut fields = FieldList::default();
+    fields.push("Host", "host.example");
+    fields.push("X-Dahliawood-Attempt-Id", path);
+    fields.push("X-Dahliawood-Deadline-Ms", DEADLINE_MS);
+    let object = format!("X-Dahliawood-Affinity-Key={object}");
+    fields.push("Cookie", object);
+    fields.push("Authorization", format!("Token {key}"));
+    match is_write {
+        true => write::request("POST", path, &fields, path.as_bytes()),
+        false => write::request("GET", path, &fields, b""),
+    }
+}
+
+impl Connection {
+    /// The next answer, and whether the connection is kept after it.
+    async fn answer(&mut self, path: &str) -> Option<(CallerEnd, bool)> {
+        let head = self.reader.answer_head(MESSAGE_BYTES).await.ok()??;
+        let frame = head.frame("GET").ok()?;
+        let body = self.reader.body(frame, MESSAGE_BYTES).await.ok()?;
+        let end = CallerEnd::Answer {
+            status: head.status,
+            is_own: body == path.as_bytes(),
+        };
+        Some((end, !head.says_close()))
+    }
+}
--- /dev/null
+++ b/dahliawood-testkit/src/soak/world/mod.rs
@@ -0,0 +1,401 @@
+//! The stand-ins, the proxies and the processes of a soak.
+
+use crate::instance::{self, TargetInstance};
+use crate::keyspace::{self, KeyspaceStore, StoreMood};
+use crate::soak::SoakOptions;
+use crate::soak::caller::{LARGE_KEY, SMALL_KEY};
+use crate::soak::check::{Broken, ChangeKind, PlayedFault, SoakChange, SoakLimit, TargetRun};
+use crate::soak::plan::{LinkFault, SoakEvent, SoakStep, TARGETS};
+use crate::soak::proxy::{self, FaultProxy};
+use crate::soak::vm::VmProcess;
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use async_std::task;
+use dahliawood_wire::raw::fields::FieldList;
+use dahliawood_wire::raw::reader::ConnectionReader;
+use dahliawood_wire::raw::write;
+use futures::io::AsyncWriteExt;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The services; routes go to one of them at a time.
+pub const SERVICES: [&str; 2] = ["first", "second"];
+/// The customer whose limit is passed all the time.
+pub const SMALL_LIMIT: SoakLimit = SoakLimit { rate: 8, burst: 8 };
+/// How long a target works on a request.
+const WORK: Duration = Duration::from_millis(20);
+/// How long a process may take to end after it was told to, its grace time and some start-up.
+const END_BOUND: Duration = Duration::from_secs(8);
+/// How long the fleet may take to be whole at the start and at the end.
+const WHOLE_BOUND: Duration = Duration::from_secs(20);
+/// How often that is looked at.
+const POLL: Duration = Duration::from_millis(50);
+/// The longest answer to a question, bytes.
+const MESSAGE_BYTES: usize = 1 << 20;
+/// Memory of a VM, bytes.
+const MOST_MEMORY: u64 = 256 << 20;
+
+/// A place for targets, which other ones take over.
+#[derive(Clone, Debug)]
+struct TargetPlace {
+    service: &'static str,
+    proxy: FaultProxy,
+    /// All that stood here, the newest last.
+    instances: Vec<TargetInstance>,
+}
+
+/// Everything around the VMs, and their processes.
+#[derive(Debug)]
+pub struct SoakWorld {
+    store: KeyspaceStore,
+    store_links: Vec<FaultProxy>,
+    places: Vec<TargetPlace>,
+    vms: Arc<Mutex<Vec<VmProcess>>>,
+    unexpected: Arc<Mutex<Vec<Broken>>>,
+    home: PathBuf,
+    version: u64,
+    /// What was changed.
+    pub changes: Vec<SoakChange>,
+    /// What was played.
+    pub faults: Vec<PlayedFault>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl SoakWorld {
+    /// Starts all, and waits until the fleet is whole.
+    ///
+    /// # Errors
+    /// Something cannot be started, or the fleet is not whole in time.
+    pub async fn start(options: &SoakOptions) -> io::Result<Self> {
+        let name = format!("dahliawood-soak-{}-{}", std::process::id(), options.seed);
+        let home = std::env::temp_dir().join(name);
+        fs::create_dir_all(&home)?;
+        let mut world = Self {
+            store: keyspace::start().await?,
+            store_links: Vec::new(),
+            places: Vec::new(),
+            vms: Arc::default(),
+            unexpected: Arc::default(),
+            home,
+            version: 0,
+            changes: Vec::new(),
+            faults: Vec::new(),
+        };
+        for index in 0..SERVICES.len() * TARGETS {
+            world.add_place(index).await?;
+        }
+        world.declare(SERVICES[0]);
+        for index in 0..options.vms {
+            let link = proxy::start(world.store.address).await?;
+            let domain = ["a-1", "a-2"][index % 2];
+            let name = format!("vm-{index}");
+            let program = &options.program;
+            let mut vm = VmProcess::new(program, &world.home, &name, domain, link.address)?;
+            vm.start()?;
+            lock(&world.vms).push(vm);
+            world.store_links.push(link);
+        }
+        match world.check_end().await.first() {
+            None => Ok(world),
+            Some(broken) => Err(io::Error::other(broken.seen.clone())),
+        }
+    }
+
+    async fn add_place(&mut self, index: usize) -> io::Result<()> {
+        let service = SERVICES[index % SERVICES.len()];
+        let target = instance::start(&format!("target-{index}-0")).await?;
+        target.set_work(WORK);
+        let place = TargetPlace {
+            service,
+            proxy: proxy::start(target.address).await?,
+            instances: vec![target],
+        };
+        self.register(&place);
+        self.places.push(place);
+        Ok(())
+    }
+
+    fn register(&self, place: &TargetPlace) {
+        if let Some(target) = place.instances.last() {
+            let mut entry = target.entry(place.service, "a-1");
+            entry["address"] = json!(place.proxy.address.to_string());
+            self.store.put(&target.key(), &entry);
+        }
+    }
+
+    fn declare(&mut self, service: &'static str) {
+        self.version += 1;
+        self.store
+            .put("op/config", &document(self.version, service));
+        let kind = ChangeKind::Routes(service);
+        let at = Instant::now();
+        self.changes.push(SoakChange { at, kind });
+    }
+
+    /// Where callers are answered.
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        let vms = lock(&self.vms);
+        vms.iter().map(|vm| vm.addresses.front).collect()
+    }
+
+    /// All requests that ran.
+    pub fn runs(&self) -> Vec<TargetRun> {
+        let run = |place: usize, target: &TargetInstance, service| {
+            let id = target.id.clone();
+            target.runs().into_iter().map(move |run| TargetRun {
+                method: run.head.method,
+                path: run.head.target,
+                body: run.body,
+                at: run.at,
+                place,
+                target: id.clone(),
+                service,
+            })
+        };
+        let places = self.places.iter().enumerate();
+        let at_place = |(index, place): (usize, &TargetPlace)| {
+            let service = place.service;
+            let runs = place.instances.iter();
+            let runs = runs.flat_map(move |target| run(index, target, service));
+            runs.collect::<Vec<_>>()
+        };
+        places.flat_map(at_place).collect()
+    }
+
+    /// Begins an event, which ends by itself.
+    ///
+    /// # Errors
+    /// A stand-in cannot be started, or a signal cannot be sent.
+    pub async fn apply(&mut self, step: &SoakStep) -> io::Result<()> {
+        let from = Instant::now();
+        let until = from + step.lasts;
+        let event = step.event;
+        self.faults.push(PlayedFault { from, until, event });
+        match event {
+            SoakEvent::StoreLink(vm, fault) => harm(&self.store_links[vm], fault, step.lasts),
+            SoakEvent::TargetLink(place, fault) => {
+                harm(&self.places[place].proxy, fault, step.lasts);
+            }
+            SoakEvent::StoreBusy => {
+                self.store.set_mood(StoreMood::Busy);
+                let store = self.store.clone();
+                after(step.lasts, move || store.set_mood(StoreMood::Calm));
+            }
+            SoakEvent::StoreCompacted => self.store.compact(),
+            SoakEvent::Paused(vm) => {
+                self.signal(vm, Signal::STOP)?;
+                let vms = Arc::clone(&self.vms);
+                // A process that is gone meanwhile gets no signal.
+                after(step.lasts, move || {
+                    let _sent = lock(&vms)[vm].signal(Signal::CONT);
+                });
+            }
+            SoakEvent::Killed(vm) => self.restart(vm, Signal::KILL, step.lasts)?,
+            SoakEvent::Ended(vm) => self.restart(vm, Signal::TERM, step.lasts)?,
+            SoakEvent::Reloaded(vm) => self.signal(vm, Signal::HUP)?,
+            SoakEvent::TargetReplaced(place) => self.replace(place).await?,
+            SoakEvent::RoutesChanged => {
+                let next = SERVICES[(self.version % 2) as usize];
+                self.declare(next);
+            }
+        }
+        Ok(())
+    }
+
+    fn signal(&self, vm: usize, signal: Signal) -> io::Result<()> {
+        lock(&self.vms)[vm].signal(signal)
+    }
+
+    /// Ends a process, and starts it again once it is gone and a time has passed.
+    fn restart(&mut self, vm: usize, signal: Signal, pause: Duration) -> io::Result<()> {
+        if !lock(&self.vms)[vm].is_live() {
+            return Ok(());
+        }
+        self.signal(vm, signal)?;
+        // One that is paused ends once it goes on.
+        let (vms, unexpected) = (Arc::clone(&self.vms), Arc::clone(&self.unexpected));
+        let limit = Instant::now() + pause + END_BOUND;
+        if let Some(fault) = self.faults.last_mut() {
+            fault.until = limit;
+        }
+        task::spawn(async move {
+            task::sleep(pause).await;
+            let started = loop {
+                if Instant::now() > limit {
+                    break Err(io::Error::other("it does not end"));
+                }
+                let ended = lock(&vms)[vm].ended();
+                match ended {
+                    Ok(_) if lock(&vms)[vm].is_gone() => break lock(&vms)[vm].start(),
+                    Ok(_) => task::sleep(POLL).await,
+                    Err(error) => break Err(error),
+                }
+            };
+            if let Err(error) = started {
+                let seen = format!("VM {vm}: {error}");
+                lock(&unexpected).push(Broken {
+                    promise: "a VM that is told to end ends",
+                    seen,
+                });
+            }
+        });
+        Ok(())
+    }
+
+    /// A target leaves; another one with another id answers at its address at once.
+    async fn replace(&mut self, index: usize) -> io::Result<()> {
+        let count = self.places[index].instances.len();
+        let target = instance::start(&format!("target-{index}-{count}")).await?;
+        target.set_work(WORK);
+        let place = &mut self.places[index];
+        if let Some(old) = place.instances.last() {
+            self.store.remove(&old.key());
+            let kind = ChangeKind::TargetLeft(old.id.clone());
+            let at = Instant::now();
+            self.changes.push(SoakChange { at, kind });
+        }
+        place.proxy.set_server(target.address);
+        place.instances.push(target);
+        let place = self.places[index].clone();
+        self.register(&place);
+        Ok(())
+    }
+
+    /// Waits until the fleet is whole: each VM runs, is ready, and names all of them.
+    pub async fn check_end(&self) -> Vec<Broken> {
+        let limit = Instant::now() + WHOLE_BOUND;
+        let mut seen = self.whole().await;
+        while seen.is_some() && Instant::now() < limit {
+            task::sleep(POLL).await;
+            seen = self.whole().await;
+        }
+        let mut broken = lock(&self.unexpected).clone();
+        broken.extend(seen.map(|seen| Broken {
+            promise: "the fleet is whole again",
+            seen,
+        }));
+        let vms = lock(&self.vms);
+        let large = vms
+            .iter()
+            .filter(|vm| vm.memory().is_some_and(|memory| memory > MOST_MEMORY));
+        broken.extend(large.map(|vm| Broken {
+            promise: "memory is bounded",
+            seen: format!("{} has {:?} bytes", vm.name, vm.memory()),
+        }));
+        broken
+    }
+
+    /// What the fleet lacks.
+    async fn whole(&self) -> Option<String> {
+        let mut asked = Vec::new();
+        for vm in lock(&self.vms).iter_mut() {
+            if let Ok(Some(status)) = vm.ended() {
+                return Some(format!("{} ended: {status}", vm.name));
+            }
+            if !vm.is_live() {
+                return Some(format!("{} does not run", vm.name));
+            }
+            asked.push((vm.name.clone(), vm.addresses));
+        }
+        let mut fronts: Vec<String> = self.fronts().iter().map(ToString::to_string).collect();
+        fronts.sort();
+        for (name, addresses) in asked {
+            if ask(addresses.ready, "/api/ready").await.is_none() {
+                return Some(format!("{name} is not ready"));
+            }
+            let answer = ask(addresses.directory, "/api/resolve?name=host.example").await;
+            let named: Value =
+                serde_json::from_slice(&answer.unwrap_or_default()).unwrap_or_default();
+            let named = named["addresses"].as_array().cloned().unwrap_or_default();
+            let mut named: Vec<String> = named
+                .iter()
+                .filter_map(|address| address.as_str().map(str::to_owned))
+                .collect();
+            named.sort();
+            if named != fronts {
+                return Some(format!("{name} names {named:?}, not {fronts:?}"));
+            }
+        }
+        None
+    }
+
+    /// Ends all processes, and answers where their logs are or were.
+    pub fn end(self, keep_logs: bool) -> PathBuf {
+        lock(&self.vms).clear();
+        if !keep_logs && let Err(error) = fs::remove_dir_all(&self.home) {
+            log::warn!("the logs cannot be removed: {error}");
+        }
+        self.home
+    }
+}
+
+/// Harms a link for a time.
+fn harm(link: &FaultProxy, fault: LinkFault, lasts: Duration) {
+    link.set_fault(Some(fault));
+    let link = link.clone();
+    after(lasts, move || link.set_fault(None));
+}
+
+fn after(lasts: Duration, work: impl FnOnce() + Send + 'static) {
+    task::spawn(async move {
+        task::sleep(lasts).await;
+        work();
+    });
+}
+
+/// The body of an answer with status 200.
+async fn ask(address: SocketAddr, path: &str) -> Option<Vec<u8>> {
+    let asked = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let mut fields = FieldList::default();
+        fields.push("Host", "host.example");
+        let bytes = write::request("GET", path, &fields, b"");
+        stream.write_all(&bytes).await.ok()?;
+        let mut reader = ConnectionReader::new(stream);
+        let head = reader.answer_head(MESSAGE_BYTES).await.ok()??;
+        let frame = head.frame("GET").ok()?;
+        let body = reader.body(frame, MESSAGE_BYTES).await.ok()?;
+        (head.status == 200).then_some(body)
+    };
+    timeout(Duration::from_secs(1), asked).await.ok()?
+}
+
+/// A document whose routes go to a service.
+fn document(version: u64, service: &str) -> Value {
+    let rule = |prefix: &str, kind: &str| {
+        json!({
+            "name": prefix, "kind": kind, "target_latency_s": 0.5, "priority": 1,
+            "auth_exempt": false, "session_affinity": true, "match": {"prefix": prefix},
+            "action": {"service": service, "timeout_s": 1.5, "max_attempts": 2},
+        })
+    };
+    let customer = |name: &str, key: &str, limit: SoakLimit| {
+        json!({
+            "name": name, "api_keys": [key],
+            "rate_per_s": limit.rate, "burst_size": limit.burst,
+        })
+    };
+    let cluster =
+        |name: &str| json!({"name": name, "health_path": "/health", "max_connections": 100});
+    let large = SoakLimit {
+        rate: 100_000,
+        burst: 100_000,
+    };
+    json!({
+        "version": format!("r{version}"),
+        "tenants": [customer("large", LARGE_KEY, large), customer("small", SMALL_KEY, SMALL_LIMIT)],
+        "listeners": [{"host": "host.example", "rule_set": [
+            rule("/read/", "idempotent"), rule("/write/", "non_idempotent"),
+        ]}],
+        "clusters": SERVICES.map(cluster),
+    })
+}
