feat(gateway): each try is logged with its target, region, expected wait and time taken

Cause: an answered request left no line that said where it ran, so a request that came too late could not be traced to its target. Change: a line for each try, answered or not; those of answered requests are counted among the routine ones, of which ten a second are written for five before. Figures: none taken of the cost; a line is written only within the bound.

--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -47,12 +47,16 @@
     pub deadline: TimeStamp,
 }
 
-/// A line on a try that brought no answer.
+/// A line on a try at one target.
 #[derive(Serialize)]
 struct TryLine<'a> {
     id: Option<&'a str>,
     target: &'a str,
-    verdict: String,
+    region: &'a str,
+    /// How long it was expected to wait for a slot there, milliseconds.
+    wait_ms: u128,
+    taken_ms: u128,
+    outcome: String,
     detail: &'a str,
     tries: usize,
 }
@@ -75,7 +79,11 @@
 struct TryTarget {
     key: TargetKey,
     id: String,
+    region: String,
     address: SocketAddr,
+    /// How long the request is expected to wait for a slot.
+    wait: Duration,
+    at: TimeStamp,
 }
 
 /// Forwards a request to its end; dropped, it closes the target's connection.
@@ -136,7 +144,10 @@
             }
             self.tried.push(target.key);
             match self.attempt(&target).await {
-                Ok(answer) if self.is_final(&answer) => return Ok(front_answer(answer)),
+                Ok(answer) if self.is_final(&answer) => {
+                    self.log(LineRank::Routine, &target, "answered", "");
+                    return Ok(front_answer(answer));
+                }
                 Ok(answer) => self.take_refusal(&target, answer),
                 Err(failure) => self.take_failure(&target, &failure),
             }
@@ -167,13 +178,18 @@
         let own = self.state.own().clone();
         match choose::choose(&mut place, &own, &query, now) {
             PlaceChoice::Target(key) => {
-                place.begin(key, now);
+                let usual = place.usual(&self.routed.service);
                 let target = place.get(key).ok_or(RefusalCause::NoTarget)?;
-                Ok(TryTarget {
+                let chosen = TryTarget {
                     key,
                     id: target.entry.id.clone(),
+                    region: target.region.clone(),
                     address: target.entry.address,
-                })
+                    wait: target.load.wait(target.entry.slots, usual, now),
+                    at: now,
+                };
+                place.begin(key, now);
+                Ok(chosen)
             }
             PlaceChoice::Busy { retry_after } => Err(RefusalCause::Busy(retry_after)),
             PlaceChoice::None => Err(RefusalCause::NoTarget),
@@ -270,16 +286,20 @@
 
     fn note(&mut self, target: &TryTarget, verdict: RunVerdict, detail: &str) {
         self.verdict = self.verdict.combine(verdict);
-        let tries = self.tried.len();
-        self.state
-            .lines
-            .write(LineRank::Notable, "try", || TryLine {
-                id: self.words.attempt_id.as_deref(),
-                target: &target.id,
-                verdict: verdict.to_string(),
-                detail,
-                tries,
-            });
+        self.log(LineRank::Notable, target, &verdict.to_string(), detail);
+    }
+
+    fn log(&self, rank: LineRank, target: &TryTarget, outcome: &str, detail: &str) {
+        self.state.lines.write(rank, "try", || TryLine {
+            id: self.words.attempt_id.as_deref(),
+            target: &target.id,
+            region: &target.region,
+            wait_ms: target.wait.as_millis(),
+            taken_ms: clock::now().since(target.at).as_millis(),
+            outcome: outcome.to_owned(),
+            detail,
+            tries: self.tried.len(),
+        });
     }
 
     /// Whether the request may be sent once more, and takes it out of the budget.
--- a/dahliawood-gateway/src/line/mod.rs
+++ b/dahliawood-gateway/src/line/mod.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 use std::sync::{Mutex, PoisonError};
 
-/// Lines a second on answered requests.
-const ROUTINE_PER_SECOND: f64 = 5.0;
+/// Lines a second on answered requests, two for each.
+const ROUTINE_PER_SECOND: f64 = 10.0;
 /// Lines a second on everything else.
 const NOTABLE_PER_SECOND: f64 = 40.0;
 /// Seconds of lines that may come at once.
