fix(quota,gateway): a young head gives once a majority has reported; large fleets gather changes longer

Change: where all processes are new, a majority is enough, since what was used before is kept back. Changes are gathered for up to 1.1 s in fleets beyond 16 VMs; the first one after a pause is still taken at once.

--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -26,8 +26,10 @@
 /// How long changes are gathered before the next call: each change would otherwise cost a call of
 /// every VM.
 const GATHER_TIME: Duration = Duration::from_millis(350);
-/// VMs beyond which changes are gathered for longer, up to twice as long.
+/// VMs beyond which changes are gathered for longer.
 const GATHER_VMS: f64 = 16.0;
+/// The longest that changes are gathered: a part of the time in which they are to be in force.
+const LONGEST_GATHER: Duration = Duration::from_millis(1_100);
 /// The first pause after a failed call; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause after a failed call.
@@ -170,7 +172,8 @@
 
 /// How long changes are gathered among so many VMs.
 fn gather_time(vms: usize) -> Duration {
-    GATHER_TIME.mul_f64((vms as f64 / GATHER_VMS).clamp(1.0, 2.0))
+    let gather = GATHER_TIME.mul_f64((vms as f64 / GATHER_VMS).max(1.0));
+    gather.min(LONGEST_GATHER)
 }
 
 /// Brings changes into force.
--- a/dahliawood-quota/src/grant/book/mod.rs
+++ b/dahliawood-quota/src/grant/book/mod.rs
@@ -119,8 +119,10 @@
 struct GiveTerms {
     /// The life of the head.
     life: u64,
-    /// Whether a VM may get more than it holds.
+    /// Whether a VM may get more than it holds, whatever was held before.
     may_raise: bool,
+    /// Whether more than half of the members have reported.
+    has_majority: bool,
     /// Whether what was given under the head before still counts.
     is_new: bool,
     /// The part of a limit that processes may have used which ended before the oldest one of now
@@ -282,11 +284,13 @@
         let oldest = self.oldest.map_or(start, |oldest| oldest.min(start));
         self.oldest = Some(oldest);
         let young = oldest.after(self.window).since(now);
-        let is_over = now.since(since) >= PART_LIFE + self.window;
+        let is_new = now.since(since) < self.window;
+        let status = self.status(now);
         let terms = GiveTerms {
             life: self.life,
-            may_raise: self.status(now).is_complete || is_over,
-            is_new: now.since(since) < self.window,
+            may_raise: status.is_complete || (status.has_majority && !is_new),
+            has_majority: status.has_majority,
+            is_new,
             forgotten: young.as_secs_f64() / self.window.as_secs_f64(),
         };
         let give = |report| self.give(from, report, terms, now);
@@ -396,10 +400,13 @@
         let all = 1.0 - EVEN_PART;
         let own = report.demand + LEAST_DEMAND;
         let fair = all * own / (own + self.sums.demand).max(LEAST_DEMAND);
-        let unknown = match now < self.former.until {
+        let is_told = now < self.former.until;
+        let unknown = match is_told {
             true => self.former.unknown(now),
             false => terms.forgotten,
         };
+        // Members that are silent hold nothing yet, and what they held before is kept back.
+        let is_kept_back = terms.has_majority && terms.forgotten > 0.0;
         let free = (all - self.sums.part - unknown).max(0.0);
         // What nobody else may want can be had beyond the fair share: what is used of it already
         // stays, and half of the rest is given, or one request.
@@ -410,7 +417,7 @@
         let left = all - self.sums.part - unknown - needed - RESERVE_SHARE;
         let extra = (left / one.max(f64::EPSILON) / 4.0).floor();
         let wanted = (needed + extra.clamp(0.0, EXTRA_REQUESTS) * one).min(free);
-        let part = match terms.may_raise {
+        let part = match terms.may_raise || is_kept_back {
             true => wanted,
             false => wanted.min(report.part),
         };
--- a/dahliawood-quota/src/grant/mod.rs
+++ b/dahliawood-quota/src/grant/mod.rs
@@ -11,9 +11,9 @@
 //! in the window: so no window takes more than the limit, whoever had which part before. A part
 //! ends by time on both sides; the head counts it a window longer, since what was sent under it
 //! still counts. Half of it goes on for a while, for a VM that is cut off. A new head gives nothing
-//! more than what VMs hold until all have reported or their parts have ended; it learns from them
-//! what was held under the one before, and where all processes are new it takes the limit for used
-//! up, less and less until a window has passed.
+//! more than what VMs hold until all have reported, and learns from them what was held under the one
+//! before. Where all processes are new it takes the limit for used up, less and less until a window
+//! has passed, and gives out the rest once more than half of the VMs have reported.
 
 pub mod book;
 pub mod holder;
