feat(steer): choose the target that serves a request first, with cached objects in the sum

Objects that a small region sends away went to the other regions evenly, also to one without slots to spare.

Change: each VM remembers which targets served an object and how long first and later visits take, and takes the candidate with the shortest wait and service time; other regions by weighted rendezvous over their slots beyond an even part; what cannot end in the time left is refused on arrival. Orders of targets are kept until a target changes, so that a request no longer ranks all of them.

Within one region the replay in object_load.rs shows no difference to before at 30 to 80/s; the test of regions fails with the code before.

--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -16,7 +16,9 @@
 use dahliawood_request::retry::RetryBudget;
 use dahliawood_request::verdict::RunVerdict;
 use dahliawood_steer::health::ResultKind;
+use dahliawood_steer::placement::cached::ObjectVisit;
 use dahliawood_steer::placement::choose::{self, ColdLimit, PlacementChoice, PlacementQuery};
+use dahliawood_steer::placement::ranking::OrderKey;
 use dahliawood_steer::placement::table::TargetResult;
 use dahliawood_steer::rendezvous;
 use serde::Serialize;
@@ -84,6 +86,7 @@
     address: SocketAddr,
     /// How long the request is expected to wait for a slot.
     wait: Duration,
+    visit: Option<ObjectVisit>,
     started: TimeStamp,
 }
 
@@ -169,27 +172,34 @@
         let customer_regions: &[String] =
             customer.map_or(&[], |key| &self.catalog.customers[key].regions);
         let object = self.metadata.object.as_ref().filter(|_| route.has_affinity);
+        let object = object.map(|name| rendezvous::name_hash(name.as_bytes()));
+        let is_bulk = route.kind == RequestKind::Download;
         let mut table = self.state.placement();
         let query = PlacementQuery {
             service: &self.routed.service,
-            object: object.map(|name| rendezvous::name_hash(name.as_bytes())),
-            is_bulk: route.kind == RequestKind::Download,
+            object,
+            is_bulk,
             regions: [&route.regions, customer_regions],
             tried: &self.tried,
-            max_wait: self.max_wait(table.average_service_time(&self.routed.service), now),
+            max_wait: self.max_wait(table.cached_service_time(&self.routed.service), now),
+            time_left: self.routed.deadline.since(now),
             cold: self.cold_limit(),
         };
         let choice = choose::choose(&mut table, &self.state.location(), &query, now);
         match choice {
             PlacementChoice::Target(key) => {
-                let service_time = table.average_service_time(&self.routed.service);
+                let visit = object.map(|object| ObjectVisit {
+                    object,
+                    is_preferred: table.is_preferred(key, OrderKey { object, is_bulk }),
+                });
                 let target = table.get(key).ok_or(RefusalCause::NoTarget)?;
                 let chosen = TryTarget {
                     key,
                     id: target.entry.id.clone(),
                     region: target.region.clone(),
                     address: target.entry.address,
-                    wait: target.load.wait(target.entry.slots, service_time, now),
+                    wait: table.expected_wait(target, now),
+                    visit,
                     started: now,
                 };
                 table.begin(key, now);
@@ -228,6 +238,7 @@
                 kind: ResultKind::Cancelled,
                 latency: Duration::ZERO,
                 load: None,
+                visit: target.visit,
             },
         };
         let left = self.routed.deadline.since(now);
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -1,17 +1,16 @@
 //! Chooses the target for one request.
 
+use crate::placement::ranking::{self, OrderKey, TargetOrder};
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::table::{PlacementTable, TargetRecord};
 use crate::rendezvous;
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Number of targets in a region, by preference, that an object may use when the first is busy.
 const SPREAD_TARGETS: usize = 3;
-/// Share of `max_wait` that a request waits for a more preferred target, which is more likely to
-/// have its object cached.
-const PREFERRED_WAIT_SHARE: f64 = 0.6;
 /// A target this many times slower than its service's average is skipped.
 const SLOW_FACTOR: f64 = 3.0;
 /// Share of a cold target's limit that is used; the rest is a margin, as VMs may disagree on how
@@ -74,6 +73,8 @@
     pub tried: &'a [TargetKey],
     /// Maximum time that it may wait for a slot.
     pub max_wait: Duration,
+    /// Time until its answer is of no use any more.
+    pub time_left: Duration,
     /// Rate limit of a cold target.
     pub cold: ColdLimit,
 }
@@ -92,10 +93,13 @@
     None,
 }
 
-/// A usable target with its expected wait; lists hold candidates by preference.
+/// A usable target with its expected times; lists hold candidates by preference.
 struct Candidate {
     key: TargetKey,
+    /// Time until a slot is free.
     wait: Duration,
+    /// Time until the request is served.
+    total: Duration,
 }
 
 /// Chooses a target.
@@ -110,11 +114,32 @@
 ) -> PlacementChoice {
     let object = query.object.unwrap_or_else(rand::random);
     init_spillover(table, location, query);
+    let order_key = OrderKey {
+        object,
+        is_bulk: query.is_bulk,
+    };
+    let order = match query.object {
+        Some(_) => ranking::kept_order(table, location, query.service, order_key),
+        None => Arc::new(ranking::whole_order(
+            table,
+            location,
+            query.service,
+            order_key,
+        )),
+    };
+    let sides = Sides::new(table, location, query, &order, now);
+    let sides = match query.object.is_some() && sides.is_empty() {
+        // None of the kept targets is usable; others may be.
+        true => {
+            let order = ranking::whole_order(table, location, query.service, order_key);
+            Sides::new(table, location, query, &order, now)
+        }
+        false => sides,
+    };
     let level = spillover(table, query.service).map_or(0.0, SpilloverLevel::level);
     let is_remote = spills_over(object, level) && allows(query, &location.region);
-    let local_list = candidates(table, location, query, object, &location.region, now);
-    let has_local = !local_list.is_empty();
-    let local = first_in_time(&local_list, query.max_wait);
+    let has_local = !sides.local.is_empty();
+    let local = best_in_time(&sides.local, query);
     if let Some(spillover) = spillover_mut(table, query.service)
         && query.tried.is_empty()
     {
@@ -123,8 +148,7 @@
     if !is_remote && let Some(key) = local {
         return select(table, query.service, key, false);
     }
-    let remote = remote_candidates(table, location, query, object, now);
-    let remote_key = first_in_time(&remote, query.max_wait);
+    let remote_key = sides.best_remote(query);
     if let Some(key) = remote_key {
         let may_run_remote = !has_local || (is_remote && allows_side(table, query.service, true));
         if may_run_remote || allow_diverted(table, query.service, true) {
@@ -136,7 +160,50 @@
     {
         return select(table, query.service, key, false);
     }
-    refuse(local_list.iter().chain(&remote), query.max_wait)
+    refuse(sides.all(), query.max_wait)
+}
+
+/// Candidates of this region, and of each other region.
+struct Sides {
+    local: Vec<Candidate>,
+    remote: Vec<Vec<Candidate>>,
+}
+
+impl Sides {
+    fn new(
+        table: &PlacementTable,
+        location: &VmLocation,
+        query: &PlacementQuery<'_>,
+        order: &TargetOrder,
+        now: TimeStamp,
+    ) -> Self {
+        let list = |region: &str, targets: &[TargetKey]| match allows(query, region) {
+            true => candidates(table, location, query, targets, now),
+            false => Vec::new(),
+        };
+        let remote = order.remote.iter();
+        Self {
+            local: list(&location.region, &order.local),
+            remote: remote
+                .map(|region| list(&region.region, &region.targets))
+                .collect(),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.all().next().is_none()
+    }
+
+    fn all(&self) -> impl Iterator<Item = &Candidate> {
+        self.local.iter().chain(self.remote.iter().flatten())
+    }
+
+    /// The candidate of the most preferred other region that can serve the request in time.
+    fn best_remote(&self, query: &PlacementQuery<'_>) -> Option<TargetKey> {
+        self.remote
+            .iter()
+            .find_map(|list| best_in_time(list, query))
+    }
 }
 
 /// The refusal where no candidate starts the request in time.
@@ -149,20 +216,15 @@
     }
 }
 
-/// The most preferred candidate whose wait is within [`PREFERRED_WAIT_SHARE`] of `max_wait`, as
-/// less preferred ones are less likely to have the object cached; otherwise the one with the
-/// shortest wait, if that is within `max_wait`.
-fn first_in_time(list: &[Candidate], max_wait: Duration) -> Option<TargetKey> {
-    let spread = &list[..list.len().min(SPREAD_TARGETS)];
-    let preferred_wait = max_wait.mul_f64(PREFERRED_WAIT_SHARE);
-    let first = spread
-        .iter()
-        .find(|candidate| candidate.wait <= preferred_wait);
-    let soonest = || spread.iter().min_by_key(|candidate| candidate.wait);
-    first
-        .or_else(soonest)
-        .filter(|candidate| candidate.wait <= max_wait)
-        .map(|candidate| candidate.key)
+/// The candidate that is expected to serve the request first, among those that start it within
+/// `max_wait` and serve it in the time that is left. A target that has the object cached may be
+/// first despite a longer wait.
+fn best_in_time(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<TargetKey> {
+    let spread = list.iter().take(SPREAD_TARGETS);
+    let in_time = spread
+        .filter(|candidate| candidate.wait <= query.max_wait && candidate.total <= query.time_left);
+    let best = in_time.min_by_key(|candidate| candidate.total);
+    best.map(|candidate| candidate.key)
 }
 
 /// Whether both the route and the customer allow a region.
@@ -172,66 +234,47 @@
     query.regions.iter().all(is_allowed)
 }
 
-/// Candidates of other regions. Regions are ranked by rendezvous score for the object; those that
-/// can start the request in time come first.
-fn remote_candidates(
-    table: &PlacementTable,
-    location: &VmLocation,
-    query: &PlacementQuery<'_>,
-    object: u64,
-    now: TimeStamp,
-) -> Vec<Candidate> {
-    let mut regions: Vec<(u64, String)> = Vec::new();
-    for target in targets(table, query.service) {
-        let region = &target.region;
-        if *region != location.region && !regions.iter().any(|(_, known)| known == region) {
-            let hash = rendezvous::name_hash(region.as_bytes());
-            regions.push((rendezvous::score(object, hash), region.clone()));
-        }
-    }
-    regions.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
-    let lists = regions
-        .iter()
-        .map(|(_, region)| candidates(table, location, query, object, region, now));
-    let mut lists: Vec<_> = lists.collect();
-    lists.sort_by_key(|list| first_in_time(list, query.max_wait).is_none());
-    lists.into_iter().flatten().collect()
-}
-
-/// Usable targets of one region, by preference.
+/// Usable targets of one region among `targets`, in their order.
 fn candidates(
     table: &PlacementTable,
     location: &VmLocation,
     query: &PlacementQuery<'_>,
-    object: u64,
-    region: &str,
+    targets: &[TargetKey],
     now: TimeStamp,
 ) -> Vec<Candidate> {
-    if !allows(query, region) {
+    let Some(pool) = table.services.get(query.service) else {
         return Vec::new();
-    }
-    let service_average = table.average_service_time(query.service);
-    let mut ranked = Vec::new();
-    for (key, target) in keyed_targets(table, query.service) {
-        if target.region != region || !table.is_open(target) || query.tried.contains(&key) {
+    };
+    let average = pool.average_service_time;
+    let times = pool.service_times;
+    let mut usable = Vec::new();
+    for (rank, key) in targets.iter().enumerate() {
+        let Some(target) = table.get(*key) else {
             continue;
-        }
-        let is_usable = target.breaker.is_usable(target.load.in_flight, now)
-            && target.load.service_time(service_average, now)
-                <= service_average.mul_f64(SLOW_FACTOR);
-        if !is_usable || !has_cold_capacity(target, location, query, now) {
+        };
+        let is_usable = !query.tried.contains(key)
+            && target.breaker.is_usable(target.load.in_flight, now)
+            && target.load.service_time(average, now) <= average.mul_f64(SLOW_FACTOR)
+            && has_cold_capacity(target, location, query, now);
+        if !is_usable {
             continue;
         }
-        let is_far = query.is_bulk && target.entry.domain != location.domain;
-        let wait = target.load.wait(target.entry.slots, service_average, now);
-        let score = rendezvous::score(object, target.hash);
-        ranked.push((is_far, std::cmp::Reverse(score), Candidate { key, wait }));
+        let is_cached = rank == 0
+            || query
+                .object
+                .is_some_and(|object| pool.cached_objects.contains(object, *key));
+        let service_time = match is_cached {
+            true => times.cached(average),
+            false => times.uncached(average),
+        };
+        let wait = table.expected_wait(target, now);
+        usable.push(Candidate {
+            key: *key,
+            wait,
+            total: wait + service_time,
+        });
     }
-    ranked.sort_by_key(|(is_far, score, _)| (*is_far, *score));
-    ranked
-        .into_iter()
-        .map(|(_, _, candidate)| candidate)
-        .collect()
+    usable
 }
 
 /// Whether a target is warm, or is cold and its limit has room for one more request of this VM.
@@ -290,26 +333,14 @@
     PlacementChoice::Target(key)
 }
 
-/// The targets of a service, with their keys.
-fn keyed_targets<'a>(
-    table: &'a PlacementTable,
-    service: &str,
-) -> impl Iterator<Item = (TargetKey, &'a TargetRecord)> {
-    let keys = table.services.get(service).map(|pool| &pool.targets);
-    let keys = keys.into_iter().flatten();
-    keys.filter_map(|key| Some((*key, table.get(*key)?)))
-}
-
-/// The targets of a service.
-fn targets<'a>(table: &'a PlacementTable, service: &str) -> impl Iterator<Item = &'a TargetRecord> {
-    keyed_targets(table, service).map(|(_, target)| target)
-}
-
 /// Slots of a service's open targets in this region and in all regions, and the number of regions.
 fn slot_counts(table: &PlacementTable, location: &VmLocation, service: &str) -> (f64, f64, usize) {
     let mut regions: Vec<&str> = Vec::new();
     let (mut local, mut all) = (0.0, 0.0);
-    for target in targets(table, service).filter(|target| table.is_open(target)) {
+    for target in table
+        .targets(service)
+        .filter(|target| table.is_open(target))
+    {
         let slots = f64::from(target.entry.slots);
         all += slots;
         local += if target.region == location.region {
@@ -351,7 +382,10 @@
     for service in services {
         let average = table.average_service_time(&service);
         let (mut local, mut remote) = (SlotUsage::default(), SlotUsage::default());
-        for target in targets(table, &service).filter(|target| table.is_open(target)) {
+        for target in table
+            .targets(&service)
+            .filter(|target| table.is_open(target))
+        {
             let used = target.load.outstanding(average, now);
             let slots = f64::from(target.entry.slots);
             match target.region == location.region {
--- a/dahliawood-steer/src/placement/mod.rs
+++ b/dahliawood-steer/src/placement/mod.rs
@@ -9,8 +9,10 @@
 //! The tables and functions do no I/O; the caller passes in `now`.
 
 pub mod breaker;
+pub mod cached;
 pub mod choose;
 pub mod cold;
 pub mod load;
+pub mod ranking;
 pub mod spillover;
 pub mod table;
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -2,8 +2,10 @@
 
 use crate::health::ResultKind;
 use crate::placement::breaker::CircuitBreaker;
+use crate::placement::cached::{CachedObjects, ObjectVisit, ServiceTimes};
 use crate::placement::cold::ColdWindow;
 use crate::placement::load::LoadEstimate;
+use crate::placement::ranking::{KeptOrders, OrderKey};
 use crate::placement::spillover::SpilloverLevel;
 use crate::rendezvous;
 use dahliawood_model::catalog::{TargetEntry, TargetLoad};
@@ -45,6 +47,12 @@
     pub spillover: SpilloverLevel,
     /// Moving average of the service time over all targets.
     pub average_service_time: Duration,
+    /// Service times of cached and of other objects.
+    pub service_times: ServiceTimes,
+    /// The targets that served each object.
+    pub cached_objects: CachedObjects,
+    /// Preference orders of targets.
+    pub kept_orders: KeptOrders,
 }
 
 impl Default for ServicePool {
@@ -53,6 +61,9 @@
             targets: Vec::new(),
             spillover: SpilloverLevel::default(),
             average_service_time: ASSUMED_SERVICE_TIME,
+            service_times: ServiceTimes::default(),
+            cached_objects: CachedObjects::default(),
+            kept_orders: KeptOrders::default(),
         }
     }
 }
@@ -66,6 +77,8 @@
     pub latency: Duration,
     /// Load report that came with the answer.
     pub load: Option<TargetLoad>,
+    /// The object that was requested, if it has one.
+    pub visit: Option<ObjectVisit>,
 }
 
 /// All registered targets.
@@ -78,6 +91,8 @@
     regions: FastMap<String, String>,
     evacuated: FastSet<String>,
     next_key: u32,
+    /// Incremented with each change of the targets or of which of them are open.
+    generation: u64,
 }
 
 impl PlacementTable {
@@ -104,6 +119,44 @@
         self.targets.is_empty()
     }
 
+    /// Number of changes so far of the targets or of which of them are open.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// The targets of a service, with their keys.
+    pub fn keyed_targets<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = (TargetKey, &'a TargetRecord)> + use<'a> {
+        let keys = self.services.get(service).map(|pool| &pool.targets);
+        let keys = keys.into_iter().flatten();
+        keys.filter_map(|key| Some((*key, self.get(*key)?)))
+    }
+
+    /// The targets of a service.
+    pub fn targets<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = &'a TargetRecord> + use<'a> {
+        self.keyed_targets(service).map(|(_, target)| target)
+    }
+
+    /// Expected time that a request sent to a target now waits for a slot.
+    pub fn expected_wait(&self, target: &TargetRecord, now: TimeStamp) -> Duration {
+        let average = self.average_service_time(&target.entry.service);
+        target.load.wait(target.entry.slots, average, now)
+    }
+
+    /// Whether a target is the most preferred one of its region for an object.
+    pub fn is_preferred(&self, key: TargetKey, order: OrderKey) -> bool {
+        let Some(target) = self.get(key) else {
+            return false;
+        };
+        let pool = self.services.get(&target.entry.service);
+        pool.is_some_and(|pool| pool.kept_orders.is_preferred(key, order))
+    }
+
     /// Ids of all targets.
     pub fn ids(&self) -> impl Iterator<Item = &String> {
         self.by_id.keys()
@@ -112,6 +165,7 @@
     /// Adds or updates a target. An entry with another address, service or start time is a new
     /// target: the state of the old one is dropped.
     pub fn upsert(&mut self, entry: TargetEntry, now: TimeStamp) {
+        self.generation += 1;
         let cold_until = now.after(entry.cold_for);
         let known = self.by_id.get(&entry.id).copied();
         if let Some(target) = known.and_then(|key| self.targets.get_mut(&key)) {
@@ -152,6 +206,7 @@
         let Some(key) = self.by_id.remove(id) else {
             return false;
         };
+        self.generation += 1;
         let Some(target) = self.targets.remove(&key) else {
             return false;
         };
@@ -163,6 +218,7 @@
 
     /// Sets the evacuated failure domains, whose targets get no requests.
     pub fn set_evacuated(&mut self, domains: FastSet<String>) {
+        self.generation += 1;
         self.evacuated = domains;
     }
 
@@ -177,6 +233,13 @@
         pool.map_or(ASSUMED_SERVICE_TIME, |pool| pool.average_service_time)
     }
 
+    /// Service time of a request whose object its target has cached.
+    pub fn cached_service_time(&self, service: &str) -> Duration {
+        let average = self.average_service_time(service);
+        let pool = self.services.get(service);
+        pool.map_or(average, |pool| pool.service_times.cached(average))
+    }
+
     /// Records that a request is sent.
     pub fn begin(&mut self, key: TargetKey, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
@@ -194,20 +257,40 @@
         };
         target.load.finish();
         target.breaker.record(result.kind, now);
+        let pool = self.services.get_mut(&target.entry.service);
         if let Some(load) = result.load {
             target.load.record_report(load);
         }
         if result.kind != ResultKind::Answered {
             return;
         }
-        if result.load.is_some_and(|load| load.waiting > 0) {
-            // Most of the latency was queueing at the target, so it would distort the service time.
-            return;
+        // Otherwise most of the latency was queueing at the target, which distorts the service time.
+        let has_queued = result.load.is_some_and(|load| load.waiting > 0);
+        if !has_queued {
+            target.load.record_latency(result.latency, now);
         }
-        target.load.record_latency(result.latency, now);
-        if let Some(pool) = self.services.get_mut(&target.entry.service) {
-            pool.average_service_time = pool.average_service_time.mul_f64(1.0 - EWMA_WEIGHT)
+        if let Some(pool) = pool {
+            pool.record_answer(key, result);
+        }
+    }
+}
+
+impl ServicePool {
+    /// Records an answer of one of the service's targets.
+    fn record_answer(&mut self, key: TargetKey, result: TargetResult) {
+        let has_queued = result.load.is_some_and(|load| load.waiting > 0);
+        if !has_queued {
+            self.average_service_time = self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT)
                 + result.latency.mul_f64(EWMA_WEIGHT);
         }
+        let Some(visit) = result.visit else {
+            return;
+        };
+        let was_cached = self.cached_objects.contains(visit.object, key);
+        // Another VM may have requested the object at its preferred target before.
+        if !has_queued && (was_cached || !visit.is_preferred) {
+            self.service_times.record(result.latency, was_cached);
+        }
+        self.cached_objects.record(visit.object, key);
     }
 }
--- a/dahliawood-steer/src/rendezvous/mod.rs
+++ b/dahliawood-steer/src/rendezvous/mod.rs
@@ -23,6 +23,13 @@
     mix(customer ^ vm.rotate_left(32))
 }
 
+/// Distance of a node from a key in weighted rendezvous hashing: the nearest node is chosen, and
+/// each node is the nearest to a share of keys that is proportional to its weight.
+pub fn weighted_distance(key: u64, node: u64, weight: f64) -> f64 {
+    let uniform = (score(key, node) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -uniform.ln() / weight
+}
+
 /// The finaliser of splitmix64.
 fn mix(mut value: u64) -> u64 {
     value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod fleet;
 mod lookup;
+mod object_load;
 mod placement;
 mod queue;
 mod split;
--- a/dahliawood-steer/tests/main/placement.rs
+++ b/dahliawood-steer/tests/main/placement.rs
@@ -6,9 +6,11 @@
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::{FastMap, FastSet};
 use dahliawood_steer::health::ResultKind;
+use dahliawood_steer::placement::cached::ObjectVisit;
 use dahliawood_steer::placement::choose::{
     self, ColdLimit, PlacementChoice, PlacementQuery, VmLocation,
 };
+use dahliawood_steer::placement::ranking::{self, OrderKey};
 use dahliawood_steer::placement::spillover;
 use dahliawood_steer::placement::table::{PlacementTable, TargetResult};
 use dahliawood_steer::rendezvous;
@@ -72,6 +74,7 @@
         regions: [&[], &[]],
         tried: &[],
         max_wait: Duration::from_millis(100),
+        time_left: Duration::from_secs(2),
         cold: ColdLimit { per_second: 20.0 },
     }
 }
@@ -92,6 +95,7 @@
         kind: ResultKind::Answered,
         latency: SERVICE_TIME,
         load,
+        visit: None,
     }
 }
 
@@ -436,6 +440,7 @@
         kind: ResultKind::ConnectFailed,
         latency: Duration::ZERO,
         load: None,
+        visit: None,
     };
     table.begin(key, START);
     table.finish(key, lost, START);
@@ -460,3 +465,121 @@
         Some(key)
     );
 }
+
+#[test]
+fn objects_sent_away_go_to_the_regions_with_slots_to_spare() {
+    // An even part is 16 slots: b has 2 slots more than that, c has 8 more.
+    let mut table = table(&[("a-1", 2), ("b-1", 6), ("c-1", 8)]);
+    let location = vm_location("a-1", 1);
+    let mut ran: FastMap<String, f64> = FastMap::default();
+    for object in 0..4_000_u64 {
+        let object = rendezvous::name_hash(&object.to_le_bytes());
+        let choice = choose::choose(&mut table, &location, &query(object), START);
+        *ran.entry(domain_of(&table, chosen(choice).unwrap()))
+            .or_default() += 1.0;
+    }
+    let share_of_c = ran["c-1"] / (ran["b-1"] + ran["c-1"]);
+    assert!((0.75..=0.85).contains(&share_of_c), "{ran:?}");
+}
+
+/// Records that a target served an object in `latency`.
+fn serve(
+    table: &mut PlacementTable,
+    key: TargetKey,
+    object: u64,
+    latency: Duration,
+    load: Option<TargetLoad>,
+) {
+    let visit = ObjectVisit {
+        object,
+        is_preferred: false,
+    };
+    let result = TargetResult {
+        latency,
+        visit: Some(visit),
+        ..answered(load)
+    };
+    table.begin(key, START);
+    table.finish(key, result, START);
+}
+
+#[test]
+fn a_request_waits_for_its_objects_target_rather_than_run_longer_at_another() {
+    let mut table = table(&[("a-1", 4)]);
+    let location = vm_location("a-1", 1);
+    let patient = PlacementQuery {
+        max_wait: Duration::from_millis(400),
+        ..query(7)
+    };
+    let first = chosen(choose::choose(&mut table, &location, &patient, START)).unwrap();
+    let other = table.services[SERVICE].targets.clone();
+    let other = other.into_iter().find(|key| *key != first).unwrap();
+    // First requests for an object take 600 ms, later ones 120 ms.
+    for object in 100..130 {
+        serve(&mut table, other, object, Duration::from_millis(600), None);
+        serve(&mut table, other, object, SERVICE_TIME, None);
+    }
+    let busy = busy_result(1, START).load;
+    serve(&mut table, first, 7, SERVICE_TIME, busy);
+    assert_eq!(
+        chosen(choose::choose(&mut table, &location, &patient, START)),
+        Some(first)
+    );
+}
+
+#[test]
+fn a_request_that_cannot_end_in_the_time_left_is_refused_on_arrival() {
+    let mut table = table(&[("a-1", 2)]);
+    let location = vm_location("a-1", 1);
+    for key in table.services[SERVICE].targets.clone() {
+        for object in 0..200 {
+            serve(&mut table, key, object, Duration::from_millis(500), None);
+        }
+    }
+    let hurried = PlacementQuery {
+        max_wait: Duration::from_millis(400),
+        time_left: Duration::from_millis(300),
+        ..query(1)
+    };
+    let refused = choose::choose(&mut table, &location, &hurried, START);
+    assert!(
+        matches!(refused, PlacementChoice::Busy { .. }),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn a_kept_order_follows_changes_of_the_targets() {
+    let mut table = table(&[("a-1", 12), ("b-1", 3)]);
+    let location = vm_location("a-1", 1);
+    for turn in 0..40_u64 {
+        let first = chosen(choose::choose(&mut table, &location, &query(7), START)).unwrap();
+        let key = OrderKey {
+            object: 7,
+            is_bulk: false,
+        };
+        let whole = ranking::whole_order(&table, &location, SERVICE, key);
+        assert_eq!(Some(&first), whole.local.first());
+        assert!(table.is_preferred(first, key));
+        let id = table.get(first).unwrap().entry.id.clone();
+        let mut changed = table.get(first).unwrap().entry.clone();
+        match turn % 3 {
+            0 => {
+                changed.is_draining = true;
+                table.upsert(changed, START);
+            }
+            1 => {
+                table.remove(&id);
+            }
+            _ => table.upsert(entry(100 + turn as usize, "a-1"), START),
+        }
+        if table
+            .targets(SERVICE)
+            .filter(|target| table.is_open(target))
+            .count()
+            < 5
+        {
+            break;
+        }
+    }
+}
