feat(gateway): one VM of a failure domain follows the store, the others follow that VM

Change: VMs rank by rendezvous hash over the registered VMs of their failure domain (control::source, decides only). The first follows the store; the others wait for changes at it (gateway call 'changes') and go to the second, and then to the store itself, when it refuses, is not current or is silent. A relay only repeats what the store said: a bounded log of changes (keyspace::changes), nothing lasts. At the first start of a fleet VMs read after all had time to register. Domains of one or two VMs are as before.

Tests: relays/ (calls do not grow: 60 for 12 changes before, at most 24 now; relay cut off, silent or killed; history dropped), source.rs (9 direct VMs of 30 to 1,000), changes.rs.

--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -6,7 +6,9 @@
 pub mod register;
 pub mod relay;
 pub mod shares;
+pub mod source;
 pub mod tick;
+pub mod upstream;
 pub mod vms;
 
 use crate::clock;
@@ -18,7 +20,8 @@
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::allocation::coordinator::AllocationCoordinator;
 use dahliawood_store::keyspace::call::KeyspaceClient;
-use dahliawood_store::keyspace::view::KeyspaceView;
+use dahliawood_store::keyspace::changes::ChangeLog;
+use dahliawood_store::keyspace::view::{KeyspaceView, ViewChange};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -34,6 +37,19 @@
     pub view: RefCell<KeyspaceView>,
     /// Whether the store answered the last call.
     pub is_store_up: Cell<bool>,
+    /// Whether this VM follows another one instead of the store.
+    pub is_relayed: Cell<bool>,
+    /// Until when the copy of a VM that follows another one is current, `None` if it follows the
+    /// store.
+    pub current_until: Cell<Option<TimeStamp>>,
+    /// Whether changes were received after the key space was read.
+    pub is_confirmed: Cell<bool>,
+    /// Changes that the first read found, held until they are confirmed.
+    pub unconfirmed: RefCell<Vec<ViewChange>>,
+    /// The latest changes, for VMs that follow this one.
+    pub change_log: RefCell<ChangeLog>,
+    /// Channel that is closed, and replaced, when changes are applied.
+    pub changed: RefCell<(Sender<()>, Receiver<()>)>,
     /// Connections to other VMs.
     pub peers: peers::PeerTable,
     /// This VM's incarnation: different for each start of the process.
@@ -78,6 +94,12 @@
         view: RefCell::new(KeyspaceView::new(follow::is_leased)),
         is_store_up: Cell::new(true),
         store_status_changed: bounded(1),
+        is_relayed: Cell::new(false),
+        current_until: Cell::new(None),
+        is_confirmed: Cell::new(false),
+        unconfirmed: RefCell::default(),
+        change_log: RefCell::default(),
+        changed: RefCell::new(bounded(1)),
         peers: peers::PeerTable::default(),
         coordinator: RefCell::new(AllocationCoordinator::new(window, incarnation)),
         incarnation,
--- a/dahliawood-gateway/src/control/peers/mod.rs
+++ b/dahliawood-gateway/src/control/peers/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, shares};
+use crate::control::{ControlState, shares, upstream};
 use async_std::net::TcpListener;
 use dahliawood_model::FastMap;
 use dahliawood_peer::client::CallOptions;
@@ -59,10 +59,13 @@
 
 /// Serves the calls of other VMs until the listener fails.
 pub async fn serve(state: Rc<ControlState>, listener: TcpListener) {
-    let (share_state, keyspace_state) = (Rc::clone(&state), state);
+    let (share_state, keyspace_state) = (Rc::clone(&state), Rc::clone(&state));
     let handlers = GatewayHandlers {
         shares: Box::new(move |report| shares::handle_report(&share_state, report)),
         keyspace: Box::new(move |above| keyspace(&keyspace_state, above)),
+        changes: Box::new(move |after, wait| {
+            Box::pin(upstream::changes(Rc::clone(&state), after, wait))
+        }),
     };
     if let Err(error) = server::serve(listener, Rc::new(handlers)).await {
         log::error!("the listener for calls of other VMs failed: {error}");
--- a/dahliawood-gateway/src/control/register/mod.rs
+++ b/dahliawood-gateway/src/control/register/mod.rs
@@ -13,6 +13,9 @@
 const LEASE_TTL: Duration = Duration::from_secs(4);
 /// How often the registration is renewed.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_300);
+/// How often a VM that follows another one renews: it does not need the calls to notice that the
+/// store is silent.
+const RELAYED_RENEW_INTERVAL: Duration = Duration::from_millis(1_800);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -26,12 +29,16 @@
             None => register(&state, &record).await.map(|id| lease = Some(id)),
         };
         let pause = match step {
+            Ok(()) if state.is_relayed.get() => RELAYED_RENEW_INTERVAL,
             Ok(()) => RENEW_INTERVAL,
             Err(error) => {
                 if matches!(error, StoreError::LeaseExpired) {
                     lease = None;
                 }
-                follow::set_store_status(&state, Some(&error));
+                // A VM that follows another one depends on that one's calls instead.
+                if !state.is_relayed.get() {
+                    follow::set_store_status(&state, Some(&error));
+                }
                 RETRY_PAUSE
             }
         };
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -61,7 +61,7 @@
 }
 
 /// Applies what is newer in another VM's copy of the key space.
-fn apply_snapshot(state: &ControlState, snapshot: KeyspaceSnapshot) {
+pub fn apply_snapshot(state: &ControlState, snapshot: KeyspaceSnapshot) {
     let source = RelaySource {
         revision: snapshot.revision,
         is_settled: snapshot.is_settled,
@@ -81,5 +81,8 @@
             .view
             .borrow_mut()
             .apply_relayed(items.collect(), &listed, source, clock::now());
+    let revision = state.view.borrow().revision();
+    state.change_log.borrow_mut().reset(revision);
     follow::apply_changes(state, &changes);
+    follow::notify_followers(state);
 }
--- a/dahliawood-gateway/src/settings/mod.rs
+++ b/dahliawood-gateway/src/settings/mod.rs
@@ -25,6 +25,8 @@
     pub peer: SocketAddr,
     /// Address at which metrics are served.
     pub metrics: SocketAddr,
+    /// Whether the whole fleet starts for the first time, so that all VMs start together.
+    pub is_first_start: bool,
     /// Limits that the fleet guarantees.
     pub bounds: FleetBounds,
 }
--- /dev/null
+++ b/dahliawood-gateway/tests/main/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the gateway's decisions; `platform` tests its I/O.
+
+mod source;
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -144,6 +144,14 @@
   isKnown @3 :Bool;
 }
 
+# A change of a key of the key space: a write, or a removal.
+struct SpaceChange {
+  key @0 :Text;
+  revision @1 :UInt64;
+  value @2 :Data;
+  isGone @3 :Bool;
+}
+
 interface GatewayPeer {
   # Reports what the caller needs and returns the shares that it may use from now on; a caller that
   # is leaving no longer uses any. `isHead` tells whether the callee is the coordinator. `life` is
@@ -153,4 +161,9 @@
   # Returns all keys that the callee knows, without the values of keys last written at or below
   # revision `above`.
   space @1 (above :UInt64) -> (revision :UInt64, isSettled :Bool, keys :List(SpaceKey));
+  # Returns the changes after revision `after` as soon as there are any, or none after `waitMs`
+  # milliseconds. `isCurrent` tells whether the callee's copy follows the store at this time; if
+  # not, the rest is empty. `isTooOld` tells that the callee does not have all changes since
+  # `after`. Removals of leased keys are to be held back for another `settlesInMs` milliseconds.
+  changes @2 (after :UInt64, waitMs :UInt32) -> (isCurrent :Bool, isTooOld :Bool, revision :UInt64, settlesInMs :UInt32, changes :List(SpaceChange));
 }
--- a/dahliawood-peer/src/client/mod.rs
+++ b/dahliawood-peer/src/client/mod.rs
@@ -87,7 +87,16 @@
         &self,
         response: impl Future<Output = capnp::Result<T>>,
     ) -> Result<T, error::CallError> {
-        timeout(self.options.deadline, response)
+        self.with_longer_deadline(Duration::ZERO, response).await
+    }
+
+    /// Waits for the response to a call that the callee holds back for up to `wait`.
+    pub(crate) async fn with_longer_deadline<T>(
+        &self,
+        wait: Duration,
+        response: impl Future<Output = capnp::Result<T>>,
+    ) -> Result<T, error::CallError> {
+        timeout(self.options.deadline + wait, response)
             .await
             .map_err(|_| error::CallError::Deadline)?
             .context(error::CallSnafu)
--- a/dahliawood-peer/src/gateway/client/mod.rs
+++ b/dahliawood-peer/src/gateway/client/mod.rs
@@ -2,10 +2,13 @@
 
 use crate::client::error::{CallError, CallSnafu};
 use crate::client::{CallOptions, PeerConnection};
-use crate::gateway::message::{self, KeyspaceSnapshot, ShareReport, ShareResponse};
+use crate::gateway::message::{
+    self, ChangesResponse, KeyspaceChanges, KeyspaceSnapshot, ShareReport, ShareResponse,
+};
 use crate::generated::peer_capnp::gateway_peer;
 use snafu::ResultExt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A connection to another gateway; after any error the caller must drop it and open a new one.
 pub struct GatewayClient {
@@ -72,4 +75,32 @@
             keys: message::read_keys(list).context(CallSnafu)?,
         })
     }
+
+    /// Waits up to `wait` for changes of the key space after revision `after`.
+    ///
+    /// # Errors
+    /// Fails if the call fails or no response arrives within `wait` and the deadline.
+    pub async fn changes(&self, after: u64, wait: Duration) -> Result<ChangesResponse, CallError> {
+        let mut request = self.client.changes_request();
+        request.get().set_after(after);
+        let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        request.get().set_wait_ms(wait_ms);
+        let response = self
+            .connection
+            .with_longer_deadline(wait, request.send().promise)
+            .await?;
+        let results = response.get().context(CallSnafu)?;
+        if !results.get_is_current() {
+            return Ok(ChangesResponse::NotCurrent);
+        }
+        if results.get_is_too_old() {
+            return Ok(ChangesResponse::TooOld);
+        }
+        let list = results.get_changes().context(CallSnafu)?;
+        Ok(ChangesResponse::Changes(KeyspaceChanges {
+            revision: results.get_revision(),
+            settles_in: Duration::from_millis(results.get_settles_in_ms().into()),
+            changes: message::read_changes(list).context(CallSnafu)?,
+        }))
+    }
 }
--- a/dahliawood-peer/src/gateway/message/mod.rs
+++ b/dahliawood-peer/src/gateway/message/mod.rs
@@ -1,6 +1,6 @@
 //! The messages between gateways as plain structs, with their conversion to and from the schema.
 
-use crate::generated::peer_capnp::{customer_need, customer_share, space_key};
+use crate::generated::peer_capnp::{customer_need, customer_share, space_change, space_key};
 use capnp::struct_list;
 use std::time::Duration;
 
@@ -88,6 +88,39 @@
     pub keys: Vec<KeyspaceEntry>,
 }
 
+/// A change of a key of the key space.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KeyspaceChange {
+    /// The key.
+    pub key: String,
+    /// Revision of the change.
+    pub revision: u64,
+    /// The value, `None` if the key was removed.
+    pub value: Option<Vec<u8>>,
+}
+
+/// The response of a VM that was asked for changes of the key space.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangesResponse {
+    /// The callee's copy does not follow the store at this time.
+    NotCurrent,
+    /// The callee no longer has all changes since the given revision.
+    TooOld,
+    /// The changes since the given revision.
+    Changes(KeyspaceChanges),
+}
+
+/// Changes of the key space since a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KeyspaceChanges {
+    /// The revision up to which the callee knows all changes.
+    pub revision: u64,
+    /// How much longer removals of leased keys are to be held back.
+    pub settles_in: Duration,
+    /// The changes, oldest first.
+    pub changes: Vec<KeyspaceChange>,
+}
+
 /// Converts the length of a list to the schema's type.
 pub(super) fn list_length(count: usize) -> capnp::Result<u32> {
     u32::try_from(count)
@@ -190,3 +223,36 @@
     }
     Ok(keys)
 }
+
+pub(super) fn write_changes(
+    changes: &[KeyspaceChange],
+    mut list: struct_list::Builder<'_, space_change::Owned>,
+) {
+    for (index, change) in (0..list.len()).zip(changes) {
+        let mut builder = list.reborrow().get(index);
+        builder.set_key(&change.key);
+        builder.set_revision(change.revision);
+        match &change.value {
+            Some(value) => builder.set_value(value),
+            None => builder.set_is_gone(true),
+        }
+    }
+}
+
+pub(super) fn read_changes(
+    list: struct_list::Reader<'_, space_change::Owned>,
+) -> capnp::Result<Vec<KeyspaceChange>> {
+    let mut changes = Vec::with_capacity(list.len() as usize);
+    for change in list {
+        let value = match change.get_is_gone() {
+            true => None,
+            false => Some(change.get_value()?.to_vec()),
+        };
+        changes.push(KeyspaceChange {
+            key: change.get_key()?.to_string()?,
+            revision: change.get_revision(),
+            value,
+        });
+    }
+    Ok(changes)
+}
--- a/dahliawood-peer/src/gateway/server/mod.rs
+++ b/dahliawood-peer/src/gateway/server/mod.rs
@@ -1,8 +1,11 @@
 //! RPC server for the calls of other gateways; dispatches each call to a closure.
 
-use crate::gateway::message::{self, KeyspaceSnapshot, ShareReport, ShareResponse};
+use crate::gateway::message::{
+    self, ChangesResponse, KeyspaceSnapshot, ShareReport, ShareResponse,
+};
 use crate::generated::peer_capnp::gateway_peer;
 use async_std::net::TcpListener;
+use futures::future::LocalBoxFuture;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +15,8 @@
     pub shares: Box<dyn Fn(&ShareReport) -> ShareResponse>,
     /// Returns all known keys, without the values of keys last written at or below a revision.
     pub keyspace: Box<dyn Fn(u64) -> KeyspaceSnapshot>,
+    /// Waits up to the given time for changes after a revision.
+    pub changes: Box<dyn Fn(u64, Duration) -> LocalBoxFuture<'static, ChangesResponse>>,
 }
 
 impl gateway_peer::Server for GatewayHandlers {
@@ -50,6 +55,27 @@
         message::write_keys(&response.keys, builder.init_keys(count));
         Ok(())
     }
+
+    async fn changes(
+        self: Rc<Self>,
+        params: gateway_peer::ChangesParams,
+        mut results: gateway_peer::ChangesResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let wait = Duration::from_millis(params.get_wait_ms().into());
+        let response = (self.changes)(params.get_after(), wait).await;
+        let mut builder = results.get();
+        builder.set_is_current(response != ChangesResponse::NotCurrent);
+        builder.set_is_too_old(response == ChangesResponse::TooOld);
+        if let ChangesResponse::Changes(known) = response {
+            let settles_in = u32::try_from(known.settles_in.as_millis());
+            builder.set_revision(known.revision);
+            builder.set_settles_in_ms(settles_in.unwrap_or(u32::MAX));
+            let count = message::list_length(known.changes.len())?;
+            message::write_changes(&known.changes, builder.init_changes(count));
+        }
+        Ok(())
+    }
 }
 
 /// Serves calls on `listener` until accepting fails; runs on the current thread.
--- a/dahliawood-steer/tests/main/object_load.rs
+++ b/dahliawood-steer/tests/main/object_load.rs
@@ -242,7 +242,7 @@
         latency: now.since(request.started),
         load: Some(load),
         visit: Some(request.visit),
-        slack: AIM - LATER,
+        slack: AIM.saturating_sub(LATER),
     };
     table.finish(request.key, result, now);
 }
--- a/dahliawood-store/src/keyspace/call/mod.rs
+++ b/dahliawood-store/src/keyspace/call/mod.rs
@@ -33,6 +33,8 @@
     pub prefix: String,
     /// The key after which the page starts.
     pub after: Option<String>,
+    /// Whether the page may be some seconds old, which costs the service less.
+    pub may_be_stale: bool,
 }
 
 /// Waits for changes.
--- a/dahliawood-store/src/keyspace/mod.rs
+++ b/dahliawood-store/src/keyspace/mod.rs
@@ -4,4 +4,5 @@
 //! knows of the key space. Neither does I/O itself.
 
 pub mod call;
+pub mod changes;
 pub mod view;
--- a/dahliawood-store/src/keyspace/view/mod.rs
+++ b/dahliawood-store/src/keyspace/view/mod.rs
@@ -107,6 +107,17 @@
         }
     }
 
+    /// Holds back removals of leased keys until `settles_at` at least, as the VM does that this one
+    /// follows.
+    pub fn hold_removals(&mut self, settles_at: TimeStamp) {
+        self.settles_at = self.settles_at.max(settles_at);
+    }
+
+    /// How much longer removals of leased keys are held back.
+    pub fn settles_in(&self, now: TimeStamp) -> Duration {
+        self.settles_at.since(now)
+    }
+
     /// Applies changes up to `revision`, and returns what changed in the view.
     pub fn apply(
         &mut self,
--- a/dahliawood-store/tests/main/main.rs
+++ b/dahliawood-store/tests/main/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the store package.
 
+mod changes;
 mod client;
 mod fleet;
 mod history;
