fix(gateway): relays by processor share, shorter waits, and no settling after a short failure

Change: settling starts only where answers lie more than 2 s apart; VMs with more processor time rank first as relays (weighted rendezvous); a relay answers after 0.4 s; changes are collected for 0.8 s at most. Tests: a_short_failure_between_two_answers_holds_back_no_removal (fails with the view before), vms_with_little_processor_time_are_rarely_relays.

--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -33,7 +33,7 @@
 /// Number of VMs above which the delay grows in proportion to the number of VMs.
 const BATCH_INTERVAL_VMS: f64 = 16.0;
 /// The longest delay: a part of the time within which changes must be in force.
-const MAX_BATCH_INTERVAL: Duration = Duration::from_millis(1_100);
+const MAX_BATCH_INTERVAL: Duration = Duration::from_millis(800);
 /// Backoff after failed calls of a VM that others follow.
 const RELAY_BACKOFF: BackoffRange = BackoffRange {
     initial: Duration::from_millis(150),
--- a/dahliawood-gateway/src/control/source/mod.rs
+++ b/dahliawood-gateway/src/control/source/mod.rs
@@ -21,6 +21,9 @@
 const MIN_DOMAIN_VMS: usize = 3;
 /// VMs of a failure domain, by rank, that others follow.
 const RELAYS: usize = 2;
+/// Power of a VM's processor share that is its weight among the relays of its failure domain: a VM
+/// with little processor time is rarely one.
+const WEIGHT_POWER: i32 = 2;
 /// How long a VM that failed as a relay is not followed.
 const SUSPECT_TIME: Duration = Duration::from_secs(3);
 
@@ -68,10 +71,12 @@
             };
         }
         let domain_hash = rendezvous::name_hash(domain.as_bytes());
-        let score = |vm: &&VmRecord| {
-            rendezvous::score(domain_hash, rendezvous::name_hash(vm.name.as_bytes()))
+        let distance = |vm: &VmRecord| {
+            let weight = f64::from(vm.processor_millis.max(1)).powi(WEIGHT_POWER);
+            let name_hash = rendezvous::name_hash(vm.name.as_bytes());
+            rendezvous::weighted_distance(domain_hash, name_hash, weight)
         };
-        near.sort_by_key(|vm| std::cmp::Reverse(score(vm)));
+        near.sort_by(|a, b| distance(a).total_cmp(&distance(b)));
         near.truncate(RELAYS);
         let is_relay = near.iter().any(|vm| vm.name == own);
         let ahead = near.into_iter().take_while(|vm| vm.name != own);
--- a/dahliawood-gateway/src/control/upstream/mod.rs
+++ b/dahliawood-gateway/src/control/upstream/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// How long the other VM waits for a change before it answers that there is none.
-const CHANGES_WAIT: Duration = Duration::from_millis(500);
+const CHANGES_WAIT: Duration = Duration::from_millis(400);
 /// How long a VM that follows another counts as current after an answer: until the next answer is
 /// overdue.
 const CURRENT_TIME: Duration = Duration::from_millis(1_200);
--- a/dahliawood-gateway/src/control/vms/mod.rs
+++ b/dahliawood-gateway/src/control/vms/mod.rs
@@ -22,10 +22,18 @@
     pub domain: String,
     /// The VM's region.
     pub region: String,
+    /// Processor time that the VM may use a second, in thousandths of a core.
+    #[serde(default = "default_processor")]
+    pub processor_millis: u32,
     /// When the process started, milliseconds since the Unix epoch.
     pub born_millis: u64,
 }
 
+/// A whole core, for records without the field.
+fn default_processor() -> u32 {
+    1_000
+}
+
 impl VmRecord {
     /// Builds the record of this VM, with the current time as its start.
     pub fn from_settings(settings: &GatewaySettings) -> Self {
@@ -35,6 +43,7 @@
             peer: settings.peer,
             domain: settings.domain.clone(),
             region: settings.region.clone(),
+            processor_millis: settings.processor_millis,
             born_millis: clock::wall_millis(),
         }
     }
--- a/dahliawood-gateway/src/settings/mod.rs
+++ b/dahliawood-gateway/src/settings/mod.rs
@@ -27,6 +27,8 @@
     pub metrics: SocketAddr,
     /// Whether the whole fleet starts for the first time, so that all VMs start together.
     pub is_first_start: bool,
+    /// Processor time that the VM may use a second, in thousandths of a core.
+    pub processor_millis: u32,
     /// Limits that the fleet guarantees.
     pub bounds: FleetBounds,
 }
--- a/dahliawood-gateway/tests/main/source.rs
+++ b/dahliawood-gateway/tests/main/source.rs
@@ -16,6 +16,7 @@
         peer: any,
         domain: domain.to_owned(),
         region: "a".to_owned(),
+        processor_millis: 1_000,
         born_millis: 1,
     }
 }
@@ -86,6 +87,20 @@
     assert_eq!(relay_of(&selector, &fleet, own), None);
 }
 
+#[test]
+fn vms_with_little_processor_time_are_rarely_relays() {
+    let selector = SourceSelector::default();
+    let mut fleet = fleet(300, 30);
+    // Half of each failure domain's VMs have a fifth of the others' processor time.
+    for (index, vm) in fleet.iter_mut().enumerate() {
+        vm.processor_millis = if (index / 30) % 2 == 0 { 100 } else { 500 };
+    }
+    let weak = fleet.iter().filter(|vm| vm.processor_millis == 100);
+    let relays = weak.filter(|vm| relay_of(&selector, &fleet, vm).is_none());
+    // One in 26 is expected.
+    assert!(relays.count() <= 4);
+}
+
 #[test]
 fn in_a_small_failure_domain_every_vm_follows_the_store() {
     let selector = SourceSelector::default();
--- a/dahliawood-store/src/keyspace/view/mod.rs
+++ b/dahliawood-store/src/keyspace/view/mod.rs
@@ -57,6 +57,8 @@
     heard_revision: u64,
     settles_at: TimeStamp,
     unavailable_since: Option<TimeStamp>,
+    /// When the service was last known to answer.
+    answered_at: TimeStamp,
     is_leased: fn(&str) -> bool,
 }
 
@@ -71,6 +73,7 @@
             heard_revision: 0,
             settles_at: TimeStamp::ZERO,
             unavailable_since: None,
+            answered_at: TimeStamp::ZERO,
             is_leased,
         }
     }
@@ -91,18 +94,16 @@
         self.known.iter()
     }
 
-    /// Records whether the service is unavailable. A short failure while keys settle does not
-    /// restart their settling.
+    /// Records whether the service is unavailable. Between two answers within [`MIN_LEASE_TIME`] no
+    /// lease can have expired, so that a short failure holds back nothing.
     pub fn set_unavailable(&mut self, is_unavailable: bool, now: TimeStamp) {
         if is_unavailable {
             self.unavailable_since.get_or_insert(now);
             return;
         }
-        let Some(since) = self.unavailable_since.take() else {
-            return;
-        };
-        let was_settling = since < self.settles_at;
-        if !was_settling || now.since(since) > MIN_LEASE_TIME {
+        let answered_at = std::mem::replace(&mut self.answered_at, now);
+        let was_unavailable = self.unavailable_since.take().is_some();
+        if was_unavailable && now.since(answered_at) > MIN_LEASE_TIME {
             self.settles_at = now.after(SETTLE_TIME);
         }
     }
--- a/dahliawood-store/tests/main/view.rs
+++ b/dahliawood-store/tests/main/view.rs
@@ -91,6 +91,20 @@
     assert_eq!(view.expire(at(5_000).after(SETTLE_TIME)), [removal("a")]);
 }
 
+#[test]
+fn a_short_failure_between_two_answers_holds_back_no_removal() {
+    let mut view = view();
+    view.set_unavailable(true, START);
+    view.set_unavailable(false, at(5_000));
+    // Settled; a single call fails, and the next one is answered.
+    let settled = 5_000 + SETTLE_TIME.as_millis() as u64 + 100;
+    view.set_unavailable(false, at(settled));
+    view.set_unavailable(true, at(settled + 400));
+    view.set_unavailable(false, at(settled + 500));
+    let changes = view.apply(vec![removed("a", 5)], 5, at(settled + 600));
+    assert_eq!(changes, [removal("a")]);
+}
+
 #[test]
 fn keys_without_leases_are_removed_at_once_while_settling() {
     let mut view = view();
