fix(gateway): a 421 on a kept connection closes the kept ones and does not drop the target

Change: only a 421 on a new connection drops the target; on a kept one the idle connections to that address are closed, and the result says nothing about the target's health.

--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -286,7 +286,7 @@
     /// Handles a response that does not end the request.
     fn handle_refusal(&mut self, target: &TryTarget, response: TargetResponse) {
         if response.metadata.is_misdirected {
-            self.state.placement().remove(&target.id);
+            self.handle_misdirected(target, &response);
         }
         let verdict = match response.metadata.has_not_run {
             true => RunVerdict::NotRun,
@@ -297,6 +297,17 @@
         self.last_response = Some(response).filter(|response| !response.metadata.has_not_run);
     }
 
+    /// A kept connection may still lead to a target that had the address before: new connections
+    /// reach the one that has it now. Only on a new one is the target known to be gone.
+    fn handle_misdirected(&self, target: &TryTarget, response: &TargetResponse) {
+        match response.was_reused {
+            true => self.state.pool.close_idle(target.address),
+            false => {
+                self.state.placement().remove(&target.id);
+            }
+        }
+    }
+
     /// Handles a try that ended without a complete response.
     fn handle_failure(&mut self, target: &TryTarget, failure: &CallFailure) {
         self.has_timed_out |= failure.kind == ResultKind::TimedOut;
@@ -355,6 +366,8 @@
 fn classify(response: &TargetResponse) -> ResultKind {
     let metadata = &response.metadata;
     match response.head.status {
+        // The other end of a kept connection is not the target.
+        _ if metadata.is_misdirected && response.was_reused => ResultKind::Cancelled,
         _ if metadata.is_misdirected => ResultKind::ConnectFailed,
         _ if metadata.has_not_run => ResultKind::Shed,
         status if NOT_RUN_STATUSES.contains(&status) => ResultKind::Errored,
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -60,6 +60,8 @@
     pub metadata: ResponseMetadata,
     /// The whole body.
     pub body: Vec<u8>,
+    /// Whether the connection had carried an exchange before.
+    pub was_reused: bool,
 }
 
 /// Why an exchange ended without a complete response.
@@ -131,10 +133,16 @@
     call: &TargetCall<'_>,
     connection: PooledConnection,
 ) -> Result<TargetResponse, CallFailure> {
-    let PooledConnection { stream, guard, .. } = connection;
+    let PooledConnection {
+        stream,
+        reused,
+        guard,
+    } = connection;
     let bytes = encode(state, call);
     let mut reader = ConnectionReader::new(stream.clone());
-    let (response, is_clean) = send_and_receive(state, call, &stream, &bytes, &mut reader).await?;
+    let received = send_and_receive(state, call, &stream, &bytes, &mut reader).await;
+    let (mut response, is_clean) = received?;
+    response.was_reused = reused;
     let is_reusable =
         is_clean && !response.head.says_close() && reader.into_inner_if_empty().is_some();
     drop(stream);
@@ -205,6 +213,7 @@
             head,
             metadata,
             body,
+            was_reused: false,
         });
     }
 }
