--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -1,16 +1,13 @@
-//! Follows the key space in the store and applies its changes to the shared state.
+//! Follows the key space, in the store or at another VM, and passes its changes on.
 
 use crate::clock;
-use crate::codec::KeyspaceRecord;
 use crate::control::source::{RelayFailure, SourceSelector};
-use crate::control::vms::{VMS_PREFIX, VmRecord};
-use crate::control::{ControlState, upstream};
+use crate::control::vms::VMS_PREFIX;
+use crate::control::{ControlState, apply, upstream};
 use crate::structured_log::EventClass;
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use async_std::task;
-use dahliawood_model::FastSet;
-use dahliawood_model::catalog::FleetCatalog;
 use dahliawood_peer::client::error::CallError;
 use dahliawood_store::client::error::StoreError;
 use dahliawood_store::keyspace::call::{FollowCall, FollowOutcome, KeyspaceItem, RangeCall};
@@ -19,7 +16,6 @@
 use serde::Serialize;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// How long a call waits for changes; TCP detects a connection that goes silent meanwhile.
@@ -52,23 +48,6 @@
 const START_PAUSE: Duration = Duration::from_millis(150);
 /// Prefix that all keys have: a single call waits for all changes.
 const ALL_KEYS_PREFIX: &str = "";
-/// Prefix of the keys that operators write, without leases.
-const OPERATORS_PREFIX: &str = "op/";
-
-/// Whether a key is written under a lease, so that it is removed when its writer stops renewing.
-pub fn is_leased(key: &str) -> bool {
-    !key.starts_with(OPERATORS_PREFIX)
-}
-
-/// Log event for a change of the key space that this VM has applied or ignored.
-#[derive(Serialize)]
-struct ChangeEvent<'a> {
-    key: &'a str,
-    what: &'a str,
-    version: u64,
-    detail: String,
-}
-
 /// Log event for the loss or return of the store.
 #[derive(Serialize)]
 struct StoreEvent {
@@ -157,7 +136,7 @@
 /// had.
 fn confirm(state: &ControlState) {
     let changes = std::mem::take(&mut *state.unconfirmed.borrow_mut());
-    apply_changes(state, &changes);
+    apply::apply_changes(state, &changes);
     state.is_confirmed.set(true);
 }
 
@@ -261,11 +240,11 @@
     if is_first {
         let is_vm = |change: &ViewChange| change.key.starts_with(VMS_PREFIX);
         let (vms, others) = changes.into_iter().partition::<Vec<_>, _>(is_vm);
-        apply_changes(state, &vms);
+        apply::apply_changes(state, &vms);
         state.unconfirmed.borrow_mut().extend(others);
     } else {
         confirm(state);
-        apply_changes(state, &changes);
+        apply::apply_changes(state, &changes);
         notify_followers(state);
     }
     Ok(())
@@ -323,7 +302,7 @@
     state.change_log.borrow_mut().extend(&items, revision);
     let changes = state.view.borrow_mut().apply(items, revision, clock::now());
     if state.is_confirmed.get() {
-        apply_changes(state, &changes);
+        apply::apply_changes(state, &changes);
     } else {
         state.unconfirmed.borrow_mut().extend(changes);
     }
@@ -343,139 +322,3 @@
     let interval = BATCH_INTERVAL.mul_f64((vms as f64 / BATCH_INTERVAL_VMS).max(1.0));
     interval.min(MAX_BATCH_INTERVAL)
 }
-
-/// Applies changes of the key space to the shared state.
-pub fn apply_changes(state: &ControlState, changes: &[ViewChange]) {
-    let mut is_vm_changed = false;
-    let mut is_evacuation_changed = false;
-    for change in changes {
-        if change.key.starts_with(VMS_PREFIX) {
-            is_vm_changed = true;
-            continue;
-        }
-        let Some(value) = &change.value else {
-            is_evacuation_changed |= change.key.starts_with(OPERATORS_PREFIX);
-            remove_target(state, &change.key);
-            continue;
-        };
-        match (state.shared.codec.read_item)(&change.key, value) {
-            Some(KeyspaceRecord::Evacuated(_)) => is_evacuation_changed = true,
-            Some(record) => apply_record(state, &change.key, record),
-            None => {}
-        }
-    }
-    if is_vm_changed {
-        publish_vms(state);
-    }
-    if is_evacuation_changed {
-        publish_evacuated(state);
-    }
-}
-
-fn apply_record(state: &ControlState, key: &str, record: KeyspaceRecord) {
-    let mut table = state.shared.placement();
-    match record {
-        KeyspaceRecord::Target(entry) => {
-            let detail = format!(
-                "{} at {} in {}, cold for {:?}",
-                entry.service, entry.address, entry.domain, entry.cold_for
-            );
-            let what = if entry.is_draining {
-                "target-draining"
-            } else {
-                "target"
-            };
-            table.upsert(entry, clock::now());
-            log_change(state, key, what, 0, detail);
-        }
-        KeyspaceRecord::Catalog(catalog) => {
-            drop(table);
-            install_catalog(state, key, catalog);
-        }
-        KeyspaceRecord::Unreadable { reason } => {
-            if let Some(id) = (state.shared.codec.target_id)(key) {
-                table.remove(id);
-            }
-            log_change(state, key, "unreadable", 0, reason);
-        }
-        KeyspaceRecord::Evacuated(_) => {}
-    }
-}
-
-/// Brings a configuration version into force unless the current one is as new or newer.
-fn install_catalog(state: &ControlState, key: &str, catalog: FleetCatalog) {
-    let shared = &state.shared;
-    let current = shared.catalog.load_full();
-    let version = catalog.version;
-    if current.is_some_and(|current| current.version >= version) {
-        log_change(state, key, "older-version", version, String::new());
-        return;
-    }
-    let detail = format!("{} routes", catalog.routes.len());
-    shared.catalog.store(Some(Arc::new(catalog)));
-    log_change(state, key, "version", version, detail);
-}
-
-fn remove_target(state: &ControlState, key: &str) {
-    let id = (state.shared.codec.target_id)(key);
-    if id.is_some_and(|id| state.shared.placement().remove(id)) {
-        log_change(state, key, "target-gone", 0, String::new());
-    }
-}
-
-fn log_change(state: &ControlState, key: &str, what: &str, version: u64, detail: String) {
-    let event = || ChangeEvent {
-        key,
-        what,
-        version,
-        detail,
-    };
-    state.shared.log.write(EventClass::State, "change", event);
-}
-
-/// Updates the number of VMs in this region, among which a cold target's rate is divided.
-pub fn update_vm_count(state: &ControlState) {
-    let region = &state.shared.settings.region;
-    let vms = state.shared.vms.load();
-    let count = vms.iter().filter(|vm| vm.region == *region).count();
-    state.shared.location().set_vms(count.max(1), clock::now());
-}
-
-/// Publishes the list of registered VMs.
-fn publish_vms(state: &ControlState) {
-    let view = state.view.borrow();
-    let mut vms: Vec<VmRecord> = Vec::new();
-    for (key, known) in view.known().filter(|(key, _)| key.starts_with(VMS_PREFIX)) {
-        match serde_json::from_slice(&known.value) {
-            Ok(vm) => vms.push(vm),
-            Err(error) => log::warn!("cannot decode the VM record at '{key}': {error}"),
-        }
-    }
-    vms.sort_by(|a, b| a.name.cmp(&b.name));
-    let names: Vec<&str> = vms.iter().map(|vm| vm.name.as_str()).collect();
-    log_change(state, VMS_PREFIX, "vms", vms.len() as u64, names.join(" "));
-    state.shared.vms.store(Arc::new(vms));
-    update_vm_count(state);
-}
-
-/// Publishes the evacuated failure domains, whose targets get no requests.
-fn publish_evacuated(state: &ControlState) {
-    let view = state.view.borrow();
-    let read = state.shared.codec.read_item;
-    let domains: FastSet<String> = view
-        .known()
-        .filter(|(key, _)| key.starts_with(OPERATORS_PREFIX))
-        .filter_map(|(key, known)| match read(key, &known.value) {
-            Some(KeyspaceRecord::Evacuated(domain)) => Some(domain),
-            _ => None,
-        })
-        .collect();
-    log_change(
-        state,
-        OPERATORS_PREFIX,
-        "evacuated",
-        0,
-        format!("{domains:?}"),
-    );
-    state.shared.placement().set_evacuated(domains);
-}
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control thread: follows the key space, registers this VM, and runs the exchange with other VMs
 //! and periodic work, so that none of it delays requests.
 
+pub mod apply;
 pub mod follow;
 pub mod peers;
 pub mod register;
@@ -91,7 +92,7 @@
     let state = Rc::new(ControlState {
         shared: options.shared,
         store: options.store,
-        view: RefCell::new(KeyspaceView::new(follow::is_leased)),
+        view: RefCell::new(KeyspaceView::new(apply::is_leased)),
         is_store_up: Cell::new(true),
         store_status_changed: bounded(1),
         is_relayed: Cell::new(false),
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::clock;
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, follow};
+use crate::control::{ControlState, apply, follow};
 use async_std::task;
 use dahliawood_model::FastSet;
 use dahliawood_peer::client::error::CallError;
@@ -83,6 +83,6 @@
             .apply_relayed(items.collect(), &listed, source, clock::now());
     let revision = state.view.borrow().revision();
     state.change_log.borrow_mut().reset(revision);
-    follow::apply_changes(state, &changes);
+    apply::apply_changes(state, &changes);
     follow::notify_followers(state);
 }
--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -1,7 +1,7 @@
 //! Periodic work of the control thread.
 
 use crate::clock;
-use crate::control::{ControlState, follow};
+use crate::control::{ControlState, apply};
 use async_std::task;
 use dahliawood_steer::placement::{choose, spillover};
 use std::rc::Rc;
@@ -15,10 +15,10 @@
     loop {
         task::sleep(spillover::STEP_INTERVAL).await;
         let now = clock::now();
-        follow::update_vm_count(&state);
+        apply::update_vm_count(&state);
         choose::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
         let expired = state.view.borrow_mut().expire(now);
-        follow::apply_changes(&state, &expired);
+        apply::apply_changes(&state, &expired);
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             state.shared.pool.sweep();
--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -127,6 +127,7 @@
     let mut reader = ConnectionReader::new(stream.clone());
     let mut pending = FuturesOrdered::new();
     let mut next: Option<HeldRequest> = None;
+    // Why what arrived last is refused, once the requests before it are answered.
     let mut refusal: Option<RefusalCause> = None;
     // Whether further requests may be worked on beside the pending ones.
     let mut is_joinable = false;
