--- a/dahliawood-store/src/keyspace/view/mod.rs
+++ b/dahliawood-store/src/keyspace/view/mod.rs
@@ -94,7 +94,7 @@
         self.known.iter()
     }
 
-    /// Records whether the service is unavailable. Between two answers within [`MIN_LEASE_TIME`] no
+    /// Records whether the service is unavailable. Between two answers within two seconds no
     /// lease can have expired, so that a short failure holds back nothing.
     pub fn set_unavailable(&mut self, is_unavailable: bool, now: TimeStamp) {
         if is_unavailable {
