feat(gateway): log what each VM sends to cold targets and by how many VMs it divides their limit

The log could not tell whether a flooded cold target was sent requests by VMs with a short list of VMs (hypothesis A), by VMs that did not hold it for cold (B), or twice by one VM (C). A `cold` line each half second names the requests, the most in their window and the divisor; the `change` line that makes a target cold names the requests sent just before. For that the window now records requests to warm targets too, so a target that turns cold has its latest requests counted already. No choice changes otherwise.

--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -61,16 +61,21 @@
     let mut table = state.shared.placement();
     match record {
         KeyspaceRecord::Target(entry) => {
+            let now = clock::now();
             let detail = format!(
-                "{} at {} in {}, cold for {:?}",
-                entry.service, entry.address, entry.domain, entry.cold_for
+                "{} at {} in {}, cold for {:?}, {} recent requests",
+                entry.service,
+                entry.address,
+                entry.domain,
+                entry.cold_for,
+                table.recent_requests(&entry.id, now)
             );
             let what = if entry.is_draining {
                 "target-draining"
             } else {
                 "target"
             };
-            table.upsert(entry, clock::now());
+            table.upsert(entry, now);
             log_change(state, key, what, 0, detail);
         }
         KeyspaceRecord::Catalog(catalog) => {
--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -2,13 +2,26 @@
 
 use crate::clock;
 use crate::control::{ControlState, apply};
+use crate::structured_log::EventClass;
 use async_std::task;
 use dahliawood_steer::placement::{choose, spillover};
+use serde::Serialize;
 use std::rc::Rc;
 
 /// Number of ticks between two removals of idle connections from the pool.
 const SWEEP_TICKS: u32 = 2;
 
+/// Log event for the requests that this VM sent to a cold target since the last tick.
+#[derive(Serialize)]
+struct ColdEvent<'a> {
+    target: &'a str,
+    sent: usize,
+    /// The most within the window in which they are limited.
+    peak: usize,
+    /// VMs of the region among which the target's limit is divided.
+    vms: usize,
+}
+
 /// Runs the periodic work until the task is cancelled.
 pub async fn run(state: Rc<ControlState>) {
     let mut ticks = 0_u32;
@@ -17,6 +30,7 @@
         let now = clock::now();
         apply::update_vm_count(&state);
         choose::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
+        log_cold_usage(&state);
         let expired = state.view.borrow_mut().expire(now);
         apply::apply_changes(&state, &expired);
         ticks = ticks.wrapping_add(1);
@@ -25,3 +39,19 @@
         }
     }
 }
+
+fn log_cold_usage(state: &ControlState) {
+    let vms = state.shared.location().vms;
+    let used = state.shared.placement().take_cold_usage();
+    for (target, usage) in &used {
+        state
+            .shared
+            .log
+            .write(EventClass::State, "cold", || ColdEvent {
+                target,
+                sent: usage.sent,
+                peak: usage.peak,
+                vms,
+            });
+    }
+}
--- a/dahliawood-steer/src/placement/cold/mod.rs
+++ b/dahliawood-steer/src/placement/cold/mod.rs
@@ -7,17 +7,39 @@
 /// Sliding window for counting requests: one second, plus a margin for network delay.
 const WINDOW: Duration = Duration::from_millis(1_250);
 
-/// Recent requests of this VM to a cold target.
+/// Recent requests of this VM to a target.
 #[derive(Clone, Debug, Default)]
 pub struct ColdWindow {
     sent: VecDeque<TimeStamp>,
 }
 
+/// What this VM sent to one cold target since it was last asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ColdUsage {
+    /// Requests sent.
+    pub sent: usize,
+    /// The most requests within the window of a [`ColdWindow`].
+    pub peak: usize,
+}
+
+impl ColdUsage {
+    /// Records a request after which `window` holds the recent ones.
+    pub fn record(&mut self, window: &ColdWindow) {
+        self.sent += 1;
+        self.peak = self.peak.max(window.sent.len());
+    }
+}
+
 impl ColdWindow {
+    /// Number of recent requests.
+    pub fn recent(&self, now: TimeStamp) -> usize {
+        let sent = self.sent.iter().filter(|sent| is_in_window(**sent, now));
+        sent.count()
+    }
+
     /// Whether one more request may be sent, with at most `limit` in a window.
     pub fn has_room(&self, limit: usize, now: TimeStamp) -> bool {
-        let sent = self.sent.iter().filter(|sent| is_in_window(**sent, now));
-        sent.count() < limit
+        self.recent(now) < limit
     }
 
     /// Records a request and drops those that have left the window.
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -3,7 +3,7 @@
 use crate::health::ResultKind;
 use crate::placement::breaker::CircuitBreaker;
 use crate::placement::cached::{CachedObjects, ObjectVisit, ServiceTimes};
-use crate::placement::cold::ColdWindow;
+use crate::placement::cold::{ColdUsage, ColdWindow};
 use crate::placement::load::LoadEstimate;
 use crate::placement::ranking::{KeptOrders, OrderKey};
 use crate::placement::shedding::ShedShare;
@@ -33,8 +33,10 @@
     pub region: String,
     /// When it stops being cold.
     pub cold_until: TimeStamp,
-    /// Recent requests sent to it while it was cold.
+    /// Recent requests sent to it.
     pub cold_window: ColdWindow,
+    /// Requests sent to it while it was cold, for the log.
+    pub cold_usage: ColdUsage,
     /// Its estimated load.
     pub load: LoadEstimate,
     /// Its circuit breaker.
@@ -202,6 +204,7 @@
             region,
             cold_until,
             cold_window: ColdWindow::default(),
+            cold_usage: ColdUsage::default(),
             load: LoadEstimate::default(),
             breaker: CircuitBreaker::default(),
             entry,
@@ -252,12 +255,30 @@
     pub fn begin(&mut self, key: TargetKey, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
             target.load.begin();
+            target.cold_window.record(now);
             if now < target.cold_until {
-                target.cold_window.record(now);
+                target.cold_usage.record(&target.cold_window);
             }
         }
     }
 
+    /// What this VM sent to each cold target since the last call, with the target's id.
+    pub fn take_cold_usage(&mut self) -> Vec<(String, ColdUsage)> {
+        let used = self.targets.values_mut();
+        let used = used.filter(|target| target.cold_usage.sent > 0);
+        used.map(|target| {
+            let usage = std::mem::take(&mut target.cold_usage);
+            (target.entry.id.clone(), usage)
+        })
+        .collect()
+    }
+
+    /// Number of recent requests of this VM to the target with an id.
+    pub fn recent_requests(&self, id: &str, now: TimeStamp) -> usize {
+        let target = self.by_id.get(id).and_then(|key| self.get(*key));
+        target.map_or(0, |target| target.cold_window.recent(now))
+    }
+
     /// Records the result of a request.
     pub fn finish(&mut self, key: TargetKey, result: TargetResult, now: TimeStamp) {
         let Some(target) = self.targets.get_mut(&key) else {
