--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod choice;
+mod cold_fleet;
 mod drain;
 mod faults;
 mod fleet;
