fix(steer): a VM has a part of cold targets' limits only once the others count it

Cause: each VM divided the limit by the number of VMs on its own list, from the first moment, one at least. A VM that starts, or restarts while registrations are gone, knows few others and took up to the whole limit; a VM that was cut off kept its part while the others had given it away. Class: a total divided by a local view of who divides it. Change: placement::senders. A VM is counted from when it is listed until 8 s after it was listed last, by name; it has a part only from 3.25 s after its registration was seen (others learn of it within 2 s, and what they sent leaves the window) and while its list was confirmed within 4 s by the store or by a VM. Whole requests are divided: where the limit does not go round, VMs rank by rendezvous for each target. Before, 13 VMs and more sent nothing.

--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -3,8 +3,8 @@
 
 use crate::clock;
 use crate::codec::KeyspaceRecord;
-use crate::control::ControlState;
 use crate::control::vms::{VMS_PREFIX, VmRecord};
+use crate::control::{ControlState, upstream};
 use crate::structured_log::EventClass;
 use dahliawood_model::FastSet;
 use dahliawood_model::catalog::FleetCatalog;
@@ -123,12 +123,18 @@
     state.shared.log.write(EventClass::State, "change", event);
 }
 
-/// Updates the number of VMs in this region, among which a cold target's rate is divided.
-pub fn update_vm_count(state: &ControlState) {
+/// Updates the VMs of this region among which the limits of cold targets are divided.
+pub fn update_senders(state: &ControlState) {
     let region = &state.shared.settings.region;
     let vms = state.shared.vms.load();
-    let count = vms.iter().filter(|vm| vm.region == *region).count();
-    state.shared.location().set_vms(count.max(1), clock::now());
+    let near = vms.iter().filter(|vm| vm.region == *region);
+    let now = clock::now();
+    let mut location = state.shared.location();
+    let senders = &mut location.senders;
+    senders.set_listed(near.map(|vm| vm.name.as_str()), now);
+    if upstream::is_current(state, now) {
+        senders.confirm(now);
+    }
 }
 
 /// Publishes the list of registered VMs.
@@ -145,7 +151,7 @@
     let names: Vec<&str> = vms.iter().map(|vm| vm.name.as_str()).collect();
     log_change(state, VMS_PREFIX, "vms", vms.len() as u64, names.join(" "));
     state.shared.vms.store(Arc::new(vms));
-    update_vm_count(state);
+    update_senders(state);
 }
 
 /// Publishes the evacuated failure domains, whose targets get no requests.
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -32,7 +32,10 @@
             continue;
         };
         match fetch_snapshot(&state, vm).await {
-            Ok(snapshot) => apply_snapshot(&state, snapshot),
+            Ok(snapshot) => {
+                apply_snapshot(&state, snapshot);
+                state.shared.location().senders.confirm(clock::now());
+            }
             Err(error) => {
                 state.peers.forget(vm.peer);
                 log::debug!(
--- a/dahliawood-gateway/src/control/upstream/mod.rs
+++ b/dahliawood-gateway/src/control/upstream/mod.rs
@@ -64,7 +64,7 @@
 }
 
 /// Whether this VM's copy follows the store, directly or through another VM.
-fn is_current(state: &ControlState, now: TimeStamp) -> bool {
+pub fn is_current(state: &ControlState, now: TimeStamp) -> bool {
     let current_until = state.current_until.get();
     state.is_confirmed.get() && current_until.is_none_or(|until| now < until)
 }
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -67,12 +67,7 @@
     /// State of a VM that has not read the key space yet.
     pub fn new(settings: GatewaySettings, codec: PlatformCodec, metrics: GatewayMetrics) -> Self {
         let (shutdown_sender, shutdown_started) = bounded(1);
-        let location = VmLocation {
-            domain: settings.domain.clone(),
-            region: settings.region.clone(),
-            vms: 1,
-            ..VmLocation::default()
-        };
+        let location = VmLocation::new(&settings.name, &settings.domain, &settings.region);
         let options = PoolOptions {
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -1,6 +1,7 @@
 //! Chooses the target for one request.
 
 use crate::placement::ranking::{self, OrderKey, TargetOrder};
+use crate::placement::senders::ColdSenders;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::table::{PlacementTable, TargetRecord};
 use crate::rendezvous;
@@ -13,42 +14,36 @@
 const SPREAD_TARGETS: usize = 3;
 /// A target this many times slower than its service's average is skipped.
 const SLOW_FACTOR: f64 = 3.0;
-/// Share of a cold target's limit that is used; the rest is a margin, as VMs may disagree on how
-/// many of them are live.
+/// Share of a cold target's limit that is used; the rest is a margin, as lists of VMs differ for a
+/// moment whenever one changes.
 const COLD_LIMIT_SHARE: f64 = 0.8;
 /// Minimum retry delay told to a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Retry delay told to a caller that is refused to shorten queues.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// How long a VM that has left the list is still counted as sending requests.
-const VM_COUNT_HOLD: Duration = Duration::from_secs(8);
 /// Minimum number of remote targets with fresh reports for an estimate of remote utilization.
 const MIN_REMOTE_TARGETS: usize = 3;
 /// Assumed share of the fleet's slots in use, for the initial spillover level of bulk requests.
 const ASSUMED_UTILIZATION: f64 = 0.4;
 
 /// Location of this VM.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct VmLocation {
     /// Its failure domain.
     pub domain: String,
     /// Its region.
     pub region: String,
-    /// VMs of its region that may be sending requests, including itself.
-    pub vms: usize,
-    /// Lower counts are ignored until then.
-    pub vms_hold_until: TimeStamp,
+    /// The VMs of its region that send requests to cold targets.
+    pub senders: ColdSenders,
 }
 
 impl VmLocation {
-    /// Sets the number of live VMs in the region. A VM that is leaving or whose registration lapsed
-    /// may still send requests, so a lower count takes effect only after a delay.
-    pub fn set_vms(&mut self, count: usize, now: TimeStamp) {
-        if count >= self.vms || now >= self.vms_hold_until {
-            self.vms = count;
-        }
-        if count >= self.vms {
-            self.vms_hold_until = now.after(VM_COUNT_HOLD);
+    /// Location of the VM with a name; it knows of no other VM yet.
+    pub fn new(name: &str, domain: &str, region: &str) -> Self {
+        Self {
+            domain: domain.to_owned(),
+            region: region.to_owned(),
+            senders: ColdSenders::new(name),
         }
     }
 }
@@ -293,7 +288,7 @@
 }
 
 /// Whether a target is warm, or is cold and its limit has room for one more request of this VM.
-/// Only VMs of the target's own region use it while cold, and they share its limit equally.
+/// Only VMs of the target's own region use it while cold.
 fn has_cold_capacity(
     target: &TargetRecord,
     location: &VmLocation,
@@ -303,8 +298,11 @@
     if now >= target.cold_until {
         return true;
     }
-    let limit = query.cold.per_second * COLD_LIMIT_SHARE / location.vms.max(1) as f64;
-    target.region == location.region && target.cold_window.has_room(limit as usize, now)
+    let limit = (query.cold.per_second * COLD_LIMIT_SHARE) as usize;
+    target.region == location.region && {
+        let part = location.senders.part(limit, target.hash, now);
+        target.cold_window.has_room(part, now)
+    }
 }
 
 /// Whether an object belongs to the share that goes to other regions.
--- a/dahliawood-steer/src/placement/cold/mod.rs
+++ b/dahliawood-steer/src/placement/cold/mod.rs
@@ -1,11 +1,12 @@
-//! Rate limit for requests to a cold target; the VMs of its region share the limit equally.
+//! The requests of this VM to a cold target within the window of the target's limit; which part of
+//! the limit this VM has is decided in [`crate::placement::senders`].
 
 use dahliawood_model::stamp::TimeStamp;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Sliding window for counting requests: one second, plus a margin for network delay.
-const WINDOW: Duration = Duration::from_millis(1_250);
+pub const WINDOW: Duration = Duration::from_millis(1_250);
 
 /// Recent requests of this VM to a target.
 #[derive(Clone, Debug, Default)]
