fix(gateway): VMs that know of no others do not each spend the fleet's retry budget

Change: a part starts empty and is filled by first tries only, and its size follows the number of VMs. The number is that of LimitSharers (was ColdSenders), by name and with its hold, here over the whole fleet.

--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -123,20 +123,28 @@
     state.shared.log.write(EventClass::State, "change", event);
 }
 
-/// Updates the VMs of this region among which the limits of cold targets are divided.
-pub fn update_senders(state: &ControlState) {
+/// Updates the VMs among which limits are divided: those of this region and those of the fleet.
+pub fn update_sharers(state: &ControlState) {
     let region = &state.shared.settings.region;
     let vms = state.shared.vms.load();
     let near = vms.iter().filter(|vm| vm.region == *region);
     let now = clock::now();
-    let mut location = state.shared.location();
-    let senders = &mut location.senders;
-    senders.set_listed(near.map(|vm| vm.name.as_str()), now);
+    let names = near.map(|vm| vm.name.as_str());
+    state.shared.location().sharers.set_listed(names, now);
+    let names = vms.iter().map(|vm| vm.name.as_str());
+    state.shared.fleet_sharers().set_listed(names, now);
     if upstream::is_current(state, now) {
-        senders.confirm(now);
+        confirm_sharers(state);
     }
 }
 
+/// Records that the list of VMs is current.
+pub fn confirm_sharers(state: &ControlState) {
+    let now = clock::now();
+    state.shared.location().sharers.confirm(now);
+    state.shared.fleet_sharers().confirm(now);
+}
+
 /// Publishes the list of registered VMs.
 fn publish_vms(state: &ControlState) {
     let view = state.view.borrow();
@@ -151,7 +159,7 @@
     let names: Vec<&str> = vms.iter().map(|vm| vm.name.as_str()).collect();
     log_change(state, VMS_PREFIX, "vms", vms.len() as u64, names.join(" "));
     state.shared.vms.store(Arc::new(vms));
-    update_senders(state);
+    update_sharers(state);
 }
 
 /// Publishes the evacuated failure domains, whose targets get no requests.
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -34,7 +34,7 @@
         match fetch_snapshot(&state, vm).await {
             Ok(snapshot) => {
                 apply_snapshot(&state, snapshot);
-                state.shared.location().senders.confirm(clock::now());
+                apply::confirm_sharers(&state);
             }
             Err(error) => {
                 state.peers.forget(vm.peer);
--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -28,7 +28,7 @@
     loop {
         task::sleep(spillover::STEP_INTERVAL).await;
         let now = clock::now();
-        apply::update_senders(&state);
+        apply::update_sharers(&state);
         choose::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
         log_cold_usage(&state);
         let expired = state.view.borrow_mut().expire(now);
@@ -41,7 +41,7 @@
 }
 
 fn log_cold_usage(state: &ControlState) {
-    let vms = state.shared.location().senders.count();
+    let vms = state.shared.location().sharers.count();
     let used = state.shared.placement().take_cold_usage();
     for (target, usage) in &used {
         state
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -14,6 +14,7 @@
 use dahliawood_quota::window::CustomerWindows;
 use dahliawood_request::retry::RetryBudget;
 use dahliawood_steer::placement::choose::VmLocation;
+use dahliawood_steer::placement::sharers::LimitSharers;
 use dahliawood_steer::placement::table::PlacementTable;
 use dahliawood_steer::split::round_robin::RoundRobin;
 use dahliawood_wire::pool::{PoolOptions, TargetPool};
@@ -50,6 +51,7 @@
     pub admission_queue: AdmissionQueue,
     placement: Mutex<PlacementTable>,
     location: Mutex<VmLocation>,
+    fleet_sharers: Mutex<LimitSharers>,
     budgets: Mutex<FastMap<String, RetryBudget>>,
     splits: Mutex<FastMap<String, RoundRobin>>,
     windows: Mutex<CustomerWindows>,
@@ -84,6 +86,7 @@
             admission_queue: AdmissionQueue::default(),
             placement: Mutex::new(PlacementTable::new(settings.regions.clone())),
             location: Mutex::new(location),
+            fleet_sharers: Mutex::new(LimitSharers::new(&settings.name)),
             budgets: Mutex::default(),
             splits: Mutex::default(),
             windows: Mutex::new(CustomerWindows::new(settings.bounds.quota_window)),
@@ -107,6 +110,11 @@
         lock(&self.location)
     }
 
+    /// The VMs that divide limits of the whole fleet.
+    pub fn fleet_sharers(&self) -> MutexGuard<'_, LimitSharers> {
+        lock(&self.fleet_sharers)
+    }
+
     /// Each customer's requests on this VM within the rate-limit window.
     pub fn windows(&self) -> MutexGuard<'_, CustomerWindows> {
         lock(&self.windows)
@@ -124,20 +132,18 @@
 
     /// Calls `work` with a service's retry budget, which is this VM's part of the fleet's budget.
     pub fn with_budget<T>(&self, service: &str, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let vms = self.fleet_sharers().count().max(1) as f64;
+        let burst = (bounds.retry_extra / vms) as u32;
         let mut budgets = lock(&self.budgets);
-        let budget = budgets
-            .entry(service.to_owned())
-            .or_insert_with(|| self.new_budget());
+        let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
+            let percent = (bounds.retry_ratio * 100.0) as u32;
+            RetryBudget::empty(percent, burst)
+        });
+        budget.set_burst(burst);
         work(budget)
     }
 
-    fn new_budget(&self) -> RetryBudget {
-        let bounds = &self.settings.bounds;
-        let vms = self.vms.load().len().max(1) as f64;
-        let percent = (bounds.retry_ratio * 100.0) as u32;
-        RetryBudget::new(percent, (bounds.retry_extra / vms) as u32)
-    }
-
     /// Whether the VM is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Acquire)
--- a/dahliawood-request/src/retry/mod.rs
+++ b/dahliawood-request/src/retry/mod.rs
@@ -32,6 +32,21 @@
         }
     }
 
+    /// A budget of which nothing is saved up yet. For one that is a part of a fleet's budget: VMs
+    /// that start, or do not know all others yet, together spend no more than first tries earn.
+    pub fn empty(percent: u32, burst: u32) -> Self {
+        Self {
+            balance: 0,
+            ..Self::new(percent, burst)
+        }
+    }
+
+    /// Sets how many retries may be saved up; more are lost.
+    pub fn set_burst(&mut self, burst: u32) {
+        self.capacity = u64::from(burst) * RETRY_COST;
+        self.balance = self.balance.min(self.capacity);
+    }
+
     /// Adds the credit of one first try.
     pub fn earn(&mut self) {
         let earned = u64::from(self.percent) * PERCENT;
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -1,7 +1,7 @@
 //! Chooses the target for one request.
 
 use crate::placement::ranking::{self, OrderKey, TargetOrder};
-use crate::placement::senders::ColdSenders;
+use crate::placement::sharers::LimitSharers;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::table::{PlacementTable, TargetRecord};
 use crate::rendezvous;
@@ -33,8 +33,8 @@
     pub domain: String,
     /// Its region.
     pub region: String,
-    /// The VMs of its region that send requests to cold targets.
-    pub senders: ColdSenders,
+    /// The VMs of its region, which divide the limits of its cold targets.
+    pub sharers: LimitSharers,
 }
 
 impl VmLocation {
@@ -43,7 +43,7 @@
         Self {
             domain: domain.to_owned(),
             region: region.to_owned(),
-            senders: ColdSenders::new(name),
+            sharers: LimitSharers::new(name),
         }
     }
 }
@@ -300,7 +300,7 @@
     }
     let limit = (query.cold.per_second * COLD_LIMIT_SHARE) as usize;
     target.region == location.region && {
-        let part = location.senders.part(limit, target.hash, now);
+        let part = location.sharers.part(limit, target.hash, now);
         target.cold_window.has_room(part, now)
     }
 }
--- a/dahliawood-steer/src/placement/cold/mod.rs
+++ b/dahliawood-steer/src/placement/cold/mod.rs
@@ -1,5 +1,5 @@
 //! The requests of this VM to a cold target within the window of the target's limit; which part of
-//! the limit this VM has is decided in [`crate::placement::senders`].
+//! the limit this VM has is decided in [`crate::placement::sharers`].
 
 use dahliawood_model::stamp::TimeStamp;
 use std::collections::VecDeque;
--- a/dahliawood-steer/src/placement/senders/mod.rs
+++ b/dahliawood-steer/src/placement/sharers/mod.rs
@@ -1,8 +1,9 @@
-//! Which VMs of a region may send requests to its cold targets, and how many each.
+//! Which VMs divide a limit, and which part of it each has: the limit of a region's cold target, or
+//! one of the whole fleet.
 //!
 //! No VM decides this for the others, and lists of VMs differ: a VM that has just started, or one that
 //! was cut off, knows fewer VMs than there are. The parts still add up to no more than the limit,
-//! because a VM counts longer with the others than it sends: it has no part before the others have
+//! because a VM counts longer with the others than it has a part: it has no part before the others have
 //! had time to learn of it, none while it is not registered, and none once its list is outdated; and
 //! one that is missing from the list is counted for a while.
 //!
@@ -27,9 +28,9 @@
 /// outdated list.
 const COUNT_HOLD: Duration = Duration::from_secs(8);
 
-/// The VMs among which the limits of a region's cold targets are divided, as one VM knows them.
+/// The VMs among which a limit is divided, as one VM knows them.
 #[derive(Clone, Debug)]
-pub struct ColdSenders {
+pub struct LimitSharers {
     /// Hash of this VM's name.
     own: u64,
     /// When each VM was on the list last, by the hash of its name.
@@ -40,7 +41,7 @@
     confirmed_at: TimeStamp,
 }
 
-impl ColdSenders {
+impl LimitSharers {
     /// The VM named `own`, which knows of no registration yet.
     pub fn new(own: &str) -> Self {
         Self {
@@ -51,7 +52,7 @@
         }
     }
 
-    /// Takes over the names of the region's registered VMs.
+    /// Takes over the names of the registered VMs.
     pub fn set_listed<'a>(&mut self, names: impl Iterator<Item = &'a str>, now: TimeStamp) {
         let hashes = names.map(|name| rendezvous::name_hash(name.as_bytes()));
         self.listed_at.extend(hashes.map(|hash| (hash, now)));
@@ -68,12 +69,12 @@
         self.confirmed_at = now;
     }
 
-    /// Number of VMs among which limits are divided.
+    /// Number of VMs among which the limit is divided.
     pub fn count(&self) -> usize {
         self.listed_at.len()
     }
 
-    /// Whether this VM has a part of limits.
+    /// Whether this VM has a part of the limit.
     pub fn is_admitted(&self, now: TimeStamp) -> bool {
         let is_known = |since: TimeStamp| now.since(since) >= ADMISSION_DELAY;
         self.registered_since.is_some_and(is_known) && now.since(self.confirmed_at) < LIST_LIFETIME
--- a/dahliawood-steer/tests/main/cold_fleet.rs
+++ b/dahliawood-steer/tests/main/cold_fleet.rs
@@ -103,10 +103,10 @@
     let listed = registered.iter().enumerate();
     let listed = listed.filter(|(_, is_registered)| **is_registered);
     let names: Vec<String> = listed.map(|(vm, _)| name(vm)).collect();
-    let senders = &mut vm.location.senders;
-    senders.set_listed(names.iter().map(String::as_str), now);
+    let sharers = &mut vm.location.sharers;
+    sharers.set_listed(names.iter().map(String::as_str), now);
     if is_current {
-        senders.confirm(now);
+        sharers.confirm(now);
     }
 }
 
--- a/dahliawood-steer/tests/main/placement.rs
+++ b/dahliawood-steer/tests/main/placement.rs
@@ -11,7 +11,7 @@
     self, ColdLimit, PlacementChoice, PlacementQuery, VmLocation,
 };
 use dahliawood_steer::placement::ranking::{self, OrderKey};
-use dahliawood_steer::placement::senders::ColdSenders;
+use dahliawood_steer::placement::sharers::LimitSharers;
 use dahliawood_steer::placement::spillover;
 use dahliawood_steer::placement::table::{PlacementTable, TargetResult};
 use dahliawood_steer::rendezvous;
@@ -43,10 +43,10 @@
     let mut location = VmLocation::new(&name(number), domain, &regions()[domain]);
     let names: Vec<String> = (0..vms).map(name).collect();
     let listed = || names.iter().map(String::as_str);
-    let senders = &mut location.senders;
-    senders.set_listed(listed(), START.before(Duration::from_secs(60)));
-    senders.set_listed(listed(), START);
-    senders.confirm(START.after(Duration::from_secs(60)));
+    let sharers = &mut location.sharers;
+    sharers.set_listed(listed(), START.before(Duration::from_secs(60)));
+    sharers.set_listed(listed(), START);
+    sharers.confirm(START.after(Duration::from_secs(60)));
     location
 }
 
@@ -257,44 +257,44 @@
 #[test]
 fn a_vm_that_left_the_list_still_counts_for_cold_targets() {
     let after = |seconds| START.after(Duration::from_secs(seconds));
-    let mut senders = ColdSenders::new("vm-0");
-    senders.set_listed(["vm-0", "vm-1", "vm-2", "vm-3"].into_iter(), START);
-    senders.set_listed(["vm-0", "vm-1", "vm-2"].into_iter(), after(5));
-    assert_eq!(senders.count(), 4);
-    senders.set_listed(["vm-0", "vm-1", "vm-4"].into_iter(), after(7));
+    let mut sharers = LimitSharers::new("vm-0");
+    sharers.set_listed(["vm-0", "vm-1", "vm-2", "vm-3"].into_iter(), START);
+    sharers.set_listed(["vm-0", "vm-1", "vm-2"].into_iter(), after(5));
+    assert_eq!(sharers.count(), 4);
+    sharers.set_listed(["vm-0", "vm-1", "vm-4"].into_iter(), after(7));
     assert_eq!(
-        senders.count(),
+        sharers.count(),
         5,
         "one that left is counted beside one that came"
     );
-    senders.set_listed(["vm-0", "vm-1", "vm-4"].into_iter(), after(9));
-    assert_eq!(senders.count(), 4);
+    sharers.set_listed(["vm-0", "vm-1", "vm-4"].into_iter(), after(9));
+    assert_eq!(sharers.count(), 4);
 }
 
 #[test]
 fn a_vm_has_a_part_of_cold_targets_only_while_it_is_registered_and_its_list_is_current() {
     let after = |seconds| START.after(Duration::from_secs(seconds));
-    let mut senders = ColdSenders::new("vm-0");
-    senders.confirm(START);
-    senders.set_listed(["vm-0"].into_iter(), START);
-    assert!(!senders.is_admitted(after(2)), "just registered");
-    assert!(senders.is_admitted(after(3).after(Duration::from_millis(300))));
-    assert!(!senders.is_admitted(after(5)), "not confirmed");
-    senders.confirm(after(5));
-    assert!(senders.is_admitted(after(5)));
-    senders.set_listed(["vm-1"].into_iter(), after(6));
-    assert!(!senders.is_admitted(after(6)), "its registration is gone");
-    senders.set_listed(["vm-0", "vm-1"].into_iter(), after(7));
-    senders.confirm(after(8));
-    assert!(!senders.is_admitted(after(8)), "just registered again");
+    let mut sharers = LimitSharers::new("vm-0");
+    sharers.confirm(START);
+    sharers.set_listed(["vm-0"].into_iter(), START);
+    assert!(!sharers.is_admitted(after(2)), "just registered");
+    assert!(sharers.is_admitted(after(3).after(Duration::from_millis(300))));
+    assert!(!sharers.is_admitted(after(5)), "not confirmed");
+    sharers.confirm(after(5));
+    assert!(sharers.is_admitted(after(5)));
+    sharers.set_listed(["vm-1"].into_iter(), after(6));
+    assert!(!sharers.is_admitted(after(6)), "its registration is gone");
+    sharers.set_listed(["vm-0", "vm-1"].into_iter(), after(7));
+    sharers.confirm(after(8));
+    assert!(!sharers.is_admitted(after(8)), "just registered again");
 }
 
 #[test]
 fn parts_of_a_cold_limit_add_up_to_the_limit() {
     for (limit, vms) in [(12, 1), (12, 5), (12, 31), (0, 3), (200, 31)] {
         let part = |vm| {
-            let senders = numbered_location("a-1", vm, vms).senders;
-            senders.part(limit, 17, START)
+            let sharers = numbered_location("a-1", vm, vms).sharers;
+            sharers.part(limit, 17, START)
         };
         assert_eq!((0..vms).map(part).sum::<usize>(), limit);
     }
