fix(gateway): VMs whose registrations are lost do not each use the even part of customers' limits

It is divided by LimitSharers' count now, which holds a VM for 8 s after it was listed last. Tried and dropped: no even part before a VM's own registration is seen.

--- a/dahliawood-gateway/src/control/shares/mod.rs
+++ b/dahliawood-gateway/src/control/shares/mod.rs
@@ -114,13 +114,12 @@
         return Vec::new();
     };
     let now = clock::now();
-    let vms = state.shared.vms.load().len();
     let need = |customer: &CatalogCustomer| {
         let waiting = waiting.get(&customer.name).map_or(0, Vec::len);
         if customer.rate <= 0.0 || (waiting == 0 && !is_complete) {
             return None;
         }
-        need(state, customer, waiting as f64, vms, now)
+        need(state, customer, waiting as f64, now)
     };
     catalog.customers.values().filter_map(need).collect()
 }
@@ -130,7 +129,6 @@
     state: &ControlState,
     customer: &CatalogCustomer,
     waiting: f64,
-    vms: usize,
     now: TimeStamp,
 ) -> Option<CustomerNeed> {
     let name = &customer.name;
@@ -154,7 +152,7 @@
         demand,
         waiting,
     };
-    let need = usage.need(vms);
+    let need = usage.need(state.shared.even_fraction());
     Some(CustomerNeed {
         customer: name.clone(),
         demand: demand as f32,
--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -216,8 +216,8 @@
 
 /// Requests of a customer that this VM may admit per window.
 fn local_limit(state: &GatewayState, customer: &CatalogCustomer, now: TimeStamp) -> f64 {
-    let vms = state.vms.load().len();
-    let fraction = state.allocations().usable(&customer.name, vms, now);
+    let even = state.even_fraction();
+    let fraction = state.allocations().usable(&customer.name, even, now);
     fleet_limit(state, customer) * fraction
 }
 
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -10,7 +10,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use dahliawood_model::FastMap;
 use dahliawood_model::catalog::FleetCatalog;
-use dahliawood_quota::allocation::local::LocalAllocations;
+use dahliawood_quota::allocation::local::{self, LocalAllocations};
 use dahliawood_quota::window::CustomerWindows;
 use dahliawood_request::retry::RetryBudget;
 use dahliawood_steer::placement::choose::VmLocation;
@@ -125,6 +125,11 @@
         lock(&self.allocations)
     }
 
+    /// The fraction of each customer's limit that this VM may use without an allocation.
+    pub fn even_fraction(&self) -> f64 {
+        local::even_fraction(self.fleet_sharers().count())
+    }
+
     /// State of the weighted split of each route that has several services.
     pub fn splits(&self) -> MutexGuard<'_, FastMap<String, RoundRobin>> {
         lock(&self.splits)
@@ -138,7 +143,7 @@
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
             let percent = (bounds.retry_ratio * 100.0) as u32;
-            RetryBudget::empty(percent, burst)
+            RetryBudget::starting(percent, burst)
         });
         budget.set_burst(burst);
         work(budget)
--- a/dahliawood-quota/src/allocation/local/mod.rs
+++ b/dahliawood-quota/src/allocation/local/mod.rs
@@ -57,12 +57,12 @@
 }
 
 impl LimitUsage {
-    /// What this VM, one of `vms`, needs beyond its even fraction.
-    pub fn need(&self, vms: usize) -> AllocationNeed {
+    /// What this VM needs beyond its `even` fraction.
+    pub fn need(&self, even: f64) -> AllocationNeed {
         let per_request = 1.0 / self.limit.max(1.0);
         // Rounded down: an allocation of less than one request cannot be used.
         let ahead = (self.demand * LOOKAHEAD.as_secs_f64()).floor() + self.waiting;
-        let beyond_even = |requests: f64| (requests * per_request - even_fraction(vms)).max(0.0);
+        let beyond_even = |requests: f64| (requests * per_request - even).max(0.0);
         AllocationNeed {
             used: beyond_even(self.admitted),
             requested: beyond_even(self.admitted + ahead),
@@ -111,8 +111,8 @@
         })
     }
 
-    /// The fraction of a customer's limit that this VM may use when `vms` VMs are live.
-    pub fn usable(&self, customer: &str, vms: usize, now: TimeStamp) -> f64 {
-        even_fraction(vms) + self.held(customer, now)
+    /// The fraction of a customer's limit that this VM may use, its `even` fraction included.
+    pub fn usable(&self, customer: &str, even: f64, now: TimeStamp) -> f64 {
+        even + self.held(customer, now)
     }
 }
--- a/dahliawood-quota/tests/quota/allocation/mod.rs
+++ b/dahliawood-quota/tests/quota/allocation/mod.rs
@@ -5,7 +5,7 @@
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::allocation::EVEN_FRACTION;
 use dahliawood_quota::allocation::coordinator::{AllocationCoordinator, ReportSource, UsageReport};
-use dahliawood_quota::allocation::local::{LimitUsage, LocalAllocations};
+use dahliawood_quota::allocation::local::{LimitUsage, LocalAllocations, even_fraction};
 use dahliawood_quota::window::CustomerWindows;
 use proptest::prelude::{Just, Strategy, any, prop, prop_assert, prop_oneof};
 use rand::rngs::StdRng;
@@ -89,7 +89,7 @@
 
     /// Admits as many of `requests` requests as the VM may, and returns their number.
     fn send(&mut self, requests: u16, limit: f64, vms: usize, now: TimeStamp) -> usize {
-        let max_requests = limit * self.allocations.usable(CUSTOMER, vms, now);
+        let max_requests = limit * self.allocations.usable(CUSTOMER, even_fraction(vms), now);
         let admit = |_: &u16| self.windows.admit(CUSTOMER, max_requests, now).is_ok();
         (0..requests).filter(admit).count()
     }
@@ -110,7 +110,7 @@
             customer: CUSTOMER.to_owned(),
             demand,
             fraction: self.allocations.held(CUSTOMER, now),
-            need: usage.need(vms),
+            need: usage.need(even_fraction(vms)),
             total: self.allocations.total(CUSTOMER, WINDOW, now),
         }
     }
@@ -172,7 +172,7 @@
     }
 
     fn usable_sum(&self, now: TimeStamp) -> f64 {
-        let usable = |vm: &TestVm| vm.allocations.usable(CUSTOMER, VMS, now);
+        let usable = |vm: &TestVm| vm.allocations.usable(CUSTOMER, even_fraction(VMS), now);
         self.vms.iter().map(usable).sum()
     }
 
@@ -316,10 +316,14 @@
 fn allocations_follow_demand_within_a_window_when_the_limit_is_used_up() {
     let mut fleet = TestFleet::new();
     run_reports(&mut fleet, 0..40, 10, 10);
-    let even = fleet.vms[VMS - 1].allocations.usable(CUSTOMER, VMS, at(40));
+    let even = fleet.vms[VMS - 1]
+        .allocations
+        .usable(CUSTOMER, even_fraction(VMS), at(40));
     assert!((even - 1.0 / VMS as f64).abs() < 0.02, "{even}");
     run_reports(&mut fleet, 40..64, 10, 150);
-    let busy = fleet.vms[VMS - 1].allocations.usable(CUSTOMER, VMS, at(64));
+    let busy = fleet.vms[VMS - 1]
+        .allocations
+        .usable(CUSTOMER, even_fraction(VMS), at(64));
     assert!(
         busy > 0.55,
         "the VM with three quarters of the demand may use {busy}"
--- a/dahliawood-request/src/retry/mod.rs
+++ b/dahliawood-request/src/retry/mod.rs
@@ -32,12 +32,13 @@
         }
     }
 
-    /// A budget of which nothing is saved up yet. For one that is a part of a fleet's budget: VMs
-    /// that start, or do not know all others yet, together spend no more than first tries earn.
-    pub fn empty(percent: u32, burst: u32) -> Self {
+    /// A budget with one retry saved up. For one that is a part of a fleet's budget: VMs that start,
+    /// or do not know all others yet, together spend little more than first tries earn.
+    pub fn starting(percent: u32, burst: u32) -> Self {
+        let full = Self::new(percent, burst);
         Self {
-            balance: 0,
-            ..Self::new(percent, burst)
+            balance: full.balance.min(RETRY_COST),
+            ..full
         }
     }
 
--- a/dahliawood-steer/src/placement/sharers/mod.rs
+++ b/dahliawood-steer/src/placement/sharers/mod.rs
@@ -77,7 +77,8 @@
     /// Whether this VM has a part of the limit.
     pub fn is_admitted(&self, now: TimeStamp) -> bool {
         let is_known = |since: TimeStamp| now.since(since) >= ADMISSION_DELAY;
-        self.registered_since.is_some_and(is_known) && now.since(self.confirmed_at) < LIST_LIFETIME
+        let is_registered = self.registered_since.is_some_and(is_known);
+        is_registered && now.since(self.confirmed_at) < LIST_LIFETIME
     }
 
     /// This VM's part of a target's `limit`, in whole requests; the target is given by the hash of
