--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -66,6 +66,7 @@
 struct InstanceState {
     fault: InstanceFault,
     processing_time: Duration,
+    stated_limit: Option<f64>,
     runs: Vec<RunRequest>,
     disconnects: usize,
 }
@@ -111,6 +112,11 @@
         self.lock().processing_time = processing_time;
     }
 
+    /// Sets the requests a second, from all VMs together, that the target states in its responses.
+    pub fn set_stated_limit(&self, limit: Option<f64>) {
+        self.lock().stated_limit = limit;
+    }
+
     /// The requests that the target ran, in the order of their arrival.
     pub fn runs(&self) -> Vec<RunRequest> {
         self.lock().runs.clone()
@@ -174,10 +180,10 @@
         let header = |name: &str| head.fields.get(name).unwrap_or_default().to_owned();
         let mut state = self.lock();
         if header("X-Dahliawood-Expected-Instance") != self.id {
-            return (not_executed(421), false);
+            return (not_executed(421, &state), false);
         }
         if state.fault == InstanceFault::Overloaded {
-            return (not_executed(503), false);
+            return (not_executed(503, &state), false);
         }
         let attempt = header("X-Dahliawood-Attempt-Id");
         let text = match head.target.contains(ECHO_PATH) {
@@ -185,9 +191,10 @@
             false => format!("run by {}", self.id),
         };
         let at = Instant::now();
+        let statements = statements(&state);
         state.runs.push(RunRequest { head, body, at });
         let response = |attempt: &str, status| {
-            let mut fields = FieldList::default();
+            let mut fields = statements.clone();
             fields.push("X-Dahliawood-Attempt-Id", attempt);
             fields.push("X-Dahliawood-Response-Signature", "signature");
             fields.push("X-Dahliawood-Server-Load", "1,0,3");
@@ -209,8 +216,17 @@
     }
 }
 
-fn not_executed(status: u16) -> Vec<u8> {
+/// The header fields by which a target tells of itself in each response.
+fn statements(state: &InstanceState) -> FieldList {
     let mut fields = FieldList::default();
+    if let Some(limit) = state.stated_limit {
+        fields.push("Server-Limit", limit.to_string());
+    }
+    fields
+}
+
+fn not_executed(status: u16, state: &InstanceState) -> Vec<u8> {
+    let mut fields = statements(state);
     fields.push("X-Dahliawood-Not-Executed", "1");
     write::response(status, &fields, b"", false)
 }
