fix(steer): VMs that a target told of a limit stay within it together

Cause: no header of a target's response was read that says so. Class: what a target says of itself is not heard. Ruled out: too small a divisor (the rate did not fall at all), retries (the same). Change: all that a target says of itself in a response is decoded at one place into TargetReport (load, cold, limit), and counts only in responses that the target made itself. placement::stated_limit paces each VM that was told: VMs of the target's region divide the limit in whole requests of 4 s by LimitSharers; a VM without a part sends one request now and then, spread by rank, a quarter of the limit over all of them, to learn that it is lifted. No message between VMs.

--- a/dahliawood-gateway/src/codec/mod.rs
+++ b/dahliawood-gateway/src/codec/mod.rs
@@ -1,7 +1,7 @@
 //! Interface to a platform's message formats: functions that decode and encode its messages, and
 //! the types that they return and take.
 
-use dahliawood_model::catalog::{FleetCatalog, TargetEntry, TargetLoad};
+use dahliawood_model::catalog::{FleetCatalog, TargetEntry, TargetReport};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_wire::raw::fields::FieldList;
 use dahliawood_wire::raw::head::{RequestHead, ResponseHead};
@@ -52,7 +52,7 @@
 }
 
 /// Metadata from the head of a target's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the try that the response belongs to.
     pub attempt_id: Option<String>,
@@ -62,10 +62,8 @@
     pub has_not_run: bool,
     /// Whether the address now belongs to a target other than the one that the request named.
     pub is_misdirected: bool,
-    /// The target's reported load.
-    pub load: Option<TargetLoad>,
-    /// How much longer the target stays cold (in its start-up phase).
-    pub cold_for: Option<Duration>,
+    /// What the target says of itself.
+    pub report: TargetReport,
 }
 
 /// A call that the VM answers itself.
--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -129,10 +129,13 @@
     let vms = state.shared.vms.load();
     let near = vms.iter().filter(|vm| vm.region == *region);
     let now = clock::now();
-    let names = near.map(|vm| vm.name.as_str());
-    state.shared.location().sharers.set_listed(names, now);
-    let names = vms.iter().map(|vm| vm.name.as_str());
-    state.shared.fleet_sharers().set_listed(names, now);
+    {
+        let mut location = state.shared.location();
+        let near = near.map(|vm| vm.name.as_str());
+        location.sharers.set_listed(near, now);
+        let all = vms.iter().map(|vm| vm.name.as_str());
+        location.fleet_sharers.set_listed(all, now);
+    }
     if upstream::is_current(state, now) {
         confirm_sharers(state);
     }
@@ -141,8 +144,9 @@
 /// Records that the list of VMs is current.
 pub fn confirm_sharers(state: &ControlState) {
     let now = clock::now();
-    state.shared.location().sharers.confirm(now);
-    state.shared.fleet_sharers().confirm(now);
+    let mut location = state.shared.location();
+    location.sharers.confirm(now);
+    location.fleet_sharers.confirm(now);
 }
 
 /// Publishes the list of registered VMs.
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -10,7 +10,7 @@
 use crate::state::GatewayState;
 use crate::structured_log::EventClass;
 use crate::target_call::{self, CallFailure, TargetCall, TargetResponse};
-use dahliawood_model::catalog::{CatalogRoute, FleetCatalog, RequestKind};
+use dahliawood_model::catalog::{CatalogRoute, FleetCatalog, RequestKind, TargetReport};
 use dahliawood_model::keys::{CustomerKey, RouteKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_request::retry::RetryBudget;
@@ -121,6 +121,7 @@
 struct TryGuard<'a> {
     state: &'a GatewayState,
     key: TargetKey,
+    target_id: &'a str,
     started: TimeStamp,
     result: TargetResult,
 }
@@ -129,7 +130,10 @@
     fn drop(&mut self) {
         let now = clock::now();
         self.result.latency = now.since(self.started);
-        self.state.placement().finish(self.key, self.result, now);
+        let is_new = self.state.placement().finish(self.key, self.result, now);
+        if let (true, Some(report)) = (is_new, self.result.report) {
+            self.state.log_statement(self.target_id, &report);
+        }
     }
 }
 
@@ -237,11 +241,12 @@
         let mut guard = TryGuard {
             state: self.state,
             key: target.key,
+            target_id: &target.id,
             started: now,
             result: TargetResult {
                 kind: ResultKind::Cancelled,
                 latency: Duration::ZERO,
-                load: None,
+                report: None,
                 visit: target.visit,
                 slack: self.route().target_latency.saturating_sub(service_time),
             },
@@ -265,7 +270,7 @@
         let result = target_call::send(self.state, &call).await;
         guard.result.kind = match &result {
             Ok(response) => {
-                guard.result.load = response.metadata.load;
+                guard.result.report = own_report(response);
                 classify(response)
             }
             Err(failure) => failure.kind,
@@ -362,6 +367,13 @@
     }
 }
 
+/// What the target says of itself in a response that it produced itself.
+fn own_report(response: &TargetResponse) -> Option<TargetReport> {
+    let metadata = &response.metadata;
+    let is_own = !metadata.is_misdirected && (metadata.is_signed || metadata.has_not_run);
+    is_own.then_some(metadata.report)
+}
+
 /// What a response says about its target's health.
 fn classify(response: &TargetResponse) -> ResultKind {
     let metadata = &response.metadata;
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -1,6 +1,8 @@
 //! Prometheus metrics of a gateway: counters, a latency histogram and a gauge.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 use std::time::Duration;
 
 /// Upper bounds of the latency histogram, seconds.
@@ -18,6 +20,8 @@
     pub store_calls: IntCounterVec,
     /// Look-ups, by outcome.
     pub lookups: IntCounterVec,
+    /// Times that a target newly said something of itself.
+    pub statements: IntCounter,
     /// Time from the head of a request to its response, seconds.
     pub latency: Histogram,
     /// Number of requests being served.
@@ -44,6 +48,11 @@
             &["call", "outcome"],
         )?;
         let lookups = counter("lookups_total", "Look-ups.", &["outcome"])?;
+        let statements = IntCounter::new(
+            "statements_total",
+            "Times that a target newly said something of itself.",
+        )?;
+        registry.register(Box::new(statements.clone()))?;
         let options = HistogramOpts::new("request_seconds", "From a request to its answer.");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -55,6 +64,7 @@
             sends,
             store_calls,
             lookups,
+            statements,
             latency,
             in_flight,
         })
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -5,19 +5,19 @@
 use crate::control::vms::VmRecord;
 use crate::metrics::GatewayMetrics;
 use crate::settings::GatewaySettings;
-use crate::structured_log::StructuredLog;
+use crate::structured_log::{EventClass, StructuredLog};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_std::channel::{Receiver, Sender, bounded};
 use dahliawood_model::FastMap;
-use dahliawood_model::catalog::FleetCatalog;
+use dahliawood_model::catalog::{FleetCatalog, TargetReport};
 use dahliawood_quota::allocation::local::{self, LocalAllocations};
 use dahliawood_quota::window::CustomerWindows;
 use dahliawood_request::retry::RetryBudget;
 use dahliawood_steer::placement::choose::VmLocation;
-use dahliawood_steer::placement::sharers::LimitSharers;
 use dahliawood_steer::placement::table::PlacementTable;
 use dahliawood_steer::split::round_robin::RoundRobin;
 use dahliawood_wire::pool::{PoolOptions, TargetPool};
+use serde::Serialize;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -29,6 +29,14 @@
 /// TCP user timeout: how long sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Log event for what a target newly says of itself.
+#[derive(Serialize)]
+struct StatementEvent<'a> {
+    target: &'a str,
+    /// Requests a second from all VMs, nothing if it states none any more.
+    limit: Option<f64>,
+}
+
 /// State shared by the threads; locks are held for a few instructions and never across an await.
 #[derive(derive_more::Debug)]
 #[debug("GatewayState({})", settings.name)]
@@ -51,7 +59,6 @@
     pub admission_queue: AdmissionQueue,
     placement: Mutex<PlacementTable>,
     location: Mutex<VmLocation>,
-    fleet_sharers: Mutex<LimitSharers>,
     budgets: Mutex<FastMap<String, RetryBudget>>,
     splits: Mutex<FastMap<String, RoundRobin>>,
     windows: Mutex<CustomerWindows>,
@@ -86,7 +93,6 @@
             admission_queue: AdmissionQueue::default(),
             placement: Mutex::new(PlacementTable::new(settings.regions.clone())),
             location: Mutex::new(location),
-            fleet_sharers: Mutex::new(LimitSharers::new(&settings.name)),
             budgets: Mutex::default(),
             splits: Mutex::default(),
             windows: Mutex::new(CustomerWindows::new(settings.bounds.quota_window)),
@@ -110,11 +116,6 @@
         lock(&self.location)
     }
 
-    /// The VMs that divide limits of the whole fleet.
-    pub fn fleet_sharers(&self) -> MutexGuard<'_, LimitSharers> {
-        lock(&self.fleet_sharers)
-    }
-
     /// Each customer's requests on this VM within the rate-limit window.
     pub fn windows(&self) -> MutexGuard<'_, CustomerWindows> {
         lock(&self.windows)
@@ -127,7 +128,7 @@
 
     /// The fraction of each customer's limit that this VM may use without an allocation.
     pub fn even_fraction(&self) -> f64 {
-        local::even_fraction(self.fleet_sharers().count())
+        local::even_fraction(self.location().fleet_sharers.count())
     }
 
     /// State of the weighted split of each route that has several services.
@@ -138,7 +139,7 @@
     /// Calls `work` with a service's retry budget, which is this VM's part of the fleet's budget.
     pub fn with_budget<T>(&self, service: &str, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let bounds = &self.settings.bounds;
-        let vms = self.fleet_sharers().count().max(1) as f64;
+        let vms = self.location().fleet_sharers.count().max(1) as f64;
         let burst = (bounds.retry_extra / vms) as u32;
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
@@ -149,6 +150,16 @@
         work(budget)
     }
 
+    /// Logs and counts what a target newly says of itself.
+    pub fn log_statement(&self, target: &str, report: &TargetReport) {
+        self.metrics.statements.inc();
+        let event = || StatementEvent {
+            target,
+            limit: report.limit,
+        };
+        self.log.write(EventClass::State, "statement", event);
+    }
+
     /// Whether the VM is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Acquire)
--- a/dahliawood-model/src/catalog/mod.rs
+++ b/dahliawood-model/src/catalog/mod.rs
@@ -200,3 +200,14 @@
     /// When the response arrived.
     pub received_at: TimeStamp,
 }
+
+/// What a target says of itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetReport {
+    /// Its load.
+    pub load: Option<TargetLoad>,
+    /// Requests a second that it takes from all VMs together, `None` for no such limit.
+    pub limit: Option<f64>,
+    /// How much longer it stays cold, `None` if it does not say.
+    pub cold_for: Option<Duration>,
+}
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -35,6 +35,8 @@
     pub region: String,
     /// The VMs of its region, which divide the limits of its cold targets.
     pub sharers: LimitSharers,
+    /// The VMs of the fleet, which divide limits that hold everywhere.
+    pub fleet_sharers: LimitSharers,
 }
 
 impl VmLocation {
@@ -44,6 +46,7 @@
             domain: domain.to_owned(),
             region: region.to_owned(),
             sharers: LimitSharers::new(name),
+            fleet_sharers: LimitSharers::new(name),
         }
     }
 }
@@ -147,20 +150,24 @@
     {
         spillover.record_request(has_local && local.is_none());
     }
+    let select = |table: &mut PlacementTable, key, is_remote| {
+        table.reserve(key, location, now);
+        select(table, query.service, key, is_remote)
+    };
     if !is_remote && let Some(key) = local {
-        return select(table, query.service, key, false);
+        return select(table, key, false);
     }
     let remote_key = sides.best_remote(query);
     if let Some(key) = remote_key {
         let may_run_remote = !has_local || (is_remote && allows_side(table, query.service, true));
         if may_run_remote || allow_diverted(table, query.service, true) {
-            return select(table, query.service, key, true);
+            return select(table, key, true);
         }
     }
     if let Some(key) = local
         && (remote_key.is_some() || allow_diverted(table, query.service, false))
     {
-        return select(table, query.service, key, false);
+        return select(table, key, false);
     }
     refuse(sides.all(), query.max_wait)
 }
@@ -265,7 +272,8 @@
         let is_usable = !query.tried.contains(key)
             && target.breaker.is_usable(target.load.in_flight, now)
             && target.load.service_time(average, now) <= average.mul_f64(SLOW_FACTOR)
-            && has_cold_capacity(target, location, query, now);
+            && has_cold_capacity(target, location, query, now)
+            && has_stated_room(target, location, now);
         if !is_usable {
             continue;
         }
@@ -305,6 +313,13 @@
     }
 }
 
+/// Whether a target states no limit, or this VM may send it a request within that limit.
+fn has_stated_room(target: &TargetRecord, location: &VmLocation, now: TimeStamp) -> bool {
+    let limited = target.limited(location);
+    let next_at = target.stated_limit.next_at(location, limited, now);
+    next_at.is_none_or(|next_at| now >= next_at)
+}
+
 /// Whether an object belongs to the share that goes to other regions.
 fn spills_over(object: u64, level: f64) -> bool {
     let position = rendezvous::score(object, 0) as f64 / u64::MAX as f64;
--- a/dahliawood-steer/src/placement/mod.rs
+++ b/dahliawood-steer/src/placement/mod.rs
@@ -17,4 +17,5 @@
 pub mod sharers;
 pub mod shedding;
 pub mod spillover;
+pub mod stated_limit;
 pub mod table;
--- a/dahliawood-steer/src/placement/sharers/mod.rs
+++ b/dahliawood-steer/src/placement/sharers/mod.rs
@@ -81,6 +81,11 @@
         is_registered && now.since(self.confirmed_at) < LIST_LIFETIME
     }
 
+    /// This VM's place among all possible ones for a target, from 0 to 1; different for each target.
+    pub fn position(&self, target: u64) -> f64 {
+        rendezvous::score(target, self.own) as f64 / u64::MAX as f64
+    }
+
     /// This VM's part of a target's `limit`, in whole requests; the target is given by the hash of
     /// its id.
     pub fn part(&self, limit: usize, target: u64, now: TimeStamp) -> usize {
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -3,13 +3,15 @@
 use crate::health::ResultKind;
 use crate::placement::breaker::CircuitBreaker;
 use crate::placement::cached::{CachedObjects, ObjectVisit, ServiceTimes};
+use crate::placement::choose::VmLocation;
 use crate::placement::cold::{ColdUsage, ColdWindow};
 use crate::placement::load::LoadEstimate;
 use crate::placement::ranking::{KeptOrders, OrderKey};
 use crate::placement::shedding::ShedShare;
 use crate::placement::spillover::SpilloverLevel;
+use crate::placement::stated_limit::{LimitedTarget, StatedLimit};
 use crate::rendezvous;
-use dahliawood_model::catalog::{TargetEntry, TargetLoad};
+use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::{FastMap, FastSet};
@@ -39,10 +41,22 @@
     pub cold_usage: ColdUsage,
     /// Its estimated load.
     pub load: LoadEstimate,
+    /// The limit that it states.
+    pub stated_limit: StatedLimit,
     /// Its circuit breaker.
     pub breaker: CircuitBreaker,
 }
 
+impl TargetRecord {
+    /// Its place in the division of the limit that it states.
+    pub fn limited(&self, location: &VmLocation) -> LimitedTarget {
+        LimitedTarget {
+            hash: self.hash,
+            is_local: self.region == location.region,
+        }
+    }
+}
+
 /// The targets of one service.
 #[derive(Clone, Debug)]
 pub struct ServicePool {
@@ -83,14 +97,20 @@
     pub kind: ResultKind,
     /// Time from sending it to its end.
     pub latency: Duration,
-    /// Load report that came with the answer.
-    pub load: Option<TargetLoad>,
+    /// What the target says of itself in its answer, `None` if there was no answer of its own.
+    pub report: Option<TargetReport>,
     /// The object that was requested, if it has one.
     pub visit: Option<ObjectVisit>,
     /// How long the request could have waited and still have been in time.
     pub slack: Duration,
 }
 
+impl TargetResult {
+    fn load(&self) -> Option<TargetLoad> {
+        self.report.and_then(|report| report.load)
+    }
+}
+
 /// All registered targets.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementTable {
@@ -206,6 +226,7 @@
             cold_window: ColdWindow::default(),
             cold_usage: ColdUsage::default(),
             load: LoadEstimate::default(),
+            stated_limit: StatedLimit::default(),
             breaker: CircuitBreaker::default(),
             entry,
         };
@@ -251,6 +272,14 @@
         pool.map_or(average, |pool| pool.service_times.cached(average))
     }
 
+    /// Counts a request that is about to be sent within the limit that its target states.
+    pub fn reserve(&mut self, key: TargetKey, location: &VmLocation, now: TimeStamp) {
+        if let Some(target) = self.targets.get_mut(&key) {
+            let limited = target.limited(location);
+            target.stated_limit.record(location, limited, now);
+        }
+    }
+
     /// Records that a request is sent.
     pub fn begin(&mut self, key: TargetKey, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
@@ -279,42 +308,46 @@
         target.map_or(0, |target| target.cold_window.recent(now))
     }
 
-    /// Records the result of a request.
-    pub fn finish(&mut self, key: TargetKey, result: TargetResult, now: TimeStamp) {
+    /// Records the result of a request; returns whether the target states something new in it.
+    pub fn finish(&mut self, key: TargetKey, result: TargetResult, now: TimeStamp) -> bool {
         let Some(target) = self.targets.get_mut(&key) else {
-            return;
+            return false;
         };
+        let is_new = result
+            .report
+            .is_some_and(|report| target.stated_limit.set(report.limit, now));
         target.load.finish();
         target.breaker.record(result.kind, now);
         let pool = self.services.get_mut(&target.entry.service);
-        if let Some(load) = result.load {
+        if let Some(load) = result.load() {
             target.load.record_report(load);
         }
         if result.kind != ResultKind::Answered {
-            return;
+            return is_new;
         }
         // Otherwise most of the latency was queueing at the target, which distorts the service time.
-        let has_queued = result.load.is_some_and(|load| load.waiting > 0);
+        let has_queued = result.load().is_some_and(|load| load.waiting > 0);
         if !has_queued {
             target.load.record_latency(result.latency, now);
         }
         if let Some(pool) = pool {
             pool.record_answer(key, result);
         }
+        is_new
     }
 }
 
 impl ServicePool {
     /// Records an answer of one of the service's targets.
     fn record_answer(&mut self, key: TargetKey, result: TargetResult) {
-        if let Some(load) = result.load {
+        if let Some(load) = result.load() {
             let ahead = f64::from(load.running + load.waiting + 1) / f64::from(load.slots.max(1));
             let delay = self.average_service_time.mul_f64((ahead - 1.0).max(0.0));
             let slack = result.slack.max(MIN_SLACK);
             self.shed_share
                 .record_delay(delay.as_secs_f64() / slack.as_secs_f64());
         }
-        let has_queued = result.load.is_some_and(|load| load.waiting > 0);
+        let has_queued = result.load().is_some_and(|load| load.waiting > 0);
         if !has_queued {
             self.average_service_time = self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT)
                 + result.latency.mul_f64(EWMA_WEIGHT);
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod faults;
 mod fleet;
+mod limited_fleet;
 mod lookup;
 mod object_load;
 mod placement;
--- a/dahliawood-steer/tests/main/object_load.rs
+++ b/dahliawood-steer/tests/main/object_load.rs
@@ -2,7 +2,7 @@
 //! later ones, on targets with few slots, first-come first-served queues and several VMs.
 
 use dahliawood_model::FastMap;
-use dahliawood_model::catalog::{TargetEntry, TargetLoad};
+use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::health::ResultKind;
@@ -235,7 +235,10 @@
     let result = TargetResult {
         kind: ResultKind::Answered,
         latency: now.since(request.started),
-        load: Some(load),
+        report: Some(TargetReport {
+            load: Some(load),
+            ..TargetReport::default()
+        }),
         visit: Some(request.visit),
         slack: AIM.saturating_sub(LATER),
     };
--- a/dahliawood-steer/tests/main/placement.rs
+++ b/dahliawood-steer/tests/main/placement.rs
@@ -1,7 +1,7 @@
 //! Choice of self-registered targets: object affinity, cold targets, regions, overload.
 
 use crate::fleet;
-use dahliawood_model::catalog::{TargetEntry, TargetLoad};
+use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::{FastMap, FastSet};
@@ -99,11 +99,18 @@
     table.get(key).unwrap().entry.domain.clone()
 }
 
+fn report(load: Option<TargetLoad>) -> Option<TargetReport> {
+    load.map(|_| TargetReport {
+        load,
+        ..TargetReport::default()
+    })
+}
+
 fn answered(load: Option<TargetLoad>) -> TargetResult {
     TargetResult {
         kind: ResultKind::Answered,
         latency: SERVICE_TIME,
-        load,
+        report: report(load),
         visit: None,
         slack: Duration::from_millis(100),
     }
@@ -483,7 +490,7 @@
     let lost = TargetResult {
         kind: ResultKind::ConnectFailed,
         latency: Duration::ZERO,
-        load: None,
+        report: None,
         visit: None,
         slack: Duration::from_millis(100),
     };
@@ -564,7 +571,7 @@
         serve(&mut table, other, object, Duration::from_millis(600), None);
         serve(&mut table, other, object, SERVICE_TIME, None);
     }
-    let busy = busy_result(1, START).load;
+    let busy = busy_result(1, START).report.unwrap().load;
     serve(&mut table, first, 7, SERVICE_TIME, busy);
     assert_eq!(
         chosen(choose::choose(&mut table, &location, &patient, START)),
