fix(steer): a target that states its leaving in a response gets nothing more from this VM

A response that states its leaving, a refusal too, changed nothing until the store's entry did; 50 of 50 requests went there. Change: TargetReport has it; the target is closed at once, until its process ends: a late response, its entry written again, or removed and written again, revive nothing; a later start under the same id is another target.

--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -35,6 +35,7 @@
     target: &'a str,
     /// Requests a second from all VMs, nothing if it states none any more.
     limit: Option<f64>,
+    is_leaving: bool,
 }
 
 /// State shared by the threads; locks are held for a few instructions and never across an await.
@@ -156,6 +157,7 @@
         let event = || StatementEvent {
             target,
             limit: report.limit,
+            is_leaving: report.is_leaving,
         };
         self.log.write(EventClass::State, "statement", event);
     }
--- a/dahliawood-model/src/catalog/mod.rs
+++ b/dahliawood-model/src/catalog/mod.rs
@@ -208,6 +208,8 @@
     pub load: Option<TargetLoad>,
     /// Requests a second that it takes from all VMs together, `None` for no such limit.
     pub limit: Option<f64>,
+    /// Whether it is about to stop and must get no further request.
+    pub is_leaving: bool,
     /// How much longer it stays cold, `None` if it does not say.
     pub cold_for: Option<Duration>,
 }
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -21,6 +21,8 @@
 const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(300);
 /// Least slack by which queueing delays are divided.
 const MIN_SLACK: Duration = Duration::from_millis(20);
+/// Most removed targets that are remembered as leaving.
+const MAX_LEFT: usize = 4_096;
 /// Weight of the newest answer in a service's moving average.
 const EWMA_WEIGHT: f64 = 0.02;
 
@@ -41,6 +43,8 @@
     pub cold_usage: ColdUsage,
     /// Its estimated load.
     pub load: LoadEstimate,
+    /// Whether it stated that it is leaving. Holds until its process ends, whatever its entry says.
+    pub is_leaving: bool,
     /// The limit that it states.
     pub stated_limit: StatedLimit,
     /// Its circuit breaker.
@@ -48,6 +52,13 @@
 }
 
 impl TargetRecord {
+    /// Takes over what the target says of itself; returns whether something is new.
+    fn record_report(&mut self, report: &TargetReport, now: TimeStamp) -> bool {
+        let is_leaving = report.is_leaving && !self.is_leaving;
+        self.is_leaving |= is_leaving;
+        self.stated_limit.set(report.limit, now) || is_leaving
+    }
+
     /// Its place in the division of the limit that it states.
     pub fn limited(&self, location: &VmLocation) -> LimitedTarget {
         LimitedTarget {
@@ -120,6 +131,8 @@
     pub services: FastMap<String, ServicePool>,
     regions: FastMap<String, String>,
     evacuated: FastSet<String>,
+    /// Start times of targets, by id, that stated their leaving and whose entries were removed.
+    left: FastMap<String, u64>,
     next_key: u32,
     /// Incremented with each change of the targets or of which of them are open.
     generation: u64,
@@ -226,6 +239,7 @@
             cold_window: ColdWindow::default(),
             cold_usage: ColdUsage::default(),
             load: LoadEstimate::default(),
+            is_leaving: self.has_left(&entry),
             stated_limit: StatedLimit::default(),
             breaker: CircuitBreaker::default(),
             entry,
@@ -245,18 +259,38 @@
         if let Some(pool) = self.services.get_mut(&target.entry.service) {
             pool.targets.retain(|known| *known != key);
         }
+        if target.is_leaving {
+            self.record_left(target.entry);
+        }
         true
     }
 
+    /// Records that a target stated its leaving before its entry was removed: the entry may be
+    /// written again.
+    fn record_left(&mut self, entry: TargetEntry) {
+        if self.left.len() >= MAX_LEFT {
+            self.left.clear();
+        }
+        self.left.insert(entry.id, entry.started_millis);
+    }
+
+    /// Whether the process that an entry is about has stated its leaving.
+    fn has_left(&self, entry: &TargetEntry) -> bool {
+        self.left.get(&entry.id) == Some(&entry.started_millis)
+    }
+
     /// Sets the evacuated failure domains, whose targets get no requests.
     pub fn set_evacuated(&mut self, domains: FastSet<String>) {
         self.generation += 1;
         self.evacuated = domains;
     }
 
-    /// Whether a target accepts requests, regardless of its health: neither draining nor evacuated.
+    /// Whether a target accepts requests, regardless of its health: neither draining nor leaving nor
+    /// evacuated.
     pub fn is_open(&self, target: &TargetRecord) -> bool {
-        !target.entry.is_draining && !self.evacuated.contains(&target.entry.domain)
+        !target.entry.is_draining
+            && !target.is_leaving
+            && !self.evacuated.contains(&target.entry.domain)
     }
 
     /// Average service time of a service.
@@ -315,7 +349,10 @@
         };
         let is_new = result
             .report
-            .is_some_and(|report| target.stated_limit.set(report.limit, now));
+            .is_some_and(|report| target.record_report(&report, now));
+        if is_new && target.is_leaving {
+            self.generation += 1;
+        }
         target.load.finish();
         target.breaker.record(result.kind, now);
         let pool = self.services.get_mut(&target.entry.service);
--- a/dahliawood-steer/tests/main/placement.rs
+++ b/dahliawood-steer/tests/main/placement.rs
@@ -324,6 +324,35 @@
     assert_eq!(choice, PlacementChoice::None);
 }
 
+#[test]
+fn a_process_that_starts_under_the_id_of_one_that_left_is_used() {
+    let mut table = table(&[("a-1", 1)]);
+    let location = vm_location("a-1", 1);
+    let leaving = TargetResult {
+        report: Some(TargetReport {
+            is_leaving: true,
+            ..TargetReport::default()
+        }),
+        ..answered(None)
+    };
+    let key = table.services[SERVICE].targets[0];
+    table.begin(key, START);
+    assert!(table.finish(key, leaving, START));
+    let choose = |table: &mut PlacementTable| choose::choose(table, &location, &query(1), START);
+    assert_eq!(choose(&mut table), PlacementChoice::None);
+    table.finish(key, answered(None), START);
+    assert_eq!(choose(&mut table), PlacementChoice::None, "a late answer");
+    table.upsert(entry(0, "a-1"), START);
+    assert_eq!(choose(&mut table), PlacementChoice::None, "its entry again");
+    table.remove("target-0");
+    table.upsert(entry(0, "a-1"), START);
+    assert_eq!(choose(&mut table), PlacementChoice::None, "a new entry");
+    let mut restarted = entry(0, "a-1");
+    restarted.started_millis = 2;
+    table.upsert(restarted, START);
+    assert!(matches!(choose(&mut table), PlacementChoice::Target(_)));
+}
+
 #[test]
 fn a_restart_under_the_same_id_is_a_new_target() {
     let mut table = table(&[("a-1", 1)]);
--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -67,6 +67,7 @@
     fault: InstanceFault,
     processing_time: Duration,
     stated_limit: Option<f64>,
+    is_leaving: bool,
     runs: Vec<RunRequest>,
     disconnects: usize,
 }
@@ -117,6 +118,11 @@
         self.lock().stated_limit = limit;
     }
 
+    /// The target states in its responses that it is leaving.
+    pub fn set_leaving(&self) {
+        self.lock().is_leaving = true;
+    }
+
     /// The requests that the target ran, in the order of their arrival.
     pub fn runs(&self) -> Vec<RunRequest> {
         self.lock().runs.clone()
@@ -222,6 +228,9 @@
     if let Some(limit) = state.stated_limit {
         fields.push("Server-Limit", limit.to_string());
     }
+    if state.is_leaving {
+        fields.push("Server-Leaving", "1");
+    }
     fields
 }
 
