fix(steer): a target that asks for a pause gets one

A target that had asked for 30 s was left alone for 0.12 s, and the retries spent the service's budget until callers got 503 although another target was free. The VM that was asked keeps it, whatever answers to earlier requests say, then sends one request at a time until one is answered, so that VMs whose pauses end together are no herd. Where no target is usable, callers are told when the first pause ends.

--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -36,6 +36,7 @@
     /// Requests a second from all VMs, nothing if it states none any more.
     limit: Option<f64>,
     is_leaving: bool,
+    pause_ms: Option<u128>,
 }
 
 /// State shared by the threads; locks are held for a few instructions and never across an await.
@@ -158,8 +159,9 @@
             target,
             limit: report.limit,
             is_leaving: report.is_leaving,
+            pause_ms: report.pause.map(|pause| pause.as_millis()),
         };
-        self.log.write(EventClass::State, "statement", event);
+        self.log.write(EventClass::Notable, "statement", event);
     }
 
     /// Whether the VM is shutting down.
--- a/dahliawood-model/src/catalog/mod.rs
+++ b/dahliawood-model/src/catalog/mod.rs
@@ -210,6 +210,8 @@
     pub limit: Option<f64>,
     /// Whether it is about to stop and must get no further request.
     pub is_leaving: bool,
+    /// For how long it must get no request from the VM that it answers.
+    pub pause: Option<Duration>,
     /// How much longer it stays cold, `None` if it does not say.
     pub cold_for: Option<Duration>,
 }
--- a/dahliawood-steer/src/placement/breaker/mod.rs
+++ b/dahliawood-steer/src/placement/breaker/mod.rs
@@ -24,6 +24,8 @@
     failure_share: f64,
     consecutive_failures: u32,
     paused_until: TimeStamp,
+    /// End of the pause that the target asked for, which no answer shortens.
+    asked_until: TimeStamp,
     is_probing: bool,
 }
 
@@ -35,7 +37,7 @@
             ResultKind::Answered => {
                 self.failure_share *= 1.0 - EWMA_WEIGHT;
                 self.consecutive_failures = 0;
-                self.is_probing = false;
+                self.is_probing = now < self.asked_until;
                 self.paused_until = self.paused_until.min(now);
             }
             ResultKind::Shed => self.pause(SHED_PAUSE, now),
@@ -59,9 +61,21 @@
         self.paused_until = self.paused_until.max(now.after(span));
     }
 
+    /// Records that the target asked for a pause. After it, one request at a time may be sent until
+    /// one is answered, as VMs whose pauses end together would otherwise all return at once.
+    pub fn ask_pause(&mut self, span: Duration, now: TimeStamp) {
+        self.asked_until = self.asked_until.max(now.after(span));
+        self.is_probing = true;
+    }
+
+    /// End of the pause that the target asked for.
+    pub fn asked_until(&self) -> TimeStamp {
+        self.asked_until
+    }
+
     /// Whether a request may be sent, where `in_flight` requests of this VM run at the target.
     /// After a pause for failures one request at a time may be sent, until one is answered.
     pub fn is_usable(&self, in_flight: u32, now: TimeStamp) -> bool {
-        now >= self.paused_until && (!self.is_probing || in_flight == 0)
+        now >= self.paused_until.max(self.asked_until) && (!self.is_probing || in_flight == 0)
     }
 }
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -21,6 +21,8 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Retry delay told to a caller that is refused to shorten queues.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Longest retry delay told to a caller because targets are at the limits that they state.
+const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Minimum number of remote targets with fresh reports for an estimate of remote utilization.
 const MIN_REMOTE_TARGETS: usize = 3;
 /// Assumed share of the fleet's slots in use, for the initial spillover level of bulk requests.
@@ -169,6 +171,9 @@
     {
         return select(table, key, false);
     }
+    if sides.is_empty() {
+        return refuse_until_open(table, location, query, now);
+    }
     refuse(sides.all(), query.max_wait)
 }
 
@@ -233,6 +238,28 @@
     }
 }
 
+/// The refusal where no target is usable: until the first target that asked for a pause, or states a
+/// limit, may get a request again. A target at its limit may take the request from another VM.
+fn refuse_until_open(
+    table: &PlacementTable,
+    location: &VmLocation,
+    query: &PlacementQuery<'_>,
+    now: TimeStamp,
+) -> PlacementChoice {
+    let targets = table.targets(query.service);
+    let open = targets.filter(|target| table.is_open(target) && allows(query, &target.region));
+    let held_for = |target: &TargetRecord| {
+        let asked_until = target.breaker.asked_until();
+        let at_limit = target.open_at(location, now).since(now);
+        asked_until.since(now).max(at_limit.min(LIMIT_RETRY_AFTER))
+    };
+    let waits = open.map(held_for).filter(|wait| !wait.is_zero());
+    waits.min().map_or(PlacementChoice::None, |wait| {
+        let retry_after = wait.max(MIN_RETRY_AFTER);
+        PlacementChoice::Busy { retry_after }
+    })
+}
+
 /// The candidate that is expected to serve the request first, among those that start it within
 /// `max_wait` and serve it in the time that is left. A target that has the object cached may be
 /// first despite a longer wait.
@@ -273,7 +300,7 @@
             && target.breaker.is_usable(target.load.in_flight, now)
             && target.load.service_time(average, now) <= average.mul_f64(SLOW_FACTOR)
             && has_cold_capacity(target, location, query, now)
-            && has_stated_room(target, location, now);
+            && now >= target.open_at(location, now);
         if !is_usable {
             continue;
         }
@@ -313,13 +340,6 @@
     }
 }
 
-/// Whether a target states no limit, or this VM may send it a request within that limit.
-fn has_stated_room(target: &TargetRecord, location: &VmLocation, now: TimeStamp) -> bool {
-    let limited = target.limited(location);
-    let next_at = target.stated_limit.next_at(location, limited, now);
-    next_at.is_none_or(|next_at| now >= next_at)
-}
-
 /// Whether an object belongs to the share that goes to other regions.
 fn spills_over(object: u64, level: f64) -> bool {
     let position = rendezvous::score(object, 0) as f64 / u64::MAX as f64;
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -56,7 +56,17 @@
     fn record_report(&mut self, report: &TargetReport, now: TimeStamp) -> bool {
         let is_leaving = report.is_leaving && !self.is_leaving;
         self.is_leaving |= is_leaving;
-        self.stated_limit.set(report.limit, now) || is_leaving
+        if let Some(pause) = report.pause {
+            self.breaker.ask_pause(pause, now);
+        }
+        self.stated_limit.set(report.limit, now) || is_leaving || report.pause.is_some()
+    }
+
+    /// When this VM may send the target its next request, by what the target says of itself.
+    pub fn open_at(&self, location: &VmLocation, now: TimeStamp) -> TimeStamp {
+        let limited = self.limited(location);
+        let next_at = self.stated_limit.next_at(location, limited, now);
+        next_at.unwrap_or_default().max(self.breaker.asked_until())
     }
 
     /// Its place in the division of the limit that it states.
--- a/dahliawood-steer/tests/main/placement.rs
+++ b/dahliawood-steer/tests/main/placement.rs
@@ -353,6 +353,43 @@
     assert!(matches!(choose(&mut table), PlacementChoice::Target(_)));
 }
 
+#[test]
+fn a_pause_that_a_target_asks_for_is_kept_and_ends_with_one_request() {
+    let mut table = table(&[("a-1", 1)]);
+    let location = vm_location("a-1", 1);
+    let key = table.services[SERVICE].targets[0];
+    let refused = TargetResult {
+        kind: ResultKind::Shed,
+        report: Some(TargetReport {
+            pause: Some(Duration::from_secs(5)),
+            ..TargetReport::default()
+        }),
+        ..answered(None)
+    };
+    table.begin(key, START);
+    table.begin(key, START);
+    table.finish(key, refused, START);
+    let after = |millis| START.after(Duration::from_millis(millis));
+    let choose = |table: &mut PlacementTable, at| choose::choose(table, &location, &query(1), at);
+    let refusal = |millis| PlacementChoice::Busy {
+        retry_after: Duration::from_millis(millis),
+    };
+    assert_eq!(choose(&mut table, after(1_000)), refusal(4_000));
+    // The answer to a request that was sent before does not end the pause.
+    table.finish(key, answered(None), after(1_500));
+    assert_eq!(choose(&mut table, after(2_000)), refusal(3_000));
+    let end = after(5_000);
+    assert_eq!(choose(&mut table, end), PlacementChoice::Target(key));
+    table.begin(key, end);
+    assert_eq!(
+        choose(&mut table, end),
+        PlacementChoice::None,
+        "one at a time"
+    );
+    table.finish(key, answered(None), end);
+    assert_eq!(choose(&mut table, end), PlacementChoice::Target(key));
+}
+
 #[test]
 fn a_restart_under_the_same_id_is_a_new_target() {
     let mut table = table(&[("a-1", 1)]);
--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -68,6 +68,9 @@
     processing_time: Duration,
     stated_limit: Option<f64>,
     is_leaving: bool,
+    /// `Retry-After` of refusals with 503.
+    pause: Option<String>,
+    refusals: usize,
     runs: Vec<RunRequest>,
     disconnects: usize,
 }
@@ -118,6 +121,16 @@
         self.lock().stated_limit = limit;
     }
 
+    /// Sets the `Retry-After` of the target's refusals with 503.
+    pub fn set_pause(&self, retry_after: Option<&str>) {
+        self.lock().pause = retry_after.map(str::to_owned);
+    }
+
+    /// Number of requests refused with 503.
+    pub fn refusals(&self) -> usize {
+        self.lock().refusals
+    }
+
     /// The target states in its responses that it is leaving.
     pub fn set_leaving(&self) {
         self.lock().is_leaving = true;
@@ -189,6 +202,7 @@
             return (not_executed(421, &state), false);
         }
         if state.fault == InstanceFault::Overloaded {
+            state.refusals += 1;
             return (not_executed(503, &state), false);
         }
         let attempt = header("X-Dahliawood-Attempt-Id");
@@ -237,6 +251,9 @@
 fn not_executed(status: u16, state: &InstanceState) -> Vec<u8> {
     let mut fields = statements(state);
     fields.push("X-Dahliawood-Not-Executed", "1");
+    if let (503, Some(pause)) = (status, &state.pause) {
+        fields.push("Retry-After", pause.clone());
+    }
     write::response(status, &fields, b"", false)
 }
 
