fix(store): a store that returns to an older copy turns no change into one that is not seen

Cause: revisions were compared without the store's epoch. After a return to an older copy, changes at revisions that had been given out before were taken for old ones and ignored: a target that turns cold, drains, or a new version stayed unknown until the count had passed the old one, and for good if the key was not written again; VMs that follow a relay noticed nothing at all, the relays read the whole key space in a loop. Class: an order that holds only within one life of the service. KeyspaceView::restore takes over what a restored store lists: for 6 s lost keys are kept, removed ones do not appear again, older values replace none (document by version, target by start and sequence). VMs register again at once, spread over 0.4 s. A `restoration` line is logged.

--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -55,6 +55,12 @@
     cause: String,
 }
 
+/// Log event for a return of the store to an older state.
+#[derive(Serialize)]
+struct RestorationEvent {
+    epoch: u64,
+}
+
 /// Pauses after failed calls: doubled with each failure in a row.
 #[derive(Clone, Copy, Debug)]
 struct BackoffRange {
@@ -232,10 +238,12 @@
         }
     }
     let revision = revision.unwrap_or(0);
+    let epoch = state.view.borrow().epoch();
     let changes = state
         .view
         .borrow_mut()
         .replace(items, revision, clock::now());
+    note_restoration(state, epoch);
     state.change_log.borrow_mut().reset(revision);
     if is_first {
         let is_vm = |change: &ViewChange| change.key.starts_with(VMS_PREFIX);
@@ -250,6 +258,23 @@
     Ok(())
 }
 
+/// Logs that the store has returned to an older state since the view had `epoch`, and lets this VM
+/// register again.
+pub fn note_restoration(state: &ControlState, epoch: u64) {
+    let now = state.view.borrow().epoch();
+    let is_first = !state.is_confirmed.get();
+    if is_first || now == epoch {
+        return;
+    }
+    // One pending message is enough.
+    let _notified = state.epoch_changed.0.try_send(());
+    let event = || RestorationEvent { epoch: now };
+    state
+        .shared
+        .log
+        .write(EventClass::State, "restoration", event);
+}
+
 /// Waits until a call of another task gets no answer from the store.
 async fn wait_for_store_loss(state: &ControlState) {
     while state.store_status_changed.1.recv().await.is_ok() {
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -61,6 +61,8 @@
     pub coordinator: RefCell<AllocationCoordinator>,
     /// The VMs that the coordinator allocates to.
     pub coordinator_members: RefCell<Arc<Vec<VmRecord>>>,
+    /// Channel that gets a message when the store has returned to an older state.
+    pub epoch_changed: (Sender<()>, Receiver<()>),
     /// Channel that gets a message when `is_store_up` changes.
     pub store_status_changed: (Sender<()>, Receiver<()>),
 }
@@ -89,10 +91,12 @@
 async fn run(options: ControlOptions) {
     let incarnation = rand::random();
     let window = options.shared.settings.bounds.quota_window;
+    let view = KeyspaceView::new(apply::is_leased).with_order(options.shared.codec.is_older);
     let state = Rc::new(ControlState {
         shared: options.shared,
         store: options.store,
-        view: RefCell::new(KeyspaceView::new(apply::is_leased)),
+        view: RefCell::new(view),
+        epoch_changed: bounded(1),
         is_store_up: Cell::new(true),
         store_status_changed: bounded(1),
         is_relayed: Cell::new(false),
--- a/dahliawood-gateway/src/control/register/mod.rs
+++ b/dahliawood-gateway/src/control/register/mod.rs
@@ -6,6 +6,8 @@
 use async_std::task;
 use dahliawood_store::client::error::StoreError;
 use dahliawood_store::keyspace::call::WriteCall;
+use futures::future::{self, Either};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +18,8 @@
 /// How often a VM that follows another one renews: it does not need the calls to notice that the
 /// store is silent.
 const RELAYED_RENEW_INTERVAL: Duration = Duration::from_millis(1_800);
+/// Time within which the VMs register again after the store has returned to an older state.
+const RESTORE_SPREAD: Duration = Duration::from_millis(400);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -42,7 +46,13 @@
                 RETRY_PAUSE
             }
         };
-        let _shutdown = timeout(pause, state.shared.shutdown_started.recv()).await;
+        let shutdown = pin!(state.shared.shutdown_started.recv());
+        let restored = pin!(state.epoch_changed.1.recv());
+        let woken = timeout(pause, future::select(shutdown, restored)).await;
+        if matches!(woken, Ok(Either::Right(_))) {
+            lease = None;
+            task::sleep(RESTORE_SPREAD.mul_f64(rand::random())).await;
+        }
     }
     if let Some(id) = lease {
         revoke(&state, id).await;
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -79,11 +79,13 @@
         value: key.value,
         revision: key.revision,
     });
+    let epoch = state.view.borrow().epoch();
     let changes =
         state
             .view
             .borrow_mut()
             .apply_relayed(items.collect(), &listed, source, clock::now());
+    follow::note_restoration(state, epoch);
     let revision = state.view.borrow().revision();
     state.change_log.borrow_mut().reset(revision);
     apply::apply_changes(state, &changes);
--- a/dahliawood-store/src/keyspace/mod.rs
+++ b/dahliawood-store/src/keyspace/mod.rs
@@ -5,4 +5,5 @@
 
 pub mod call;
 pub mod changes;
+pub mod epoch;
 pub mod view;
--- a/dahliawood-store/src/keyspace/view/mod.rs
+++ b/dahliawood-store/src/keyspace/view/mod.rs
@@ -3,8 +3,13 @@
 //! While the service is unavailable, leases may expire although their holders are alive. Leased
 //! keys that are missing when the service is back are retained for [`SETTLE_TIME`], and dropped if
 //! their holders don't write them again by then.
+//!
+//! The service may also return to an older state of itself, in a new epoch. Its writers then write
+//! again what was lost. Until they had time for it, nothing goes back: no key is dropped that the
+//! service lost, none appears again that was removed, and no value is replaced by an older one.
 
 use crate::keyspace::call::KeyspaceItem;
+use crate::keyspace::epoch;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::{FastMap, FastSet};
 use std::sync::Arc;
@@ -13,6 +18,9 @@
 /// Time after the service is back until its leased keys are settled: holders that are alive write
 /// them again within two seconds, and this VM receives the writes a little later.
 pub const SETTLE_TIME: Duration = Duration::from_millis(2_400);
+/// Time after a restoration until the key space is settled: writers have written again what was
+/// lost, and what they don't renew is gone.
+pub const RESTORE_TIME: Duration = Duration::from_secs(6);
 /// Shortest time that leases last without renewal, as when the service is unavailable.
 const MIN_LEASE_TIME: Duration = Duration::from_secs(2);
 
@@ -60,8 +68,16 @@
     /// When the service was last known to answer.
     answered_at: TimeStamp,
     is_leased: fn(&str) -> bool,
+    is_older: IsOlder,
+    /// Until when a restoration of the service is not settled.
+    restored_until: TimeStamp,
+    /// Keys that a restored service lists again although they were removed.
+    reappeared: FastMap<String, KeyspaceItem>,
 }
 
+/// Whether the first value of a key is older than the second one, by what they say.
+pub type IsOlder = fn(key: &str, value: &[u8], known: &[u8]) -> bool;
+
 impl KeyspaceView {
     /// An empty view; `is_leased` tells which keys are bound to a lease.
     pub fn new(is_leased: fn(&str) -> bool) -> Self {
@@ -75,9 +91,23 @@
             unavailable_since: None,
             answered_at: TimeStamp::ZERO,
             is_leased,
+            is_older: |_, _, _| false,
+            restored_until: TimeStamp::ZERO,
+            reappeared: FastMap::default(),
         }
     }
 
+    /// Sets how values of a key are ordered after a restoration of the service.
+    #[must_use]
+    pub fn with_order(self, is_older: IsOlder) -> Self {
+        Self { is_older, ..self }
+    }
+
+    /// The epoch of the service up to whose changes the view is current.
+    pub fn epoch(&self) -> u64 {
+        epoch::epoch_of(self.revision)
+    }
+
     /// The revision up to which all changes are known.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -142,6 +172,9 @@
         now: TimeStamp,
     ) -> Vec<ViewChange> {
         let listed: FastSet<String> = items.iter().map(|item| item.key.clone()).collect();
+        if self.is_restoration(revision) {
+            return self.restore(items, &listed, revision, now);
+        }
         let mut changes = self.apply(items, revision, now);
         changes.extend(self.remove_unlisted(&listed, revision, now));
         changes
@@ -161,13 +194,20 @@
         source: RelaySource,
         now: TimeStamp,
     ) -> Vec<ViewChange> {
+        if self.is_restoration(source.revision) {
+            return self.restore(items, listed, source.revision, now);
+        }
         self.heard_revision = self.heard_revision.max(source.revision);
         if !source.is_settled {
             return self.apply(items, self.revision, now);
         }
         let mut changes = self.apply(items, source.revision, now);
-        let gone = self.unlisted_keys(listed, source.revision);
-        changes.extend(gone.into_iter().filter_map(|key| self.drop_key(key)));
+        let gone = self.unlisted_keys(listed, source.revision).into_iter();
+        let gone = gone.filter_map(|key| match self.is_awaited(&key, now) {
+            true => None,
+            false => self.drop_key(key),
+        });
+        changes.extend(gone.collect::<Vec<_>>());
         changes
     }
 
@@ -196,21 +236,73 @@
         revision: u64,
         now: TimeStamp,
     ) -> Vec<ViewChange> {
-        let gone = self.unlisted_keys(listed, revision);
-        gone.into_iter()
-            .filter_map(|key| self.remove(key, now))
-            .collect()
+        let gone = self.unlisted_keys(listed, revision).into_iter();
+        let gone = gone.filter_map(|key| match self.is_awaited(&key, now) {
+            true => None,
+            false => self.remove(key, now),
+        });
+        gone.collect()
     }
 
-    /// Drops the retained keys that were not written again before the key space settled.
+    /// Drops the retained keys that were not written again before the key space settled, and takes
+    /// over those that a restored service still lists.
     pub fn expire(&mut self, now: TimeStamp) -> Vec<ViewChange> {
-        if self.is_settling(now) {
+        if self.is_settling(now) || now < self.restored_until {
             return Vec::new();
         }
         let due = std::mem::take(&mut self.retained);
-        due.into_iter()
-            .filter_map(|key| self.drop_key(key))
-            .collect()
+        let due = due.into_iter().filter_map(|key| self.drop_key(key));
+        let mut changes: Vec<ViewChange> = due.collect();
+        let reappeared = std::mem::take(&mut self.reappeared).into_values();
+        changes.extend(reappeared.filter_map(|item| self.apply_item(item, now)));
+        changes
+    }
+
+    /// Whether `revision` is of a later epoch than what this view holds.
+    fn is_restoration(&self, revision: u64) -> bool {
+        self.revision > 0 && epoch::epoch_of(revision) > self.epoch()
+    }
+
+    /// Takes over the whole key space as a restored service lists it.
+    fn restore(
+        &mut self,
+        items: Vec<KeyspaceItem>,
+        listed: &FastSet<String>,
+        revision: u64,
+        now: TimeStamp,
+    ) -> Vec<ViewChange> {
+        self.restored_until = now.after(RESTORE_TIME);
+        self.reappeared.clear();
+        let lost = self.known.keys().filter(|key| !listed.contains(*key));
+        self.retained.extend(lost.cloned());
+        let restored = items.into_iter();
+        let changes = restored.filter_map(|item| self.restore_item(item, now));
+        let changes = changes.collect();
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    /// Applies one key that a restored service lists, unless it is older than what is known.
+    fn restore_item(&mut self, item: KeyspaceItem, now: TimeStamp) -> Option<ViewChange> {
+        let Some(known) = self.known.get_mut(&item.key) else {
+            if self.tombstones.contains_key(&item.key) {
+                self.reappeared.insert(item.key.clone(), item);
+                return None;
+            }
+            return self.apply_item(item, now);
+        };
+        let value = item.value.as_deref().unwrap_or_default();
+        if (self.is_older)(&item.key, value, &known.value) {
+            // The next write of the key is newer than this one.
+            known.revision = known.revision.max(item.revision);
+            return None;
+        }
+        self.apply_item(item, now)
+    }
+
+    /// Whether a key that a restored service does not list may still be written again.
+    fn is_awaited(&self, key: &str, now: TimeStamp) -> bool {
+        now < self.restored_until && self.retained.contains(key)
     }
 
     /// Whether removals of leased keys are held back at `now`.
@@ -232,6 +324,7 @@
                     revision,
                 };
                 self.retained.remove(&item.key);
+                self.reappeared.remove(&item.key);
                 let before = self.known.insert(item.key.clone(), entry);
                 let is_same = before.is_some_and(|before| before.value == value);
                 (!is_same).then_some(ViewChange {
@@ -240,6 +333,7 @@
                 })
             }
             None if item.revision >= known => {
+                self.reappeared.remove(&item.key);
                 self.tombstones
                     .insert(item.key.clone(), item.revision.max(removed_revision));
                 self.remove(item.key, now)
@@ -261,7 +355,9 @@
 
     fn drop_key(&mut self, key: String) -> Option<ViewChange> {
         self.retained.remove(&key);
-        self.known.remove(&key)?;
+        let known = self.known.remove(&key)?;
+        let removed = self.tombstones.entry(key.clone()).or_default();
+        *removed = known.revision.max(*removed);
         Some(ViewChange { key, value: None })
     }
 }
--- a/dahliawood-store/tests/main/view.rs
+++ b/dahliawood-store/tests/main/view.rs
@@ -3,7 +3,10 @@
 use dahliawood_model::FastSet;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_store::keyspace::call::KeyspaceItem;
-use dahliawood_store::keyspace::view::{KeyspaceView, RelaySource, SETTLE_TIME, ViewChange};
+use dahliawood_store::keyspace::epoch;
+use dahliawood_store::keyspace::view::{
+    KeyspaceView, RESTORE_TIME, RelaySource, SETTLE_TIME, ViewChange,
+};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -206,3 +209,96 @@
     });
     result.unwrap();
 }
+
+/// A revision of the epoch after the view's first one.
+fn restored(revision: u64) -> u64 {
+    epoch::stamped(1, revision)
+}
+
+/// A view whose values are ordered as text.
+fn ordered_view() -> KeyspaceView {
+    view().with_order(|_, value, known| value < known)
+}
+
+fn value(view: &KeyspaceView, key: &str) -> Option<String> {
+    let known = view.known().find(|(known, _)| *known == key);
+    known.map(|(_, known)| String::from_utf8_lossy(&known.value).into_owned())
+}
+
+#[test]
+fn nothing_goes_back_when_the_service_returns_to_an_older_state() {
+    let mut view = ordered_view();
+    view.apply(
+        vec![written("a", "5", 5), removed("b", 6), written("c", "1", 7)],
+        7,
+        START,
+    );
+    let items = vec![
+        written("a", "1", restored(1)),
+        written("b", "1", restored(2)),
+        written("fixed/a", "1", restored(3)),
+    ];
+    assert_eq!(view.replace(items, restored(3), at(100)), []);
+    assert_eq!(view.epoch(), 1);
+    assert_eq!(value(&view, "a").as_deref(), Some("5"), "an older value");
+    assert_eq!(value(&view, "b"), None, "a removed key");
+    assert_eq!(value(&view, "c").as_deref(), Some("1"), "a lost key");
+    assert_eq!(value(&view, "fixed/b").as_deref(), Some("1"), "a lost key");
+    // The whole key space is read again, and copied from another VM, before all is settled.
+    let items = || vec![written("fixed/a", "1", restored(3))];
+    view.replace(items(), restored(3), at(200));
+    let listed = FastSet::from_iter(["fixed/a".to_owned()]);
+    let source = RelaySource {
+        revision: restored(4),
+        is_settled: true,
+    };
+    view.apply_relayed(items(), &listed, source, at(300));
+    assert_eq!(value(&view, "c").as_deref(), Some("1"), "a lost key");
+    // What is written again is in force at once, at revisions that were given out before.
+    let changes = view.apply(vec![written("a", "6", restored(5))], restored(5), at(400));
+    assert_eq!(changes.len(), 1);
+    let changes = view.apply(vec![written("b", "7", restored(6))], restored(6), at(500));
+    assert_eq!(changes.len(), 1);
+    let end = at(100).after(RESTORE_TIME);
+    let mut gone = view.expire(end);
+    gone.sort_by(|a, b| a.key.cmp(&b.key));
+    assert_eq!(gone, [removal("c"), removal("fixed/b")]);
+    assert_eq!(value(&view, "b").as_deref(), Some("7"));
+}
+
+#[test]
+fn a_removed_key_that_a_restored_service_goes_on_listing_is_taken_over_once_settled() {
+    let mut view = view();
+    view.apply(vec![removed("a", 5), removed("b", 6)], 6, START);
+    let items = vec![
+        written("a", "1", restored(1)),
+        written("b", "1", restored(2)),
+    ];
+    view.replace(items, restored(4), START);
+    view.apply(vec![removed("a", restored(5))], restored(5), at(1_000));
+    assert_eq!(view.expire(at(1_000)), []);
+    let changes = view.expire(START.after(RESTORE_TIME));
+    let taken = changes.iter().filter(|change| change.value.is_some());
+    let keys: Vec<&str> = taken.map(|change| change.key.as_str()).collect();
+    assert_eq!(keys, ["b"]);
+}
+
+#[test]
+fn a_vm_that_hears_of_a_restoration_from_another_vm_takes_it_over() {
+    let mut view = ordered_view();
+    let items = vec![written("a", "9", restored(2))];
+    let listed = FastSet::from_iter(["a".to_owned()]);
+    let source = RelaySource {
+        revision: restored(2),
+        is_settled: false,
+    };
+    assert_eq!(view.apply_relayed(items, &listed, source, START).len(), 1);
+    assert_eq!(view.revision(), restored(2));
+    assert_eq!(value(&view, "b").as_deref(), Some("1"), "a lost key");
+    // A second restoration begins the wait anew.
+    let twice = epoch::stamped(2, 1);
+    view.replace(vec![written("a", "1", twice)], twice, at(5_000));
+    assert_eq!(view.expire(START.after(RESTORE_TIME)), []);
+    assert_eq!(value(&view, "a").as_deref(), Some("9"));
+    assert_eq!(view.expire(at(5_000).after(RESTORE_TIME)).len(), 3);
+}
--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -44,7 +44,7 @@
     lease: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct StoreState {
     items: BTreeMap<String, StoredItem>,
     /// All changes since the last compaction, in order: key, revision, and whether the key was
@@ -57,6 +57,9 @@
     leases: BTreeMap<u64, (Duration, Instant)>,
     last_lease: u64,
     calls: u64,
+    epoch: u64,
+    /// The copy to which [`KeyspaceStore::restore`] returns.
+    copy: Option<Box<StoreState>>,
 }
 
 /// A running store; clones share its state.
@@ -152,6 +155,29 @@
         state.compacted_revision = state.revision;
     }
 
+    /// Copies the store as it is now.
+    pub fn copy(&self) {
+        let mut state = self.lock();
+        state.copy = None;
+        state.copy = Some(Box::new(state.clone()));
+    }
+
+    /// Returns to the last copy, in a new epoch: what was written since is gone, leases too, and
+    /// revisions are given out again.
+    ///
+    /// # Panics
+    /// Panics without a copy.
+    pub fn restore(&self) {
+        let mut state = self.lock();
+        let copy = state.copy.clone().expect("a copy was made");
+        let (epoch, last_lease) = (state.epoch + 1, state.last_lease);
+        *state = StoreState {
+            epoch,
+            last_lease,
+            ..*copy
+        };
+    }
+
     /// Whether a key exists.
     pub fn has(&self, key: &str) -> bool {
         self.lock().items.contains_key(key)
@@ -166,7 +192,9 @@
                 return;
             };
             let (status, response) = self.respond(&head, &body).await;
-            let bytes = write::response(status, &FieldList::default(), response.as_bytes(), false);
+            let mut fields = FieldList::default();
+            fields.push("Store-Era", self.lock().epoch.to_string());
+            let bytes = write::response(status, &fields, response.as_bytes(), false);
             if output.write_all(&bytes).await.is_err() {
                 return;
             }
@@ -216,7 +244,7 @@
         loop {
             {
                 let state = self.lock();
-                if after < state.compacted_revision {
+                if after < state.compacted_revision || after > state.revision {
                     return (410, String::new());
                 }
                 let events = state.events(prefix, after);
