--- a/dahliawood-steer/tests/main/cold_fleet.rs
+++ b/dahliawood-steer/tests/main/cold_fleet.rs
@@ -4,7 +4,7 @@
 //! Each VM knows the registered VMs only as of some time before, and sends as much as it may.
 
 use crate::fleet;
-use dahliawood_model::FastMap;
+use crate::placement::support::{START, entry, query, regions};
 use dahliawood_model::catalog::TargetEntry;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::placement::choose::{
@@ -15,8 +15,6 @@
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
-const SERVICE: &str = "service";
-const START: TimeStamp = TimeStamp::from_millis(1_000_000);
 const STEP: Duration = Duration::from_millis(20);
 /// How often a VM looks at what it knows of the others.
 const LEARN_STEPS: u32 = 5;
@@ -71,20 +69,14 @@
 
 fn cold_target() -> TargetEntry {
     TargetEntry {
-        id: "target-0".to_owned(),
-        address: ([10, 0, 0, 1], 80).into(),
-        service: SERVICE.to_owned(),
-        domain: "a-1".to_owned(),
         slots: 1_000_000,
-        is_draining: false,
         cold_for: Duration::from_secs(3_600),
-        started_millis: 1,
+        ..entry(0, "a-1")
     }
 }
 
 fn new_table(now: TimeStamp) -> PlacementTable {
-    let regions = FastMap::from_iter([("a-1".to_owned(), "a".to_owned())]);
-    let mut table = PlacementTable::new(regions);
+    let mut table = PlacementTable::new(regions());
     table.upsert(cold_target(), now);
     table
 }
@@ -223,7 +215,7 @@
     /// A VM sends as many requests as it may.
     fn send(&mut self, number: usize, now: TimeStamp) {
         let vm = &mut self.vms[number];
-        let query = query(self.random.random());
+        let query = cold_query(self.random.random());
         for _ in 0..DEMAND {
             let choice = choose::choose(&mut vm.table, &vm.location, &query, now);
             let PlacementChoice::Target(key) = choice else {
@@ -263,16 +255,10 @@
     }
 }
 
-fn query(object: u64) -> PlacementQuery<'static> {
+fn cold_query(object: u64) -> PlacementQuery<'static> {
     PlacementQuery {
-        service: SERVICE,
-        object: Some(object),
-        is_bulk: false,
-        regions: [&[], &[]],
-        tried: &[],
-        max_wait: Duration::from_millis(100),
-        time_left: Duration::from_secs(2),
         cold: ColdLimit { per_second: LIMIT },
+        ..query(object)
     }
 }
 
--- a/dahliawood-steer/tests/main/limited_fleet.rs
+++ b/dahliawood-steer/tests/main/limited_fleet.rs
@@ -2,21 +2,16 @@
 //! they may: the VMs that were told stay within the limit together, use it, and return once it is
 //! lifted.
 
-use dahliawood_model::FastMap;
+use crate::placement::support::{START, answered, entry, query, regions};
 use dahliawood_model::catalog::{TargetEntry, TargetReport};
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
-use dahliawood_steer::health::ResultKind;
-use dahliawood_steer::placement::choose::{
-    self, ColdLimit, PlacementChoice, PlacementQuery, VmLocation,
-};
+use dahliawood_steer::placement::choose::{self, PlacementChoice, VmLocation};
 use dahliawood_steer::placement::table::{PlacementTable, TargetResult};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
-const SERVICE: &str = "service";
-const START: TimeStamp = TimeStamp::from_millis(1_000_000);
 const STEP: Duration = Duration::from_millis(50);
 /// The window of the rule, and when it begins to bind after the first statement.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -62,9 +57,7 @@
         let all = names.iter().map(String::as_str);
         location.fleet_sharers.set_listed(all, at);
     }
-    let regions = [("a-1", "a"), ("b-1", "b")];
-    let regions = regions.map(|(domain, region)| (domain.to_owned(), region.to_owned()));
-    let mut table = PlacementTable::new(FastMap::from_iter(regions));
+    let mut table = PlacementTable::new(regions());
     table.upsert(target(), START);
     SimulatedVm {
         location,
@@ -75,27 +68,8 @@
 
 fn target() -> TargetEntry {
     TargetEntry {
-        id: "target-0".to_owned(),
-        address: ([10, 0, 0, 1], 80).into(),
-        service: SERVICE.to_owned(),
-        domain: "a-1".to_owned(),
         slots: 1_000_000,
-        is_draining: false,
-        cold_for: Duration::ZERO,
-        started_millis: 1,
-    }
-}
-
-fn query() -> PlacementQuery<'static> {
-    PlacementQuery {
-        service: SERVICE,
-        object: Some(7),
-        is_bulk: false,
-        regions: [&[], &[]],
-        tried: &[],
-        max_wait: Duration::from_millis(100),
-        time_left: Duration::from_secs(2),
-        cold: ColdLimit { per_second: 20.0 },
+        ..entry(0, "a-1")
     }
 }
 
@@ -120,7 +94,7 @@
             vm.location.sharers.confirm(now);
             vm.location.fleet_sharers.confirm(now);
             for _ in 0..10 {
-                let choice = choose::choose(&mut vm.table, &vm.location, &query(), now);
+                let choice = choose::choose(&mut vm.table, &vm.location, &query(7), now);
                 let PlacementChoice::Target(key) = choice else {
                     break;
                 };
@@ -145,11 +119,9 @@
 
 fn finish(vm: &mut SimulatedVm, request: &RunningRequest, report: TargetReport, now: TimeStamp) {
     let result = TargetResult {
-        kind: ResultKind::Answered,
         latency: now.since(request.started),
         report: Some(report),
-        visit: None,
-        slack: Duration::from_secs(1),
+        ..answered(None)
     };
     vm.table.finish(request.key, result, now);
     match report.limit {
--- /dev/null
+++ b/dahliawood-steer/tests/main/placement/lifecycle.rs
@@ -0,0 +1,155 @@
+//! Targets that drain, leave, pause, fail and restart.
+
+use crate::placement::support::{
+    SERVICE, SERVICE_TIME, START, answered, busy_result, chosen, entry, query, table, vm_location,
+};
+use dahliawood_model::FastSet;
+use dahliawood_model::catalog::TargetReport;
+use dahliawood_steer::health::ResultKind;
+use dahliawood_steer::placement::choose;
+use dahliawood_steer::placement::choose::PlacementChoice;
+use dahliawood_steer::placement::table::PlacementTable;
+use dahliawood_steer::placement::table::TargetResult;
+use std::time::Duration;
+
+#[test]
+fn draining_and_evacuated_targets_get_no_requests() {
+    let mut table = table(&[("a-1", 2), ("a-2", 2)]);
+    let mut draining = entry(0, "a-1");
+    draining.is_draining = true;
+    table.upsert(draining, START);
+    table.set_evacuated(FastSet::from_iter(["a-2".to_owned()]));
+    for object in 0..100 {
+        let choice = choose::choose(&mut table, &vm_location("a-1", 1), &query(object), START);
+        let target = table.get(chosen(choice).unwrap()).unwrap();
+        assert_eq!(target.entry.id, "target-1");
+    }
+    table.set_evacuated(FastSet::from_iter(["a-1".to_owned(), "a-2".to_owned()]));
+    let choice = choose::choose(&mut table, &vm_location("a-1", 1), &query(0), START);
+    assert_eq!(choice, PlacementChoice::None);
+}
+
+#[test]
+fn a_process_that_starts_under_the_id_of_one_that_left_is_used() {
+    let mut table = table(&[("a-1", 1)]);
+    let location = vm_location("a-1", 1);
+    let leaving = TargetResult {
+        report: Some(TargetReport {
+            is_leaving: true,
+            ..TargetReport::default()
+        }),
+        ..answered(None)
+    };
+    let key = table.services[SERVICE].targets[0];
+    table.begin(key, START);
+    assert!(table.finish(key, leaving, START));
+    let choose = |table: &mut PlacementTable| choose::choose(table, &location, &query(1), START);
+    assert_eq!(choose(&mut table), PlacementChoice::None);
+    table.finish(key, answered(None), START);
+    assert_eq!(choose(&mut table), PlacementChoice::None, "a late answer");
+    table.upsert(entry(0, "a-1"), START);
+    assert_eq!(choose(&mut table), PlacementChoice::None, "its entry again");
+    table.remove("target-0");
+    table.upsert(entry(0, "a-1"), START);
+    assert_eq!(choose(&mut table), PlacementChoice::None, "a new entry");
+    let mut restarted = entry(0, "a-1");
+    restarted.started_millis = 2;
+    table.upsert(restarted, START);
+    assert!(matches!(choose(&mut table), PlacementChoice::Target(_)));
+}
+
+#[test]
+fn a_pause_that_a_target_asks_for_is_kept_and_ends_with_one_request() {
+    let mut table = table(&[("a-1", 1)]);
+    let location = vm_location("a-1", 1);
+    let key = table.services[SERVICE].targets[0];
+    let refused = TargetResult {
+        kind: ResultKind::Shed,
+        report: Some(TargetReport {
+            pause: Some(Duration::from_secs(5)),
+            ..TargetReport::default()
+        }),
+        ..answered(None)
+    };
+    table.begin(key, START);
+    table.begin(key, START);
+    table.finish(key, refused, START);
+    let after = |millis| START.after(Duration::from_millis(millis));
+    let choose = |table: &mut PlacementTable, at| choose::choose(table, &location, &query(1), at);
+    let refusal = |millis| PlacementChoice::Busy {
+        retry_after: Duration::from_millis(millis),
+    };
+    assert_eq!(choose(&mut table, after(1_000)), refusal(4_000));
+    // The answer to a request that was sent before does not end the pause.
+    table.finish(key, answered(None), after(1_500));
+    assert_eq!(choose(&mut table, after(2_000)), refusal(3_000));
+    let end = after(5_000);
+    assert_eq!(choose(&mut table, end), PlacementChoice::Target(key));
+    table.begin(key, end);
+    assert_eq!(
+        choose(&mut table, end),
+        PlacementChoice::None,
+        "one at a time"
+    );
+    table.finish(key, answered(None), end);
+    assert_eq!(choose(&mut table, end), PlacementChoice::Target(key));
+}
+
+#[test]
+fn a_restart_under_the_same_id_is_a_new_target() {
+    let mut table = table(&[("a-1", 1)]);
+    let old = table.services[SERVICE].targets[0];
+    table.begin(old, START);
+    let mut restarted = entry(0, "a-1");
+    restarted.started_millis = 2;
+    table.upsert(restarted, START);
+    let new = table.services[SERVICE].targets[0];
+    assert_ne!(old, new);
+    assert!(table.get(old).is_none());
+    assert_eq!(table.get(new).unwrap().load.in_flight, 0);
+    // The end of a request to the old target does not change the new one's load.
+    table.finish(old, busy_result(9, START), START);
+    assert!(
+        table
+            .get(new)
+            .unwrap()
+            .load
+            .outstanding(SERVICE_TIME, START)
+            < 0.5
+    );
+}
+
+#[test]
+fn a_failed_target_is_skipped_then_probed_one_request_at_a_time() {
+    let mut table = table(&[("a-1", 1)]);
+    let key = table.services[SERVICE].targets[0];
+    let lost = TargetResult {
+        kind: ResultKind::ConnectFailed,
+        latency: Duration::ZERO,
+        report: None,
+        visit: None,
+        slack: Duration::from_millis(100),
+    };
+    table.begin(key, START);
+    table.finish(key, lost, START);
+    let location = vm_location("a-1", 1);
+    assert_eq!(
+        chosen(choose::choose(&mut table, &location, &query(0), START)),
+        None
+    );
+    let later = START.after(Duration::from_secs(1));
+    assert_eq!(
+        chosen(choose::choose(&mut table, &location, &query(0), later)),
+        Some(key)
+    );
+    table.begin(key, later);
+    assert_eq!(
+        chosen(choose::choose(&mut table, &location, &query(1), later)),
+        None
+    );
+    table.finish(key, answered(None), later);
+    assert_eq!(
+        chosen(choose::choose(&mut table, &location, &query(1), later)),
+        Some(key)
+    );
+}
--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -172,8 +172,8 @@
         let copy = state.copy.clone().expect("a copy was made");
         let (epoch, last_lease) = (state.epoch + 1, state.last_lease);
         *state = StoreState {
-            epoch,
             last_lease,
+            epoch,
             ..*copy
         };
     }
