test(steer): a hot customer moves requests between regions too fast, failing

Cause in the model: a customer that sends half of all requests for a few objects that stay in their region raises that region's share without any step; choose() asks allows_side only for the other direction.

--- a/dahliawood-steer/tests/main/placement/region.rs
+++ b/dahliawood-steer/tests/main/placement/region.rs
@@ -8,15 +8,12 @@
 use dahliawood_model::catalog::TargetLoad;
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
-use dahliawood_steer::placement::choose;
-use dahliawood_steer::placement::choose::PlacementQuery;
-use dahliawood_steer::placement::choose::VmLocation;
+use dahliawood_steer::placement::choose::{self, PlacementQuery, VmLocation};
 use dahliawood_steer::placement::spillover;
 use dahliawood_steer::placement::table::PlacementTable;
 use dahliawood_steer::rendezvous;
-use rand::Rng;
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
 #[test]
@@ -42,6 +39,8 @@
     running: Vec<(TimeStamp, TargetKey)>,
     /// Requests of other VMs at each target outside region a.
     remote_load: u32,
+    /// Objects of one customer that sends half of all requests.
+    hot_objects: Vec<u64>,
 }
 
 impl LoadSimulation {
@@ -52,6 +51,7 @@
             now: START,
             running: Vec::new(),
             remote_load: 0,
+            hot_objects: Vec::new(),
         }
     }
 
@@ -94,7 +94,12 @@
 
     /// Sends the next request; returns its failure domain, `None` if it is refused.
     fn send(&mut self, location: &VmLocation) -> Option<String> {
-        let object = self.objects.random_range(0..100_u64);
+        let object = match self.hot_objects.len() {
+            hot @ 1.. if self.objects.random_bool(0.5) => {
+                self.hot_objects[self.objects.random_range(0..hot)]
+            }
+            _ => self.objects.random_range(0..100_u64),
+        };
         let object = rendezvous::name_hash(&object.to_le_bytes());
         let key = chosen(choose::choose(
             &mut self.table,
@@ -132,6 +137,24 @@
     }
 }
 
+#[test]
+fn a_hot_customer_moves_few_requests_between_regions_in_two_seconds() {
+    for seed in 0..12 {
+        let mut simulation = LoadSimulation::new(&[("a-1", 8), ("b-1", 36), ("c-1", 36)], seed);
+        let mut last = remote_share(&simulation.run(150, 12));
+        simulation.hot_objects = (seed * 2..seed * 2 + 2).collect();
+        for window in 0..6 {
+            let share = remote_share(&simulation.run(300, 4));
+            let change = (share - last).abs();
+            assert!(
+                change <= 0.15,
+                "seed {seed}, window {window}: {last:.2} to {share:.2}"
+            );
+            last = share;
+        }
+    }
+}
+
 #[test]
 fn objects_return_from_another_region_only_when_it_is_busier() {
     let mut simulation = LoadSimulation::new(&[("a-1", 8), ("b-1", 36), ("c-1", 36)], 1);
