--- a/dahliawood-daemon/tests/soak/main.rs
+++ b/dahliawood-daemon/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! A short soak test with fixed seeds, and fault plans that once violated a guarantee.
 //!
-//! With `DAHLIAWOOD_SOAK_SEEDS=FROM..TO`, runs those seeds instead, for a longer time and with time
+//! With `DAHLIAWOOD_SOAK_SEEDS=FROM..TO`, or `DAHLIAWOOD_SOAK_STATEMENTS=FROM..TO` for plans in which
+//! targets state limits, pauses and their leaving and the store is restored, runs those seeds instead, for a longer time and with time
 //! bounds in seconds; such runs need an otherwise idle machine.
 
 use async_std::task;
@@ -12,6 +13,8 @@
 
 /// Seeds that run by default.
 const FIXED_SEEDS: [u64; 2] = [1, 2];
+/// The same for plans with statements; other ones, as runs of one seed share a directory.
+const STATEMENT_SEEDS: [u64; 2] = [301, 302];
 /// Period in which faults begin, for the fixed seeds and for seeds requested by the variable.
 const FIXED_FAULT_TIME: Duration = Duration::from_secs(5);
 const REQUESTED_FAULT_TIME: Duration = Duration::from_secs(10);
@@ -20,6 +23,9 @@
 /// Number of runs at the same time.
 const PARALLEL_RUNS: usize = 4;
 
+/// Draws a plan from a seed, for a number of VMs and a period in which faults begin.
+type DrawPlan = fn(u64, usize, Duration) -> SoakPlan;
+
 /// A step of a plan: start and duration in milliseconds, and the fault.
 type StepSpec = (u64, u64, SoakEvent);
 
@@ -65,15 +71,15 @@
     all.map(|(seed, plan)| options(seed, plan, false)).collect()
 }
 
-fn requested_runs(seeds: Range<u64>) -> Vec<SoakOptions> {
-    let drawn = seeds.map(|seed| (seed, SoakPlan::draw(seed, VMS, REQUESTED_FAULT_TIME)));
+fn requested_runs(seeds: Range<u64>, draw: DrawPlan) -> Vec<SoakOptions> {
+    let drawn = seeds.map(|seed| (seed, draw(seed, VMS, REQUESTED_FAULT_TIME)));
     drawn
         .map(|(seed, plan)| options(seed, plan, true))
         .collect()
 }
 
-fn requested_seeds() -> Option<Range<u64>> {
-    let text = std::env::var("DAHLIAWOOD_SOAK_SEEDS").ok()?;
+fn requested_seeds(variable: &str) -> Option<Range<u64>> {
+    let text = std::env::var(variable).ok()?;
     let (from, to) = text.split_once("..").expect("seeds as FROM..TO");
     Some(from.parse().expect("a number")..to.parse().expect("a number"))
 }
@@ -110,8 +116,27 @@
 
 #[test]
 fn guarantees_hold_while_links_and_processes_fail() {
-    let outcomes = requested_seeds().map_or_else(fixed_runs, requested_runs);
-    let failed: Vec<SoakOutcome> = outcomes
+    let requested = requested_seeds("DAHLIAWOOD_SOAK_SEEDS");
+    let requested = requested.map(|seeds| requested_runs(seeds, SoakPlan::draw));
+    check_runs(&requested.unwrap_or_else(fixed_runs));
+}
+
+#[test]
+fn guarantees_hold_while_targets_make_statements_and_the_store_is_restored() {
+    let requested = requested_seeds("DAHLIAWOOD_SOAK_STATEMENTS");
+    let requested = requested.map(|seeds| requested_runs(seeds, SoakPlan::draw_statements));
+    let fixed = || {
+        let drawn = STATEMENT_SEEDS.map(|seed| {
+            let plan = SoakPlan::draw_statements(seed, VMS, FIXED_FAULT_TIME);
+            options(seed, plan, false)
+        });
+        drawn.into()
+    };
+    check_runs(&requested.unwrap_or_else(fixed));
+}
+
+fn check_runs(runs: &[SoakOptions]) {
+    let failed: Vec<SoakOutcome> = runs
         .chunks(PARALLEL_RUNS)
         .flat_map(run_parallel)
         .filter(|outcome| !outcome.violations.is_empty())
--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -70,7 +70,7 @@
     is_leaving: bool,
     /// `Retry-After` of refusals with 503.
     pause: Option<String>,
-    refusals: usize,
+    refusals: Vec<RunRequest>,
     runs: Vec<RunRequest>,
     disconnects: usize,
 }
@@ -126,9 +126,15 @@
         self.lock().pause = retry_after.map(str::to_owned);
     }
 
-    /// Number of requests refused with 503.
-    pub fn refusals(&self) -> usize {
-        self.lock().refusals
+    /// The requests that the target refused with a pause, in the order of their arrival.
+    pub fn refusals(&self) -> Vec<RunRequest> {
+        self.lock().refusals.clone()
+    }
+
+    /// Ends a pause: no fault, and no `Retry-After`.
+    pub fn end_pause(&self) {
+        let mut state = self.lock();
+        (state.fault, state.pause) = (InstanceFault::Off, None);
     }
 
     /// The target states in its responses that it is leaving.
@@ -202,7 +208,10 @@
             return (not_executed(421, &state), false);
         }
         if state.fault == InstanceFault::Overloaded {
-            state.refusals += 1;
+            if state.pause.is_some() {
+                let at = Instant::now();
+                state.refusals.push(RunRequest { head, body, at });
+            }
             return (not_executed(503, &state), false);
         }
         let attempt = header("X-Dahliawood-Attempt-Id");
--- a/dahliawood-testkit/src/soak/check/mod.rs
+++ b/dahliawood-testkit/src/soak/check/mod.rs
@@ -3,6 +3,8 @@
 //! Some guarantees hold for each request at any time. Others hold only within a bound of time, and
 //! only where no injected fault disturbs the parts involved.
 
+pub mod statements;
+
 use crate::soak::caller::{CallerRecord, RequestOutcome};
 use crate::soak::plan::SoakEvent;
 use dahliawood_model::FastMap;
@@ -63,12 +65,30 @@
 }
 
 /// The kinds of changes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum ChangeKind {
     /// The registration of the target with this id was removed.
     TargetDeregistered(String),
     /// Routes to this service were published.
     Routes(&'static str),
+    /// The target with this id began to state its leaving.
+    TargetLeaving(String),
+    /// The target with this id began to state a limit.
+    TargetLimited {
+        /// The target.
+        id: String,
+        /// Requests a second.
+        limit: f64,
+        /// When it ended.
+        until: Instant,
+    },
+    /// The target with this id began to refuse requests and to ask for pauses.
+    TargetPausing {
+        /// The target.
+        id: String,
+        /// The pause.
+        pause: Duration,
+    },
 }
 
 /// An event of the plan that was applied, with its times.
@@ -89,6 +109,8 @@
     pub requests: Vec<CallerRecord>,
     /// The requests that ran at targets.
     pub runs: Vec<TargetRun>,
+    /// The requests that targets refused with a pause.
+    pub refusals: Vec<TargetRun>,
     /// The changes, in order of time.
     pub changes: Vec<SoakChange>,
     /// The applied events, faults and changes.
@@ -144,7 +166,9 @@
             | SoakEvent::VmPaused(at)
             | SoakEvent::VmKilled(at)
             | SoakEvent::VmTerminated(at) => at == vm,
-            SoakEvent::StoreUnavailable | SoakEvent::StoreCompacted => true,
+            SoakEvent::StoreUnavailable | SoakEvent::StoreCompacted | SoakEvent::StoreRestored => {
+                true
+            }
             _ => false,
         };
         !self.had_fault(from, until, affects)
@@ -162,7 +186,9 @@
     ) -> bool {
         let affects = |event| match event {
             SoakEvent::VmPaused(at) | SoakEvent::VmKilled(at) => at == vm,
-            SoakEvent::TargetLink(at, _) | SoakEvent::TargetFault(at, _) => at == endpoint,
+            SoakEvent::TargetLink(at, _)
+            | SoakEvent::TargetFault(at, _)
+            | SoakEvent::TargetPausing(at) => at == endpoint,
             _ => false,
         };
         self.had_fault(from, until, affects)
@@ -329,7 +355,7 @@
         .iter()
         .filter_map(|change| match change.kind {
             ChangeKind::Routes(service) => Some((change.at, service)),
-            ChangeKind::TargetDeregistered(_) => None,
+            _ => None,
         });
     let is_in_force = |(at, _): &(Instant, &str)| *at + ROUTES_LIMIT < request.sent;
     let Some((since, service)) = routes.clone().rev().find(is_in_force) else {
--- a/dahliawood-testkit/src/soak/environment/mod.rs
+++ b/dahliawood-testkit/src/soak/environment/mod.rs
@@ -1,6 +1,6 @@
 //! The environment of a soak: the stand-ins, the proxies, and the processes of the VMs.
 
-use crate::instance::{self, InstanceFault, TargetInstance};
+use crate::instance::{self, InstanceFault, RunRequest, TargetInstance};
 use crate::keyspace::{self, KeyspaceStore, StoreFault};
 use crate::operator_config;
 use crate::serving::lock;
@@ -33,6 +33,12 @@
 const LARGE_RATE: u32 = 100_000;
 /// How long a target takes for a request.
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
+/// The limit that a target states, requests a second.
+const STATED_LIMIT: f64 = 3.0;
+/// The pause that a target asks for.
+const ASKED_PAUSE: Duration = Duration::from_secs(3);
+/// How long after a restoration of the store its writers write again.
+const REWRITE_TIME: Duration = Duration::from_millis(600);
 /// How long a process may take to exit after the signal: its grace time, plus some
 /// time for start-up.
 const TERMINATION_LIMIT: Duration = Duration::from_secs(8);
@@ -50,6 +56,10 @@
     proxy: FaultProxy,
     /// The targets that used the address, the newest last.
     instances: Vec<TargetInstance>,
+    /// Until when the newest target has not taken over the address yet.
+    replaced_until: Instant,
+    /// The same where the one before it states its leaving.
+    left_until: Instant,
 }
 
 /// The stand-ins, the proxies and the VM processes of a soak, and the record of what was injected.
@@ -103,7 +113,9 @@
             lock(&environment.vms).push(vm);
             environment.store_links.push(link);
         }
-        match environment.wait_until_healthy().await.first() {
+        let violations = environment.wait_until_healthy().await;
+        environment.store.copy();
+        match violations.first() {
             None => Ok(environment),
             Some(violation) => Err(io::Error::other(violation.seen.clone())),
         }
@@ -117,6 +129,8 @@
             service,
             proxy: proxy::start(target.address).await?,
             instances: vec![target],
+            replaced_until: Instant::now(),
+            left_until: Instant::now(),
         };
         register(&self.store, &endpoint);
         self.endpoints.push(endpoint);
@@ -140,9 +154,18 @@
 
     /// All requests that ran at targets.
     pub fn runs(&self) -> Vec<TargetRun> {
+        self.arrivals(TargetInstance::runs)
+    }
+
+    /// All requests that targets refused with a pause.
+    pub fn refusals(&self) -> Vec<TargetRun> {
+        self.arrivals(TargetInstance::refusals)
+    }
+
+    fn arrivals(&self, of: impl Fn(&TargetInstance) -> Vec<RunRequest>) -> Vec<TargetRun> {
         let run = |endpoint: usize, target: &TargetInstance, service| {
             let id = target.id.clone();
-            target.runs().into_iter().map(move |run| TargetRun {
+            of(target).into_iter().map(move |run| TargetRun {
                 method: run.head.method,
                 path: run.head.target,
                 body: run.body,
@@ -156,7 +179,7 @@
         let at_endpoint = |(index, endpoint): (usize, &TargetEndpoint)| {
             let service = endpoint.service;
             let runs = endpoint.instances.iter();
-            let runs = runs.flat_map(move |target| run(index, target, service));
+            let runs = runs.flat_map(|target| run(index, target, service));
             runs.collect::<Vec<_>>()
         };
         endpoints.flat_map(at_endpoint).collect()
@@ -171,7 +194,17 @@
         let until = from + step.duration;
         let event = step.event;
         self.faults.push(InjectedFault { from, until, event });
+        if event == SoakEvent::StoreRestored {
+            self.restore_store();
+        }
+        self.store.copy();
         match event {
+            SoakEvent::StoreRestored => {}
+            SoakEvent::TargetLeaving(index) => {
+                self.replace_target(index, step.duration, true).await?;
+            }
+            SoakEvent::TargetLimited(index) => self.limit_target(index, step.duration),
+            SoakEvent::TargetPausing(index) => self.pause_target(index, step.duration),
             SoakEvent::StoreLink(vm, fault) => disrupt(&self.store_links[vm], fault, step.duration),
             SoakEvent::TargetLink(endpoint, fault) => {
                 disrupt(&self.endpoints[endpoint].proxy, fault, step.duration);
@@ -199,7 +232,9 @@
             SoakEvent::VmKilled(vm) => self.restart(vm, Signal::KILL, step.duration)?,
             SoakEvent::VmTerminated(vm) => self.restart(vm, Signal::TERM, step.duration)?,
             SoakEvent::VmReloaded(vm) => self.signal(vm, Signal::HUP)?,
-            SoakEvent::TargetReplaced(index) => self.replace_target(index, step.duration).await?,
+            SoakEvent::TargetReplaced(index) => {
+                self.replace_target(index, step.duration, false).await?;
+            }
             SoakEvent::RoutesChanged => {
                 let next = SERVICES[(self.version % 2) as usize];
                 self.publish_routes(next);
@@ -249,28 +284,116 @@
         Ok(())
     }
 
-    /// Removes the registration of the target at an endpoint, which keeps answering for a pause.
-    /// After that, a new target with another id takes over the address and registers.
-    async fn replace_target(&mut self, index: usize, pause: Duration) -> io::Result<()> {
-        let count = self.endpoints[index].instances.len();
+    /// Replaces the target at an endpoint: after a pause, a new target with another id takes over the
+    /// address and registers. The old one keeps answering until then. Its registration is removed at
+    /// once; or, if it states its leaving instead, at the end.
+    async fn replace_target(
+        &mut self,
+        index: usize,
+        pause: Duration,
+        states_leaving: bool,
+    ) -> io::Result<()> {
+        let now = Instant::now();
+        let endpoint = &self.endpoints[index];
+        // A target that is to state its leaving must serve its address until then.
+        if now < endpoint.left_until || (states_leaving && now < endpoint.replaced_until) {
+            return Ok(());
+        }
+        let count = endpoint.instances.len();
         let target = instance::start(&format!("target-{index}-{count}")).await?;
         target.set_processing_time(PROCESSING_TIME);
         let endpoint = &mut self.endpoints[index];
-        if let Some(old) = endpoint.instances.last() {
-            self.store.remove(&old.key());
-            let kind = ChangeKind::TargetDeregistered(old.id.clone());
+        endpoint.replaced_until = now + pause;
+        if states_leaving {
+            endpoint.left_until = now + pause;
+        }
+        let old = endpoint.instances.last().cloned();
+        endpoint.instances.push(target.clone());
+        if let Some(old) = &old {
+            let kind = if states_leaving {
+                old.set_leaving();
+                ChangeKind::TargetLeaving(old.id.clone())
+            } else {
+                self.store.remove(&old.key());
+                ChangeKind::TargetDeregistered(old.id.clone())
+            };
             let at = Instant::now();
             self.changes.push(SoakChange { at, kind });
         }
-        endpoint.instances.push(target.clone());
         let (endpoint, store) = (endpoint.clone(), self.store.clone());
         run_after(pause, move || {
+            if let Some(old) = old {
+                store.remove(&old.key());
+            }
             endpoint.proxy.set_server(target.address);
             register(&store, &endpoint);
         });
         Ok(())
     }
 
+    /// The newest target at an endpoint states a limit for a time.
+    fn limit_target(&mut self, index: usize, duration: Duration) {
+        let Some(target) = self.endpoints[index].instances.last().cloned() else {
+            return;
+        };
+        target.set_stated_limit(Some(STATED_LIMIT));
+        let at = Instant::now();
+        let kind = ChangeKind::TargetLimited {
+            id: target.id.clone(),
+            limit: STATED_LIMIT,
+            until: at + duration,
+        };
+        self.changes.push(SoakChange { at, kind });
+        run_after(duration, move || target.set_stated_limit(None));
+    }
+
+    /// The newest target at an endpoint refuses requests and asks for pauses, for a time.
+    fn pause_target(&mut self, index: usize, duration: Duration) {
+        let Some(target) = self.endpoints[index].instances.last().cloned() else {
+            return;
+        };
+        target.set_pause(Some(&ASKED_PAUSE.as_secs().to_string()));
+        target.set_fault(InstanceFault::Overloaded);
+        let at = Instant::now();
+        let kind = ChangeKind::TargetPausing {
+            id: target.id.clone(),
+            pause: ASKED_PAUSE,
+        };
+        self.changes.push(SoakChange { at, kind });
+        run_after(duration, move || target.end_pause());
+    }
+
+    /// Returns the store to its last copy. What the operators and the targets wrote since is written
+    /// again a moment later.
+    fn restore_store(&mut self) {
+        let all = self
+            .endpoints
+            .iter()
+            .flat_map(|endpoint| &endpoint.instances);
+        let (present, absent): (Vec<_>, Vec<_>) = all
+            .cloned()
+            .partition(|target| self.store.has(&target.key()));
+        self.store.restore();
+        let (store, endpoints) = (self.store.clone(), self.endpoints.clone());
+        let document = document(
+            self.version,
+            SERVICES[usize::from(self.version.is_multiple_of(2))],
+        );
+        run_after(REWRITE_TIME, move || {
+            store.put("op/config", &document);
+            for target in absent {
+                store.remove(&target.key());
+            }
+            let is_present = |endpoint: &&TargetEndpoint| {
+                let newest = endpoint.instances.last();
+                newest.is_some_and(|newest| present.iter().any(|target| target.id == newest.id))
+            };
+            for endpoint in endpoints.iter().filter(is_present) {
+                register(&store, endpoint);
+            }
+        });
+    }
+
     /// Waits until the fleet is healthy: each VM runs, is ready, and lists all VMs in its look-up
     /// answers. Returns what is still wrong after 20 s, the restarts that failed during the run,
     /// and the VMs that use too much memory.
--- a/dahliawood-testkit/src/soak/mod.rs
+++ b/dahliawood-testkit/src/soak/mod.rs
@@ -91,6 +91,7 @@
     let records = SoakRecords {
         requests,
         runs: environment.runs(),
+        refusals: environment.refusals(),
         changes: environment.changes.clone(),
         faults: environment.faults.clone(),
         must_serve_from: started + end.saturating_sub(COOL_DOWN_TIME / 4),
@@ -99,6 +100,7 @@
     violations.extend(check::limit_guarantees(&records, environment::SMALL_LIMIT));
     if options.check_time_bounds {
         violations.extend(check::time_bound_guarantees(&records));
+        violations.extend(check::statements::guarantees(&records));
     }
     violations.extend(environment.wait_until_healthy().await);
     let served = records
--- a/dahliawood-testkit/src/soak/plan/mod.rs
+++ b/dahliawood-testkit/src/soak/plan/mod.rs
@@ -47,6 +47,15 @@
     TargetReplaced(usize),
     /// The operators publish routes to the other service.
     RoutesChanged,
+    /// The store returns to a copy of itself from the time of the event before this one.
+    StoreRestored,
+    /// A target states its leaving; when the event is over, it leaves the registry and another one
+    /// takes its address.
+    TargetLeaving(usize),
+    /// A target states a limit.
+    TargetLimited(usize),
+    /// A target refuses requests and asks for pauses.
+    TargetPausing(usize),
 }
 
 /// An event with its start and duration.
@@ -71,6 +80,10 @@
 const MEAN_GAP_MS: u64 = 700;
 /// Range of the duration of an event, milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 300..3_000;
+/// Share of the events of a plan with statements that are such, and the range of their duration,
+/// milliseconds.
+const STATEMENT_SHARE: f64 = 0.4;
+const STATEMENT_DURATION_MS: std::ops::Range<u64> = 4_000..9_000;
 
 impl SoakStep {
     /// When the event is over, relative to the end of the warm-up.
@@ -104,6 +117,20 @@
         Self { steps }
     }
 
+    /// Draws a plan like [`SoakPlan::draw`] in which two events in five are about what targets state
+    /// of themselves, or restorations of the store.
+    pub fn draw_statements(seed: u64, vms: usize, span: Duration) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut plan = Self::draw(seed, vms, span);
+        for step in &mut plan.steps {
+            if rng.random_bool(STATEMENT_SHARE) {
+                step.event = draw_statement(&mut rng);
+                step.duration = Duration::from_millis(rng.random_range(STATEMENT_DURATION_MS));
+            }
+        }
+        plan
+    }
+
     /// When the last event is over, relative to the end of the warm-up; zero without events.
     pub fn end(&self) -> Duration {
         let ends = self.steps.iter().map(SoakStep::end);
@@ -147,3 +174,13 @@
         _ => SoakEvent::RoutesChanged,
     }
 }
+
+fn draw_statement(rng: &mut StdRng) -> SoakEvent {
+    let target = rng.random_range(0..2 * TARGETS_PER_SERVICE);
+    match rng.random_range(0..4) {
+        0 => SoakEvent::StoreRestored,
+        1 => SoakEvent::TargetLeaving(target),
+        2 => SoakEvent::TargetLimited(target),
+        _ => SoakEvent::TargetPausing(target),
+    }
+}
