--- a/dahliawood-testkit/src/soak/environment/mod.rs
+++ b/dahliawood-testkit/src/soak/environment/mod.rs
@@ -195,7 +195,7 @@
         let event = step.event;
         self.faults.push(InjectedFault { from, until, event });
         if event == SoakEvent::StoreRestored {
-            self.restore_store();
+            self.restore_store().await;
         }
         self.store.copy();
         match event {
@@ -365,33 +365,32 @@
 
     /// Returns the store to its last copy. What the operators and the targets wrote since is written
     /// again a moment later.
-    fn restore_store(&mut self) {
-        let all = self
-            .endpoints
-            .iter()
-            .flat_map(|endpoint| &endpoint.instances);
-        let (present, absent): (Vec<_>, Vec<_>) = all
-            .cloned()
-            .partition(|target| self.store.has(&target.key()));
+    async fn restore_store(&mut self) {
+        let all = self.endpoints.iter();
+        let all: Vec<TargetInstance> = all
+            .flat_map(|endpoint| endpoint.instances.iter().cloned())
+            .collect();
+        let is_listed = |target: &&TargetInstance| self.store.has(&target.key());
+        let (listed, others): (Vec<_>, Vec<_>) = all.iter().partition(is_listed);
         self.store.restore();
-        let (store, endpoints) = (self.store.clone(), self.endpoints.clone());
-        let document = document(
-            self.version,
-            SERVICES[usize::from(self.version.is_multiple_of(2))],
-        );
-        run_after(REWRITE_TIME, move || {
-            store.put("op/config", &document);
-            for target in absent {
-                store.remove(&target.key());
-            }
-            let is_present = |endpoint: &&TargetEndpoint| {
-                let newest = endpoint.instances.last();
-                newest.is_some_and(|newest| present.iter().any(|target| target.id == newest.id))
-            };
-            for endpoint in endpoints.iter().filter(is_present) {
-                register(&store, endpoint);
+        let lost: Vec<_> = listed
+            .into_iter()
+            .filter(|target| !is_listed(target))
+            .collect();
+        let revived: Vec<_> = others.into_iter().filter(is_listed).collect();
+        task::sleep(REWRITE_TIME).await;
+        let service = SERVICES[usize::from(self.version.is_multiple_of(2))];
+        self.store
+            .put("op/config", &document(self.version, service));
+        for target in revived {
+            self.store.remove(&target.key());
+        }
+        for endpoint in &self.endpoints {
+            let newest = endpoint.instances.last();
+            if newest.is_some_and(|newest| lost.iter().any(|target| target.id == newest.id)) {
+                register(&self.store, endpoint);
             }
-        });
+        }
     }
 
     /// Waits until the fleet is healthy: each VM runs, is ready, and lists all VMs in its look-up
