--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -104,7 +104,7 @@
     total: Duration,
 }
 
-/// Chooses a target.
+/// Chooses a target, and counts the request within the limit that the target states.
 ///
 /// A request whose object spills over goes to another region, any other stays in the own region. A
 /// limited share of requests runs on the other side where their own side has no slot in time.
@@ -152,24 +152,24 @@
     {
         spillover.record_request(has_local && local.is_none());
     }
-    let select = |table: &mut PlacementTable, key, is_remote| {
+    let dispatch = |table: &mut PlacementTable, key, is_remote| {
         table.reserve(key, location, now);
         select(table, query.service, key, is_remote)
     };
     if !is_remote && let Some(key) = local {
-        return select(table, key, false);
+        return dispatch(table, key, false);
     }
     let remote_key = sides.best_remote(query);
     if let Some(key) = remote_key {
         let may_run_remote = !has_local || (is_remote && allows_side(table, query.service, true));
         if may_run_remote || allow_diverted(table, query.service, true) {
-            return select(table, key, true);
+            return dispatch(table, key, true);
         }
     }
     if let Some(key) = local
         && (remote_key.is_some() || allow_diverted(table, query.service, false))
     {
-        return select(table, key, false);
+        return dispatch(table, key, false);
     }
     if sides.is_empty() {
         return refuse_until_open(table, location, query, now);
