--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -18,6 +18,8 @@
     sent: usize,
     /// The most within the window in which they are limited.
     peak: usize,
+    /// The longest time from the choice of the target until a request was written, milliseconds.
+    longest_delay_ms: u128,
     /// VMs of the region among which the target's limit is divided.
     vms: usize,
 }
@@ -51,6 +53,7 @@
                 target,
                 sent: usage.sent,
                 peak: usage.peak,
+                longest_delay_ms: usage.longest_delay.as_millis(),
                 vms,
             });
     }
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -253,6 +253,10 @@
         };
         let left = self.routed.deadline.since(now);
         let customer = self.routed.customer;
+        let on_write = || {
+            let mut table = self.state.placement();
+            table.record_written(target.key, target.started, clock::now());
+        };
         let call = TargetCall {
             head: &self.request.head,
             body: &self.request.body,
@@ -266,6 +270,7 @@
             is_idempotent: self.route().kind.is_idempotent(),
             is_retry: self.tried.len() > 1,
             limit: left,
+            on_write: &on_write,
         };
         let result = target_call::send(self.state, &call).await;
         guard.result.kind = match &result {
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -31,7 +31,7 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
 
 /// A request to be sent to a target.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, derive_more::Debug)]
 pub struct TargetCall<'a> {
     /// The head of the request as received from the caller.
     pub head: &'a RequestHead,
@@ -49,6 +49,9 @@
     pub is_retry: bool,
     /// How long this try may take.
     pub limit: Duration,
+    /// Called when the request is about to be written to the connection.
+    #[debug(skip)]
+    pub on_write: &'a dyn Fn(),
 }
 
 /// A complete response of a target.
@@ -160,6 +163,7 @@
     reader: &mut ConnectionReader<TcpStream>,
 ) -> Result<(TargetResponse, bool), CallFailure> {
     let mut output = stream;
+    (call.on_write)();
     let sending = pin!(output.write_all(bytes));
     let receiving = pin!(receive(state, call, reader));
     match future::select(sending, receiving).await {
--- a/dahliawood-steer/src/placement/cold/mod.rs
+++ b/dahliawood-steer/src/placement/cold/mod.rs
@@ -21,6 +21,8 @@
     pub sent: usize,
     /// The most requests within the window of a [`ColdWindow`].
     pub peak: usize,
+    /// The longest time from the choice of the target until the request was written.
+    pub longest_delay: Duration,
 }
 
 impl ColdUsage {
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -335,6 +335,16 @@
         }
     }
 
+    /// Records that a request, for which the target was chosen at `chosen_at`, is written now.
+    pub fn record_written(&mut self, key: TargetKey, chosen_at: TimeStamp, now: TimeStamp) {
+        if let Some(target) = self.targets.get_mut(&key)
+            && now < target.cold_until
+        {
+            let usage = &mut target.cold_usage;
+            usage.longest_delay = usage.longest_delay.max(now.since(chosen_at));
+        }
+    }
+
     /// What this VM sent to each cold target since the last call, with the target's id.
     pub fn take_cold_usage(&mut self) -> Vec<(String, ColdUsage)> {
         let used = self.targets.values_mut();
