test(steer): targets that say after their evacuation that they are cold are flooded, failing

The cold limit says how long it lasts, and the table is told when evacuations change; neither is used yet.

--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -185,5 +185,8 @@
         0,
         format!("{domains:?}"),
     );
-    state.shared.placement().set_evacuated(domains);
+    state
+        .shared
+        .placement()
+        .set_evacuated(domains, clock::now());
 }
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -228,6 +228,7 @@
         let rate = service.map_or(0.0, |service| service.cold_rate);
         ColdLimit {
             per_second: rate * bounds.cold_factor + bounds.cold_slack,
+            lasts: service.map_or(Duration::ZERO, |service| service.cold_start),
         }
     }
 
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -53,11 +53,13 @@
     }
 }
 
-/// Rate that a cold target can take from all VMs together.
+/// Rate that a cold target can take from all VMs together, and for how long.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdLimit {
     /// Requests per second.
     pub per_second: f64,
+    /// How long a target is cold after its start.
+    pub lasts: Duration,
 }
 
 /// One request that needs a target.
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -290,7 +290,7 @@
     }
 
     /// Sets the evacuated failure domains, whose targets get no requests.
-    pub fn set_evacuated(&mut self, domains: FastSet<String>) {
+    pub fn set_evacuated(&mut self, domains: FastSet<String>, _now: TimeStamp) {
         self.generation += 1;
         self.evacuated = domains;
     }
--- a/dahliawood-steer/tests/main/cold_fleet.rs
+++ b/dahliawood-steer/tests/main/cold_fleet.rs
@@ -257,7 +257,10 @@
 
 fn cold_query(object: u64) -> PlacementQuery<'static> {
     PlacementQuery {
-        cold: ColdLimit { per_second: LIMIT },
+        cold: ColdLimit {
+            per_second: LIMIT,
+            lasts: Duration::from_secs(3),
+        },
         ..query(object)
     }
 }
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -13,3 +13,4 @@
 mod queue;
 mod shedding;
 mod split;
+mod unannounced_cold;
--- a/dahliawood-steer/tests/main/object_load.rs
+++ b/dahliawood-steer/tests/main/object_load.rs
@@ -184,7 +184,10 @@
                 .saturating_sub(table.cached_service_time(SERVICE))
                 .max(AIM / 4),
             time_left: TIMEOUT,
-            cold: ColdLimit { per_second: 20.0 },
+            cold: ColdLimit {
+                per_second: 20.0,
+                lasts: Duration::from_secs(3),
+            },
         };
         let PlacementChoice::Target(key) = choose::choose(table, &location, &query, *now) else {
             continue;
--- a/dahliawood-steer/tests/main/placement/lifecycle.rs
+++ b/dahliawood-steer/tests/main/placement/lifecycle.rs
@@ -18,13 +18,16 @@
     let mut draining = entry(0, "a-1");
     draining.is_draining = true;
     table.upsert(draining, START);
-    table.set_evacuated(FastSet::from_iter(["a-2".to_owned()]));
+    table.set_evacuated(FastSet::from_iter(["a-2".to_owned()]), START);
     for object in 0..100 {
         let choice = choose::choose(&mut table, &vm_location("a-1", 1), &query(object), START);
         let target = table.get(chosen(choice).unwrap()).unwrap();
         assert_eq!(target.entry.id, "target-1");
     }
-    table.set_evacuated(FastSet::from_iter(["a-1".to_owned(), "a-2".to_owned()]));
+    table.set_evacuated(
+        FastSet::from_iter(["a-1".to_owned(), "a-2".to_owned()]),
+        START,
+    );
     let choice = choose::choose(&mut table, &vm_location("a-1", 1), &query(0), START);
     assert_eq!(choice, PlacementChoice::None);
 }
--- a/dahliawood-steer/tests/main/placement/region.rs
+++ b/dahliawood-steer/tests/main/placement/region.rs
@@ -172,7 +172,7 @@
     let mut simulation = LoadSimulation::new(&[("a-1", 6), ("b-1", 6)], 1);
     simulation.run(40, 4);
     let lost = FastSet::from_iter(["a-1".to_owned()]);
-    simulation.table.set_evacuated(lost);
+    simulation.table.set_evacuated(lost, simulation.now);
     let ran = simulation.run(40, 1);
     assert!(ran.len() >= 19, "{} of 20 were served", ran.len());
 }
--- a/dahliawood-steer/tests/main/placement/support.rs
+++ b/dahliawood-steer/tests/main/placement/support.rs
@@ -79,7 +79,10 @@
         tried: &[],
         max_wait: Duration::from_millis(100),
         time_left: Duration::from_secs(2),
-        cold: ColdLimit { per_second: 20.0 },
+        cold: ColdLimit {
+            per_second: 20.0,
+            lasts: Duration::from_secs(3),
+        },
     }
 }
 
