fix(steer): a target whose evacuation ends counts as cold for as long as one that starts

What callers saw: a cold target was sent more requests in a second than it takes. Cause: that a target is cold was known from its entry alone. Targets turn cold during an evacuation, and its end can be known before their entries say so: when the store was away, the operator's change is the first that it takes. Now a VM that sees an evacuation end takes the targets for cold until they cannot be any more, whatever their entries say.

unannounced_cold fails before (26 in a second at 4 VMs) and passes with 4 to 300 VMs; no request is refused there.

--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -332,7 +332,7 @@
     query: &PlacementQuery<'_>,
     now: TimeStamp,
 ) -> bool {
-    if now >= target.cold_until {
+    if !target.is_cold(query.cold.lasts, now) {
         return true;
     }
     let limit = (query.cold.per_second * COLD_LIMIT_SHARE) as usize;
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -35,8 +35,10 @@
     pub hash: u64,
     /// Its region, empty if its failure domain is unknown.
     pub region: String,
-    /// When it stops being cold.
+    /// When it stops being cold, by its entry.
     pub cold_until: TimeStamp,
+    /// When this VM saw it return, and its entry may not say yet that it is cold.
+    pub returned_at: Option<TimeStamp>,
     /// Recent requests sent to it.
     pub cold_window: ColdWindow,
     /// Requests sent to it while it was cold, for the log.
@@ -62,6 +64,13 @@
         self.stated_limit.set(report.limit, now) || is_leaving || report.pause.is_some()
     }
 
+    /// Whether it is cold, or may be: it has returned less than `lasts` ago, the time that a target is
+    /// cold after its start.
+    pub fn is_cold(&self, lasts: Duration, now: TimeStamp) -> bool {
+        let is_new = |returned_at: TimeStamp| now.since(returned_at) < lasts;
+        now < self.cold_until || self.returned_at.is_some_and(is_new)
+    }
+
     /// When this VM may send the target its next request, by what the target says of itself.
     pub fn open_at(&self, location: &VmLocation, now: TimeStamp) -> TimeStamp {
         let limited = self.limited(location);
@@ -246,6 +255,7 @@
             hash: rendezvous::name_hash(entry.id.as_bytes()),
             region,
             cold_until,
+            returned_at: None,
             cold_window: ColdWindow::default(),
             cold_usage: ColdUsage::default(),
             load: LoadEstimate::default(),
@@ -289,10 +299,18 @@
         self.left.get(&entry.id) == Some(&entry.started_millis)
     }
 
-    /// Sets the evacuated failure domains, whose targets get no requests.
-    pub fn set_evacuated(&mut self, domains: FastSet<String>, _now: TimeStamp) {
+    /// Sets the evacuated failure domains, whose targets get no requests. Targets whose evacuation
+    /// ends may have turned cold during it and not have said so yet.
+    pub fn set_evacuated(&mut self, domains: FastSet<String>, now: TimeStamp) {
         self.generation += 1;
-        self.evacuated = domains;
+        let before = std::mem::replace(&mut self.evacuated, domains);
+        let has_ended =
+            |domain: &String| before.contains(domain) && !self.evacuated.contains(domain);
+        for target in self.targets.values_mut() {
+            if has_ended(&target.entry.domain) {
+                target.returned_at = Some(now);
+            }
+        }
     }
 
     /// Whether a target accepts requests, regardless of its health: neither draining nor leaving nor
