--- a/dahliawood-steer/tests/main/unannounced_cold.rs
+++ b/dahliawood-steer/tests/main/unannounced_cold.rs
@@ -8,10 +8,11 @@
 use dahliawood_model::catalog::TargetEntry;
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_steer::health::ResultKind;
 use dahliawood_steer::placement::choose::{
     self, ColdLimit, PlacementChoice, PlacementQuery, VmLocation,
 };
-use dahliawood_steer::placement::table::PlacementTable;
+use dahliawood_steer::placement::table::{PlacementTable, TargetResult};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
@@ -52,6 +53,8 @@
     /// Requests that reached the targets of [`DOMAIN`], with the target's id.
     arrived: Vec<(TimeStamp, String)>,
     refused: usize,
+    /// When no process listens at the targets of [`DOMAIN`].
+    down: std::ops::Range<TimeStamp>,
 }
 
 fn at(seconds: f64) -> TimeStamp {
@@ -94,6 +97,7 @@
             vms: (0..vms).map(|number| new_vm(number, vms)).collect(),
             arrived: Vec::new(),
             refused: 0,
+            down: START..START,
         }
     }
 
@@ -147,11 +151,15 @@
             return;
         };
         vm.table.begin(key, now);
-        vm.in_flight.push((now.after(ANSWER_TIME), key));
         let entry = &vm.table.get(key).unwrap().entry;
         if entry.domain == DOMAIN {
+            if self.down.contains(&now) {
+                vm.table.finish(key, refused(), now);
+                return;
+            }
             self.arrived.push((now, entry.id.clone()));
         }
+        vm.in_flight.push((now.after(ANSWER_TIME), key));
     }
 
     /// The most requests that one target received in a second from `start` to `end`.
@@ -175,6 +183,15 @@
     }
 }
 
+/// The result of a request at a target whose process is gone.
+fn refused() -> TargetResult {
+    TargetResult {
+        kind: ResultKind::ConnectFailed,
+        latency: Duration::from_millis(1),
+        ..answered(None)
+    }
+}
+
 fn cold_query(object: u64) -> PlacementQuery<'static> {
     PlacementQuery {
         cold: ColdLimit {
@@ -214,3 +231,39 @@
         );
     }
 }
+
+/// All targets of a failure domain crash and start again under their ids, and are cut off from the
+/// store, so that their entries do not change.
+fn play_restart(vms: usize) -> SimulatedFleet {
+    let mut fleet = SimulatedFleet::new(vms, vms as u64);
+    fleet.down = at(4.0)..at(7.0);
+    fleet.play(at(16.0));
+    fleet
+}
+
+fn assert_restart_is_borne(vms: usize) {
+    let fleet = play_restart(vms);
+    let most = fleet.most_in_a_second(at(7.0), at(10.0));
+    assert!(most <= LIMIT as usize, "{vms} VMs: {most} in a second");
+    assert_eq!(fleet.refused, 0, "{vms} VMs");
+    let later = fleet.most_in_a_second(at(13.0), at(16.0));
+    assert!(
+        later as f64 > LIMIT,
+        "{vms} VMs: {later} in a second once they are warm"
+    );
+}
+
+#[test]
+fn targets_that_restart_under_their_ids_are_not_flooded() {
+    for vms in [4, 10, 31] {
+        assert_restart_is_borne(vms);
+    }
+}
+
+/// Most of the VMs send the targets nothing while they are down.
+#[test]
+fn targets_that_restart_unseen_by_most_vms_are_not_flooded() {
+    for vms in [91, 300] {
+        assert_restart_is_borne(vms);
+    }
+}
