fix(steer): a target whose process was gone counts as cold once it accepts connections again

What callers saw: a cold target was sent more requests in a second than it takes. Cause: a process that starts again under its id was known to be new from its entry alone; until the entry came, or without one, each VM sent one request after its pause, and as many as before once that was answered, all VMs at about the same moment. Now a refused connection, or two in a row that cannot be made, say that the process is gone. It gets no request as a probe: VMs open a connection until one is accepted, and hold the target for cold from then on for as long as one that starts.

Evidence: targets_that_restart_under_their_ids_are_not_flooded failed before (56 in a second at 4 VMs) and passes with 4, 10 and 31 VMs.

All connections in use at this VM no longer counts as a failed connection of the target.

--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -4,6 +4,7 @@
 use crate::control::{ControlState, apply};
 use crate::structured_log::EventClass;
 use async_std::task;
+use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::placement::{choose, spillover};
 use serde::Serialize;
 use std::rc::Rc;
@@ -11,6 +12,15 @@
 /// Number of ticks between two removals of idle connections from the pool.
 const SWEEP_TICKS: u32 = 2;
 
+/// Most connections that are opened per tick to targets whose processes were gone.
+const MAX_CHECKS: usize = 16;
+
+/// Log event for a target that accepts connections again, and may be cold.
+#[derive(Serialize)]
+struct ReturnEvent<'a> {
+    target: &'a str,
+}
+
 /// Log event for the requests that this VM sent to a cold target since the last tick.
 #[derive(Serialize)]
 struct ColdEvent<'a> {
@@ -33,6 +43,7 @@
         apply::update_sharers(&state);
         choose::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
         log_cold_usage(&state);
+        check_targets(&state, now);
         let expired = state.view.borrow_mut().expire(now);
         apply::apply_changes(&state, &expired);
         ticks = ticks.wrapping_add(1);
@@ -42,6 +53,26 @@
     }
 }
 
+/// Opens connections to targets whose processes were gone, to learn whether they are back.
+fn check_targets(state: &Rc<ControlState>, now: TimeStamp) {
+    let due = state.shared.placement().begin_checks(MAX_CHECKS, now);
+    for (key, address) in due {
+        let state = Rc::clone(state);
+        task::spawn_local(async move {
+            let is_accepted = state.shared.pool.probe(address).await.is_ok();
+            let now = clock::now();
+            let mut table = state.shared.placement();
+            if let Some(id) = table.finish_check(key, is_accepted, now) {
+                let event = || ReturnEvent { target: id };
+                state
+                    .shared
+                    .log
+                    .write(EventClass::State, "target-returned", event);
+            }
+        });
+    }
+}
+
 fn log_cold_usage(state: &ControlState) {
     let vms = state.shared.location().sharers.count();
     let used = state.shared.placement().take_cold_usage();
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -406,6 +406,7 @@
         ResultKind::Errored => "errored",
         ResultKind::Shed => "shed",
         ResultKind::ConnectFailed => "unreached",
+        ResultKind::Refused => "not-listening",
         ResultKind::TimedOut => "timed-out",
         ResultKind::Cancelled => "cancelled",
     }
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -7,6 +7,7 @@
 use async_std::net::TcpStream;
 use dahliawood_request::verdict::RunVerdict;
 use dahliawood_steer::health::ResultKind;
+use dahliawood_wire::pool::error::CheckoutError;
 use dahliawood_wire::pool::{ConnectionChoice, PooledConnection};
 use dahliawood_wire::raw::error::ReadError;
 use dahliawood_wire::raw::head::{RequestHead, ResponseHead};
@@ -14,6 +15,7 @@
 use dahliawood_wire::raw::write;
 use futures::future::{self, Either};
 use futures::io::AsyncWriteExt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -94,7 +96,7 @@
     };
     let connection = match state.pool.checkout_live(call.address, choice).await {
         Ok(connection) => connection,
-        Err(error) => return Err(not_run(&error)),
+        Err(error) => return Err(not_connected(&error)),
     };
     let is_reused = connection.reused;
     let id = connection.guard.id();
@@ -108,9 +110,17 @@
     })
 }
 
-fn not_run(error: &dyn std::error::Error) -> CallFailure {
+fn not_connected(error: &CheckoutError) -> CallFailure {
+    let kind = match error {
+        CheckoutError::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused => {
+            ResultKind::Refused
+        }
+        CheckoutError::Connect { .. } => ResultKind::ConnectFailed,
+        // Says nothing about the target's process.
+        CheckoutError::Exhausted { .. } => ResultKind::Shed,
+    };
     CallFailure {
-        kind: ResultKind::ConnectFailed,
+        kind,
         verdict: RunVerdict::NotRun,
         detail: error.to_string(),
     }
--- a/dahliawood-steer/src/choice/mod.rs
+++ b/dahliawood-steer/src/choice/mod.rs
@@ -193,7 +193,9 @@
             state.health.readmit();
             state.ramp = Some(ramp::RampState::default());
         }
-        health::ResultKind::ConnectFailed => state.health.eject(health::EjectCause::Connect, now),
+        health::ResultKind::ConnectFailed | health::ResultKind::Refused => {
+            state.health.eject(health::EjectCause::Connect, now);
+        }
         _ => state.health.eject(health::EjectCause::Failures, now),
     }
 }
--- a/dahliawood-steer/src/health/mod.rs
+++ b/dahliawood-steer/src/health/mod.rs
@@ -46,6 +46,8 @@
     Shed,
     /// No connection could be made.
     ConnectFailed,
+    /// The target's host refused the connection: no process listens there.
+    Refused,
     /// No answer in time on a connection that was made.
     TimedOut,
     /// The caller gave up; this says nothing about the target.
@@ -124,7 +126,7 @@
     pub fn record(&mut self, report: ResultReport, link: Duration, now: TimeStamp) {
         match report.kind {
             ResultKind::Cancelled => return,
-            ResultKind::ConnectFailed => self.connect_failures += 1,
+            ResultKind::ConnectFailed | ResultKind::Refused => self.connect_failures += 1,
             ResultKind::Shed => {
                 self.connect_failures = 0;
                 self.paused_until = now.after(SHED_PAUSE);
--- a/dahliawood-steer/src/placement/breaker/mod.rs
+++ b/dahliawood-steer/src/placement/breaker/mod.rs
@@ -1,7 +1,9 @@
 //! Circuit breaker for a target, driven by the results of this VM's requests.
 //!
 //! The breaker opens for a pause after failures. After the pause one probe at a time is let through
-//! until one is answered.
+//! until one is answered. A target whose process is gone gets no request as a probe: connections
+//! are opened to it until one is accepted, because the process that accepts it is a new one, and all
+//! VMs would send it their probes at the same time.
 
 use crate::health::ResultKind;
 use dahliawood_model::stamp::TimeStamp;
@@ -18,6 +20,10 @@
 /// Moving average of failures from which on a target is paused.
 const FAILURE_SHARE: f64 = 0.45;
 
+/// Failed connections in a row from which on the target's process is taken to be gone, if none was
+/// refused.
+const DOWN_FAILURES: u32 = 2;
+
 /// Breaker state of one target at this VM.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CircuitBreaker {
@@ -27,11 +33,18 @@
     /// End of the pause that the target asked for, which no answer shortens.
     asked_until: TimeStamp,
     is_probing: bool,
+    /// Connections in a row that could not be made.
+    failed_connections: u32,
+    /// Whether the target's process is gone, and no connection has been made since.
+    is_down: bool,
+    /// Whether a connection is being opened to learn whether it is back.
+    is_checking: bool,
 }
 
 impl CircuitBreaker {
     /// Records the result of a request.
     pub fn record(&mut self, kind: ResultKind, now: TimeStamp) {
+        self.record_contact(kind);
         match kind {
             ResultKind::Cancelled => {}
             ResultKind::Answered => {
@@ -41,11 +54,24 @@
                 self.paused_until = self.paused_until.min(now);
             }
             ResultKind::Shed => self.pause(SHED_PAUSE, now),
-            ResultKind::ConnectFailed | ResultKind::TimedOut => self.fail(true, now),
+            ResultKind::ConnectFailed | ResultKind::Refused | ResultKind::TimedOut => {
+                self.fail(true, now);
+            }
             ResultKind::Errored => self.fail(false, now),
         }
     }
 
+    /// Records what a result says about whether the target's process is there.
+    fn record_contact(&mut self, kind: ResultKind) {
+        match kind {
+            ResultKind::Cancelled => return,
+            ResultKind::ConnectFailed => self.failed_connections += 1,
+            ResultKind::Refused => self.failed_connections = DOWN_FAILURES,
+            _ => self.failed_connections = 0,
+        }
+        self.is_down = self.failed_connections >= DOWN_FAILURES;
+    }
+
     fn fail(&mut self, is_hard: bool, now: TimeStamp) {
         self.failure_share = self.failure_share * (1.0 - EWMA_WEIGHT) + EWMA_WEIGHT;
         self.consecutive_failures += 1;
@@ -73,9 +99,42 @@
         self.asked_until
     }
 
+    /// Whether the target's process is gone, as far as is known.
+    pub fn is_down(&self) -> bool {
+        self.is_down
+    }
+
+    /// Whether a connection is to be opened now, to learn whether the target's process is back; it
+    /// counts as being opened until [`Self::finish_check`].
+    pub fn begin_check(&mut self, now: TimeStamp) -> bool {
+        let is_due = self.is_down && !self.is_checking && now >= self.paused_until;
+        self.is_checking |= is_due;
+        is_due
+    }
+
+    /// Records whether the connection of a check was accepted.
+    pub fn finish_check(&mut self, is_accepted: bool, now: TimeStamp) {
+        self.is_checking = false;
+        if !self.is_down {
+            return;
+        }
+        match is_accepted {
+            true => {
+                let asked_until = self.asked_until;
+                *self = Self {
+                    asked_until,
+                    ..Self::default()
+                };
+            }
+            false => self.fail(true, now),
+        }
+    }
+
     /// Whether a request may be sent, where `in_flight` requests of this VM run at the target.
     /// After a pause for failures one request at a time may be sent, until one is answered.
     pub fn is_usable(&self, in_flight: u32, now: TimeStamp) -> bool {
-        now >= self.paused_until.max(self.asked_until) && (!self.is_probing || in_flight == 0)
+        !self.is_down
+            && now >= self.paused_until.max(self.asked_until)
+            && (!self.is_probing || in_flight == 0)
     }
 }
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -15,6 +15,7 @@
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::{FastMap, FastSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Service time that is assumed before the first answer.
@@ -64,6 +65,16 @@
         self.stated_limit.set(report.limit, now) || is_leaving || report.pause.is_some()
     }
 
+    /// Changes the breaker. A process that accepts connections after one was gone is a new one, which
+    /// is cold.
+    fn record_contact(&mut self, change: impl FnOnce(&mut CircuitBreaker), now: TimeStamp) {
+        let was_down = self.breaker.is_down();
+        change(&mut self.breaker);
+        if was_down && !self.breaker.is_down() {
+            self.returned_at = Some(now);
+        }
+    }
+
     /// Whether it is cold, or may be: it has returned less than `lasts` ago, the time that a target is
     /// cold after its start.
     pub fn is_cold(&self, lasts: Duration, now: TimeStamp) -> bool {
@@ -363,6 +374,31 @@
         }
     }
 
+    /// The targets to which a connection is to be opened now, at most `most`, to learn whether their
+    /// processes are back; [`Self::finish_check`] takes the outcome.
+    pub fn begin_checks(&mut self, most: usize, now: TimeStamp) -> Vec<(TargetKey, SocketAddr)> {
+        let targets = self.targets.iter_mut();
+        let due = targets.filter_map(|(key, target)| {
+            let is_due = target.breaker.begin_check(now);
+            is_due.then_some((*key, target.entry.address))
+        });
+        due.take(most).collect()
+    }
+
+    /// Records whether a target accepted the connection of a check; returns its id if it is back.
+    pub fn finish_check(
+        &mut self,
+        key: TargetKey,
+        is_accepted: bool,
+        now: TimeStamp,
+    ) -> Option<&str> {
+        let target = self.targets.get_mut(&key)?;
+        let was_down = target.breaker.is_down();
+        target.record_contact(|breaker| breaker.finish_check(is_accepted, now), now);
+        let is_back = was_down && !target.breaker.is_down();
+        is_back.then_some(target.entry.id.as_str())
+    }
+
     /// What this VM sent to each cold target since the last call, with the target's id.
     pub fn take_cold_usage(&mut self) -> Vec<(String, ColdUsage)> {
         let used = self.targets.values_mut();
@@ -392,7 +428,7 @@
             self.generation += 1;
         }
         target.load.finish();
-        target.breaker.record(result.kind, now);
+        target.record_contact(|breaker| breaker.record(result.kind, now), now);
         let pool = self.services.get_mut(&target.entry.service);
         if let Some(load) = result.load() {
             target.load.record_report(load);
--- a/dahliawood-steer/tests/main/unannounced_cold.rs
+++ b/dahliawood-steer/tests/main/unannounced_cold.rs
@@ -137,11 +137,21 @@
         for (_, key) in vm.in_flight.extract_if(.., |(end, _)| now >= *end) {
             vm.table.finish(key, answered(None), now);
         }
+        self.check_targets(number, now);
         if self.random.random::<f64>() < DEMAND * STEP.as_secs_f64() / vms {
             self.request(number, now);
         }
     }
 
+    /// The VM opens connections to the targets that it holds for down.
+    fn check_targets(&mut self, number: usize, now: TimeStamp) {
+        let is_accepted = !self.down.contains(&now);
+        let table = &mut self.vms[number].table;
+        for (key, _) in table.begin_checks(usize::MAX, now) {
+            table.finish_check(key, is_accepted, now);
+        }
+    }
+
     fn request(&mut self, number: usize, now: TimeStamp) {
         let object = self.random.random_range(0..OBJECTS);
         let vm = &mut self.vms[number];
@@ -186,7 +196,7 @@
 /// The result of a request at a target whose process is gone.
 fn refused() -> TargetResult {
     TargetResult {
-        kind: ResultKind::ConnectFailed,
+        kind: ResultKind::Refused,
         latency: Duration::from_millis(1),
         ..answered(None)
     }
@@ -210,10 +220,10 @@
         let mut fleet = SimulatedFleet::new(vms, vms as u64);
         let evacuated = FastSet::from_iter([DOMAIN.to_owned()]);
         fleet.announce(at(2.0), move |table, now| {
-            table.set_evacuated(evacuated.clone(), now)
+            table.set_evacuated(evacuated.clone(), now);
         });
         fleet.announce(at(8.0), |table, now| {
-            table.set_evacuated(FastSet::default(), now)
+            table.set_evacuated(FastSet::default(), now);
         });
         fleet.announce(at(9.0), |table, now| {
             for number in 0..TARGETS {
