test(platform): a request that crashes targets is sent to more and more of them, failing

Targets of the testkit crash when a request whose path says so begins to run, and start again 0.7 s later.

--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -4,16 +4,19 @@
 //! not its own id, and puts the id of the attempt that it answers into each response.
 
 use crate::serving;
-use async_std::net::TcpStream;
+use async_std::channel::{Sender, bounded};
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use dahliawood_wire::raw::fields::FieldList;
 use dahliawood_wire::raw::head::RequestHead;
 use dahliawood_wire::raw::reader::ConnectionReader;
 use dahliawood_wire::raw::write;
+use futures::future;
 use futures::io::AsyncWriteExt;
 use serde_json::{Value, json};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -23,6 +26,10 @@
 const ECHO_PATH: &str = "/echo/";
 /// A request whose path contains this takes [`SLOW_PROCESSING_TIME`].
 const SLOW_PATH: &str = "/slow/";
+/// A request whose path contains this ends the target's process as soon as it begins to run.
+const CRASH_PATH: &str = "/crash/";
+/// How long after such an end the target starts again, under the same id and address.
+const RESTART_TIME: Duration = Duration::from_millis(700);
 /// How long a request takes whose path contains [`SLOW_PATH`].
 const SLOW_PROCESSING_TIME: Duration = Duration::from_millis(900);
 
@@ -73,6 +80,8 @@
     refusals: Vec<RunRequest>,
     runs: Vec<RunRequest>,
     disconnects: usize,
+    /// Closed when the process ends.
+    process: Option<Sender<()>>,
 }
 
 /// A running target; clones share its state.
@@ -96,8 +105,7 @@
         address,
         state: Arc::default(),
     };
-    let served = instance.clone();
-    serving::accept(listener, move |stream| served.clone().serve(stream));
+    task::spawn(instance.clone().run_processes(listener));
     Ok(instance)
 }
 
@@ -168,6 +176,39 @@
         })
     }
 
+    /// Runs one process after the other, the next one some time after the last has crashed.
+    async fn run_processes(self, listener: TcpListener) {
+        self.run_process(listener).await;
+        loop {
+            task::sleep(RESTART_TIME).await;
+            if let Ok(listener) = TcpListener::bind(self.address).await {
+                self.run_process(listener).await;
+            }
+        }
+    }
+
+    /// Serves connections until the process crashes, which ends all of them.
+    async fn run_process(&self, listener: TcpListener) {
+        let (process, ended) = bounded(1);
+        self.lock().process = Some(process);
+        let accepting = async {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (served, ended) = (self.clone(), ended.clone());
+                task::spawn(async move {
+                    future::select(pin!(served.serve(stream)), pin!(ended.recv())).await;
+                });
+            }
+        };
+        future::select(pin!(accepting), pin!(ended.recv())).await;
+    }
+
+    /// Ends the process.
+    fn crash(&self) {
+        if let Some(process) = &self.lock().process {
+            process.close();
+        }
+    }
+
     async fn serve(self, stream: TcpStream) {
         let mut reader = ConnectionReader::new(stream.clone());
         let mut output = stream;
@@ -177,7 +218,12 @@
                 return;
             };
             let is_slow = head.target.contains(SLOW_PATH);
+            let is_crash = head.target.contains(CRASH_PATH);
             let (bytes, is_closing) = self.respond(head, body);
+            if is_crash {
+                self.crash();
+                return;
+            }
             if self.lock().fault == InstanceFault::Hanging {
                 reader.wait_for_close(MAX_MESSAGE_BYTES).await;
                 self.lock().disconnects += 1;
