fix(gateway): a request that crashed three targets is held back by all VMs

What callers saw: targets of a service ended one after the other, and most requests that waited there failed. Cause: nothing remembered a request from one call to the next, or told another VM of it; each call of its caller crashed as many targets as a request has tries.

Now, when a connection breaks before the response is complete, the VM opens another one. If it is refused, the process has ended, and each request in flight there is suspected, by a hash of customer, method, host, path and body. VMs pass these sightings on to each other. A request is quarantined once it met crashes of three processes, of which at least two followed upon each other, and completed nowhere in between; it is refused at once with 503 and no Retry-After. One VM of the fleet tries it again after a minute, then ever more rarely. Nothing is sent while nothing crashes, but for one call of a VM that starts, which gets all that is remembered.

--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod register;
 pub mod relay;
 pub mod shares;
+pub mod sightings;
 pub mod source;
 pub mod tick;
 pub mod upstream;
@@ -115,6 +116,7 @@
         task::spawn_local(peers::serve(Rc::clone(&state), options.peer_listener)),
         task::spawn_local(shares::run(Rc::clone(&state))),
         task::spawn_local(relay::run(Rc::clone(&state))),
+        task::spawn_local(sightings::run(Rc::clone(&state))),
         task::spawn_local(follow::run(Rc::clone(&state))),
         task::spawn_local(register::run(Rc::clone(&state))),
         task::spawn_local(tick::run(state)),
--- /dev/null
+++ b/dahliawood-gateway/src/crashes/mod.rs
@@ -0,0 +1,97 @@
+//! What this VM knows of crashes of targets: its own sightings and those of other VMs, which requests
+//! they quarantine, and what is to be passed on.
+
+use dahliawood_gossip::rumor::RumorSet;
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_request::quarantine::identity::RequestIdentity;
+use dahliawood_request::quarantine::table::{CrashSighting, QuarantineTable};
+
+/// Most sightings in one message.
+const MAX_TOLD: usize = 128;
+
+/// Something that a VM saw and that all VMs should know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetSighting {
+    /// A target's process ended while a request was in flight there.
+    Crash(CrashSighting),
+    /// A request that had met crashes completed.
+    Completion {
+        /// The request.
+        identity: RequestIdentity,
+        /// When it completed.
+        at: TimeStamp,
+    },
+}
+
+/// What tells sightings apart; two VMs may see the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum SightingKey {
+    Crash(RequestIdentity, u64),
+    Completion(RequestIdentity),
+}
+
+/// What a sighting leads to at this VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SightingOutcome {
+    /// Whether the VM did not know it.
+    pub is_new: bool,
+    /// Whether it begins a request's quarantine.
+    pub begins_quarantine: bool,
+}
+
+/// The crashes that one VM knows of.
+#[derive(Clone, Debug, Default)]
+pub struct CrashRecords {
+    /// The requests that met crashes.
+    pub quarantine: QuarantineTable,
+    rumors: RumorSet<SightingKey, FleetSighting>,
+}
+
+impl FleetSighting {
+    fn key(&self) -> SightingKey {
+        match self {
+            Self::Crash(crash) => SightingKey::Crash(crash.identity, crash.process),
+            Self::Completion { identity, .. } => SightingKey::Completion(*identity),
+        }
+    }
+}
+
+impl CrashRecords {
+    /// Records a sighting of this VM, or of another one.
+    pub fn hear(&mut self, sighting: FleetSighting, now: TimeStamp) -> SightingOutcome {
+        if !self.rumors.hear(sighting.key(), sighting, now) {
+            return SightingOutcome::default();
+        }
+        let begins_quarantine = match sighting {
+            FleetSighting::Crash(crash) => self.quarantine.record_crash(crash, now),
+            FleetSighting::Completion { identity, .. } => {
+                self.quarantine.record_completion(identity, now);
+                false
+            }
+        };
+        SightingOutcome {
+            is_new: true,
+            begins_quarantine,
+        }
+    }
+
+    /// What this VM passes on in this round.
+    pub fn take_round(&mut self) -> Vec<FleetSighting> {
+        self.rumors.take_round(MAX_TOLD)
+    }
+
+    /// The answer to a VM that passes on what it has heard; one that `is_new` gets all remembered
+    /// crashes.
+    pub fn answer(&self, is_new: bool) -> Vec<FleetSighting> {
+        let remembered = self.quarantine.crashes().filter(|_| is_new);
+        let remembered = remembered.copied().map(FleetSighting::Crash);
+        let news = self.rumors.news(MAX_TOLD);
+        news.into_iter().chain(remembered).collect()
+    }
+
+    /// Drops what is out of date.
+    pub fn expire(&mut self, now: TimeStamp) {
+        self.quarantine.expire(now);
+        self.rumors.expire(now);
+    }
+}
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::clock;
 use crate::codec::{RequestMetadata, TargetContext};
+use crate::crashes::FleetSighting;
 use crate::front::connection::CallerRequest;
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::state::GatewayState;
@@ -13,6 +14,8 @@
 use dahliawood_model::catalog::{CatalogRoute, FleetCatalog, RequestKind, TargetReport};
 use dahliawood_model::keys::{CustomerKey, RouteKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_request::quarantine::identity::{IdentityParts, RequestIdentity};
+use dahliawood_request::quarantine::table::{CrashSighting, RequestAdmission};
 use dahliawood_request::retry::RetryBudget;
 use dahliawood_request::verdict::RunVerdict;
 use dahliawood_steer::health::ResultKind;
@@ -22,6 +25,7 @@
 use dahliawood_steer::placement::table::TargetResult;
 use dahliawood_steer::rendezvous;
 use serde::Serialize;
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -62,6 +66,9 @@
     outcome: String,
     detail: &'a str,
     tries: usize,
+    /// Identity of a request whose target's process ended.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    crashed: Option<String>,
 }
 
 /// State shared by all tries of one request.
@@ -76,11 +83,17 @@
     /// The target's response to the last try, if it may have run the request.
     last_response: Option<TargetResponse>,
     has_timed_out: bool,
+    /// Computed when needed.
+    identity: OnceCell<RequestIdentity>,
+    /// Whether this is the one try of a quarantined request.
+    is_trial: bool,
 }
 
 /// The target of a try.
 struct TryTarget {
     key: TargetKey,
+    /// Hash of its process.
+    process: u64,
     id: String,
     region: String,
     address: SocketAddr,
@@ -102,7 +115,7 @@
     metadata: &RequestMetadata,
     routed: &RoutedRequest,
 ) -> Result<FrontResponse, RefusalCause> {
-    let run = ForwardRun {
+    let mut run = ForwardRun {
         state,
         catalog,
         request,
@@ -112,7 +125,14 @@
         verdict: RunVerdict::NotRun,
         last_response: None,
         has_timed_out: false,
+        identity: OnceCell::new(),
+        is_trial: false,
     };
+    match run.admission() {
+        RequestAdmission::Open => {}
+        RequestAdmission::Trial => run.is_trial = true,
+        RequestAdmission::Quarantined => return Err(RefusalCause::Quarantined),
+    }
     run.run_tries().await
 }
 
@@ -156,11 +176,12 @@
             self.tried.push(target.key);
             match self.attempt(&target).await {
                 Ok(response) if self.is_final(&response) => {
+                    self.clear_suspicion(&response);
                     self.log(EventClass::Routine, &target, "answered", "");
                     return Ok(front_response(response));
                 }
                 Ok(response) => self.handle_refusal(&target, response),
-                Err(failure) => self.handle_failure(&target, &failure),
+                Err(failure) => self.handle_failure(&target, &failure).await,
             }
             if !self.may_retry() {
                 return self.give_up();
@@ -199,6 +220,7 @@
                 let target = table.get(key).ok_or(RefusalCause::NoTarget)?;
                 let chosen = TryTarget {
                     key,
+                    process: target.process(),
                     id: target.entry.id.clone(),
                     region: target.region.clone(),
                     address: target.entry.address,
@@ -320,10 +342,80 @@
     }
 
     /// Handles a try that ended without a complete response.
-    fn handle_failure(&mut self, target: &TryTarget, failure: &CallFailure) {
+    async fn handle_failure(&mut self, target: &TryTarget, failure: &CallFailure) {
         self.has_timed_out |= failure.kind == ResultKind::TimedOut;
-        self.record_try(target, failure.verdict, &failure.detail);
         self.last_response = None;
+        let has_crashed =
+            failure.is_broken && target_call::is_gone(self.state, target.address).await;
+        if has_crashed {
+            self.record_crash(target);
+        }
+        self.verdict = self.verdict.combine(failure.verdict);
+        let outcome = failure.verdict.to_string();
+        let crashed = has_crashed.then(|| self.identity().to_string());
+        self.log_try(
+            EventClass::Notable,
+            target,
+            &outcome,
+            &failure.detail,
+            crashed,
+        );
+    }
+
+    /// The identity by which a repetition of the request is recognized.
+    fn identity(&self) -> RequestIdentity {
+        *self.identity.get_or_init(|| {
+            let customer = self.routed.customer;
+            let customer = customer.map(|key| self.catalog.customers[key].name.as_str());
+            let head = &self.request.head;
+            RequestIdentity::new(&IdentityParts {
+                customer: customer.unwrap_or_default(),
+                method: &head.method,
+                host: head.fields.get("host").unwrap_or_default(),
+                path: &head.target,
+                body: &self.request.body,
+            })
+        })
+    }
+
+    /// Whether the request may be sent to a target, as far as crashes tell.
+    fn admission(&self) -> RequestAdmission {
+        if self.state.crashes().quarantine.is_empty() {
+            return RequestAdmission::Open;
+        }
+        let identity = self.identity();
+        let is_examiner = || self.state.ranks_first(identity.0 as u64);
+        let mut crashes = self.state.crashes();
+        crashes
+            .quarantine
+            .admit(identity, is_examiner, clock::now())
+    }
+
+    /// Records that a target's process ended while the request was in flight there.
+    fn record_crash(&self, target: &TryTarget) {
+        let now = clock::now();
+        let process = target.process;
+        let crash = CrashSighting {
+            identity: self.identity(),
+            process,
+            sent_at: target.started,
+            crashed_at: now,
+        };
+        self.state.see(FleetSighting::Crash(crash), now);
+    }
+
+    /// Records that a request completed that had met crashes.
+    fn clear_suspicion(&self, response: &TargetResponse) {
+        let has_run = response.metadata.is_signed && !response.metadata.has_not_run;
+        if !has_run || self.state.crashes().quarantine.is_empty() {
+            return;
+        }
+        let identity = self.identity();
+        if self.state.crashes().quarantine.is_suspect(identity) {
+            let at = clock::now();
+            self.state
+                .see(FleetSighting::Completion { identity, at }, at);
+        }
     }
 
     fn record_try(&mut self, target: &TryTarget, verdict: RunVerdict, detail: &str) {
@@ -332,6 +424,17 @@
     }
 
     fn log(&self, class: EventClass, target: &TryTarget, outcome: &str, detail: &str) {
+        self.log_try(class, target, outcome, detail, None);
+    }
+
+    fn log_try(
+        &self,
+        class: EventClass,
+        target: &TryTarget,
+        outcome: &str,
+        detail: &str,
+        crashed: Option<String>,
+    ) {
         self.state.log.write(class, "try", || TryEvent {
             id: self.metadata.attempt_id.as_deref(),
             target: &target.id,
@@ -341,6 +444,7 @@
             outcome: outcome.to_owned(),
             detail,
             tries: self.tried.len(),
+            crashed,
         });
     }
 
@@ -350,6 +454,8 @@
         let left = self.routed.deadline.since(clock::now());
         let is_allowed = self.verdict == RunVerdict::NotRun || route.kind.is_idempotent();
         is_allowed
+            && !self.is_trial
+            && self.admission() == RequestAdmission::Open
             && left >= MIN_TRY_TIME
             && self.tried.len() < route.max_attempts as usize
             && self
--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -96,6 +96,7 @@
     };
     let label = match cause {
         None => "answered",
+        Some(RefusalCause::Quarantined) => "quarantined",
         Some(cause) if cause.retry_after().is_some() => "refused",
         Some(_) => "failed",
     };
--- a/dahliawood-gateway/src/front/refusal/mod.rs
+++ b/dahliawood-gateway/src/front/refusal/mod.rs
@@ -40,6 +40,10 @@
     /// No target may serve the request.
     #[display("no target may serve it")]
     NoTarget,
+    /// The request has crashed the targets that ran it. Tells no time to come back, as it would be
+    /// refused again.
+    #[display("the request crashes targets and is not sent to more of them")]
+    Quarantined,
     /// The request is malformed.
     #[display("malformed: {_0}")]
     Malformed(String),
@@ -72,7 +76,7 @@
             Self::OverLimit(_) => 429,
             Self::HeadTooLong => 431,
             Self::TargetFailed => 502,
-            Self::NoCatalog | Self::Busy(_) | Self::NoTarget => 503,
+            Self::NoCatalog | Self::Busy(_) | Self::NoTarget | Self::Quarantined => 503,
             Self::TargetTimeout => 504,
         }
     }
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -22,6 +22,8 @@
     pub lookups: IntCounterVec,
     /// Times that a target newly said something of itself.
     pub statements: IntCounter,
+    /// Requests that began to be held back because they crash targets.
+    pub quarantines: IntCounter,
     /// Time from the head of a request to its response, seconds.
     pub latency: Histogram,
     /// Number of requests being served.
@@ -53,6 +55,11 @@
             "Times that a target newly said something of itself.",
         )?;
         registry.register(Box::new(statements.clone()))?;
+        let quarantines = IntCounter::new(
+            "quarantines_total",
+            "Requests that began to be held back because they crash targets.",
+        )?;
+        registry.register(Box::new(quarantines.clone()))?;
         let options = HistogramOpts::new("request_seconds", "From a request to its answer.");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -65,6 +72,7 @@
             store_calls,
             lookups,
             statements,
+            quarantines,
             latency,
             in_flight,
         })
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -3,6 +3,7 @@
 use crate::admission_queue::AdmissionQueue;
 use crate::codec::PlatformCodec;
 use crate::control::vms::VmRecord;
+use crate::crashes::{CrashRecords, FleetSighting};
 use crate::metrics::GatewayMetrics;
 use crate::settings::GatewaySettings;
 use crate::structured_log::{EventClass, StructuredLog};
@@ -10,11 +11,13 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use dahliawood_model::FastMap;
 use dahliawood_model::catalog::{FleetCatalog, TargetReport};
+use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::allocation::local::{self, LocalAllocations};
 use dahliawood_quota::window::CustomerWindows;
 use dahliawood_request::retry::RetryBudget;
 use dahliawood_steer::placement::choose::VmLocation;
 use dahliawood_steer::placement::table::PlacementTable;
+use dahliawood_steer::rendezvous;
 use dahliawood_steer::split::round_robin::RoundRobin;
 use dahliawood_wire::pool::{PoolOptions, TargetPool};
 use serde::Serialize;
@@ -39,6 +42,12 @@
     pause_ms: Option<u128>,
 }
 
+/// Log event for a request that is no longer sent to targets.
+#[derive(Serialize)]
+struct QuarantineEvent {
+    identity: String,
+}
+
 /// State shared by the threads; locks are held for a few instructions and never across an await.
 #[derive(derive_more::Debug)]
 #[debug("GatewayState({})", settings.name)]
@@ -61,6 +70,7 @@
     pub admission_queue: AdmissionQueue,
     placement: Mutex<PlacementTable>,
     location: Mutex<VmLocation>,
+    crashes: Mutex<CrashRecords>,
     budgets: Mutex<FastMap<String, RetryBudget>>,
     splits: Mutex<FastMap<String, RoundRobin>>,
     windows: Mutex<CustomerWindows>,
@@ -95,6 +105,7 @@
             admission_queue: AdmissionQueue::default(),
             placement: Mutex::new(PlacementTable::new(settings.regions.clone())),
             location: Mutex::new(location),
+            crashes: Mutex::default(),
             budgets: Mutex::default(),
             splits: Mutex::default(),
             windows: Mutex::new(CustomerWindows::new(settings.bounds.quota_window)),
@@ -118,6 +129,32 @@
         lock(&self.location)
     }
 
+    /// What this VM knows of crashes of targets.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashRecords> {
+        lock(&self.crashes)
+    }
+
+    /// Records a sighting of this VM, or of another one.
+    pub fn see(&self, sighting: FleetSighting, now: TimeStamp) {
+        let outcome = self.crashes().hear(sighting, now);
+        if let FleetSighting::Crash(crash) = sighting
+            && outcome.begins_quarantine
+        {
+            self.metrics.quarantines.inc();
+            let identity = crash.identity.to_string();
+            let event = || QuarantineEvent { identity };
+            self.log.write(EventClass::State, "quarantine", event);
+        }
+    }
+
+    /// Whether this VM ranks first among the registered ones for a key, by rendezvous hashing.
+    pub fn ranks_first(&self, key: u64) -> bool {
+        let score = |name: &str| rendezvous::score(key, rendezvous::name_hash(name.as_bytes()));
+        let own = score(&self.settings.name);
+        let vms = self.vms.load();
+        vms.iter().all(|vm| score(&vm.name) <= own)
+    }
+
     /// Each customer's requests on this VM within the rate-limit window.
     pub fn windows(&self) -> MutexGuard<'_, CustomerWindows> {
         lock(&self.windows)
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -76,6 +76,9 @@
     pub kind: ResultKind,
     /// Whether the request may have run.
     pub verdict: RunVerdict,
+    /// Whether the target's process may have ended: the connection did, before the response was
+    /// complete.
+    pub is_broken: bool,
     /// Description for the log.
     pub detail: String,
 }
@@ -110,6 +113,13 @@
     })
 }
 
+/// Whether no process listens at a target's address: opens a connection, which is kept for later
+/// requests if it is accepted.
+pub async fn is_gone(state: &GatewayState, address: SocketAddr) -> bool {
+    let probed = state.pool.probe(address).await;
+    probed.is_err_and(|error| not_connected(&error).kind == ResultKind::Refused)
+}
+
 fn not_connected(error: &CheckoutError) -> CallFailure {
     let kind = match error {
         CheckoutError::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused => {
@@ -122,6 +132,7 @@
     CallFailure {
         kind,
         verdict: RunVerdict::NotRun,
+        is_broken: false,
         detail: error.to_string(),
     }
 }
@@ -130,10 +141,18 @@
     CallFailure {
         kind,
         verdict: RunVerdict::MayHaveRun,
+        is_broken: false,
         detail,
     }
 }
 
+fn read_failed(error: &ReadError) -> CallFailure {
+    CallFailure {
+        is_broken: matches!(error, ReadError::Truncated | ReadError::Connection { .. }),
+        ..may_have_run(ResultKind::Errored, error.to_string())
+    }
+}
+
 /// Encodes the request, with the header fields for the target.
 fn encode(state: &GatewayState, call: &TargetCall<'_>) -> Vec<u8> {
     let mut fields = call.head.fields.clone();
@@ -213,7 +232,7 @@
     call: &TargetCall<'_>,
     reader: &mut ConnectionReader<TcpStream>,
 ) -> Result<TargetResponse, CallFailure> {
-    let failed = |error: ReadError| may_have_run(ResultKind::Errored, error.to_string());
+    let failed = |error: ReadError| read_failed(&error);
     loop {
         let head = reader.response_head(HEAD_BYTES).await.map_err(failed)?;
         let head = head.ok_or_else(|| failed(ReadError::Truncated))?;
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -152,6 +152,27 @@
   isGone @3 :Bool;
 }
 
+# What a VM saw of a request that may crash targets.
+struct Sighting {
+  kind @0 :SightingKind;
+  # The request's identity.
+  identityHigh @1 :UInt64;
+  identityLow @2 :UInt64;
+  # Hash of the target's process; absent for a completion.
+  process @3 :UInt64;
+  # How long ago the request was sent to the process, in milliseconds; only for a crash.
+  sentAgoMs @4 :UInt32;
+  # How long ago it was seen, in milliseconds.
+  seenAgoMs @5 :UInt32;
+}
+
+enum SightingKind {
+  # A process ended while a request was in flight there.
+  crash @0;
+  # A request completed.
+  completion @1;
+}
+
 interface GatewayPeer {
   # Reports what the caller needs and returns the shares that it may use from now on; a caller that
   # is leaving no longer uses any. `isHead` tells whether the callee is the coordinator. `life` is
@@ -166,4 +187,7 @@
   # not, the rest is empty. `isTooOld` tells that the callee does not have all changes since
   # `after`. Removals of leased keys are to be held back for another `settlesInMs` milliseconds.
   changes @2 (after :UInt64, waitMs :UInt32) -> (isCurrent :Bool, isTooOld :Bool, revision :UInt64, settlesInMs :UInt32, changes :List(SpaceChange));
+  # Tells the callee what the caller has seen or heard lately, and returns the same of the callee; all
+  # that it remembers of crashes if the caller `isNew`, that is, has just started.
+  sightings @3 (isNew :Bool, entries :List(Sighting)) -> (entries :List(Sighting));
 }
--- a/dahliawood-peer/src/gateway/client/mod.rs
+++ b/dahliawood-peer/src/gateway/client/mod.rs
@@ -4,6 +4,7 @@
 use crate::client::{CallOptions, PeerConnection};
 use crate::gateway::message::{
     self, ChangesResponse, KeyspaceChanges, KeyspaceSnapshot, ShareReport, ShareResponse,
+    SightingMessage,
 };
 use crate::generated::peer_capnp::gateway_peer;
 use snafu::ResultExt;
@@ -103,4 +104,27 @@
             changes: message::read_changes(list).context(CallSnafu)?,
         }))
     }
+
+    /// Tells the other VM what this one has seen, and returns what that one has; `is_new` if this VM
+    /// has just started.
+    ///
+    /// # Errors
+    /// Fails if the call fails or no response arrives within the deadline.
+    pub async fn sightings(
+        &self,
+        is_new: bool,
+        told: &[SightingMessage],
+    ) -> Result<Vec<SightingMessage>, CallError> {
+        let mut request = self.client.sightings_request();
+        request.get().set_is_new(is_new);
+        let count = message::list_length(told.len()).context(CallSnafu)?;
+        message::write_sightings(told, request.get().init_entries(count));
+        let response = self
+            .connection
+            .with_deadline(request.send().promise)
+            .await?;
+        let results = response.get().context(CallSnafu)?;
+        let list = results.get_entries().context(CallSnafu)?;
+        message::read_sightings(list).context(CallSnafu)
+    }
 }
--- a/dahliawood-peer/src/gateway/message/mod.rs
+++ b/dahliawood-peer/src/gateway/message/mod.rs
@@ -1,6 +1,8 @@
 //! The messages between gateways as plain structs, with their conversion to and from the schema.
 
-use crate::generated::peer_capnp::{customer_need, customer_share, space_change, space_key};
+use crate::generated::peer_capnp::{
+    SightingKind, customer_need, customer_share, sighting, space_change, space_key,
+};
 use capnp::struct_list;
 use std::time::Duration;
 
@@ -121,6 +123,29 @@
     pub changes: Vec<KeyspaceChange>,
 }
 
+/// What a VM saw; times are relative, because clocks of VMs do not agree.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SightingMessage {
+    /// A target's process ended while a request was in flight there.
+    Crash {
+        /// Identity of the request.
+        identity: u128,
+        /// Hash of the process.
+        process: u64,
+        /// How long ago the request was sent to the process.
+        sent_ago: Duration,
+        /// How long ago the end was noticed.
+        seen_ago: Duration,
+    },
+    /// A request completed.
+    Completion {
+        /// Identity of the request.
+        identity: u128,
+        /// How long ago.
+        seen_ago: Duration,
+    },
+}
+
 /// Converts the length of a list to the schema's type.
 pub(super) fn list_length(count: usize) -> capnp::Result<u32> {
     u32::try_from(count)
@@ -256,3 +281,62 @@
     }
     Ok(changes)
 }
+
+pub(super) fn write_sightings(
+    entries: &[SightingMessage],
+    mut list: struct_list::Builder<'_, sighting::Owned>,
+) {
+    for (index, entry) in (0..list.len()).zip(entries) {
+        write_sighting(entry, list.reborrow().get(index));
+    }
+}
+
+fn write_sighting(entry: &SightingMessage, mut builder: sighting::Builder<'_>) {
+    let (kind, identity, process, sent_ago, seen_ago) = match *entry {
+        SightingMessage::Crash {
+            identity,
+            process,
+            sent_ago,
+            seen_ago,
+        } => (SightingKind::Crash, identity, process, sent_ago, seen_ago),
+        SightingMessage::Completion { identity, seen_ago } => (
+            SightingKind::Completion,
+            identity,
+            0,
+            Duration::ZERO,
+            seen_ago,
+        ),
+    };
+    builder.set_kind(kind);
+    builder.set_identity_high((identity >> u64::BITS) as u64);
+    builder.set_identity_low(identity as u64);
+    builder.set_process(process);
+    builder.set_sent_ago_ms(millis(sent_ago));
+    builder.set_seen_ago_ms(millis(seen_ago));
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+pub(super) fn read_sightings(
+    list: struct_list::Reader<'_, sighting::Owned>,
+) -> capnp::Result<Vec<SightingMessage>> {
+    list.iter().map(read_sighting).collect()
+}
+
+fn read_sighting(entry: sighting::Reader<'_>) -> capnp::Result<SightingMessage> {
+    let high = u128::from(entry.get_identity_high());
+    let identity = high << u64::BITS | u128::from(entry.get_identity_low());
+    let process = entry.get_process();
+    let seen_ago = Duration::from_millis(entry.get_seen_ago_ms().into());
+    Ok(match entry.get_kind()? {
+        SightingKind::Crash => SightingMessage::Crash {
+            identity,
+            process,
+            sent_ago: Duration::from_millis(entry.get_sent_ago_ms().into()),
+            seen_ago,
+        },
+        SightingKind::Completion => SightingMessage::Completion { identity, seen_ago },
+    })
+}
--- a/dahliawood-peer/src/gateway/server/mod.rs
+++ b/dahliawood-peer/src/gateway/server/mod.rs
@@ -1,7 +1,7 @@
 //! RPC server for the calls of other gateways; dispatches each call to a closure.
 
 use crate::gateway::message::{
-    self, ChangesResponse, KeyspaceSnapshot, ShareReport, ShareResponse,
+    self, ChangesResponse, KeyspaceSnapshot, ShareReport, ShareResponse, SightingMessage,
 };
 use crate::generated::peer_capnp::gateway_peer;
 use async_std::net::TcpListener;
@@ -9,6 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Takes whether the caller has just started, and what it tells; returns what the callee tells.
+pub type SightingHandler = dyn Fn(bool, &[SightingMessage]) -> Vec<SightingMessage>;
+
 /// The handler of each call.
 pub struct GatewayHandlers {
     /// Receives a VM's report and returns its shares.
@@ -17,6 +20,8 @@
     pub keyspace: Box<dyn Fn(u64) -> KeyspaceSnapshot>,
     /// Waits up to the given time for changes after a revision.
     pub changes: Box<dyn Fn(u64, Duration) -> LocalBoxFuture<'static, ChangesResponse>>,
+    /// Takes what the caller, which may be new, has seen, and returns what this VM has.
+    pub sightings: Box<SightingHandler>,
 }
 
 impl gateway_peer::Server for GatewayHandlers {
@@ -76,6 +81,19 @@
         }
         Ok(())
     }
+
+    async fn sightings(
+        self: Rc<Self>,
+        params: gateway_peer::SightingsParams,
+        mut results: gateway_peer::SightingsResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let told = message::read_sightings(params.get_entries()?)?;
+        let known = (self.sightings)(params.get_is_new(), &told);
+        let count = message::list_length(known.len())?;
+        message::write_sightings(&known, results.get().init_entries(count));
+        Ok(())
+    }
 }
 
 /// Serves calls on `listener` until accepting fails; runs on the current thread.
--- a/dahliawood-request/src/lib.rs
+++ b/dahliawood-request/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod deadline;
 pub mod journal;
+pub mod quarantine;
 pub mod request;
 pub mod retry;
 pub mod ticket;
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -65,6 +65,11 @@
         self.stated_limit.set(report.limit, now) || is_leaving || report.pause.is_some()
     }
 
+    /// Hash of its process, the same at all VMs.
+    pub fn process(&self) -> u64 {
+        rendezvous::score(self.hash, self.entry.started_millis)
+    }
+
     /// Changes the breaker. A process that accepts connections after one was gone is a new one, which
     /// is cold.
     fn record_contact(&mut self, change: impl FnOnce(&mut CircuitBreaker), now: TimeStamp) {
