--- a/dahliawood-gateway/src/crashes/mod.rs
+++ b/dahliawood-gateway/src/crashes/mod.rs
@@ -7,7 +7,7 @@
 use dahliawood_request::quarantine::table::{CrashSighting, QuarantineTable};
 
 /// Most sightings in one message.
-const MAX_TOLD: usize = 128;
+const MAX_TOLD: usize = 512;
 
 /// Something that a VM saw and that all VMs should know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/dahliawood-gateway/tests/main/main.rs
+++ b/dahliawood-gateway/tests/main/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the gateway's decisions; `platform` tests its I/O.
 
+mod crash_fleet;
 mod source;
--- a/dahliawood-gossip/src/rumor/mod.rs
+++ b/dahliawood-gossip/src/rumor/mod.rs
@@ -2,6 +2,7 @@
 
 use dahliawood_model::FastMap;
 use dahliawood_model::stamp::TimeStamp;
+use std::cmp::Reverse;
 use std::hash::Hash;
 use std::time::Duration;
 
@@ -53,22 +54,30 @@
         self.records.values().any(|record| record.rounds_left > 0)
     }
 
-    /// The facts to pass on in this round, at most `most`.
+    /// The facts to pass on in this round, at most `most`; those first that were passed on least.
     pub fn take_round(&mut self, most: usize) -> Vec<F> {
         let due = self.records.values_mut();
-        let due = due.filter(|record| record.rounds_left > 0).take(most);
-        due.map(|record| {
-            record.rounds_left -= 1;
-            record.fact
-        })
-        .collect()
+        let mut due: Vec<_> = due.filter(|record| record.rounds_left > 0).collect();
+        due.sort_by_key(|record| Reverse(record.rounds_left));
+        let taken = due.into_iter().take(most);
+        taken
+            .map(|record| {
+                record.rounds_left -= 1;
+                record.fact
+            })
+            .collect()
     }
 
-    /// The facts that are still passed on, at most `most`, for a VM that has called.
+    /// The facts that are still passed on, at most `most`, for a VM that has called; those first that
+    /// were passed on least.
     pub fn news(&self, most: usize) -> Vec<F> {
         let due = self.records.values();
-        let due = due.filter(|record| record.rounds_left > 0).take(most);
-        due.map(|record| record.fact).collect()
+        let mut due: Vec<_> = due.filter(|record| record.rounds_left > 0).collect();
+        due.sort_by_key(|record| Reverse(record.rounds_left));
+        due.into_iter()
+            .take(most)
+            .map(|record| record.fact)
+            .collect()
     }
 
     /// Drops facts that were heard long ago.
--- a/dahliawood-request/src/quarantine/table/mod.rs
+++ b/dahliawood-request/src/quarantine/table/mod.rs
@@ -5,11 +5,10 @@
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
 
-/// Crashes, of different processes, after which a request may be quarantined.
-const MIN_CRASHES: usize = 3;
-/// How many of these must follow upon each other: the request was sent after the one before. Many
-/// targets that crash at once, for a cause of their own, count once.
-const MIN_CONSECUTIVE: usize = 2;
+/// Crashes, of different processes, after which a request is quarantined. They must follow upon each
+/// other, the request having been sent after the one before: many targets that crash at once, for a
+/// cause of their own, count once.
+const MIN_CONSECUTIVE: usize = 3;
 /// Most crashes that are remembered per request.
 const MAX_CRASHES: usize = 8;
 /// Most requests that are remembered.
@@ -74,32 +73,43 @@
 
     /// Whether the crashes are enough for a quarantine.
     fn is_guilty(&self) -> bool {
-        self.crashes.len() >= MIN_CRASHES && self.consecutive() >= MIN_CONSECUTIVE
+        self.consecutive().count() >= MIN_CONSECUTIVE
     }
 
-    /// The most crashes of which each was met by a request that was sent after the one before.
-    fn consecutive(&self) -> usize {
+    /// Positions of the most crashes of which each was met by a request that was sent after the one
+    /// before.
+    fn consecutive(&self) -> impl Iterator<Item = usize> {
         let mut last_at = TimeStamp::ZERO;
-        let follows = |crash: &&CrashSighting| {
+        let follows = move |(position, crash): (usize, &CrashSighting)| {
             let is_later = crash.sent_at > last_at;
             last_at = if is_later { crash.crashed_at } else { last_at };
-            is_later
+            is_later.then_some(position)
         };
-        self.crashes.iter().filter(follows).count()
+        self.crashes.iter().enumerate().filter_map(follows)
     }
 
+    /// Records a crash unless one of the same process is known.
     fn record_crash(&mut self, crash: CrashSighting) -> bool {
-        let is_known = self
-            .crashes
-            .iter()
-            .any(|known| known.process == crash.process);
-        if is_known || self.crashes.len() >= MAX_CRASHES {
+        let mut known = self.crashes.iter();
+        if known.any(|known| known.process == crash.process) {
             return false;
         }
         self.crashes.push(crash);
         self.crashes.sort_by_key(|crash| crash.crashed_at);
+        if self.crashes.len() > MAX_CRASHES {
+            self.drop_concurrent();
+        }
         true
     }
+
+    /// Drops one crash that does not follow upon another, or else the latest.
+    fn drop_concurrent(&mut self) {
+        let kept: Vec<usize> = self.consecutive().collect();
+        let mut positions = (0..self.crashes.len()).rev();
+        let dropped = positions.find(|position| !kept.contains(position));
+        self.crashes
+            .remove(dropped.unwrap_or(self.crashes.len() - 1));
+    }
 }
 
 impl QuarantineTable {
--- a/dahliawood-request/tests/main/quarantine.rs
+++ b/dahliawood-request/tests/main/quarantine.rs
@@ -69,6 +69,21 @@
     let crashes: Vec<_> = (0..8).map(|process| crash(process, 0.0, 0.1)).collect();
     let mut table = table(&crashes);
     assert_eq!(admit(&mut table, 0.5), RequestAdmission::Open);
+    // Nor does another one that it meets long after, before it came again.
+    table.record_crash(crash(9, 12.0, 12.1), at(12.1));
+    assert_eq!(admit(&mut table, 12.2), RequestAdmission::Open);
+}
+
+#[test]
+fn crashes_of_many_requests_at_a_time_do_not_hide_those_that_follow_upon_each_other() {
+    let crashes: Vec<_> = (0..40_u32)
+        .map(|number| {
+            let crashed = f64::from(number) * 0.05;
+            crash(u64::from(number), crashed - 0.6, crashed)
+        })
+        .collect();
+    let mut table = table(&crashes);
+    assert_eq!(admit(&mut table, 2.5), RequestAdmission::Quarantined);
 }
 
 #[test]
