--- a/dahliawood-request/tests/main/quarantine.rs
+++ b/dahliawood-request/tests/main/quarantine.rs
@@ -78,12 +78,12 @@
 fn crashes_of_many_requests_at_a_time_do_not_hide_those_that_follow_upon_each_other() {
     let crashes: Vec<_> = (0..40_u32)
         .map(|number| {
-            let crashed = f64::from(number) * 0.05;
+            let crashed = 1.0 + f64::from(number) * 0.05;
             crash(u64::from(number), crashed - 0.6, crashed)
         })
         .collect();
     let mut table = table(&crashes);
-    assert_eq!(admit(&mut table, 2.5), RequestAdmission::Quarantined);
+    assert_eq!(admit(&mut table, 3.5), RequestAdmission::Quarantined);
 }
 
 #[test]
