fix(gateway): a VM that sees a target's process end tells the others

What callers saw: a cold target was sent more requests in a second than it takes. Cause: only VMs that send a target a request while it is down knew that its process is a new one afterwards; in a large fleet most send it none in that time. Now the end of a process, shown by a connection that breaks and another one that is refused, is passed on among the VMs' sightings of crashes. All VMs that hear of it open a connection before they send the target anything, and hold it for cold once it accepts one.

targets_that_restart_unseen_by_most_vms_are_not_flooded failed before (19 in a second at 91 VMs), fails without the telling, and passes with 91 and 300 VMs.

--- a/dahliawood-gateway/src/control/sightings/mod.rs
+++ b/dahliawood-gateway/src/control/sightings/mod.rs
@@ -113,6 +113,10 @@
             identity: identity.0,
             seen_ago: now.since(at),
         },
+        FleetSighting::ProcessGone { process, at } => SightingMessage::ProcessGone {
+            process,
+            seen_ago: now.since(at),
+        },
     }
 }
 
@@ -133,5 +137,9 @@
             identity: RequestIdentity(identity),
             at: now.before(seen_ago),
         },
+        SightingMessage::ProcessGone { process, seen_ago } => FleetSighting::ProcessGone {
+            process,
+            at: now.before(seen_ago),
+        },
     }
 }
--- a/dahliawood-gateway/src/crashes/mod.rs
+++ b/dahliawood-gateway/src/crashes/mod.rs
@@ -21,6 +21,13 @@
         /// When it completed.
         at: TimeStamp,
     },
+    /// A target's process is gone.
+    ProcessGone {
+        /// Hash of the process.
+        process: u64,
+        /// When this was noticed.
+        at: TimeStamp,
+    },
 }
 
 /// What tells sightings apart; two VMs may see the same.
@@ -28,6 +35,7 @@
 enum SightingKey {
     Crash(RequestIdentity, u64),
     Completion(RequestIdentity),
+    ProcessGone(u64),
 }
 
 /// What a sighting leads to at this VM.
@@ -52,6 +60,7 @@
         match self {
             Self::Crash(crash) => SightingKey::Crash(crash.identity, crash.process),
             Self::Completion { identity, .. } => SightingKey::Completion(*identity),
+            Self::ProcessGone { process, .. } => SightingKey::ProcessGone(*process),
         }
     }
 }
@@ -68,6 +77,7 @@
                 self.quarantine.record_completion(identity, now);
                 false
             }
+            FleetSighting::ProcessGone { .. } => false,
         };
         SightingOutcome {
             is_new: true,
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -402,6 +402,8 @@
             crashed_at: now,
         };
         self.state.see(FleetSighting::Crash(crash), now);
+        let gone = FleetSighting::ProcessGone { process, at: now };
+        self.state.see(gone, now);
     }
 
     /// Records that a request completed that had met crashes.
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -137,13 +137,21 @@
     /// Records a sighting of this VM, or of another one.
     pub fn see(&self, sighting: FleetSighting, now: TimeStamp) {
         let outcome = self.crashes().hear(sighting, now);
-        if let FleetSighting::Crash(crash) = sighting
-            && outcome.begins_quarantine
-        {
-            self.metrics.quarantines.inc();
-            let identity = crash.identity.to_string();
-            let event = || QuarantineEvent { identity };
-            self.log.write(EventClass::State, "quarantine", event);
+        if !outcome.is_new {
+            return;
+        }
+        match sighting {
+            FleetSighting::Crash(crash) if outcome.begins_quarantine => {
+                self.metrics.quarantines.inc();
+                self.log
+                    .write(EventClass::State, "quarantine", || QuarantineEvent {
+                        identity: crash.identity.to_string(),
+                    });
+            }
+            FleetSighting::ProcessGone { process, .. } => {
+                self.placement().record_gone(process, now);
+            }
+            _ => {}
         }
     }
 
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -152,10 +152,10 @@
   isGone @3 :Bool;
 }
 
-# What a VM saw of a request that may crash targets.
+# What a VM saw of a request that may crash targets, or of a target's process.
 struct Sighting {
   kind @0 :SightingKind;
-  # The request's identity.
+  # The request's identity; absent for a process.
   identityHigh @1 :UInt64;
   identityLow @2 :UInt64;
   # Hash of the target's process; absent for a completion.
@@ -171,6 +171,8 @@
   crash @0;
   # A request completed.
   completion @1;
+  # A process is gone.
+  processGone @2;
 }
 
 interface GatewayPeer {
--- a/dahliawood-peer/src/gateway/message/mod.rs
+++ b/dahliawood-peer/src/gateway/message/mod.rs
@@ -144,6 +144,13 @@
         /// How long ago.
         seen_ago: Duration,
     },
+    /// A target's process is gone.
+    ProcessGone {
+        /// Hash of the process.
+        process: u64,
+        /// How long ago this was noticed.
+        seen_ago: Duration,
+    },
 }
 
 /// Converts the length of a list to the schema's type.
@@ -306,6 +313,13 @@
             Duration::ZERO,
             seen_ago,
         ),
+        SightingMessage::ProcessGone { process, seen_ago } => (
+            SightingKind::ProcessGone,
+            0,
+            process,
+            Duration::ZERO,
+            seen_ago,
+        ),
     };
     builder.set_kind(kind);
     builder.set_identity_high((identity >> u64::BITS) as u64);
@@ -338,5 +352,6 @@
             seen_ago,
         },
         SightingKind::Completion => SightingMessage::Completion { identity, seen_ago },
+        SightingKind::ProcessGone => SightingMessage::ProcessGone { process, seen_ago },
     })
 }
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -379,6 +379,15 @@
         }
     }
 
+    /// Records that a process is gone, as this VM or another one has seen.
+    pub fn record_gone(&mut self, process: u64, now: TimeStamp) {
+        let mut targets = self.targets.values_mut();
+        let target = targets.find(|target| target.process() == process);
+        if let Some(target) = target.filter(|target| !target.breaker.is_down()) {
+            target.breaker.record(ResultKind::Refused, now);
+        }
+    }
+
     /// The targets to which a connection is to be opened now, at most `most`, to learn whether their
     /// processes are back; [`Self::finish_check`] takes the outcome.
     pub fn begin_checks(&mut self, most: usize, now: TimeStamp) -> Vec<(TargetKey, SocketAddr)> {
--- a/dahliawood-steer/tests/main/unannounced_cold.rs
+++ b/dahliawood-steer/tests/main/unannounced_cold.rs
@@ -117,6 +117,9 @@
     fn play(&mut self, until: TimeStamp) {
         let mut now = START;
         while now < until {
+            if now == self.down.start && !self.down.is_empty() {
+                self.break_off(now);
+            }
             for number in 0..self.vms.len() {
                 self.step(number, now);
             }
@@ -124,6 +127,29 @@
         }
     }
 
+    /// The requests in flight at the targets of [`DOMAIN`] break off as these crash. The VMs that see
+    /// it find that the processes are gone, and tell the others.
+    fn break_off(&mut self, now: TimeStamp) {
+        let mut gone: Vec<u64> = Vec::new();
+        for vm in &mut self.vms {
+            let table = &mut vm.table;
+            let in_domain = |key: TargetKey, table: &PlacementTable| {
+                table.get(key).unwrap().entry.domain == DOMAIN
+            };
+            let lost = vm
+                .in_flight
+                .extract_if(.., |(_, key)| in_domain(*key, table));
+            let lost: Vec<TargetKey> = lost.map(|(_, key)| key).collect();
+            for key in lost {
+                gone.push(vm.table.get(key).unwrap().process());
+                vm.table.finish(key, errored(), now);
+            }
+        }
+        for process in gone {
+            self.announce(now, move |table, now| table.record_gone(process, now));
+        }
+    }
+
     fn step(&mut self, number: usize, now: TimeStamp) {
         let vms = self.vms.len() as f64;
         let vm = &mut self.vms[number];
@@ -193,6 +219,14 @@
     }
 }
 
+/// The result of a request whose connection broke off.
+fn errored() -> TargetResult {
+    TargetResult {
+        kind: ResultKind::Errored,
+        ..answered(None)
+    }
+}
+
 /// The result of a request at a target whose process is gone.
 fn refused() -> TargetResult {
     TargetResult {
