--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -30,6 +30,8 @@
 const CRASH_PATH: &str = "/crash/";
 /// How long after such an end the target starts again, under the same id and address.
 const RESTART_TIME: Duration = Duration::from_millis(700);
+/// How often the repeated part of a response without end is in one write.
+const ENDLESS_PIECES: usize = 2_048;
 /// How long a request takes whose path contains [`SLOW_PATH`].
 const SLOW_PROCESSING_TIME: Duration = Duration::from_millis(900);
 
@@ -56,6 +58,33 @@
     Failing,
     /// Sends no response and waits until the client closes the connection.
     Hanging,
+    /// Sends a response head that never ends, until the client closes the connection.
+    EndlessHead,
+    /// Sends a response whose chunked body never ends, until the client closes the connection.
+    EndlessBody,
+}
+
+impl InstanceFault {
+    /// The start of a response without end, and what is repeated after it.
+    fn endless(self) -> Option<(&'static [u8], &'static [u8])> {
+        match self {
+            Self::EndlessHead => Some((b"HTTP/1.1 200 OK\r\n", b"X-Field: 0123456789abcdef\r\n")),
+            Self::EndlessBody => Some((
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"10\r\n0123456789abcdef\r\n",
+            )),
+            _ => None,
+        }
+    }
+}
+
+/// Sends bytes until the client closes the connection.
+async fn send_endlessly(output: &mut TcpStream, start: &[u8], rest: &[u8]) {
+    let repeated = rest.repeat(ENDLESS_PIECES);
+    let mut written = output.write_all(start).await;
+    while written.is_ok() {
+        written = output.write_all(&repeated).await;
+    }
 }
 
 /// A request that a target ran.
@@ -217,6 +246,12 @@
             let Ok(body) = reader.body(framing, MAX_MESSAGE_BYTES).await else {
                 return;
             };
+            let endless = self.lock().fault.endless();
+            if let Some((start, rest)) = endless {
+                send_endlessly(&mut output, start, rest).await;
+                self.lock().disconnects += 1;
+                return;
+            }
             let is_slow = head.target.contains(SLOW_PATH);
             let is_crash = head.target.contains(CRASH_PATH);
             let (bytes, is_closing) = self.respond(head, body);
