fix(wire): a body that never ends neither stops other requests nor fills the memory

What callers saw: with targets that send bodies without end, no caller of the VM had an answer, whatever its deadline. Cause: a connection that always has more bytes never lets other tasks of the traffic thread run, so no timeout was kept; each body could take 32 MiB, and a body of stated length took all of it at once. Now a reader lets others run after eight reads, and bodies of responses take their bytes from 48 MiB for all of them as they arrive.

--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -20,6 +20,7 @@
 use dahliawood_steer::rendezvous;
 use dahliawood_steer::split::round_robin::RoundRobin;
 use dahliawood_wire::pool::{PoolOptions, TargetPool};
+use dahliawood_wire::raw::budget::ByteBudget;
 use serde::Serialize;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -32,6 +33,9 @@
 /// TCP user timeout: how long sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Memory for the bodies of responses that are being received, bytes: targets may send without end.
+const RESPONSE_BYTES: usize = 48 << 20;
+
 /// Log event for what a target newly says of itself.
 #[derive(Serialize)]
 struct StatementEvent<'a> {
@@ -68,6 +72,8 @@
     pub log: StructuredLog,
     /// Requests that wait for a larger allocation of their customer's limit.
     pub admission_queue: AdmissionQueue,
+    /// Memory for the bodies of responses that are being received.
+    pub response_bytes: ByteBudget,
     placement: Mutex<PlacementTable>,
     location: Mutex<VmLocation>,
     crashes: Mutex<CrashRecords>,
@@ -103,6 +109,7 @@
             metrics,
             log: StructuredLog::default(),
             admission_queue: AdmissionQueue::default(),
+            response_bytes: ByteBudget::new(RESPONSE_BYTES),
             placement: Mutex::new(PlacementTable::new(settings.regions.clone())),
             location: Mutex::new(location),
             crashes: Mutex::default(),
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -240,7 +240,8 @@
             continue;
         }
         let framing = head.framing(&call.head.method).map_err(failed)?;
-        let body = reader.body(framing, BODY_BYTES).await.map_err(failed)?;
+        let body = reader.body_within(framing, BODY_BYTES, &state.response_bytes);
+        let body = body.await.map_err(failed)?;
         let metadata = (state.codec.read_response)(&head, clock::now());
         return Ok(TargetResponse {
             head,
--- a/dahliawood-wire/src/raw/error/mod.rs
+++ b/dahliawood-wire/src/raw/error/mod.rs
@@ -28,6 +28,12 @@
         /// The bound, in bytes.
         bound: usize,
     },
+    /// The bodies that are being read use up the memory for them.
+    #[snafu(display("bodies take more than the {limit} bytes that there are for all of them"))]
+    BudgetExhausted {
+        /// The limit, in bytes.
+        limit: usize,
+    },
     /// The head is not valid HTTP/1.1.
     #[snafu(display("the head is malformed: {reason}"))]
     Malformed {
--- a/dahliawood-wire/src/raw/mod.rs
+++ b/dahliawood-wire/src/raw/mod.rs
@@ -6,6 +6,7 @@
 //! supports none of the three. The module makes no routing or retry decisions and keeps no state
 //! beyond one connection.
 
+pub mod budget;
 pub mod error;
 pub mod fields;
 pub mod head;
--- a/dahliawood-wire/src/raw/reader/mod.rs
+++ b/dahliawood-wire/src/raw/reader/mod.rs
@@ -1,8 +1,13 @@
 //! Reads messages from one connection, without consuming bytes after their end.
+//!
+//! A peer may send faster than bytes are read, and without end: a reader lets other tasks run after a
+//! number of reads, so that timeouts are kept, and takes the bytes of a body from a budget.
 
 use crate::chunk::ChunkScanner;
+use crate::raw::budget::{BudgetShare, ByteBudget};
 use crate::raw::error::{ChunksSnafu, ConnectionSnafu, ReadError};
 use crate::raw::head::{self, BodyFraming, RequestHead, ResponseHead};
+use async_std::task;
 use futures::io::{AsyncRead, AsyncReadExt};
 use snafu::ResultExt;
 
@@ -10,6 +15,8 @@
 const READ_BYTES: usize = 8 * 1024;
 /// Bytes requested from the connection per read of a body that ends at the close.
 const BODY_READ_BYTES: usize = 64 * 1024;
+/// Reads after which other tasks run, if the connection always has more bytes.
+const READS_PER_TURN: u32 = 8;
 /// The bytes that end a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -21,6 +28,8 @@
     start: usize,
     /// Destination of each read, so that a read that is dropped does not change the buffer.
     scratch: Vec<u8>,
+    /// Reads since other tasks last ran.
+    reads: u32,
 }
 
 impl<R: AsyncRead + Unpin> ConnectionReader<R> {
@@ -31,6 +40,7 @@
             buffer: Vec::new(),
             start: 0,
             scratch: Vec::new(),
+            reads: 0,
         }
     }
 
@@ -51,6 +61,10 @@
             self.start = 0;
         }
         self.scratch.resize(max_bytes, 0);
+        self.reads += 1;
+        if self.reads.is_multiple_of(READS_PER_TURN) {
+            task::yield_now().await;
+        }
         let read = self.input.read(&mut self.scratch).await;
         let count = read.context(ConnectionSnafu)?;
         self.buffer.extend_from_slice(&self.scratch[..count]);
@@ -116,28 +130,48 @@
     /// The body is longer or malformed, or the connection failed or ended before the end of the
     /// body.
     pub async fn body(&mut self, framing: BodyFraming, bound: usize) -> Result<Vec<u8>, ReadError> {
+        let budget = ByteBudget::new(usize::MAX);
+        self.body_within(framing, bound, &budget).await
+    }
+
+    /// Reads a complete body of at most `bound` bytes, which are taken from `budget` as they arrive
+    /// and are given back once the body is read.
+    ///
+    /// # Errors
+    /// As [`Self::body`], and if the budget is used up.
+    pub async fn body_within(
+        &mut self,
+        framing: BodyFraming,
+        bound: usize,
+        budget: &ByteBudget,
+    ) -> Result<Vec<u8>, ReadError> {
+        let mut share = budget.share();
         match framing {
             BodyFraming::Length(length) if length > bound => Err(ReadError::BodyTooLarge { bound }),
-            BodyFraming::Length(length) => self.sized_body(length).await,
-            BodyFraming::Chunked(scanner) => self.chunked_body(scanner, bound).await,
-            BodyFraming::UntilClose => self.body_until_close(bound).await,
+            BodyFraming::Length(length) => self.sized_body(length, &mut share).await,
+            BodyFraming::Chunked(scanner) => self.chunked_body(scanner, bound, &mut share).await,
+            BodyFraming::UntilClose => self.body_until_close(bound, &mut share).await,
         }
     }
 
-    async fn sized_body(&mut self, length: usize) -> Result<Vec<u8>, ReadError> {
-        let buffered = self.received().len().min(length);
-        let mut body = self.take(buffered);
-        if buffered == length {
-            return Ok(body);
-        }
-        body.resize(length, 0);
-        let read = self.input.read_exact(&mut body[buffered..]).await;
-        match read {
-            Ok(()) => Ok(body),
-            Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => {
-                Err(ReadError::Truncated)
+    async fn sized_body(
+        &mut self,
+        length: usize,
+        share: &mut BudgetShare<'_>,
+    ) -> Result<Vec<u8>, ReadError> {
+        let mut body = Vec::new();
+        loop {
+            let count = self.received().len().min(length - body.len());
+            share.grow_to(body.len() + count)?;
+            body.extend_from_slice(&self.buffer[self.start..self.start + count]);
+            self.start += count;
+            if body.len() == length {
+                return Ok(body);
+            }
+            let missing = length - body.len();
+            if self.fill(missing.min(BODY_READ_BYTES)).await? == 0 {
+                return Err(ReadError::Truncated);
             }
-            Err(source) => Err(ReadError::Connection { source }),
         }
     }
 
@@ -145,12 +179,14 @@
         &mut self,
         mut scanner: ChunkScanner,
         bound: usize,
+        share: &mut BudgetShare<'_>,
     ) -> Result<Vec<u8>, ReadError> {
         let mut body = Vec::new();
         loop {
             let received = &self.buffer[self.start..];
             let (count, is_content) = scanner.scan_content(received).context(ChunksSnafu)?;
             if is_content {
+                share.grow_to(body.len() + count)?;
                 body.extend_from_slice(&self.buffer[self.start..self.start + count]);
             }
             self.start += count;
@@ -166,8 +202,13 @@
         }
     }
 
-    async fn body_until_close(&mut self, bound: usize) -> Result<Vec<u8>, ReadError> {
+    async fn body_until_close(
+        &mut self,
+        bound: usize,
+        share: &mut BudgetShare<'_>,
+    ) -> Result<Vec<u8>, ReadError> {
         while self.fill(BODY_READ_BYTES).await? > 0 {
+            share.grow_to(self.received().len())?;
             if self.received().len() > bound {
                 return Err(ReadError::BodyTooLarge { bound });
             }
