--- a/dahliawood-steer/tests/main/placement/lifecycle.rs
+++ b/dahliawood-steer/tests/main/placement/lifecycle.rs
@@ -4,7 +4,7 @@
     SERVICE, SERVICE_TIME, START, answered, busy_result, chosen, entry, query, table, vm_location,
 };
 use dahliawood_model::FastSet;
-use dahliawood_model::catalog::TargetReport;
+use dahliawood_model::catalog::{TargetLoad, TargetReport};
 use dahliawood_steer::health::ResultKind;
 use dahliawood_steer::placement::choose;
 use dahliawood_steer::placement::choose::PlacementChoice;
@@ -156,3 +156,31 @@
         Some(key)
     );
 }
+
+#[test]
+fn a_slow_answer_of_each_target_in_turn_refuses_nothing() {
+    let mut table = table(&[("a-1", 4)]);
+    let location = vm_location("a-1", 1);
+    let keys = table.services[SERVICE].targets.clone();
+    let idle = TargetLoad {
+        running: 0,
+        waiting: 0,
+        slots: 3,
+        received_at: START,
+    };
+    let answer = |millis| TargetResult {
+        latency: Duration::from_millis(millis),
+        ..answered(Some(idle))
+    };
+    for (index, slow) in keys.iter().enumerate() {
+        // The others answer fast until it is their turn.
+        for key in keys[index..].iter().cycle().take(400) {
+            table.begin(*key, START);
+            table.finish(*key, answer(5), START);
+        }
+        table.begin(*slow, START);
+        table.finish(*slow, answer(900), START);
+    }
+    let choice = choose::choose(&mut table, &location, &query(0), START);
+    assert!(chosen(choice).is_some(), "{choice:?}");
+}
