fix(steer): slow targets are used where all others are passed over

What callers saw: 503 "no target may serve it" with live targets, for 0.1 s. Cause: a target whose average is three times its service's is passed over for 3 s; one slow answer of each in turn leaves none.

--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -136,15 +136,17 @@
             order_key,
         )),
     };
-    let sides = Sides::new(table, location, query, &order, now);
-    let sides = match query.object.is_some() && sides.is_empty() {
-        // None of the kept targets is usable; others may be.
-        true => {
-            let order = ranking::whole_order(table, location, query.service, order_key);
-            Sides::new(table, location, query, &order, now)
+    let mut sides = Sides::new(table, location, query, &order, true, now);
+    if sides.is_empty() {
+        // None of the kept targets is usable; others may be. Slow ones are better than none.
+        let order = ranking::whole_order(table, location, query.service, order_key);
+        for skips_slow in [true, false] {
+            sides = Sides::new(table, location, query, &order, skips_slow, now);
+            if !sides.is_empty() {
+                break;
+            }
         }
-        false => sides,
-    };
+    }
     let level = spillover(table, query.service).map_or(0.0, SpilloverLevel::level);
     let is_remote = spills_over(object, level) && allows(query, &location.region);
     let has_local = !sides.local.is_empty();
@@ -191,10 +193,11 @@
         location: &VmLocation,
         query: &PlacementQuery<'_>,
         order: &TargetOrder,
+        skips_slow: bool,
         now: TimeStamp,
     ) -> Self {
         let list = |region: &str, targets: &[TargetKey]| match allows(query, region) {
-            true => candidates(table, location, query, targets, now),
+            true => candidates(table, location, query, targets, skips_slow, now),
             false => Vec::new(),
         };
         let remote = order.remote.iter();
@@ -280,12 +283,14 @@
     query.regions.iter().all(is_allowed)
 }
 
-/// Usable targets of one region among `targets`, in their order.
+/// Usable targets of one region among `targets`, in their order; without those that are much slower
+/// than their service's average if `skips_slow`.
 fn candidates(
     table: &PlacementTable,
     location: &VmLocation,
     query: &PlacementQuery<'_>,
     targets: &[TargetKey],
+    skips_slow: bool,
     now: TimeStamp,
 ) -> Vec<Candidate> {
     let Some(pool) = table.services.get(query.service) else {
@@ -298,9 +303,10 @@
         let Some(target) = table.get(*key) else {
             continue;
         };
-        let is_usable = !query.tried.contains(key)
+        let is_slow = target.load.service_time(average, now) > average.mul_f64(SLOW_FACTOR);
+        let is_passed_over = query.tried.contains(key) || (skips_slow && is_slow);
+        let is_usable = !is_passed_over
             && target.breaker.is_usable(target.load.in_flight, now)
-            && target.load.service_time(average, now) <= average.mul_f64(SLOW_FACTOR)
             && has_cold_capacity(target, location, query, now)
             && now >= target.open_at(location, now);
         if !is_usable {
