--- a/dahliawood-steer/src/placement/breaker/mod.rs
+++ b/dahliawood-steer/src/placement/breaker/mod.rs
@@ -35,8 +35,8 @@
     is_probing: bool,
     /// Connections in a row that could not be made.
     failed_connections: u32,
-    /// Whether the target's process is gone, and no connection has been made since.
-    is_down: bool,
+    /// Since when the target's process is gone, `None` if it is there or has come back.
+    down_since: Option<TimeStamp>,
     /// Whether a connection is being opened to learn whether it is back.
     is_checking: bool,
 }
@@ -44,7 +44,7 @@
 impl CircuitBreaker {
     /// Records the result of a request.
     pub fn record(&mut self, kind: ResultKind, now: TimeStamp) {
-        self.record_contact(kind);
+        self.record_contact(kind, now);
         match kind {
             ResultKind::Cancelled => {}
             ResultKind::Answered => {
@@ -62,14 +62,18 @@
     }
 
     /// Records what a result says about whether the target's process is there.
-    fn record_contact(&mut self, kind: ResultKind) {
+    fn record_contact(&mut self, kind: ResultKind, now: TimeStamp) {
         match kind {
-            ResultKind::Cancelled => return,
+            ResultKind::Answered | ResultKind::Shed => self.failed_connections = 0,
             ResultKind::ConnectFailed => self.failed_connections += 1,
             ResultKind::Refused => self.failed_connections = DOWN_FAILURES,
-            _ => self.failed_connections = 0,
+            // A request that was in flight when the process ended may end so, later.
+            ResultKind::Errored | ResultKind::TimedOut | ResultKind::Cancelled => return,
         }
-        self.is_down = self.failed_connections >= DOWN_FAILURES;
+        self.down_since = match self.failed_connections >= DOWN_FAILURES {
+            true => self.down_since.or(Some(now)),
+            false => None,
+        };
     }
 
     fn fail(&mut self, is_hard: bool, now: TimeStamp) {
@@ -99,15 +103,20 @@
         self.asked_until
     }
 
+    /// Since when the target's process is gone, as far as is known.
+    pub fn down_since(&self) -> Option<TimeStamp> {
+        self.down_since
+    }
+
     /// Whether the target's process is gone, as far as is known.
     pub fn is_down(&self) -> bool {
-        self.is_down
+        self.down_since.is_some()
     }
 
     /// Whether a connection is to be opened now, to learn whether the target's process is back; it
     /// counts as being opened until [`Self::finish_check`].
     pub fn begin_check(&mut self, now: TimeStamp) -> bool {
-        let is_due = self.is_down && !self.is_checking && now >= self.paused_until;
+        let is_due = self.is_down() && !self.is_checking && now >= self.paused_until;
         self.is_checking |= is_due;
         is_due
     }
@@ -115,7 +124,7 @@
     /// Records whether the connection of a check was accepted.
     pub fn finish_check(&mut self, is_accepted: bool, now: TimeStamp) {
         self.is_checking = false;
-        if !self.is_down {
+        if !self.is_down() {
             return;
         }
         match is_accepted {
@@ -133,7 +142,7 @@
     /// Whether a request may be sent, where `in_flight` requests of this VM run at the target.
     /// After a pause for failures one request at a time may be sent, until one is answered.
     pub fn is_usable(&self, in_flight: u32, now: TimeStamp) -> bool {
-        !self.is_down
+        !self.is_down()
             && now >= self.paused_until.max(self.asked_until)
             && (!self.is_probing || in_flight == 0)
     }
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -70,12 +70,19 @@
         rendezvous::score(self.hash, self.entry.started_millis)
     }
 
-    /// Changes the breaker. A process that accepts connections after one was gone is a new one, which
-    /// is cold.
-    fn record_contact(&mut self, change: impl FnOnce(&mut CircuitBreaker), now: TimeStamp) {
-        let was_down = self.breaker.is_down();
+    /// Changes the breaker for a contact that began at `begun`. A process that takes part in one that
+    /// began after a process was gone is a new one, which is cold; one that answers an earlier
+    /// request was never gone.
+    fn record_contact(
+        &mut self,
+        begun: TimeStamp,
+        change: impl FnOnce(&mut CircuitBreaker),
+        now: TimeStamp,
+    ) {
+        let down_since = self.breaker.down_since();
         change(&mut self.breaker);
-        if was_down && !self.breaker.is_down() {
+        let is_new = down_since.is_some_and(|down_since| begun >= down_since);
+        if is_new && !self.breaker.is_down() {
             self.returned_at = Some(now);
         }
     }
@@ -408,7 +415,7 @@
     ) -> Option<&str> {
         let target = self.targets.get_mut(&key)?;
         let was_down = target.breaker.is_down();
-        target.record_contact(|breaker| breaker.finish_check(is_accepted, now), now);
+        target.record_contact(now, |breaker| breaker.finish_check(is_accepted, now), now);
         let is_back = was_down && !target.breaker.is_down();
         is_back.then_some(target.entry.id.as_str())
     }
@@ -442,7 +449,8 @@
             self.generation += 1;
         }
         target.load.finish();
-        target.record_contact(|breaker| breaker.record(result.kind, now), now);
+        let begun = now.before(result.latency);
+        target.record_contact(begun, |breaker| breaker.record(result.kind, now), now);
         let pool = self.services.get_mut(&target.entry.service);
         if let Some(load) = result.load() {
             target.load.record_report(load);
--- a/dahliawood-steer/tests/main/placement/lifecycle.rs
+++ b/dahliawood-steer/tests/main/placement/lifecycle.rs
@@ -184,3 +184,55 @@
     let choice = choose::choose(&mut table, &location, &query(0), START);
     assert!(chosen(choice).is_some(), "{choice:?}");
 }
+
+#[test]
+fn requests_that_end_late_do_not_bring_back_a_target_whose_process_is_gone() {
+    let mut table = table(&[("a-1", 1)]);
+    let location = vm_location("a-1", 1);
+    let key = table.services[SERVICE].targets[0];
+    let result = |kind| TargetResult {
+        kind,
+        ..answered(None)
+    };
+    table.finish(key, result(ResultKind::Refused), START);
+    // They were in flight when it crashed.
+    for kind in [
+        ResultKind::Errored,
+        ResultKind::TimedOut,
+        ResultKind::Cancelled,
+    ] {
+        table.finish(key, result(kind), START);
+    }
+    let later = START.after(Duration::from_secs(30));
+    let choice = choose::choose(&mut table, &location, &query(0), later);
+    assert_eq!(chosen(choice), None, "it is not probed by a request");
+    assert_eq!(table.begin_checks(9, later).len(), 1);
+    assert!(table.begin_checks(9, later).is_empty(), "a check at a time");
+    assert_eq!(table.finish_check(key, true, later), Some("target-0"));
+    let target = table.get(key).unwrap();
+    assert!(target.is_cold(Duration::from_secs(3), later));
+    let choice = choose::choose(&mut table, &location, &query(0), later);
+    assert_eq!(chosen(choice), Some(key));
+}
+
+#[test]
+fn a_target_that_refused_a_connection_and_answers_an_earlier_request_is_no_new_process() {
+    let mut table = table(&[("a-1", 1)]);
+    let key = table.services[SERVICE].targets[0];
+    let refused = TargetResult {
+        kind: ResultKind::Refused,
+        ..answered(None)
+    };
+    let cold = Duration::from_secs(3);
+    table.finish(key, refused, START);
+    table.finish(key, answered(None), START.after(SERVICE_TIME / 2));
+    assert!(!table.get(key).unwrap().breaker.is_down());
+    assert!(!table.get(key).unwrap().is_cold(cold, START));
+    table.finish(key, refused, START);
+    let later = START.after(SERVICE_TIME * 2);
+    table.finish(key, answered(None), later);
+    assert!(
+        table.get(key).unwrap().is_cold(cold, later),
+        "it began later"
+    );
+}
