--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -3,9 +3,10 @@
 //! A request is retried, on another target, only if it is idempotent or has not run, and only
 //! within the route's maximum number of attempts and the service's retry budget.
 
+mod suspicion;
+
 use crate::clock;
 use crate::codec::{RequestMetadata, TargetContext};
-use crate::crashes::FleetSighting;
 use crate::front::connection::CallerRequest;
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::state::GatewayState;
@@ -14,8 +15,8 @@
 use dahliawood_model::catalog::{CatalogRoute, FleetCatalog, RequestKind, TargetReport};
 use dahliawood_model::keys::{CustomerKey, RouteKey, TargetKey};
 use dahliawood_model::stamp::TimeStamp;
-use dahliawood_request::quarantine::identity::{IdentityParts, RequestIdentity};
-use dahliawood_request::quarantine::table::{CrashSighting, RequestAdmission};
+use dahliawood_request::quarantine::identity::RequestIdentity;
+use dahliawood_request::quarantine::table::RequestAdmission;
 use dahliawood_request::retry::RetryBudget;
 use dahliawood_request::verdict::RunVerdict;
 use dahliawood_steer::health::ResultKind;
@@ -362,64 +363,6 @@
         );
     }
 
-    /// The identity by which a repetition of the request is recognized.
-    fn identity(&self) -> RequestIdentity {
-        *self.identity.get_or_init(|| {
-            let customer = self.routed.customer;
-            let customer = customer.map(|key| self.catalog.customers[key].name.as_str());
-            let head = &self.request.head;
-            RequestIdentity::new(&IdentityParts {
-                customer: customer.unwrap_or_default(),
-                method: &head.method,
-                host: head.fields.get("host").unwrap_or_default(),
-                path: &head.target,
-                body: &self.request.body,
-            })
-        })
-    }
-
-    /// Whether the request may be sent to a target, as far as crashes tell.
-    fn admission(&self) -> RequestAdmission {
-        if self.state.crashes().quarantine.is_empty() {
-            return RequestAdmission::Open;
-        }
-        let identity = self.identity();
-        let is_examiner = || self.state.ranks_first(identity.0 as u64);
-        let mut crashes = self.state.crashes();
-        crashes
-            .quarantine
-            .admit(identity, is_examiner, clock::now())
-    }
-
-    /// Records that a target's process ended while the request was in flight there.
-    fn record_crash(&self, target: &TryTarget) {
-        let now = clock::now();
-        let process = target.process;
-        let crash = CrashSighting {
-            identity: self.identity(),
-            process,
-            sent_at: target.started,
-            crashed_at: now,
-        };
-        self.state.see(FleetSighting::Crash(crash), now);
-        let gone = FleetSighting::ProcessGone { process, at: now };
-        self.state.see(gone, now);
-    }
-
-    /// Records that a request completed that had met crashes.
-    fn clear_suspicion(&self, response: &TargetResponse) {
-        let has_run = response.metadata.is_signed && !response.metadata.has_not_run;
-        if !has_run || self.state.crashes().quarantine.is_empty() {
-            return;
-        }
-        let identity = self.identity();
-        if self.state.crashes().quarantine.is_suspect(identity) {
-            let at = clock::now();
-            self.state
-                .see(FleetSighting::Completion { identity, at }, at);
-        }
-    }
-
     fn record_try(&mut self, target: &TryTarget, verdict: RunVerdict, detail: &str) {
         self.verdict = self.verdict.combine(verdict);
         self.log(EventClass::Notable, target, &verdict.to_string(), detail);
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -1,9 +1,10 @@
 //! Chooses the target for one request.
 
 use crate::placement::ranking::{self, OrderKey, TargetOrder};
+use crate::placement::record::TargetRecord;
 use crate::placement::sharers::LimitSharers;
 use crate::placement::spillover::SpilloverLevel;
-use crate::placement::table::{PlacementTable, TargetRecord};
+use crate::placement::table::PlacementTable;
 use crate::rendezvous;
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
--- a/dahliawood-steer/src/placement/mod.rs
+++ b/dahliawood-steer/src/placement/mod.rs
@@ -14,6 +14,7 @@
 pub mod cold;
 pub mod load;
 pub mod ranking;
+pub mod record;
 pub mod sharers;
 pub mod shedding;
 pub mod spillover;
