refactor(steer): candidates, refusals and the balance over regions have modules of their own

Cause: choose/mod.rs had grown to 482 lines with four jobs. Change: candidates with their times, refusals with their retry delays, and the spillover over regions move to modules of their own. No behaviour changes.

--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -6,7 +6,7 @@
 use crate::structured_log::EventClass;
 use async_std::task;
 use dahliawood_model::stamp::TimeStamp;
-use dahliawood_steer::placement::{choose, spillover};
+use dahliawood_steer::placement::{balance, spillover};
 use serde::Serialize;
 use std::rc::Rc;
 
@@ -42,7 +42,7 @@
         task::sleep(spillover::STEP_INTERVAL).await;
         let now = clock::now();
         apply::update_sharers(&state);
-        choose::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
+        balance::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
         log_cold_usage(&state);
         check_targets(&state, now);
         let expired = state.view.borrow_mut().expire(now);
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -1,7 +1,11 @@
 //! Chooses the target for one request.
 
+mod candidate;
+mod refusal;
+
+use crate::placement::balance;
+use crate::placement::choose::candidate::Candidate;
 use crate::placement::ranking::{self, OrderKey, TargetOrder};
-use crate::placement::record::TargetRecord;
 use crate::placement::sharers::LimitSharers;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::table::PlacementTable;
@@ -12,24 +16,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Number of targets in a region, by preference, that an object may use when the first is busy.
-const SPREAD_TARGETS: usize = 3;
-/// A target this many times slower than its service's average is skipped.
-const SLOW_FACTOR: f64 = 3.0;
-/// Share of a cold target's limit that is used; the rest is a margin, as lists of VMs differ for a
-/// moment whenever one changes.
-const COLD_LIMIT_SHARE: f64 = 0.8;
-/// Minimum retry delay told to a refused caller.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
-/// Retry delay told to a caller that is refused to shorten queues.
-const SHED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Longest retry delay told to a caller because targets are at the limits that they state.
-const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Minimum number of remote targets with fresh reports for an estimate of remote utilization.
-const MIN_REMOTE_TARGETS: usize = 3;
-/// Assumed share of the fleet's slots in use, for the initial spillover level of bulk requests.
-const ASSUMED_UTILIZATION: f64 = 0.4;
-
 /// Location of this VM.
 #[derive(Clone, Debug)]
 pub struct VmLocation {
@@ -99,15 +85,6 @@
     None,
 }
 
-/// A usable target with its expected times; lists hold candidates by preference.
-struct Candidate {
-    key: TargetKey,
-    /// Time until a slot is free.
-    wait: Duration,
-    /// Time until the request is served.
-    total: Duration,
-}
-
 /// Chooses a target, and counts the request within the limit that the target states.
 ///
 /// A request whose object spills over goes to another region, any other stays in the own region. A
@@ -118,13 +95,13 @@
     query: &PlacementQuery<'_>,
     now: TimeStamp,
 ) -> PlacementChoice {
-    if query.tried.is_empty() && is_shed(table, query.service, now) {
-        return PlacementChoice::Busy {
-            retry_after: SHED_RETRY_AFTER,
-        };
+    if query.tried.is_empty()
+        && let Some(refusal) = refusal::shed(table, query.service, now)
+    {
+        return refusal;
     }
     let object = query.object.unwrap_or_else(rand::random);
-    init_spillover(table, location, query);
+    balance::init_spillover(table, location, query);
     let order_key = OrderKey {
         object,
         is_bulk: query.is_bulk,
@@ -152,7 +129,7 @@
     let level = spillover(table, query.service).map_or(0.0, SpilloverLevel::level);
     let is_remote = spills_over(object, level) && allows(query, &location.region);
     let has_local = !sides.local.is_empty();
-    let local = best_in_time(&sides.local, query);
+    let local = candidate::best_in_time(&sides.local, query);
     if let Some(spillover) = spillover_mut(table, query.service)
         && query.tried.is_empty()
     {
@@ -178,9 +155,9 @@
         return dispatch(table, key, false);
     }
     if sides.is_empty() {
-        return refuse_until_open(table, location, query, now);
+        return refusal::refuse_until_open(table, location, query, now);
     }
-    refuse(sides.all(), query.max_wait)
+    refusal::refuse(sides.all(), query.max_wait)
 }
 
 /// Candidates of this region, and of each other region.
@@ -199,7 +176,7 @@
         now: TimeStamp,
     ) -> Self {
         let list = |region: &str, targets: &[TargetKey]| match allows(query, region) {
-            true => candidates(table, location, query, targets, skips_slow, now),
+            true => candidate::candidates(table, location, query, targets, skips_slow, now),
             false => Vec::new(),
         };
         let remote = order.remote.iter();
@@ -223,131 +200,15 @@
     fn best_remote(&self, query: &PlacementQuery<'_>) -> Option<TargetKey> {
         self.remote
             .iter()
-            .find_map(|list| best_in_time(list, query))
-    }
-}
-
-/// Whether a request is refused to shorten the queues of its service's targets.
-fn is_shed(table: &mut PlacementTable, service: &str, now: TimeStamp) -> bool {
-    table.services.get_mut(service).is_some_and(|pool| {
-        pool.shed_share.advance(now);
-        pool.shed_share.take_refusal()
-    })
-}
-
-/// The refusal where no candidate starts the request in time.
-fn refuse<'a>(all: impl Iterator<Item = &'a Candidate>, max_wait: Duration) -> PlacementChoice {
-    match all.map(|candidate| candidate.wait).min() {
-        None => PlacementChoice::None,
-        Some(wait) => PlacementChoice::Busy {
-            retry_after: wait.saturating_sub(max_wait).max(MIN_RETRY_AFTER),
-        },
+            .find_map(|list| candidate::best_in_time(list, query))
     }
 }
 
-/// The refusal where no target is usable: until the first target that asked for a pause, or states a
-/// limit, may get a request again. A target at its limit may take the request from another VM.
-fn refuse_until_open(
-    table: &PlacementTable,
-    location: &VmLocation,
-    query: &PlacementQuery<'_>,
-    now: TimeStamp,
-) -> PlacementChoice {
-    let targets = table.targets(query.service);
-    let open = targets.filter(|target| table.is_open(target) && allows(query, &target.region));
-    let held_for = |target: &TargetRecord| {
-        let asked_until = target.breaker.asked_until();
-        let at_limit = target.open_at(location, now).since(now);
-        asked_until.since(now).max(at_limit.min(LIMIT_RETRY_AFTER))
-    };
-    let waits = open.map(held_for).filter(|wait| !wait.is_zero());
-    waits.min().map_or(PlacementChoice::None, |wait| {
-        let retry_after = wait.max(MIN_RETRY_AFTER);
-        PlacementChoice::Busy { retry_after }
-    })
-}
-
-/// The candidate that is expected to serve the request first, among those that start it within
-/// `max_wait` and serve it in the time that is left. A target that has the object cached may be
-/// first despite a longer wait.
-fn best_in_time(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<TargetKey> {
-    let spread = list.iter().take(SPREAD_TARGETS);
-    let in_time = spread
-        .filter(|candidate| candidate.wait <= query.max_wait && candidate.total <= query.time_left);
-    let best = in_time.min_by_key(|candidate| candidate.total);
-    best.map(|candidate| candidate.key)
-}
-
 /// Whether both the route and the customer allow a region.
 fn allows(query: &PlacementQuery<'_>, region: &str) -> bool {
     region::is_allowed(region, query.regions)
 }
 
-/// Usable targets of one region among `targets`, in their order; without those that are much slower
-/// than their service's average if `skips_slow`.
-fn candidates(
-    table: &PlacementTable,
-    location: &VmLocation,
-    query: &PlacementQuery<'_>,
-    targets: &[TargetKey],
-    skips_slow: bool,
-    now: TimeStamp,
-) -> Vec<Candidate> {
-    let Some(pool) = table.services.get(query.service) else {
-        return Vec::new();
-    };
-    let average = pool.average_service_time;
-    let times = pool.service_times;
-    let mut usable = Vec::new();
-    for (rank, key) in targets.iter().enumerate() {
-        let Some(target) = table.get(*key) else {
-            continue;
-        };
-        let is_slow = target.load.service_time(average, now) > average.mul_f64(SLOW_FACTOR);
-        let is_passed_over = query.tried.contains(key) || (skips_slow && is_slow);
-        let is_usable = !is_passed_over
-            && target.breaker.is_usable(target.load.in_flight, now)
-            && has_cold_capacity(target, location, query, now)
-            && now >= target.open_at(location, now);
-        if !is_usable {
-            continue;
-        }
-        let is_cached = rank == 0
-            || query
-                .object
-                .is_some_and(|object| pool.cached_objects.contains(object, *key));
-        let service_time = match is_cached {
-            true => times.cached(average),
-            false => times.uncached(average),
-        };
-        let wait = table.expected_wait(target, now);
-        usable.push(Candidate {
-            key: *key,
-            wait,
-            total: wait + service_time,
-        });
-    }
-    usable
-}
-
-/// Whether a target is warm, or is cold and its limit has room for one more request of this VM.
-/// Only VMs of the target's own region use it while cold.
-fn has_cold_capacity(
-    target: &TargetRecord,
-    location: &VmLocation,
-    query: &PlacementQuery<'_>,
-    now: TimeStamp,
-) -> bool {
-    if !target.is_cold(query.cold.lasts, now) {
-        return true;
-    }
-    let limit = (query.cold.per_second * COLD_LIMIT_SHARE) as usize;
-    target.region == location.region && {
-        let part = location.sharers.part(limit, target.hash, now);
-        target.cold_window.has_room(part, now)
-    }
-}
-
 /// Whether an object belongs to the share that goes to other regions.
 fn spills_over(object: u64, level: f64) -> bool {
     let position = rendezvous::score(object, 0) as f64 / u64::MAX as f64;
@@ -388,95 +249,3 @@
     }
     PlacementChoice::Target(key)
 }
-
-/// Slots of a service's open targets in this region and in all regions, and the number of regions.
-fn slot_counts(table: &PlacementTable, location: &VmLocation, service: &str) -> (f64, f64, usize) {
-    let mut regions: Vec<&str> = Vec::new();
-    let (mut local, mut all) = (0.0, 0.0);
-    for target in table
-        .targets(service)
-        .filter(|target| table.is_open(target))
-    {
-        let slots = f64::from(target.entry.slots);
-        all += slots;
-        local += if target.region == location.region {
-            slots
-        } else {
-            0.0
-        };
-        if !regions.contains(&target.region.as_str()) {
-            regions.push(&target.region);
-        }
-    }
-    (local, all, regions.len())
-}
-
-/// Sets the initial spillover level of a region with few targets, such that all regions are equally
-/// utilized if callers are spread evenly. For bulk requests the transfer between regions costs
-/// more than balanced utilization saves, so their objects spill over only if the assumed demand
-/// exceeds the region's slots.
-fn init_spillover(table: &mut PlacementTable, location: &VmLocation, query: &PlacementQuery<'_>) {
-    if spillover(table, query.service).is_none_or(SpilloverLevel::is_initialized) {
-        return;
-    }
-    let (local, all, regions) = slot_counts(table, location, query.service);
-    let utilization = if query.is_bulk {
-        ASSUMED_UTILIZATION
-    } else {
-        1.0
-    };
-    let demand = all * utilization / regions.max(1) as f64;
-    if let Some(spillover) = spillover_mut(table, query.service) {
-        spillover.init(1.0 - local / demand.max(1.0));
-    }
-}
-
-/// Adjusts the spillover levels of all services by one step; call it every
-/// [`STEP_INTERVAL`](crate::placement::spillover::STEP_INTERVAL).
-pub fn adjust_spillover(table: &mut PlacementTable, location: &VmLocation, now: TimeStamp) {
-    let services: Vec<String> = table.services.keys().cloned().collect();
-    for service in services {
-        let average = table.average_service_time(&service);
-        let (mut local, mut remote) = (SlotUsage::default(), SlotUsage::default());
-        for target in table
-            .targets(&service)
-            .filter(|target| table.is_open(target))
-        {
-            let used = target.load.outstanding(average, now);
-            let slots = f64::from(target.entry.slots);
-            match target.region == location.region {
-                true => local.add(used, slots),
-                false if target.load.has_fresh_report(average, now) => remote.add(used, slots),
-                false => {}
-            }
-        }
-        let remote = (remote.targets >= MIN_REMOTE_TARGETS).then(|| remote.share());
-        if let Some(spillover) = spillover_mut(table, &service) {
-            spillover.step(local.share(), remote);
-        }
-    }
-}
-
-/// Slots in use over a set of targets.
-#[derive(Clone, Copy, Debug, Default)]
-struct SlotUsage {
-    targets: usize,
-    used: f64,
-    slots: f64,
-}
-
-impl SlotUsage {
-    fn add(&mut self, used: f64, slots: f64) {
-        self.targets += 1;
-        self.used += used;
-        self.slots += slots;
-    }
-
-    /// Share of slots in use; 1 if there are no slots.
-    fn share(self) -> f64 {
-        match self.slots > 0.0 {
-            true => self.used / self.slots,
-            false => 1.0,
-        }
-    }
-}
--- a/dahliawood-steer/src/placement/mod.rs
+++ b/dahliawood-steer/src/placement/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! The tables and functions do no I/O; the caller passes in `now`.
 
+pub mod balance;
 pub mod breaker;
 pub mod cached;
 pub mod choose;
--- a/dahliawood-steer/tests/main/placement/region.rs
+++ b/dahliawood-steer/tests/main/placement/region.rs
@@ -8,6 +8,7 @@
 use dahliawood_model::catalog::TargetLoad;
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_steer::placement::balance;
 use dahliawood_steer::placement::choose::{self, PlacementQuery, VmLocation};
 use dahliawood_steer::placement::spillover;
 use dahliawood_steer::placement::table::PlacementTable;
@@ -68,7 +69,7 @@
                 self.finish();
                 ran.extend(self.send(&location));
             }
-            choose::adjust_spillover(&mut self.table, &location, self.now);
+            balance::adjust_spillover(&mut self.table, &location, self.now);
         }
         ran
     }
