fix(gateway): requests that have not run are given back to their customers' limits

Cause: a request that was admitted within its customer's limit and then refused as not run stayed counted in the window for 5.1 s. Callers that came back used up the limit and got 429 below it.

Change: admission returns a CountedRequest, which is given back once, out of the step that counted it, if nothing was sent or all that was sent is known not to have run; a caller that leaves before is covered. It leaves the demand too, and comes back to it with its caller. A VM whose requests were all given back reports once more, so that its last fraction is free at once (it stayed counted for 20 s).

--- a/dahliawood-gateway/src/control/shares/mod.rs
+++ b/dahliawood-gateway/src/control/shares/mod.rs
@@ -5,7 +5,7 @@
 use crate::clock;
 use crate::control::ControlState;
 use crate::control::vms::VmRecord;
-use crate::front::handler;
+use crate::front::handler::admission;
 use async_std::future::timeout;
 use async_std::task;
 use dahliawood_model::catalog::CatalogCustomer;
@@ -30,9 +30,6 @@
 /// Minimum time between two calls; requests that start to wait meanwhile share the next call.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Demand below which an otherwise inactive customer is not reported, requests per second.
-const MIN_DEMAND: f64 = 0.01;
-
 /// Reports until the task is cancelled.
 pub async fn run(state: Rc<ControlState>) {
     let mut has_coordinator = false;
@@ -133,29 +130,29 @@
 ) -> Option<CustomerNeed> {
     let name = &customer.name;
     let window = state.shared.settings.bounds.quota_window;
+    let usage = {
+        let mut windows = state.shared.windows();
+        LimitUsage {
+            limit: admission::fleet_limit(&state.shared, customer),
+            admitted: f64::from(windows.admitted(name, now)),
+            demand: windows.demand(name, now),
+            waiting,
+        }
+    };
     let (share, total) = {
         let allocations = state.shared.allocations();
+        if !allocations.must_report(name, &usage) {
+            return None;
+        }
         (
             allocations.held(name, now),
             allocations.total(name, window, now),
         )
     };
-    let mut windows = state.shared.windows();
-    let admitted = f64::from(windows.admitted(name, now));
-    let demand = windows.demand(name, now);
-    if share <= 0.0 && admitted + waiting <= 0.0 && demand < MIN_DEMAND {
-        return None;
-    }
-    let usage = LimitUsage {
-        limit: handler::fleet_limit(&state.shared, customer),
-        admitted,
-        demand,
-        waiting,
-    };
     let need = usage.need(state.shared.even_fraction());
     Some(CustomerNeed {
         customer: name.clone(),
-        demand: demand as f32,
+        demand: usage.demand as f32,
         share: share as f32,
         used: need.used as f32,
         wanted: need.requested as f32,
--- a/dahliawood-gateway/src/forward/attempt/mod.rs
+++ b/dahliawood-gateway/src/forward/attempt/mod.rs
@@ -54,6 +54,7 @@
         let customer = self.routed.customer;
         let on_write = || {
             self.sent.set(self.sent.get() + 1);
+            self.progress.begin();
             let mut table = self.state.placement();
             table.record_written(target.key, target.started, clock::now());
         };
--- a/dahliawood-gateway/src/forward/helper/mod.rs
+++ b/dahliawood-gateway/src/forward/helper/mod.rs
@@ -82,6 +82,7 @@
         while let Some(helper) = self.choose_helper() {
             self.asked.push(helper.vm);
             let started = clock::now();
+            self.progress.begin();
             let ended = self.ask(&helper).await;
             self.log_ask(&helper, &ended, started);
             match ended {
@@ -98,6 +99,7 @@
                     return HelperEnd::Lost;
                 }
             }
+            self.progress.end(self.verdict);
         }
         HelperEnd::None
     }
@@ -227,6 +229,7 @@
         if refusal.may_have_run() {
             self.verdict = self.verdict.combine(RunVerdict::MayHaveRun);
         }
+        self.progress.end(self.verdict);
         match refusal {
             RefusalMessage::Busy(retry_after) => RefusalCause::Busy(retry_after),
             RefusalMessage::Quarantined => RefusalCause::Quarantined,
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -72,6 +72,34 @@
     }
 }
 
+/// Whether a request may have run so far. It is kept outside of the request's future, for the end of
+/// a request that is cancelled.
+#[derive(Debug)]
+pub struct RunProgress(Cell<RunVerdict>);
+
+impl Default for RunProgress {
+    fn default() -> Self {
+        Self(Cell::new(RunVerdict::NotRun))
+    }
+}
+
+impl RunProgress {
+    /// Whether the request has not run, and does not run if its future is dropped now.
+    pub fn has_not_run(&self) -> bool {
+        self.0.get() == RunVerdict::NotRun
+    }
+
+    /// Records that something is about to be sent, which may run until its end is known.
+    fn begin(&self) {
+        self.0.set(RunVerdict::MayHaveRun);
+    }
+
+    /// Records the verdict on all that was sent.
+    fn end(&self, verdict: RunVerdict) {
+        self.0.set(verdict);
+    }
+}
+
 /// The final response to a request.
 #[derive(Clone, Debug)]
 pub struct ForwardAnswer {
@@ -112,6 +140,7 @@
     /// VMs that were asked to send it, by the hashes of their names.
     asked: Vec<u64>,
     verdict: RunVerdict,
+    progress: &'a RunProgress,
     /// The target's response to the last try, if it may have run the request, and the target's id.
     last_response: Option<(TargetResponse, String)>,
     has_timed_out: bool,
@@ -133,6 +162,7 @@
     metadata: &RequestMetadata,
     routed: &RoutedRequest,
     options: ForwardOptions,
+    progress: &RunProgress,
 ) -> Result<ForwardAnswer, RefusalCause> {
     let mut run = ForwardRun {
         state,
@@ -145,6 +175,7 @@
         sent: Cell::new(0),
         asked: Vec::new(),
         verdict: RunVerdict::NotRun,
+        progress,
         last_response: None,
         has_timed_out: false,
         identity: OnceCell::new(),
@@ -262,6 +293,7 @@
             self.record_crash(target);
         }
         self.verdict = self.verdict.combine(failure.verdict);
+        self.progress.end(self.verdict);
         let outcome = failure.verdict.to_string();
         let crashed = has_crashed.then(|| self.identity().to_string());
         self.log_try(
@@ -275,6 +307,7 @@
 
     fn record_try(&mut self, target: &TryTarget, verdict: RunVerdict, detail: &str) {
         self.verdict = self.verdict.combine(verdict);
+        self.progress.end(self.verdict);
         self.log(EventClass::Notable, target, &verdict.to_string(), detail);
     }
 
--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -1,17 +1,20 @@
 //! Handles one request: finds its route, checks its API key and its customer's limit, and forwards
 //! it to a target.
 
+pub mod admission;
+
 use crate::clock;
 use crate::codec::RequestMetadata;
-use crate::forward::{self, ForwardOptions, RoutedRequest};
+use crate::forward::{self, ForwardOptions, RoutedRequest, RunProgress};
 use crate::front::connection::CallerRequest;
+use crate::front::handler::admission::AdmittedRequest;
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::state::{GatewayState, SharedState};
 use crate::structured_log::EventClass;
-use async_std::future::timeout;
-use dahliawood_model::catalog::{CatalogCustomer, FleetCatalog};
+use dahliawood_model::catalog::FleetCatalog;
 use dahliawood_model::keys::{CustomerKey, RouteKey};
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_quota::window::CountedRequest;
 use dahliawood_wire::raw::head::RequestHead;
 use serde::Serialize;
 use std::sync::Arc;
@@ -20,13 +23,6 @@
 /// How much earlier than its timeout a request gets its final response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
 
-/// The longest that a request waits for the coordinator's response.
-const ALLOCATION_WAIT: Duration = Duration::from_millis(200);
-
-/// Fraction of the tolerated excess over a limit that is handed out; the rest covers the moments in
-/// which VMs have different configuration versions.
-const SLACK_FRACTION: f64 = 0.5;
-
 /// Log event for an answered request.
 #[derive(Serialize)]
 struct RequestEvent<'a> {
@@ -39,28 +35,21 @@
     taken_ms: u128,
 }
 
-/// Log event for a customer's limit that was reached on this VM.
-#[derive(Serialize)]
-struct LimitEvent<'a> {
-    customer: &'a str,
-    rate: f64,
-    burst: f64,
-    /// The fraction of the limit that is allocated to this VM, without the even split.
-    part: f64,
-    /// Requests that this VM admits per window.
-    most: f64,
-}
-
 /// Handles one request of a caller and returns the response.
 pub async fn handle(state: SharedState, request: CallerRequest) -> FrontResponse {
     let started = clock::now();
     let metadata = (state.codec.read_request)(&request.head);
     let catalog = state.catalog.load_full();
+    let progress = RunProgress::default();
     let routed = route(&state, catalog.as_ref(), &request, &metadata, started).await;
     let outcome = match (routed, &catalog) {
-        (Ok(routed), Some(catalog)) => {
+        (Ok((routed, counted)), Some(catalog)) => {
+            let _admitted = AdmittedRequest::new(&state, catalog, &routed, counted, &progress);
             let options = ForwardOptions::new(catalog, &routed);
-            let sent = forward::run(&state, catalog, &request, &metadata, &routed, options).await;
+            let sent = forward::run(
+                &state, catalog, &request, &metadata, &routed, options, &progress,
+            )
+            .await;
             (sent.map(|answer| answer.response), Some(routed))
         }
         (Ok(_), None) => (Err(RefusalCause::NoCatalog), None),
@@ -122,14 +111,15 @@
     });
 }
 
-/// Finds the route and the customer of a request, and admits it within the customer's limit.
+/// Finds the route and the customer of a request, and admits it within the customer's limit. Returns
+/// also how the limit counts it.
 async fn route(
     state: &GatewayState,
     catalog: Option<&Arc<FleetCatalog>>,
     request: &CallerRequest,
     metadata: &RequestMetadata,
     now: TimeStamp,
-) -> Result<RoutedRequest, RefusalCause> {
+) -> Result<(RoutedRequest, Option<CountedRequest>), RefusalCause> {
     let catalog = catalog.ok_or(RefusalCause::NoCatalog)?;
     let host = request.head.fields.get("host").unwrap_or_default();
     let route = catalog.route(host, request.head.path());
@@ -138,16 +128,18 @@
     let timeout = catalog.routes[route].timeout;
     let wait = metadata.timeout.unwrap_or(timeout).min(timeout);
     let service = service(state, catalog, route);
-    if let Some(customer) = customer {
-        admit(state, &catalog.customers[customer], now).await?;
-    }
-    Ok(RoutedRequest {
+    let counted = match customer {
+        Some(customer) => admission::admit(state, &catalog.customers[customer], now).await?,
+        None => None,
+    };
+    let routed = RoutedRequest {
         route,
         customer,
         service,
         started: now,
         deadline: now.after(wait.saturating_sub(RESPONSE_MARGIN)),
-    })
+    };
+    Ok((routed, counted))
 }
 
 /// The customer whose API key a request has, `None` if the route needs no key or no customers are
@@ -165,64 +157,6 @@
     Ok(Some(*customer))
 }
 
-/// Admits a request within this VM's allocation of the customer's limit; if that is used up, waits
-/// once for the coordinator to be asked for more.
-async fn admit(
-    state: &GatewayState,
-    customer: &CatalogCustomer,
-    now: TimeStamp,
-) -> Result<(), RefusalCause> {
-    if customer.rate <= 0.0 {
-        return Ok(());
-    }
-    let name = &customer.name;
-    let limit = local_limit(state, customer, now);
-    let mut admitted = state.windows().admit(name, limit, now);
-    if admitted.is_err()
-        && let Some(resumed) = state.admission_queue.enqueue(name, now)
-    {
-        // Whether the coordinator gave more shows in the allocation that this VM holds now.
-        let _resumed = timeout(ALLOCATION_WAIT, resumed).await;
-        let now = clock::now();
-        let limit = local_limit(state, customer, now);
-        admitted = state.windows().admit_again(name, limit, now);
-        if admitted.is_err() {
-            state.admission_queue.mark_exhausted(name, now);
-        }
-    }
-    admitted.map_err(|wait| {
-        log_limit(state, customer);
-        RefusalCause::OverLimit(wait)
-    })
-}
-
-fn log_limit(state: &GatewayState, customer: &CatalogCustomer) {
-    let now = clock::now();
-    let part = state.allocations().held(&customer.name, now);
-    let event = || LimitEvent {
-        customer: &customer.name,
-        rate: customer.rate,
-        burst: customer.burst,
-        part,
-        most: local_limit(state, customer, now),
-    };
-    state.log.write(EventClass::Notable, "limit", event);
-}
-
-/// Requests of a customer that all VMs together may admit per window.
-pub fn fleet_limit(state: &GatewayState, customer: &CatalogCustomer) -> f64 {
-    let bounds = &state.settings.bounds;
-    let window = bounds.quota_window.as_secs_f64();
-    customer.rate * window + customer.burst + bounds.quota_slack * SLACK_FRACTION
-}
-
-/// Requests of a customer that this VM may admit per window.
-fn local_limit(state: &GatewayState, customer: &CatalogCustomer, now: TimeStamp) -> f64 {
-    let even = state.even_fraction();
-    let fraction = state.allocations().usable(&customer.name, even, now);
-    fleet_limit(state, customer) * fraction
-}
-
 /// Selects the service of the next request of a route, by the weights of the route's split.
 pub fn service(state: &GatewayState, catalog: &FleetCatalog, route: RouteKey) -> String {
     let route = &catalog.routes[route];
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -24,6 +24,8 @@
     pub statements: IntCounter,
     /// Requests that began to be held back because they crash targets.
     pub quarantines: IntCounter,
+    /// Admitted requests that did not run and were given back to their customers' limits.
+    pub given_back: IntCounter,
     /// Requests that other VMs served for this one, and this one for others, by side and outcome.
     pub forwards: IntCounterVec,
     /// 1 while this VM reaches no target.
@@ -66,6 +68,11 @@
             "Requests that began to be held back because they crash targets.",
         )?;
         registry.register(Box::new(quarantines.clone()))?;
+        let given_back = IntCounter::new(
+            "limit_given_back_total",
+            "Requests that did not run and were given back to their customers' limits.",
+        )?;
+        registry.register(Box::new(given_back.clone()))?;
         let forwards = counter(
             "forwards_total",
             "Requests forwarded to other VMs (side 'origin') and for them (side 'helper').",
@@ -91,6 +98,7 @@
             lookups,
             statements,
             quarantines,
+            given_back,
             forwards,
             cut_off,
             contradictions,
--- a/dahliawood-gateway/src/peer_forward/incoming/mod.rs
+++ b/dahliawood-gateway/src/peer_forward/incoming/mod.rs
@@ -1,7 +1,7 @@
 //! Requests that other VMs forward to this one, which sends them to targets.
 
 use crate::clock;
-use crate::forward::{self, ForwardOptions, RoutedRequest};
+use crate::forward::{self, ForwardOptions, RoutedRequest, RunProgress};
 use crate::front::connection::{CallerRequest, InFlightGuard};
 use crate::front::handler;
 use crate::front::refusal::RefusalCause;
@@ -93,7 +93,13 @@
     let from = request.from.clone();
     let request = caller_request(request);
     let metadata = (state.codec.read_request)(&request.head);
-    let ended = forward::run(state, &catalog, &request, &metadata, &routed, options).await;
+    // The VM that took the request from its caller counts it in the customer's limit, and learns from
+    // the outcome whether it has run.
+    let progress = RunProgress::default();
+    let ended = forward::run(
+        state, &catalog, &request, &metadata, &routed, options, &progress,
+    )
+    .await;
     let (status, cause) = match &ended {
         Ok(answer) => (answer.response.status, None),
         Err(cause) => (cause.status(), Some(cause.to_string())),
--- a/dahliawood-quota/src/allocation/local/mod.rs
+++ b/dahliawood-quota/src/allocation/local/mod.rs
@@ -9,6 +9,9 @@
 /// A VM requests room in advance for the demand of this span.
 const LOOKAHEAD: Duration = Duration::from_millis(500);
 
+/// Demand below which an otherwise inactive customer is not reported, requests per second.
+const MIN_DEMAND: f64 = 0.01;
+
 /// A VM's allocation of one customer's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct HeldAllocation {
@@ -19,6 +22,9 @@
     coordinator: u64,
     /// When this VM sent the report that the coordinator answered.
     requested_at: TimeStamp,
+    /// The most that the coordinator counts for this VM until the next report: also the fraction
+    /// that the report stated, because the answer may have been lost.
+    counted: f64,
 }
 
 /// One VM's allocations of all customers' limits.
@@ -86,11 +92,13 @@
 impl LocalAllocations {
     /// Stores the coordinator's answer to a report sent at `requested_at`.
     pub fn accept(&mut self, allocation: &CustomerAllocation, requested_at: TimeStamp) {
+        let stated = self.held(&allocation.customer, requested_at);
         let held = HeldAllocation {
             fraction: allocation.fraction,
             total: allocation.total,
             coordinator: allocation.coordinator,
             requested_at,
+            counted: allocation.fraction.max(stated),
         };
         self.allocations.insert(allocation.customer.clone(), held);
     }
@@ -101,6 +109,16 @@
         newest.map_or(0.0, |held| usable(held.fraction, held.requested_at, now))
     }
 
+    /// Whether a customer's `usage` must be reported. A VM that stopped reporting with the answer
+    /// that takes its last fraction would leave that fraction counted, and used by nobody, until
+    /// the allocation expires; it reports once more.
+    pub fn must_report(&self, customer: &str, usage: &LimitUsage) -> bool {
+        let newest = self.allocations.get(customer);
+        newest.is_some_and(|held| held.counted > 0.0)
+            || usage.admitted + usage.waiting > 0.0
+            || usage.demand >= MIN_DEMAND
+    }
+
     /// The sum over all VMs that the coordinator sent last; it is valid for one `window`.
     pub fn total(&self, customer: &str, window: Duration, now: TimeStamp) -> AllocatedTotal {
         let newest = self.allocations.get(customer);
--- a/dahliawood-quota/tests/quota/allocation/mod.rs
+++ b/dahliawood-quota/tests/quota/allocation/mod.rs
@@ -6,7 +6,7 @@
 use dahliawood_quota::allocation::EVEN_FRACTION;
 use dahliawood_quota::allocation::coordinator::{AllocationCoordinator, ReportSource, UsageReport};
 use dahliawood_quota::allocation::local::{LimitUsage, LocalAllocations, even_fraction};
-use dahliawood_quota::window::CustomerWindows;
+use dahliawood_quota::window::{CountedRequest, CustomerWindows};
 use proptest::prelude::{Just, Strategy, any, prop, prop_assert, prop_oneof};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng};
@@ -55,6 +55,8 @@
     last_report_step: usize,
     /// Whether its reports state what it used, or zero.
     is_honest: bool,
+    /// Requests that are refused later, each with the step of the fleet that admitted it.
+    to_refuse: Vec<(usize, CountedRequest)>,
 }
 
 impl TestVm {
@@ -67,6 +69,7 @@
             incarnation,
             last_report_step: 0,
             is_honest: true,
+            to_refuse: Vec::new(),
         }
     }
 
@@ -89,9 +92,13 @@
 
     /// Admits as many of `requests` requests as the VM may, and returns their number.
     fn send(&mut self, requests: u16, limit: f64, vms: usize, now: TimeStamp) -> usize {
+        self.admit(requests, limit, vms, now).len()
+    }
+
+    fn admit(&mut self, n: u16, limit: f64, vms: usize, now: TimeStamp) -> Vec<CountedRequest> {
         let max_requests = limit * self.allocations.usable(CUSTOMER, even_fraction(vms), now);
-        let admit = |_: &u16| self.windows.admit(CUSTOMER, max_requests, now).is_ok();
-        (0..requests).filter(admit).count()
+        let admit = |_| self.windows.admit(CUSTOMER, max_requests, now).ok();
+        (0..n).filter_map(admit).collect()
     }
 
     fn report(&mut self, limit: f64, waiting: f64, vms: usize, now: TimeStamp) -> UsageReport {
@@ -121,6 +128,8 @@
     coordinator: AllocationCoordinator,
     vms: Vec<TestVm>,
     admitted: Vec<(TimeStamp, usize)>,
+    /// Whether two of three requests are refused as not run, some steps after they were admitted.
+    refuses: bool,
 }
 
 impl TestFleet {
@@ -129,6 +138,17 @@
             coordinator: AllocationCoordinator::new(WINDOW, 0),
             vms: (0..VMS as u64).map(TestVm::new).collect(),
             admitted: Vec::new(),
+            refuses: false,
+        }
+    }
+
+    /// Gives back requests of a VM that were admitted some steps earlier.
+    fn give_back(&mut self, vm: usize, now: TimeStamp) {
+        let vm = &mut self.vms[vm];
+        let ended = vm.to_refuse.len() / 3;
+        for (admitted_by, request) in vm.to_refuse.drain(..ended) {
+            vm.windows.give_back(CUSTOMER, request, now);
+            self.admitted[admitted_by].1 -= 1;
         }
     }
 
@@ -142,8 +162,15 @@
                 return;
             }
         };
-        let count = self.vms[vm].send(demand, LIMIT, VMS, now);
-        self.admitted.push((now, count));
+        self.give_back(vm, now);
+        let mut requests = self.vms[vm].admit(demand, LIMIT, VMS, now);
+        let admitted_by = self.admitted.len();
+        self.admitted.push((now, requests.len()));
+        if self.refuses {
+            let refused = requests.split_off(requests.len() / 3).into_iter();
+            let refused = refused.map(|request| (admitted_by, request));
+            self.vms[vm].to_refuse.extend(refused);
+        }
         if !has_reported {
             return;
         }
@@ -199,13 +226,18 @@
 }
 
 /// Runs generated histories in which coordinators change, and checks the fleet after each event.
-fn check_histories(salt: u64, check: impl Fn(&TestFleet, TimeStamp) -> Result<(), String>) {
+fn check_histories(
+    salt: u64,
+    refuses: bool,
+    check: impl Fn(&TestFleet, TimeStamp) -> Result<(), String>,
+) {
     let steps = prop::collection::vec(prop::array::uniform6(event()), 1..120);
     let coordinator_changes = prop::collection::btree_set(0_usize..120, 0..3);
     let result = seed::runner(400, salt).run(
         &(steps, coordinator_changes),
         |(steps, coordinator_changes)| {
             let mut fleet = TestFleet::new();
+            fleet.refuses = refuses;
             for (step, events) in steps.iter().enumerate() {
                 if coordinator_changes.contains(&step) {
                     fleet.coordinator = AllocationCoordinator::new(WINDOW, step as u64 + 1);
@@ -224,7 +256,7 @@
 
 #[test]
 fn usable_fractions_never_sum_to_more_than_the_limit() {
-    check_histories(31, |fleet, now| {
+    check_histories(31, false, |fleet, now| {
         let sum = fleet.usable_sum(now);
         match sum <= 1.0 + 1e-9 {
             true => Ok(()),
@@ -233,9 +265,9 @@
     });
 }
 
-#[test]
-fn no_window_exceeds_the_limit_while_vms_are_cut_off_and_restarted() {
-    check_histories(37, |fleet, now| {
+/// Checks that what ran, or may still run, stays within the limit.
+fn check_admitted(salt: u64, refuses: bool) {
+    check_histories(salt, refuses, |fleet, now| {
         let admitted = fleet.admitted_in_window(now) as f64;
         // A restarted process may use its even fraction again, because it does not know of the
         // earlier process's usage.
@@ -248,6 +280,56 @@
     });
 }
 
+#[test]
+fn no_window_exceeds_the_limit_while_vms_are_cut_off_and_restarted() {
+    check_admitted(37, false);
+}
+
+/// Guards against room that is given back at one VM and allocated a second time at another.
+#[test]
+fn no_window_exceeds_the_limit_while_refused_requests_are_given_back() {
+    check_admitted(38, true);
+}
+
+/// Guards against a VM that reports no more once all its requests have been refused: the coordinator
+/// would count its last fraction for another 20 s, and refuse the other VMs that much.
+#[test]
+fn a_vm_whose_requests_were_refused_reports_until_its_fraction_is_free() {
+    let (mut fleet, last) = (TestFleet::new(), VMS - 1);
+    run_reports(&mut fleet, 0..40, 1, 0);
+    fleet.vms[last].to_refuse = fleet.vms[last]
+        .admit(5, LIMIT, VMS, at(40))
+        .into_iter()
+        .map(|request| (0, request))
+        .collect();
+    fleet.admitted[0].1 = 5;
+    fleet.apply_event(40, last, VmEvent::Report { demand: 0 }, at(40));
+    assert!(fleet.held(last, at(40)) > 0.0);
+    while let Some((_, request)) = fleet.vms[last].to_refuse.pop() {
+        fleet.vms[last].windows.give_back(CUSTOMER, request, at(41));
+    }
+    let mut is_silent = false;
+    for step in 41..70 {
+        for vm in 0..last {
+            fleet.apply_event(step, vm, VmEvent::Report { demand: 200 }, at(step));
+        }
+        let vm = &mut fleet.vms[last];
+        let usage = LimitUsage {
+            limit: LIMIT,
+            admitted: vm.windows.admitted(CUSTOMER, at(step)).into(),
+            demand: vm.windows.demand(CUSTOMER, at(step)),
+            waiting: 0.0,
+        };
+        is_silent = !vm.allocations.must_report(CUSTOMER, &usage);
+        if !is_silent {
+            fleet.apply_event(step, last, VmEvent::Report { demand: 0 }, at(step));
+        }
+    }
+    assert!(is_silent);
+    let others: f64 = (0..last).map(|vm| fleet.held(vm, at(69))).sum();
+    assert!(others > 0.999 * (1.0 - EVEN_FRACTION), "{others}");
+}
+
 #[test]
 fn no_window_exceeds_the_limit_when_the_coordinator_is_killed() {
     let (mut fleet, coordinator_vm) = (TestFleet::new(), 0);
--- a/dahliawood-quota/tests/quota/main.rs
+++ b/dahliawood-quota/tests/quota/main.rs
@@ -6,6 +6,7 @@
 mod invariants;
 mod oracle;
 mod queue;
+mod refused;
 mod scenario;
 mod seed;
 mod store;
