fix(testkit): a link that is cut keeps its port

callers_of_a_vm_without_links_to_targets_are_served failed now and then. Cause, traced by the reach and try events: a cut link frees its port, a listener of another test or process binds it, and the VM finds that it reaches a target (connection reset by that listener, then refused connections, then 'no target may serve it'). A socket that never listens now holds the port of a link. LinkCut::Taken stands for the other process.

--- a/dahliawood-testkit/src/link/mod.rs
+++ b/dahliawood-testkit/src/link/mod.rs
@@ -8,6 +8,7 @@
 use futures::future::{self, Either};
 use futures::io;
 use socket2::{Domain, SockRef, Socket, Type};
+use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
 use std::sync::{Arc, Mutex};
@@ -22,8 +23,13 @@
     Reset,
     /// Open connections work on, and new ones are refused.
     RefuseNew,
+    /// Open connections are reset, and new ones reach another process, which has taken the address and
+    /// closes them.
+    Taken,
 }
 
+/// Connections that wait to be accepted by a link.
+const LISTEN_QUEUE: i32 = 128;
 /// Connections that fill the queue of a listener which accepts none, so that further ones hang.
 const FILLERS: usize = 3;
 
@@ -34,6 +40,8 @@
     Open(task::JoinHandle<()>),
     /// New connections are refused.
     Refusing,
+    /// New connections are accepted and closed by this task.
+    Closing(task::JoinHandle<()>),
     /// New connections hang, by a listener that accepts none and the connections that fill its queue.
     Hanging(#[allow(dead_code, reason = "held while the link hangs")] Vec<Socket>),
 }
@@ -54,6 +62,9 @@
     pub address: SocketAddr,
     server: SocketAddr,
     state: Arc<Mutex<LinkState>>,
+    /// Keeps the port while nothing listens on it: other processes and tests bind free ports, and would
+    /// accept the connections of a link that is cut.
+    _reserved: Arc<Socket>,
 }
 
 /// Starts a link to a server on a free port of loopback.
@@ -61,7 +72,9 @@
 /// # Errors
 /// No port can be bound.
 pub async fn start(server: SocketAddr) -> std::io::Result<TargetLink> {
-    let (listener, address) = serving::listen().await?;
+    let reserved = bound(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let address = reserved.local_addr()?.as_socket();
+    let address = address.ok_or(ErrorKind::AddrNotAvailable)?;
     let link = TargetLink {
         address,
         server,
@@ -71,8 +84,9 @@
             changed: bounded(1),
             accepted: 0,
         })),
+        _reserved: Arc::new(reserved),
     };
-    link.open(listener);
+    link.open(listen(address)?);
     Ok(link)
 }
 
@@ -82,13 +96,20 @@
     /// # Errors
     /// Fails if new connections cannot be made to hang.
     pub async fn cut(&self, cut: LinkCut) -> std::io::Result<()> {
-        if let LinkMode::Open(accepting) = self.set_mode(LinkMode::Refusing, Some(cut)) {
-            accepting.cancel().await;
-        }
-        if cut == LinkCut::Hang {
-            let sockets = hanging_listener(self.address)?;
-            serving::lock(&self.state).mode = LinkMode::Hanging(sockets);
-        }
+        self.close(Some(cut)).await;
+        let mode = match cut {
+            LinkCut::Hang => LinkMode::Hanging(hanging_listener(self.address)?),
+            LinkCut::Taken => {
+                let listener = listen(self.address)?;
+                LinkMode::Closing(task::spawn(async move {
+                    while let Ok((stream, _)) = listener.accept().await {
+                        drop(stream);
+                    }
+                }))
+            }
+            LinkCut::Reset | LinkCut::RefuseNew => LinkMode::Refusing,
+        };
+        serving::lock(&self.state).mode = mode;
         Ok(())
     }
 
@@ -97,11 +118,21 @@
     /// # Errors
     /// Fails if the address cannot be bound again.
     pub async fn heal(&self) -> std::io::Result<()> {
-        drop(self.set_mode(LinkMode::Refusing, None));
-        self.open(TcpListener::bind(self.address).await?);
+        self.close(None).await;
+        self.open(listen(self.address)?);
         Ok(())
     }
 
+    /// Ends the present mode; new connections are refused.
+    async fn close(&self, cut: Option<LinkCut>) {
+        match self.set_mode(LinkMode::Refusing, cut) {
+            LinkMode::Open(accepting) | LinkMode::Closing(accepting) => {
+                accepting.cancel().await;
+            }
+            LinkMode::Refusing | LinkMode::Hanging(_) => {}
+        }
+    }
+
     /// Number of connections accepted so far.
     pub fn accepted(&self) -> usize {
         serving::lock(&self.state).accepted
@@ -141,7 +172,7 @@
         loop {
             let (cut, changed) = self.status();
             match cut {
-                Some(LinkCut::Reset) => {
+                Some(LinkCut::Reset | LinkCut::Taken) => {
                     reset(&client);
                     reset(&server);
                     return;
@@ -167,11 +198,24 @@
     let _ended = to.shutdown(Shutdown::Write);
 }
 
+/// A socket that has an address which other sockets of [`bound`] may have too, and no others.
+fn bound(address: SocketAddr) -> std::io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = bound(address)?;
+    socket.listen(LISTEN_QUEUE)?;
+    Ok(std::net::TcpListener::from(socket).into())
+}
+
 /// A listener whose queue is full, so that connections to it are never established.
 fn hanging_listener(address: SocketAddr) -> std::io::Result<Vec<Socket>> {
-    let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    listener.set_reuse_address(true)?;
-    listener.bind(&address.into())?;
+    let listener = bound(address)?;
     listener.listen(0)?;
     let mut sockets = vec![listener];
     for _ in 0..FILLERS {
