fix(gateway): other VMs send what this VM reaches no target for

A VM that reaches some address is not cut off, yet its breakers may leave it no target for a request: it refused with 503 'no target may serve it' while other VMs could serve (partial cuts; an address taken by another process).

--- a/dahliawood-gateway/src/forward/helper/mod.rs
+++ b/dahliawood-gateway/src/forward/helper/mod.rs
@@ -74,7 +74,45 @@
     pub(super) fn sends_direct(&self) -> bool {
         let draw = rand::random();
         let reach = self.state.reach();
-        !self.options.may_ask || reach.tracker.sends_direct(draw, clock::now())
+        !self.options.may_ask
+            || (!self.is_delegated && reach.tracker.sends_direct(draw, clock::now()))
+    }
+
+    /// Whether other VMs send the request from now on, where this VM has no target left for it: its latest
+    /// requests to all targets that it did not try failed. A retry has been granted already if one is
+    /// needed.
+    pub(super) fn delegates_rest(&mut self) -> bool {
+        let regions = [&self.route().regions[..], self.customer_regions()];
+        let service = &self.routed.service;
+        let reaches_none = self
+            .state
+            .placement()
+            .reaches_none(service, regions, &self.tried);
+        self.is_unreached |= reaches_none;
+        self.is_delegated = self.may_delegate() && self.sent_tries() < self.options.max_tries;
+        self.is_delegated
+    }
+
+    /// Whether other VMs send the request from now on, since this VM could not connect to a target for it and
+    /// may try no further one.
+    pub(super) fn delegates(&mut self) -> bool {
+        // Only tries of which something was sent count from here on.
+        self.is_delegated = self.may_delegate();
+        self.is_delegated = self.is_delegated && self.may_retry();
+        self.is_delegated
+    }
+
+    fn may_delegate(&self) -> bool {
+        let service = &self.routed.service;
+        self.options.may_ask
+            && !self.is_delegated
+            && self.is_unreached
+            && !self.state.reach().tracker.is_cut_off()
+            && self
+                .state
+                .reach()
+                .delegations
+                .may_ask(service, clock::now())
     }
 
     /// Asks other VMs in turn to send the request, until one has an outcome that no other would change.
@@ -85,11 +123,17 @@
             let ended = self.ask(&helper).await;
             self.log_ask(&helper, &ended, started);
             match ended {
-                Ok(Ok(response)) => return HelperEnd::Answered(self.take_answer(response)),
+                Ok(Ok(response)) => {
+                    self.record_delegation(true);
+                    return HelperEnd::Answered(self.take_answer(response));
+                }
                 // One that has another configuration, or too much to do, may help with the next one.
                 Ok(Err(RefusalMessage::Unreachable)) => self.pass_over(&helper, true),
                 Ok(Err(refusal)) if refusal.is_local() => {}
-                Ok(Err(refusal)) => return HelperEnd::Refused(self.take_refusal(refusal)),
+                Ok(Err(refusal)) => {
+                    self.record_delegation(false);
+                    return HelperEnd::Refused(self.take_refusal(refusal));
+                }
                 Err(ForwardFailure::NotSent(_)) => self.pass_over(&helper, false),
                 Err(ForwardFailure::Lost(_)) => {
                     self.pass_over(&helper, false);
@@ -102,6 +146,15 @@
         HelperEnd::None
     }
 
+    /// Records whether another VM could serve a request of which this one reaches no target.
+    fn record_delegation(&self, is_served: bool) {
+        if self.is_delegated {
+            let mut reach = self.state.reach();
+            let service = &self.routed.service;
+            reach.delegations.record(service, is_served, clock::now());
+        }
+    }
+
     fn choose_helper(&self) -> Option<Helper> {
         let has_time = self.routed.deadline.since(clock::now()) > RETURN_MARGIN * 2;
         let is_bounded = self.request.body.len() <= BODY_BYTES;
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -115,6 +115,10 @@
     /// The target's response to the last try, if it may have run the request, and the target's id.
     last_response: Option<(TargetResponse, String)>,
     has_timed_out: bool,
+    /// Whether a connection to a target could not be made.
+    is_unreached: bool,
+    /// Whether other VMs send it because this one reaches none of its targets.
+    is_delegated: bool,
     /// Computed when needed.
     identity: OnceCell<RequestIdentity>,
     /// Whether this is the one try of a quarantined request.
@@ -147,6 +151,8 @@
         verdict: RunVerdict::NotRun,
         last_response: None,
         has_timed_out: false,
+        is_unreached: false,
+        is_delegated: false,
         identity: OnceCell::new(),
         is_trial: false,
     };
@@ -186,12 +192,17 @@
                     HelperEnd::None if self.state.reach().tracker.is_cut_off() => {
                         return self.refuse(RefusalCause::NoTarget);
                     }
+                    HelperEnd::None if self.is_delegated && self.tried.is_empty() => {
+                        return self.refuse(RefusalCause::NoTarget);
+                    }
+                    HelperEnd::None if self.is_delegated => return self.give_up(),
                     // Whether this VM is cut off is not known yet.
                     HelperEnd::None => {}
                 }
             }
             let target = match self.choose_target() {
                 Ok(target) => target,
+                Err(_) if self.delegates_rest() => continue,
                 Err(cause) if self.tried.is_empty() => return self.refuse(cause),
                 Err(_) => return self.give_up(),
             };
@@ -209,7 +220,7 @@
                 Ok(response) => self.handle_refusal(&target, response),
                 Err(failure) => self.handle_failure(&target, &failure).await,
             }
-            if !self.may_retry() {
+            if !self.may_retry() && !self.delegates() {
                 return self.give_up();
             }
         }
@@ -255,6 +266,10 @@
     /// Handles a try that ended without a complete response.
     async fn handle_failure(&mut self, target: &TryTarget, failure: &CallFailure) {
         self.has_timed_out |= failure.kind == ResultKind::TimedOut;
+        self.is_unreached |= matches!(
+            failure.kind,
+            ResultKind::ConnectFailed | ResultKind::Refused
+        );
         self.last_response = None;
         let has_crashed =
             failure.is_broken && target_call::is_gone(self.state, target.address).await;
--- a/dahliawood-gateway/src/reach/mod.rs
+++ b/dahliawood-gateway/src/reach/mod.rs
@@ -11,6 +11,7 @@
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::placement::record::TargetRecord;
 use dahliawood_steer::placement::table::PlacementTable;
+use dahliawood_steer::reach::delegation::DelegationTable;
 use dahliawood_steer::reach::helper::HelperTable;
 use dahliawood_steer::reach::sample;
 use dahliawood_steer::reach::tracker::{CHECK_INTERVAL, CheckOutcome, ReachState, ReachTracker};
@@ -28,6 +29,8 @@
     pub tracker: ReachTracker,
     /// The VMs that it asked for help.
     pub helpers: HelperTable,
+    /// For which services other VMs could not help, while this VM is not cut off.
+    pub delegations: DelegationTable,
 }
 
 /// Log event for a change of whether this VM reaches targets.
--- a/dahliawood-steer/src/placement/breaker/mod.rs
+++ b/dahliawood-steer/src/placement/breaker/mod.rs
@@ -122,6 +122,16 @@
         self.down_since.is_some()
     }
 
+    /// Whether the latest result that tells of the target's health was a failure.
+    pub fn is_failing(&self) -> bool {
+        self.consecutive_failures > 0
+    }
+
+    /// Whether the latest connection to the target could not be made.
+    pub fn is_unreached(&self) -> bool {
+        self.failed_connections > 0
+    }
+
     /// Records that another VM takes the target's process to be gone: a connection is to be opened, and
     /// no request is sent until [`Self::settle_doubt`]. Returns whether that is needed.
     pub fn begin_doubt(&mut self) -> bool {
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -11,6 +11,7 @@
 use crate::placement::shedding::ShedShare;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::statement::{ProcessStatements, StatementMemory};
+use crate::region;
 use crate::rendezvous;
 use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
@@ -252,6 +253,27 @@
             && !self.evacuated.contains(&target.entry.domain)
     }
 
+    /// Whether this VM's latest requests to all open targets of a service failed, those in the allowed regions
+    /// that are not `tried`, and some of them for want of a connection.
+    pub fn reaches_none(
+        &self,
+        service: &str,
+        regions: [&[String]; 2],
+        tried: &[TargetKey],
+    ) -> bool {
+        let targets = self.keyed_targets(service);
+        let mut open = targets.filter(|(key, target)| {
+            !tried.contains(key)
+                && self.is_open(target)
+                && region::is_allowed(&target.region, regions)
+        });
+        let mut is_any_unreached = false;
+        open.all(|(_, target)| {
+            is_any_unreached |= target.breaker.is_unreached();
+            target.breaker.is_failing()
+        }) && is_any_unreached
+    }
+
     /// Average service time of a service.
     pub fn average_service_time(&self, service: &str) -> Duration {
         let pool = self.services.get(service);
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod cold_fleet;
 mod cut_fleet;
+mod delegation;
 mod drain;
 mod faults;
 mod fleet;
