feat(steer): estimate work by route, and begin no attempt that cannot end in time

Averages over a whole service were applied to routes that differ several times in work: attempts began that could not end in time, and requests were refused that could be served. Work is now estimated by route and kind of visit, without queueing, network and stated pace; an attempt begins only if its end is expected within the time left. The fourth number of the load report is read as the host's pace.

--- a/dahliawood-gateway/src/forward/attempt/mod.rs
+++ b/dahliawood-gateway/src/forward/attempt/mod.rs
@@ -34,10 +34,11 @@
     /// Sends the request to a target.
     pub(super) async fn attempt(&self, target: &TryTarget) -> Result<TargetResponse, CallFailure> {
         let now = clock::now();
-        let service_time = self
-            .state
-            .placement()
-            .cached_service_time(&self.routed.service);
+        let route_hash = self.route_hash();
+        let work =
+            self.state
+                .placement()
+                .expected_cached_work(&self.routed.service, route_hash, now);
         let mut guard = TryGuard {
             state: self.state,
             key: target.key,
@@ -46,8 +47,10 @@
                 kind: ResultKind::Cancelled,
                 latency: Duration::ZERO,
                 report: None,
+                connect_time: None,
+                route: route_hash,
                 visit: target.visit,
-                slack: self.route().target_latency.saturating_sub(service_time),
+                slack: self.route().target_latency.saturating_sub(work),
             },
         };
         let left = self.routed.deadline.since(now);
@@ -78,6 +81,7 @@
         guard.result.kind = match &result {
             Ok(response) => {
                 guard.result.report = classification::own_report(&response.metadata);
+                guard.result.connect_time = response.connect_time;
                 classification::classify(response)
             }
             Err(failure) => failure.kind,
--- a/dahliawood-gateway/src/forward/selection/mod.rs
+++ b/dahliawood-gateway/src/forward/selection/mod.rs
@@ -40,14 +40,17 @@
         let object = self.metadata.object.as_ref().filter(|_| route.has_affinity);
         let object = object.map(|name| rendezvous::name_hash(name.as_bytes()));
         let is_bulk = route.kind == RequestKind::Download;
+        let route_hash = self.route_hash();
         let mut table = self.state.placement();
+        let work = table.expected_cached_work(&self.routed.service, route_hash, now);
         let query = PlacementQuery {
             service: &self.routed.service,
+            route: route_hash,
             object,
             is_bulk,
             regions: [&route.regions, customer_regions],
             tried: &self.tried,
-            max_wait: self.max_wait(table.cached_service_time(&self.routed.service), now),
+            max_wait: self.max_wait(work, now),
             time_left: self.routed.deadline.since(now),
             cold: self.cold_limit(),
         };
@@ -77,11 +80,16 @@
         }
     }
 
+    /// Hash of the route's name.
+    pub(super) fn route_hash(&self) -> u64 {
+        rendezvous::name_hash(self.route().name.as_bytes())
+    }
+
     /// How long the request may wait for a slot and still meet the route's target latency.
-    fn max_wait(&self, service_time: Duration, now: TimeStamp) -> Duration {
+    fn max_wait(&self, work: Duration, now: TimeStamp) -> Duration {
         let latency = self.route().target_latency;
         let spent = now.since(self.routed.started);
-        let left = latency.saturating_sub(spent).saturating_sub(service_time);
+        let left = latency.saturating_sub(spent).saturating_sub(work);
         left.max(latency.mul_f64(MIN_WAIT_FRACTION))
     }
 
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -73,6 +73,8 @@
     pub body: Vec<u8>,
     /// Whether the connection had carried an exchange before.
     pub was_reused: bool,
+    /// Time in which the connection was opened, `None` if it was open before.
+    pub connect_time: Option<Duration>,
 }
 
 /// Why an exchange ended without a complete response.
@@ -103,19 +105,25 @@
         (false, true) => ConnectionChoice::Any,
         (false, false) => ConnectionChoice::UsedWithin(RECENTLY_USED),
     };
+    let begun = clock::now();
     let connection = match reach::checkout(state, call.address, choice).await {
         Ok(connection) => connection,
         Err(error) => return Err(not_connected(&error)),
     };
     let is_reused = connection.reused;
+    let connect_time = Some(clock::now().since(begun)).filter(|_| !is_reused);
     let id = connection.guard.id();
     let exchanged = timeout(call.limit, exchange(state, call, connection)).await;
-    exchanged.unwrap_or_else(|_| {
+    let exchanged = exchanged.unwrap_or_else(|_| {
         if is_reused {
             state.pool.report_unresponsive(id);
         }
         let detail = "no answer in time".to_owned();
         Err(may_have_run(ResultKind::TimedOut, detail))
+    });
+    exchanged.map(|response| TargetResponse {
+        connect_time,
+        ..response
     })
 }
 
@@ -263,6 +271,7 @@
             metadata,
             body,
             was_reused: false,
+            connect_time: None,
         };
         return Ok((response, is_whole));
     }
--- a/dahliawood-model/src/catalog/mod.rs
+++ b/dahliawood-model/src/catalog/mod.rs
@@ -189,7 +189,7 @@
 }
 
 /// The load that a target reported in a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetLoad {
     /// Requests running at the target, from all VMs.
     pub running: u32,
@@ -197,6 +197,8 @@
     pub waiting: u32,
     /// Maximum number of requests that the target runs concurrently.
     pub slots: u32,
+    /// How long work takes on its host at this moment, 1.0 as usual; `None` if it does not say.
+    pub pace: Option<f32>,
     /// When the response arrived.
     pub received_at: TimeStamp,
 }
--- a/dahliawood-steer/src/placement/cached/mod.rs
+++ b/dahliawood-steer/src/placement/cached/mod.rs
@@ -1,5 +1,6 @@
 //! Which objects targets have cached, as far as this VM's answers show, and the service time that a
-//! cached object saves.
+//! cached object saves, over all routes of a service; estimates by route are in
+//! [`work`](crate::placement::work).
 //!
 //! This handles a load pattern in which the first request for an object costs a target several
 //! times as much as later ones: a request that moves to another target for a free slot may take
@@ -92,4 +93,14 @@
         let uncached = self.uncached.unwrap_or(cached.mul_f64(ASSUMED_RATIO));
         uncached.max(cached)
     }
+
+    /// Ratio of the times of an object's first request and of later ones, at least 1.
+    pub fn ratio(&self) -> f64 {
+        match (self.cached, self.uncached) {
+            (Some(cached), Some(uncached)) if !cached.is_zero() => {
+                uncached.div_duration_f64(cached).max(1.0)
+            }
+            _ => ASSUMED_RATIO,
+        }
+    }
 }
--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -3,6 +3,7 @@
 use crate::placement::choose::{PlacementQuery, VmLocation};
 use crate::placement::record::TargetRecord;
 use crate::placement::table::PlacementTable;
+use crate::placement::work::VisitKind;
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
@@ -22,19 +23,52 @@
     pub(super) wait: Duration,
     /// Time until the request is served.
     pub(super) total: Duration,
+    /// Time from the start of the request in which it must be able to end; zero if nothing is known.
+    pub(super) needed: Duration,
+    /// The kind of visits from which that is known.
+    pub(super) basis: Option<VisitKind>,
+    /// Factor of work by the target's stated pace.
+    pub(super) pace: f64,
+}
+
+impl Candidate {
+    /// Whether it starts the request within `max_wait`.
+    fn starts_in_time(&self, query: &PlacementQuery<'_>) -> bool {
+        self.wait <= query.max_wait && self.wait <= query.time_left
+    }
+
+    /// Whether it ends the request in the time that is left.
+    fn ends_in_time(&self, query: &PlacementQuery<'_>) -> bool {
+        self.wait + self.needed <= query.time_left
+    }
 }
 
 /// The candidate that is expected to serve the request first, among those that start it within
 /// `max_wait` and serve it in the time that is left. A target that has the object cached may be
 /// first despite a longer wait.
 pub(super) fn best_in_time(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<TargetKey> {
-    let spread = list.iter().take(SPREAD_TARGETS);
-    let in_time = spread
-        .filter(|candidate| candidate.wait <= query.max_wait && candidate.total <= query.time_left);
+    let in_time = starting(list, query).filter(|candidate| candidate.ends_in_time(query));
     let best = in_time.min_by_key(|candidate| candidate.total);
     best.map(|candidate| candidate.key)
 }
 
+/// The candidate that is expected to serve the request first, among those that start it within
+/// `max_wait`, whether or not it ends in the time that is left.
+pub(super) fn best_starting<'a>(
+    list: &'a [Candidate],
+    query: &PlacementQuery<'_>,
+) -> Option<&'a Candidate> {
+    starting(list, query).min_by_key(|candidate| candidate.total)
+}
+
+fn starting<'a>(
+    list: &'a [Candidate],
+    query: &PlacementQuery<'_>,
+) -> impl Iterator<Item = &'a Candidate> {
+    let spread = list.iter().take(SPREAD_TARGETS);
+    spread.filter(|candidate| candidate.starts_in_time(query))
+}
+
 /// Usable targets of one region among `targets`, in their order; without those that are much slower
 /// than their service's average if `skips_slow`.
 pub(super) fn candidates(
@@ -49,7 +83,6 @@
         return Vec::new();
     };
     let average = pool.average_service_time;
-    let times = pool.service_times;
     let mut usable = Vec::new();
     for (rank, key) in targets.iter().enumerate() {
         let Some(target) = table.get(*key) else {
@@ -64,19 +97,28 @@
         if !is_usable {
             continue;
         }
-        let is_cached = rank == 0
-            || query
-                .object
-                .is_some_and(|object| pool.cached_objects.contains(object, *key));
-        let service_time = match is_cached {
-            true => times.cached(average),
-            false => times.uncached(average),
-        };
+        let is_cached = query
+            .object
+            .is_none_or(|object| pool.cached_objects.contains(object, *key));
+        let visit = VisitKind::new(is_cached, rank == 0);
+        let pace = target.load.pace(now);
+        let round_trip = table.round_trip(target);
         let wait = table.expected_wait(target, now);
+        let work = pool.expected_work(query.route, visit, now).mul_f64(pace);
+        // A free slot takes nothing from other requests, so that an even chance to end in time is
+        // enough; the slot that a queued request takes could serve another one in time.
+        let basis = pool.work.basis(query.route, visit, now);
+        let needed = basis.map(|(_, estimate)| match wait.is_zero() {
+            true => estimate.median,
+            false => estimate.high,
+        });
         usable.push(Candidate {
             key: *key,
             wait,
-            total: wait + service_time,
+            total: wait + round_trip + work,
+            needed: needed.map_or(Duration::ZERO, |needed| needed.mul_f64(pace) + round_trip),
+            basis: basis.map(|(kind, _)| kind),
+            pace,
         });
     }
     usable
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -55,6 +55,8 @@
 pub struct PlacementQuery<'a> {
     /// Name of the service.
     pub service: &'a str,
+    /// Hash of the name of the route.
+    pub route: u64,
     /// Hash of the requested object; without one, targets are ranked at random.
     pub object: Option<u64>,
     /// Whether its answer is large, so that targets in this VM's failure domain are preferred.
@@ -76,7 +78,7 @@
 pub enum PlacementChoice {
     /// Send the request to this target.
     Target(TargetKey),
-    /// No target is expected to start the request within `max_wait`.
+    /// No target is expected to start the request within `max_wait` and to end it in the time left.
     Busy {
         /// When a slot may be free.
         retry_after: Duration,
@@ -133,7 +135,9 @@
     if let Some(spillover) = spillover_mut(table, query.service)
         && query.tried.is_empty()
     {
-        spillover.record_request(has_local && local.is_none());
+        // A request that is excluded for its work alone is no sign of a busy region.
+        let has_start = candidate::best_starting(&sides.local, query).is_some();
+        spillover.record_request(has_local && !has_start);
     }
     let dispatch = |table: &mut PlacementTable, key, is_remote| {
         table.reserve(key, location, now);
@@ -157,7 +161,16 @@
     if sides.is_empty() {
         return refusal::refuse_until_open(table, location, query, now);
     }
-    refusal::refuse(sides.all(), query.max_wait)
+    if let Some((candidate, is_remote)) = sides.best_starting(query) {
+        let (key, basis) = (candidate.key, candidate.basis);
+        if let (Some(pool), Some(basis)) = (table.services.get_mut(query.service), basis) {
+            if query.tried.is_empty() && pool.work.take_trial(query.route, basis, now) {
+                return dispatch(table, key, is_remote);
+            }
+            pool.work.record_refusal(query.route, basis);
+        }
+    }
+    refusal::refuse(sides.all(), query)
 }
 
 /// Candidates of this region, and of each other region.
@@ -196,6 +209,18 @@
         self.local.iter().chain(self.remote.iter().flatten())
     }
 
+    /// The best candidate that can start the request in time, of this region or else of the most
+    /// preferred other one, and whether it is of another one.
+    fn best_starting(&self, query: &PlacementQuery<'_>) -> Option<(&Candidate, bool)> {
+        let local = candidate::best_starting(&self.local, query);
+        let remote = || {
+            let mut lists = self.remote.iter().filter(|_| self.local.is_empty());
+            lists.find_map(|list| candidate::best_starting(list, query))
+        };
+        let local = local.map(|candidate| (candidate, false));
+        local.or_else(|| remote().map(|candidate| (candidate, true)))
+    }
+
     /// The candidate of the most preferred other region that can serve the request in time.
     fn best_remote(&self, query: &PlacementQuery<'_>) -> Option<TargetKey> {
         self.remote
--- a/dahliawood-steer/src/placement/choose/refusal/mod.rs
+++ b/dahliawood-steer/src/placement/choose/refusal/mod.rs
@@ -4,6 +4,7 @@
 use crate::placement::choose::{self, PlacementChoice, PlacementQuery, VmLocation};
 use crate::placement::record::TargetRecord;
 use crate::placement::table::PlacementTable;
+use crate::placement::work;
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
 
@@ -11,6 +12,9 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Retry delay told to a caller that is refused to shorten queues.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay told to a caller whose request takes longer than the time that it leaves: the estimate
+/// changes no sooner.
+const WORK_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest retry delay told to a caller because targets are at the limits that they state.
 const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -28,15 +32,25 @@
     })
 }
 
-/// The refusal where no candidate starts the request in time.
+/// The refusal where no candidate starts the request in time, or none can end it in time: until the
+/// first candidate's wait is short enough, or its pace is outdated.
 pub(super) fn refuse<'a>(
     all: impl Iterator<Item = &'a Candidate>,
-    max_wait: Duration,
+    query: &PlacementQuery<'_>,
 ) -> PlacementChoice {
-    match all.map(|candidate| candidate.wait).min() {
+    let usable_in = |candidate: &Candidate| {
+        let start_in = candidate.wait.saturating_sub(query.max_wait);
+        let spare = query.time_left.saturating_sub(candidate.needed);
+        match candidate.needed <= query.time_left {
+            true => start_in.max(candidate.wait.saturating_sub(spare)),
+            false if candidate.pace > 1.0 => start_in.max(work::PACE_VALIDITY),
+            false => start_in.max(WORK_RETRY_AFTER),
+        }
+    };
+    match all.map(usable_in).min() {
         None => PlacementChoice::None,
-        Some(wait) => PlacementChoice::Busy {
-            retry_after: wait.saturating_sub(max_wait).max(MIN_RETRY_AFTER),
+        Some(usable_in) => PlacementChoice::Busy {
+            retry_after: usable_in.max(MIN_RETRY_AFTER),
         },
     }
 }
--- a/dahliawood-steer/src/placement/load/mod.rs
+++ b/dahliawood-steer/src/placement/load/mod.rs
@@ -1,5 +1,6 @@
 //! Estimate of a target's load, from its own reports and the requests that this VM sent since.
 
+use crate::placement::work;
 use dahliawood_model::catalog::TargetLoad;
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
@@ -77,10 +78,17 @@
         (reported + f64::from(self.sent_since_report)).max(f64::from(self.in_flight))
     }
 
+    /// Factor of the work of a request sent now, by the pace that the target stated last.
+    pub fn pace(&self, now: TimeStamp) -> f64 {
+        self.report.map_or(1.0, |load| {
+            work::aged_pace(load.pace, now.since(load.received_at))
+        })
+    }
+
     /// Expected time that a request sent now waits for a slot.
     pub fn wait(&self, slots: u32, service_average: Duration, now: TimeStamp) -> Duration {
         let slots = f64::from(slots.max(1));
         let ahead = self.outstanding(service_average, now) + 1.0 - slots;
-        service_average.mul_f64(ahead.max(0.0) / slots)
+        service_average.mul_f64(ahead.max(0.0) / slots * self.pace(now))
     }
 }
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -11,6 +11,8 @@
 use crate::placement::shedding::ShedShare;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::statement::{ProcessStatements, StatementMemory};
+use crate::placement::work::links::LinkTimes;
+use crate::placement::work::{self, VisitKind, WorkTable};
 use crate::rendezvous;
 use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
@@ -43,6 +45,8 @@
     pub kept_orders: KeptOrders,
     /// Share of requests that are refused because queues are too long.
     pub shed_share: ShedShare,
+    /// Work of each route.
+    pub work: WorkTable,
 }
 
 impl Default for ServicePool {
@@ -55,6 +59,7 @@
             cached_objects: CachedObjects::default(),
             kept_orders: KeptOrders::default(),
             shed_share: ShedShare::default(),
+            work: WorkTable::default(),
         }
     }
 }
@@ -68,6 +73,10 @@
     pub latency: Duration,
     /// What the target says of itself in its answer, `None` if there was no answer of its own.
     pub report: Option<TargetReport>,
+    /// Time in which a new connection to the target was opened, `None` if one was reused.
+    pub connect_time: Option<Duration>,
+    /// Hash of the name of the route.
+    pub route: u64,
     /// The object that was requested, if it has one.
     pub visit: Option<ObjectVisit>,
     /// How long the request could have waited and still have been in time.
@@ -91,6 +100,7 @@
     evacuated: FastSet<String>,
     /// What processes have stated that no entry names.
     statements: StatementMemory,
+    links: LinkTimes,
     next_key: u32,
     /// Incremented with each change of the targets or of which of them are open.
     generation: u64,
@@ -265,6 +275,19 @@
         pool.map_or(average, |pool| pool.service_times.cached(average))
     }
 
+    /// Expected work of a route's request whose object its target has cached.
+    pub fn expected_cached_work(&self, service: &str, route: u64, now: TimeStamp) -> Duration {
+        let pool = self.services.get(service);
+        pool.map_or(ASSUMED_SERVICE_TIME, |pool| {
+            pool.expected_work(route, VisitKind::Cached, now)
+        })
+    }
+
+    /// Round trip to a target.
+    pub fn round_trip(&self, target: &TargetRecord) -> Duration {
+        self.links.round_trip(&target.entry.domain)
+    }
+
     /// Counts a request that is about to be sent within the limit that its target states.
     pub fn reserve(&mut self, key: TargetKey, location: &VmLocation, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
@@ -433,24 +456,94 @@
         if let Some(load) = result.load() {
             target.load.record_report(load);
         }
+        let domain = &target.entry.domain;
+        if let Some(taken) = result.connect_time {
+            self.links.record(domain, taken, now);
+        }
+        // Neither the opening of the connection nor the network is work.
+        let exchange = result
+            .latency
+            .saturating_sub(result.connect_time.unwrap_or_default());
+        if result.kind == ResultKind::Shed && result.report.is_some() {
+            self.links.record(domain, exchange, now);
+        }
         if result.kind != ResultKind::Answered {
             return is_new;
         }
+        let taken = exchange.saturating_sub(self.links.round_trip(domain));
         // Otherwise most of the latency was queueing at the target, which distorts the service time.
         let has_queued = result.load().is_some_and(|load| load.waiting > 0);
-        if !has_queued {
-            target.load.record_latency(result.latency, now);
-        }
+        let taken = Some(taken).filter(|_| !has_queued);
         if let Some(pool) = pool {
-            pool.record_answer(key, result);
+            if let Some(taken) = taken {
+                let latency = pool.average_latency(key, &result, taken, now);
+                target.load.record_latency(latency, now);
+            }
+            pool.record_answer(key, result, taken, now);
         }
         is_new
     }
 }
 
 impl ServicePool {
-    /// Records an answer of one of the service's targets.
-    fn record_answer(&mut self, key: TargetKey, result: TargetResult) {
+    /// Expected work of a request at a target. While the route has too few samples, it is derived from
+    /// its other visits, and otherwise from the averages of the service.
+    pub fn expected_work(&self, route: u64, visit: VisitKind, now: TimeStamp) -> Duration {
+        let mean = |visit| {
+            let estimate = self.work.estimate(route, visit, now);
+            estimate.map(|estimate| estimate.mean)
+        };
+        if let Some(mean) = mean(visit) {
+            return mean;
+        }
+        let ratio = self.service_times.ratio();
+        let average = self.average_service_time;
+        if visit == VisitKind::First {
+            let cached = mean(VisitKind::Cached);
+            let first = cached.map(|cached| cached.mul_f64(ratio));
+            return first.unwrap_or(self.service_times.uncached(average));
+        }
+        let first = || mean(VisitKind::First).map(|first| first.div_f64(ratio));
+        let cached = mean(VisitKind::Cached).or_else(first);
+        cached.unwrap_or(self.service_times.cached(average))
+    }
+
+    /// The kind of a visit, as this VM knew it before the answer.
+    fn visit_kind(&self, key: TargetKey, result: &TargetResult) -> VisitKind {
+        result.visit.map_or(VisitKind::Cached, |visit| {
+            let was_cached = self.cached_objects.contains(visit.object, key);
+            VisitKind::new(was_cached, visit.is_preferred)
+        })
+    }
+
+    /// What an average request would have taken where this one took `taken`: a target is not slow
+    /// because it serves a route with much work.
+    fn average_latency(
+        &self,
+        key: TargetKey,
+        result: &TargetResult,
+        taken: Duration,
+        now: TimeStamp,
+    ) -> Duration {
+        let visit = self.visit_kind(key, result);
+        match self.work.estimate(result.route, visit, now) {
+            Some(estimate) if !estimate.mean.is_zero() => {
+                let factor = taken.div_duration_f64(estimate.mean);
+                self.average_service_time.mul_f64(factor)
+            }
+            _ => taken,
+        }
+    }
+
+    /// Records an answer of one of the service's targets, which ran the request for `taken`; `None` if
+    /// the request was queued.
+    fn record_answer(
+        &mut self,
+        key: TargetKey,
+        result: TargetResult,
+        taken: Option<Duration>,
+        now: TimeStamp,
+    ) {
         if let Some(load) = result.load() {
             let ahead = f64::from(load.running + load.waiting + 1) / f64::from(load.slots.max(1));
             let delay = self.average_service_time.mul_f64((ahead - 1.0).max(0.0));
@@ -458,18 +551,20 @@
             self.shed_share
                 .record_delay(delay.as_secs_f64() / slack.as_secs_f64());
         }
-        let has_queued = result.load().is_some_and(|load| load.waiting > 0);
-        if !has_queued {
-            self.average_service_time = self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT)
-                + result.latency.mul_f64(EWMA_WEIGHT);
+        let pace = result.load().and_then(|load| load.pace);
+        let sample = taken.map(|taken| work::normalize(taken, pace));
+        if let Some(sample) = sample {
+            self.average_service_time =
+                self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT) + sample.mul_f64(EWMA_WEIGHT);
         }
+        let kind = self.visit_kind(key, &result);
+        self.work.record(result.route, kind, sample, now);
         let Some(visit) = result.visit else {
             return;
         };
-        let was_cached = self.cached_objects.contains(visit.object, key);
         // Another VM may have requested the object at its preferred target before.
-        if !has_queued && (was_cached || !visit.is_preferred) {
-            self.service_times.record(result.latency, was_cached);
+        if let Some(sample) = sample.filter(|_| kind != VisitKind::Preferred) {
+            self.service_times.record(sample, kind == VisitKind::Cached);
         }
         self.cached_objects.record(visit.object, key);
     }
--- a/dahliawood-steer/tests/main/object_load.rs
+++ b/dahliawood-steer/tests/main/object_load.rs
@@ -176,6 +176,7 @@
         let table = &mut tables[turn % VMS];
         let query = PlacementQuery {
             service: SERVICE,
+            route: 0,
             object: Some(*object),
             is_bulk: false,
             regions: [&[], &[]],
@@ -233,6 +234,7 @@
         running: left.min(SLOTS),
         waiting: left.saturating_sub(SLOTS),
         slots: SLOTS,
+        pace: None,
         received_at: now,
     };
     let result = TargetResult {
@@ -242,6 +244,8 @@
             load: Some(load),
             ..TargetReport::default()
         }),
+        connect_time: None,
+        route: 0,
         visit: Some(request.visit),
         slack: AIM.saturating_sub(LATER),
     };
--- a/dahliawood-steer/tests/main/placement/lifecycle.rs
+++ b/dahliawood-steer/tests/main/placement/lifecycle.rs
@@ -130,6 +130,8 @@
         kind: ResultKind::ConnectFailed,
         latency: Duration::ZERO,
         report: None,
+        connect_time: None,
+        route: 0,
         visit: None,
         slack: Duration::from_millis(100),
     };
@@ -166,6 +168,7 @@
         running: 0,
         waiting: 0,
         slots: 3,
+        pace: None,
         received_at: START,
     };
     let answer = |millis| TargetResult {
--- a/dahliawood-steer/tests/main/placement/region.rs
+++ b/dahliawood-steer/tests/main/placement/region.rs
@@ -87,6 +87,7 @@
                 running: running.min(SLOTS),
                 waiting: running.saturating_sub(SLOTS),
                 slots: SLOTS,
+                pace: None,
                 received_at: now,
             };
             self.table.finish(key, answered(Some(load)), now);
--- a/dahliawood-steer/tests/main/placement/support.rs
+++ b/dahliawood-steer/tests/main/placement/support.rs
@@ -73,6 +73,7 @@
 pub fn query(object: u64) -> PlacementQuery<'static> {
     PlacementQuery {
         service: SERVICE,
+        route: 0,
         object: Some(object),
         is_bulk: false,
         regions: [&[], &[]],
@@ -109,6 +110,8 @@
         kind: ResultKind::Answered,
         latency: SERVICE_TIME,
         report: report(load),
+        connect_time: None,
+        route: 0,
         visit: None,
         slack: Duration::from_millis(100),
     }
@@ -120,6 +123,7 @@
         running: SLOTS,
         waiting,
         slots: SLOTS,
+        pace: None,
         received_at: now,
     }))
 }
