--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -5,8 +5,10 @@
 use crate::reach;
 use crate::structured_log::EventClass;
 use async_std::task;
+use dahliawood_model::FastMap;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::placement::{balance, spillover};
+use dahliawood_steer::rendezvous;
 use serde::Serialize;
 use std::rc::Rc;
 
@@ -44,6 +46,7 @@
         apply::update_sharers(&state);
         balance::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
         log_cold_usage(&state);
+        update_work_metrics(&state, now);
         check_targets(&state, now);
         let expired = state.view.borrow_mut().expire(now);
         apply::apply_changes(&state, &expired);
@@ -78,6 +81,32 @@
     }
 }
 
+/// Shows the estimates of work in the metrics; those that are expired, or of routes that the
+/// configuration does not name, disappear.
+fn update_work_metrics(state: &ControlState, now: TimeStamp) {
+    let Some(catalog) = state.shared.catalog.load_full() else {
+        return;
+    };
+    let hash = |name: &str| rendezvous::name_hash(name.as_bytes());
+    let routes = catalog.routes.values();
+    let names: FastMap<u64, &str> = routes
+        .map(|route| (hash(&route.name), route.name.as_str()))
+        .collect();
+    let services = &state.shared.placement().services;
+    let estimates: Vec<_> = services
+        .iter()
+        .flat_map(|(service, pool)| pool.work.all(now).map(|known| (service.clone(), known)))
+        .collect();
+    let metrics = &state.shared.metrics;
+    metrics.work.reset();
+    metrics.late_work.reset();
+    for (service, known) in &estimates {
+        if let Some(route) = names.get(&known.route) {
+            metrics.set_work(service, route, known);
+        }
+    }
+}
+
 fn log_cold_usage(state: &ControlState) {
     let vms = state.shared.location().sharers.count();
     let used = state.shared.placement().take_cold_usage();
--- a/dahliawood-gateway/src/forward/attempt/mod.rs
+++ b/dahliawood-gateway/src/forward/attempt/mod.rs
@@ -47,6 +47,7 @@
                 kind: ResultKind::Cancelled,
                 latency: Duration::ZERO,
                 report: None,
+                expected_wait: target.wait,
                 connect_time: None,
                 route: route_hash,
                 visit: target.visit,
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -1,7 +1,9 @@
 //! Prometheus metrics of a gateway: counters, a latency histogram and a gauge.
 
+use dahliawood_steer::placement::work::RouteEstimate;
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use std::time::Duration;
 
@@ -34,6 +36,10 @@
     pub latency: Histogram,
     /// Number of requests being served.
     pub in_flight: IntGauge,
+    /// Estimated work, seconds, by service, route, visit and statistic.
+    pub work: GaugeVec,
+    /// Requests whose work was not expected to end in time, by service, route, visit and outcome.
+    pub late_work: GaugeVec,
 }
 
 impl GatewayMetrics {
@@ -83,6 +89,22 @@
         registry.register(Box::new(latency.clone()))?;
         let in_flight = IntGauge::new("requests_in_flight", "Requests that are being served.")?;
         registry.register(Box::new(in_flight.clone()))?;
+        let gauge = |name: &str, help: &str, label: &str| {
+            let labels = ["service", "route", "visit", label];
+            let gauge = GaugeVec::new(Opts::new(name, help), &labels)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let work = gauge(
+            "work_seconds",
+            "Estimated work of requests, without queueing and network.",
+            "statistic",
+        )?;
+        let late_work = gauge(
+            "late_work",
+            "Requests whose work was not expected to end in time, while their estimate is current.",
+            "outcome",
+        )?;
         Ok(Self {
             registry,
             requests,
@@ -96,6 +118,8 @@
             contradictions,
             latency,
             in_flight,
+            work,
+            late_work,
         })
     }
 
@@ -122,6 +146,30 @@
         self.store_calls.with_label_values(&[call, outcome]).inc();
     }
 
+    /// Sets the estimate of a route's work.
+    pub fn set_work(&self, service: &str, route: &str, known: &RouteEstimate) {
+        let RouteEstimate {
+            estimate,
+            trials,
+            refusals,
+            ..
+        } = known;
+        let visit = known.visit.label();
+        let times = [
+            ("mean", estimate.mean),
+            ("median", estimate.median),
+            ("q90", estimate.high),
+        ];
+        for (statistic, work) in times {
+            let labels = [service, route, visit, statistic];
+            self.work.with_label_values(&labels).set(work.as_secs_f64());
+        }
+        for (outcome, count) in [("tried", trials), ("refused", refusals)] {
+            let labels = [service, route, visit, outcome];
+            self.late_work.with_label_values(&labels).set(*count as f64);
+        }
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         TextEncoder::new()
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -12,7 +12,7 @@
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::statement::{ProcessStatements, StatementMemory};
 use crate::placement::work::links::LinkTimes;
-use crate::placement::work::{self, VisitKind, WorkTable};
+use crate::placement::work::{self, VisitKind, WorkSample, WorkTable};
 use crate::rendezvous;
 use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
@@ -73,6 +73,8 @@
     pub latency: Duration,
     /// What the target says of itself in its answer, `None` if there was no answer of its own.
     pub report: Option<TargetReport>,
+    /// How long it was expected to wait for a slot when it was sent.
+    pub expected_wait: Duration,
     /// Time in which a new connection to the target was opened, `None` if one was reused.
     pub connect_time: Option<Duration>,
     /// Hash of the name of the route.
@@ -467,20 +469,27 @@
         if result.kind == ResultKind::Shed && result.report.is_some() {
             self.links.record(domain, exchange, now);
         }
-        if result.kind != ResultKind::Answered {
+        let Some(pool) = pool else {
             return is_new;
-        }
+        };
         let taken = exchange.saturating_sub(self.links.round_trip(domain));
+        match result.kind {
+            ResultKind::Answered => {}
+            ResultKind::TimedOut if result.expected_wait.is_zero() => {
+                let kind = pool.visit_kind(key, &result);
+                let late = WorkSample::Late(taken);
+                pool.work.record(result.route, kind, late, now);
+                return is_new;
+            }
+            _ => return is_new,
+        }
         // Otherwise most of the latency was queueing at the target, which distorts the service time.
         let has_queued = result.load().is_some_and(|load| load.waiting > 0);
-        let taken = Some(taken).filter(|_| !has_queued);
-        if let Some(pool) = pool {
-            if let Some(taken) = taken {
-                let latency = pool.average_latency(key, &result, taken, now);
-                target.load.record_latency(latency, now);
-            }
-            pool.record_answer(key, result, taken, now);
+        if !has_queued {
+            let latency = pool.average_latency(key, &result, taken, now);
+            target.load.record_latency(latency, now);
         }
+        pool.record_answer(key, result, taken, now);
         is_new
     }
 }
@@ -535,13 +544,21 @@
         }
     }
 
-    /// Records an answer of one of the service's targets, which ran the request for `taken`; `None` if
-    /// the request was queued.
+    /// Mean work of the mix by a queued request: it took as long as those ahead of it and itself, each
+    /// of which took the mean on average. Without this, the mean would never be known while all
+    /// targets have queues, as from the first second of an overload.
+    fn mixed_work(&self, taken: Duration, result: &TargetResult) -> Duration {
+        let average = self.average_service_time.max(MIN_SLACK);
+        let ahead = result.expected_wait.div_duration_f64(average);
+        taken.div_f64(1.0 + ahead)
+    }
+
+    /// Records an answer of one of the service's targets, `taken` after the request reached it.
     fn record_answer(
         &mut self,
         key: TargetKey,
         result: TargetResult,
-        taken: Option<Duration>,
+        taken: Duration,
         now: TimeStamp,
     ) {
         if let Some(load) = result.load() {
@@ -552,19 +569,23 @@
                 .record_delay(delay.as_secs_f64() / slack.as_secs_f64());
         }
         let pace = result.load().and_then(|load| load.pace);
-        let sample = taken.map(|taken| work::normalize(taken, pace));
-        if let Some(sample) = sample {
-            self.average_service_time =
-                self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT) + sample.mul_f64(EWMA_WEIGHT);
-        }
+        let has_queued = result.load().is_some_and(|load| load.waiting > 0);
+        let run = work::normalize(taken.saturating_sub(result.expected_wait), pace);
+        let has_waited = has_queued || !result.expected_wait.is_zero();
+        let (sample, mixed) = match has_waited {
+            true => (WorkSample::Rough(run), self.mixed_work(taken, &result)),
+            false => (WorkSample::Exact(run), run),
+        };
+        self.average_service_time =
+            self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT) + mixed.mul_f64(EWMA_WEIGHT);
         let kind = self.visit_kind(key, &result);
         self.work.record(result.route, kind, sample, now);
         let Some(visit) = result.visit else {
             return;
         };
         // Another VM may have requested the object at its preferred target before.
-        if let Some(sample) = sample.filter(|_| kind != VisitKind::Preferred) {
-            self.service_times.record(sample, kind == VisitKind::Cached);
+        if !has_queued && kind != VisitKind::Preferred {
+            self.service_times.record(run, kind == VisitKind::Cached);
         }
         self.cached_objects.record(visit.object, key);
     }
--- a/dahliawood-steer/src/placement/work/mod.rs
+++ b/dahliawood-steer/src/placement/work/mod.rs
@@ -21,6 +21,11 @@
 const MIN_SAMPLES: usize = 4;
 /// Samples from which on the quantiles are used: fewer contain too few long runs.
 const MIN_QUANTILE_SAMPLES: usize = 16;
+/// Answers of queued requests that are kept while there are too few samples.
+const ROUGH_SAMPLES: usize = 32;
+/// Time-outs count for the high quantile up to one in this many samples, so that requests go on after
+/// an outage in which all of them timed out.
+const LATE_DIVISOR: usize = 4;
 /// The high quantile: an attempt that has to wait for a slot ends in time nine times in ten.
 const HIGH_QUANTILE: f64 = 0.9;
 /// Time without an answer after which an estimate is unknown again.
@@ -90,6 +95,17 @@
     pub high: Duration,
 }
 
+/// What the end of a request shows of its work.
+#[derive(Clone, Copy, Debug)]
+pub enum WorkSample {
+    /// An answer of a target without a queue.
+    Exact(Duration),
+    /// An answer of a target with a queue, less the wait that was expected.
+    Rough(Duration),
+    /// A time-out at a target of which no queue was known: the least work that it can have had.
+    Late(Duration),
+}
+
 /// What is known of the work of one route, for the metrics.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteEstimate {
@@ -129,13 +145,13 @@
         bases.into_iter().find_map(known)
     }
 
-    /// Records an answer with its work, `None` if it was queued and shows no work.
-    pub fn record(&mut self, route: u64, visit: VisitKind, work: Option<Duration>, now: TimeStamp) {
+    /// Records what the end of a request shows of its work.
+    pub fn record(&mut self, route: u64, visit: VisitKind, sample: WorkSample, now: TimeStamp) {
         if !self.routes.contains_key(&route) && self.routes.len() >= MAX_ROUTES {
             self.evict();
         }
         let records = self.routes.entry(route).or_default();
-        records[visit as usize].record(work, now);
+        records[visit as usize].record(sample, now);
     }
 
     /// Whether a request that the estimate excludes is sent all the same; counts it.
@@ -194,6 +210,12 @@
 struct WorkRecord {
     /// The newest samples in microseconds, the oldest first.
     samples: VecDeque<u32>,
+    /// The newest answers of queued requests.
+    rough: VecDeque<u32>,
+    /// The newest time-outs, with the number of samples before each.
+    late: VecDeque<(u32, u64)>,
+    /// Samples so far.
+    count: u64,
     estimate: Option<WorkEstimate>,
     answered_at: TimeStamp,
     tried_at: TimeStamp,
@@ -209,45 +231,45 @@
         self.estimate.filter(|_| is_current)
     }
 
-    fn record(&mut self, work: Option<Duration>, now: TimeStamp) {
+    fn record(&mut self, sample: WorkSample, now: TimeStamp) {
         if now.since(self.answered_at) >= ESTIMATE_EXPIRY {
             self.samples.clear();
+            self.rough.clear();
+            self.late.clear();
             self.estimate = None;
         }
-        self.answered_at = now;
-        self.unanswered = 0;
-        let Some(work) = work else {
-            return;
-        };
-        if self.samples.len() >= SAMPLES {
-            self.samples.pop_front();
+        match sample {
+            WorkSample::Exact(work) => {
+                push(&mut self.samples, micros(work), SAMPLES);
+                self.count += 1;
+            }
+            WorkSample::Rough(work) => push(&mut self.rough, micros(work), ROUGH_SAMPLES),
+            WorkSample::Late(work) => {
+                let late = (micros(work), self.count);
+                push(&mut self.late, late, SAMPLES / LATE_DIVISOR);
+            }
+        }
+        if !matches!(sample, WorkSample::Late(_)) {
+            self.answered_at = now;
+            self.unanswered = 0;
         }
-        self.samples
-            .push_back(u32::try_from(work.as_micros()).unwrap_or(u32::MAX));
+        let oldest = self.count.saturating_sub(SAMPLES as u64);
+        self.late.retain(|(_, count)| *count >= oldest);
         self.estimate = self.summarize();
     }
 
     fn summarize(&self) -> Option<WorkEstimate> {
-        let count = self.samples.len();
-        if count < MIN_SAMPLES {
-            return None;
+        if self.samples.len() >= MIN_SAMPLES {
+            let late = self.late.iter().map(|(micros, _)| *micros);
+            let late = late.take(self.samples.len() / LATE_DIVISOR);
+            return Some(estimate(&self.samples, late));
         }
-        let sum: u64 = self.samples.iter().map(|micros| u64::from(*micros)).sum();
-        let mean = Duration::from_micros(sum / count as u64);
-        if count < MIN_QUANTILE_SAMPLES {
-            let (median, high) = (mean, mean);
-            return Some(WorkEstimate { mean, median, high });
-        }
-        let mut sorted: Vec<u32> = self.samples.iter().copied().collect();
-        sorted.sort_unstable();
-        let at = |quantile: f64| {
-            let index = (quantile * count as f64).ceil() as usize;
-            Duration::from_micros(sorted[index.clamp(1, count) - 1].into())
-        };
-        Some(WorkEstimate {
-            mean,
-            median: at(0.5),
-            high: at(HIGH_QUANTILE),
+        let has_rough = self.rough.len() >= MIN_SAMPLES;
+        has_rough.then(|| {
+            let rough = estimate(&self.rough, std::iter::empty());
+            // A few wrong waits move the mean far.
+            let mean = rough.median;
+            WorkEstimate { mean, ..rough }
         })
     }
 
@@ -264,6 +286,41 @@
     }
 }
 
+fn micros(work: Duration) -> u32 {
+    u32::try_from(work.as_micros()).unwrap_or(u32::MAX)
+}
+
+/// Adds a sample; the oldest one makes room.
+fn push<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
+    if samples.len() >= most {
+        samples.pop_front();
+    }
+    samples.push_back(sample);
+}
+
+/// The estimate by samples, of which there is at least one, and by time-outs.
+fn estimate(samples: &VecDeque<u32>, late: impl Iterator<Item = u32>) -> WorkEstimate {
+    let sum: u64 = samples.iter().map(|micros| u64::from(*micros)).sum();
+    let mean = Duration::from_micros(sum / samples.len() as u64);
+    let mut sorted: Vec<u32> = samples.iter().copied().collect();
+    sorted.sort_unstable();
+    let median = quantile(&sorted, 0.5);
+    if samples.len() < MIN_QUANTILE_SAMPLES {
+        let high = mean.max(median);
+        return WorkEstimate { mean, median, high };
+    }
+    sorted.extend(late);
+    sorted.sort_unstable();
+    let high = quantile(&sorted, HIGH_QUANTILE);
+    WorkEstimate { mean, median, high }
+}
+
+/// A quantile of sorted samples, of which there is at least one.
+fn quantile(sorted: &[u32], quantile: f64) -> Duration {
+    let index = (quantile * sorted.len() as f64).ceil() as usize;
+    Duration::from_micros(sorted[index.clamp(1, sorted.len()) - 1].into())
+}
+
 /// A stated pace as a factor of work, 1 if none is stated.
 pub fn pace_factor(pace: Option<f32>) -> f64 {
     let (least, most) = PACE_BOUNDS;
--- a/dahliawood-steer/tests/main/object_load.rs
+++ b/dahliawood-steer/tests/main/object_load.rs
@@ -244,6 +244,7 @@
             load: Some(load),
             ..TargetReport::default()
         }),
+        expected_wait: Duration::ZERO,
         connect_time: None,
         route: 0,
         visit: Some(request.visit),
--- a/dahliawood-steer/tests/main/placement/lifecycle.rs
+++ b/dahliawood-steer/tests/main/placement/lifecycle.rs
@@ -130,6 +130,7 @@
         kind: ResultKind::ConnectFailed,
         latency: Duration::ZERO,
         report: None,
+        expected_wait: Duration::ZERO,
         connect_time: None,
         route: 0,
         visit: None,
--- a/dahliawood-steer/tests/main/placement/support.rs
+++ b/dahliawood-steer/tests/main/placement/support.rs
@@ -110,6 +110,7 @@
         kind: ResultKind::Answered,
         latency: SERVICE_TIME,
         report: report(load),
+        expected_wait: Duration::ZERO,
         connect_time: None,
         route: 0,
         visit: None,
