fix(steer): queues that a VM does not know of are not taken for work

A VM that hears from a target now and then expects no wait there, and took the whole latency of a queued response for work. The likely wait is now also the queue that the response itself reports.

--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -547,10 +547,19 @@
     /// Mean work of the mix by a queued request: it took as long as those ahead of it and itself, each
     /// of which took the mean on average. Without this, the mean would never be known while all
     /// targets have queues, as from the first second of an overload.
-    fn mixed_work(&self, taken: Duration, result: &TargetResult) -> Duration {
+    fn mixed_work(&self, taken: Duration, wait: Duration) -> Duration {
         let average = self.average_service_time.max(MIN_SLACK);
-        let ahead = result.expected_wait.div_duration_f64(average);
-        taken.div_f64(1.0 + ahead)
+        taken.div_f64(1.0 + wait.div_duration_f64(average))
+    }
+
+    /// How long a request has probably waited: as was expected, or as long as the queue at its end
+    /// takes, of which this VM may not have known before.
+    fn likely_wait(&self, result: &TargetResult) -> Duration {
+        let queue = result.load().map_or(0.0, |load| {
+            f64::from(load.waiting) / f64::from(load.slots.max(1))
+        });
+        let wait = self.average_service_time.mul_f64(queue);
+        wait.max(result.expected_wait)
     }
 
     /// Records an answer of one of the service's targets, `taken` after the request reached it.
@@ -570,10 +579,11 @@
         }
         let pace = result.load().and_then(|load| load.pace);
         let has_queued = result.load().is_some_and(|load| load.waiting > 0);
-        let run = work::normalize(taken.saturating_sub(result.expected_wait), pace);
+        let wait = self.likely_wait(&result);
+        let run = work::normalize(taken.saturating_sub(wait), pace);
         let has_waited = has_queued || !result.expected_wait.is_zero();
         let (sample, mixed) = match has_waited {
-            true => (WorkSample::Rough(run), self.mixed_work(taken, &result)),
+            true => (WorkSample::Rough(run), self.mixed_work(taken, wait)),
             false => (WorkSample::Exact(run), run),
         };
         self.average_service_time =
