--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -16,3 +16,4 @@
 mod shedding;
 mod split;
 mod unannounced_cold;
+mod work;
