feat(steer, gateway): refusals take the lowest rank first, and urgent routes bound the queues

Cause: refusals were spread evenly over routes and customers, and requests with a late target latency filled the queues of targets, so urgent requests were mostly late. Change: where the routes of a service or the customers differ in priority, the refused share is divided by rank, waits at targets are bounded by the most urgent routes, Retry-After depends on the rank, and refusals are logged and counted by rank. Elsewhere PlacementQuery::rank is None and decisions are as before. The gateway's part is not tested with ranks.

--- a/dahliawood-gateway/src/forward/attempt/mod.rs
+++ b/dahliawood-gateway/src/forward/attempt/mod.rs
@@ -34,10 +34,7 @@
     /// Sends the request to a target.
     pub(super) async fn attempt(&self, target: &TryTarget) -> Result<TargetResponse, CallFailure> {
         let now = clock::now();
-        let service_time = self
-            .state
-            .placement()
-            .cached_service_time(&self.routed.service);
+        let slack = self.slack(&self.state.placement());
         let mut guard = TryGuard {
             state: self.state,
             key: target.key,
@@ -47,7 +44,7 @@
                 latency: Duration::ZERO,
                 report: None,
                 visit: target.visit,
-                slack: self.route().target_latency.saturating_sub(service_time),
+                slack,
             },
         };
         let left = self.routed.deadline.since(now);
--- a/dahliawood-gateway/src/forward/selection/mod.rs
+++ b/dahliawood-gateway/src/forward/selection/mod.rs
@@ -1,22 +1,22 @@
 //! Selects the target of a try.
 
+mod refused;
+
 use crate::clock;
 use crate::forward::ForwardRun;
 use crate::front::refusal::RefusalCause;
-use dahliawood_model::catalog::RequestKind;
+use dahliawood_model::catalog::{CatalogRoute, RequestKind};
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::placement::cached::ObjectVisit;
 use dahliawood_steer::placement::choose::{self, ColdLimit, PlacementChoice, PlacementQuery};
+use dahliawood_steer::placement::rank::{self, RequestRank};
 use dahliawood_steer::placement::ranking::OrderKey;
+use dahliawood_steer::placement::table::PlacementTable;
 use dahliawood_steer::rendezvous;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Fraction of a route's target latency that a request may wait for a slot even if less time than
-/// that is left of the target latency.
-const MIN_WAIT_FRACTION: f64 = 0.25;
-
 /// The target of a try.
 pub(super) struct TryTarget {
     pub(super) key: TargetKey,
@@ -34,7 +34,25 @@
 impl ForwardRun<'_> {
     /// Chooses a target and counts the request as running there.
     pub(super) fn choose_target(&self) -> Result<TryTarget, RefusalCause> {
-        let now = clock::now();
+        let rank = self.rank();
+        let (choice, share) = self.choose(rank, clock::now());
+        if let Some(rank) = rank {
+            self.record_share(rank, share, choice.as_ref().err());
+        }
+        choice.map_err(|refused| match refused {
+            PlacementChoice::Busy { retry_after } | PlacementChoice::Shed { retry_after } => {
+                RefusalCause::Busy(retry_after)
+            }
+            PlacementChoice::Target(_) | PlacementChoice::None => RefusalCause::NoTarget,
+        })
+    }
+
+    /// The chosen target, or how the request is refused, and the refused share of its rank.
+    fn choose(
+        &self,
+        rank: Option<RequestRank>,
+        now: TimeStamp,
+    ) -> (Result<TryTarget, PlacementChoice>, f64) {
         let route = self.route();
         let customer_regions = self.customer_regions();
         let object = self.metadata.object.as_ref().filter(|_| route.has_affinity);
@@ -46,43 +64,83 @@
             object,
             is_bulk,
             regions: [&route.regions, customer_regions],
+            rank,
             tried: &self.tried,
-            max_wait: self.max_wait(table.cached_service_time(&self.routed.service), now),
+            max_wait: self.max_wait(&table, now),
             time_left: self.routed.deadline.since(now),
             cold: self.cold_limit(),
         };
         let choice = choose::choose(&mut table, &self.state.location(), &query, now);
-        match choice {
-            PlacementChoice::Target(key) => {
-                let visit = object.map(|object| ObjectVisit {
-                    object,
-                    is_preferred: table.is_preferred(key, OrderKey { object, is_bulk }),
-                });
-                let target = table.get(key).ok_or(RefusalCause::NoTarget)?;
-                let chosen = TryTarget {
-                    key,
-                    process: target.process(),
-                    id: target.entry.id.clone(),
-                    region: target.region.clone(),
-                    address: target.entry.address,
-                    wait: table.expected_wait(target, now),
-                    visit,
-                    started: now,
-                };
-                table.begin(key, now);
-                Ok(chosen)
-            }
-            PlacementChoice::Busy { retry_after } => Err(RefusalCause::Busy(retry_after)),
-            PlacementChoice::None => Err(RefusalCause::NoTarget),
-        }
+        let share = rank.map_or(0.0, |rank| table.refused_share(query.service, rank));
+        let PlacementChoice::Target(key) = choice else {
+            return (Err(choice), share);
+        };
+        let visit = object.map(|object| ObjectVisit {
+            object,
+            is_preferred: table.is_preferred(key, OrderKey { object, is_bulk }),
+        });
+        let Some(target) = table.get(key) else {
+            return (Err(PlacementChoice::None), share);
+        };
+        let chosen = TryTarget {
+            key,
+            process: target.process(),
+            id: target.entry.id.clone(),
+            region: target.region.clone(),
+            address: target.entry.address,
+            wait: table.expected_wait(target, now),
+            visit,
+            started: now,
+        };
+        table.begin(key, now);
+        (Ok(chosen), share)
+    }
+
+    /// The request's rank, `None` if requests for its service do not differ in priority.
+    fn rank(&self) -> Option<RequestRank> {
+        self.catalog.ranked_routes(&self.routed.service)?;
+        Some(RequestRank {
+            customer: self.catalog.customer_priority(self.routed.customer),
+            route: self.route().priority,
+        })
     }
 
-    /// How long the request may wait for a slot and still meet the route's target latency.
-    fn max_wait(&self, service_time: Duration, now: TimeStamp) -> Duration {
-        let latency = self.route().target_latency;
+    /// How long the request may wait for a slot: as long as its route's target latency can be met, and
+    /// no longer than is useful for requests of routes that are as urgent or more so.
+    fn max_wait(&self, table: &PlacementTable, now: TimeStamp) -> Duration {
         let spent = now.since(self.routed.started);
-        let left = latency.saturating_sub(spent).saturating_sub(service_time);
-        left.max(latency.mul_f64(MIN_WAIT_FRACTION))
+        let service_time = table.cached_service_time(&self.routed.service);
+        let own = rank::useful_wait(self.route().target_latency, spent, service_time);
+        rank::wait_limit(own, self.urgent_waits(table))
+    }
+
+    /// How long the request could have waited and still have been in time; where requests for its
+    /// service differ in priority, also without making requests that are as urgent or more so late.
+    pub(super) fn slack(&self, table: &PlacementTable) -> Duration {
+        if self.rank().is_some() {
+            let own = self.useful_wait(table, self.route());
+            return rank::wait_limit(own, self.urgent_waits(table));
+        }
+        let service_time = table.cached_service_time(&self.routed.service);
+        self.route().target_latency.saturating_sub(service_time)
+    }
+
+    /// The longest useful waits of requests of the other routes of the service that are as urgent or
+    /// more so; none if requests for it do not differ in priority.
+    fn urgent_waits(&self, table: &PlacementTable) -> impl Iterator<Item = Duration> {
+        let routes = self.catalog.ranked_routes(&self.routed.service);
+        let routes = routes.unwrap_or_default().iter();
+        let others = routes.filter(|key| **key != self.routed.route);
+        let others = others.map(|key| &self.catalog.routes[*key]);
+        let urgent = others.take_while(|route| route.priority <= self.route().priority);
+        urgent.map(|route| self.useful_wait(table, route))
+    }
+
+    /// How long a request of a route may wait on arrival and still meet the route's target latency.
+    fn useful_wait(&self, table: &PlacementTable, route: &CatalogRoute) -> Duration {
+        let hash = rendezvous::name_hash(route.name.as_bytes());
+        let work = rank::route_work(table, &self.routed.service, hash);
+        rank::useful_wait(route.target_latency, Duration::ZERO, work)
     }
 
     fn cold_limit(&self) -> ColdLimit {
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -1,7 +1,8 @@
 //! Prometheus metrics of a gateway: counters, a latency histogram and a gauge.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use std::time::Duration;
 
@@ -16,6 +17,10 @@
     pub requests: IntCounterVec,
     /// Requests sent to targets, by outcome.
     pub sends: IntCounterVec,
+    /// Requests refused for load where requests differ in priority, by service, rank and reason.
+    pub sheds: IntCounterVec,
+    /// Refused share of each rank of a service.
+    pub shed_share: GaugeVec,
     /// Calls to the store, by kind and outcome.
     pub store_calls: IntCounterVec,
     /// Look-ups, by outcome.
@@ -50,6 +55,14 @@
         };
         let requests = counter("requests_total", "Requests of callers.", &["outcome"])?;
         let sends = counter("sends_total", "Requests sent to targets.", &["outcome"])?;
+        let sheds = counter(
+            "sheds_total",
+            "Requests refused for load, by priorities of customer and route.",
+            &["service", "rank", "reason"],
+        )?;
+        let options = Opts::new("shed_share", "Refused share of the requests of a rank.");
+        let shed_share = GaugeVec::new(options, &["service", "rank"])?;
+        registry.register(Box::new(shed_share.clone()))?;
         let store_calls = counter(
             "store_calls_total",
             "Calls to the store.",
@@ -87,6 +100,8 @@
             registry,
             requests,
             sends,
+            sheds,
+            shed_share,
             store_calls,
             lookups,
             statements,
@@ -110,6 +125,17 @@
         self.sends.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request that was refused for load where requests differ in priority.
+    pub fn record_shed(&self, service: &str, rank: &str, reason: &str) {
+        self.sheds.with_label_values(&[service, rank, reason]).inc();
+    }
+
+    /// Sets the refused share of a rank of a service.
+    pub fn set_shed_share(&self, service: &str, rank: &str, share: f64) {
+        let gauge = self.shed_share.with_label_values(&[service, rank]);
+        gauge.set(share);
+    }
+
     /// Counts a request that was forwarded, on the side of the VM that sends it or of the one that
     /// helps.
     pub fn record_forward(&self, side: &str, outcome: &str) {
--- a/dahliawood-model/src/catalog/mod.rs
+++ b/dahliawood-model/src/catalog/mod.rs
@@ -3,6 +3,8 @@
 //!
 //! Targets are not part of the catalog: each registers itself, see [`TargetEntry`].
 
+mod ranked;
+
 use crate::FastMap;
 use crate::keys::{CustomerKey, EntityArena, RouteKey};
 use crate::stamp::TimeStamp;
@@ -137,26 +139,47 @@
     pub keys: FastMap<String, CustomerKey>,
     /// Limits on callers' requests and connections.
     pub limits: CallerLimits,
+    /// Services whose requests differ in priority, with their routes in order of priority.
+    ranked_services: FastMap<String, Vec<RouteKey>>,
+    /// Priority of the most preferred customers.
+    highest_priority: u32,
     /// Routes of each host, longest prefix first.
     hosts: FastMap<String, Vec<RouteKey>>,
 }
 
 impl FleetCatalog {
-    /// Adds a route; call [`FleetCatalog::index`] once all routes have been added.
+    /// Adds a route; call [`FleetCatalog::index`] once all routes and customers have been added.
     pub fn push_route(&mut self, route: CatalogRoute) {
         let host = route.host.clone();
         let key = self.routes.push(route);
         self.hosts.entry(host).or_default().push(key);
     }
 
-    /// Sorts the routes of each host by descending prefix length, as look-ups require.
+    /// Sorts the routes of each host by descending prefix length, as look-ups require, and finds the
+    /// services whose requests differ in priority.
     pub fn index(&mut self) {
+        self.ranked_services = ranked::ranked_services(&self.routes, &self.customers);
+        let priorities = self.customers.values().map(|customer| customer.priority);
+        self.highest_priority = priorities.min().unwrap_or_default();
         let routes = &self.routes;
         for keys in self.hosts.values_mut() {
             keys.sort_by_key(|key| std::cmp::Reverse(routes[*key].prefix.len()));
         }
     }
 
+    /// The routes of a service in order of priority, 0 first; `None` if neither its routes nor the
+    /// customers differ in priority.
+    pub fn ranked_routes(&self, service: &str) -> Option<&[RouteKey]> {
+        self.ranked_services.get(service).map(Vec::as_slice)
+    }
+
+    /// The priority of a customer. A request without one ranks with the most preferred customers, so
+    /// that only its route tells it from others.
+    pub fn customer_priority(&self, customer: Option<CustomerKey>) -> u32 {
+        let own = customer.and_then(|key| self.customers.get(key));
+        own.map_or(self.highest_priority, |customer| customer.priority)
+    }
+
     /// The route on `host` with the longest prefix of `path`. A port in `host` is ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<RouteKey> {
         let name = host.split(':').next().unwrap_or_default();
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::placement::balance;
 use crate::placement::choose::candidate::Candidate;
+use crate::placement::rank::RequestRank;
 use crate::placement::ranking::{self, OrderKey, TargetOrder};
 use crate::placement::sharers::LimitSharers;
 use crate::placement::spillover::SpilloverLevel;
@@ -61,6 +62,8 @@
     pub is_bulk: bool,
     /// Regions that the route and the customer allow; an empty list allows all.
     pub regions: [&'a [String]; 2],
+    /// Its rank, `None` where requests for the service do not differ in priority.
+    pub rank: Option<RequestRank>,
     /// Targets that were already tried.
     pub tried: &'a [TargetKey],
     /// Maximum time that it may wait for a slot.
@@ -81,6 +84,11 @@
         /// When a slot may be free.
         retry_after: Duration,
     },
+    /// The request is refused to shorten the queues of all targets.
+    Shed {
+        /// When a request like this is expected to be admitted.
+        retry_after: Duration,
+    },
     /// No usable target may serve the request.
     None,
 }
@@ -96,7 +104,7 @@
     now: TimeStamp,
 ) -> PlacementChoice {
     if query.tried.is_empty()
-        && let Some(refusal) = refusal::shed(table, query.service, now)
+        && let Some(refusal) = refusal::shed(table, query, now)
     {
         return refusal;
     }
@@ -137,6 +145,7 @@
     }
     let dispatch = |table: &mut PlacementTable, key, is_remote| {
         table.reserve(key, location, now);
+        refusal::record_room(table, query, true);
         select(table, query.service, key, is_remote)
     };
     if !is_remote && let Some(key) = local {
@@ -157,7 +166,7 @@
     if sides.is_empty() {
         return refusal::refuse_until_open(table, location, query, now);
     }
-    refusal::refuse(sides.all(), query.max_wait)
+    refusal::refuse(table, query, sides.all())
 }
 
 /// Candidates of this region, and of each other region.
--- a/dahliawood-steer/src/placement/choose/refusal/mod.rs
+++ b/dahliawood-steer/src/placement/choose/refusal/mod.rs
@@ -2,7 +2,9 @@
 
 use crate::placement::choose::candidate::Candidate;
 use crate::placement::choose::{self, PlacementChoice, PlacementQuery, VmLocation};
+use crate::placement::rank::{self, RequestRank};
 use crate::placement::record::TargetRecord;
+use crate::placement::shedding::by_rank::RankShares;
 use crate::placement::table::PlacementTable;
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
@@ -11,11 +13,38 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Retry delay told to a caller that is refused to shorten queues.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delays are longer by up to this fraction, at random.
+const RETRY_SPREAD: f64 = 0.5;
+/// Callers return within this fraction (a third) of the time that they have left.
+const USEFUL_FRACTION: u32 = 3;
 /// Longest retry delay told to a caller because targets are at the limits that they state.
 const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The refusal of a request that shortens the queues of its service's targets, `None` if it is admitted.
 pub(super) fn shed(
+    table: &mut PlacementTable,
+    query: &PlacementQuery<'_>,
+    now: TimeStamp,
+) -> Option<PlacementChoice> {
+    let Some(rank) = query.rank else {
+        return shed_evenly(table, query.service, now);
+    };
+    let work = rank::route_work(table, query.service, 0);
+    let pool = table.services.get_mut(query.service)?;
+    if let Some(gap) = pool.rank_shares.idle_gap(now) {
+        let kept = pool.shed_share.resume(gap, now);
+        pool.rank_shares.resume(kept);
+    }
+    pool.shed_share.advance(now);
+    pool.rank_shares.record_arrival(rank, work, now);
+    pool.rank_shares.advance(pool.shed_share.share(), now);
+    let is_refused = pool.rank_shares.take_refusal(rank);
+    is_refused.then(|| PlacementChoice::Shed {
+        retry_after: ranked_delay(&pool.rank_shares, rank, MIN_RETRY_AFTER, query.time_left),
+    })
+}
+
+fn shed_evenly(
     table: &mut PlacementTable,
     service: &str,
     now: TimeStamp,
@@ -23,24 +52,52 @@
     let pool = table.services.get_mut(service)?;
     pool.shed_share.advance(now);
     let is_refused = pool.shed_share.take_refusal();
-    is_refused.then_some(PlacementChoice::Busy {
+    is_refused.then_some(PlacementChoice::Shed {
         retry_after: SHED_RETRY_AFTER,
     })
 }
 
 /// The refusal where no candidate starts the request in time.
 pub(super) fn refuse<'a>(
+    table: &mut PlacementTable,
+    query: &PlacementQuery<'_>,
     all: impl Iterator<Item = &'a Candidate>,
-    max_wait: Duration,
 ) -> PlacementChoice {
-    match all.map(|candidate| candidate.wait).min() {
-        None => PlacementChoice::None,
-        Some(wait) => PlacementChoice::Busy {
-            retry_after: wait.saturating_sub(max_wait).max(MIN_RETRY_AFTER),
-        },
+    let Some(wait) = all.map(|candidate| candidate.wait).min() else {
+        return PlacementChoice::None;
+    };
+    record_room(table, query, false);
+    let room = wait.saturating_sub(query.max_wait).max(MIN_RETRY_AFTER);
+    let pool = table.services.get(query.service);
+    let retry_after = match (query.rank, pool) {
+        (Some(rank), Some(pool)) => ranked_delay(&pool.rank_shares, rank, room, query.time_left),
+        _ => room,
+    };
+    PlacementChoice::Busy { retry_after }
+}
+
+/// Records whether a request found a target with room, where requests differ in priority.
+pub(super) fn record_room(table: &mut PlacementTable, query: &PlacementQuery<'_>, has_room: bool) {
+    let pool = table.services.get_mut(query.service);
+    if let (Some(rank), Some(pool), true) = (query.rank, pool, query.tried.is_empty()) {
+        pool.rank_shares.record_room(rank, has_room);
     }
 }
 
+/// When a refused request of a rank is expected to be admitted: once its rank is and there is room,
+/// after requests that are more urgent. It is spread, so that refused callers do not return together.
+fn ranked_delay(
+    shares: &RankShares,
+    rank: RequestRank,
+    room: Duration,
+    time_left: Duration,
+) -> Duration {
+    let admitted = shares.time_until_admitted(rank).max(room);
+    let spread = 1.0 + RETRY_SPREAD * rand::random::<f64>();
+    let delay = admitted.mul_f64((1.0 + shares.urgent_part(rank)) * spread);
+    delay.min(time_left / USEFUL_FRACTION)
+}
+
 /// The refusal where no target is usable: until the first target that asked for a pause, or states a
 /// limit, may get a request again. A target at its limit may take the request from another VM.
 pub(super) fn refuse_until_open(
--- a/dahliawood-steer/src/placement/mod.rs
+++ b/dahliawood-steer/src/placement/mod.rs
@@ -14,6 +14,7 @@
 pub mod choose;
 pub mod cold;
 pub mod load;
+pub mod rank;
 pub mod ranking;
 pub mod record;
 pub mod sharers;
--- a/dahliawood-steer/src/placement/shedding/mod.rs
+++ b/dahliawood-steer/src/placement/shedding/mod.rs
@@ -6,6 +6,8 @@
 //! queue is known too late; a controller therefore adjusts the share in small steps by the queueing
 //! delay that answers report, as active queue management does (PIE, RFC 8033).
 
+pub mod by_rank;
+
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
 
@@ -82,6 +84,16 @@
         self.stepped_at = now;
     }
 
+    /// Decays the share over a gap in which this VM was idle or paused, and returns by which factor.
+    /// Answers from before say nothing of the queues after it.
+    pub fn resume(&mut self, gap: Duration, now: TimeStamp) -> f64 {
+        let kept = IDLE_DECAY.powf(gap.as_secs_f64());
+        self.share *= kept;
+        (self.delay_sum, self.answers) = (0.0, 0);
+        self.stepped_at = now;
+        kept
+    }
+
     fn step(&mut self, elapsed: Duration) {
         let delay = self.delay_sum / f64::from(self.answers);
         let excess = delay - TARGET_DELAY;
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -6,9 +6,11 @@
 use crate::placement::choose::VmLocation;
 use crate::placement::cold::{ColdUsage, ColdWindow};
 use crate::placement::load::LoadEstimate;
+use crate::placement::rank::RequestRank;
 use crate::placement::ranking::{KeptOrders, OrderKey};
 use crate::placement::record::{self, TargetRecord};
 use crate::placement::shedding::ShedShare;
+use crate::placement::shedding::by_rank::RankShares;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::statement::{ProcessStatements, StatementMemory};
 use crate::rendezvous;
@@ -43,6 +45,8 @@
     pub kept_orders: KeptOrders,
     /// Share of requests that are refused because queues are too long.
     pub shed_share: ShedShare,
+    /// Part of that share by rank, where requests differ in priority.
+    pub rank_shares: RankShares,
 }
 
 impl Default for ServicePool {
@@ -55,6 +59,7 @@
             cached_objects: CachedObjects::default(),
             kept_orders: KeptOrders::default(),
             shed_share: ShedShare::default(),
+            rank_shares: RankShares::default(),
         }
     }
 }
@@ -265,6 +270,12 @@
         pool.map_or(average, |pool| pool.service_times.cached(average))
     }
 
+    /// The share of a rank's requests that is refused to shorten queues.
+    pub fn refused_share(&self, service: &str, rank: RequestRank) -> f64 {
+        let pool = self.services.get(service);
+        pool.map_or(0.0, |pool| pool.rank_shares.share(rank))
+    }
+
     /// Counts a request that is about to be sent within the limit that its target states.
     pub fn reserve(&mut self, key: TargetKey, location: &VmLocation, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -12,6 +12,8 @@
 mod object_load;
 mod placement;
 mod queue;
+mod rank_load;
+mod rank_shares;
 mod shedding;
 mod split;
 mod unannounced_cold;
--- a/dahliawood-steer/tests/main/object_load.rs
+++ b/dahliawood-steer/tests/main/object_load.rs
@@ -179,6 +179,7 @@
             object: Some(*object),
             is_bulk: false,
             regions: [&[], &[]],
+            rank: None,
             tried: &[],
             max_wait: AIM
                 .saturating_sub(table.cached_service_time(SERVICE))
--- a/dahliawood-steer/tests/main/placement/mod.rs
+++ b/dahliawood-steer/tests/main/placement/mod.rs
@@ -3,7 +3,7 @@
 mod cold;
 mod lifecycle;
 mod region;
-pub mod support;
+pub(crate) mod support;
 
 use crate::fleet;
 use crate::placement::support::{
--- a/dahliawood-steer/tests/main/placement/support.rs
+++ b/dahliawood-steer/tests/main/placement/support.rs
@@ -76,6 +76,7 @@
         object: Some(object),
         is_bulk: false,
         regions: [&[], &[]],
+        rank: None,
         tried: &[],
         max_wait: Duration::from_millis(100),
         time_left: Duration::from_secs(2),
