--- a/dahliawood-gateway/src/forward/attempt/mod.rs
+++ b/dahliawood-gateway/src/forward/attempt/mod.rs
@@ -34,11 +34,7 @@
     /// Sends the request to a target.
     pub(super) async fn attempt(&self, target: &TryTarget) -> Result<TargetResponse, CallFailure> {
         let now = clock::now();
-        let route_hash = self.route_hash();
-        let work =
-            self.state
-                .placement()
-                .expected_cached_work(&self.routed.service, route_hash, now);
+        let slack = self.slack(&self.state.placement(), now);
         let mut guard = TryGuard {
             state: self.state,
             key: target.key,
@@ -49,9 +45,9 @@
                 report: None,
                 expected_wait: target.wait,
                 connect_time: None,
-                route: route_hash,
+                route: self.route_hash(),
                 visit: target.visit,
-                slack: self.route().target_latency.saturating_sub(work),
+                slack,
             },
         };
         let left = self.routed.deadline.since(now);
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -6,14 +6,16 @@
 use crate::placement::choose::VmLocation;
 use crate::placement::cold::{ColdUsage, ColdWindow};
 use crate::placement::load::LoadEstimate;
+use crate::placement::rank::RequestRank;
 use crate::placement::ranking::{KeptOrders, OrderKey};
 use crate::placement::record::{self, TargetRecord};
 use crate::placement::shedding::ShedShare;
+use crate::placement::shedding::by_rank::RankShares;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::statement::{ProcessStatements, StatementMemory};
-use crate::region;
 use crate::placement::work::links::LinkTimes;
 use crate::placement::work::{self, VisitKind, WorkSample, WorkTable};
+use crate::region;
 use crate::rendezvous;
 use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
@@ -48,6 +50,8 @@
     pub shed_share: ShedShare,
     /// Work of each route.
     pub work: WorkTable,
+    /// Part of that share by rank, where requests differ in priority.
+    pub rank_shares: RankShares,
 }
 
 impl Default for ServicePool {
@@ -61,6 +65,7 @@
             kept_orders: KeptOrders::default(),
             shed_share: ShedShare::default(),
             work: WorkTable::default(),
+            rank_shares: RankShares::default(),
         }
     }
 }
@@ -312,6 +317,12 @@
         self.links.round_trip(&target.entry.domain)
     }
 
+    /// The share of a rank's requests that is refused to shorten queues.
+    pub fn refused_share(&self, service: &str, rank: RequestRank) -> f64 {
+        let pool = self.services.get(service);
+        pool.map_or(0.0, |pool| pool.rank_shares.share(rank))
+    }
+
     /// Counts a request that is about to be sent within the limit that its target states.
     pub fn reserve(&mut self, key: TargetKey, location: &VmLocation, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
