feat(steer): loads of targets shared among VMs

Cause: a VM receives a response from a given target about once a second; a quarter of all requests sent to targets were refused there because the queue was full. LoadEstimate takes over a newer report of another VM and adds the requests that this VM sent since.

--- a/dahliawood-steer/src/placement/load/mod.rs
+++ b/dahliawood-steer/src/placement/load/mod.rs
@@ -11,10 +11,41 @@
 /// After this long without an answer, the average of the whole service is used instead.
 const AVERAGE_EXPIRY: Duration = Duration::from_secs(3);
 
+/// Sends whose times are kept for each target, a few times more than a VM has in flight there.
+const KEPT_SENDS: usize = 8;
+
+/// How long a load report may be used in a service with an average service time.
+pub fn report_validity(service_average: Duration) -> Duration {
+    service_average.mul_f64(REPORT_VALIDITY)
+}
+
+/// The times of the latest requests that were sent to a target.
+#[derive(Clone, Copy, Debug, Default)]
+struct RecentSends {
+    times: [TimeStamp; KEPT_SENDS],
+    next: usize,
+}
+
+impl RecentSends {
+    fn record(&mut self, now: TimeStamp) {
+        self.times[self.next] = now;
+        self.next = (self.next + 1) % KEPT_SENDS;
+    }
+
+    /// Number of requests sent after a time, `None` if there may be more than are kept.
+    fn after(&self, time: TimeStamp) -> Option<u32> {
+        let count = self.times.iter().filter(|sent| **sent > time).count();
+        (count < KEPT_SENDS).then_some(count as u32)
+    }
+}
+
 /// Load of one target as this VM estimates it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadEstimate {
     report: Option<TargetLoad>,
+    /// Whether another VM has received the report.
+    is_adopted: bool,
+    recent_sends: RecentSends,
     /// Requests of this VM that are in flight at the target.
     pub in_flight: u32,
     sent_since_report: u32,
@@ -24,7 +55,8 @@
 
 impl LoadEstimate {
     /// Records that a request is sent.
-    pub fn begin(&mut self) {
+    pub fn begin(&mut self, now: TimeStamp) {
+        self.recent_sends.record(now);
         self.in_flight += 1;
         self.sent_since_report += 1;
     }
@@ -39,9 +71,35 @@
     /// Records a load report that came with an answer.
     pub fn record_report(&mut self, load: TargetLoad) {
         self.report = Some(load);
+        self.is_adopted = false;
         self.sent_since_report = 0;
     }
 
+    /// Takes over a report that another VM has received, if it is newer than the known one; the
+    /// requests that this VM sent since are added to it. Returns whether it is newer.
+    pub fn adopt_report(&mut self, load: TargetLoad) -> bool {
+        let known = self.report;
+        if known.is_some_and(|known| known.received_at >= load.received_at) {
+            return false;
+        }
+        self.report = Some(load);
+        self.is_adopted = true;
+        if let Some(sent) = self.recent_sends.after(load.received_at) {
+            self.sent_since_report = self.sent_since_report.min(sent);
+        }
+        true
+    }
+
+    /// Whether any load report is known, however old.
+    pub fn has_report(&self) -> bool {
+        self.report.is_some()
+    }
+
+    /// The last load report, if it came with a response to this VM.
+    pub fn own_report(&self) -> Option<TargetLoad> {
+        self.report.filter(|_| !self.is_adopted)
+    }
+
     /// Records the latency of an answer.
     pub fn record_latency(&mut self, latency: Duration, now: TimeStamp) {
         self.last_answer = now;
--- a/dahliawood-steer/src/placement/mod.rs
+++ b/dahliawood-steer/src/placement/mod.rs
@@ -13,6 +13,7 @@
 pub mod cached;
 pub mod choose;
 pub mod cold;
+pub mod exchange;
 pub mod load;
 pub mod ranking;
 pub mod record;
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -276,7 +276,7 @@
     /// Records that a request is sent.
     pub fn begin(&mut self, key: TargetKey, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
-            target.load.begin();
+            target.load.begin(now);
             target.cold_window.record(now);
             if now < target.cold_until {
                 target.cold_usage.record(&target.cold_window);
@@ -284,6 +284,12 @@
         }
     }
 
+    /// Takes over a load that another VM has seen; returns whether it is newer than what is known.
+    pub fn adopt_load(&mut self, key: TargetKey, load: TargetLoad) -> bool {
+        let target = self.targets.get_mut(&key);
+        target.is_some_and(|target| target.load.adopt_report(load))
+    }
+
     /// Records that a request, for which the target was chosen at `chosen_at`, is written now.
     pub fn record_written(&mut self, key: TargetKey, chosen_at: TimeStamp, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key)
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -5,6 +5,7 @@
 mod cold_fleet;
 mod cut_fleet;
 mod drain;
+mod exchange;
 mod faults;
 mod fleet;
 mod limited_fleet;
