feat(gateway): VMs of a region share the loads of targets

Cause: a VM learned the queue of a target from its own responses only. Change: GatewayPeer.loads, with entries of 16 bytes; control::loads calls the collector of the region, and the collector those of the other regions, where a region has 12 VMs or more and targets report loads. A collector that fails is skipped for 3 s, an older build, which answers "unimplemented", for 30 s. Metrics loads_total and load_calls_total, event load-collector.

--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod apply;
 pub mod follow;
+pub mod loads;
 pub mod peers;
 pub mod register;
 pub mod relay;
@@ -54,6 +55,8 @@
     pub changed: RefCell<(Sender<()>, Receiver<()>)>,
     /// Connections to other VMs.
     pub peers: peers::PeerTable,
+    /// Loads of targets that are shared with other VMs.
+    pub loads: loads::LoadExchange,
     /// This VM's incarnation: different for each start of the process.
     pub incarnation: u64,
     /// When the process was started.
@@ -90,10 +93,12 @@
 }
 
 async fn run(options: ControlOptions) {
-    let incarnation = rand::random();
+    let incarnation = rand::random_range(1..=u64::MAX);
     let window = options.shared.settings.bounds.quota_window;
     let view = KeyspaceView::new(apply::is_leased).with_order(options.shared.codec.is_older);
+    let loads = loads::LoadExchange::new(&options.shared.settings.name, incarnation);
     let state = Rc::new(ControlState {
+        loads,
         shared: options.shared,
         store: options.store,
         view: RefCell::new(view),
@@ -117,6 +122,8 @@
         task::spawn_local(shares::run(Rc::clone(&state))),
         task::spawn_local(relay::run(Rc::clone(&state))),
         task::spawn_local(sightings::run(Rc::clone(&state))),
+        task::spawn_local(loads::run(Rc::clone(&state))),
+        task::spawn_local(loads::run_regions(Rc::clone(&state))),
         task::spawn_local(follow::run(Rc::clone(&state))),
         task::spawn_local(register::run(Rc::clone(&state))),
         task::spawn_local(tick::run(state)),
--- a/dahliawood-gateway/src/control/peers/mod.rs
+++ b/dahliawood-gateway/src/control/peers/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, shares, sightings, upstream};
+use crate::control::{ControlState, loads, shares, sightings, upstream};
 use async_std::net::TcpListener;
 use dahliawood_model::FastMap;
 use dahliawood_peer::client::CallOptions;
@@ -61,10 +61,11 @@
 /// Serves the calls of other VMs until the listener fails.
 pub async fn serve(state: Rc<ControlState>, listener: TcpListener) {
     let (share_state, keyspace_state) = (Rc::clone(&state), Rc::clone(&state));
-    let sighting_state = Rc::clone(&state);
+    let (sighting_state, load_state) = (Rc::clone(&state), Rc::clone(&state));
     let handlers = GatewayHandlers {
         shares: Box::new(move |report| shares::handle_report(&share_state, report)),
         sightings: Box::new(move |is_new, told| sightings::handle(&sighting_state, is_new, told)),
+        loads: Box::new(move |request| loads::handle(&load_state, request)),
         keyspace: Box::new(move |above| keyspace(&keyspace_state, above)),
         changes: Box::new(move |after, wait| {
             Box::pin(upstream::changes(Rc::clone(&state), after, wait))
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -30,6 +30,10 @@
     pub cut_off: IntGauge,
     /// What other VMs said of targets and this VM's own connections contradict.
     pub contradictions: IntCounter,
+    /// Loads of targets that were told to other VMs, taken over from them, or ignored, by outcome.
+    pub loads: IntCounterVec,
+    /// Calls to the VMs that collect loads, by outcome.
+    pub load_calls: IntCounterVec,
     /// Time from the head of a request to its response, seconds.
     pub latency: Histogram,
     /// Number of requests being served.
@@ -78,6 +82,16 @@
             "What other VMs said of targets and this VM's connections contradict.",
         )?;
         registry.register(Box::new(contradictions.clone()))?;
+        let loads = counter(
+            "loads_total",
+            "Loads of targets exchanged with other VMs: sent, adopted, or ignored by reason.",
+            &["outcome"],
+        )?;
+        let load_calls = counter(
+            "load_calls_total",
+            "Calls to the VMs that collect loads.",
+            &["outcome"],
+        )?;
         let options = HistogramOpts::new("request_seconds", "From a request to its answer.");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -94,6 +108,8 @@
             forwards,
             cut_off,
             contradictions,
+            loads,
+            load_calls,
             latency,
             in_flight,
         })
@@ -116,6 +132,17 @@
         self.forwards.with_label_values(&[side, outcome]).inc();
     }
 
+    /// Counts loads of targets that were told to other VMs, taken over or ignored.
+    pub fn record_loads(&self, outcome: &str, count: usize) {
+        let counter = self.loads.with_label_values(&[outcome]);
+        counter.inc_by(count as u64);
+    }
+
+    /// Counts a call to a VM that collects loads.
+    pub fn record_load_call(&self, outcome: &str) {
+        self.load_calls.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a call to the store.
     pub fn record_store_call(&self, call: &str, is_answered: bool) {
         let outcome = if is_answered { "answered" } else { "failed" };
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -175,6 +175,19 @@
   processGone @2;
 }
 
+# The load that a target reported to some VM. 16 bytes: hundreds of them pass in a call.
+struct LoadEntry {
+  # Hash of the target's process.
+  process @0 :UInt64;
+  running @1 :UInt8;
+  slots @2 :UInt8;
+  waiting @3 :UInt16;
+  # How long ago the report was made, at the latest, when this was sent; milliseconds.
+  ageMs @4 :UInt16;
+  # How long work takes at the target, in hundredths of the usual time; 0 if it did not say.
+  pace @5 :UInt16;
+}
+
 interface GatewayPeer {
   # Reports what the caller needs and returns the shares that it may use from now on; a caller that
   # is leaving no longer uses any. `isHead` tells whether the callee is the coordinator. `life` is
@@ -192,6 +205,15 @@
   # Tells the callee what the caller has seen or heard lately, and returns the same of the callee; all
   # that it remembers of crashes if the caller `isNew`, that is, has just started.
   sightings @3 (isNew :Bool, entries :List(Sighting)) -> (entries :List(Sighting));
+  # Tells a collector the loads that the caller has seen lately, and returns those that the collector
+  # has learned since position `after` of its log. `caller` is the hash of the caller's name;
+  # `isCollector` tells that the caller collects for another region, which gets no entries in return.
+  # `life` is the callee's incarnation: in the request the one to which `after` and `clock` belong, 0
+  # if there is none. `clock` is a reading of the callee's clock, in microseconds: in the request the
+  # one of its last response plus the time since that arrived, so that the callee knows for how long
+  # the request was under way. `isServing` tells whether the callee collects; if not, the rest is
+  # empty.
+  loads @4 (caller :UInt64, isCollector :Bool, life :UInt64, after :UInt64, clock :UInt64, entries :List(LoadEntry)) -> (isServing :Bool, life :UInt64, next :UInt64, clock :UInt64, entries :List(LoadEntry));
 }
 
 struct HeaderField {
--- a/dahliawood-peer/src/client/error/mod.rs
+++ b/dahliawood-peer/src/client/error/mod.rs
@@ -26,3 +26,10 @@
     #[snafu(display("no response within the deadline"))]
     Deadline,
 }
+
+impl CallError {
+    /// Whether the build of the other VM does not have the call; the connection remains usable.
+    pub fn is_unimplemented(&self) -> bool {
+        matches!(self, Self::Call { source } if source.kind == capnp::ErrorKind::Unimplemented)
+    }
+}
--- a/dahliawood-peer/src/gateway/client/mod.rs
+++ b/dahliawood-peer/src/gateway/client/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::client::error::{CallError, CallSnafu};
 use crate::client::{CallOptions, PeerConnection};
+use crate::gateway::loads::{LoadsRequest, LoadsResponse};
 use crate::gateway::message::{
     self, ChangesResponse, KeyspaceChanges, KeyspaceSnapshot, ShareReport, ShareResponse,
     SightingMessage,
@@ -127,4 +128,19 @@
         let list = results.get_entries().context(CallSnafu)?;
         message::read_sightings(list).context(CallSnafu)
     }
+
+    /// Tells a collector the loads that this VM has seen, and returns what the collector has learned.
+    ///
+    /// # Errors
+    /// Fails if the call fails or no response arrives within the deadline.
+    pub async fn loads(&self, told: &LoadsRequest) -> Result<LoadsResponse, CallError> {
+        let mut request = self.client.loads_request();
+        told.write(request.get()).context(CallSnafu)?;
+        let response = self
+            .connection
+            .with_deadline(request.send().promise)
+            .await?;
+        let results = response.get().context(CallSnafu)?;
+        LoadsResponse::read(results).context(CallSnafu)
+    }
 }
--- a/dahliawood-peer/src/gateway/mod.rs
+++ b/dahliawood-peer/src/gateway/mod.rs
@@ -1,5 +1,7 @@
-//! Calls between gateways: shares of customers' limits, and relayed copies of the key space.
+//! Calls between gateways: shares of customers' limits, relayed copies of the key space, sightings
+//! of crashes, and loads of targets.
 
 pub mod client;
+pub mod loads;
 pub mod message;
 pub mod server;
--- a/dahliawood-peer/src/gateway/server/mod.rs
+++ b/dahliawood-peer/src/gateway/server/mod.rs
@@ -1,5 +1,6 @@
 //! RPC server for the calls of other gateways; dispatches each call to a closure.
 
+use crate::gateway::loads::{LoadsRequest, LoadsResponse};
 use crate::gateway::message::{
     self, ChangesResponse, KeyspaceSnapshot, ShareReport, ShareResponse, SightingMessage,
 };
@@ -22,6 +23,8 @@
     pub changes: Box<dyn Fn(u64, Duration) -> LocalBoxFuture<'static, ChangesResponse>>,
     /// Takes what the caller, which may be new, has seen, and returns what this VM has.
     pub sightings: Box<SightingHandler>,
+    /// Takes the loads that the caller has seen, and returns what this VM has learned.
+    pub loads: Box<dyn Fn(&LoadsRequest) -> LoadsResponse>,
 }
 
 impl gateway_peer::Server for GatewayHandlers {
@@ -94,6 +97,16 @@
         message::write_sightings(&known, results.get().init_entries(count));
         Ok(())
     }
+
+    async fn loads(
+        self: Rc<Self>,
+        params: gateway_peer::LoadsParams,
+        mut results: gateway_peer::LoadsResults,
+    ) -> capnp::Result<()> {
+        let request = LoadsRequest::read(params.get()?)?;
+        let response = (self.loads)(&request);
+        response.write(results.get())
+    }
 }
 
 /// Serves calls on `listener` until accepting fails; runs on the current thread.
