--- a/dahliawood-testkit/examples/measure/help/mod.rs
+++ b/dahliawood-testkit/examples/measure/help/mod.rs
@@ -5,7 +5,8 @@
 //! store and the caller; the difference of the two phases is the cost of the other VM's part. A proxy
 //! between the VMs counts bytes.
 
-use async_std::net::{TcpListener, TcpStream};
+use crate::proxy;
+use async_std::net::TcpStream;
 use async_std::task;
 use dahliawood_gateway::run;
 use dahliawood_gateway::settings::{FleetBounds, GatewaySettings};
@@ -18,7 +19,7 @@
 use dahliawood_wire::raw::fields::FieldList;
 use dahliawood_wire::raw::reader::ConnectionReader;
 use dahliawood_wire::raw::write;
-use futures::io::{AsyncReadExt, AsyncWriteExt};
+use futures::io::AsyncWriteExt;
 use rustix::time::{ClockId, clock_gettime};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -81,32 +82,6 @@
     }
 }
 
-/// A proxy that counts the bytes of both directions.
-async fn counting_proxy(server: SocketAddr) -> (SocketAddr, Arc<AtomicU64>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
-    let address = listener.local_addr().expect("a bound socket");
-    let count = Arc::new(AtomicU64::new(0));
-    let counted = Arc::clone(&count);
-    task::spawn(async move {
-        while let Ok((client, _)) = listener.accept().await {
-            let server = TcpStream::connect(server).await.expect("loopback");
-            task::spawn(relay(client.clone(), server.clone(), Arc::clone(&counted)));
-            task::spawn(relay(server, client, Arc::clone(&counted)));
-        }
-    });
-    (address, count)
-}
-
-async fn relay(mut from: TcpStream, mut to: TcpStream, count: Arc<AtomicU64>) {
-    let mut bytes = vec![0; 64 * 1024];
-    while let Ok(read) = from.read(&mut bytes).await {
-        count.fetch_add(read as u64, Ordering::Relaxed);
-        if read == 0 || to.write_all(&bytes[..read]).await.is_err() {
-            return;
-        }
-    }
-}
-
 struct MeasuredFleet {
     front: SocketAddr,
     state: SharedState,
@@ -137,7 +112,7 @@
     let document = operator_config::document(1, &routes, &[], &["service"]);
     store.put("op/config", &document);
     let helper = start_gateway("vm-1", store.address);
-    let (proxy, bytes) = counting_proxy(helper.settings.forward).await;
+    let (proxy, bytes) = proxy::start(helper.settings.forward).await;
     substitutes.push((helper.settings.forward.to_string(), proxy.to_string()));
     vm_store.set_substitutes(substitutes);
     let state = start_gateway("vm-2", vm_store.address);
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -11,8 +11,10 @@
 mod forward;
 mod help;
 mod links;
+mod loads;
 mod lookup;
 mod membership;
+mod proxy;
 mod quota;
 mod shift;
 mod silent;
@@ -48,6 +50,7 @@
     ("forward", forward::run),
     ("help", help::run),
     ("links", links::measure),
+    ("loads", loads::run),
     ("lookup", lookup::run),
     ("membership", membership::run),
     ("quota", quota::measure),
