--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -6,6 +6,7 @@
 mod cut_fleet;
 mod delegation;
 mod drain;
+mod exchange;
 mod faults;
 mod fleet;
 mod limited_fleet;
