feat(steer): a region with few slots places its objects by capacity

Cause: with a tenth of the slots and a third of the callers, the first region's targets had 1.3 to 1.7 requests a slot where others had 0.45. The level followed counts and small steps; objects wandered over six targets, which had them cached for 0.2 to 0.6 of the requests, and what found no slot was refused beyond 0.03 of the requests.

Change: shares of all regions, moved towards equal utilization in bounded steps; hot objects are divided among the regions request by request; a retry after a target that is gone asks another region first. Only where a region has less than half of an even share; a test compares the choices elsewhere with those of the previous decision.

--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -35,6 +35,17 @@
     vms: usize,
 }
 
+/// Log event for the share of a service's objects that run in other regions, in a region with few slots.
+#[derive(Serialize)]
+struct LevelEvent<'a> {
+    service: &'a str,
+    level: f64,
+    /// Why the level is as it is.
+    reason: &'a str,
+    /// Share of the objects in each region.
+    shares: &'a [(String, f64)],
+}
+
 /// Runs the periodic work until the task is cancelled.
 pub async fn run(state: Rc<ControlState>) {
     let mut ticks = 0_u32;
@@ -43,6 +54,7 @@
         let now = clock::now();
         apply::update_sharers(&state);
         balance::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
+        report_levels(&state);
         log_cold_usage(&state);
         check_targets(&state, now);
         let expired = state.view.borrow_mut().expire(now);
@@ -54,6 +66,26 @@
     }
 }
 
+/// Logs the levels that changed, and sets their metric.
+fn report_levels(state: &ControlState) {
+    let mut table = state.shared.placement();
+    for (service, pool) in &mut table.services {
+        let spillover = &mut pool.spillover;
+        let gauge = &state.shared.metrics.spillover_level;
+        gauge.with_label_values(&[service]).set(spillover.level());
+        let Some(change) = spillover.take_change() else {
+            continue;
+        };
+        let event = || LevelEvent {
+            service,
+            level: change.level,
+            reason: change.reason.name(),
+            shares: &change.shares,
+        };
+        state.shared.log.write(EventClass::State, "level", event);
+    }
+}
+
 /// Opens connections to targets whose processes were gone, to learn whether they are back.
 fn check_targets(state: &Rc<ControlState>, now: TimeStamp) {
     if !state.shared.reach().tracker.is_reachable() {
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -1,7 +1,8 @@
 //! Prometheus metrics of a gateway: counters, a latency histogram and a gauge.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
     pub cut_off: IntGauge,
     /// What other VMs said of targets and this VM's own connections contradict.
     pub contradictions: IntCounter,
+    /// Share of a service's objects that run in other regions, by service.
+    pub spillover_level: GaugeVec,
     /// Time from the head of a request to its response, seconds.
     pub latency: Histogram,
     /// Number of requests being served.
@@ -78,6 +81,12 @@
             "What other VMs said of targets and this VM's connections contradict.",
         )?;
         registry.register(Box::new(contradictions.clone()))?;
+        let options = Opts::new(
+            "spillover_level",
+            "Share of a service's objects that run in other regions.",
+        );
+        let spillover_level = GaugeVec::new(options, &["service"])?;
+        registry.register(Box::new(spillover_level.clone()))?;
         let options = HistogramOpts::new("request_seconds", "From a request to its answer.");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -94,6 +103,7 @@
             forwards,
             cut_off,
             contradictions,
+            spillover_level,
             latency,
             in_flight,
         })
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -2,9 +2,11 @@
 
 mod candidate;
 mod refusal;
+mod side;
 
 use crate::placement::balance;
 use crate::placement::choose::candidate::Candidate;
+use crate::placement::choose::side::SideTargets;
 use crate::placement::ranking::{self, OrderKey, TargetOrder};
 use crate::placement::sharers::LimitSharers;
 use crate::placement::spillover::SpilloverLevel;
@@ -101,7 +103,9 @@
         return refusal;
     }
     let object = query.object.unwrap_or_else(rand::random);
-    balance::init_spillover(table, location, query);
+    balance::init_spillover(table, location, query, now);
+    let position = spillover_mut(table, query.service)
+        .map_or(object, |spillover| spillover.record_object(object));
     let order_key = OrderKey {
         object,
         is_bulk: query.is_bulk,
@@ -115,19 +119,19 @@
             order_key,
         )),
     };
-    let mut sides = Sides::new(table, location, query, &order, true, now);
+    let mut sides = Sides::new(table, location, query, &order, position, true, now);
     if sides.is_empty() {
         // None of the kept targets is usable; others may be. Slow ones are better than none.
         let order = ranking::whole_order(table, location, query.service, order_key);
         for skips_slow in [true, false] {
-            sides = Sides::new(table, location, query, &order, skips_slow, now);
+            sides = Sides::new(table, location, query, &order, position, skips_slow, now);
             if !sides.is_empty() {
                 break;
             }
         }
     }
     let level = spillover(table, query.service).map_or(0.0, SpilloverLevel::level);
-    let is_remote = spills_over(object, level) && allows(query, &location.region);
+    let is_remote = spills_over(position, level) && allows(query, &location.region);
     let has_local = !sides.local.is_empty();
     let local = candidate::best_in_time(&sides.local, query);
     if let Some(spillover) = spillover_mut(table, query.service)
@@ -135,24 +139,16 @@
     {
         spillover.record_request(has_local && local.is_none());
     }
-    let dispatch = |table: &mut PlacementTable, key, is_remote| {
-        table.reserve(key, location, now);
-        select(table, query.service, key, is_remote)
+    let targets = SideTargets {
+        is_remote,
+        has_local,
+        has_remote: sides.remote.iter().any(|list| !list.is_empty()),
+        local,
     };
-    if !is_remote && let Some(key) = local {
-        return dispatch(table, key, false);
-    }
-    let remote_key = sides.best_remote(query);
-    if let Some(key) = remote_key {
-        let may_run_remote = !has_local || (is_remote && allows_side(table, query.service, true));
-        if may_run_remote || allow_diverted(table, query.service, true) {
-            return dispatch(table, key, true);
-        }
-    }
-    if let Some(key) = local
-        && (remote_key.is_some() || allow_diverted(table, query.service, false))
-    {
-        return dispatch(table, key, false);
+    let remote = || sides.best_remote(query);
+    if let Some((key, is_remote)) = side::choose_side(table, query.service, targets, remote) {
+        table.reserve(key, location, now);
+        return select(table, query.service, key, is_remote);
     }
     if sides.is_empty() {
         return refusal::refuse_until_open(table, location, query, now);
@@ -172,6 +168,7 @@
         location: &VmLocation,
         query: &PlacementQuery<'_>,
         order: &TargetOrder,
+        position: u64,
         skips_slow: bool,
         now: TimeStamp,
     ) -> Self {
@@ -179,10 +176,15 @@
             true => candidate::candidates(table, location, query, targets, skips_slow, now),
             false => Vec::new(),
         };
-        let remote = order.remote.iter();
+        let shares = spillover(table, query.service).and_then(SpilloverLevel::shares);
+        let remote = match shares {
+            Some(shares) => ranking::remote_by_shares(table, order, position, shares, query.tried),
+            None => order.remote.iter().collect(),
+        };
         Self {
             local: list(&location.region, &order.local),
             remote: remote
+                .into_iter()
                 .map(|region| list(&region.region, &region.targets))
                 .collect(),
         }
@@ -229,14 +231,6 @@
         .map(|pool| &mut pool.spillover)
 }
 
-fn allows_side(table: &PlacementTable, service: &str, is_remote: bool) -> bool {
-    spillover(table, service).is_none_or(|spillover| spillover.allows_side(is_remote))
-}
-
-fn allow_diverted(table: &mut PlacementTable, service: &str, is_remote: bool) -> bool {
-    spillover_mut(table, service).is_some_and(|spillover| spillover.allow_diverted(is_remote))
-}
-
 /// Selects a target and records on which side the request runs.
 fn select(
     table: &mut PlacementTable,
--- a/dahliawood-steer/src/placement/load/mod.rs
+++ b/dahliawood-steer/src/placement/load/mod.rs
@@ -67,6 +67,17 @@
             .is_some_and(|load| now.since(load.received_at) < validity)
     }
 
+    /// Requests at the target by its last report and those that this VM sent since, if the report is
+    /// recent enough.
+    pub fn reported(&self, service_average: Duration, now: TimeStamp) -> Option<f64> {
+        let load = self
+            .report
+            .filter(|_| self.has_fresh_report(service_average, now))?;
+        Some(f64::from(
+            load.running + load.waiting + self.sent_since_report,
+        ))
+    }
+
     /// Estimated requests in flight at the target, from all VMs; the reported part decays with age.
     pub fn outstanding(&self, service_average: Duration, now: TimeStamp) -> f64 {
         let validity = service_average.as_secs_f64().max(0.01) * REPORT_VALIDITY;
--- a/dahliawood-steer/src/placement/ranking/mod.rs
+++ b/dahliawood-steer/src/placement/ranking/mod.rs
@@ -6,6 +6,7 @@
 //! kept between requests, so that the work of a request does not grow with the number of targets.
 
 use crate::placement::choose::VmLocation;
+use crate::placement::spillover::shares::RegionShares;
 use crate::placement::table::PlacementTable;
 use crate::rendezvous;
 use dahliawood_model::FastMap;
@@ -96,6 +97,37 @@
     order
 }
 
+/// Smallest weight of a region, so that one with share 0 comes last but is not left out.
+const MIN_WEIGHT: f64 = 1e-6;
+
+/// The other regions of an order, ordered for a hash by their shares instead of by their slots. A share
+/// that grows attracts objects, and moves none between two other regions. Regions with a target that was
+/// `tried` and is gone come last: the region may be lost.
+pub fn remote_by_shares<'a>(
+    table: &PlacementTable,
+    order: &'a TargetOrder,
+    position: u64,
+    shares: &RegionShares,
+    tried: &[TargetKey],
+) -> Vec<&'a RegionOrder> {
+    let has_failed = |region: &RegionOrder| {
+        let targets = tried.iter().filter_map(|key| table.get(*key));
+        let mut gone = targets.filter(|target| target.breaker.is_down());
+        gone.any(|target| target.region == region.region)
+    };
+    let distance = |region: &RegionOrder| {
+        let hash = rendezvous::name_hash(region.region.as_bytes());
+        let weight = shares.share(&region.region).max(MIN_WEIGHT);
+        rendezvous::weighted_distance(position, hash, weight)
+    };
+    let mut remote: Vec<&RegionOrder> = order.remote.iter().collect();
+    remote.sort_by(|a, b| {
+        let by_failure = has_failed(a).cmp(&has_failed(b));
+        by_failure.then(distance(a).total_cmp(&distance(b)))
+    });
+    remote
+}
+
 /// All open targets of a service by preference.
 pub fn whole_order(
     table: &PlacementTable,
--- a/dahliawood-steer/src/placement/sharers/mod.rs
+++ b/dahliawood-steer/src/placement/sharers/mod.rs
@@ -74,11 +74,16 @@
         self.listed_at.len()
     }
 
+    /// Whether the list was confirmed recently enough to be current.
+    pub fn is_current(&self, now: TimeStamp) -> bool {
+        now.since(self.confirmed_at) < LIST_LIFETIME
+    }
+
     /// Whether this VM has a part of the limit.
     pub fn is_admitted(&self, now: TimeStamp) -> bool {
         let is_known = |since: TimeStamp| now.since(since) >= ADMISSION_DELAY;
         let is_registered = self.registered_since.is_some_and(is_known);
-        is_registered && now.since(self.confirmed_at) < LIST_LIFETIME
+        is_registered && self.is_current(now)
     }
 
     /// This VM's place among all possible ones for a target, from 0 to 1; different for each target.
--- a/dahliawood-steer/tests/main/placement/mod.rs
+++ b/dahliawood-steer/tests/main/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Choice of self-registered targets: object affinity, cold targets, regions, overload.
 
+mod capacity;
 mod cold;
 mod lifecycle;
 mod region;
