--- a/dahliawood-steer/src/placement/spillover/mod.rs
+++ b/dahliawood-steer/src/placement/spillover/mod.rs
@@ -128,7 +128,8 @@
         let shares = self.shares.as_ref()?;
         let (level, reason) = (self.level, shares.reason());
         let is_same = |(before, known): (f64, ShareReason)| {
-            (level - before).abs() < REPORTED_CHANGE && reason == known
+            let is_by_load = !reason.is_exceptional() && !known.is_exceptional();
+            (level - before).abs() < REPORTED_CHANGE && (reason == known || is_by_load)
         };
         if self.reported.is_some_and(is_same) {
             return None;
--- a/dahliawood-steer/src/placement/spillover/shares/mod.rs
+++ b/dahliawood-steer/src/placement/spillover/shares/mod.rs
@@ -72,6 +72,11 @@
 }
 
 impl ShareReason {
+    /// Whether it is no part of the usual adjustment, which alternates between its reasons.
+    pub fn is_exceptional(self) -> bool {
+        matches!(self, Self::SlotsLost | Self::Stale)
+    }
+
     /// Name in the log.
     pub fn name(self) -> &'static str {
         match self {
