--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -42,6 +42,8 @@
     pub loads: IntCounterVec,
     /// Calls to the VMs that collect loads, by outcome.
     pub load_calls: IntCounterVec,
+    /// Share of a service's objects that run in other regions, by service.
+    pub spillover_level: GaugeVec,
     /// Time from the head of a request to its response, seconds.
     pub latency: Histogram,
     /// Number of requests being served.
@@ -117,6 +119,12 @@
             "Calls to the VMs that collect loads.",
             &["outcome"],
         )?;
+        let options = Opts::new(
+            "spillover_level",
+            "Share of a service's objects that run in other regions.",
+        );
+        let spillover_level = GaugeVec::new(options, &["service"])?;
+        registry.register(Box::new(spillover_level.clone()))?;
         let options = HistogramOpts::new("request_seconds", "From a request to its answer.");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -154,6 +162,7 @@
             contradictions,
             loads,
             load_calls,
+            spillover_level,
             latency,
             in_flight,
             work,
--- a/dahliawood-testkit/examples/measure/loads/mod.rs
+++ b/dahliawood-testkit/examples/measure/loads/mod.rs
@@ -69,12 +69,16 @@
     let keys = &table.services["service"].targets;
     let key = keys[rand::rng().random_range(0..keys.len())];
     let load = TargetLoad {
+        pace: None,
         running: 4,
         waiting: rand::rng().random_range(0..12),
         slots: 4,
         received_at: now,
     };
     let result = TargetResult {
+        expected_wait: Duration::ZERO,
+        connect_time: None,
+        route: 0,
         kind: ResultKind::Answered,
         latency: LATENCY,
         report: Some(TargetReport {
