fix: impossible numbers of VMs and targets do no harm

A report of another VM with a demand that is no number made f64::clamp panic in the coordinator and left the sums of all VMs spoilt; the load of a target could overflow a sum. Reports and allocations with impossible numbers are ignored. A failed accept ended the listener for calls of other VMs for good; it goes on after a pause. Tests impossible_numbers_of_one_vm_change_no_allocation, absurd_loads_of_targets_do_no_harm.

--- a/dahliawood-peer/src/server/mod.rs
+++ b/dahliawood-peer/src/server/mod.rs
@@ -7,6 +7,7 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::{AsyncReadExt, FutureExt};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The handler of each call.
 pub struct PeerHandlers {
@@ -81,14 +82,25 @@
     accept(listener, client.client).await
 }
 
-/// Accepts connections until the listener fails; all connections share one RPC interface.
+/// Pause after a failed accept, for example when file descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections until the task is cancelled; all connections share one RPC interface. An error of one
+/// accept does not end it, as the VM would take no more calls until its restart.
 pub(crate) async fn accept(
     listener: TcpListener,
     client: capnp::capability::Client,
 ) -> std::io::Result<()> {
     loop {
-        let (stream, _) = listener.accept().await?;
-        task::spawn_local(connection(stream, client.clone()));
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn_local(connection(stream, client.clone()));
+            }
+            Err(error) => {
+                log::warn!("cannot accept a connection of another VM: {error}");
+                task::sleep(ACCEPT_PAUSE).await;
+            }
+        }
     }
 }
 
--- a/dahliawood-quota/src/allocation/coordinator/mod.rs
+++ b/dahliawood-quota/src/allocation/coordinator/mod.rs
@@ -28,6 +28,29 @@
     pub total: AllocatedTotal,
 }
 
+/// Largest part of a limit that a report may state: what VMs used may exceed a limit that was lowered.
+const MAX_FRACTION: f64 = 1e6;
+/// Highest demand that a report may state, requests a second.
+const MAX_DEMAND: f64 = 1e9;
+
+impl UsageReport {
+    /// Whether all numbers are possible ones. They come from other VMs.
+    pub fn is_valid(&self) -> bool {
+        let fractions = [
+            self.fraction,
+            self.need.used,
+            self.need.requested,
+            self.need.per_request,
+        ];
+        (0.0..=MAX_DEMAND).contains(&self.demand)
+            // A sum, which may be below zero by an error of rounding.
+            && (-1.0..=MAX_FRACTION).contains(&self.total.fraction)
+            && fractions
+                .iter()
+                .all(|fraction| (0.0..=MAX_FRACTION).contains(fraction))
+    }
+}
+
 /// The fraction of a limit that all VMs together held, as a coordinator sent it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AllocatedTotal {
@@ -138,8 +161,11 @@
             is_new_coordinator,
             unknown_usage: window_left.as_secs_f64() / self.window.as_secs_f64(),
         };
-        let allocate = |report| self.allocate(from, report, terms, now);
-        reports.iter().map(allocate).collect()
+        // A report that is no valid one would spoil the sums over all VMs.
+        let valid = reports.iter().filter(|report| report.is_valid());
+        valid
+            .map(|report| self.allocate(from, report, terms, now))
+            .collect()
     }
 
     /// Releases the allocations of a VM that stops; its usage counts until the window has passed.
@@ -149,7 +175,9 @@
         }
         let until = now.after(self.window);
         for report in reports {
-            if let Some(customer) = self.customers.get_mut(&report.customer) {
+            if let Some(customer) = self.customers.get_mut(&report.customer)
+                && report.is_valid()
+            {
                 customer.count_ended(report.need.used, until);
             }
         }
--- a/dahliawood-quota/src/allocation/local/mod.rs
+++ b/dahliawood-quota/src/allocation/local/mod.rs
@@ -84,8 +84,13 @@
 }
 
 impl LocalAllocations {
-    /// Stores the coordinator's answer to a report sent at `requested_at`.
+    /// Stores the coordinator's answer to a report sent at `requested_at`, unless its numbers are no
+    /// fractions of a limit.
     pub fn accept(&mut self, allocation: &CustomerAllocation, requested_at: TimeStamp) {
+        let is_valid = (0.0..=1.0).contains(&allocation.fraction) && allocation.total.is_finite();
+        if !is_valid {
+            return;
+        }
         let held = HeldAllocation {
             fraction: allocation.fraction,
             total: allocation.total,
--- a/dahliawood-quota/tests/quota/allocation/mod.rs
+++ b/dahliawood-quota/tests/quota/allocation/mod.rs
@@ -4,7 +4,9 @@
 use crate::seed;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::allocation::EVEN_FRACTION;
-use dahliawood_quota::allocation::coordinator::{AllocationCoordinator, ReportSource, UsageReport};
+use dahliawood_quota::allocation::coordinator::{
+    AllocationCoordinator, CustomerAllocation, ReportSource, UsageReport,
+};
 use dahliawood_quota::allocation::local::{LimitUsage, LocalAllocations, even_fraction};
 use dahliawood_quota::window::CustomerWindows;
 use proptest::prelude::{Just, Strategy, any, prop, prop_assert, prop_oneof};
@@ -463,3 +465,60 @@
         }
     }
 }
+
+/// Guards against a panic, and against sums over all VMs that stay spoilt, from numbers of another VM.
+#[test]
+fn impossible_numbers_of_one_vm_change_no_allocation() {
+    let impossible = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0, 1e300];
+    let set: [fn(&mut UsageReport, f64); 6] = [
+        |report, number| report.demand = number,
+        |report, number| report.fraction = number,
+        |report, number| report.need.used = number,
+        |report, number| report.need.requested = number,
+        |report, number| report.need.per_request = number,
+        |report, number| report.total.fraction = number * 2.0,
+    ];
+    let allocate = |spoil: Option<(f64, fn(&mut UsageReport, f64))>| {
+        let mut coordinator = AllocationCoordinator::new(WINDOW, 1);
+        coordinator.set_members(["a", "b"].map(str::to_owned).into_iter());
+        let mut vm = TestVm::new(7);
+        vm.send(5, 1_000.0, 2, at(0));
+        let report = vm.report(1_000.0, 3.0, 2, at(0));
+        let source = |name| ReportSource {
+            name,
+            incarnation: 1,
+            age: WINDOW * 4,
+        };
+        let mut last = Vec::new();
+        for step in 0..40 {
+            let mut other = report.clone();
+            if let Some((number, set)) = spoil {
+                set(&mut other, number);
+                let reports = [other];
+                coordinator.report(source("b"), &reports, at(step));
+                coordinator.release(source("c"), &reports, at(step));
+            } else {
+                coordinator.report(source("b"), &[], at(step));
+            }
+            last = coordinator.report(source("a"), std::slice::from_ref(&report), at(step));
+        }
+        last[0].fraction
+    };
+    let expected = allocate(None);
+    for number in impossible {
+        for set in set {
+            assert_eq!(allocate(Some((number, set))), expected, "{number}");
+        }
+    }
+    let mut allocations = LocalAllocations::default();
+    for fraction in [f64::NAN, f64::INFINITY, -0.5, 7.0] {
+        let allocation = CustomerAllocation {
+            customer: CUSTOMER.to_owned(),
+            fraction,
+            total: 1.0,
+            coordinator: 1,
+        };
+        allocations.accept(&allocation, at(1));
+        assert_eq!(allocations.held(CUSTOMER, at(1)), 0.0);
+    }
+}
--- a/dahliawood-steer/src/placement/load/mod.rs
+++ b/dahliawood-steer/src/placement/load/mod.rs
@@ -72,7 +72,7 @@
         let validity = service_average.as_secs_f64().max(0.01) * REPORT_VALIDITY;
         let reported = self.report.map_or(0.0, |load| {
             let age = now.since(load.received_at).as_secs_f64();
-            f64::from(load.running + load.waiting) * (1.0 - age / validity).max(0.0)
+            (f64::from(load.running) + f64::from(load.waiting)) * (1.0 - age / validity).max(0.0)
         });
         (reported + f64::from(self.sent_since_report)).max(f64::from(self.in_flight))
     }
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -474,7 +474,8 @@
     /// Records an answer of one of the service's targets.
     fn record_answer(&mut self, key: TargetKey, result: TargetResult) {
         if let Some(load) = result.load() {
-            let ahead = f64::from(load.running + load.waiting + 1) / f64::from(load.slots.max(1));
+            let ahead = f64::from(load.running) + f64::from(load.waiting) + 1.0;
+            let ahead = ahead / f64::from(load.slots.max(1));
             let delay = self.average_service_time.mul_f64((ahead - 1.0).max(0.0));
             let slack = result.slack.max(MIN_SLACK);
             self.shed_share
--- a/dahliawood-steer/tests/main/placement/mod.rs
+++ b/dahliawood-steer/tests/main/placement/mod.rs
@@ -217,3 +217,32 @@
         }
     }
 }
+
+/// Guards against an overflow by the load that a target states.
+#[test]
+fn absurd_loads_of_targets_do_no_harm() {
+    let mut table = table(&[("a-1", 2)]);
+    let location = vm_location("a-1", 1);
+    let numbers = [0, 1, u32::MAX];
+    let all = |number: usize| numbers[number % 3];
+    for case in 0..27 {
+        let now = START.after(Duration::from_millis(case as u64));
+        let key = chosen(choose::choose(
+            &mut table,
+            &location,
+            &query(case as u64),
+            now,
+        ));
+        let Some(key) = key else { continue };
+        table.begin(key, now);
+        let load = TargetLoad {
+            running: all(case),
+            waiting: all(case / 3),
+            slots: all(case / 9),
+            received_at: now,
+        };
+        table.finish(key, answered(Some(load)), now);
+        let target = table.get(key).expect("a target");
+        assert!(table.expected_wait(target, now) <= Duration::from_secs(1 << 40));
+    }
+}
