fix(gateway): stops wait for arriving requests; paused VMs trust no old answers; broken-off and late responses

- A shutdown waits for open connections, not for running requests alone, and serves connections that wait to be accepted when the listener closes; these were reset.
- The list of VMs by which cold limits are divided counts as current from when the call was made that confirmed it, and not from the periodic work that follows a pause.
The same for the copy of a VM that follows another one.
- A response without a length that ends with its target's process is not passed on as a whole one.

--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -8,6 +8,7 @@
 use crate::structured_log::EventClass;
 use dahliawood_model::FastSet;
 use dahliawood_model::catalog::FleetCatalog;
+use dahliawood_model::stamp::TimeStamp;
 use dahliawood_store::keyspace::view::ViewChange;
 use serde::Serialize;
 use std::sync::Arc;
@@ -137,16 +138,15 @@
         location.fleet_sharers.set_listed(all, now);
     }
     if upstream::is_current(state, now) {
-        confirm_sharers(state);
+        confirm_sharers(state, state.heard_at.get());
     }
 }
 
-/// Records that the list of VMs is current.
-pub fn confirm_sharers(state: &ControlState) {
-    let now = clock::now();
+/// Records that the list of VMs was current at `asked_at`.
+pub fn confirm_sharers(state: &ControlState, asked_at: TimeStamp) {
     let mut location = state.shared.location();
-    location.sharers.confirm(now);
-    location.fleet_sharers.confirm(now);
+    location.sharers.confirm(asked_at);
+    location.fleet_sharers.confirm(asked_at);
 }
 
 /// Publishes the list of registered VMs.
--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -213,6 +213,7 @@
 /// first answer to a call for later changes.
 async fn read_all(state: &ControlState) -> Result<(), StoreError> {
     let is_first = !state.is_confirmed.get();
+    let asked_at = clock::now();
     let mut items: Vec<KeyspaceItem> = Vec::new();
     let mut revision = None;
     loop {
@@ -237,6 +238,7 @@
             break;
         }
     }
+    state.record_heard(asked_at);
     let revision = revision.unwrap_or(0);
     let epoch = state.view.borrow().epoch();
     let changes = state
@@ -298,6 +300,7 @@
     };
     // A call that waits cannot tell a silent connection from a store without changes; the renewal
     // of the registration fails first on such a connection.
+    let asked_at = clock::now();
     let following = pin!((state.store.follow)(call));
     let lost = pin!(wait_for_store_loss(state));
     let followed = match future::select(following, lost).await {
@@ -313,6 +316,7 @@
     let FollowOutcome::Changes { items, revision } = followed? else {
         return Ok(FollowStep::MustRead);
     };
+    state.record_heard(asked_at);
     let is_empty = items.is_empty();
     apply_items(state, items, revision);
     if !is_empty && state.is_confirmed.get() {
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -39,6 +39,8 @@
     pub view: RefCell<KeyspaceView>,
     /// Whether the store answered the last call.
     pub is_store_up: Cell<bool>,
+    /// When the latest call was made whose answer shows that this VM's copy is current.
+    pub heard_at: Cell<TimeStamp>,
     /// Whether this VM follows another one instead of the store.
     pub is_relayed: Cell<bool>,
     /// Until when the copy of a VM that follows another one is current, `None` if it follows the
@@ -68,6 +70,13 @@
     pub store_status_changed: (Sender<()>, Receiver<()>),
 }
 
+impl ControlState {
+    /// Records the answer to a call made at `asked_at` that shows that this VM's copy is current.
+    pub fn record_heard(&self, asked_at: TimeStamp) {
+        self.heard_at.set(self.heard_at.get().max(asked_at));
+    }
+}
+
 /// Arguments of [`start`].
 pub struct ControlOptions {
     /// State shared with the traffic thread.
@@ -100,6 +109,7 @@
         epoch_changed: bounded(1),
         is_store_up: Cell::new(true),
         store_status_changed: bounded(1),
+        heard_at: Cell::new(TimeStamp::ZERO),
         is_relayed: Cell::new(false),
         current_until: Cell::new(None),
         is_confirmed: Cell::new(false),
--- a/dahliawood-gateway/src/control/register/mod.rs
+++ b/dahliawood-gateway/src/control/register/mod.rs
@@ -1,5 +1,6 @@
 //! Keeps this VM registered in the key space, under a lease, until it shuts down.
 
+use crate::clock;
 use crate::control::vms::VmRecord;
 use crate::control::{ControlState, follow};
 use async_std::future::timeout;
@@ -83,7 +84,12 @@
 }
 
 async fn renew(state: &ControlState, lease: u64) -> Result<(), StoreError> {
+    let asked_at = clock::now();
     let renewed = (state.store.renew_lease)(lease).await;
+    if renewed.is_ok() && !state.is_relayed.get() {
+        // Between changes of the key space, renewals are the only calls that the store answers.
+        state.record_heard(asked_at);
+    }
     state
         .shared
         .metrics
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -31,10 +31,11 @@
         let Some(vm) = next_vm(&vms, &state.shared.settings.name, turn) else {
             continue;
         };
+        let asked_at = clock::now();
         match fetch_snapshot(&state, vm).await {
             Ok(snapshot) => {
                 apply_snapshot(&state, snapshot);
-                apply::confirm_sharers(&state);
+                apply::confirm_sharers(&state, asked_at);
             }
             Err(error) => {
                 state.peers.forget(vm.peer);
--- a/dahliawood-gateway/src/control/upstream/mod.rs
+++ b/dahliawood-gateway/src/control/upstream/mod.rs
@@ -32,6 +32,7 @@
         true => CHANGES_WAIT,
         false => Duration::ZERO,
     };
+    let asked_at = clock::now();
     match client.changes(after, wait).await? {
         ChangesResponse::NotCurrent => Ok(false),
         ChangesResponse::TooOld => {
@@ -39,16 +40,20 @@
             let snapshot = client.keyspace(above).await?;
             let is_settled = snapshot.is_settled;
             super::relay::apply_snapshot(state, snapshot);
+            if is_settled {
+                state.record_heard(asked_at);
+            }
             Ok(is_settled)
         }
         ChangesResponse::Changes(changes) => {
-            apply(state, changes);
+            state.record_heard(asked_at);
+            apply(state, changes, asked_at);
             Ok(true)
         }
     }
 }
 
-fn apply(state: &ControlState, changes: KeyspaceChanges) {
+fn apply(state: &ControlState, changes: KeyspaceChanges, asked_at: TimeStamp) {
     let now = clock::now();
     let items = changes.changes.into_iter().map(|change| KeyspaceItem {
         key: change.key,
@@ -60,7 +65,10 @@
         state.view.borrow_mut().hold_removals(settles_at);
     }
     follow::apply_items(state, items.collect(), changes.revision);
-    state.current_until.set(Some(now.after(CURRENT_TIME)));
+    // An answer that waited while this VM was paused does not make its copy current.
+    let answered_by = asked_at.after(CHANGES_WAIT).min(now);
+    let current_until = answered_by.after(CURRENT_TIME);
+    state.current_until.set(Some(current_until));
 }
 
 /// Whether this VM's copy follows the store, directly or through another VM.
--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -58,6 +58,23 @@
     }
 }
 
+/// Counts a connection until it is dropped: a request that is still arriving is not in flight yet, and
+/// a shutdown waits for it too.
+struct ConnectionGuard(SharedState);
+
+impl ConnectionGuard {
+    fn begin(state: &SharedState) -> Self {
+        state.connections.fetch_add(1, Ordering::Relaxed);
+        Self(SharedState::clone(state))
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts a request that is worked on beside an earlier one of its connection.
 struct OverlapGuard(SharedState);
 
@@ -125,6 +142,7 @@
     R: Fn(CallerRequest) -> F,
     O: Fn(&RequestHead) -> bool,
 {
+    let _connection = ConnectionGuard::begin(&state);
     let mut reader = ConnectionReader::new(stream.clone());
     let mut pending = FuturesOrdered::new();
     let mut next: Option<HeldRequest> = None;
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -13,7 +13,7 @@
 use crate::state::{GatewayState, SharedState};
 use crate::structured_log::EventClass;
 use crate::{clock, control, directory, reach};
-use async_std::channel::{Sender, bounded};
+use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpListener;
 use async_std::task;
 use dahliawood_store::keyspace::call::KeyspaceClient;
@@ -24,10 +24,11 @@
 use std::future::ready;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
-/// How often the shutdown checks whether all requests in flight have ended.
+/// How often the shutdown checks whether all requests in flight and all connections have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a VM that shuts down still accepts connections, for callers that hold an earlier
 /// look-up answer. After that it accepts none, so that requests already accepted end within the
@@ -41,6 +42,8 @@
     /// The state that the gateway's threads share.
     pub state: SharedState,
     listeners: Vec<task::JoinHandle<()>>,
+    /// Ends the listeners when it is closed.
+    stop_listening: Sender<()>,
     /// Tasks that requests in flight depend on.
     background: Vec<task::JoinHandle<()>>,
     control: thread::JoinHandle<()>,
@@ -78,11 +81,16 @@
     let local_call = |request, state: SharedState| ready(directory::respond(&state, &request));
     let metrics_text = |request, state: SharedState| ready(directory::metrics(&state, &request));
     let request_handler = |request, state| handler::handle(state, request);
+    let (stop_listening, stopped_listening) = bounded(1);
     let listeners = vec![
-        serve(&state, front_listener, request_handler),
-        serve(&state, ready_listener, local_call),
-        serve(&state, directory_listener, local_call),
-        serve(&state, metrics_listener, metrics_text),
+        serve(
+            &state,
+            (front_listener, &stopped_listening),
+            request_handler,
+        ),
+        serve(&state, (ready_listener, &stopped_listening), local_call),
+        serve(&state, (directory_listener, &stopped_listening), local_call),
+        serve(&state, (metrics_listener, &stopped_listening), metrics_text),
     ];
     let background = vec![
         task::spawn_local(incoming::serve(Arc::clone(&state), forward_listener)),
@@ -101,6 +109,7 @@
     Ok(GatewayHandle {
         state,
         listeners,
+        stop_listening,
         background,
         control,
         stop,
@@ -119,13 +128,17 @@
 }
 
 /// Spawns a task that answers the requests of a listener's connections.
-fn serve<F, A>(state: &SharedState, listener: TcpListener, respond: A) -> task::JoinHandle<()>
+fn serve<F, A>(
+    state: &SharedState,
+    (listener, stopped): (TcpListener, &Receiver<()>),
+    respond: A,
+) -> task::JoinHandle<()>
 where
     F: Future<Output = FrontResponse> + 'static,
     A: Fn(CallerRequest, SharedState) -> F + Copy + 'static,
 {
     let state = Arc::clone(state);
-    task::spawn_local(listen(listener, move |stream| {
+    task::spawn_local(listen(listener, stopped.clone(), move |stream| {
         let shared = Arc::clone(&state);
         let overlapped = Arc::clone(&state);
         let handler = RequestHandler {
@@ -163,15 +176,21 @@
         let Self {
             state,
             listeners,
+            stop_listening,
             background,
             control,
             stop,
         } = self;
-        cancel(listeners).await;
+        stop_listening.close();
+        futures::future::join_all(listeners).await;
         state.stop_accepting();
         // Meanwhile the next report returns this VM's allocations to the coordinator.
         task::sleep(shares::REPORT_INTERVAL).await;
-        while clock::now() < limit && state.metrics.in_flight.get() > 0 {
+        let is_busy = || {
+            let connections = state.connections.load(Ordering::Relaxed);
+            connections > 0 || state.metrics.in_flight.get() > 0
+        };
+        while clock::now() < limit && is_busy() {
             task::sleep(DRAIN_POLL_INTERVAL).await;
         }
         // Leaves time for the last written bytes to be sent.
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -93,6 +93,8 @@
     pub helping: AtomicUsize,
     /// Requests that are worked on beside an earlier one of their connection.
     pub overlapping: AtomicUsize,
+    /// Open connections of callers.
+    pub connections: AtomicUsize,
     is_leaving: AtomicBool,
     has_stopped_accepting: AtomicBool,
     shutdown_sender: Sender<()>,
@@ -132,6 +134,7 @@
             forward_jobs: unbounded(),
             helping: AtomicUsize::new(0),
             overlapping: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             is_leaving: AtomicBool::new(false),
             has_stopped_accepting: AtomicBool::new(false),
             shutdown_sender,
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -11,7 +11,7 @@
 use dahliawood_wire::pool::error::CheckoutError;
 use dahliawood_wire::pool::{ConnectionChoice, PooledConnection};
 use dahliawood_wire::raw::error::ReadError;
-use dahliawood_wire::raw::head::{RequestHead, ResponseHead};
+use dahliawood_wire::raw::head::{BodyFraming, RequestHead, ResponseHead};
 use dahliawood_wire::raw::reader::ConnectionReader;
 use dahliawood_wire::raw::write;
 use futures::future::{self, Either};
@@ -100,6 +100,8 @@
 ) -> Result<TargetResponse, CallFailure> {
     let choice = match (call.is_retry, call.is_idempotent) {
         (true, _) => ConnectionChoice::Fresh,
+        // Without an id, a late second response to an earlier request can't be told from the right one.
+        _ if call.attempt_id.is_none() => ConnectionChoice::Fresh,
         (false, true) => ConnectionChoice::Any,
         (false, false) => ConnectionChoice::UsedWithin(RECENTLY_USED),
     };
@@ -249,6 +251,7 @@
         let metadata = (state.codec.read_response)(&head, clock::now());
         (call.on_head)(&metadata);
         let framing = head.framing(&call.head.method).map_err(failed)?;
+        let ends_at_close = matches!(framing, BodyFraming::UntilClose);
         let body = reader.body_within(framing, BODY_BYTES, &state.response_bytes);
         let (body, is_whole) = match metadata.has_not_run {
             // The head says it all, and nobody gets the body.
@@ -258,6 +261,10 @@
             },
             false => (body.await.map_err(failed)?, true),
         };
+        if ends_at_close && is_gone(state, call.address).await {
+            // The end of the connection may be that of the process, halfway through the response.
+            return Err(failed(ReadError::Truncated));
+        }
         let response = TargetResponse {
             head,
             metadata,
--- a/dahliawood-steer/src/placement/sharers/mod.rs
+++ b/dahliawood-steer/src/placement/sharers/mod.rs
@@ -64,9 +64,11 @@
         };
     }
 
-    /// Records that the list is current: the store, or a VM that has it from there, has answered.
-    pub fn confirm(&mut self, now: TimeStamp) {
-        self.confirmed_at = now;
+    /// Records that the list was current at `asked_at`, when a call was made that the store, or a VM that has the
+    /// list from there, has answered. The time of the answer would not do: a VM that was paused reads
+    /// answers from before the pause.
+    pub fn confirm(&mut self, asked_at: TimeStamp) {
+        self.confirmed_at = self.confirmed_at.max(asked_at);
     }
 
     /// Number of VMs among which the limit is divided.
--- a/dahliawood-steer/tests/main/placement/cold.rs
+++ b/dahliawood-steer/tests/main/placement/cold.rs
@@ -85,3 +85,25 @@
         assert_eq!((0..vms).map(part).sum::<usize>(), limit);
     }
 }
+
+/// Guards against a VM that was paused and uses its part by a list of VMs from before the pause.
+#[test]
+fn a_paused_vm_has_no_part_until_a_call_made_since_is_answered() {
+    let after = |seconds| START.after(Duration::from_secs(seconds));
+    let mut sharers = LimitSharers::new("vm-0");
+    let names = ["vm-0", "vm-1"];
+    for second in 0..10 {
+        sharers.set_listed(names.into_iter(), after(second));
+        sharers.confirm(after(second));
+    }
+    assert!(sharers.is_admitted(after(9)));
+    // Resumed: the periodic work comes first, and then the answer to a call made before the pause.
+    sharers.set_listed(names.into_iter(), after(20));
+    sharers.confirm(after(9));
+    assert!(!sharers.is_admitted(after(20)));
+    sharers.confirm(after(20));
+    assert!(sharers.is_admitted(after(20)));
+    // A late answer to an earlier call.
+    sharers.confirm(after(9));
+    assert!(sharers.is_admitted(after(20)));
+}
--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -54,6 +54,10 @@
     TrailingBytes,
     /// Sends no Content-Length and ends the response by closing the connection.
     Unframed,
+    /// Sends half of a response without Content-Length, and ends the process.
+    UnframedCrash,
+    /// Sends a second copy of a response when the next request has arrived on the connection.
+    LateCopy,
     /// Responds with 500.
     Failing,
     /// Sends no response and waits until the client closes the connection.
@@ -247,6 +251,7 @@
     async fn serve(self, stream: TcpStream) {
         let mut reader = ConnectionReader::new(stream.clone());
         let mut output = stream;
+        let mut last = Vec::new();
         while let Ok(Some(head)) = reader.request_head(MAX_MESSAGE_BYTES).await {
             let Ok(framing) = head.framing() else { return };
             let Ok(body) = reader.body(framing, MAX_MESSAGE_BYTES).await else {
@@ -260,7 +265,16 @@
             }
             let is_slow = head.target.contains(SLOW_PATH);
             let is_crash = head.target.contains(CRASH_PATH);
-            let (bytes, is_closing) = self.respond(head, body);
+            let (mut bytes, is_closing) = self.respond(head, body);
+            if self.lock().fault == InstanceFault::LateCopy {
+                let copy = std::mem::replace(&mut last, bytes.clone());
+                bytes.splice(0..0, copy);
+            }
+            if self.lock().fault == InstanceFault::UnframedCrash {
+                let _written = output.write_all(&bytes).await;
+                self.crash();
+                return;
+            }
             if is_crash {
                 self.crash();
                 return;
@@ -331,6 +345,10 @@
                 false,
             ),
             InstanceFault::Unframed => (without_content_length(&matching), true),
+            InstanceFault::UnframedCrash => (
+                without_content_length(&matching[..matching.len() - 3]),
+                true,
+            ),
             InstanceFault::Failing => (response(&attempt, 500), false),
             _ => (matching, false),
         }
