--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::control::vms::VmRecord;
 use crate::state::SharedState;
+use crate::supervise;
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpListener;
 use async_std::task;
@@ -124,15 +125,25 @@
     });
     let tasks = [
         task::spawn_local(peers::serve(Rc::clone(&state), options.peer_listener)),
-        task::spawn_local(shares::run(Rc::clone(&state))),
-        task::spawn_local(relay::run(Rc::clone(&state))),
-        task::spawn_local(sightings::run(Rc::clone(&state))),
-        task::spawn_local(follow::run(Rc::clone(&state))),
-        task::spawn_local(register::run(Rc::clone(&state))),
-        task::spawn_local(tick::run(state)),
+        spawn(&state, "shares", shares::run),
+        spawn(&state, "relay", relay::run),
+        spawn(&state, "sightings", sightings::run),
+        spawn(&state, "follow", follow::run),
+        spawn(&state, "register", register::run),
+        spawn(&state, "tick", tick::run),
     ];
     let _closed = options.stop.recv().await;
     for task in tasks {
         task.cancel().await;
     }
 }
+
+fn spawn<F: Future<Output = ()> + 'static>(
+    state: &Rc<ControlState>,
+    name: &'static str,
+    start: impl Fn(Rc<ControlState>) -> F + 'static,
+) -> task::JoinHandle<()> {
+    let state = Rc::clone(state);
+    let start = move || start(Rc::clone(&state));
+    task::spawn_local(supervise::run(name, start))
+}
--- a/dahliawood-gateway/src/forward/helper/mod.rs
+++ b/dahliawood-gateway/src/forward/helper/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::control::vms::VmRecord;
-use crate::forward::{ForwardAnswer, ForwardRun};
+use crate::forward::{Delegation, ForwardAnswer, ForwardRun};
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::peer_forward::BODY_BYTES;
 use crate::peer_forward::outgoing::{ForwardFailure, ForwardJob};
@@ -75,7 +75,7 @@
         let draw = rand::random();
         let reach = self.state.reach();
         !self.options.may_ask
-            || (!self.is_delegated && reach.tracker.sends_direct(draw, clock::now()))
+            || (!self.is_delegated() && reach.tracker.sends_direct(draw, clock::now()))
     }
 
     /// Whether other VMs send the request from now on, where this VM has no target left for it: its latest
@@ -88,25 +88,36 @@
             .state
             .placement()
             .reaches_none(service, regions, &self.tried);
-        self.is_unreached |= reaches_none;
-        self.is_delegated = self.may_delegate() && self.sent_tries() < self.options.max_tries;
-        self.is_delegated
+        if reaches_none {
+            self.delegation = self.delegation.max(Delegation::Useful);
+        }
+        let begins = self.may_delegate() && self.sent_tries() < self.options.max_tries;
+        if begins {
+            self.delegation = Delegation::Begun;
+        }
+        begins
     }
 
     /// Whether other VMs send the request from now on, since this VM could not connect to a target for it and
     /// may try no further one.
     pub(super) fn delegates(&mut self) -> bool {
+        if !self.may_delegate() {
+            return false;
+        }
         // Only tries of which something was sent count from here on.
-        self.is_delegated = self.may_delegate();
-        self.is_delegated = self.is_delegated && self.may_retry();
-        self.is_delegated
+        self.delegation = Delegation::Begun;
+        self.may_retry()
+    }
+
+    /// Whether other VMs send the request because this one reaches none of its targets.
+    pub(super) fn is_delegated(&self) -> bool {
+        self.delegation == Delegation::Begun
     }
 
     fn may_delegate(&self) -> bool {
         let service = &self.routed.service;
         self.options.may_ask
-            && !self.is_delegated
-            && self.is_unreached
+            && self.delegation == Delegation::Useful
             && !self.state.reach().tracker.is_cut_off()
             && self
                 .state
@@ -148,7 +159,7 @@
 
     /// Records whether another VM could serve a request of which this one reaches no target.
     fn record_delegation(&self, is_served: bool) {
-        if self.is_delegated {
+        if self.is_delegated() {
             let mut reach = self.state.reach();
             let service = &self.routed.service;
             reach.delegations.record(service, is_served, clock::now());
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -98,6 +98,17 @@
     crashed: Option<String>,
 }
 
+/// Whether other VMs send a request because this one reaches none of its targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Delegation {
+    /// All tries so far reached their targets.
+    Unneeded,
+    /// A connection to a target could not be made.
+    Useful,
+    /// Other VMs send it.
+    Begun,
+}
+
 /// State shared by all tries of one request.
 struct ForwardRun<'a> {
     state: &'a GatewayState,
@@ -115,10 +126,7 @@
     /// The target's response to the last try, if it may have run the request, and the target's id.
     last_response: Option<(TargetResponse, String)>,
     has_timed_out: bool,
-    /// Whether a connection to a target could not be made.
-    is_unreached: bool,
-    /// Whether other VMs send it because this one reaches none of its targets.
-    is_delegated: bool,
+    delegation: Delegation,
     /// Computed when needed.
     identity: OnceCell<RequestIdentity>,
     /// Whether this is the one try of a quarantined request.
@@ -151,8 +159,7 @@
         verdict: RunVerdict::NotRun,
         last_response: None,
         has_timed_out: false,
-        is_unreached: false,
-        is_delegated: false,
+        delegation: Delegation::Unneeded,
         identity: OnceCell::new(),
         is_trial: false,
     };
@@ -192,10 +199,10 @@
                     HelperEnd::None if self.state.reach().tracker.is_cut_off() => {
                         return self.refuse(RefusalCause::NoTarget);
                     }
-                    HelperEnd::None if self.is_delegated && self.tried.is_empty() => {
+                    HelperEnd::None if self.is_delegated() && self.tried.is_empty() => {
                         return self.refuse(RefusalCause::NoTarget);
                     }
-                    HelperEnd::None if self.is_delegated => return self.give_up(),
+                    HelperEnd::None if self.is_delegated() => return self.give_up(),
                     // Whether this VM is cut off is not known yet.
                     HelperEnd::None => {}
                 }
@@ -266,10 +273,12 @@
     /// Handles a try that ended without a complete response.
     async fn handle_failure(&mut self, target: &TryTarget, failure: &CallFailure) {
         self.has_timed_out |= failure.kind == ResultKind::TimedOut;
-        self.is_unreached |= matches!(
+        if matches!(
             failure.kind,
             ResultKind::ConnectFailed | ResultKind::Refused
-        );
+        ) {
+            self.delegation = self.delegation.max(Delegation::Useful);
+        }
         self.last_response = None;
         let has_crashed =
             failure.is_broken && target_call::is_gone(self.state, target.address).await;
--- a/dahliawood-gateway/src/front/mod.rs
+++ b/dahliawood-gateway/src/front/mod.rs
@@ -7,7 +7,6 @@
 use async_std::channel::Receiver;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures::FutureExt;
 use futures::future::{self, Either};
 use std::pin::pin;
 use std::time::Duration;
@@ -31,12 +30,10 @@
                 log::warn!("cannot accept a connection: {error}");
                 task::sleep(ACCEPT_PAUSE).await;
             }
-            Either::Right(_) => break,
+            // Polled after the listener, which has no connection left.
+            Either::Right(_) => return,
         }
     }
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        start(stream, &serve);
-    }
 }
 
 fn start<F: Future<Output = ()> + 'static>(stream: TcpStream, serve: impl Fn(TcpStream) -> F) {
--- a/dahliawood-gateway/src/lib.rs
+++ b/dahliawood-gateway/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod settings;
 pub mod state;
 pub mod structured_log;
+pub mod supervise;
 pub mod target_call;
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -12,7 +12,7 @@
 use crate::settings::GatewaySettings;
 use crate::state::{GatewayState, SharedState};
 use crate::structured_log::EventClass;
-use crate::{clock, control, directory, reach};
+use crate::{clock, control, directory, reach, supervise};
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpListener;
 use async_std::task;
@@ -94,8 +94,8 @@
     ];
     let background = vec![
         task::spawn_local(incoming::serve(Arc::clone(&state), forward_listener)),
-        task::spawn_local(outgoing::run(Arc::clone(&state))),
-        task::spawn_local(reach::run(Arc::clone(&state))),
+        spawn_supervised(&state, "outgoing", outgoing::run),
+        spawn_supervised(&state, "reach", reach::run),
     ];
     let (stop, stopped) = bounded(1);
     let control = control::start(control::ControlOptions {
@@ -149,6 +149,16 @@
     }))
 }
 
+fn spawn_supervised<F: Future<Output = ()> + 'static>(
+    state: &SharedState,
+    name: &'static str,
+    start: impl Fn(SharedState) -> F + 'static,
+) -> task::JoinHandle<()> {
+    let state = Arc::clone(state);
+    let start = move || start(Arc::clone(&state));
+    task::spawn_local(supervise::run(name, start))
+}
+
 fn log_lifecycle(state: &GatewayState, event: &str) {
     state
         .log
--- a/dahliawood-testkit/src/link/mod.rs
+++ b/dahliawood-testkit/src/link/mod.rs
@@ -71,7 +71,7 @@
 ///
 /// # Errors
 /// No port can be bound.
-pub async fn start(server: SocketAddr) -> std::io::Result<TargetLink> {
+pub fn start(server: SocketAddr) -> std::io::Result<TargetLink> {
     let reserved = bound(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let address = reserved.local_addr()?.as_socket();
     let address = address.ok_or(ErrorKind::AddrNotAvailable)?;
--- a/dahliawood-testkit/src/soak/environment/network/mod.rs
+++ b/dahliawood-testkit/src/soak/environment/network/mod.rs
@@ -26,7 +26,7 @@
         let mut target_links = Vec::new();
         let mut substitutes = Vec::new();
         for target in targets {
-            let link = link::start(*target).await?;
+            let link = link::start(*target)?;
             substitutes.push((target.to_string(), link.address.to_string()));
             target_links.push(link);
         }
