--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::control::vms::VmRecord;
 use crate::state::SharedState;
+use crate::supervise;
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpListener;
 use async_std::task;
@@ -40,6 +41,8 @@
     pub view: RefCell<KeyspaceView>,
     /// Whether the store answered the last call.
     pub is_store_up: Cell<bool>,
+    /// When the latest call was made whose answer shows that this VM's copy is current.
+    pub heard_at: Cell<TimeStamp>,
     /// Whether this VM follows another one instead of the store.
     pub is_relayed: Cell<bool>,
     /// Until when the copy of a VM that follows another one is current, `None` if it follows the
@@ -71,6 +74,13 @@
     pub store_status_changed: (Sender<()>, Receiver<()>),
 }
 
+impl ControlState {
+    /// Records the answer to a call made at `asked_at` that shows that this VM's copy is current.
+    pub fn record_heard(&self, asked_at: TimeStamp) {
+        self.heard_at.set(self.heard_at.get().max(asked_at));
+    }
+}
+
 /// Arguments of [`start`].
 pub struct ControlOptions {
     /// State shared with the traffic thread.
@@ -105,6 +115,7 @@
         epoch_changed: bounded(1),
         is_store_up: Cell::new(true),
         store_status_changed: bounded(1),
+        heard_at: Cell::new(TimeStamp::ZERO),
         is_relayed: Cell::new(false),
         current_until: Cell::new(None),
         is_confirmed: Cell::new(false),
@@ -119,17 +130,27 @@
     });
     let tasks = [
         task::spawn_local(peers::serve(Rc::clone(&state), options.peer_listener)),
-        task::spawn_local(shares::run(Rc::clone(&state))),
-        task::spawn_local(relay::run(Rc::clone(&state))),
-        task::spawn_local(sightings::run(Rc::clone(&state))),
-        task::spawn_local(loads::run(Rc::clone(&state))),
-        task::spawn_local(loads::run_regions(Rc::clone(&state))),
-        task::spawn_local(follow::run(Rc::clone(&state))),
-        task::spawn_local(register::run(Rc::clone(&state))),
-        task::spawn_local(tick::run(state)),
+        spawn(&state, "shares", shares::run),
+        spawn(&state, "relay", relay::run),
+        spawn(&state, "sightings", sightings::run),
+        spawn(&state, "loads", loads::run),
+        spawn(&state, "region-loads", loads::run_regions),
+        spawn(&state, "follow", follow::run),
+        spawn(&state, "register", register::run),
+        spawn(&state, "tick", tick::run),
     ];
     let _closed = options.stop.recv().await;
     for task in tasks {
         task.cancel().await;
     }
 }
+
+fn spawn<F: Future<Output = ()> + 'static>(
+    state: &Rc<ControlState>,
+    name: &'static str,
+    start: impl Fn(Rc<ControlState>) -> F + 'static,
+) -> task::JoinHandle<()> {
+    let state = Rc::clone(state);
+    let start = move || start(Rc::clone(&state));
+    task::spawn_local(supervise::run(name, start))
+}
