--- a/dahliawood-gateway/src/forward/selection/mod.rs
+++ b/dahliawood-gateway/src/forward/selection/mod.rs
@@ -7,7 +7,9 @@
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::placement::cached::ObjectVisit;
-use dahliawood_steer::placement::choose::{self, ColdLimit, PlacementChoice, PlacementQuery};
+use dahliawood_steer::placement::choose::{
+    self, ColdLimit, PlacementChoice, PlacementQuery, QueueTurn,
+};
 use dahliawood_steer::placement::ranking::OrderKey;
 use dahliawood_steer::rendezvous;
 use std::net::SocketAddr;
@@ -50,6 +52,7 @@
             max_wait: self.max_wait(table.cached_service_time(&self.routed.service), now),
             time_left: self.routed.deadline.since(now),
             cold: self.cold_limit(),
+            turn: QueueTurn::Arriving,
         };
         let choice = choose::choose(&mut table, &self.state.location(), &query, now);
         match choice {
@@ -72,7 +75,7 @@
                 table.begin(key, now);
                 Ok(chosen)
             }
-            PlacementChoice::Busy { retry_after } => Err(RefusalCause::Busy(retry_after)),
+            PlacementChoice::Busy { retry_after, .. } => Err(RefusalCause::Busy(retry_after)),
             PlacementChoice::None => Err(RefusalCause::NoTarget),
         }
     }
--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -35,6 +35,15 @@
     best.map(|candidate| candidate.key)
 }
 
+/// Time until one of the candidates that may be chosen has room for the request and can still serve it in
+/// the time that is left then.
+pub(super) fn room_in(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<Duration> {
+    let spread = list.iter().take(SPREAD_TARGETS);
+    let in_time = spread.filter(|candidate| candidate.total <= query.time_left);
+    let waits = in_time.map(|candidate| candidate.wait.saturating_sub(query.max_wait));
+    waits.min()
+}
+
 /// Usable targets of one region among `targets`, in their order; without those that are much slower
 /// than their service's average if `skips_slow`.
 pub(super) fn candidates(
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -69,6 +69,19 @@
     pub time_left: Duration,
     /// Rate limit of a cold target.
     pub cold: ColdLimit,
+    /// Whether it may take a slot before requests that wait at this VM.
+    pub turn: QueueTurn,
+}
+
+/// Relation of a request to those that wait at this VM for a slot of the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueueTurn {
+    /// It arrives, and no request waits that goes before it.
+    Arriving,
+    /// It arrives, and requests wait that go before it: it gets no slot now.
+    Behind,
+    /// It has waited, and it is its turn. It was counted and admitted when it arrived.
+    Waited,
 }
 
 /// Result of the choice.
@@ -80,6 +93,9 @@
     Busy {
         /// When a slot may be free.
         retry_after: Duration,
+        /// Time until a target is expected to have room for it and to serve it in the time that is left.
+        /// `None` if there is none, or if the request is refused to shorten queues.
+        room_in: Option<Duration>,
     },
     /// No usable target may serve the request.
     None,
@@ -95,9 +111,8 @@
     query: &PlacementQuery<'_>,
     now: TimeStamp,
 ) -> PlacementChoice {
-    if query.tried.is_empty()
-        && let Some(refusal) = refusal::shed(table, query.service, now)
-    {
+    let is_arriving = query.tried.is_empty() && query.turn != QueueTurn::Waited;
+    if is_arriving && let Some(refusal) = refusal::shed(table, query.service, now) {
         return refusal;
     }
     let object = query.object.unwrap_or_else(rand::random);
@@ -131,10 +146,13 @@
     let has_local = !sides.local.is_empty();
     let local = candidate::best_in_time(&sides.local, query);
     if let Some(spillover) = spillover_mut(table, query.service)
-        && query.tried.is_empty()
+        && is_arriving
     {
         spillover.record_request(has_local && local.is_none());
     }
+    if query.turn == QueueTurn::Behind {
+        return sides.refuse(table, location, query, now);
+    }
     let dispatch = |table: &mut PlacementTable, key, is_remote| {
         table.reserve(key, location, now);
         select(table, query.service, key, is_remote)
@@ -154,10 +172,7 @@
     {
         return dispatch(table, key, false);
     }
-    if sides.is_empty() {
-        return refusal::refuse_until_open(table, location, query, now);
-    }
-    refusal::refuse(sides.all(), query.max_wait)
+    sides.refuse(table, location, query, now)
 }
 
 /// Candidates of this region, and of each other region.
@@ -196,6 +211,22 @@
         self.local.iter().chain(self.remote.iter().flatten())
     }
 
+    /// The refusal where no candidate may take the request now.
+    fn refuse(
+        &self,
+        table: &PlacementTable,
+        location: &VmLocation,
+        query: &PlacementQuery<'_>,
+        now: TimeStamp,
+    ) -> PlacementChoice {
+        if self.is_empty() {
+            return refusal::refuse_until_open(table, location, query, now);
+        }
+        let lists = std::iter::once(&self.local).chain(&self.remote);
+        let room_in = lists.filter_map(|list| candidate::room_in(list, query));
+        refusal::refuse(self.all(), query.max_wait, room_in.min())
+    }
+
     /// The candidate of the most preferred other region that can serve the request in time.
     fn best_remote(&self, query: &PlacementQuery<'_>) -> Option<TargetKey> {
         self.remote
--- a/dahliawood-steer/src/placement/choose/refusal/mod.rs
+++ b/dahliawood-steer/src/placement/choose/refusal/mod.rs
@@ -25,6 +25,7 @@
     let is_refused = pool.shed_share.take_refusal();
     is_refused.then_some(PlacementChoice::Busy {
         retry_after: SHED_RETRY_AFTER,
+        room_in: None,
     })
 }
 
@@ -32,11 +33,13 @@
 pub(super) fn refuse<'a>(
     all: impl Iterator<Item = &'a Candidate>,
     max_wait: Duration,
+    room_in: Option<Duration>,
 ) -> PlacementChoice {
     match all.map(|candidate| candidate.wait).min() {
         None => PlacementChoice::None,
         Some(wait) => PlacementChoice::Busy {
             retry_after: wait.saturating_sub(max_wait).max(MIN_RETRY_AFTER),
+            room_in,
         },
     }
 }
@@ -60,6 +63,10 @@
     let waits = open.map(held_for).filter(|wait| !wait.is_zero());
     waits.min().map_or(PlacementChoice::None, |wait| {
         let retry_after = wait.max(MIN_RETRY_AFTER);
-        PlacementChoice::Busy { retry_after }
+        let room_in = Some(wait);
+        PlacementChoice::Busy {
+            retry_after,
+            room_in,
+        }
     })
 }
--- a/dahliawood-steer/src/queue/mod.rs
+++ b/dahliawood-steer/src/queue/mod.rs
@@ -7,6 +7,9 @@
 //! expected wait is derived from the rate at which slots become free; if that rate is
 //! overestimated, a request may wait until its deadline and still not run.
 
+pub mod fair;
+
+use crate::queue::fair::{FairTag, VirtualTime};
 use dahliawood_model::FastMap;
 use dahliawood_model::keys::CustomerKey;
 use dahliawood_model::stamp::TimeStamp;
@@ -62,9 +65,7 @@
 /// The requests of one customer.
 #[derive(Clone, Debug)]
 struct CustomerBacklog<T> {
-    weight: u32,
-    /// Virtual time at which the customer's last served request finishes.
-    finish: f64,
+    tag: FairTag,
     entries: VecDeque<WaitEntry<T>>,
 }
 
@@ -72,7 +73,7 @@
 #[derive(Clone, Debug)]
 pub struct WaitQueue<T> {
     backlogs: FastMap<Option<CustomerKey>, CustomerBacklog<T>>,
-    virtual_time: f64,
+    virtual_time: VirtualTime,
     len: usize,
 }
 
@@ -80,7 +81,7 @@
     fn default() -> Self {
         Self {
             backlogs: FastMap::default(),
-            virtual_time: 0.0,
+            virtual_time: VirtualTime::default(),
             len: 0,
         }
     }
@@ -110,7 +111,7 @@
             .values()
             .filter(|backlog| !backlog.entries.is_empty());
         QueuePressure {
-            weight: waiting.map(|backlog| u64::from(backlog.weight)).sum(),
+            weight: waiting.map(|backlog| u64::from(backlog.tag.weight())).sum(),
             slots,
         }
     }
@@ -121,7 +122,7 @@
         let share = (position + 1) as f64 / f64::from(weight);
         let others = self.backlogs.iter().filter(|(key, _)| **key != customer);
         let others = others.map(|(_, backlog)| {
-            let turns = share * f64::from(backlog.weight);
+            let turns = share * f64::from(backlog.tag.weight());
             turns.min(backlog.entries.len() as f64)
         });
         others.sum::<f64>() + position as f64
@@ -143,7 +144,7 @@
 ) -> Result<(), RefusedEntry<T>> {
     let weight = entry.weight.max(1);
     let position = queue.customer_len(entry.customer);
-    let wait = wait_time(queue.ahead(entry.customer, weight, position), per_second);
+    let wait = fair::wait_time(queue.ahead(entry.customer, weight, position), per_second);
     if now.after(wait) > entry.deadline {
         return Err(refused(entry, wait, now));
     }
@@ -152,14 +153,13 @@
         .backlogs
         .entry(entry.customer)
         .or_insert_with(|| CustomerBacklog {
-            weight,
-            finish: virtual_time,
+            tag: FairTag::new(weight, virtual_time),
             entries: VecDeque::new(),
         });
     if backlog.entries.is_empty() {
-        backlog.finish = backlog.finish.max(virtual_time);
+        backlog.tag.rejoin(virtual_time);
     }
-    backlog.weight = weight;
+    backlog.tag.set_weight(weight);
     backlog.entries.push_back(entry);
     queue.len += 1;
     Ok(())
@@ -173,12 +173,12 @@
         .iter()
         .filter(|(_, backlog)| !backlog.entries.is_empty());
     let next = waiting
-        .min_by(|(a_key, a), (b_key, b)| a.finish.total_cmp(&b.finish).then(a_key.cmp(b_key)));
-    let customer = *next?.0;
+        .map(|(key, backlog)| (backlog.tag.turn(0), *key))
+        .min_by(|(a, a_key), (b, b_key)| a.total_cmp(b).then(a_key.cmp(b_key)));
+    let customer = next?.1;
     let backlog = queue.backlogs.get_mut(&customer)?;
     let entry = backlog.entries.pop_front()?;
-    queue.virtual_time = backlog.finish;
-    backlog.finish += 1.0 / f64::from(backlog.weight);
+    backlog.tag.serve(&mut queue.virtual_time);
     queue.len -= 1;
     if queue.len == 0 {
         queue.backlogs.clear();
@@ -188,17 +188,15 @@
 
 /// Puts a popped request that got no slot back at the head of its customer's backlog.
 pub fn requeue<T>(queue: &mut WaitQueue<T>, entry: WaitEntry<T>) {
-    let virtual_time = queue.virtual_time;
+    let mut virtual_time = queue.virtual_time;
     let weight = entry.weight.max(1);
-    let backlog = queue
-        .backlogs
-        .entry(entry.customer)
-        .or_insert_with(|| CustomerBacklog {
-            weight,
-            finish: virtual_time + 1.0 / f64::from(weight),
-            entries: VecDeque::new(),
-        });
-    backlog.finish -= 1.0 / f64::from(backlog.weight);
+    let backlog = queue.backlogs.entry(entry.customer).or_insert_with(|| {
+        let mut tag = FairTag::new(weight, virtual_time);
+        tag.serve(&mut virtual_time);
+        let entries = VecDeque::new();
+        CustomerBacklog { tag, entries }
+    });
+    backlog.tag.take_back();
     backlog.entries.push_front(entry);
     queue.len += 1;
 }
@@ -227,8 +225,8 @@
     let mut late = Vec::new();
     let mut position = 0;
     while position < queue.customer_len(customer) {
-        let weight = queue.backlogs[&customer].weight;
-        let wait = wait_time(queue.ahead(customer, weight, position), per_second);
+        let weight = queue.backlogs[&customer].tag.weight();
+        let wait = fair::wait_time(queue.ahead(customer, weight, position), per_second);
         let Some(backlog) = queue.backlogs.get_mut(&customer) else {
             break;
         };
@@ -256,10 +254,3 @@
         retry_after: excess.max(SHORTEST_RETRY),
     }
 }
-
-fn wait_time(ahead: f64, per_second: f64) -> Duration {
-    if ahead <= 0.0 && per_second > 0.0 {
-        return Duration::ZERO;
-    }
-    Duration::try_from_secs_f64(ahead / per_second).unwrap_or(Duration::MAX)
-}
--- a/dahliawood-steer/tests/main/object_load.rs
+++ b/dahliawood-steer/tests/main/object_load.rs
@@ -8,7 +8,7 @@
 use dahliawood_steer::health::ResultKind;
 use dahliawood_steer::placement::cached::ObjectVisit;
 use dahliawood_steer::placement::choose::{
-    self, ColdLimit, PlacementChoice, PlacementQuery, VmLocation,
+    self, ColdLimit, PlacementChoice, PlacementQuery, QueueTurn, VmLocation,
 };
 use dahliawood_steer::placement::ranking::OrderKey;
 use dahliawood_steer::placement::table::{PlacementTable, TargetResult};
@@ -188,6 +188,7 @@
                 per_second: 20.0,
                 lasts: Duration::from_secs(3),
             },
+            turn: QueueTurn::Arriving,
         };
         let PlacementChoice::Target(key) = choose::choose(table, &location, &query, *now) else {
             continue;
--- a/dahliawood-steer/tests/main/placement/lifecycle.rs
+++ b/dahliawood-steer/tests/main/placement/lifecycle.rs
@@ -81,6 +81,7 @@
     let choose = |table: &mut PlacementTable, at| choose::choose(table, &location, &query(1), at);
     let refusal = |millis| PlacementChoice::Busy {
         retry_after: Duration::from_millis(millis),
+        room_in: Some(Duration::from_millis(millis)),
     };
     assert_eq!(choose(&mut table, after(1_000)), refusal(4_000));
     // The answer to a request that was sent before does not end the pause.
--- a/dahliawood-steer/tests/main/placement/mod.rs
+++ b/dahliawood-steer/tests/main/placement/mod.rs
@@ -16,6 +16,7 @@
 use dahliawood_steer::placement::choose;
 use dahliawood_steer::placement::choose::PlacementChoice;
 use dahliawood_steer::placement::choose::PlacementQuery;
+use dahliawood_steer::placement::choose::QueueTurn;
 use dahliawood_steer::placement::ranking;
 use dahliawood_steer::placement::ranking::OrderKey;
 use dahliawood_steer::placement::table::PlacementTable;
@@ -110,10 +111,49 @@
     let mut table = table(&[("a-1", 3)]);
     fill(&mut table, "a-1", 9, START);
     let refused = choose::choose(&mut table, &vm_location("a-1", 1), &query(1), START);
-    let PlacementChoice::Busy { retry_after } = refused else {
+    let PlacementChoice::Busy {
+        retry_after,
+        room_in,
+    } = refused
+    else {
         panic!("{refused:?}");
     };
     assert!(retry_after > Duration::from_millis(100), "{retry_after:?}");
+    assert!(room_in.is_some_and(|room_in| room_in <= retry_after));
+}
+
+/// Guards against a request that takes a slot before those that wait, and against a waiting one that is shed
+/// or counted as demand once more.
+#[test]
+fn a_request_behind_waiting_ones_gets_no_slot_until_its_turn() {
+    let mut table = table(&[("a-1", 3)]);
+    let location = vm_location("a-1", 1);
+    let with_turn = |turn| PlacementQuery { turn, ..query(1) };
+    let behind = with_turn(QueueTurn::Behind);
+    let refused = choose::choose(&mut table, &location, &behind, START);
+    let is_kept = matches!(
+        refused,
+        PlacementChoice::Busy {
+            room_in: Some(Duration::ZERO),
+            ..
+        }
+    );
+    assert!(is_kept, "{refused:?}");
+    let pool = table.services.get_mut(SERVICE).unwrap();
+    for step in 1..200 {
+        (0..5).for_each(|_| pool.shed_share.record_delay(4.0));
+        pool.shed_share
+            .advance(START.after(Duration::from_millis(100) * step));
+    }
+    let now = START.after(Duration::from_secs(20));
+    let shed = (0..20).map(|_| choose::choose(&mut table, &location, &behind, now));
+    let is_final = |choice| matches!(choice, PlacementChoice::Busy { room_in: None, .. });
+    assert!(shed.filter(|choice| is_final(*choice)).count() > 10);
+    let waited = with_turn(QueueTurn::Waited);
+    for _ in 0..20 {
+        let choice = choose::choose(&mut table, &location, &waited, now);
+        assert!(chosen(choice).is_some(), "{choice:?}");
+    }
 }
 
 /// Records that a target served an object in `latency`.
--- a/dahliawood-steer/tests/main/placement/support.rs
+++ b/dahliawood-steer/tests/main/placement/support.rs
@@ -10,6 +10,7 @@
 use dahliawood_steer::placement::choose::ColdLimit;
 use dahliawood_steer::placement::choose::PlacementChoice;
 use dahliawood_steer::placement::choose::PlacementQuery;
+use dahliawood_steer::placement::choose::QueueTurn;
 use dahliawood_steer::placement::choose::VmLocation;
 use dahliawood_steer::placement::table::PlacementTable;
 use dahliawood_steer::placement::table::TargetResult;
@@ -83,6 +84,7 @@
             per_second: 20.0,
             lasts: Duration::from_secs(3),
         },
+        turn: QueueTurn::Arriving,
     }
 }
 
