feat(gateway): requests wait at the VM until a target has room

A request for which no target had room was refused at once, although a slot became free a moment later. Where routes of a service or customers differ in priority, it now joins the VM's queue (`forward::waiting`), and its own task tries again when its turn comes: after a request of this VM ended, after newer loads (`WaitingRequests::notify_room`) and by one timer. It is refused after an eighth of the target latency, and at once by a shutdown, by a configuration that no longer allows it, or when no slot is expected in time. A caller that leaves drops the entry. `waited_ms` in the `request` and `help` events, and three metrics.

A request for which a target has room at once joins whatever the number of those ahead, as they wait for other targets.

--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -102,7 +102,9 @@
         return;
     }
     let detail = format!("{} routes", catalog.routes.len());
-    shared.catalog.store(Some(Arc::new(catalog)));
+    let catalog = Arc::new(catalog);
+    shared.catalog.store(Some(Arc::clone(&catalog)));
+    shared.waiting.apply_catalog(&catalog, clock::now());
     log_change(state, key, "version", version, detail);
 }
 
--- a/dahliawood-gateway/src/forward/attempt/mod.rs
+++ b/dahliawood-gateway/src/forward/attempt/mod.rs
@@ -17,6 +17,7 @@
 /// closed its connection.
 struct TryGuard<'a> {
     state: &'a GatewayState,
+    service: &'a str,
     key: TargetKey,
     started: TimeStamp,
     result: TargetResult,
@@ -27,6 +28,20 @@
         let now = clock::now();
         self.result.latency = now.since(self.started);
         self.state.placement().finish(self.key, self.result, now);
+        if frees_slot(self.result.kind) {
+            self.state.waiting.record_end(self.service, now);
+        }
+    }
+}
+
+/// Whether a request with this result had a slot at its target, which is free now.
+fn frees_slot(kind: ResultKind) -> bool {
+    match kind {
+        ResultKind::Answered
+        | ResultKind::Errored
+        | ResultKind::TimedOut
+        | ResultKind::Cancelled => true,
+        ResultKind::Shed | ResultKind::ConnectFailed | ResultKind::Refused => false,
     }
 }
 
@@ -40,6 +55,7 @@
             .cached_service_time(&self.routed.service);
         let mut guard = TryGuard {
             state: self.state,
+            service: &self.routed.service,
             key: target.key,
             started: now,
             result: TargetResult {
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -8,11 +8,13 @@
 mod helper;
 mod selection;
 mod suspicion;
+pub mod waiting;
 
 use crate::clock;
 use crate::codec::RequestMetadata;
 use crate::forward::helper::HelperEnd;
 use crate::forward::selection::TryTarget;
+use crate::forward::waiting::ticket::WaitTicket;
 use crate::front::connection::CallerRequest;
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::state::GatewayState;
@@ -48,6 +50,8 @@
     pub started: TimeStamp,
     /// When the caller must have the final response.
     pub deadline: TimeStamp,
+    /// How long it waited at this VM for a slot; set when the wait ends.
+    pub waited: Cell<Duration>,
 }
 
 /// How a request is forwarded.
@@ -119,6 +123,10 @@
     identity: OnceCell<RequestIdentity>,
     /// Whether this is the one try of a quarantined request.
     is_trial: bool,
+    /// Its place among the requests that wait for a slot.
+    ticket: Option<WaitTicket<'a>>,
+    /// Whether it has waited for a slot.
+    has_waited: bool,
 }
 
 /// Forwards a request, with retries, until there is a final response. Dropping the future closes
@@ -149,6 +157,8 @@
         has_timed_out: false,
         identity: OnceCell::new(),
         is_trial: false,
+        ticket: None,
+        has_waited: false,
     };
     match run.admission() {
         RequestAdmission::Open => {}
@@ -177,6 +187,9 @@
     async fn run_tries(mut self) -> Result<ForwardAnswer, RefusalCause> {
         loop {
             if !self.sends_direct() {
+                if let Some(ticket) = self.ticket.take() {
+                    ticket.leave_to_helper();
+                }
                 match self.ask_helpers().await {
                     HelperEnd::Answered(answer) => return Ok(answer),
                     HelperEnd::Refused(cause) => return self.refuse(cause),
@@ -192,9 +205,15 @@
             }
             let target = match self.choose_target() {
                 Ok(target) => target,
-                Err(cause) if self.tried.is_empty() => return self.refuse(cause),
+                Err(unplaced) if self.tried.is_empty() => {
+                    match self.wait_for_turn(unplaced).await {
+                        Ok(()) => continue,
+                        Err(cause) => return self.refuse(cause),
+                    }
+                }
                 Err(_) => return self.give_up(),
             };
+            self.record_start();
             if self.tried.is_empty() && !self.options.is_retry {
                 self.state
                     .with_budget(&self.routed.service, RetryBudget::earn);
@@ -215,6 +234,15 @@
         }
     }
 
+    /// Records that the request takes a slot, which ends its wait.
+    fn record_start(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            return ticket.start();
+        }
+        let waiting = &self.state.waiting;
+        waiting.record_direct_start(&self.routed.service, self.rank());
+    }
+
     /// Whether a target's response ends the request and is passed on to the caller.
     fn is_final(&self, response: &TargetResponse) -> bool {
         match classification::classify(response) {
--- a/dahliawood-gateway/src/forward/selection/mod.rs
+++ b/dahliawood-gateway/src/forward/selection/mod.rs
@@ -7,9 +7,7 @@
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::placement::cached::ObjectVisit;
-use dahliawood_steer::placement::choose::{
-    self, ColdLimit, PlacementChoice, PlacementQuery, QueueTurn,
-};
+use dahliawood_steer::placement::choose::{self, ColdLimit, PlacementChoice, PlacementQuery};
 use dahliawood_steer::placement::ranking::OrderKey;
 use dahliawood_steer::rendezvous;
 use std::net::SocketAddr;
@@ -33,9 +31,23 @@
     pub(super) started: TimeStamp,
 }
 
+/// Why no target was chosen.
+pub(super) struct Unplaced {
+    pub(super) cause: RefusalCause,
+    /// Time until a target is expected to have room, `None` if waiting is of no use.
+    pub(super) room_in: Option<Duration>,
+}
+
+impl From<RefusalCause> for Unplaced {
+    fn from(cause: RefusalCause) -> Self {
+        let room_in = None;
+        Self { cause, room_in }
+    }
+}
+
 impl ForwardRun<'_> {
     /// Chooses a target and counts the request as running there.
-    pub(super) fn choose_target(&self) -> Result<TryTarget, RefusalCause> {
+    pub(super) fn choose_target(&self) -> Result<TryTarget, Unplaced> {
         let now = clock::now();
         let route = self.route();
         let customer_regions = self.customer_regions();
@@ -52,7 +64,7 @@
             max_wait: self.max_wait(table.cached_service_time(&self.routed.service), now),
             time_left: self.routed.deadline.since(now),
             cold: self.cold_limit(),
-            turn: QueueTurn::Arriving,
+            turn: self.queue_turn(),
         };
         let choice = choose::choose(&mut table, &self.state.location(), &query, now);
         match choice {
@@ -75,8 +87,14 @@
                 table.begin(key, now);
                 Ok(chosen)
             }
-            PlacementChoice::Busy { retry_after, .. } => Err(RefusalCause::Busy(retry_after)),
-            PlacementChoice::None => Err(RefusalCause::NoTarget),
+            PlacementChoice::Busy {
+                retry_after,
+                room_in,
+            } => Err(Unplaced {
+                cause: RefusalCause::Busy(retry_after),
+                room_in,
+            }),
+            PlacementChoice::None => Err(RefusalCause::NoTarget.into()),
         }
     }
 
--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -14,6 +14,7 @@
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_wire::raw::head::RequestHead;
 use serde::Serialize;
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
     status: u16,
     cause: Option<String>,
     taken_ms: u128,
+    /// Time waited at this VM for a slot.
+    waited_ms: u128,
 }
 
 /// Log event for a customer's limit that was reached on this VM.
@@ -102,6 +105,8 @@
         Some(_) => "failed",
     };
     state.metrics.record_request(label, taken);
+    let waited = outcome.1.as_ref().map(|routed| routed.waited.get());
+    let waited = waited.unwrap_or_default();
     let class = if cause.is_none() && status < 500 {
         EventClass::Routine
     } else {
@@ -119,6 +124,7 @@
         status,
         cause: cause.map(ToString::to_string),
         taken_ms: taken.as_millis(),
+        waited_ms: waited.as_millis(),
     });
 }
 
@@ -147,6 +153,7 @@
         service,
         started: now,
         deadline: now.after(wait.saturating_sub(RESPONSE_MARGIN)),
+        waited: Cell::default(),
     })
 }
 
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -8,6 +8,9 @@
 /// Upper bounds of the latency histogram, seconds.
 const LATENCY_BOUNDS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0];
 
+/// Upper bounds of the histogram of waits, seconds.
+const WAIT_BOUNDS: [f64; 6] = [0.015, 0.03, 0.06, 0.125, 0.25, 0.5];
+
 /// All metrics of a gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -30,6 +33,12 @@
     pub cut_off: IntGauge,
     /// What other VMs said of targets and this VM's own connections contradict.
     pub contradictions: IntCounter,
+    /// Requests that wait for a slot.
+    pub waiting: IntGauge,
+    /// Waits for a slot, by outcome.
+    pub waits: IntCounterVec,
+    /// Time waited for a slot, seconds.
+    pub wait_time: Histogram,
     /// Time from the head of a request to its response, seconds.
     pub latency: Histogram,
     /// Number of requests being served.
@@ -78,6 +87,12 @@
             "What other VMs said of targets and this VM's connections contradict.",
         )?;
         registry.register(Box::new(contradictions.clone()))?;
+        let waiting = IntGauge::new("requests_waiting", "Requests that wait for a slot.")?;
+        registry.register(Box::new(waiting.clone()))?;
+        let waits = counter("waits_total", "Waits for a slot.", &["outcome"])?;
+        let options = HistogramOpts::new("wait_seconds", "Time waited for a slot.");
+        let wait_time = Histogram::with_opts(options.buckets(WAIT_BOUNDS.to_vec()))?;
+        registry.register(Box::new(wait_time.clone()))?;
         let options = HistogramOpts::new("request_seconds", "From a request to its answer.");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -94,6 +109,9 @@
             forwards,
             cut_off,
             contradictions,
+            waiting,
+            waits,
+            wait_time,
             latency,
             in_flight,
         })
@@ -116,6 +134,12 @@
         self.forwards.with_label_values(&[side, outcome]).inc();
     }
 
+    /// Counts the end of a wait for a slot.
+    pub fn record_wait(&self, outcome: &str, waited: Duration) {
+        self.waits.with_label_values(&[outcome]).inc();
+        self.wait_time.observe(waited.as_secs_f64());
+    }
+
     /// Counts a call to the store.
     pub fn record_store_call(&self, call: &str, is_answered: bool) {
         let outcome = if is_answered { "answered" } else { "failed" };
--- a/dahliawood-gateway/src/peer_forward/incoming/mod.rs
+++ b/dahliawood-gateway/src/peer_forward/incoming/mod.rs
@@ -17,6 +17,7 @@
 use dahliawood_peer::forward::server::{self, ForwardHandler};
 use dahliawood_wire::raw::head::RequestHead;
 use serde::Serialize;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 
@@ -32,6 +33,8 @@
     status: u16,
     cause: Option<String>,
     taken_ms: u128,
+    /// Time waited at this VM for a slot.
+    waited_ms: u128,
 }
 
 /// Counts a request of another VM until it is dropped.
@@ -108,6 +111,7 @@
         status,
         cause,
         taken_ms: clock::now().since(now).as_millis(),
+        waited_ms: routed.waited.get().as_millis(),
     });
     match ended {
         Ok(answer) if answer.response.body.len() > BODY_BYTES => Err(RefusalMessage::TargetFailed),
@@ -158,6 +162,7 @@
         service,
         started: now.before(request.spent),
         deadline: now.after(request.left),
+        waited: Cell::default(),
     })
 }
 
--- a/dahliawood-gateway/src/reach/mod.rs
+++ b/dahliawood-gateway/src/reach/mod.rs
@@ -110,6 +110,8 @@
     let has_changed = std::mem::discriminant(&before) != std::mem::discriminant(&after);
     if has_changed {
         act_on_change(state, after);
+        // Requests that wait may have to go another way.
+        state.waiting.notify_room(now);
     }
 }
 
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::codec::PlatformCodec;
 use crate::control::shares;
+use crate::forward::waiting;
 use crate::front::connection::{self, CallerRequest, RequestHandler};
 use crate::front::refusal::FrontResponse;
 use crate::front::{handler, listen};
@@ -88,6 +89,7 @@
         task::spawn_local(incoming::serve(Arc::clone(&state), forward_listener)),
         task::spawn_local(outgoing::run(Arc::clone(&state))),
         task::spawn_local(reach::run(Arc::clone(&state))),
+        task::spawn_local(waiting::run(Arc::clone(&state))),
     ];
     let (stop, stopped) = bounded(1);
     let control = control::start(control::ControlOptions {
@@ -169,6 +171,7 @@
         } = self;
         cancel(listeners).await;
         state.stop_accepting();
+        state.waiting.close(clock::now());
         // Meanwhile the next report returns this VM's allocations to the coordinator.
         task::sleep(shares::REPORT_INTERVAL).await;
         while clock::now() < limit && state.metrics.in_flight.get() > 0 {
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 use crate::codec::PlatformCodec;
 use crate::control::vms::VmRecord;
 use crate::crashes::{CrashRecords, FleetSighting};
+use crate::forward::waiting::WaitingRequests;
 use crate::metrics::GatewayMetrics;
 use crate::peer_forward::outgoing::ForwardJob;
 use crate::reach::ReachRecords;
@@ -74,6 +75,8 @@
     pub log: StructuredLog,
     /// Requests that wait for a larger allocation of their customer's limit.
     pub admission_queue: AdmissionQueue,
+    /// Requests that wait until a target has room.
+    pub waiting: WaitingRequests,
     /// Memory for the bodies of responses that are being received.
     pub response_bytes: ByteBudget,
     placement: Mutex<PlacementTable>,
@@ -119,6 +122,7 @@
             metrics,
             log: StructuredLog::default(),
             admission_queue: AdmissionQueue::default(),
+            waiting: WaitingRequests::default(),
             response_bytes: ByteBudget::new(RESPONSE_BYTES),
             placement: Mutex::new(PlacementTable::new(settings.regions.clone())),
             location: Mutex::new(location),
--- a/dahliawood-steer/src/placement/waiting/mod.rs
+++ b/dahliawood-steer/src/placement/waiting/mod.rs
@@ -68,22 +68,30 @@
 }
 
 /// Why a waiting request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WaitEnd {
     /// It got no slot within its limit.
-    #[display("late")]
     Late,
     /// A more urgent request needed its place.
-    #[display("displaced")]
     Displaced,
     /// The VM is shutting down.
-    #[display("stopped")]
     Stopped,
     /// A new configuration does not allow it as it is.
-    #[display("reconfigured")]
     Reconfigured,
 }
 
+impl WaitEnd {
+    /// Name of the outcome in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Late => "late",
+            Self::Displaced => "displaced",
+            Self::Stopped => "stopped",
+            Self::Reconfigured => "reconfigured",
+        }
+    }
+}
+
 /// Whether a request that was given its turn may use it, by the time that its task runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TurnAnswer {
@@ -175,7 +183,9 @@
             return Err(JoinRefusal::NoSlotInTime);
         }
         let key = self.insert(request, now);
-        if self.expected_start(key, now) > request.limit.until {
+        // Where a target has room at once, those ahead wait for others, or take it before this one.
+        let has_room = request.room_in.is_zero();
+        if !has_room && self.expected_start(key, now) > request.limit.until {
             self.remove(key);
             return Err(JoinRefusal::NoSlotInTime);
         }
@@ -426,7 +436,7 @@
         entries.find(|entry| may_try(entry)).map(|entry| entry.key)
     }
 
-    /// When a request is expected to start, by those ahead of it and its targets' room.
+    /// When a request is expected to start, by the number of those ahead of it.
     fn expected_start(&self, key: WaitKey, now: TimeStamp) -> TimeStamp {
         let Some(entry) = self.entries.get(&key) else {
             return TimeStamp::MAX;
