--- a/dahliawood-gateway/src/forward/waiting/ticket/mod.rs
+++ b/dahliawood-gateway/src/forward/waiting/ticket/mod.rs
@@ -75,7 +75,7 @@
 
     /// Ends the wait, as another VM is asked to send the request.
     pub(in crate::forward) fn leave_to_helper(mut self) {
-        self.outcome = "helped";
+        self.outcome = "rerouted";
     }
 }
 
