--- a/dahliawood-gateway/src/forward/selection/mod.rs
+++ b/dahliawood-gateway/src/forward/selection/mod.rs
@@ -1,9 +1,10 @@
 //! Selects the target of a try.
 
-mod refused;
+pub(super) mod refused;
 
 use crate::clock;
 use crate::forward::ForwardRun;
+use crate::forward::selection::refused::ShedRecord;
 use crate::front::refusal::RefusalCause;
 use dahliawood_model::catalog::{CatalogRoute, RequestKind};
 use dahliawood_model::keys::TargetKey;
@@ -31,19 +32,39 @@
     pub(super) started: TimeStamp,
 }
 
+/// Why no target was chosen.
+pub(super) struct Unplaced {
+    pub(super) cause: RefusalCause,
+    /// Time until a target is expected to have room, `None` if waiting is of no use.
+    pub(super) room_in: Option<Duration>,
+    /// The refusal for load of a request that has a rank.
+    pub(super) shed: Option<ShedRecord>,
+}
+
 impl ForwardRun<'_> {
     /// Chooses a target and counts the request as running there.
-    pub(super) fn choose_target(&self) -> Result<TryTarget, RefusalCause> {
+    pub(super) fn choose_target(&self) -> Result<TryTarget, Unplaced> {
         let rank = self.rank();
         let (choice, share) = self.choose(rank, clock::now());
         if let Some(rank) = rank {
-            self.record_share(rank, share, choice.as_ref().err());
+            self.record_share(rank, share);
         }
-        choice.map_err(|refused| match refused {
-            PlacementChoice::Busy { retry_after } | PlacementChoice::Shed { retry_after } => {
-                RefusalCause::Busy(retry_after)
+        choice.map_err(|refused| {
+            let (cause, room_in) = match refused {
+                PlacementChoice::Busy {
+                    retry_after,
+                    room_in,
+                } => (RefusalCause::Busy(retry_after), room_in),
+                PlacementChoice::Shed { retry_after } => (RefusalCause::Busy(retry_after), None),
+                PlacementChoice::Target(_) | PlacementChoice::None => {
+                    (RefusalCause::NoTarget, None)
+                }
+            };
+            Unplaced {
+                cause,
+                room_in,
+                shed: rank.and_then(|rank| ShedRecord::new(rank, share, &refused)),
             }
-            PlacementChoice::Target(_) | PlacementChoice::None => RefusalCause::NoTarget,
         })
     }
 
@@ -71,6 +92,7 @@
             max_wait: self.max_wait(&table, now),
             time_left: self.routed.deadline.since(now),
             cold: self.cold_limit(),
+            turn: self.queue_turn(),
         };
         let choice = choose::choose(&mut table, &self.state.location(), &query, now);
         let share = rank.map_or(0.0, |rank| table.refused_share(query.service, rank));
@@ -104,7 +126,7 @@
     }
 
     /// The request's rank, `None` if requests for its service do not differ in priority.
-    fn rank(&self) -> Option<RequestRank> {
+    pub(super) fn rank(&self) -> Option<RequestRank> {
         self.catalog.ranked_routes(&self.routed.service)?;
         Some(RequestRank {
             customer: self.catalog.customer_priority(self.routed.customer),
@@ -159,7 +181,12 @@
     }
 
     /// Expected work of a request of a route whose object is cached.
-    fn route_work(&self, table: &PlacementTable, route: &CatalogRoute, now: TimeStamp) -> Duration {
+    pub(super) fn route_work(
+        &self,
+        table: &PlacementTable,
+        route: &CatalogRoute,
+        now: TimeStamp,
+    ) -> Duration {
         table.expected_cached_work(&self.routed.service, rank::route_hash(route), now)
     }
 
--- a/dahliawood-gateway/src/forward/selection/refused/mod.rs
+++ b/dahliawood-gateway/src/forward/selection/refused/mod.rs
@@ -21,35 +21,56 @@
     retry_after_ms: u128,
 }
 
+/// How a request with a rank is refused for load.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::forward) struct ShedRecord {
+    rank: RequestRank,
+    /// Refused share of the rank.
+    share: f64,
+    reason: &'static str,
+    retry_after: Duration,
+}
+
+impl ShedRecord {
+    /// The record of a refusal, `None` if the refusal is not for load.
+    pub(super) fn new(rank: RequestRank, share: f64, refused: &PlacementChoice) -> Option<Self> {
+        let (reason, retry_after) = match refused {
+            PlacementChoice::Shed { retry_after } => ("share", *retry_after),
+            PlacementChoice::Busy { retry_after, .. } => ("room", *retry_after),
+            PlacementChoice::Target(_) | PlacementChoice::None => return None,
+        };
+        Some(Self {
+            rank,
+            share,
+            reason,
+            retry_after,
+        })
+    }
+}
+
 impl ForwardRun<'_> {
-    /// Records the refused share of a rank, and how a request of the rank is refused, if it is.
-    pub(super) fn record_share(
-        &self,
-        rank: RequestRank,
-        share: f64,
-        refused: Option<&PlacementChoice>,
-    ) {
+    /// Records the refused share of a rank.
+    pub(super) fn record_share(&self, rank: RequestRank, share: f64) {
         let service = &self.routed.service;
-        let label = rank.to_string();
         let metrics = &self.state.metrics;
-        metrics.set_shed_share(service, &label, share);
-        let (reason, retry_after) = match refused {
-            Some(PlacementChoice::Shed { retry_after }) => ("share", *retry_after),
-            Some(PlacementChoice::Busy { retry_after }) => ("room", *retry_after),
-            _ => return,
-        };
-        metrics.record_shed(service, &label, reason);
-        self.log_shed(label, reason, share, retry_after);
+        metrics.set_shed_share(service, &rank.to_string(), share);
     }
 
-    fn log_shed(&self, rank: String, reason: &str, share: f64, retry_after: Duration) {
+    /// Logs and counts the refusal of a request for load; `None` if it is refused for another reason.
+    pub(in crate::forward) fn record_shed(&self, shed: Option<ShedRecord>) {
+        let Some(shed) = shed else {
+            return;
+        };
+        let service = &self.routed.service;
+        let rank = shed.rank.to_string();
+        self.state.metrics.record_shed(service, &rank, shed.reason);
         let event = || ShedEvent {
             id: self.metadata.attempt_id.as_deref(),
-            service: &self.routed.service,
+            service,
             rank,
-            reason,
-            share,
-            retry_after_ms: retry_after.as_millis(),
+            reason: shed.reason,
+            share: shed.share,
+            retry_after_ms: shed.retry_after.as_millis(),
         };
         self.state.log.write(EventClass::Notable, "shed", event);
     }
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::codec::PlatformCodec;
 use crate::control::shares;
+use crate::forward::waiting;
 use crate::front::connection::{self, CallerRequest, RequestHandler};
 use crate::front::refusal::FrontResponse;
 use crate::front::{handler, listen};
@@ -96,6 +97,7 @@
         task::spawn_local(incoming::serve(Arc::clone(&state), forward_listener)),
         spawn_supervised(&state, "outgoing", outgoing::run),
         spawn_supervised(&state, "reach", reach::run),
+        spawn_supervised(&state, "waiting", waiting::run),
     ];
     let (stop, stopped) = bounded(1);
     let control = control::start(control::ControlOptions {
@@ -194,6 +196,7 @@
         stop_listening.close();
         futures::future::join_all(listeners).await;
         state.stop_accepting();
+        state.waiting.close(clock::now());
         // Meanwhile the next report returns this VM's allocations to the coordinator.
         task::sleep(shares::REPORT_INTERVAL).await;
         let is_busy = || {
--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -69,6 +69,15 @@
     spread.filter(|candidate| candidate.starts_in_time(query))
 }
 
+/// Time until one of the candidates that may be chosen has room for the request and can still serve it in
+/// the time that is left then.
+pub(super) fn room_in(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<Duration> {
+    let spread = list.iter().take(SPREAD_TARGETS);
+    let in_time = spread.filter(|candidate| candidate.ends_in_time(query));
+    let waits = in_time.map(|candidate| candidate.wait.saturating_sub(query.max_wait));
+    waits.min()
+}
+
 /// Usable targets of one region among `targets`, in their order; without those that are much slower
 /// than their service's average if `skips_slow`.
 pub(super) fn candidates(
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -76,6 +76,19 @@
     pub time_left: Duration,
     /// Rate limit of a cold target.
     pub cold: ColdLimit,
+    /// Whether it may take a slot before requests that wait at this VM.
+    pub turn: QueueTurn,
+}
+
+/// Relation of a request to those that wait at this VM for a slot of the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueueTurn {
+    /// It arrives, and no request waits that goes before it.
+    Arriving,
+    /// It arrives, and requests wait that go before it: it gets no slot now.
+    Behind,
+    /// It has waited, and it is its turn. It was counted and admitted when it arrived.
+    Waited,
 }
 
 /// Result of the choice.
@@ -87,6 +100,9 @@
     Busy {
         /// When a slot may be free.
         retry_after: Duration,
+        /// Time until a target is expected to have room for it and to serve it in the time that is left.
+        /// `None` if there is none, or if the request is refused to shorten queues.
+        room_in: Option<Duration>,
     },
     /// The request is refused to shorten the queues of all targets.
     Shed {
@@ -107,9 +123,8 @@
     query: &PlacementQuery<'_>,
     now: TimeStamp,
 ) -> PlacementChoice {
-    if query.tried.is_empty()
-        && let Some(refusal) = refusal::shed(table, query, now)
-    {
+    let is_arriving = query.tried.is_empty() && query.turn != QueueTurn::Waited;
+    if is_arriving && let Some(refusal) = refusal::shed(table, query, now) {
         return refusal;
     }
     let object = query.object.unwrap_or_else(rand::random);
@@ -145,12 +160,15 @@
     let has_local = !sides.local.is_empty();
     let local = candidate::best_in_time(&sides.local, query);
     if let Some(spillover) = spillover_mut(table, query.service)
-        && query.tried.is_empty()
+        && is_arriving
     {
         // A request that is excluded for its work alone is no sign of a busy region.
         let has_start = candidate::best_starting(&sides.local, query).is_some();
         spillover.record_request(has_local && !has_start);
     }
+    if query.turn == QueueTurn::Behind {
+        return sides.refuse(table, location, query, now);
+    }
     let dispatch = |table: &mut PlacementTable, key, is_remote| {
         table.reserve(key, location, now);
         refusal::record_room(table, query, true);
@@ -166,9 +184,6 @@
     if let Some((key, is_remote)) = side::choose_side(table, query.service, targets, remote) {
         return dispatch(table, key, is_remote);
     }
-    if sides.is_empty() {
-        return refusal::refuse_until_open(table, location, query, now);
-    }
     if let Some((candidate, is_remote)) = sides.best_starting(query) {
         let (key, basis) = (candidate.key, candidate.basis);
         if let (Some(pool), Some(basis)) = (table.services.get_mut(query.service), basis) {
@@ -178,7 +193,7 @@
             pool.work.record_refusal(query.route, basis);
         }
     }
-    refusal::refuse(table, query, sides.all())
+    sides.refuse(table, location, query, now)
 }
 
 /// Candidates of this region, and of each other region.
@@ -235,6 +250,22 @@
         local.or_else(|| remote().map(|candidate| (candidate, true)))
     }
 
+    /// The refusal where no candidate may take the request now.
+    fn refuse(
+        &self,
+        table: &mut PlacementTable,
+        location: &VmLocation,
+        query: &PlacementQuery<'_>,
+        now: TimeStamp,
+    ) -> PlacementChoice {
+        if self.is_empty() {
+            return refusal::refuse_until_open(table, location, query, now);
+        }
+        let lists = std::iter::once(&self.local).chain(&self.remote);
+        let room_in = lists.filter_map(|list| candidate::room_in(list, query));
+        refusal::refuse(table, query, self.all(), room_in.min())
+    }
+
     /// The candidate of the most preferred other region that can serve the request in time.
     fn best_remote(&self, query: &PlacementQuery<'_>) -> Option<TargetKey> {
         self.remote
--- a/dahliawood-steer/src/placement/choose/refusal/mod.rs
+++ b/dahliawood-steer/src/placement/choose/refusal/mod.rs
@@ -1,7 +1,7 @@
 //! Refusals, and when the caller is told to come back.
 
 use crate::placement::choose::candidate::Candidate;
-use crate::placement::choose::{self, PlacementChoice, PlacementQuery, VmLocation};
+use crate::placement::choose::{self, PlacementChoice, PlacementQuery, QueueTurn, VmLocation};
 use crate::placement::rank::RequestRank;
 use crate::placement::record::TargetRecord;
 use crate::placement::shedding::by_rank::RankShares;
@@ -67,6 +67,7 @@
     table: &mut PlacementTable,
     query: &PlacementQuery<'_>,
     all: impl Iterator<Item = &'a Candidate>,
+    room_in: Option<Duration>,
 ) -> PlacementChoice {
     let usable_in = |candidate: &Candidate| {
         let start_in = candidate.wait.saturating_sub(query.max_wait);
@@ -87,13 +88,17 @@
         (Some(rank), Some(pool)) => ranked_delay(&pool.rank_shares, rank, room, query.time_left),
         _ => room,
     };
-    PlacementChoice::Busy { retry_after }
+    PlacementChoice::Busy {
+        retry_after,
+        room_in,
+    }
 }
 
-/// Records whether a request found a target with room, where requests differ in priority.
+/// Records whether an arriving request found a target with room, where requests differ in priority.
 pub(super) fn record_room(table: &mut PlacementTable, query: &PlacementQuery<'_>, has_room: bool) {
     let pool = table.services.get_mut(query.service);
-    if let (Some(rank), Some(pool), true) = (query.rank, pool, query.tried.is_empty()) {
+    let is_arriving = query.tried.is_empty() && query.turn != QueueTurn::Waited;
+    if let (Some(rank), Some(pool), true) = (query.rank, pool, is_arriving) {
         pool.rank_shares.record_room(rank, has_room);
     }
 }
@@ -131,6 +136,10 @@
     let waits = open.map(held_for).filter(|wait| !wait.is_zero());
     waits.min().map_or(PlacementChoice::None, |wait| {
         let retry_after = wait.max(MIN_RETRY_AFTER);
-        PlacementChoice::Busy { retry_after }
+        let room_in = Some(wait);
+        PlacementChoice::Busy {
+            retry_after,
+            room_in,
+        }
     })
 }
--- a/dahliawood-steer/src/placement/mod.rs
+++ b/dahliawood-steer/src/placement/mod.rs
@@ -24,4 +24,5 @@
 pub mod stated_limit;
 pub mod statement;
 pub mod table;
+pub mod waiting;
 pub mod work;
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -19,4 +19,5 @@
 mod shedding;
 mod split;
 mod unannounced_cold;
+mod waiting;
 mod work;
--- a/dahliawood-steer/tests/main/placement/capacity.rs
+++ b/dahliawood-steer/tests/main/placement/capacity.rs
@@ -11,7 +11,7 @@
 use dahliawood_steer::placement::balance;
 use dahliawood_steer::placement::cached::ObjectVisit;
 use dahliawood_steer::placement::choose::{
-    self, ColdLimit, PlacementChoice, PlacementQuery, VmLocation,
+    self, ColdLimit, PlacementChoice, PlacementQuery, QueueTurn, VmLocation,
 };
 use dahliawood_steer::placement::ranking::OrderKey;
 use dahliawood_steer::placement::spillover::shares::ShareReason;
@@ -274,6 +274,7 @@
         let left = TARGET_LATENCY.saturating_sub(spent + WORK as u64);
         let query = PlacementQuery {
             rank: None,
+            turn: QueueTurn::Arriving,
             route: 0,
             service: SERVICE,
             object: Some(request.object),
--- a/dahliawood-steer/tests/main/rank_shares.rs
+++ b/dahliawood-steer/tests/main/rank_shares.rs
@@ -152,7 +152,7 @@
         let choices =
             (0..100).map(|_| choose::choose(&mut table, &vm_location("a-1", 1), &query, now));
         let delays = choices.filter_map(|choice| match choice {
-            PlacementChoice::Shed { retry_after } | PlacementChoice::Busy { retry_after } => {
+            PlacementChoice::Shed { retry_after } | PlacementChoice::Busy { retry_after, .. } => {
                 Some(retry_after)
             }
             _ => None,
--- a/dahliawood-steer/tests/main/work.rs
+++ b/dahliawood-steer/tests/main/work.rs
@@ -597,7 +597,12 @@
     };
     let refused = choose::choose(&mut table, &location, &hurried(1), START);
     let retry_after = Duration::from_secs(1);
-    assert_eq!(refused, PlacementChoice::Busy { retry_after });
+    let room_in = None;
+    let busy = PlacementChoice::Busy {
+        retry_after,
+        room_in,
+    };
+    assert_eq!(refused, busy);
     // Nothing is known about the other route.
     let other = choose::choose(&mut table, &location, &hurried(2), START);
     assert!(matches!(other, PlacementChoice::Target(_)), "{other:?}");
