feat(steer): a first visit is sent to another target only where a slot is free

Cause: under overload requests moved to targets that had not cached their objects, where each took the slot time of several cached requests. Change: only the first usable target of an object may queue a first visit.

--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -29,6 +29,8 @@
     pub(super) basis: Option<VisitKind>,
     /// Factor of work by the target's stated pace.
     pub(super) pace: f64,
+    /// What the target is known to have cached of the request's object.
+    visit: VisitKind,
 }
 
 impl Candidate {
@@ -65,8 +67,14 @@
     list: &'a [Candidate],
     query: &PlacementQuery<'_>,
 ) -> impl Iterator<Item = &'a Candidate> {
-    let spread = list.iter().take(SPREAD_TARGETS);
-    spread.filter(|candidate| candidate.starts_in_time(query))
+    let spread = list.iter().take(SPREAD_TARGETS).enumerate();
+    let starting = spread.filter(|(rank, candidate)| {
+        // A first visit takes as much slot time as several cached requests, which those that queue
+        // at the target would miss.
+        let may_queue = *rank == 0 || candidate.visit != VisitKind::First;
+        candidate.starts_in_time(query) && (may_queue || candidate.wait.is_zero())
+    });
+    starting.map(|(_, candidate)| candidate)
 }
 
 /// Time until one of the candidates that may be chosen has room for the request and can still serve it in
@@ -128,6 +136,7 @@
             needed: needed.map_or(Duration::ZERO, |needed| needed.mul_f64(pace) + round_trip),
             basis: basis.map(|(kind, _)| kind),
             pace,
+            visit,
         });
     }
     usable
