fix(gateway): bodies of requests and responses count in memory until they are sent or dropped

Cause: only bodies of responses were bounded, and only while they were read. Bodies of requests were not, and a response that waited for a slow caller was held twice and not counted. A response for which there was no memory was taken for a fault of its target.

Change: one budget of 64 MiB for all bodies, of which requests may take all and responses 48 MiB, until the bodies are dropped, and 4 MiB more for small bodies; 16 MiB of requests at a time to one target. Beyond it, a request is refused (503, not run) or sent to another target. While the budget is short, callers that make no progress are disconnected.

--- a/dahliawood-gateway/src/directory/mod.rs
+++ b/dahliawood-gateway/src/directory/mod.rs
@@ -55,7 +55,7 @@
     FrontResponse {
         status: 200,
         fields,
-        body: (state.codec.write_lookup)(&addresses, lifetime),
+        body: (state.codec.write_lookup)(&addresses, lifetime).into(),
     }
 }
 
@@ -65,6 +65,6 @@
     FrontResponse {
         status,
         fields,
-        body: text.as_bytes().to_vec(),
+        body: text.as_bytes().to_vec().into(),
     }
 }
--- a/dahliawood-gateway/src/forward/helper/mod.rs
+++ b/dahliawood-gateway/src/forward/helper/mod.rs
@@ -79,6 +79,11 @@
 
     /// Asks other VMs in turn to send the request, until one has an outcome that no other would change.
     pub(super) async fn ask_helpers(&mut self) -> HelperEnd {
+        // The body is copied into a job, and from there into a message.
+        let mut copies = self.state.held_bytes.requests.share();
+        if copies.grow_to(self.request.body.len() * 2).is_err() {
+            return HelperEnd::None;
+        }
         while let Some(helper) = self.choose_helper() {
             self.asked.push(helper.vm);
             let started = clock::now();
@@ -183,7 +188,7 @@
             method: head.method.clone(),
             target: head.target.clone(),
             fields: encode_fields(&fields),
-            body: self.request.body.clone(),
+            body: self.request.body.to_vec(),
             version: self.catalog.version,
             service: self.routed.service.clone(),
             customer: customer.map(|key| self.catalog.customers[key].name.clone()),
@@ -218,7 +223,7 @@
             response: FrontResponse {
                 status: head.status,
                 fields: head.fields,
-                body: response.body,
+                body: self.state.held_bytes.responses.hold_anyway(response.body),
             },
             target_id: response.target_id,
         }
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -101,7 +101,7 @@
 }
 
 /// The final response to a request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct ForwardAnswer {
     /// The response.
     pub response: FrontResponse,
--- a/dahliawood-gateway/src/forward/suspicion/mod.rs
+++ b/dahliawood-gateway/src/forward/suspicion/mod.rs
@@ -15,12 +15,13 @@
             let customer = self.routed.customer;
             let customer = customer.map(|key| self.catalog.customers[key].name.as_str());
             let head = &self.request.head;
+            let body: Vec<&[u8]> = self.request.body.blocks().collect();
             RequestIdentity::new(&IdentityParts {
                 customer: customer.unwrap_or_default(),
                 method: &head.method,
                 host: head.fields.get("host").unwrap_or_default(),
                 path: &head.target,
-                body: &self.request.body,
+                body: &body,
             })
         })
     }
--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -1,11 +1,13 @@
 //! Serves the requests of one keep-alive connection, which may send several before the first response.
 
 use crate::front::refusal::{FrontResponse, RefusalCause};
-use crate::state::SharedState;
+use crate::held_bytes::{PROGRESS_BYTES, PROGRESS_TIME};
+use crate::state::{GatewayState, SharedState};
 use crate::structured_log::EventClass;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use dahliawood_model::catalog::CallerLimits;
+use dahliawood_wire::raw::budget::HeldBody;
 use dahliawood_wire::raw::error::ReadError;
 use dahliawood_wire::raw::head::{BodyFraming, RequestHead};
 use dahliawood_wire::raw::reader::ConnectionReader;
@@ -16,7 +18,7 @@
 use serde::Serialize;
 use std::pin::pin;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a connection stays open for one more request once the VM is shutting down.
 const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -33,12 +35,12 @@
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// A complete request of a caller.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct CallerRequest {
     /// The request line and header fields.
     pub head: RequestHead,
     /// The whole body.
-    pub body: Vec<u8>,
+    pub body: HeldBody,
 }
 
 /// Counts a request as in flight until the guard is dropped.
@@ -143,7 +145,7 @@
         {
             is_joinable = may_overlap;
             let limits = caller_limits(&state);
-            let request = match read_body(&mut reader, &stream, &limits, head).await {
+            let request = match read_body(&state, &mut reader, &stream, &limits, head).await {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
                 Err(cause) => return refuse(&state, &stream, &cause).await,
@@ -161,7 +163,7 @@
             ConnectionStep::Ready(ready) => {
                 is_last |= state.is_leaving();
                 let close = is_last && pending.is_empty() && next.is_none() && refusal.is_none();
-                let written = write_response(&stream, &ready.response, ready.is_head, close).await;
+                let written = write_ready(&state, &stream, ready, close).await;
                 if close || written.is_none() {
                     return;
                 }
@@ -247,7 +249,7 @@
 /// Refuses what arrived, which is not a valid request, and ends the connection.
 async fn refuse(state: &SharedState, stream: &TcpStream, cause: &RefusalCause) {
     log_refusal(state, cause);
-    let _closing = write_response(stream, &cause.response(), false, true).await;
+    let _closing = write_response(state, stream, cause.response(), false, true).await;
 }
 
 /// Log event for received bytes that are not a valid request.
@@ -269,27 +271,59 @@
 
 /// Reads the body of a request, `None` if the connection has ended.
 async fn read_body(
+    state: &GatewayState,
     reader: &mut ConnectionReader<TcpStream>,
     stream: &TcpStream,
     limits: &CallerLimits,
     head: RequestHead,
 ) -> Result<Option<CallerRequest>, RefusalCause> {
     let framing = head.framing().map_err(|error| refusal_cause(&error))?;
+    let budget = &state.held_bytes.requests;
+    // A longer one would be refused however often it comes.
+    let bound = limits.body_bytes.min(budget.limit());
     if head.fields.has_token("expect", "100-continue") {
         let mut output = stream;
         if output.write_all(CONTINUE).await.is_err() {
             return Ok(None);
         }
     }
-    let body = timeout(limits.idle_timeout, reader.body(framing, limits.body_bytes)).await;
+    let short_time = upload_time(&framing);
+    let started = Instant::now();
+    let mut reading = pin!(reader.body_within(framing, bound, budget));
+    let body = loop {
+        match timeout(PROGRESS_TIME.min(limits.idle_timeout), reading.as_mut()).await {
+            Ok(body) => break body,
+            Err(_) if started.elapsed() >= limits.idle_timeout => {
+                return Err(RefusalCause::RequestTimeout);
+            }
+            Err(_) if budget.is_short() && started.elapsed() >= short_time => {
+                state.count_memory_refusal("slow-sender");
+                return Err(RefusalCause::RequestTimeout);
+            }
+            Err(_) => {}
+        }
+    };
     match body {
-        Ok(Ok(body)) => Ok(Some(CallerRequest { head, body })),
-        Ok(Err(ReadError::Truncated | ReadError::Connection { .. })) => Ok(None),
-        Ok(Err(error)) => Err(refusal_cause(&error)),
-        Err(_) => Err(RefusalCause::RequestTimeout),
+        Ok(body) => Ok(Some(CallerRequest { head, body })),
+        Err(ReadError::Truncated | ReadError::Connection { .. }) => Ok(None),
+        Err(ReadError::BudgetExhausted { .. }) => {
+            state.count_memory_refusal("request");
+            Err(RefusalCause::NoMemory)
+        }
+        Err(error) => Err(refusal_cause(&error)),
     }
 }
 
+/// How long a body may take to arrive while memory is short. One of unknown length is taken for a
+/// small one.
+fn upload_time(framing: &BodyFraming) -> Duration {
+    let length = match framing {
+        BodyFraming::Length(length) => *length,
+        BodyFraming::Chunked(_) | BodyFraming::UntilClose => 0,
+    };
+    PROGRESS_TIME + PROGRESS_TIME.mul_f64(length as f64 / PROGRESS_BYTES as f64)
+}
+
 /// Reads the head of the next request, `None` if the connection has ended.
 async fn next_head(
     state: &SharedState,
@@ -327,19 +361,82 @@
     }
 }
 
-/// Writes a response, `None` if the caller does not receive it in time.
+/// Writes the response to a request, `None` if the caller does not receive it in time.
+async fn write_ready(
+    state: &GatewayState,
+    stream: &TcpStream,
+    ready: ReadyResponse,
+    close: bool,
+) -> Option<()> {
+    let ReadyResponse {
+        response,
+        is_head,
+        _in_flight,
+        _permit,
+    } = ready;
+    write_response(state, stream, response, is_head, close).await
+}
+
+/// Writes a response, `None` if the caller does not receive it in time. The body counts as held until
+/// then.
 async fn write_response(
+    state: &GatewayState,
     stream: &TcpStream,
-    response: &FrontResponse,
+    response: FrontResponse,
     is_head: bool,
     close: bool,
 ) -> Option<()> {
-    let mut fields = response.fields.clone();
+    let mut fields = response.fields;
     if close {
         fields.push("Connection", "close");
     }
-    let bytes = write::response(response.status, &fields, &response.body, is_head);
+    let body = &response.body;
+    // A long body is not copied, since it is counted once: it is written after the encoded bytes.
+    let (joined, rest) = match (is_head, body.is_small()) {
+        (true, _) => (None, None),
+        (false, true) => (Some(body), None),
+        (false, false) => (None, Some(body)),
+    };
+    let room = joined.map_or(0, HeldBody::len);
+    let mut bytes = write::response_head(response.status, &fields, body.len(), room);
+    for block in joined.into_iter().flat_map(HeldBody::blocks) {
+        bytes.extend_from_slice(block);
+    }
+    let blocks = rest.into_iter().flat_map(HeldBody::blocks);
+    let writing = write_blocks(state, stream, [bytes.as_slice()].into_iter().chain(blocks));
+    timeout(WRITE_TIMEOUT, writing).await.ok()?
+}
+
+/// Writes bytes to a caller, `None` if the connection ended or the caller makes too little progress
+/// while memory is short.
+async fn write_blocks<'a>(
+    state: &GatewayState,
+    stream: &TcpStream,
+    blocks: impl Iterator<Item = &'a [u8]>,
+) -> Option<()> {
     let mut output = stream;
-    let written = timeout(WRITE_TIMEOUT, output.write_all(&bytes)).await;
-    matches!(written, Ok(Ok(()))).then_some(())
+    let mut progress = 0;
+    let mut checked_at = Instant::now();
+    for block in blocks {
+        let mut left = block;
+        while !left.is_empty() {
+            match timeout(PROGRESS_TIME, output.write(left)).await {
+                Ok(Ok(count)) if count > 0 => {
+                    left = &left[count..];
+                    progress += count;
+                }
+                Ok(_) => return None,
+                Err(_) => {}
+            }
+            if checked_at.elapsed() < PROGRESS_TIME {
+                continue;
+            }
+            if progress < PROGRESS_BYTES && state.held_bytes.responses.is_short() {
+                state.count_memory_refusal("slow-reader");
+                return None;
+            }
+            (progress, checked_at) = (0, Instant::now());
+        }
+    }
+    Some(())
 }
--- a/dahliawood-gateway/src/front/refusal/mod.rs
+++ b/dahliawood-gateway/src/front/refusal/mod.rs
@@ -1,17 +1,18 @@
 //! Refusals: the responses that the VM itself gives when a request cannot be forwarded.
 
+use dahliawood_wire::raw::budget::HeldBody;
 use dahliawood_wire::raw::fields::FieldList;
 use std::time::Duration;
 
 /// A response to a caller.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct FrontResponse {
     /// The HTTP status.
     pub status: u16,
     /// The header fields, without those for framing.
     pub fields: FieldList,
     /// The whole body.
-    pub body: Vec<u8>,
+    pub body: HeldBody,
 }
 
 /// `Retry-After` of a VM that has not read the configuration yet.
@@ -19,6 +20,10 @@
 /// `Retry-After` when no target may serve the request.
 const RETRY_NO_TARGET: Duration = Duration::from_millis(500);
 
+/// `Retry-After` when there is no memory for the request's body: slow callers are disconnected in the
+/// meantime.
+const RETRY_NO_MEMORY: Duration = Duration::from_millis(1_500);
+
 /// Why the VM refuses a request. The display texts are the bodies of the responses.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum RefusalCause {
@@ -53,6 +58,9 @@
     /// The request's body is too long.
     #[display("the body is too long")]
     BodyTooLong,
+    /// There is no memory for the request's body.
+    #[display("no memory for the body")]
+    NoMemory,
     /// The request arrived too slowly.
     #[display("the request came too slowly")]
     RequestTimeout,
@@ -76,7 +84,11 @@
             Self::OverLimit(_) => 429,
             Self::HeadTooLong => 431,
             Self::TargetFailed => 502,
-            Self::NoCatalog | Self::Busy(_) | Self::NoTarget | Self::Quarantined => 503,
+            Self::NoCatalog
+            | Self::Busy(_)
+            | Self::NoTarget
+            | Self::Quarantined
+            | Self::NoMemory => 503,
             Self::TargetTimeout => 504,
         }
     }
@@ -87,6 +99,7 @@
             Self::OverLimit(wait) | Self::Busy(wait) => Some(*wait),
             Self::NoCatalog => Some(RETRY_NO_CATALOG),
             Self::NoTarget => Some(RETRY_NO_TARGET),
+            Self::NoMemory => Some(RETRY_NO_MEMORY),
             _ => None,
         }
     }
@@ -101,7 +114,7 @@
         FrontResponse {
             status: self.status(),
             fields,
-            body: format!("{self}\n").into_bytes(),
+            body: format!("{self}\n").into_bytes().into(),
         }
     }
 }
--- a/dahliawood-gateway/src/lib.rs
+++ b/dahliawood-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod directory;
 pub mod forward;
 pub mod front;
+pub mod held_bytes;
 pub mod metrics;
 pub mod peer_forward;
 pub mod reach;
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -26,6 +26,8 @@
     pub quarantines: IntCounter,
     /// Admitted requests that did not run and were given back to their customers' limits.
     pub given_back: IntCounter,
+    /// Requests and connections that ended because bodies take too much memory, by what was short.
+    pub memory_refusals: IntCounterVec,
     /// Requests that other VMs served for this one, and this one for others, by side and outcome.
     pub forwards: IntCounterVec,
     /// 1 while this VM reaches no target.
@@ -73,6 +75,11 @@
             "Requests that did not run and were given back to their customers' limits.",
         )?;
         registry.register(Box::new(given_back.clone()))?;
+        let memory_refusals = counter(
+            "memory_refusals_total",
+            "Requests and connections that ended because bodies take too much memory.",
+            &["kind"],
+        )?;
         let forwards = counter(
             "forwards_total",
             "Requests forwarded to other VMs (side 'origin') and for them (side 'helper').",
@@ -99,6 +106,7 @@
             statements,
             quarantines,
             given_back,
+            memory_refusals,
             forwards,
             cut_off,
             contradictions,
--- a/dahliawood-gateway/src/peer_forward/incoming/mod.rs
+++ b/dahliawood-gateway/src/peer_forward/incoming/mod.rs
@@ -91,7 +91,7 @@
         may_ask: false,
     };
     let from = request.from.clone();
-    let request = caller_request(request);
+    let request = caller_request(state, request).ok_or(RefusalMessage::Overloaded)?;
     let metadata = (state.codec.read_request)(&request.head);
     // The VM that took the request from its caller counts it in the customer's limit, and learns from
     // the outcome whether it has run.
@@ -120,7 +120,7 @@
         Ok(answer) => Ok(ForwardedResponse {
             status: answer.response.status,
             fields: encode_fields(&answer.response.fields),
-            body: answer.response.body,
+            body: answer.response.body.into_bytes(),
             target_id: answer.target_id,
         }),
         Err(cause) => Err(encode_refusal(&cause)),
@@ -173,16 +173,17 @@
     found.map(|(key, _)| key)
 }
 
-fn caller_request(request: ForwardedRequest) -> CallerRequest {
-    CallerRequest {
+/// The request as of a caller, `None` if there is no memory for its body.
+fn caller_request(state: &GatewayState, request: ForwardedRequest) -> Option<CallerRequest> {
+    Some(CallerRequest {
         head: RequestHead {
             method: request.method,
             target: request.target,
             is_http10: false,
             fields: decode_fields(request.fields),
         },
-        body: request.body,
-    }
+        body: state.held_bytes.requests.hold(request.body).ok()?,
+    })
 }
 
 fn encode_refusal(cause: &RefusalCause) -> RefusalMessage {
@@ -193,6 +194,7 @@
         RefusalCause::NoTarget => RefusalMessage::NoTarget,
         RefusalCause::Quarantined => RefusalMessage::Quarantined,
         RefusalCause::TargetTimeout => RefusalMessage::TargetTimeout,
+        RefusalCause::NoMemory => RefusalMessage::Overloaded,
         RefusalCause::NoCatalog
         | RefusalCause::NoRoute
         | RefusalCause::InvalidKey
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 use crate::codec::PlatformCodec;
 use crate::control::vms::VmRecord;
 use crate::crashes::{CrashRecords, FleetSighting};
+use crate::held_bytes::HeldBytes;
 use crate::metrics::GatewayMetrics;
 use crate::peer_forward::outgoing::ForwardJob;
 use crate::reach::ReachRecords;
@@ -22,7 +23,6 @@
 use dahliawood_steer::rendezvous;
 use dahliawood_steer::split::round_robin::RoundRobin;
 use dahliawood_wire::pool::{PoolOptions, TargetPool};
-use dahliawood_wire::raw::budget::ByteBudget;
 use serde::Serialize;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,9 +35,6 @@
 /// TCP user timeout: how long sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Memory for the bodies of responses that are being received, bytes: targets may send without end.
-const RESPONSE_BYTES: usize = 48 << 20;
-
 /// Log event for what a target newly says of itself.
 #[derive(Serialize)]
 struct StatementEvent<'a> {
@@ -48,6 +45,15 @@
     pause_ms: Option<u128>,
 }
 
+/// Log event for a request or connection that ended because bodies take too much memory.
+#[derive(Serialize)]
+struct MemoryEvent {
+    /// `request`, `response`, `target`, `slow-sender` or `slow-reader`.
+    kind: &'static str,
+    request_bytes: usize,
+    response_bytes: usize,
+}
+
 /// Log event for a request that is no longer sent to targets.
 #[derive(Serialize)]
 struct QuarantineEvent {
@@ -74,8 +80,8 @@
     pub log: StructuredLog,
     /// Requests that wait for a larger allocation of their customer's limit.
     pub admission_queue: AdmissionQueue,
-    /// Memory for the bodies of responses that are being received.
-    pub response_bytes: ByteBudget,
+    /// Bytes of bodies that are held in memory.
+    pub held_bytes: HeldBytes,
     placement: Mutex<PlacementTable>,
     location: Mutex<VmLocation>,
     crashes: Mutex<CrashRecords>,
@@ -119,7 +125,7 @@
             metrics,
             log: StructuredLog::default(),
             admission_queue: AdmissionQueue::default(),
-            response_bytes: ByteBudget::new(RESPONSE_BYTES),
+            held_bytes: HeldBytes::default(),
             placement: Mutex::new(PlacementTable::new(settings.regions.clone())),
             location: Mutex::new(location),
             crashes: Mutex::default(),
@@ -218,6 +224,20 @@
         work(budget)
     }
 
+    /// Counts and logs a request or connection that ended because bodies take too much memory.
+    pub fn count_memory_refusal(&self, kind: &'static str) {
+        self.metrics
+            .memory_refusals
+            .with_label_values(&[kind])
+            .inc();
+        let event = || MemoryEvent {
+            kind,
+            request_bytes: self.held_bytes.requests.used(),
+            response_bytes: self.held_bytes.responses.used(),
+        };
+        self.log.write(EventClass::Notable, "memory", event);
+    }
+
     /// Logs and counts what a target newly says of itself.
     pub fn log_statement(&self, target: &str, report: &TargetReport) {
         self.metrics.statements.inc();
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -10,6 +10,7 @@
 use dahliawood_steer::health::ResultKind;
 use dahliawood_wire::pool::error::CheckoutError;
 use dahliawood_wire::pool::{ConnectionChoice, PooledConnection};
+use dahliawood_wire::raw::budget::HeldBody;
 use dahliawood_wire::raw::error::ReadError;
 use dahliawood_wire::raw::head::{RequestHead, ResponseHead};
 use dahliawood_wire::raw::reader::ConnectionReader;
@@ -41,7 +42,7 @@
     /// The head of the request as received from the caller.
     pub head: &'a RequestHead,
     /// The whole body of the request.
-    pub body: &'a [u8],
+    pub body: &'a HeldBody,
     /// Id of the try, which the response must echo.
     pub attempt_id: Option<&'a str>,
     /// Address of the target.
@@ -63,14 +64,14 @@
 }
 
 /// A complete response of a target.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct TargetResponse {
     /// The status line and header fields.
     pub head: ResponseHead,
     /// Metadata from the head.
     pub metadata: ResponseMetadata,
     /// The whole body.
-    pub body: Vec<u8>,
+    pub body: HeldBody,
     /// Whether the connection had carried an exchange before.
     pub was_reused: bool,
 }
@@ -98,6 +99,10 @@
     state: &GatewayState,
     call: &TargetCall<'_>,
 ) -> Result<TargetResponse, CallFailure> {
+    let Some(_sending) = state.held_bytes.send(call.address, call.body.len()) else {
+        state.count_memory_refusal("target");
+        return Err(not_sent("too many bytes are being sent there".to_owned()));
+    };
     let choice = match (call.is_retry, call.is_idempotent) {
         (true, _) => ConnectionChoice::Fresh,
         (false, true) => ConnectionChoice::Any,
@@ -137,9 +142,17 @@
     };
     CallFailure {
         kind,
+        ..not_sent(error.to_string())
+    }
+}
+
+/// A failure that says nothing about the target's process.
+fn not_sent(detail: String) -> CallFailure {
+    CallFailure {
+        kind: ResultKind::Shed,
         verdict: RunVerdict::NotRun,
         is_broken: false,
-        detail: error.to_string(),
+        detail,
     }
 }
 
@@ -153,17 +166,32 @@
 }
 
 fn read_failed(error: &ReadError) -> CallFailure {
+    let kind = match error {
+        // Says nothing about the target: this VM has no memory for its response.
+        ReadError::BudgetExhausted { .. } => ResultKind::Cancelled,
+        _ => ResultKind::Errored,
+    };
     CallFailure {
         is_broken: matches!(error, ReadError::Truncated | ReadError::Connection { .. }),
-        ..may_have_run(ResultKind::Errored, error.to_string())
+        ..may_have_run(kind, error.to_string())
     }
 }
 
-/// Encodes the request, with the header fields for the target.
+/// Encodes the request, with the header fields for the target. A long body is not copied, since it is
+/// counted once: it is written after the encoded bytes.
 fn encode(state: &GatewayState, call: &TargetCall<'_>) -> Vec<u8> {
     let mut fields = call.head.fields.clone();
     (state.codec.prepare_request)(&mut fields, &call.context);
-    write::request(&call.head.method, &call.head.target, &fields, call.body)
+    let length = call.body.len();
+    let joined = if call.body.is_small() { length } else { 0 };
+    let (method, target) = (&call.head.method, &call.head.target);
+    let mut bytes = write::request_head(method, target, &fields, length, joined);
+    if call.body.is_small() {
+        call.body
+            .blocks()
+            .for_each(|block| bytes.extend_from_slice(block));
+    }
+    bytes
 }
 
 async fn exchange(
@@ -199,7 +227,13 @@
 ) -> Result<(TargetResponse, bool), CallFailure> {
     let mut output = stream;
     (call.on_write)();
-    let sending = pin!(output.write_all(bytes));
+    let sending = pin!(async move {
+        output.write_all(bytes).await?;
+        for block in call.body.blocks().filter(|_| !call.body.is_small()) {
+            output.write_all(block).await?;
+        }
+        Ok::<(), std::io::Error>(())
+    });
     let receiving = pin!(receive(state, call, reader));
     match future::select(sending, receiving).await {
         Either::Left((_, receiving)) => receiving.await,
@@ -239,7 +273,12 @@
     call: &TargetCall<'_>,
     reader: &mut ConnectionReader<TcpStream>,
 ) -> Result<(TargetResponse, bool), CallFailure> {
-    let failed = |error: ReadError| read_failed(&error);
+    let failed = |error: ReadError| {
+        if matches!(error, ReadError::BudgetExhausted { .. }) {
+            state.count_memory_refusal("response");
+        }
+        read_failed(&error)
+    };
     loop {
         let head = reader.response_head(HEAD_BYTES).await.map_err(failed)?;
         let head = head.ok_or_else(|| failed(ReadError::Truncated))?;
@@ -249,12 +288,12 @@
         let metadata = (state.codec.read_response)(&head, clock::now());
         (call.on_head)(&metadata);
         let framing = head.framing(&call.head.method).map_err(failed)?;
-        let body = reader.body_within(framing, BODY_BYTES, &state.response_bytes);
+        let body = reader.body_within(framing, BODY_BYTES, &state.held_bytes.responses);
         let (body, is_whole) = match metadata.has_not_run {
             // The head says it all, and nobody gets the body.
             true => match timeout(REFUSAL_BODY_TIME, body).await {
                 Ok(body) => (body.map_err(failed)?, true),
-                Err(_) => (Vec::new(), false),
+                Err(_) => (HeldBody::default(), false),
             },
             false => (body.await.map_err(failed)?, true),
         };
--- a/dahliawood-request/src/quarantine/identity/mod.rs
+++ b/dahliawood-request/src/quarantine/identity/mod.rs
@@ -19,8 +19,8 @@
     pub host: &'a str,
     /// Path and query.
     pub path: &'a str,
-    /// The whole body.
-    pub body: &'a [u8],
+    /// The whole body, in pieces; how it is divided makes no difference.
+    pub body: &'a [&'a [u8]],
 }
 
 impl RequestIdentity {
@@ -28,9 +28,14 @@
     pub fn new(parts: &IdentityParts<'_>) -> Self {
         let texts = [parts.customer, parts.method, parts.host, parts.path];
         let mut hasher = Sha256::new();
-        for bytes in texts.into_iter().map(str::as_bytes).chain([parts.body]) {
-            hasher.update((bytes.len() as u64).to_le_bytes());
-            hasher.update(bytes);
+        for text in texts {
+            hasher.update((text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        }
+        let length: usize = parts.body.iter().map(|piece| piece.len()).sum();
+        hasher.update((length as u64).to_le_bytes());
+        for piece in parts.body {
+            hasher.update(piece);
         }
         let digest = hasher.finalize();
         let bytes = digest.iter().take(size_of::<u128>());
--- a/dahliawood-request/tests/main/quarantine.rs
+++ b/dahliawood-request/tests/main/quarantine.rs
@@ -163,7 +163,7 @@
         method: "GET",
         host: "h",
         path: "/p?q",
-        body: b"b",
+        body: &[b"b"],
     };
     let others = [
         IdentityParts {
@@ -180,7 +180,7 @@
             ..parts
         },
         IdentityParts {
-            body: b"c",
+            body: &[b"c"],
             ..parts
         },
         IdentityParts {
@@ -190,6 +190,10 @@
         },
     ];
     assert_eq!(RequestIdentity::new(&parts), RequestIdentity::new(&parts));
+    // VMs that receive a body in other pieces must know the request again.
+    let (whole, pieces): (&[&[u8]], &[&[u8]]) = (&[b"body"], &[b"bo", b"", b"dy"]);
+    let of_body = |body| RequestIdentity::new(&IdentityParts { body, ..parts });
+    assert_eq!(of_body(whole), of_body(pieces));
     for other in &others {
         assert_ne!(
             RequestIdentity::new(&parts),
--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -8,7 +8,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use dahliawood_wire::raw::fields::FieldList;
-use dahliawood_wire::raw::head::RequestHead;
+use dahliawood_wire::raw::head::{BodyFraming, RequestHead};
 use dahliawood_wire::raw::reader::ConnectionReader;
 use dahliawood_wire::raw::write;
 use futures::future;
@@ -24,6 +24,10 @@
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 /// A request whose path contains this is answered with its path as the body.
 const ECHO_PATH: &str = "/echo/";
+/// A request whose path contains this is answered with a body of [`LARGE_BYTES`].
+const LARGE_PATH: &str = "/large/";
+/// More bytes than the buffers of a connection take.
+pub const LARGE_BYTES: usize = 12 << 20;
 /// A request whose path contains this takes [`SLOW_PROCESSING_TIME`].
 const SLOW_PATH: &str = "/slow/";
 /// A request whose path contains this ends the target's process as soon as it begins to run.
@@ -35,6 +39,9 @@
 /// How long a request takes whose path contains [`SLOW_PATH`].
 const SLOW_PROCESSING_TIME: Duration = Duration::from_millis(900);
 
+/// After which time a target that reads no bodies closes a connection.
+const UNREAD_TIME: Duration = Duration::from_secs(4);
+
 /// The fault of a target, which changes how it responds. With all but `Overloaded`, the target runs
 /// and logs each request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -64,6 +71,8 @@
     EndlessHead,
     /// Sends a response whose chunked body never ends, until the client closes the connection.
     EndlessBody,
+    /// Reads no long body of a request, and closes the connection after some seconds.
+    NotReading,
 }
 
 impl InstanceFault {
@@ -93,6 +102,15 @@
     }
 }
 
+/// Sends a body of [`LARGE_BYTES`], without holding all of it.
+async fn send_large(output: &mut TcpStream) -> io::Result<()> {
+    let piece = vec![b'x'; 16 << 10];
+    for _ in 0..LARGE_BYTES / piece.len() {
+        output.write_all(&piece).await?;
+    }
+    Ok(())
+}
+
 /// A request that a target ran.
 #[derive(Clone, Debug)]
 pub struct RunRequest {
@@ -249,6 +267,14 @@
         let mut output = stream;
         while let Ok(Some(head)) = reader.request_head(MAX_MESSAGE_BYTES).await {
             let Ok(framing) = head.framing() else { return };
+            let is_unread = self.lock().fault == InstanceFault::NotReading;
+            if is_unread
+                && matches!(framing, BodyFraming::Length(length) if length > MAX_MESSAGE_BYTES)
+            {
+                task::sleep(UNREAD_TIME).await;
+                self.lock().disconnects += 1;
+                return;
+            }
             let Ok(body) = reader.body(framing, MAX_MESSAGE_BYTES).await else {
                 return;
             };
@@ -259,6 +285,7 @@
                 return;
             }
             let is_slow = head.target.contains(SLOW_PATH);
+            let is_large = head.target.contains(LARGE_PATH);
             let is_crash = head.target.contains(CRASH_PATH);
             let (bytes, is_closing) = self.respond(head, body);
             if is_crash {
@@ -277,7 +304,10 @@
             if !processing_time.is_zero() {
                 task::sleep(processing_time).await;
             }
-            let written = output.write_all(&bytes).await;
+            let mut written = output.write_all(&bytes).await;
+            if is_large && written.is_ok() {
+                written = send_large(&mut output).await;
+            }
             if is_closing || written.is_err() {
                 // Gives the written bytes time to reach the client before the connection closes.
                 task::sleep(Duration::from_millis(5)).await;
@@ -301,16 +331,18 @@
             }
             let response = not_executed(503, &state);
             let bytes = match state.fault {
-                InstanceFault::OverloadedWithoutEnd => with_missing_body(&response),
+                InstanceFault::OverloadedWithoutEnd => with_missing_body(&response, 10),
                 _ => response,
             };
             return (bytes, false);
         }
         let attempt = header("X-Dahliawood-Attempt-Id");
-        let text = match head.target.contains(ECHO_PATH) {
-            true => head.target.clone(),
-            false => format!("run by {}", self.id),
+        let text = match &head.target {
+            target if target.contains(ECHO_PATH) => target.clone(),
+            target if target.contains(LARGE_PATH) => String::new(),
+            _ => format!("run by {}", self.id),
         };
+        let is_large = head.target.contains(LARGE_PATH);
         let at = Instant::now();
         let statements = statements(&state);
         state.runs.push(RunRequest { head, body, at });
@@ -321,7 +353,10 @@
             fields.push("X-Dahliawood-Server-Load", "1,0,3");
             write::response(status, &fields, text.as_bytes(), false)
         };
-        let matching = response(&attempt, 200);
+        let matching = match is_large {
+            true => with_missing_body(&response(&attempt, 200), LARGE_BYTES),
+            false => response(&attempt, 200),
+        };
         match state.fault {
             InstanceFault::NoResponse => (Vec::new(), true),
             InstanceFault::Truncated => (matching[..matching.len() - 3].to_vec(), true),
@@ -359,9 +394,9 @@
 }
 
 /// A response without a body whose head announces one.
-fn with_missing_body(response: &[u8]) -> Vec<u8> {
+fn with_missing_body(response: &[u8], length: usize) -> Vec<u8> {
     let text = String::from_utf8_lossy(response);
-    text.replace("Content-Length: 0", "Content-Length: 10")
+    text.replace("Content-Length: 0", &format!("Content-Length: {length}"))
         .into_bytes()
 }
 
--- a/dahliawood-wire/src/raw/reader/mod.rs
+++ b/dahliawood-wire/src/raw/reader/mod.rs
@@ -4,7 +4,7 @@
 //! number of reads, so that timeouts are kept, and takes the bytes of a body from a budget.
 
 use crate::chunk::ChunkScanner;
-use crate::raw::budget::{BudgetShare, ByteBudget};
+use crate::raw::budget::{ByteBudget, HeldBody};
 use crate::raw::error::{ChunksSnafu, ConnectionSnafu, ReadError};
 use crate::raw::head::{self, BodyFraming, RequestHead, ResponseHead};
 use async_std::task;
@@ -131,11 +131,12 @@
     /// body.
     pub async fn body(&mut self, framing: BodyFraming, bound: usize) -> Result<Vec<u8>, ReadError> {
         let budget = ByteBudget::new(usize::MAX);
-        self.body_within(framing, bound, &budget).await
+        let body = self.body_within(framing, bound, &budget).await;
+        body.map(HeldBody::into_bytes)
     }
 
     /// Reads a complete body of at most `bound` bytes, which are taken from `budget` as they arrive
-    /// and are given back once the body is read.
+    /// and are given back once the body is dropped.
     ///
     /// # Errors
     /// As [`Self::body`], and if the budget is used up.
@@ -144,29 +145,26 @@
         framing: BodyFraming,
         bound: usize,
         budget: &ByteBudget,
-    ) -> Result<Vec<u8>, ReadError> {
-        let mut share = budget.share();
+    ) -> Result<HeldBody, ReadError> {
+        let mut body = budget.body();
         match framing {
-            BodyFraming::Length(length) if length > bound => Err(ReadError::BodyTooLarge { bound }),
-            BodyFraming::Length(length) => self.sized_body(length, &mut share).await,
-            BodyFraming::Chunked(scanner) => self.chunked_body(scanner, bound, &mut share).await,
-            BodyFraming::UntilClose => self.body_until_close(bound, &mut share).await,
+            BodyFraming::Length(length) if length > bound => {
+                return Err(ReadError::BodyTooLarge { bound });
+            }
+            BodyFraming::Length(length) => self.sized_body(length, &mut body).await?,
+            BodyFraming::Chunked(scanner) => self.chunked_body(scanner, bound, &mut body).await?,
+            BodyFraming::UntilClose => self.body_until_close(bound, &mut body).await?,
         }
+        Ok(body)
     }
 
-    async fn sized_body(
-        &mut self,
-        length: usize,
-        share: &mut BudgetShare<'_>,
-    ) -> Result<Vec<u8>, ReadError> {
-        let mut body = Vec::new();
+    async fn sized_body(&mut self, length: usize, body: &mut HeldBody) -> Result<(), ReadError> {
         loop {
             let count = self.received().len().min(length - body.len());
-            share.grow_to(body.len() + count)?;
-            body.extend_from_slice(&self.buffer[self.start..self.start + count]);
+            body.append(&self.buffer[self.start..self.start + count])?;
             self.start += count;
             if body.len() == length {
-                return Ok(body);
+                return Ok(());
             }
             let missing = length - body.len();
             if self.fill(missing.min(BODY_READ_BYTES)).await? == 0 {
@@ -179,19 +177,17 @@
         &mut self,
         mut scanner: ChunkScanner,
         bound: usize,
-        share: &mut BudgetShare<'_>,
-    ) -> Result<Vec<u8>, ReadError> {
-        let mut body = Vec::new();
+        body: &mut HeldBody,
+    ) -> Result<(), ReadError> {
         loop {
             let received = &self.buffer[self.start..];
             let (count, is_content) = scanner.scan_content(received).context(ChunksSnafu)?;
             if is_content {
-                share.grow_to(body.len() + count)?;
-                body.extend_from_slice(&self.buffer[self.start..self.start + count]);
+                body.append(&self.buffer[self.start..self.start + count])?;
             }
             self.start += count;
             if scanner.is_done() {
-                return Ok(body);
+                return Ok(());
             }
             if body.len() > bound {
                 return Err(ReadError::BodyTooLarge { bound });
@@ -205,16 +201,18 @@
     async fn body_until_close(
         &mut self,
         bound: usize,
-        share: &mut BudgetShare<'_>,
-    ) -> Result<Vec<u8>, ReadError> {
-        while self.fill(BODY_READ_BYTES).await? > 0 {
-            share.grow_to(self.received().len())?;
-            if self.received().len() > bound {
+        body: &mut HeldBody,
+    ) -> Result<(), ReadError> {
+        loop {
+            body.append(&self.buffer[self.start..])?;
+            self.start = self.buffer.len();
+            if body.len() > bound {
                 return Err(ReadError::BodyTooLarge { bound });
             }
+            if self.fill(BODY_READ_BYTES).await? == 0 {
+                return Ok(());
+            }
         }
-        let count = self.received().len();
-        Ok(self.take(count))
     }
 
     /// Waits until the peer ends the connection; bytes received in the meantime are kept.
--- a/dahliawood-wire/src/raw/write/mod.rs
+++ b/dahliawood-wire/src/raw/write/mod.rs
@@ -8,17 +8,27 @@
 
 /// Encodes a request with its body; `fields` must not declare any framing.
 pub fn request(method: &str, target: &str, fields: &FieldList, body: &[u8]) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(INITIAL_BYTES + body.len());
+    let mut bytes = request_head(method, target, fields, body.len(), body.len());
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+/// Encodes the head of a request with a body of `length` bytes, with capacity for `room` bytes more;
+/// `fields` must not declare any framing.
+pub fn request_head(
+    method: &str,
+    target: &str,
+    fields: &FieldList,
+    length: usize,
+    room: usize,
+) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(INITIAL_BYTES + room);
     append(&mut bytes, format_args!("{method} {target} HTTP/1.1\r\n"));
     write_fields(&mut bytes, fields);
-    if !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
-        append(
-            &mut bytes,
-            format_args!("Content-Length: {}\r\n", body.len()),
-        );
+    if length > 0 || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+        append(&mut bytes, format_args!("Content-Length: {length}\r\n"));
     }
     bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(body);
     bytes
 }
 
@@ -26,20 +36,23 @@
 ///
 /// If `is_head` is set, the response answers a `HEAD` request and only its head is encoded.
 pub fn response(status: u16, fields: &FieldList, body: &[u8], is_head: bool) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(INITIAL_BYTES + body.len());
+    let room = if is_head { 0 } else { body.len() };
+    let mut bytes = response_head(status, fields, body.len(), room);
+    bytes.extend_from_slice(&body[..room]);
+    bytes
+}
+
+/// Encodes the head of a response with a body of `length` bytes, with capacity for `room` bytes more;
+/// `fields` must not declare any framing.
+pub fn response_head(status: u16, fields: &FieldList, length: usize, room: usize) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(INITIAL_BYTES + room);
     let reason = reason(status);
     append(&mut bytes, format_args!("HTTP/1.1 {status} {reason}\r\n"));
     write_fields(&mut bytes, fields);
     if !matches!(status, 204 | 304) {
-        append(
-            &mut bytes,
-            format_args!("Content-Length: {}\r\n", body.len()),
-        );
+        append(&mut bytes, format_args!("Content-Length: {length}\r\n"));
     }
     bytes.extend_from_slice(b"\r\n");
-    if !is_head {
-        bytes.extend_from_slice(body);
-    }
     bytes
 }
 
--- a/dahliawood-wire/tests/main/raw/mod.rs
+++ b/dahliawood-wire/tests/main/raw/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the raw reader: ends of bodies, dropped reads, ambiguous framing.
 
+use dahliawood_wire::raw::budget::{ByteBudget, SMALL_BODY_BYTES};
 use dahliawood_wire::raw::error::ReadError;
 use dahliawood_wire::raw::head::BodyFraming;
 use dahliawood_wire::raw::reader::ConnectionReader;
@@ -140,3 +141,37 @@
     let body = block_on(reader.body(BodyFraming::Length(BODY_BYTES + 1), BODY_BYTES));
     assert!(matches!(body, Err(ReadError::BodyTooLarge { .. })));
 }
+
+/// Guards against small bodies that are refused because long ones wait for slow peers, and against
+/// bytes that stay taken after a body is dropped.
+#[test]
+fn small_bodies_have_a_reserve_and_dropped_bodies_give_their_bytes_back() {
+    let whole = ByteBudget::with_reserve(SMALL_BODY_BYTES * 4, 100);
+    let (requests, responses) = (
+        whole.part(SMALL_BODY_BYTES * 3),
+        whole.part(SMALL_BODY_BYTES * 3),
+    );
+    let long = vec![7; SMALL_BODY_BYTES * 2 + 1];
+    let mut body = requests.body();
+    body.append(&long[..10]).unwrap();
+    body.append(&long[10..]).unwrap();
+    assert_eq!(requests.used(), SMALL_BODY_BYTES * 3);
+    assert_eq!(body.to_vec(), long);
+    assert!(body.append(&long).is_err());
+    assert_eq!(
+        body.len(),
+        long.len(),
+        "a body that gets no room is as it was"
+    );
+    assert!(requests.is_short() && responses.is_short());
+    let mut small = requests.body();
+    small.append(&[7; 100]).unwrap();
+    assert!(small.append(&[7; 1]).is_err());
+    assert!(
+        responses.body().append(&long).is_err(),
+        "the whole is used up"
+    );
+    drop((body, small));
+    assert_eq!((requests.used(), responses.used(), whole.used()), (0, 0, 0));
+    responses.body().append(&long).unwrap();
+}
