--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -291,7 +291,8 @@
     let started = Instant::now();
     let mut reading = pin!(reader.body_within(framing, bound, budget));
     let body = loop {
-        match timeout(PROGRESS_TIME.min(limits.idle_timeout), reading.as_mut()).await {
+        let left = limits.idle_timeout.saturating_sub(started.elapsed());
+        match timeout(PROGRESS_TIME.min(left), reading.as_mut()).await {
             Ok(body) => break body,
             Err(_) if started.elapsed() >= limits.idle_timeout => {
                 return Err(RefusalCause::RequestTimeout);
--- a/dahliawood-gateway/tests/main/main.rs
+++ b/dahliawood-gateway/tests/main/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the gateway's decisions; `platform` tests its I/O.
 
 mod crash_fleet;
+mod held_bytes;
 mod source;
