--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -50,7 +50,11 @@
 /// first despite a longer wait.
 pub(super) fn best_in_time(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<TargetKey> {
     let in_time = starting(list, query).filter(|candidate| candidate.ends_in_time(query));
-    let best = in_time.min_by_key(|candidate| candidate.total);
+    // A first visit takes as much slot time as several cached requests, which those that queue at the
+    // target would miss: it goes to a queue only where no other target starts it in time.
+    let queues_first =
+        |candidate: &Candidate| candidate.visit == VisitKind::First && !candidate.wait.is_zero();
+    let best = in_time.min_by_key(|candidate| (queues_first(candidate), candidate.total));
     best.map(|candidate| candidate.key)
 }
 
@@ -67,14 +71,8 @@
     list: &'a [Candidate],
     query: &PlacementQuery<'_>,
 ) -> impl Iterator<Item = &'a Candidate> {
-    let spread = list.iter().take(SPREAD_TARGETS).enumerate();
-    let starting = spread.filter(|(rank, candidate)| {
-        // A first visit takes as much slot time as several cached requests, which those that queue
-        // at the target would miss.
-        let may_queue = *rank == 0 || candidate.visit != VisitKind::First;
-        candidate.starts_in_time(query) && (may_queue || candidate.wait.is_zero())
-    });
-    starting.map(|(_, candidate)| candidate)
+    let spread = list.iter().take(SPREAD_TARGETS);
+    spread.filter(|candidate| candidate.starts_in_time(query))
 }
 
 /// Time until one of the candidates that may be chosen has room for the request and can still serve it in
