feat(steer): a request stays at targets that have its object cached while it is safely in time there

Cause: once VMs shared loads, requests moved to the target with the shortest queue, objects were cached at three targets each, and first visits took the slots that the shorter queues had freed. Change: targets are compared by what a request costs others before its own expected time.

--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -10,6 +10,9 @@
 
 /// Number of targets in a region, by preference, that an object may use when the first is busy.
 const SPREAD_TARGETS: usize = 3;
+/// A wait of at most the longest useful one divided by this is safe: queues are estimated by reports
+/// that are older than a typical wait.
+const SAFE_WAIT_DIVISOR: u32 = 2;
 /// A target this many times slower than its service's average is skipped.
 const SLOW_FACTOR: f64 = 3.0;
 /// Share of a cold target's limit that is used; the rest is a margin, as lists of VMs differ for a
@@ -33,7 +36,30 @@
     visit: VisitKind,
 }
 
+/// What a request costs the others of its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum VisitCost {
+    /// The object is cached, and the request is in time even if the queue is longer than expected.
+    Low,
+    /// The object is cached and the request may be late, or it is a first visit to a free slot.
+    Medium,
+    /// A first visit that queues.
+    High,
+}
+
 impl Candidate {
+    /// What a request costs others at this target. A first visit takes as much slot time as several
+    /// cached requests, which those that queue there would miss.
+    fn cost(&self, query: &PlacementQuery<'_>) -> VisitCost {
+        let is_first = self.visit == VisitKind::First;
+        let is_safe = self.wait <= query.max_wait / SAFE_WAIT_DIVISOR;
+        match (is_first, self.wait.is_zero()) {
+            (false, _) if is_safe => VisitCost::Low,
+            (true, false) => VisitCost::High,
+            (false, _) | (true, true) => VisitCost::Medium,
+        }
+    }
+
     /// Whether it starts the request within `max_wait`.
     fn starts_in_time(&self, query: &PlacementQuery<'_>) -> bool {
         self.wait <= query.max_wait && self.wait <= query.time_left
@@ -46,15 +72,11 @@
 }
 
 /// The candidate that is expected to serve the request first, among those that start it within
-/// `max_wait` and serve it in the time that is left. A target that has the object cached may be
-/// first despite a longer wait.
+/// `max_wait` and serve it in the time that is left. A target that has the object cached goes first
+/// while the request is safely in time there.
 pub(super) fn best_in_time(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<TargetKey> {
     let in_time = starting(list, query).filter(|candidate| candidate.ends_in_time(query));
-    // A first visit takes as much slot time as several cached requests, which those that queue at the
-    // target would miss: it goes to a queue only where no other target starts it in time.
-    let queues_first =
-        |candidate: &Candidate| candidate.visit == VisitKind::First && !candidate.wait.is_zero();
-    let best = in_time.min_by_key(|candidate| (queues_first(candidate), candidate.total));
+    let best = in_time.min_by_key(|candidate| (candidate.cost(query), candidate.total));
     best.map(|candidate| candidate.key)
 }
 
