fix(steer): shares of regions move by at most 0.05 in two seconds

Cause: a hot object that is divided among regions moved 0.1525 of a region's requests in 2 s, of 0.15 allowed, once requests stay longer at targets that cache their objects.

--- a/dahliawood-steer/src/placement/spillover/shares/mod.rs
+++ b/dahliawood-steer/src/placement/spillover/shares/mod.rs
@@ -8,9 +8,9 @@
 
 use std::iter;
 
-/// Largest sum of the changes of all rising shares in one step: 0.06 in a window of four steps, in which
+/// Largest sum of the changes of all rising shares in one step: 0.05 in a window of four steps, in which
 /// at most 0.15 of the requests may change their region. The rest is left for hot objects and chance.
-const MAX_CHANGE: f64 = 0.015;
+const MAX_CHANGE: f64 = 0.0125;
 /// The same while a region has far less than its share by slots, as after its loss; no cached objects
 /// are lost by moving there.
 const MAX_RETURN_CHANGE: f64 = 0.02;
