feat(steer): slow start of targets by their responses

Cause: a target that returned got its whole share from all VMs in the same moment, with an empty cache or while it was slow.

Change: placement::warmup keeps a share of objects for each target, chosen by a hash that is the same at all VMs. The share doubles with load reports that do well beside those of warm peers, rises by an eighth after a setback, and halves on a queue, a slow mean, a refusal or a failure. The rest runs at another target of the region that is expected to have a free slot. Peers get at most a quarter more than their share, and nothing more once they have a request for each slot.

--- a/dahliawood-gateway/src/reach/mod.rs
+++ b/dahliawood-gateway/src/reach/mod.rs
@@ -121,7 +121,7 @@
         false => 0,
     };
     if matches!(after, ReachState::Returning { .. }) {
-        state.placement().forgive_failures();
+        state.placement().forgive_failures(clock::now());
     }
     let event = || ReachEvent {
         state: label(after),
--- a/dahliawood-steer/src/placement/breaker/mod.rs
+++ b/dahliawood-steer/src/placement/breaker/mod.rs
@@ -117,6 +117,11 @@
         self.down_since
     }
 
+    /// Whether failures stop requests, but for one at a time, until one is answered.
+    pub fn is_failing(&self) -> bool {
+        self.is_probing && self.consecutive_failures > 0
+    }
+
     /// Whether the target's process is gone, as far as is known.
     pub fn is_down(&self) -> bool {
         self.down_since.is_some()
--- a/dahliawood-steer/src/placement/cached/mod.rs
+++ b/dahliawood-steer/src/placement/cached/mod.rs
@@ -18,6 +18,9 @@
 /// Assumed ratio of the service times of an object's first request and of later ones, until both
 /// were seen.
 const ASSUMED_RATIO: f64 = 2.0;
+/// How many times as long as later ones a first visit takes without its target being slow; a cached
+/// object saves targets 0.7 of the work.
+const FIRST_VISIT_RATIO: f64 = 3.3;
 
 /// A request for an object, as the target that serves it sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,6 +89,14 @@
         self.cached.unwrap_or(service_average)
     }
 
+    /// The longest usual time of a first visit. The average of objects that this VM did not see there
+    /// is lower, because other VMs had some of them cached.
+    pub fn first_visit(&self, service_average: Duration) -> Duration {
+        let cached = self.cached(service_average);
+        self.uncached(service_average)
+            .max(cached.mul_f64(FIRST_VISIT_RATIO))
+    }
+
     /// Expected time of a request whose object is not cached.
     pub fn uncached(&self, service_average: Duration) -> Duration {
         let cached = self.cached(service_average);
--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -3,6 +3,7 @@
 use crate::placement::choose::{PlacementQuery, VmLocation};
 use crate::placement::record::TargetRecord;
 use crate::placement::table::PlacementTable;
+use crate::placement::warmup;
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
@@ -22,16 +23,24 @@
     pub(super) wait: Duration,
     /// Time until the request is served.
     pub(super) total: Duration,
+    /// Whether it is warming up, and the request goes to it only if no other of its region has room.
+    pub(super) is_held: bool,
 }
 
 /// The candidate that is expected to serve the request first, among those that start it within
 /// `max_wait` and serve it in the time that is left. A target that has the object cached may be
 /// first despite a longer wait.
 pub(super) fn best_in_time(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<TargetKey> {
-    let spread = list.iter().take(SPREAD_TARGETS);
-    let in_time = spread
-        .filter(|candidate| candidate.wait <= query.max_wait && candidate.total <= query.time_left);
-    let best = in_time.min_by_key(|candidate| candidate.total);
+    let is_in_time = |candidate: &&Candidate| {
+        candidate.wait <= query.max_wait && candidate.total <= query.time_left
+    };
+    let best = |is_any: bool| {
+        let same = list.iter().filter(|candidate| is_any || !candidate.is_held);
+        let in_time = same.take(SPREAD_TARGETS).filter(is_in_time);
+        in_time.min_by_key(|candidate| candidate.total)
+    };
+    let other = best(false).filter(|other| other.wait.is_zero());
+    let best = other.or_else(|| best(true));
     best.map(|candidate| candidate.key)
 }
 
@@ -77,11 +86,47 @@
             key: *key,
             wait,
             total: wait + service_time,
+            is_held: false,
         });
     }
+    hold_warming(table, query, &mut usable, now);
     usable
 }
 
+/// Marks the targets that are warming up and whose share does not cover the request.
+fn hold_warming(
+    table: &PlacementTable,
+    query: &PlacementQuery<'_>,
+    usable: &mut [Candidate],
+    now: TimeStamp,
+) {
+    let pool = table.services.get(query.service);
+    let share = |key| {
+        let target = table.get(key)?;
+        let is_reported = pool?.is_load_reported(&target.region, now);
+        target.warmup.share().filter(|_| is_reported)
+    };
+    let warming = usable
+        .iter()
+        .filter(|candidate| share(candidate.key).is_some());
+    let warming = warming.count();
+    if warming == 0 {
+        return;
+    }
+    let of_usable = usable.len();
+    for candidate in usable {
+        let Some(target) = table.get(candidate.key) else {
+            continue;
+        };
+        let peers = pool.and_then(|pool| pool.peer_loads.get(&target.region));
+        let least = peers.map_or(1.0, |peers| warmup::least_share(warming, of_usable, peers));
+        candidate.is_held = share(candidate.key).is_some_and(|share| {
+            !target.warmup.is_trial_due()
+                && !warmup::is_let_in(query.object, target.hash, share.max(least))
+        });
+    }
+}
+
 /// Whether a target is warm, or is cold and its limit has room for one more request of this VM.
 /// Only VMs of the target's own region use it while cold.
 fn has_cold_capacity(
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -135,7 +135,11 @@
     {
         spillover.record_request(has_local && local.is_none());
     }
+    let held = sides.first_held(is_remote);
     let dispatch = |table: &mut PlacementTable, key, is_remote| {
+        if let Some(held) = held.filter(|held| *held != key) {
+            table.record_held(held);
+        }
         table.reserve(key, location, now);
         select(table, query.service, key, is_remote)
     };
@@ -196,6 +200,16 @@
         self.local.iter().chain(self.remote.iter().flatten())
     }
 
+    /// The preferred candidate of the side on which the request belongs, if it is held back.
+    fn first_held(&self, is_remote: bool) -> Option<TargetKey> {
+        let list = match is_remote {
+            true => self.remote.first(),
+            false => Some(&self.local),
+        };
+        let first = list?.first()?;
+        first.is_held.then_some(first.key)
+    }
+
     /// The candidate of the most preferred other region that can serve the request in time.
     fn best_remote(&self, query: &PlacementQuery<'_>) -> Option<TargetKey> {
         self.remote
--- a/dahliawood-steer/src/placement/mod.rs
+++ b/dahliawood-steer/src/placement/mod.rs
@@ -22,3 +22,4 @@
 pub mod stated_limit;
 pub mod statement;
 pub mod table;
+pub mod warmup;
--- a/dahliawood-steer/src/placement/record/mod.rs
+++ b/dahliawood-steer/src/placement/record/mod.rs
@@ -5,11 +5,15 @@
 use crate::placement::cold::{ColdUsage, ColdWindow};
 use crate::placement::load::LoadEstimate;
 use crate::placement::stated_limit::{LimitedTarget, StatedLimit};
+use crate::placement::warmup::{TargetWarmup, WarmupCause, WarmupChange};
 use crate::rendezvous;
 use dahliawood_model::catalog::{TargetEntry, TargetReport};
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
 
+/// Most changes of a warm-up that are kept for the log.
+const MAX_CHANGES: usize = 16;
+
 /// Hash of a target's process, by the hash of the target's id and when the process started.
 pub(super) fn process(id: u64, started_millis: u64) -> u64 {
     rendezvous::score(id, started_millis)
@@ -40,6 +44,10 @@
     pub stated_limit: StatedLimit,
     /// Its circuit breaker.
     pub breaker: CircuitBreaker,
+    /// Its slow start.
+    pub warmup: TargetWarmup,
+    /// Changes of its slow start, for the log.
+    pub warmup_changes: Vec<WarmupChange>,
 }
 
 impl TargetRecord {
@@ -50,9 +58,26 @@
         let is_pausing = report
             .pause
             .is_some_and(|pause| self.breaker.ask_pause(pause, now));
+        if is_pausing {
+            self.begin_warmup(WarmupCause::Pause, self.breaker.asked_until());
+        }
         self.stated_limit.set(report.limit, now) || is_leaving || is_pausing
     }
 
+    /// Begins a warm-up of which responses count from `from` on.
+    pub(super) fn begin_warmup(&mut self, cause: WarmupCause, from: TimeStamp) {
+        if self.warmup.begin(from) {
+            self.record_change(WarmupChange::Begun(cause));
+        }
+    }
+
+    /// Keeps a change of the warm-up for the log.
+    pub(super) fn record_change(&mut self, change: WarmupChange) {
+        if self.warmup_changes.len() < MAX_CHANGES {
+            self.warmup_changes.push(change);
+        }
+    }
+
     /// Hash of its process, the same at all VMs.
     pub fn process(&self) -> u64 {
         process(self.hash, self.entry.started_millis)
@@ -68,7 +93,11 @@
         now: TimeStamp,
     ) {
         let down_since = self.breaker.down_since();
+        let was_failing = self.breaker.is_failing();
         change(&mut self.breaker);
+        if !was_failing && self.breaker.is_failing() {
+            self.begin_warmup(WarmupCause::Failures, now);
+        }
         let is_new = down_since.is_some_and(|down_since| begun >= down_since);
         if is_new && !self.breaker.is_down() {
             self.returned_at = Some(now);
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -11,6 +11,7 @@
 use crate::placement::shedding::ShedShare;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::statement::{ProcessStatements, StatementMemory};
+use crate::placement::warmup::{PeerLoad, TargetWarmup, WarmupCause, WarmupChange, WarmupSample};
 use crate::rendezvous;
 use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
@@ -43,6 +44,8 @@
     pub kept_orders: KeptOrders,
     /// Share of requests that are refused because queues are too long.
     pub shed_share: ShedShare,
+    /// Load of the targets of each region that are not warming up.
+    pub peer_loads: FastMap<String, PeerLoad>,
 }
 
 impl Default for ServicePool {
@@ -55,6 +58,7 @@
             cached_objects: CachedObjects::default(),
             kept_orders: KeptOrders::default(),
             shed_share: ShedShare::default(),
+            peer_loads: FastMap::default(),
         }
     }
 }
@@ -179,6 +183,12 @@
                     true => target.cold_until.min(now),
                     false => target.cold_until.max(cold_until),
                 };
+                if target.entry.is_draining && !entry.is_draining {
+                    target.begin_warmup(WarmupCause::Drain, now);
+                }
+                if target.entry.cold_for.is_zero() && !entry.cold_for.is_zero() {
+                    target.begin_warmup(WarmupCause::Cold, now);
+                }
                 target.entry = entry;
                 return;
             }
@@ -189,6 +199,7 @@
         let region = self.regions.get(&entry.domain).cloned().unwrap_or_default();
         let pool = self.services.entry(entry.service.clone()).or_default();
         pool.targets.push(key);
+        let is_reported = pool.is_load_reported(&region, now);
         self.by_id.insert(entry.id.clone(), key);
         let hash = rendezvous::name_hash(entry.id.as_bytes());
         let stated = self
@@ -205,10 +216,18 @@
             is_leaving: stated.is_leaving,
             stated_limit: stated.stated_limit,
             breaker: CircuitBreaker::default(),
+            warmup: TargetWarmup::default(),
+            warmup_changes: Vec::new(),
             entry,
         };
+        if !target.entry.cold_for.is_zero() {
+            target.begin_warmup(WarmupCause::Cold, now);
+        } else if is_reported {
+            target.begin_warmup(WarmupCause::Registered, now);
+        }
         if stated.asked_until > now {
             target.breaker.ask_pause(stated.asked_until.since(now), now);
+            target.begin_warmup(WarmupCause::Pause, stated.asked_until);
         }
         self.targets.insert(key, target);
     }
@@ -240,6 +259,7 @@
         for target in self.targets.values_mut() {
             if has_ended(&target.entry.domain) {
                 target.returned_at = Some(now);
+                target.begin_warmup(WarmupCause::Evacuation, now);
             }
         }
     }
@@ -277,6 +297,7 @@
     pub fn begin(&mut self, key: TargetKey, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
             target.load.begin();
+            target.warmup.record_sent();
             target.cold_window.record(now);
             if now < target.cold_until {
                 target.cold_usage.record(&target.cold_window);
@@ -299,7 +320,7 @@
         let key = self.process(process).map(|(key, _)| key);
         let target = key.and_then(|key| self.targets.get_mut(&key));
         if let Some(target) = target.filter(|target| !target.breaker.is_down()) {
-            target.breaker.record(ResultKind::Refused, now);
+            target.record_contact(now, |breaker| breaker.record(ResultKind::Refused, now), now);
         }
     }
 
@@ -327,16 +348,128 @@
         };
         target.breaker.settle_doubt();
         match is_accepted {
-            Some(true) => target.returned_at = Some(now),
-            Some(false) => target.breaker.record(ResultKind::Refused, now),
+            Some(true) => {
+                target.returned_at = Some(now);
+                target.begin_warmup(WarmupCause::Failures, now);
+            }
+            Some(false) => {
+                target.record_contact(now, |breaker| breaker.record(ResultKind::Refused, now), now);
+            }
             None => {}
         }
     }
 
     /// Forgets the failures of all targets: this VM was cut off from them.
-    pub fn forgive_failures(&mut self) {
-        let targets = self.targets.values_mut();
-        targets.for_each(|target| target.breaker.forgive());
+    pub fn forgive_failures(&mut self, now: TimeStamp) {
+        for target in self.targets.values_mut() {
+            target.breaker.forgive();
+            target.begin_warmup(WarmupCause::CutOff, now);
+        }
+    }
+
+    /// Records that a request was sent elsewhere because its preferred target is warming up.
+    pub(super) fn record_held(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(&key) {
+            target.warmup.record_held();
+        }
+    }
+
+    /// Judges the warm-up of a target by a load report that another VM received; `received_at` of the
+    /// report is when it was made, by this VM's clock.
+    pub fn judge_load(&mut self, key: TargetKey, load: TargetLoad, now: TimeStamp) {
+        self.judge(key, load, None, now);
+    }
+
+    /// Judges the warm-up of a target by a response of its own to this VM.
+    fn judge_response(&mut self, key: TargetKey, result: &TargetResult, now: TimeStamp) {
+        if let Some(load) = result.load()
+            && let Some(target) = self.targets.get(&key)
+        {
+            let pool = self.services.get(&target.entry.service);
+            let slowness = pool.and_then(|pool| pool.slowness(result));
+            self.judge(key, load, slowness, now);
+        }
+    }
+
+    fn judge(&mut self, key: TargetKey, load: TargetLoad, slowness: Option<f64>, now: TimeStamp) {
+        let Some(target) = self.targets.get_mut(&key) else {
+            return;
+        };
+        let Some(pool) = self.services.get_mut(&target.entry.service) else {
+            return;
+        };
+        let sample = WarmupSample {
+            load,
+            slowness,
+            service_time: pool.average_service_time,
+            is_cold: now < target.cold_until,
+        };
+        if !pool.peer_loads.contains_key(&target.region) {
+            let peers = PeerLoad::default();
+            pool.peer_loads.insert(target.region.clone(), peers);
+        }
+        let Some(peers) = pool.peer_loads.get_mut(&target.region) else {
+            return;
+        };
+        let is_first = peers.record(load, target.warmup.share().is_some());
+        let change = target.warmup.judge(sample, peers);
+        change
+            .into_iter()
+            .for_each(|change| target.record_change(change));
+        if is_first {
+            let (service, region) = (target.entry.service.clone(), target.region.clone());
+            self.cancel_common_warmups(&service, &region);
+        }
+    }
+
+    /// Cancels the warm-ups of a service in a region if most of its targets are warming up when the first
+    /// report arrives: the service, or this VM, has just started.
+    fn cancel_common_warmups(&mut self, service: &str, region: &str) {
+        let keyed = self.keyed_targets(service);
+        let local: Vec<_> = keyed
+            .filter(|(_, target)| target.region == region)
+            .collect();
+        let is_warming =
+            |(_, target): &&(TargetKey, &TargetRecord)| target.warmup.share().is_some();
+        let warming = local.iter().filter(is_warming).count();
+        if 2 * warming <= local.len() {
+            return;
+        }
+        let keys: Vec<TargetKey> = local.into_iter().map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(target) = self.targets.get_mut(&key) {
+                target.warmup.cancel();
+                target.warmup_changes.clear();
+            }
+        }
+    }
+
+    /// The changes of warm-ups since the last call, with the targets' ids, of services whose targets
+    /// report their load.
+    pub fn take_warmup_changes(&mut self, now: TimeStamp) -> Vec<(String, WarmupChange)> {
+        let mut taken = Vec::new();
+        for target in self.targets.values_mut() {
+            let changes = std::mem::take(&mut target.warmup_changes);
+            let pool = self.services.get(&target.entry.service);
+            if pool.is_some_and(|pool| pool.is_load_reported(&target.region, now)) {
+                taken.extend(
+                    changes
+                        .into_iter()
+                        .map(|change| (target.entry.id.clone(), change)),
+                );
+            }
+        }
+        taken
+    }
+
+    /// Number of targets that are warming up, of services whose targets report their load.
+    pub fn warming_count(&self, now: TimeStamp) -> usize {
+        let is_warming = |target: &&TargetRecord| {
+            let pool = self.services.get(&target.entry.service);
+            target.warmup.share().is_some()
+                && pool.is_some_and(|pool| pool.is_load_reported(&target.region, now))
+        };
+        self.targets.values().filter(is_warming).count()
     }
 
     /// Takes over what a target says of itself in a response that came through another VM; returns whether
@@ -417,6 +550,7 @@
 
     /// Records the result of a request; returns whether the target states something new in it.
     pub fn finish(&mut self, key: TargetKey, result: TargetResult, now: TimeStamp) -> bool {
+        self.judge_response(key, &result, now);
         let Some(target) = self.targets.get_mut(&key) else {
             return false;
         };
@@ -429,6 +563,12 @@
         target.load.finish();
         let begun = now.before(result.latency);
         target.record_contact(begun, |breaker| breaker.record(result.kind, now), now);
+        if !target.breaker.is_failing() {
+            let change = target.warmup.judge_end(result.kind, begun, now);
+            change
+                .into_iter()
+                .for_each(|change| target.record_change(change));
+        }
         let pool = self.services.get_mut(&target.entry.service);
         if let Some(load) = result.load() {
             target.load.record_report(load);
@@ -449,6 +589,26 @@
 }
 
 impl ServicePool {
+    /// Whether the service's targets of a region report their load.
+    pub fn is_load_reported(&self, region: &str, now: TimeStamp) -> bool {
+        let peers = self.peer_loads.get(region);
+        peers.is_some_and(|peers| peers.is_reported(now))
+    }
+
+    /// Latency of a response as a multiple of that of a first visit, `None` if it shows nothing.
+    fn slowness(&self, result: &TargetResult) -> Option<f64> {
+        let has_queued = result.load().is_some_and(|load| load.waiting > 0);
+        if result.kind != ResultKind::Answered || has_queued {
+            return None;
+        }
+        let average = self.average_service_time;
+        let expected = match result.visit {
+            Some(_) => self.service_times.first_visit(average),
+            None => average,
+        };
+        Some(result.latency.as_secs_f64() / expected.as_secs_f64().max(0.001))
+    }
+
     /// Records an answer of one of the service's targets.
     fn record_answer(&mut self, key: TargetKey, result: TargetResult) {
         if let Some(load) = result.load() {
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -15,3 +15,4 @@
 mod shedding;
 mod split;
 mod unannounced_cold;
+mod warmup;
