--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -6,13 +6,18 @@
 use crate::structured_log::EventClass;
 use async_std::task;
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_steer::placement::warmup::WarmupChange;
 use dahliawood_steer::placement::{balance, spillover};
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Number of ticks between two removals of idle connections from the pool.
 const SWEEP_TICKS: u32 = 2;
 
+/// Most targets that a log event for warm-ups names.
+const MAX_LOGGED_TARGETS: usize = 8;
+
 /// Most connections that are opened per tick to targets whose processes were gone.
 const MAX_CHECKS: usize = 16;
 
@@ -35,6 +40,16 @@
     vms: usize,
 }
 
+/// Log event for the warm-ups of targets that changed in the same way since the last tick.
+#[derive(Serialize)]
+struct WarmupEvent<'a> {
+    change: &'a str,
+    cause: &'a str,
+    count: usize,
+    /// Some of the targets.
+    targets: &'a [String],
+}
+
 /// Runs the periodic work until the task is cancelled.
 pub async fn run(state: Rc<ControlState>) {
     let mut ticks = 0_u32;
@@ -44,6 +59,7 @@
         apply::update_sharers(&state);
         balance::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
         log_cold_usage(&state);
+        log_warmups(&state, now);
         check_targets(&state, now);
         let expired = state.view.borrow_mut().expire(now);
         apply::apply_changes(&state, &expired);
@@ -94,3 +110,32 @@
             });
     }
 }
+
+/// Logs and counts changes of warm-ups, one event for each kind, as a whole failure domain may change.
+fn log_warmups(state: &ControlState, now: TimeStamp) {
+    let shared = &state.shared;
+    let mut table = shared.placement();
+    let changes = table.take_warmup_changes(now);
+    let warming = i64::try_from(table.warming_count(now)).unwrap_or(i64::MAX);
+    drop(table);
+    shared.metrics.warming_targets.set(warming);
+    let mut kinds: BTreeMap<(&str, String), Vec<String>> = BTreeMap::new();
+    for (target, change) in changes {
+        let kind = match change {
+            WarmupChange::Begun(cause) => ("begun", cause.to_string()),
+            WarmupChange::Ended => ("ended", "warm".to_owned()),
+            WarmupChange::SetBack(cause) => ("set-back", cause.to_string()),
+        };
+        kinds.entry(kind).or_default().push(target);
+    }
+    for ((change, cause), targets) in &kinds {
+        shared.metrics.record_warmups(change, cause, targets.len());
+        let event = || WarmupEvent {
+            change,
+            cause,
+            count: targets.len(),
+            targets: &targets[..targets.len().min(MAX_LOGGED_TARGETS)],
+        };
+        shared.log.write(EventClass::State, "warmup", event);
+    }
+}
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -30,6 +30,10 @@
     pub cut_off: IntGauge,
     /// What other VMs said of targets and this VM's own connections contradict.
     pub contradictions: IntCounter,
+    /// Changes of the warm-ups of targets, by change and cause.
+    pub warmups: IntCounterVec,
+    /// Targets that are warming up.
+    pub warming_targets: IntGauge,
     /// Time from the head of a request to its response, seconds.
     pub latency: Histogram,
     /// Number of requests being served.
@@ -78,6 +82,13 @@
             "What other VMs said of targets and this VM's connections contradict.",
         )?;
         registry.register(Box::new(contradictions.clone()))?;
+        let warmups = counter(
+            "warmups_total",
+            "Warm-ups of targets that began, ended or were set back.",
+            &["change", "cause"],
+        )?;
+        let warming_targets = IntGauge::new("warming_targets", "Targets that are warming up.")?;
+        registry.register(Box::new(warming_targets.clone()))?;
         let options = HistogramOpts::new("request_seconds", "From a request to its answer.");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -94,6 +105,8 @@
             forwards,
             cut_off,
             contradictions,
+            warmups,
+            warming_targets,
             latency,
             in_flight,
         })
@@ -116,6 +129,14 @@
         self.forwards.with_label_values(&[side, outcome]).inc();
     }
 
+    /// Counts changes of warm-ups.
+    pub fn record_warmups(&self, change: &str, cause: &str, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.warmups
+            .with_label_values(&[change, cause])
+            .inc_by(count);
+    }
+
     /// Counts a call to the store.
     pub fn record_store_call(&self, call: &str, is_answered: bool) {
         let outcome = if is_answered { "answered" } else { "failed" };
