--- a/dahliawood-steer/tests/main/warmup.rs
+++ b/dahliawood-steer/tests/main/warmup.rs
@@ -5,7 +5,8 @@
     SERVICE, SLOTS, START, answered, busy_result, chosen, entry, numbered_location, query, regions,
     report, table,
 };
-use dahliawood_model::catalog::{TargetEntry, TargetLoad};
+use dahliawood_model::FastSet;
+use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::health::ResultKind;
@@ -581,3 +582,97 @@
     )];
     assert_eq!(table.take_warmup_changes(START), begun);
 }
+
+#[test]
+fn a_warm_up_begins_where_a_target_returns_and_its_service_reports_loads() {
+    type Event = fn(&mut PlacementTable, TargetKey, TimeStamp);
+    let pause: Event = |table, key, now| {
+        let pause = Some(Duration::from_millis(200));
+        let result = TargetResult {
+            report: Some(TargetReport {
+                pause,
+                ..TargetReport::default()
+            }),
+            ..answered(None)
+        };
+        table.finish(key, result, now);
+    };
+    let failures: Event = |table, key, now| {
+        let kind = ResultKind::TimedOut;
+        table.finish(
+            key,
+            TargetResult {
+                kind,
+                ..answered(None)
+            },
+            now,
+        );
+    };
+    let evacuation: Event = |table, _, now| {
+        table.set_evacuated(["a-1".to_owned()].into_iter().collect(), now);
+        table.set_evacuated(FastSet::default(), now);
+    };
+    let cold: Event = |table, _, now| {
+        let cold_for = Duration::from_secs(3);
+        table.upsert(
+            TargetEntry {
+                cold_for,
+                ..entry(0, "a-1")
+            },
+            now,
+        );
+    };
+    let events: [(WarmupCause, Event); 5] = [
+        (WarmupCause::Pause, pause),
+        (WarmupCause::Failures, failures),
+        (WarmupCause::Evacuation, evacuation),
+        (WarmupCause::Cold, cold),
+        (WarmupCause::CutOff, |table, _, now| {
+            table.forgive_failures(now);
+        }),
+    ];
+    for (cause, event) in events {
+        for is_reported in [true, false] {
+            let mut table = table(&[("a-1", 4)]);
+            let key = table.services[SERVICE].targets[0];
+            let load = is_reported.then(|| sample(1, 0, START).load);
+            table.finish(key, answered(load), START);
+            event(&mut table, key, START);
+            let changes = table.take_warmup_changes(START);
+            let begun = ("target-0".to_owned(), WarmupChange::Begun(cause));
+            assert_eq!(
+                changes.contains(&begun),
+                is_reported,
+                "{cause}: {changes:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_target_of_which_nothing_is_heard_gets_a_trial_request() {
+    let (mut table, now) = returned_table();
+    let location = numbered_location("a-1", 0, 1);
+    let key = table.services[SERVICE].targets[0];
+    let held = (0..400)
+        .map(|object| rendezvous::score(object, 5))
+        .find(|object| {
+            let mut table = table.clone();
+            let is_sent =
+                chosen(choose::choose(&mut table, &location, &query(*object), now)) == Some(key);
+            let order = OrderKey {
+                object: *object,
+                is_bulk: false,
+            };
+            !is_sent && table.is_preferred(key, order)
+        });
+    let query = query(held.unwrap());
+    let sent = (0..18).filter(|_| {
+        let is_sent = chosen(choose::choose(&mut table, &location, &query, now)) == Some(key);
+        if is_sent {
+            table.begin(key, now);
+        }
+        is_sent
+    });
+    assert_eq!(sent.count(), 2, "one in nine");
+}
