--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -5,9 +5,11 @@
 use crate::reach;
 use crate::structured_log::EventClass;
 use async_std::task;
+use dahliawood_model::FastMap;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::placement::warmup::WarmupChange;
 use dahliawood_steer::placement::{balance, spillover};
+use dahliawood_steer::rendezvous;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -50,6 +52,17 @@
     targets: &'a [String],
 }
 
+/// Log event for the share of a service's objects that run in other regions, in a region with few slots.
+#[derive(Serialize)]
+struct LevelEvent<'a> {
+    service: &'a str,
+    level: f64,
+    /// Why the level is as it is.
+    reason: &'a str,
+    /// Share of the objects in each region.
+    shares: &'a [(String, f64)],
+}
+
 /// Runs the periodic work until the task is cancelled.
 pub async fn run(state: Rc<ControlState>) {
     let mut ticks = 0_u32;
@@ -58,8 +71,10 @@
         let now = clock::now();
         apply::update_sharers(&state);
         balance::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
+        report_levels(&state);
         log_cold_usage(&state);
         log_warmups(&state, now);
+        update_work_metrics(&state, now);
         check_targets(&state, now);
         let expired = state.view.borrow_mut().expire(now);
         apply::apply_changes(&state, &expired);
@@ -70,6 +85,26 @@
     }
 }
 
+/// Logs the levels that changed, and sets their metric.
+fn report_levels(state: &ControlState) {
+    let mut table = state.shared.placement();
+    for (service, pool) in &mut table.services {
+        let spillover = &mut pool.spillover;
+        let gauge = &state.shared.metrics.spillover_level;
+        gauge.with_label_values(&[service]).set(spillover.level());
+        let Some(change) = spillover.take_change() else {
+            continue;
+        };
+        let event = || LevelEvent {
+            service,
+            level: change.level,
+            reason: change.reason.name(),
+            shares: &change.shares,
+        };
+        state.shared.log.write(EventClass::State, "level", event);
+    }
+}
+
 /// Opens connections to targets whose processes were gone, to learn whether they are back.
 fn check_targets(state: &Rc<ControlState>, now: TimeStamp) {
     if !state.shared.reach().tracker.is_reachable() {
@@ -94,6 +129,32 @@
     }
 }
 
+/// Shows the estimates of work in the metrics; those that are expired, or of routes that the
+/// configuration does not name, disappear.
+fn update_work_metrics(state: &ControlState, now: TimeStamp) {
+    let Some(catalog) = state.shared.catalog.load_full() else {
+        return;
+    };
+    let hash = |name: &str| rendezvous::name_hash(name.as_bytes());
+    let routes = catalog.routes.values();
+    let names: FastMap<u64, &str> = routes
+        .map(|route| (hash(&route.name), route.name.as_str()))
+        .collect();
+    let services = &state.shared.placement().services;
+    let estimates: Vec<_> = services
+        .iter()
+        .flat_map(|(service, pool)| pool.work.all(now).map(|known| (service.clone(), known)))
+        .collect();
+    let metrics = &state.shared.metrics;
+    metrics.work.reset();
+    metrics.late_work.reset();
+    for (service, known) in &estimates {
+        if let Some(route) = names.get(&known.route) {
+            metrics.set_work(service, route, known);
+        }
+    }
+}
+
 fn log_cold_usage(state: &ControlState) {
     let vms = state.shared.location().sharers.count();
     let used = state.shared.placement().take_cold_usage();
--- a/dahliawood-gateway/src/forward/attempt/mod.rs
+++ b/dahliawood-gateway/src/forward/attempt/mod.rs
@@ -17,6 +17,7 @@
 /// closed its connection.
 struct TryGuard<'a> {
     state: &'a GatewayState,
+    service: &'a str,
     key: TargetKey,
     started: TimeStamp,
     result: TargetResult,
@@ -27,6 +28,20 @@
         let now = clock::now();
         self.result.latency = now.since(self.started);
         self.state.placement().finish(self.key, self.result, now);
+        if frees_slot(self.result.kind) {
+            self.state.waiting.record_end(self.service, now);
+        }
+    }
+}
+
+/// Whether a request with this result had a slot at its target, which is free now.
+fn frees_slot(kind: ResultKind) -> bool {
+    match kind {
+        ResultKind::Answered
+        | ResultKind::Errored
+        | ResultKind::TimedOut
+        | ResultKind::Cancelled => true,
+        ResultKind::Shed | ResultKind::ConnectFailed | ResultKind::Refused => false,
     }
 }
 
@@ -34,26 +49,28 @@
     /// Sends the request to a target.
     pub(super) async fn attempt(&self, target: &TryTarget) -> Result<TargetResponse, CallFailure> {
         let now = clock::now();
-        let service_time = self
-            .state
-            .placement()
-            .cached_service_time(&self.routed.service);
+        let slack = self.slack(&self.state.placement(), now);
         let mut guard = TryGuard {
             state: self.state,
+            service: &self.routed.service,
             key: target.key,
             started: now,
             result: TargetResult {
                 kind: ResultKind::Cancelled,
                 latency: Duration::ZERO,
                 report: None,
+                expected_wait: target.wait,
+                connect_time: None,
+                route: self.route_hash(),
                 visit: target.visit,
-                slack: self.route().target_latency.saturating_sub(service_time),
+                slack,
             },
         };
         let left = self.routed.deadline.since(now);
         let customer = self.routed.customer;
         let on_write = || {
             self.sent.set(self.sent.get() + 1);
+            self.progress.begin();
             let mut table = self.state.placement();
             table.record_written(target.key, target.started, clock::now());
         };
@@ -78,6 +95,7 @@
         guard.result.kind = match &result {
             Ok(response) => {
                 guard.result.report = classification::own_report(&response.metadata);
+                guard.result.connect_time = response.connect_time;
                 classification::classify(response)
             }
             Err(failure) => failure.kind,
--- a/dahliawood-gateway/src/forward/helper/mod.rs
+++ b/dahliawood-gateway/src/forward/helper/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::control::vms::VmRecord;
-use crate::forward::{ForwardAnswer, ForwardRun};
+use crate::forward::{Delegation, ForwardAnswer, ForwardRun};
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::peer_forward::BODY_BYTES;
 use crate::peer_forward::outgoing::{ForwardFailure, ForwardJob};
@@ -74,22 +74,83 @@
     pub(super) fn sends_direct(&self) -> bool {
         let draw = rand::random();
         let reach = self.state.reach();
-        !self.options.may_ask || reach.tracker.sends_direct(draw, clock::now())
+        !self.options.may_ask
+            || (!self.is_delegated() && reach.tracker.sends_direct(draw, clock::now()))
+    }
+
+    /// Whether other VMs send the request from now on, where this VM has no target left for it: its latest
+    /// requests to all targets that it did not try failed. A retry has been granted already if one is
+    /// needed.
+    pub(super) fn delegates_rest(&mut self) -> bool {
+        let regions = [&self.route().regions[..], self.customer_regions()];
+        let service = &self.routed.service;
+        let reaches_none = self
+            .state
+            .placement()
+            .reaches_none(service, regions, &self.tried);
+        if reaches_none {
+            self.delegation = self.delegation.max(Delegation::Useful);
+        }
+        let begins = self.may_delegate() && self.sent_tries() < self.options.max_tries;
+        if begins {
+            self.delegation = Delegation::Begun;
+        }
+        begins
+    }
+
+    /// Whether other VMs send the request from now on, since this VM could not connect to a target for it and
+    /// may try no further one.
+    pub(super) fn delegates(&mut self) -> bool {
+        if !self.may_delegate() {
+            return false;
+        }
+        // Only tries of which something was sent count from here on.
+        self.delegation = Delegation::Begun;
+        self.may_retry()
+    }
+
+    /// Whether other VMs send the request because this one reaches none of its targets.
+    pub(super) fn is_delegated(&self) -> bool {
+        self.delegation == Delegation::Begun
+    }
+
+    fn may_delegate(&self) -> bool {
+        let service = &self.routed.service;
+        self.options.may_ask
+            && self.delegation == Delegation::Useful
+            && !self.state.reach().tracker.is_cut_off()
+            && self
+                .state
+                .reach()
+                .delegations
+                .may_ask(service, clock::now())
     }
 
     /// Asks other VMs in turn to send the request, until one has an outcome that no other would change.
     pub(super) async fn ask_helpers(&mut self) -> HelperEnd {
+        // The body is copied into a job, and from there into a message.
+        let mut copies = self.state.held_bytes.requests.share();
+        if copies.grow_to(self.request.body.len() * 2).is_err() {
+            return HelperEnd::None;
+        }
         while let Some(helper) = self.choose_helper() {
             self.asked.push(helper.vm);
             let started = clock::now();
+            self.progress.begin();
             let ended = self.ask(&helper).await;
             self.log_ask(&helper, &ended, started);
             match ended {
-                Ok(Ok(response)) => return HelperEnd::Answered(self.take_answer(response)),
+                Ok(Ok(response)) => {
+                    self.record_delegation(true);
+                    return HelperEnd::Answered(self.take_answer(response));
+                }
                 // One that has another configuration, or too much to do, may help with the next one.
                 Ok(Err(RefusalMessage::Unreachable)) => self.pass_over(&helper, true),
                 Ok(Err(refusal)) if refusal.is_local() => {}
-                Ok(Err(refusal)) => return HelperEnd::Refused(self.take_refusal(refusal)),
+                Ok(Err(refusal)) => {
+                    self.record_delegation(false);
+                    return HelperEnd::Refused(self.take_refusal(refusal));
+                }
                 Err(ForwardFailure::NotSent(_)) => self.pass_over(&helper, false),
                 Err(ForwardFailure::Lost(_)) => {
                     self.pass_over(&helper, false);
@@ -98,10 +159,20 @@
                     return HelperEnd::Lost;
                 }
             }
+            self.progress.end(self.verdict);
         }
         HelperEnd::None
     }
 
+    /// Records whether another VM could serve a request of which this one reaches no target.
+    fn record_delegation(&self, is_served: bool) {
+        if self.is_delegated() {
+            let mut reach = self.state.reach();
+            let service = &self.routed.service;
+            reach.delegations.record(service, is_served, clock::now());
+        }
+    }
+
     fn choose_helper(&self) -> Option<Helper> {
         let has_time = self.routed.deadline.since(clock::now()) > RETURN_MARGIN * 2;
         let is_bounded = self.request.body.len() <= BODY_BYTES;
@@ -181,7 +252,7 @@
             method: head.method.clone(),
             target: head.target.clone(),
             fields: encode_fields(&fields),
-            body: self.request.body.clone(),
+            body: self.request.body.to_vec(),
             version: self.catalog.version,
             service: self.routed.service.clone(),
             customer: customer.map(|key| self.catalog.customers[key].name.clone()),
@@ -216,7 +287,7 @@
             response: FrontResponse {
                 status: head.status,
                 fields: head.fields,
-                body: response.body,
+                body: self.state.held_bytes.responses.hold_anyway(response.body),
             },
             target_id: response.target_id,
         }
@@ -227,6 +298,7 @@
         if refusal.may_have_run() {
             self.verdict = self.verdict.combine(RunVerdict::MayHaveRun);
         }
+        self.progress.end(self.verdict);
         match refusal {
             RefusalMessage::Busy(retry_after) => RefusalCause::Busy(retry_after),
             RefusalMessage::Quarantined => RefusalCause::Quarantined,
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -8,11 +8,13 @@
 mod helper;
 mod selection;
 mod suspicion;
+pub mod waiting;
 
 use crate::clock;
 use crate::codec::RequestMetadata;
 use crate::forward::helper::HelperEnd;
 use crate::forward::selection::TryTarget;
+use crate::forward::waiting::ticket::WaitTicket;
 use crate::front::connection::CallerRequest;
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::state::GatewayState;
@@ -48,6 +50,8 @@
     pub started: TimeStamp,
     /// When the caller must have the final response.
     pub deadline: TimeStamp,
+    /// How long it waited at this VM for a slot; set when the wait ends.
+    pub waited: Cell<Duration>,
 }
 
 /// How a request is forwarded.
@@ -72,8 +76,36 @@
     }
 }
 
+/// Whether a request may have run so far. It is kept outside of the request's future, for the end of
+/// a request that is cancelled.
+#[derive(Debug)]
+pub struct RunProgress(Cell<RunVerdict>);
+
+impl Default for RunProgress {
+    fn default() -> Self {
+        Self(Cell::new(RunVerdict::NotRun))
+    }
+}
+
+impl RunProgress {
+    /// Whether the request has not run, and does not run if its future is dropped now.
+    pub fn has_not_run(&self) -> bool {
+        self.0.get() == RunVerdict::NotRun
+    }
+
+    /// Records that something is about to be sent, which may run until its end is known.
+    fn begin(&self) {
+        self.0.set(RunVerdict::MayHaveRun);
+    }
+
+    /// Records the verdict on all that was sent.
+    fn end(&self, verdict: RunVerdict) {
+        self.0.set(verdict);
+    }
+}
+
 /// The final response to a request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct ForwardAnswer {
     /// The response.
     pub response: FrontResponse,
@@ -98,6 +130,17 @@
     crashed: Option<String>,
 }
 
+/// Whether other VMs send a request because this one reaches none of its targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Delegation {
+    /// All tries so far reached their targets.
+    Unneeded,
+    /// A connection to a target could not be made.
+    Useful,
+    /// Other VMs send it.
+    Begun,
+}
+
 /// State shared by all tries of one request.
 struct ForwardRun<'a> {
     state: &'a GatewayState,
@@ -112,13 +155,19 @@
     /// VMs that were asked to send it, by the hashes of their names.
     asked: Vec<u64>,
     verdict: RunVerdict,
+    progress: &'a RunProgress,
     /// The target's response to the last try, if it may have run the request, and the target's id.
     last_response: Option<(TargetResponse, String)>,
     has_timed_out: bool,
+    delegation: Delegation,
     /// Computed when needed.
     identity: OnceCell<RequestIdentity>,
     /// Whether this is the one try of a quarantined request.
     is_trial: bool,
+    /// Its place among the requests that wait for a slot.
+    ticket: Option<WaitTicket<'a>>,
+    /// Whether it has waited for a slot.
+    has_waited: bool,
 }
 
 /// Forwards a request, with retries, until there is a final response. Dropping the future closes
@@ -133,6 +182,7 @@
     metadata: &RequestMetadata,
     routed: &RoutedRequest,
     options: ForwardOptions,
+    progress: &RunProgress,
 ) -> Result<ForwardAnswer, RefusalCause> {
     let mut run = ForwardRun {
         state,
@@ -145,10 +195,14 @@
         sent: Cell::new(0),
         asked: Vec::new(),
         verdict: RunVerdict::NotRun,
+        progress,
         last_response: None,
         has_timed_out: false,
+        delegation: Delegation::Unneeded,
         identity: OnceCell::new(),
         is_trial: false,
+        ticket: None,
+        has_waited: false,
     };
     match run.admission() {
         RequestAdmission::Open => {}
@@ -177,6 +231,9 @@
     async fn run_tries(mut self) -> Result<ForwardAnswer, RefusalCause> {
         loop {
             if !self.sends_direct() {
+                if let Some(ticket) = self.ticket.take() {
+                    ticket.leave_to_helper();
+                }
                 match self.ask_helpers().await {
                     HelperEnd::Answered(answer) => return Ok(answer),
                     HelperEnd::Refused(cause) => return self.refuse(cause),
@@ -186,15 +243,30 @@
                     HelperEnd::None if self.state.reach().tracker.is_cut_off() => {
                         return self.refuse(RefusalCause::NoTarget);
                     }
+                    HelperEnd::None if self.is_delegated() && self.tried.is_empty() => {
+                        return self.refuse(RefusalCause::NoTarget);
+                    }
+                    HelperEnd::None if self.is_delegated() => return self.give_up(),
                     // Whether this VM is cut off is not known yet.
                     HelperEnd::None => {}
                 }
             }
             let target = match self.choose_target() {
                 Ok(target) => target,
-                Err(cause) if self.tried.is_empty() => return self.refuse(cause),
+                Err(_) if self.delegates_rest() => continue,
+                Err(unplaced) if self.tried.is_empty() => {
+                    let shed = unplaced.shed;
+                    match self.wait_for_turn(unplaced).await {
+                        Ok(()) => continue,
+                        Err(cause) => {
+                            self.record_shed(shed);
+                            return self.refuse(cause);
+                        }
+                    }
+                }
                 Err(_) => return self.give_up(),
             };
+            self.record_start();
             if self.tried.is_empty() && !self.options.is_retry {
                 self.state
                     .with_budget(&self.routed.service, RetryBudget::earn);
@@ -209,12 +281,23 @@
                 Ok(response) => self.handle_refusal(&target, response),
                 Err(failure) => self.handle_failure(&target, &failure).await,
             }
-            if !self.may_retry() {
+            if !self.may_retry() && !self.delegates() {
                 return self.give_up();
             }
         }
     }
 
+    /// Records that the request takes a slot, which ends its wait.
+    fn record_start(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            return ticket.start();
+        }
+        if let Some(rank) = self.rank() {
+            let waiting = &self.state.waiting;
+            waiting.record_direct_start(&self.routed.service, rank);
+        }
+    }
+
     /// Whether a target's response ends the request and is passed on to the caller.
     fn is_final(&self, response: &TargetResponse) -> bool {
         match classification::classify(response) {
@@ -255,6 +338,12 @@
     /// Handles a try that ended without a complete response.
     async fn handle_failure(&mut self, target: &TryTarget, failure: &CallFailure) {
         self.has_timed_out |= failure.kind == ResultKind::TimedOut;
+        if matches!(
+            failure.kind,
+            ResultKind::ConnectFailed | ResultKind::Refused
+        ) {
+            self.delegation = self.delegation.max(Delegation::Useful);
+        }
         self.last_response = None;
         let has_crashed =
             failure.is_broken && target_call::is_gone(self.state, target.address).await;
@@ -262,6 +351,7 @@
             self.record_crash(target);
         }
         self.verdict = self.verdict.combine(failure.verdict);
+        self.progress.end(self.verdict);
         let outcome = failure.verdict.to_string();
         let crashed = has_crashed.then(|| self.identity().to_string());
         self.log_try(
@@ -275,6 +365,7 @@
 
     fn record_try(&mut self, target: &TryTarget, verdict: RunVerdict, detail: &str) {
         self.verdict = self.verdict.combine(verdict);
+        self.progress.end(self.verdict);
         self.log(EventClass::Notable, target, &verdict.to_string(), detail);
     }
 
--- a/dahliawood-gateway/src/peer_forward/incoming/mod.rs
+++ b/dahliawood-gateway/src/peer_forward/incoming/mod.rs
@@ -1,7 +1,7 @@
 //! Requests that other VMs forward to this one, which sends them to targets.
 
 use crate::clock;
-use crate::forward::{self, ForwardOptions, RoutedRequest};
+use crate::forward::{self, ForwardOptions, RoutedRequest, RunProgress};
 use crate::front::connection::{CallerRequest, InFlightGuard};
 use crate::front::handler;
 use crate::front::refusal::RefusalCause;
@@ -17,6 +17,7 @@
 use dahliawood_peer::forward::server::{self, ForwardHandler};
 use dahliawood_wire::raw::head::RequestHead;
 use serde::Serialize;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 
@@ -32,6 +33,8 @@
     status: u16,
     cause: Option<String>,
     taken_ms: u128,
+    /// Time waited at this VM for a slot.
+    waited_ms: u128,
 }
 
 /// Counts a request of another VM until it is dropped.
@@ -91,9 +94,15 @@
         may_ask: false,
     };
     let from = request.from.clone();
-    let request = caller_request(request);
+    let request = caller_request(state, request).ok_or(RefusalMessage::Overloaded)?;
     let metadata = (state.codec.read_request)(&request.head);
-    let ended = forward::run(state, &catalog, &request, &metadata, &routed, options).await;
+    // The VM that took the request from its caller counts it in the customer's limit, and learns from
+    // the outcome whether it has run.
+    let progress = RunProgress::default();
+    let ended = forward::run(
+        state, &catalog, &request, &metadata, &routed, options, &progress,
+    )
+    .await;
     let (status, cause) = match &ended {
         Ok(answer) => (answer.response.status, None),
         Err(cause) => (cause.status(), Some(cause.to_string())),
@@ -108,13 +117,14 @@
         status,
         cause,
         taken_ms: clock::now().since(now).as_millis(),
+        waited_ms: routed.waited.get().as_millis(),
     });
     match ended {
         Ok(answer) if answer.response.body.len() > BODY_BYTES => Err(RefusalMessage::TargetFailed),
         Ok(answer) => Ok(ForwardedResponse {
             status: answer.response.status,
             fields: encode_fields(&answer.response.fields),
-            body: answer.response.body,
+            body: answer.response.body.into_bytes(),
             target_id: answer.target_id,
         }),
         Err(cause) => Err(encode_refusal(&cause)),
@@ -158,6 +168,7 @@
         service,
         started: now.before(request.spent),
         deadline: now.after(request.left),
+        waited: Cell::default(),
     })
 }
 
@@ -167,16 +178,17 @@
     found.map(|(key, _)| key)
 }
 
-fn caller_request(request: ForwardedRequest) -> CallerRequest {
-    CallerRequest {
+/// The request as of a caller, `None` if there is no memory for its body.
+fn caller_request(state: &GatewayState, request: ForwardedRequest) -> Option<CallerRequest> {
+    Some(CallerRequest {
         head: RequestHead {
             method: request.method,
             target: request.target,
             is_http10: false,
             fields: decode_fields(request.fields),
         },
-        body: request.body,
-    }
+        body: state.held_bytes.requests.hold(request.body).ok()?,
+    })
 }
 
 fn encode_refusal(cause: &RefusalCause) -> RefusalMessage {
@@ -187,6 +199,7 @@
         RefusalCause::NoTarget => RefusalMessage::NoTarget,
         RefusalCause::Quarantined => RefusalMessage::Quarantined,
         RefusalCause::TargetTimeout => RefusalMessage::TargetTimeout,
+        RefusalCause::NoMemory => RefusalMessage::Overloaded,
         RefusalCause::NoCatalog
         | RefusalCause::NoRoute
         | RefusalCause::InvalidKey
--- a/dahliawood-steer/src/placement/cached/mod.rs
+++ b/dahliawood-steer/src/placement/cached/mod.rs
@@ -1,5 +1,6 @@
 //! Which objects targets have cached, as far as this VM's answers show, and the service time that a
-//! cached object saves.
+//! cached object saves, over all routes of a service; estimates by route are in
+//! [`work`](crate::placement::work).
 //!
 //! This handles a load pattern in which the first request for an object costs a target several
 //! times as much as later ones: a request that moves to another target for a free slot may take
@@ -22,6 +23,13 @@
 /// object saves targets 0.7 of the work.
 const FIRST_VISIT_RATIO: f64 = 3.3;
 
+/// The longest usual work of a first visit, by the expected work of visits without and with a cached
+/// object. That of objects that this VM did not see at the target is lower, because other VMs had some
+/// of them cached.
+pub fn longest_first_visit(uncached: Duration, cached: Duration) -> Duration {
+    uncached.max(cached.mul_f64(FIRST_VISIT_RATIO))
+}
+
 /// A request for an object, as the target that serves it sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ObjectVisit {
@@ -89,18 +97,20 @@
         self.cached.unwrap_or(service_average)
     }
 
-    /// The longest usual time of a first visit. The average of objects that this VM did not see there
-    /// is lower, because other VMs had some of them cached.
-    pub fn first_visit(&self, service_average: Duration) -> Duration {
-        let cached = self.cached(service_average);
-        self.uncached(service_average)
-            .max(cached.mul_f64(FIRST_VISIT_RATIO))
-    }
-
     /// Expected time of a request whose object is not cached.
     pub fn uncached(&self, service_average: Duration) -> Duration {
         let cached = self.cached(service_average);
         let uncached = self.uncached.unwrap_or(cached.mul_f64(ASSUMED_RATIO));
         uncached.max(cached)
     }
+
+    /// Ratio of the times of an object's first request and of later ones, at least 1.
+    pub fn ratio(&self) -> f64 {
+        match (self.cached, self.uncached) {
+            (Some(cached), Some(uncached)) if !cached.is_zero() => {
+                uncached.div_duration_f64(cached).max(1.0)
+            }
+            _ => ASSUMED_RATIO,
+        }
+    }
 }
--- a/dahliawood-steer/src/placement/record/mod.rs
+++ b/dahliawood-steer/src/placement/record/mod.rs
@@ -93,9 +93,9 @@
         now: TimeStamp,
     ) {
         let down_since = self.breaker.down_since();
-        let was_failing = self.breaker.is_failing();
+        let was_tripped = self.breaker.is_tripped();
         change(&mut self.breaker);
-        if !was_failing && self.breaker.is_failing() {
+        if !was_tripped && self.breaker.is_tripped() {
             self.begin_warmup(WarmupCause::Failures, now);
         }
         let is_new = down_since.is_some_and(|down_since| begun >= down_since);
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -2,16 +2,21 @@
 
 use crate::health::ResultKind;
 use crate::placement::breaker::CircuitBreaker;
-use crate::placement::cached::{CachedObjects, ObjectVisit, ServiceTimes};
+use crate::placement::cached::{self, CachedObjects, ObjectVisit, ServiceTimes};
 use crate::placement::choose::VmLocation;
 use crate::placement::cold::{ColdUsage, ColdWindow};
 use crate::placement::load::LoadEstimate;
+use crate::placement::rank::RequestRank;
 use crate::placement::ranking::{KeptOrders, OrderKey};
 use crate::placement::record::{self, TargetRecord};
 use crate::placement::shedding::ShedShare;
+use crate::placement::shedding::by_rank::RankShares;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::statement::{ProcessStatements, StatementMemory};
 use crate::placement::warmup::{PeerLoad, TargetWarmup, WarmupCause, WarmupChange, WarmupSample};
+use crate::placement::work::links::LinkTimes;
+use crate::placement::work::{self, VisitKind, WorkSample, WorkTable};
+use crate::region;
 use crate::rendezvous;
 use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
 use dahliawood_model::keys::TargetKey;
@@ -46,6 +51,10 @@
     pub shed_share: ShedShare,
     /// Load of the targets of each region that are not warming up.
     pub peer_loads: FastMap<String, PeerLoad>,
+    /// Work of each route.
+    pub work: WorkTable,
+    /// Part of that share by rank, where requests differ in priority.
+    pub rank_shares: RankShares,
 }
 
 impl Default for ServicePool {
@@ -59,6 +68,8 @@
             kept_orders: KeptOrders::default(),
             shed_share: ShedShare::default(),
             peer_loads: FastMap::default(),
+            work: WorkTable::default(),
+            rank_shares: RankShares::default(),
         }
     }
 }
@@ -72,6 +83,12 @@
     pub latency: Duration,
     /// What the target says of itself in its answer, `None` if there was no answer of its own.
     pub report: Option<TargetReport>,
+    /// How long it was expected to wait for a slot when it was sent.
+    pub expected_wait: Duration,
+    /// Time in which a new connection to the target was opened, `None` if one was reused.
+    pub connect_time: Option<Duration>,
+    /// Hash of the name of the route.
+    pub route: u64,
     /// The object that was requested, if it has one.
     pub visit: Option<ObjectVisit>,
     /// How long the request could have waited and still have been in time.
@@ -82,6 +99,12 @@
     fn load(&self) -> Option<TargetLoad> {
         self.report.and_then(|report| report.load)
     }
+
+    /// Time at the target and on the network: the opening of the connection is no work.
+    fn exchange(&self) -> Duration {
+        self.latency
+            .saturating_sub(self.connect_time.unwrap_or_default())
+    }
 }
 
 /// All registered targets.
@@ -95,6 +118,7 @@
     evacuated: FastSet<String>,
     /// What processes have stated that no entry names.
     statements: StatementMemory,
+    links: LinkTimes,
     next_key: u32,
     /// Incremented with each change of the targets or of which of them are open.
     generation: u64,
@@ -272,6 +296,27 @@
             && !self.evacuated.contains(&target.entry.domain)
     }
 
+    /// Whether this VM's latest requests to all open targets of a service failed, those in the allowed regions
+    /// that are not `tried`, and some of them for want of a connection.
+    pub fn reaches_none(
+        &self,
+        service: &str,
+        regions: [&[String]; 2],
+        tried: &[TargetKey],
+    ) -> bool {
+        let targets = self.keyed_targets(service);
+        let mut open = targets.filter(|(key, target)| {
+            !tried.contains(key)
+                && self.is_open(target)
+                && region::is_allowed(&target.region, regions)
+        });
+        let mut is_any_unreached = false;
+        open.all(|(_, target)| {
+            is_any_unreached |= target.breaker.is_unreached();
+            target.breaker.is_failing()
+        }) && is_any_unreached
+    }
+
     /// Average service time of a service.
     pub fn average_service_time(&self, service: &str) -> Duration {
         let pool = self.services.get(service);
@@ -285,6 +330,25 @@
         pool.map_or(average, |pool| pool.service_times.cached(average))
     }
 
+    /// Expected work of a route's request whose object its target has cached.
+    pub fn expected_cached_work(&self, service: &str, route: u64, now: TimeStamp) -> Duration {
+        let pool = self.services.get(service);
+        pool.map_or(ASSUMED_SERVICE_TIME, |pool| {
+            pool.expected_work(route, VisitKind::Cached, now)
+        })
+    }
+
+    /// Round trip to a target.
+    pub fn round_trip(&self, target: &TargetRecord) -> Duration {
+        self.links.round_trip(&target.entry.domain)
+    }
+
+    /// The share of a rank's requests that is refused to shorten queues.
+    pub fn refused_share(&self, service: &str, rank: RequestRank) -> f64 {
+        let pool = self.services.get(service);
+        pool.map_or(0.0, |pool| pool.rank_shares.share(rank))
+    }
+
     /// Counts a request that is about to be sent within the limit that its target states.
     pub fn reserve(&mut self, key: TargetKey, location: &VmLocation, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
@@ -296,7 +360,7 @@
     /// Records that a request is sent.
     pub fn begin(&mut self, key: TargetKey, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
-            target.load.begin();
+            target.load.begin(now);
             target.warmup.record_sent();
             target.cold_window.record(now);
             if now < target.cold_until {
@@ -305,6 +369,17 @@
         }
     }
 
+    /// Takes over a load that another VM has seen, and judges the target's warm-up by it; returns
+    /// whether it is newer than what is known.
+    pub fn adopt_load(&mut self, key: TargetKey, load: TargetLoad, now: TimeStamp) -> bool {
+        let target = self.targets.get_mut(&key);
+        let is_newer = target.is_some_and(|target| target.load.adopt_report(load));
+        if is_newer {
+            self.judge_load(key, load, now);
+        }
+        is_newer
+    }
+
     /// Records that a request, for which the target was chosen at `chosen_at`, is written now.
     pub fn record_written(&mut self, key: TargetKey, chosen_at: TimeStamp, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key)
@@ -386,7 +461,8 @@
             && let Some(target) = self.targets.get(&key)
         {
             let pool = self.services.get(&target.entry.service);
-            let slowness = pool.and_then(|pool| pool.slowness(result));
+            let taken = result.exchange().saturating_sub(self.round_trip(target));
+            let slowness = pool.and_then(|pool| pool.slowness(result, taken, now));
             self.judge(key, load, slowness, now);
         }
     }
@@ -563,7 +639,7 @@
         target.load.finish();
         let begun = now.before(result.latency);
         target.record_contact(begun, |breaker| breaker.record(result.kind, now), now);
-        if !target.breaker.is_failing() {
+        if !target.breaker.is_tripped() {
             let change = target.warmup.judge_end(result.kind, begun, now);
             change
                 .into_iter()
@@ -573,17 +649,35 @@
         if let Some(load) = result.load() {
             target.load.record_report(load);
         }
-        if result.kind != ResultKind::Answered {
+        let domain = &target.entry.domain;
+        if let Some(taken) = result.connect_time {
+            self.links.record(domain, taken, now);
+        }
+        let exchange = result.exchange();
+        if result.kind == ResultKind::Shed && result.report.is_some() {
+            self.links.record(domain, exchange, now);
+        }
+        let Some(pool) = pool else {
             return is_new;
+        };
+        let taken = exchange.saturating_sub(self.links.round_trip(domain));
+        match result.kind {
+            ResultKind::Answered => {}
+            ResultKind::TimedOut if result.expected_wait.is_zero() => {
+                let kind = pool.visit_kind(key, &result);
+                let late = WorkSample::Late(taken);
+                pool.work.record(result.route, kind, late, now);
+                return is_new;
+            }
+            _ => return is_new,
         }
         // Otherwise most of the latency was queueing at the target, which distorts the service time.
         let has_queued = result.load().is_some_and(|load| load.waiting > 0);
         if !has_queued {
-            target.load.record_latency(result.latency, now);
-        }
-        if let Some(pool) = pool {
-            pool.record_answer(key, result);
+            let latency = pool.average_latency(key, &result, taken, now);
+            target.load.record_latency(latency, now);
         }
+        pool.record_answer(key, result, taken, now);
         is_new
     }
 }
@@ -595,41 +689,126 @@
         peers.is_some_and(|peers| peers.is_reported(now))
     }
 
-    /// Latency of a response as a multiple of that of a first visit, `None` if it shows nothing.
-    fn slowness(&self, result: &TargetResult) -> Option<f64> {
-        let has_queued = result.load().is_some_and(|load| load.waiting > 0);
+    /// Work of a response as a multiple of what a first visit of its route takes, `None` if it shows
+    /// nothing. What is known to be cached may be gone where a target returns.
+    fn slowness(&self, result: &TargetResult, taken: Duration, now: TimeStamp) -> Option<f64> {
+        let load = result.load();
+        let has_queued = load.is_some_and(|load| load.waiting > 0);
         if result.kind != ResultKind::Answered || has_queued {
             return None;
         }
-        let average = self.average_service_time;
+        let expected = |visit| self.expected_work(result.route, visit, now);
+        let cached = expected(VisitKind::Cached);
         let expected = match result.visit {
-            Some(_) => self.service_times.first_visit(average),
-            None => average,
+            Some(_) => cached::longest_first_visit(expected(VisitKind::First), cached),
+            None => cached,
         };
-        Some(result.latency.as_secs_f64() / expected.as_secs_f64().max(0.001))
+        let run = work::normalize(taken, load.and_then(|load| load.pace));
+        Some(run.as_secs_f64() / expected.as_secs_f64().max(0.001))
     }
 
-    /// Records an answer of one of the service's targets.
-    fn record_answer(&mut self, key: TargetKey, result: TargetResult) {
+    /// Expected work of a request at a target. While the route has too few samples, it is derived from
+    /// its other visits, and otherwise from the averages of the service.
+    pub fn expected_work(&self, route: u64, visit: VisitKind, now: TimeStamp) -> Duration {
+        let mean = |visit| {
+            let estimate = self.work.estimate(route, visit, now);
+            estimate.map(|estimate| estimate.mean)
+        };
+        if let Some(mean) = mean(visit) {
+            return mean;
+        }
+        let ratio = self.service_times.ratio();
+        let average = self.average_service_time;
+        if visit == VisitKind::First {
+            let cached = mean(VisitKind::Cached);
+            let first = cached.map(|cached| cached.mul_f64(ratio));
+            return first.unwrap_or(self.service_times.uncached(average));
+        }
+        let first = || mean(VisitKind::First).map(|first| first.div_f64(ratio));
+        let cached = mean(VisitKind::Cached).or_else(first);
+        cached.unwrap_or(self.service_times.cached(average))
+    }
+
+    /// The kind of a visit, as this VM knew it before the answer.
+    fn visit_kind(&self, key: TargetKey, result: &TargetResult) -> VisitKind {
+        result.visit.map_or(VisitKind::Cached, |visit| {
+            let was_cached = self.cached_objects.contains(visit.object, key);
+            VisitKind::new(was_cached, visit.is_preferred)
+        })
+    }
+
+    /// What an average request would have taken where this one took `taken`: a target is not slow
+    /// because it serves a route with much work.
+    fn average_latency(
+        &self,
+        key: TargetKey,
+        result: &TargetResult,
+        taken: Duration,
+        now: TimeStamp,
+    ) -> Duration {
+        let visit = self.visit_kind(key, result);
+        match self.work.estimate(result.route, visit, now) {
+            Some(estimate) if !estimate.mean.is_zero() => {
+                let factor = taken.div_duration_f64(estimate.mean);
+                self.average_service_time.mul_f64(factor)
+            }
+            _ => taken,
+        }
+    }
+
+    /// Mean work of the mix by a queued request: it took as long as those ahead of it and itself, each
+    /// of which took the mean on average. Without this, the mean would never be known while all
+    /// targets have queues, as from the first second of an overload.
+    fn mixed_work(&self, taken: Duration, wait: Duration) -> Duration {
+        let average = self.average_service_time.max(MIN_SLACK);
+        taken.div_f64(1.0 + wait.div_duration_f64(average))
+    }
+
+    /// How long a request has probably waited: as was expected, or as long as the queue at its end
+    /// takes, of which this VM may not have known before.
+    fn likely_wait(&self, result: &TargetResult) -> Duration {
+        let queue = result.load().map_or(0.0, |load| {
+            f64::from(load.waiting) / f64::from(load.slots.max(1))
+        });
+        let wait = self.average_service_time.mul_f64(queue);
+        wait.max(result.expected_wait)
+    }
+
+    /// Records an answer of one of the service's targets, `taken` after the request reached it.
+    fn record_answer(
+        &mut self,
+        key: TargetKey,
+        result: TargetResult,
+        taken: Duration,
+        now: TimeStamp,
+    ) {
         if let Some(load) = result.load() {
-            let ahead = f64::from(load.running + load.waiting + 1) / f64::from(load.slots.max(1));
+            let ahead = f64::from(load.running) + f64::from(load.waiting) + 1.0;
+            let ahead = ahead / f64::from(load.slots.max(1));
             let delay = self.average_service_time.mul_f64((ahead - 1.0).max(0.0));
             let slack = result.slack.max(MIN_SLACK);
             self.shed_share
                 .record_delay(delay.as_secs_f64() / slack.as_secs_f64());
         }
+        let pace = result.load().and_then(|load| load.pace);
         let has_queued = result.load().is_some_and(|load| load.waiting > 0);
-        if !has_queued {
-            self.average_service_time = self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT)
-                + result.latency.mul_f64(EWMA_WEIGHT);
-        }
+        let wait = self.likely_wait(&result);
+        let run = work::normalize(taken.saturating_sub(wait), pace);
+        let has_waited = has_queued || !result.expected_wait.is_zero();
+        let (sample, mixed) = match has_waited {
+            true => (WorkSample::Rough(run), self.mixed_work(taken, wait)),
+            false => (WorkSample::Exact(run), run),
+        };
+        self.average_service_time =
+            self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT) + mixed.mul_f64(EWMA_WEIGHT);
+        let kind = self.visit_kind(key, &result);
+        self.work.record(result.route, kind, sample, now);
         let Some(visit) = result.visit else {
             return;
         };
-        let was_cached = self.cached_objects.contains(visit.object, key);
         // Another VM may have requested the object at its preferred target before.
-        if !has_queued && (was_cached || !visit.is_preferred) {
-            self.service_times.record(result.latency, was_cached);
+        if !has_queued && kind != VisitKind::Preferred {
+            self.service_times.record(run, kind == VisitKind::Cached);
         }
         self.cached_objects.record(visit.object, key);
     }
--- a/dahliawood-steer/src/placement/warmup/mod.rs
+++ b/dahliawood-steer/src/placement/warmup/mod.rs
@@ -146,7 +146,7 @@
 
 /// Requests at a target for each of its slots.
 fn fill(load: TargetLoad) -> f64 {
-    f64::from(load.running + load.waiting) / f64::from(load.slots.max(1))
+    (f64::from(load.running) + f64::from(load.waiting)) / f64::from(load.slots.max(1))
 }
 
 /// Warm-up of one target at this VM.
--- a/dahliawood-steer/tests/main/warmup.rs
+++ b/dahliawood-steer/tests/main/warmup.rs
@@ -80,6 +80,7 @@
             running: present - waiting,
             waiting,
             slots: SLOTS,
+            pace: None,
             received_at: now,
         }
     }
@@ -466,6 +467,7 @@
             running,
             waiting,
             slots: SLOTS,
+            pace: None,
             received_at: at,
         },
         slowness: None,
