--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -11,6 +11,9 @@
 
 /// Number of targets in a region, by preference, that an object may use when the first is busy.
 const SPREAD_TARGETS: usize = 3;
+/// A wait of at most the longest useful one divided by this is safe: queues are estimated by reports
+/// that are older than a typical wait.
+const SAFE_WAIT_DIVISOR: u32 = 2;
 /// A target this many times slower than its service's average is skipped.
 const SLOW_FACTOR: f64 = 3.0;
 /// Share of a cold target's limit that is used; the rest is a margin, as lists of VMs differ for a
@@ -36,7 +39,30 @@
     pub(super) is_held: bool,
 }
 
+/// What a request costs the others of its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum VisitCost {
+    /// The object is cached, and the request is in time even if the queue is longer than expected.
+    Low,
+    /// The object is cached and the request may be late, or it is a first visit to a free slot.
+    Medium,
+    /// A first visit that queues.
+    High,
+}
+
 impl Candidate {
+    /// What a request costs others at this target. A first visit takes as much slot time as several
+    /// cached requests, which those that queue there would miss.
+    fn cost(&self, query: &PlacementQuery<'_>) -> VisitCost {
+        let is_first = self.visit == VisitKind::First;
+        let is_safe = self.wait <= query.max_wait / SAFE_WAIT_DIVISOR;
+        match (is_first, self.wait.is_zero()) {
+            (false, _) if is_safe => VisitCost::Low,
+            (true, false) => VisitCost::High,
+            (false, _) | (true, true) => VisitCost::Medium,
+        }
+    }
+
     /// Whether it starts the request within `max_wait`.
     fn starts_in_time(&self, query: &PlacementQuery<'_>) -> bool {
         self.wait <= query.max_wait && self.wait <= query.time_left
@@ -49,10 +75,13 @@
 }
 
 /// The candidate that is expected to serve the request first, among those that start it within
-/// `max_wait` and serve it in the time that is left. A target that has the object cached may be
-/// first despite a longer wait.
+/// `max_wait` and serve it in the time that is left. A target that has the object cached goes first
+/// while the request is safely in time there.
 pub(super) fn best_in_time(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<TargetKey> {
-    let best = best(list, query, |candidate| candidate.ends_in_time(query));
+    let in_time = |candidate: &Candidate| candidate.ends_in_time(query);
+    let best = best(list, query, in_time, |candidate| {
+        (candidate.cost(query), candidate.total)
+    });
     best.map(|candidate| candidate.key)
 }
 
@@ -62,21 +91,22 @@
     list: &'a [Candidate],
     query: &PlacementQuery<'_>,
 ) -> Option<&'a Candidate> {
-    best(list, query, |_| true)
+    best(list, query, |_| true, |candidate| candidate.total)
 }
 
-/// The first of the candidates that may take the request. One that is held back takes it only if no
+/// The candidate with the least key of those that may take the request. One that is held back takes it only if no
 /// other of its region has a free slot.
-fn best<'a>(
+fn best<'a, K: Ord>(
     list: &'a [Candidate],
     query: &PlacementQuery<'_>,
     fits: impl Fn(&Candidate) -> bool,
+    order_key: impl Fn(&Candidate) -> K,
 ) -> Option<&'a Candidate> {
     let fitting = |is_any| starting(list, query, is_any).filter(|candidate| fits(candidate));
-    let best = fitting(true).min_by_key(|candidate| candidate.total);
+    let best = fitting(true).min_by_key(|candidate| order_key(candidate));
     let other = || {
         let free = fitting(false).filter(|candidate| candidate.wait.is_zero());
-        free.min_by_key(|candidate| candidate.total)
+        free.min_by_key(|candidate| order_key(candidate))
     };
     let unheld = best.filter(|best| !best.is_held);
     unheld.or_else(other).or(best)
@@ -89,15 +119,10 @@
     query: &PlacementQuery<'_>,
     is_any: bool,
 ) -> impl Iterator<Item = &'a Candidate> {
-    let same = list.iter().enumerate();
-    let same = same.filter(move |(_, candidate)| is_any || !candidate.is_held);
-    let starting = same.take(SPREAD_TARGETS).filter(|(rank, candidate)| {
-        // A first visit takes as much slot time as several cached requests, which those that queue
-        // at the target would miss.
-        let may_queue = *rank == 0 || candidate.visit != VisitKind::First;
-        candidate.starts_in_time(query) && (may_queue || candidate.wait.is_zero())
-    });
-    starting.map(|(_, candidate)| candidate)
+    let same = list.iter();
+    let same = same.filter(move |candidate| is_any || !candidate.is_held);
+    let spread = same.take(SPREAD_TARGETS);
+    spread.filter(|candidate| candidate.starts_in_time(query))
 }
 
 /// Time until one of the candidates that may be chosen has room for the request and can still serve it in
