--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a gateway: counters, a latency histogram and a gauge.
 
 use dahliawood_steer::placement::work::RouteEstimate;
+use prometheus::core::Collector;
 use prometheus::{
     GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -43,6 +44,10 @@
     pub cut_off: IntGauge,
     /// What other VMs said of targets and this VM's own connections contradict.
     pub contradictions: IntCounter,
+    /// Changes of the warm-ups of targets, by change and cause.
+    pub warmups: IntCounterVec,
+    /// Targets that are warming up.
+    pub warming_targets: IntGauge,
     /// Loads of targets that were told to other VMs, taken over from them, or ignored, by outcome.
     pub loads: IntCounterVec,
     /// Calls to the VMs that collect loads, by outcome.
@@ -65,134 +70,87 @@
     pub late_work: GaugeVec,
 }
 
+/// A registry that is being filled.
+struct MetricsRegistry(Registry);
+
+impl MetricsRegistry {
+    fn register<C: Collector + Clone + 'static>(&self, metric: C) -> Result<C, prometheus::Error> {
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
+    fn counter(&self, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+        self.register(IntCounter::new(name, help)?)
+    }
+
+    fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntCounterVec, prometheus::Error> {
+        self.register(IntCounterVec::new(Opts::new(name, help), labels)?)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+        self.register(IntGauge::new(name, help)?)
+    }
+
+    fn gauges(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<GaugeVec, prometheus::Error> {
+        self.register(GaugeVec::new(Opts::new(name, help), labels)?)
+    }
+
+    fn histogram(
+        &self,
+        name: &str,
+        help: &str,
+        bounds: &[f64],
+    ) -> Result<Histogram, prometheus::Error> {
+        let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+        self.register(Histogram::with_opts(options)?)
+    }
+}
+
 impl GatewayMetrics {
     /// Registers all metrics, with the value zero.
     ///
     /// # Errors
     /// Fails if a metric name is invalid or registered twice.
     pub fn new() -> Result<Self, prometheus::Error> {
-        let registry = Registry::new_custom(Some("dahliawood".to_owned()), None)?;
-        let counter = |name: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let requests = counter("requests_total", "Requests of callers.", &["outcome"])?;
-        let sends = counter("sends_total", "Requests sent to targets.", &["outcome"])?;
-        let sheds = counter(
-            "sheds_total",
-            "Requests refused for load, by priorities of customer and route.",
-            &["service", "rank", "reason"],
-        )?;
-        let options = Opts::new("shed_share", "Refused share of the requests of a rank.");
-        let shed_share = GaugeVec::new(options, &["service", "rank"])?;
-        registry.register(Box::new(shed_share.clone()))?;
-        let store_calls = counter(
-            "store_calls_total",
-            "Calls to the store.",
-            &["call", "outcome"],
-        )?;
-        let lookups = counter("lookups_total", "Look-ups.", &["outcome"])?;
-        let statements = IntCounter::new(
-            "statements_total",
-            "Times that a target newly said something of itself.",
-        )?;
-        registry.register(Box::new(statements.clone()))?;
-        let quarantines = IntCounter::new(
-            "quarantines_total",
-            "Requests that began to be held back because they crash targets.",
-        )?;
-        registry.register(Box::new(quarantines.clone()))?;
-        let given_back = IntCounter::new(
-            "limit_given_back_total",
-            "Requests that did not run and were given back to their customers' limits.",
-        )?;
-        registry.register(Box::new(given_back.clone()))?;
-        let memory_refusals = counter(
-            "memory_refusals_total",
-            "Requests and connections that ended because bodies take too much memory.",
-            &["kind"],
-        )?;
-        let forwards = counter(
-            "forwards_total",
-            "Requests forwarded to other VMs (side 'origin') and for them (side 'helper').",
-            &["side", "outcome"],
-        )?;
-        let cut_off = IntGauge::new("cut_off", "1 while this VM reaches no target.")?;
-        registry.register(Box::new(cut_off.clone()))?;
-        let contradictions = IntCounter::new(
-            "contradictions_total",
-            "What other VMs said of targets and this VM's connections contradict.",
-        )?;
-        registry.register(Box::new(contradictions.clone()))?;
-        let loads = counter(
-            "loads_total",
-            "Loads of targets exchanged with other VMs: sent, adopted, or ignored by reason.",
-            &["outcome"],
-        )?;
-        let load_calls = counter(
-            "load_calls_total",
-            "Calls to the VMs that collect loads.",
-            &["outcome"],
-        )?;
-        let options = Opts::new(
-            "spillover_level",
-            "Share of a service's objects that run in other regions.",
-        );
-        let spillover_level = GaugeVec::new(options, &["service"])?;
-        registry.register(Box::new(spillover_level.clone()))?;
-        let waiting = IntGauge::new("requests_waiting", "Requests that wait for a slot.")?;
-        registry.register(Box::new(waiting.clone()))?;
-        let waits = counter("waits_total", "Waits for a slot.", &["outcome"])?;
-        let options = HistogramOpts::new("wait_seconds", "Time waited for a slot.");
-        let wait_time = Histogram::with_opts(options.buckets(WAIT_BOUNDS.to_vec()))?;
-        registry.register(Box::new(wait_time.clone()))?;
-        let options = HistogramOpts::new("request_seconds", "From a request to its answer.");
-        let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
-        registry.register(Box::new(latency.clone()))?;
-        let in_flight = IntGauge::new("requests_in_flight", "Requests that are being served.")?;
-        registry.register(Box::new(in_flight.clone()))?;
-        let gauge = |name: &str, help: &str, label: &str| {
-            let labels = ["service", "route", "visit", label];
-            let gauge = GaugeVec::new(Opts::new(name, help), &labels)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let work = gauge(
-            "work_seconds",
-            "Estimated work of requests, without queueing and network.",
-            "statistic",
-        )?;
-        let late_work = gauge(
-            "late_work",
-            "Requests whose work was not expected to end in time, while their estimate is current.",
-            "outcome",
-        )?;
+        let metrics = MetricsRegistry(Registry::new_custom(Some("dahliawood".to_owned()), None)?);
+        let work_labels = |label| ["service", "route", "visit", label];
         Ok(Self {
-            registry,
-            requests,
-            sends,
-            sheds,
-            shed_share,
-            store_calls,
-            lookups,
-            statements,
-            quarantines,
-            given_back,
-            memory_refusals,
-            forwards,
-            cut_off,
-            contradictions,
-            loads,
-            load_calls,
-            spillover_level,
-            waiting,
-            waits,
-            wait_time,
-            latency,
-            in_flight,
-            work,
-            late_work,
+            requests: metrics.counters("requests_total", "Requests of callers.", &["outcome"])?,
+            sends: metrics.counters("sends_total", "Requests sent to targets.", &["outcome"])?,
+            sheds: metrics.counters("sheds_total", "Requests refused for load, by priorities of customer and route.", &["service", "rank", "reason"])?,
+            shed_share: metrics.gauges("shed_share", "Refused share of the requests of a rank.", &["service", "rank"])?,
+            store_calls: metrics.counters("store_calls_total", "Calls to the store.", &["call", "outcome"])?,
+            lookups: metrics.counters("lookups_total", "Look-ups.", &["outcome"])?,
+            statements: metrics.counter("statements_total", "Times that a target newly said something of itself.")?,
+            quarantines: metrics.counter("quarantines_total", "Requests that began to be held back because they crash targets.")?,
+            given_back: metrics.counter("limit_given_back_total", "Requests that did not run and were given back to their customers' limits.")?,
+            memory_refusals: metrics.counters("memory_refusals_total", "Requests and connections that ended because bodies take too much memory.", &["kind"])?,
+            forwards: metrics.counters("forwards_total", "Requests forwarded to other VMs (side 'origin') and for them (side 'helper').", &["side", "outcome"])?,
+            cut_off: metrics.gauge("cut_off", "1 while this VM reaches no target.")?,
+            contradictions: metrics.counter("contradictions_total", "What other VMs said of targets and this VM's connections contradict.")?,
+            warmups: metrics.counters("warmups_total", "Warm-ups of targets that began, ended or were set back.", &["change", "cause"])?,
+            warming_targets: metrics.gauge("warming_targets", "Targets that are warming up.")?,
+            loads: metrics.counters("loads_total", "Loads of targets exchanged with other VMs: sent, adopted, or ignored by reason.", &["outcome"])?,
+            load_calls: metrics.counters("load_calls_total", "Calls to the VMs that collect loads.", &["outcome"])?,
+            spillover_level: metrics.gauges("spillover_level", "Share of a service's objects that run in other regions.", &["service"])?,
+            waiting: metrics.gauge("requests_waiting", "Requests that wait for a slot.")?,
+            waits: metrics.counters("waits_total", "Waits for a slot.", &["outcome"])?,
+            wait_time: metrics.histogram("wait_seconds", "Time waited for a slot.", &WAIT_BOUNDS)?,
+            latency: metrics.histogram("request_seconds", "From a request to its answer.", &LATENCY_BOUNDS)?,
+            in_flight: metrics.gauge("requests_in_flight", "Requests that are being served.")?,
+            work: metrics.gauges("work_seconds", "Estimated work of requests, without queueing and network.", &work_labels("statistic"))?,
+            late_work: metrics.gauges("late_work", "Requests whose work was not expected to end in time, while their estimate is current.", &work_labels("outcome"))?,
+            registry: metrics.0,
         })
     }
 
@@ -224,6 +182,14 @@
         self.forwards.with_label_values(&[side, outcome]).inc();
     }
 
+    /// Counts changes of warm-ups.
+    pub fn record_warmups(&self, change: &str, cause: &str, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.warmups
+            .with_label_values(&[change, cause])
+            .inc_by(count);
+    }
+
     /// Counts loads of targets that were told to other VMs, taken over or ignored.
     pub fn record_loads(&self, outcome: &str, count: usize) {
         let counter = self.loads.with_label_values(&[outcome]);
--- a/dahliawood-steer/src/placement/cached/mod.rs
+++ b/dahliawood-steer/src/placement/cached/mod.rs
@@ -19,6 +19,16 @@
 /// Assumed ratio of the service times of an object's first request and of later ones, until both
 /// were seen.
 const ASSUMED_RATIO: f64 = 2.0;
+/// How many times as long as later ones a first visit takes without its target being slow; a cached
+/// object saves targets 0.7 of the work.
+const FIRST_VISIT_RATIO: f64 = 3.3;
+
+/// The longest usual work of a first visit, by the expected work of visits without and with a cached
+/// object. That of objects that this VM did not see at the target is lower, because other VMs had some
+/// of them cached.
+pub fn longest_first_visit(uncached: Duration, cached: Duration) -> Duration {
+    uncached.max(cached.mul_f64(FIRST_VISIT_RATIO))
+}
 
 /// A request for an object, as the target that serves it sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -3,6 +3,7 @@
 use crate::placement::choose::{PlacementQuery, VmLocation};
 use crate::placement::record::TargetRecord;
 use crate::placement::table::PlacementTable;
+use crate::placement::warmup;
 use crate::placement::work::VisitKind;
 use dahliawood_model::keys::TargetKey;
 use dahliawood_model::stamp::TimeStamp;
@@ -34,6 +35,8 @@
     pub(super) pace: f64,
     /// What the target is known to have cached of the request's object.
     visit: VisitKind,
+    /// Whether it is warming up, and the request goes to it only if no other of its region has room.
+    pub(super) is_held: bool,
 }
 
 /// What a request costs the others of its service.
@@ -75,8 +78,10 @@
 /// `max_wait` and serve it in the time that is left. A target that has the object cached goes first
 /// while the request is safely in time there.
 pub(super) fn best_in_time(list: &[Candidate], query: &PlacementQuery<'_>) -> Option<TargetKey> {
-    let in_time = starting(list, query).filter(|candidate| candidate.ends_in_time(query));
-    let best = in_time.min_by_key(|candidate| (candidate.cost(query), candidate.total));
+    let in_time = |candidate: &Candidate| candidate.ends_in_time(query);
+    let best = best(list, query, in_time, |candidate| {
+        (candidate.cost(query), candidate.total)
+    });
     best.map(|candidate| candidate.key)
 }
 
@@ -86,14 +91,37 @@
     list: &'a [Candidate],
     query: &PlacementQuery<'_>,
 ) -> Option<&'a Candidate> {
-    starting(list, query).min_by_key(|candidate| candidate.total)
+    best(list, query, |_| true, |candidate| candidate.total)
 }
 
+/// The candidate with the least key of those that may take the request. One that is held back takes it only if no
+/// other of its region has a free slot.
+fn best<'a, K: Ord>(
+    list: &'a [Candidate],
+    query: &PlacementQuery<'_>,
+    fits: impl Fn(&Candidate) -> bool,
+    order_key: impl Fn(&Candidate) -> K,
+) -> Option<&'a Candidate> {
+    let fitting = |is_any| starting(list, query, is_any).filter(|candidate| fits(candidate));
+    let best = fitting(true).min_by_key(|candidate| order_key(candidate));
+    let other = || {
+        let free = fitting(false).filter(|candidate| candidate.wait.is_zero());
+        free.min_by_key(|candidate| order_key(candidate))
+    };
+    let unheld = best.filter(|best| !best.is_held);
+    unheld.or_else(other).or(best)
+}
+
+/// The candidates that an object may use and that start the request in time; those that are held back
+/// only if `is_any`.
 fn starting<'a>(
     list: &'a [Candidate],
     query: &PlacementQuery<'_>,
+    is_any: bool,
 ) -> impl Iterator<Item = &'a Candidate> {
-    let spread = list.iter().take(SPREAD_TARGETS);
+    let same = list.iter();
+    let same = same.filter(move |candidate| is_any || !candidate.is_held);
+    let spread = same.take(SPREAD_TARGETS);
     spread.filter(|candidate| candidate.starts_in_time(query))
 }
 
@@ -157,11 +185,47 @@
             basis: basis.map(|(kind, _)| kind),
             pace,
             visit,
+            is_held: false,
         });
     }
+    hold_warming(table, query, &mut usable, now);
     usable
 }
 
+/// Marks the targets that are warming up and whose share does not cover the request.
+fn hold_warming(
+    table: &PlacementTable,
+    query: &PlacementQuery<'_>,
+    usable: &mut [Candidate],
+    now: TimeStamp,
+) {
+    let pool = table.services.get(query.service);
+    let share = |key| {
+        let target = table.get(key)?;
+        let is_reported = pool?.is_load_reported(&target.region, now);
+        target.warmup.share().filter(|_| is_reported)
+    };
+    let warming = usable
+        .iter()
+        .filter(|candidate| share(candidate.key).is_some());
+    let warming = warming.count();
+    if warming == 0 {
+        return;
+    }
+    let of_usable = usable.len();
+    for candidate in usable {
+        let Some(target) = table.get(candidate.key) else {
+            continue;
+        };
+        let peers = pool.and_then(|pool| pool.peer_loads.get(&target.region));
+        let least = peers.map_or(1.0, |peers| warmup::least_share(warming, of_usable, peers));
+        candidate.is_held = share(candidate.key).is_some_and(|share| {
+            !target.warmup.is_trial_due()
+                && !warmup::is_let_in(query.object, target.hash, share.max(least))
+        });
+    }
+}
+
 /// Whether a target is warm, or is cold and its limit has room for one more request of this VM.
 /// Only VMs of the target's own region use it while cold.
 fn has_cold_capacity(
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -169,7 +169,11 @@
     if query.turn == QueueTurn::Behind {
         return sides.refuse(table, location, query, now);
     }
+    let held = sides.first_held(is_remote);
     let dispatch = |table: &mut PlacementTable, key, is_remote| {
+        if let Some(held) = held.filter(|held| *held != key) {
+            table.record_held(held);
+        }
         table.reserve(key, location, now);
         refusal::record_room(table, query, true);
         select(table, query.service, key, is_remote)
@@ -238,6 +242,16 @@
         self.local.iter().chain(self.remote.iter().flatten())
     }
 
+    /// The preferred candidate of the side on which the request belongs, if it is held back.
+    fn first_held(&self, is_remote: bool) -> Option<TargetKey> {
+        let list = match is_remote {
+            true => self.remote.first(),
+            false => Some(&self.local),
+        };
+        let first = list?.first()?;
+        first.is_held.then_some(first.key)
+    }
+
     /// The best candidate that can start the request in time, of this region or else of the most
     /// preferred other one, and whether it is of another one.
     fn best_starting(&self, query: &PlacementQuery<'_>) -> Option<(&Candidate, bool)> {
--- a/dahliawood-steer/src/placement/exchange/entry/mod.rs
+++ b/dahliawood-steer/src/placement/exchange/entry/mod.rs
@@ -118,7 +118,7 @@
     if now >= expires_at {
         return Err(IgnoredReason::Expired);
     }
-    match table.adopt_load(key, load) {
+    match table.adopt_load(key, load, now) {
         true => Ok(AdoptedLoad { load, expires_at }),
         false => Err(IgnoredReason::Older),
     }
--- a/dahliawood-steer/src/placement/mod.rs
+++ b/dahliawood-steer/src/placement/mod.rs
@@ -25,4 +25,5 @@
 pub mod statement;
 pub mod table;
 pub mod waiting;
+pub mod warmup;
 pub mod work;
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::health::ResultKind;
 use crate::placement::breaker::CircuitBreaker;
-use crate::placement::cached::{CachedObjects, ObjectVisit, ServiceTimes};
+use crate::placement::cached::{self, CachedObjects, ObjectVisit, ServiceTimes};
 use crate::placement::choose::VmLocation;
 use crate::placement::cold::{ColdUsage, ColdWindow};
 use crate::placement::load::LoadEstimate;
@@ -13,6 +13,7 @@
 use crate::placement::shedding::by_rank::RankShares;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::statement::{ProcessStatements, StatementMemory};
+use crate::placement::warmup::{PeerLoad, TargetWarmup, WarmupCause, WarmupChange, WarmupSample};
 use crate::placement::work::links::LinkTimes;
 use crate::placement::work::{self, VisitKind, WorkSample, WorkTable};
 use crate::region;
@@ -48,6 +49,8 @@
     pub kept_orders: KeptOrders,
     /// Share of requests that are refused because queues are too long.
     pub shed_share: ShedShare,
+    /// Load of the targets of each region that are not warming up.
+    pub peer_loads: FastMap<String, PeerLoad>,
     /// Work of each route.
     pub work: WorkTable,
     /// Part of that share by rank, where requests differ in priority.
@@ -64,6 +67,7 @@
             cached_objects: CachedObjects::default(),
             kept_orders: KeptOrders::default(),
             shed_share: ShedShare::default(),
+            peer_loads: FastMap::default(),
             work: WorkTable::default(),
             rank_shares: RankShares::default(),
         }
@@ -95,6 +99,12 @@
     fn load(&self) -> Option<TargetLoad> {
         self.report.and_then(|report| report.load)
     }
+
+    /// Time at the target and on the network: the opening of the connection is no work.
+    fn exchange(&self) -> Duration {
+        self.latency
+            .saturating_sub(self.connect_time.unwrap_or_default())
+    }
 }
 
 /// All registered targets.
@@ -197,6 +207,12 @@
                     true => target.cold_until.min(now),
                     false => target.cold_until.max(cold_until),
                 };
+                if target.entry.is_draining && !entry.is_draining {
+                    target.begin_warmup(WarmupCause::Drain, now);
+                }
+                if target.entry.cold_for.is_zero() && !entry.cold_for.is_zero() {
+                    target.begin_warmup(WarmupCause::Cold, now);
+                }
                 target.entry = entry;
                 return;
             }
@@ -207,6 +223,7 @@
         let region = self.regions.get(&entry.domain).cloned().unwrap_or_default();
         let pool = self.services.entry(entry.service.clone()).or_default();
         pool.targets.push(key);
+        let is_reported = pool.is_load_reported(&region, now);
         self.by_id.insert(entry.id.clone(), key);
         let hash = rendezvous::name_hash(entry.id.as_bytes());
         let stated = self
@@ -223,10 +240,18 @@
             is_leaving: stated.is_leaving,
             stated_limit: stated.stated_limit,
             breaker: CircuitBreaker::default(),
+            warmup: TargetWarmup::default(),
+            warmup_changes: Vec::new(),
             entry,
         };
+        if !target.entry.cold_for.is_zero() {
+            target.begin_warmup(WarmupCause::Cold, now);
+        } else if is_reported {
+            target.begin_warmup(WarmupCause::Registered, now);
+        }
         if stated.asked_until > now {
             target.breaker.ask_pause(stated.asked_until.since(now), now);
+            target.begin_warmup(WarmupCause::Pause, stated.asked_until);
         }
         self.targets.insert(key, target);
     }
@@ -258,6 +283,7 @@
         for target in self.targets.values_mut() {
             if has_ended(&target.entry.domain) {
                 target.returned_at = Some(now);
+                target.begin_warmup(WarmupCause::Evacuation, now);
             }
         }
     }
@@ -335,6 +361,7 @@
     pub fn begin(&mut self, key: TargetKey, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
             target.load.begin(now);
+            target.warmup.record_sent();
             target.cold_window.record(now);
             if now < target.cold_until {
                 target.cold_usage.record(&target.cold_window);
@@ -342,10 +369,15 @@
         }
     }
 
-    /// Takes over a load that another VM has seen; returns whether it is newer than what is known.
-    pub fn adopt_load(&mut self, key: TargetKey, load: TargetLoad) -> bool {
+    /// Takes over a load that another VM has seen, and judges the target's warm-up by it; returns
+    /// whether it is newer than what is known.
+    pub fn adopt_load(&mut self, key: TargetKey, load: TargetLoad, now: TimeStamp) -> bool {
         let target = self.targets.get_mut(&key);
-        target.is_some_and(|target| target.load.adopt_report(load))
+        let is_newer = target.is_some_and(|target| target.load.adopt_report(load));
+        if is_newer {
+            self.judge_load(key, load, now);
+        }
+        is_newer
     }
 
     /// Records that a request, for which the target was chosen at `chosen_at`, is written now.
@@ -363,7 +395,7 @@
         let key = self.process(process).map(|(key, _)| key);
         let target = key.and_then(|key| self.targets.get_mut(&key));
         if let Some(target) = target.filter(|target| !target.breaker.is_down()) {
-            target.breaker.record(ResultKind::Refused, now);
+            target.record_contact(now, |breaker| breaker.record(ResultKind::Refused, now), now);
         }
     }
 
@@ -391,16 +423,129 @@
         };
         target.breaker.settle_doubt();
         match is_accepted {
-            Some(true) => target.returned_at = Some(now),
-            Some(false) => target.breaker.record(ResultKind::Refused, now),
+            Some(true) => {
+                target.returned_at = Some(now);
+                target.begin_warmup(WarmupCause::Failures, now);
+            }
+            Some(false) => {
+                target.record_contact(now, |breaker| breaker.record(ResultKind::Refused, now), now);
+            }
             None => {}
         }
     }
 
     /// Forgets the failures of all targets: this VM was cut off from them.
-    pub fn forgive_failures(&mut self) {
-        let targets = self.targets.values_mut();
-        targets.for_each(|target| target.breaker.forgive());
+    pub fn forgive_failures(&mut self, now: TimeStamp) {
+        for target in self.targets.values_mut() {
+            target.breaker.forgive();
+            target.begin_warmup(WarmupCause::CutOff, now);
+        }
+    }
+
+    /// Records that a request was sent elsewhere because its preferred target is warming up.
+    pub(super) fn record_held(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(&key) {
+            target.warmup.record_held();
+        }
+    }
+
+    /// Judges the warm-up of a target by a load report that another VM received; `received_at` of the
+    /// report is when it was made, by this VM's clock.
+    pub fn judge_load(&mut self, key: TargetKey, load: TargetLoad, now: TimeStamp) {
+        self.judge(key, load, None, now);
+    }
+
+    /// Judges the warm-up of a target by a response of its own to this VM.
+    fn judge_response(&mut self, key: TargetKey, result: &TargetResult, now: TimeStamp) {
+        if let Some(load) = result.load()
+            && let Some(target) = self.targets.get(&key)
+        {
+            let pool = self.services.get(&target.entry.service);
+            let taken = result.exchange().saturating_sub(self.round_trip(target));
+            let slowness = pool.and_then(|pool| pool.slowness(result, taken, now));
+            self.judge(key, load, slowness, now);
+        }
+    }
+
+    fn judge(&mut self, key: TargetKey, load: TargetLoad, slowness: Option<f64>, now: TimeStamp) {
+        let Some(target) = self.targets.get_mut(&key) else {
+            return;
+        };
+        let Some(pool) = self.services.get_mut(&target.entry.service) else {
+            return;
+        };
+        let sample = WarmupSample {
+            load,
+            slowness,
+            service_time: pool.average_service_time,
+            is_cold: now < target.cold_until,
+        };
+        if !pool.peer_loads.contains_key(&target.region) {
+            let peers = PeerLoad::default();
+            pool.peer_loads.insert(target.region.clone(), peers);
+        }
+        let Some(peers) = pool.peer_loads.get_mut(&target.region) else {
+            return;
+        };
+        let is_first = peers.record(load, target.warmup.share().is_some());
+        let change = target.warmup.judge(sample, peers);
+        change
+            .into_iter()
+            .for_each(|change| target.record_change(change));
+        if is_first {
+            let (service, region) = (target.entry.service.clone(), target.region.clone());
+            self.cancel_common_warmups(&service, &region);
+        }
+    }
+
+    /// Cancels the warm-ups of a service in a region if most of its targets are warming up when the first
+    /// report arrives: the service, or this VM, has just started.
+    fn cancel_common_warmups(&mut self, service: &str, region: &str) {
+        let keyed = self.keyed_targets(service);
+        let local: Vec<_> = keyed
+            .filter(|(_, target)| target.region == region)
+            .collect();
+        let is_warming =
+            |(_, target): &&(TargetKey, &TargetRecord)| target.warmup.share().is_some();
+        let warming = local.iter().filter(is_warming).count();
+        if 2 * warming <= local.len() {
+            return;
+        }
+        let keys: Vec<TargetKey> = local.into_iter().map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(target) = self.targets.get_mut(&key) {
+                target.warmup.cancel();
+                target.warmup_changes.clear();
+            }
+        }
+    }
+
+    /// The changes of warm-ups since the last call, with the targets' ids, of services whose targets
+    /// report their load.
+    pub fn take_warmup_changes(&mut self, now: TimeStamp) -> Vec<(String, WarmupChange)> {
+        let mut taken = Vec::new();
+        for target in self.targets.values_mut() {
+            let changes = std::mem::take(&mut target.warmup_changes);
+            let pool = self.services.get(&target.entry.service);
+            if pool.is_some_and(|pool| pool.is_load_reported(&target.region, now)) {
+                taken.extend(
+                    changes
+                        .into_iter()
+                        .map(|change| (target.entry.id.clone(), change)),
+                );
+            }
+        }
+        taken
+    }
+
+    /// Number of targets that are warming up, of services whose targets report their load.
+    pub fn warming_count(&self, now: TimeStamp) -> usize {
+        let is_warming = |target: &&TargetRecord| {
+            let pool = self.services.get(&target.entry.service);
+            target.warmup.share().is_some()
+                && pool.is_some_and(|pool| pool.is_load_reported(&target.region, now))
+        };
+        self.targets.values().filter(is_warming).count()
     }
 
     /// Takes over what a target says of itself in a response that came through another VM; returns whether
@@ -481,6 +626,7 @@
 
     /// Records the result of a request; returns whether the target states something new in it.
     pub fn finish(&mut self, key: TargetKey, result: TargetResult, now: TimeStamp) -> bool {
+        self.judge_response(key, &result, now);
         let Some(target) = self.targets.get_mut(&key) else {
             return false;
         };
@@ -493,6 +639,12 @@
         target.load.finish();
         let begun = now.before(result.latency);
         target.record_contact(begun, |breaker| breaker.record(result.kind, now), now);
+        if !target.breaker.is_tripped() {
+            let change = target.warmup.judge_end(result.kind, begun, now);
+            change
+                .into_iter()
+                .for_each(|change| target.record_change(change));
+        }
         let pool = self.services.get_mut(&target.entry.service);
         if let Some(load) = result.load() {
             target.load.record_report(load);
@@ -501,10 +653,7 @@
         if let Some(taken) = result.connect_time {
             self.links.record(domain, taken, now);
         }
-        // Neither the opening of the connection nor the network is work.
-        let exchange = result
-            .latency
-            .saturating_sub(result.connect_time.unwrap_or_default());
+        let exchange = result.exchange();
         if result.kind == ResultKind::Shed && result.report.is_some() {
             self.links.record(domain, exchange, now);
         }
@@ -534,6 +683,30 @@
 }
 
 impl ServicePool {
+    /// Whether the service's targets of a region report their load.
+    pub fn is_load_reported(&self, region: &str, now: TimeStamp) -> bool {
+        let peers = self.peer_loads.get(region);
+        peers.is_some_and(|peers| peers.is_reported(now))
+    }
+
+    /// Work of a response as a multiple of what a first visit of its route takes, `None` if it shows
+    /// nothing. What is known to be cached may be gone where a target returns.
+    fn slowness(&self, result: &TargetResult, taken: Duration, now: TimeStamp) -> Option<f64> {
+        let load = result.load();
+        let has_queued = load.is_some_and(|load| load.waiting > 0);
+        if result.kind != ResultKind::Answered || has_queued {
+            return None;
+        }
+        let expected = |visit| self.expected_work(result.route, visit, now);
+        let cached = expected(VisitKind::Cached);
+        let expected = match result.visit {
+            Some(_) => cached::longest_first_visit(expected(VisitKind::First), cached),
+            None => cached,
+        };
+        let run = work::normalize(taken, load.and_then(|load| load.pace));
+        Some(run.as_secs_f64() / expected.as_secs_f64().max(0.001))
+    }
+
     /// Expected work of a request at a target. While the route has too few samples, it is derived from
     /// its other visits, and otherwise from the averages of the service.
     pub fn expected_work(&self, route: u64, visit: VisitKind, now: TimeStamp) -> Duration {
--- a/dahliawood-steer/tests/main/main.rs
+++ b/dahliawood-steer/tests/main/main.rs
@@ -20,4 +20,5 @@
 mod split;
 mod unannounced_cold;
 mod waiting;
+mod warmup;
 mod work;
