--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -8,11 +8,13 @@
 mod helper;
 mod selection;
 mod suspicion;
+pub mod waiting;
 
 use crate::clock;
 use crate::codec::RequestMetadata;
 use crate::forward::helper::HelperEnd;
 use crate::forward::selection::TryTarget;
+use crate::forward::waiting::ticket::WaitTicket;
 use crate::front::connection::CallerRequest;
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::state::GatewayState;
@@ -48,6 +50,8 @@
     pub started: TimeStamp,
     /// When the caller must have the final response.
     pub deadline: TimeStamp,
+    /// How long it waited at this VM for a slot; set when the wait ends.
+    pub waited: Cell<Duration>,
 }
 
 /// How a request is forwarded.
@@ -101,7 +105,7 @@
 }
 
 /// The final response to a request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct ForwardAnswer {
     /// The response.
     pub response: FrontResponse,
@@ -126,6 +130,17 @@
     crashed: Option<String>,
 }
 
+/// Whether other VMs send a request because this one reaches none of its targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Delegation {
+    /// All tries so far reached their targets.
+    Unneeded,
+    /// A connection to a target could not be made.
+    Useful,
+    /// Other VMs send it.
+    Begun,
+}
+
 /// State shared by all tries of one request.
 struct ForwardRun<'a> {
     state: &'a GatewayState,
@@ -144,14 +159,15 @@
     /// The target's response to the last try, if it may have run the request, and the target's id.
     last_response: Option<(TargetResponse, String)>,
     has_timed_out: bool,
-    /// Whether a connection to a target could not be made.
-    is_unreached: bool,
-    /// Whether other VMs send it because this one reaches none of its targets.
-    is_delegated: bool,
+    delegation: Delegation,
     /// Computed when needed.
     identity: OnceCell<RequestIdentity>,
     /// Whether this is the one try of a quarantined request.
     is_trial: bool,
+    /// Its place among the requests that wait for a slot.
+    ticket: Option<WaitTicket<'a>>,
+    /// Whether it has waited for a slot.
+    has_waited: bool,
 }
 
 /// Forwards a request, with retries, until there is a final response. Dropping the future closes
@@ -182,10 +198,11 @@
         progress,
         last_response: None,
         has_timed_out: false,
-        is_unreached: false,
-        is_delegated: false,
+        delegation: Delegation::Unneeded,
         identity: OnceCell::new(),
         is_trial: false,
+        ticket: None,
+        has_waited: false,
     };
     match run.admission() {
         RequestAdmission::Open => {}
@@ -214,6 +231,9 @@
     async fn run_tries(mut self) -> Result<ForwardAnswer, RefusalCause> {
         loop {
             if !self.sends_direct() {
+                if let Some(ticket) = self.ticket.take() {
+                    ticket.leave_to_helper();
+                }
                 match self.ask_helpers().await {
                     HelperEnd::Answered(answer) => return Ok(answer),
                     HelperEnd::Refused(cause) => return self.refuse(cause),
@@ -223,10 +243,10 @@
                     HelperEnd::None if self.state.reach().tracker.is_cut_off() => {
                         return self.refuse(RefusalCause::NoTarget);
                     }
-                    HelperEnd::None if self.is_delegated && self.tried.is_empty() => {
+                    HelperEnd::None if self.is_delegated() && self.tried.is_empty() => {
                         return self.refuse(RefusalCause::NoTarget);
                     }
-                    HelperEnd::None if self.is_delegated => return self.give_up(),
+                    HelperEnd::None if self.is_delegated() => return self.give_up(),
                     // Whether this VM is cut off is not known yet.
                     HelperEnd::None => {}
                 }
@@ -234,9 +254,19 @@
             let target = match self.choose_target() {
                 Ok(target) => target,
                 Err(_) if self.delegates_rest() => continue,
-                Err(cause) if self.tried.is_empty() => return self.refuse(cause),
+                Err(unplaced) if self.tried.is_empty() => {
+                    let shed = unplaced.shed;
+                    match self.wait_for_turn(unplaced).await {
+                        Ok(()) => continue,
+                        Err(cause) => {
+                            self.record_shed(shed);
+                            return self.refuse(cause);
+                        }
+                    }
+                }
                 Err(_) => return self.give_up(),
             };
+            self.record_start();
             if self.tried.is_empty() && !self.options.is_retry {
                 self.state
                     .with_budget(&self.routed.service, RetryBudget::earn);
@@ -257,6 +287,17 @@
         }
     }
 
+    /// Records that the request takes a slot, which ends its wait.
+    fn record_start(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            return ticket.start();
+        }
+        if let Some(rank) = self.rank() {
+            let waiting = &self.state.waiting;
+            waiting.record_direct_start(&self.routed.service, rank);
+        }
+    }
+
     /// Whether a target's response ends the request and is passed on to the caller.
     fn is_final(&self, response: &TargetResponse) -> bool {
         match classification::classify(response) {
@@ -297,10 +338,12 @@
     /// Handles a try that ended without a complete response.
     async fn handle_failure(&mut self, target: &TryTarget, failure: &CallFailure) {
         self.has_timed_out |= failure.kind == ResultKind::TimedOut;
-        self.is_unreached |= matches!(
+        if matches!(
             failure.kind,
             ResultKind::ConnectFailed | ResultKind::Refused
-        );
+        ) {
+            self.delegation = self.delegation.max(Delegation::Useful);
+        }
         self.last_response = None;
         let has_crashed =
             failure.is_broken && target_call::is_gone(self.state, target.address).await;
--- a/dahliawood-gateway/src/reach/mod.rs
+++ b/dahliawood-gateway/src/reach/mod.rs
@@ -113,6 +113,8 @@
     let has_changed = std::mem::discriminant(&before) != std::mem::discriminant(&after);
     if has_changed {
         act_on_change(state, after);
+        // Requests that wait may have to go another way.
+        state.waiting.notify_room(now);
     }
 }
 
@@ -124,7 +126,7 @@
         false => 0,
     };
     if matches!(after, ReachState::Returning { .. }) {
-        state.placement().forgive_failures();
+        state.placement().forgive_failures(clock::now());
     }
     let event = || ReachEvent {
         state: label(after),
--- a/dahliawood-steer/src/placement/sharers/mod.rs
+++ b/dahliawood-steer/src/placement/sharers/mod.rs
@@ -64,9 +64,11 @@
         };
     }
 
-    /// Records that the list is current: the store, or a VM that has it from there, has answered.
-    pub fn confirm(&mut self, now: TimeStamp) {
-        self.confirmed_at = now;
+    /// Records that the list was current at `asked_at`, when a call was made that the store, or a VM that has the
+    /// list from there, has answered. The time of the answer would not do: a VM that was paused reads
+    /// answers from before the pause.
+    pub fn confirm(&mut self, asked_at: TimeStamp) {
+        self.confirmed_at = self.confirmed_at.max(asked_at);
     }
 
     /// Number of VMs among which the limit is divided.
@@ -74,11 +76,16 @@
         self.listed_at.len()
     }
 
+    /// Whether the list was confirmed recently enough to be current.
+    pub fn is_current(&self, now: TimeStamp) -> bool {
+        now.since(self.confirmed_at) < LIST_LIFETIME
+    }
+
     /// Whether this VM has a part of the limit.
     pub fn is_admitted(&self, now: TimeStamp) -> bool {
         let is_known = |since: TimeStamp| now.since(since) >= ADMISSION_DELAY;
         let is_registered = self.registered_since.is_some_and(is_known);
-        is_registered && now.since(self.confirmed_at) < LIST_LIFETIME
+        is_registered && self.is_current(now)
     }
 
     /// This VM's place among all possible ones for a target, from 0 to 1; different for each target.
--- a/dahliawood-steer/src/placement/table/mod.rs
+++ b/dahliawood-steer/src/placement/table/mod.rs
@@ -2,15 +2,20 @@
 
 use crate::health::ResultKind;
 use crate::placement::breaker::CircuitBreaker;
-use crate::placement::cached::{CachedObjects, ObjectVisit, ServiceTimes};
+use crate::placement::cached::{self, CachedObjects, ObjectVisit, ServiceTimes};
 use crate::placement::choose::VmLocation;
 use crate::placement::cold::{ColdUsage, ColdWindow};
 use crate::placement::load::LoadEstimate;
+use crate::placement::rank::RequestRank;
 use crate::placement::ranking::{KeptOrders, OrderKey};
 use crate::placement::record::{self, TargetRecord};
 use crate::placement::shedding::ShedShare;
+use crate::placement::shedding::by_rank::RankShares;
 use crate::placement::spillover::SpilloverLevel;
 use crate::placement::statement::{ProcessStatements, StatementMemory};
+use crate::placement::warmup::{PeerLoad, TargetWarmup, WarmupCause, WarmupChange, WarmupSample};
+use crate::placement::work::links::LinkTimes;
+use crate::placement::work::{self, VisitKind, WorkSample, WorkTable};
 use crate::region;
 use crate::rendezvous;
 use dahliawood_model::catalog::{TargetEntry, TargetLoad, TargetReport};
@@ -44,6 +49,12 @@
     pub kept_orders: KeptOrders,
     /// Share of requests that are refused because queues are too long.
     pub shed_share: ShedShare,
+    /// Load of the targets of each region that are not warming up.
+    pub peer_loads: FastMap<String, PeerLoad>,
+    /// Work of each route.
+    pub work: WorkTable,
+    /// Part of that share by rank, where requests differ in priority.
+    pub rank_shares: RankShares,
 }
 
 impl Default for ServicePool {
@@ -56,6 +67,9 @@
             cached_objects: CachedObjects::default(),
             kept_orders: KeptOrders::default(),
             shed_share: ShedShare::default(),
+            peer_loads: FastMap::default(),
+            work: WorkTable::default(),
+            rank_shares: RankShares::default(),
         }
     }
 }
@@ -69,6 +83,12 @@
     pub latency: Duration,
     /// What the target says of itself in its answer, `None` if there was no answer of its own.
     pub report: Option<TargetReport>,
+    /// How long it was expected to wait for a slot when it was sent.
+    pub expected_wait: Duration,
+    /// Time in which a new connection to the target was opened, `None` if one was reused.
+    pub connect_time: Option<Duration>,
+    /// Hash of the name of the route.
+    pub route: u64,
     /// The object that was requested, if it has one.
     pub visit: Option<ObjectVisit>,
     /// How long the request could have waited and still have been in time.
@@ -79,6 +99,12 @@
     fn load(&self) -> Option<TargetLoad> {
         self.report.and_then(|report| report.load)
     }
+
+    /// Time at the target and on the network: the opening of the connection is no work.
+    fn exchange(&self) -> Duration {
+        self.latency
+            .saturating_sub(self.connect_time.unwrap_or_default())
+    }
 }
 
 /// All registered targets.
@@ -92,6 +118,7 @@
     evacuated: FastSet<String>,
     /// What processes have stated that no entry names.
     statements: StatementMemory,
+    links: LinkTimes,
     next_key: u32,
     /// Incremented with each change of the targets or of which of them are open.
     generation: u64,
@@ -180,6 +207,12 @@
                     true => target.cold_until.min(now),
                     false => target.cold_until.max(cold_until),
                 };
+                if target.entry.is_draining && !entry.is_draining {
+                    target.begin_warmup(WarmupCause::Drain, now);
+                }
+                if target.entry.cold_for.is_zero() && !entry.cold_for.is_zero() {
+                    target.begin_warmup(WarmupCause::Cold, now);
+                }
                 target.entry = entry;
                 return;
             }
@@ -190,6 +223,7 @@
         let region = self.regions.get(&entry.domain).cloned().unwrap_or_default();
         let pool = self.services.entry(entry.service.clone()).or_default();
         pool.targets.push(key);
+        let is_reported = pool.is_load_reported(&region, now);
         self.by_id.insert(entry.id.clone(), key);
         let hash = rendezvous::name_hash(entry.id.as_bytes());
         let stated = self
@@ -206,10 +240,18 @@
             is_leaving: stated.is_leaving,
             stated_limit: stated.stated_limit,
             breaker: CircuitBreaker::default(),
+            warmup: TargetWarmup::default(),
+            warmup_changes: Vec::new(),
             entry,
         };
+        if !target.entry.cold_for.is_zero() {
+            target.begin_warmup(WarmupCause::Cold, now);
+        } else if is_reported {
+            target.begin_warmup(WarmupCause::Registered, now);
+        }
         if stated.asked_until > now {
             target.breaker.ask_pause(stated.asked_until.since(now), now);
+            target.begin_warmup(WarmupCause::Pause, stated.asked_until);
         }
         self.targets.insert(key, target);
     }
@@ -241,6 +283,7 @@
         for target in self.targets.values_mut() {
             if has_ended(&target.entry.domain) {
                 target.returned_at = Some(now);
+                target.begin_warmup(WarmupCause::Evacuation, now);
             }
         }
     }
@@ -287,6 +330,25 @@
         pool.map_or(average, |pool| pool.service_times.cached(average))
     }
 
+    /// Expected work of a route's request whose object its target has cached.
+    pub fn expected_cached_work(&self, service: &str, route: u64, now: TimeStamp) -> Duration {
+        let pool = self.services.get(service);
+        pool.map_or(ASSUMED_SERVICE_TIME, |pool| {
+            pool.expected_work(route, VisitKind::Cached, now)
+        })
+    }
+
+    /// Round trip to a target.
+    pub fn round_trip(&self, target: &TargetRecord) -> Duration {
+        self.links.round_trip(&target.entry.domain)
+    }
+
+    /// The share of a rank's requests that is refused to shorten queues.
+    pub fn refused_share(&self, service: &str, rank: RequestRank) -> f64 {
+        let pool = self.services.get(service);
+        pool.map_or(0.0, |pool| pool.rank_shares.share(rank))
+    }
+
     /// Counts a request that is about to be sent within the limit that its target states.
     pub fn reserve(&mut self, key: TargetKey, location: &VmLocation, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
@@ -298,7 +360,8 @@
     /// Records that a request is sent.
     pub fn begin(&mut self, key: TargetKey, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key) {
-            target.load.begin();
+            target.load.begin(now);
+            target.warmup.record_sent();
             target.cold_window.record(now);
             if now < target.cold_until {
                 target.cold_usage.record(&target.cold_window);
@@ -306,6 +369,17 @@
         }
     }
 
+    /// Takes over a load that another VM has seen, and judges the target's warm-up by it; returns
+    /// whether it is newer than what is known.
+    pub fn adopt_load(&mut self, key: TargetKey, load: TargetLoad, now: TimeStamp) -> bool {
+        let target = self.targets.get_mut(&key);
+        let is_newer = target.is_some_and(|target| target.load.adopt_report(load));
+        if is_newer {
+            self.judge_load(key, load, now);
+        }
+        is_newer
+    }
+
     /// Records that a request, for which the target was chosen at `chosen_at`, is written now.
     pub fn record_written(&mut self, key: TargetKey, chosen_at: TimeStamp, now: TimeStamp) {
         if let Some(target) = self.targets.get_mut(&key)
@@ -321,7 +395,7 @@
         let key = self.process(process).map(|(key, _)| key);
         let target = key.and_then(|key| self.targets.get_mut(&key));
         if let Some(target) = target.filter(|target| !target.breaker.is_down()) {
-            target.breaker.record(ResultKind::Refused, now);
+            target.record_contact(now, |breaker| breaker.record(ResultKind::Refused, now), now);
         }
     }
 
@@ -349,16 +423,129 @@
         };
         target.breaker.settle_doubt();
         match is_accepted {
-            Some(true) => target.returned_at = Some(now),
-            Some(false) => target.breaker.record(ResultKind::Refused, now),
+            Some(true) => {
+                target.returned_at = Some(now);
+                target.begin_warmup(WarmupCause::Failures, now);
+            }
+            Some(false) => {
+                target.record_contact(now, |breaker| breaker.record(ResultKind::Refused, now), now);
+            }
             None => {}
         }
     }
 
     /// Forgets the failures of all targets: this VM was cut off from them.
-    pub fn forgive_failures(&mut self) {
-        let targets = self.targets.values_mut();
-        targets.for_each(|target| target.breaker.forgive());
+    pub fn forgive_failures(&mut self, now: TimeStamp) {
+        for target in self.targets.values_mut() {
+            target.breaker.forgive();
+            target.begin_warmup(WarmupCause::CutOff, now);
+        }
+    }
+
+    /// Records that a request was sent elsewhere because its preferred target is warming up.
+    pub(super) fn record_held(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(&key) {
+            target.warmup.record_held();
+        }
+    }
+
+    /// Judges the warm-up of a target by a load report that another VM received; `received_at` of the
+    /// report is when it was made, by this VM's clock.
+    pub fn judge_load(&mut self, key: TargetKey, load: TargetLoad, now: TimeStamp) {
+        self.judge(key, load, None, now);
+    }
+
+    /// Judges the warm-up of a target by a response of its own to this VM.
+    fn judge_response(&mut self, key: TargetKey, result: &TargetResult, now: TimeStamp) {
+        if let Some(load) = result.load()
+            && let Some(target) = self.targets.get(&key)
+        {
+            let pool = self.services.get(&target.entry.service);
+            let taken = result.exchange().saturating_sub(self.round_trip(target));
+            let slowness = pool.and_then(|pool| pool.slowness(result, taken, now));
+            self.judge(key, load, slowness, now);
+        }
+    }
+
+    fn judge(&mut self, key: TargetKey, load: TargetLoad, slowness: Option<f64>, now: TimeStamp) {
+        let Some(target) = self.targets.get_mut(&key) else {
+            return;
+        };
+        let Some(pool) = self.services.get_mut(&target.entry.service) else {
+            return;
+        };
+        let sample = WarmupSample {
+            load,
+            slowness,
+            service_time: pool.average_service_time,
+            is_cold: now < target.cold_until,
+        };
+        if !pool.peer_loads.contains_key(&target.region) {
+            let peers = PeerLoad::default();
+            pool.peer_loads.insert(target.region.clone(), peers);
+        }
+        let Some(peers) = pool.peer_loads.get_mut(&target.region) else {
+            return;
+        };
+        let is_first = peers.record(load, target.warmup.share().is_some());
+        let change = target.warmup.judge(sample, peers);
+        change
+            .into_iter()
+            .for_each(|change| target.record_change(change));
+        if is_first {
+            let (service, region) = (target.entry.service.clone(), target.region.clone());
+            self.cancel_common_warmups(&service, &region);
+        }
+    }
+
+    /// Cancels the warm-ups of a service in a region if most of its targets are warming up when the first
+    /// report arrives: the service, or this VM, has just started.
+    fn cancel_common_warmups(&mut self, service: &str, region: &str) {
+        let keyed = self.keyed_targets(service);
+        let local: Vec<_> = keyed
+            .filter(|(_, target)| target.region == region)
+            .collect();
+        let is_warming =
+            |(_, target): &&(TargetKey, &TargetRecord)| target.warmup.share().is_some();
+        let warming = local.iter().filter(is_warming).count();
+        if 2 * warming <= local.len() {
+            return;
+        }
+        let keys: Vec<TargetKey> = local.into_iter().map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(target) = self.targets.get_mut(&key) {
+                target.warmup.cancel();
+                target.warmup_changes.clear();
+            }
+        }
+    }
+
+    /// The changes of warm-ups since the last call, with the targets' ids, of services whose targets
+    /// report their load.
+    pub fn take_warmup_changes(&mut self, now: TimeStamp) -> Vec<(String, WarmupChange)> {
+        let mut taken = Vec::new();
+        for target in self.targets.values_mut() {
+            let changes = std::mem::take(&mut target.warmup_changes);
+            let pool = self.services.get(&target.entry.service);
+            if pool.is_some_and(|pool| pool.is_load_reported(&target.region, now)) {
+                taken.extend(
+                    changes
+                        .into_iter()
+                        .map(|change| (target.entry.id.clone(), change)),
+                );
+            }
+        }
+        taken
+    }
+
+    /// Number of targets that are warming up, of services whose targets report their load.
+    pub fn warming_count(&self, now: TimeStamp) -> usize {
+        let is_warming = |target: &&TargetRecord| {
+            let pool = self.services.get(&target.entry.service);
+            target.warmup.share().is_some()
+                && pool.is_some_and(|pool| pool.is_load_reported(&target.region, now))
+        };
+        self.targets.values().filter(is_warming).count()
     }
 
     /// Takes over what a target says of itself in a response that came through another VM; returns whether
@@ -439,6 +626,7 @@
 
     /// Records the result of a request; returns whether the target states something new in it.
     pub fn finish(&mut self, key: TargetKey, result: TargetResult, now: TimeStamp) -> bool {
+        self.judge_response(key, &result, now);
         let Some(target) = self.targets.get_mut(&key) else {
             return false;
         };
@@ -451,47 +639,176 @@
         target.load.finish();
         let begun = now.before(result.latency);
         target.record_contact(begun, |breaker| breaker.record(result.kind, now), now);
+        if !target.breaker.is_tripped() {
+            let change = target.warmup.judge_end(result.kind, begun, now);
+            change
+                .into_iter()
+                .for_each(|change| target.record_change(change));
+        }
         let pool = self.services.get_mut(&target.entry.service);
         if let Some(load) = result.load() {
             target.load.record_report(load);
         }
-        if result.kind != ResultKind::Answered {
+        let domain = &target.entry.domain;
+        if let Some(taken) = result.connect_time {
+            self.links.record(domain, taken, now);
+        }
+        let exchange = result.exchange();
+        if result.kind == ResultKind::Shed && result.report.is_some() {
+            self.links.record(domain, exchange, now);
+        }
+        let Some(pool) = pool else {
             return is_new;
+        };
+        let taken = exchange.saturating_sub(self.links.round_trip(domain));
+        match result.kind {
+            ResultKind::Answered => {}
+            ResultKind::TimedOut if result.expected_wait.is_zero() => {
+                let kind = pool.visit_kind(key, &result);
+                let late = WorkSample::Late(taken);
+                pool.work.record(result.route, kind, late, now);
+                return is_new;
+            }
+            _ => return is_new,
         }
         // Otherwise most of the latency was queueing at the target, which distorts the service time.
         let has_queued = result.load().is_some_and(|load| load.waiting > 0);
         if !has_queued {
-            target.load.record_latency(result.latency, now);
-        }
-        if let Some(pool) = pool {
-            pool.record_answer(key, result);
+            let latency = pool.average_latency(key, &result, taken, now);
+            target.load.record_latency(latency, now);
         }
+        pool.record_answer(key, result, taken, now);
         is_new
     }
 }
 
 impl ServicePool {
-    /// Records an answer of one of the service's targets.
-    fn record_answer(&mut self, key: TargetKey, result: TargetResult) {
+    /// Whether the service's targets of a region report their load.
+    pub fn is_load_reported(&self, region: &str, now: TimeStamp) -> bool {
+        let peers = self.peer_loads.get(region);
+        peers.is_some_and(|peers| peers.is_reported(now))
+    }
+
+    /// Work of a response as a multiple of what a first visit of its route takes, `None` if it shows
+    /// nothing. What is known to be cached may be gone where a target returns.
+    fn slowness(&self, result: &TargetResult, taken: Duration, now: TimeStamp) -> Option<f64> {
+        let load = result.load();
+        let has_queued = load.is_some_and(|load| load.waiting > 0);
+        if result.kind != ResultKind::Answered || has_queued {
+            return None;
+        }
+        let expected = |visit| self.expected_work(result.route, visit, now);
+        let cached = expected(VisitKind::Cached);
+        let expected = match result.visit {
+            Some(_) => cached::longest_first_visit(expected(VisitKind::First), cached),
+            None => cached,
+        };
+        let run = work::normalize(taken, load.and_then(|load| load.pace));
+        Some(run.as_secs_f64() / expected.as_secs_f64().max(0.001))
+    }
+
+    /// Expected work of a request at a target. While the route has too few samples, it is derived from
+    /// its other visits, and otherwise from the averages of the service.
+    pub fn expected_work(&self, route: u64, visit: VisitKind, now: TimeStamp) -> Duration {
+        let mean = |visit| {
+            let estimate = self.work.estimate(route, visit, now);
+            estimate.map(|estimate| estimate.mean)
+        };
+        if let Some(mean) = mean(visit) {
+            return mean;
+        }
+        let ratio = self.service_times.ratio();
+        let average = self.average_service_time;
+        if visit == VisitKind::First {
+            let cached = mean(VisitKind::Cached);
+            let first = cached.map(|cached| cached.mul_f64(ratio));
+            return first.unwrap_or(self.service_times.uncached(average));
+        }
+        let first = || mean(VisitKind::First).map(|first| first.div_f64(ratio));
+        let cached = mean(VisitKind::Cached).or_else(first);
+        cached.unwrap_or(self.service_times.cached(average))
+    }
+
+    /// The kind of a visit, as this VM knew it before the answer.
+    fn visit_kind(&self, key: TargetKey, result: &TargetResult) -> VisitKind {
+        result.visit.map_or(VisitKind::Cached, |visit| {
+            let was_cached = self.cached_objects.contains(visit.object, key);
+            VisitKind::new(was_cached, visit.is_preferred)
+        })
+    }
+
+    /// What an average request would have taken where this one took `taken`: a target is not slow
+    /// because it serves a route with much work.
+    fn average_latency(
+        &self,
+        key: TargetKey,
+        result: &TargetResult,
+        taken: Duration,
+        now: TimeStamp,
+    ) -> Duration {
+        let visit = self.visit_kind(key, result);
+        match self.work.estimate(result.route, visit, now) {
+            Some(estimate) if !estimate.mean.is_zero() => {
+                let factor = taken.div_duration_f64(estimate.mean);
+                self.average_service_time.mul_f64(factor)
+            }
+            _ => taken,
+        }
+    }
+
+    /// Mean work of the mix by a queued request: it took as long as those ahead of it and itself, each
+    /// of which took the mean on average. Without this, the mean would never be known while all
+    /// targets have queues, as from the first second of an overload.
+    fn mixed_work(&self, taken: Duration, wait: Duration) -> Duration {
+        let average = self.average_service_time.max(MIN_SLACK);
+        taken.div_f64(1.0 + wait.div_duration_f64(average))
+    }
+
+    /// How long a request has probably waited: as was expected, or as long as the queue at its end
+    /// takes, of which this VM may not have known before.
+    fn likely_wait(&self, result: &TargetResult) -> Duration {
+        let queue = result.load().map_or(0.0, |load| {
+            f64::from(load.waiting) / f64::from(load.slots.max(1))
+        });
+        let wait = self.average_service_time.mul_f64(queue);
+        wait.max(result.expected_wait)
+    }
+
+    /// Records an answer of one of the service's targets, `taken` after the request reached it.
+    fn record_answer(
+        &mut self,
+        key: TargetKey,
+        result: TargetResult,
+        taken: Duration,
+        now: TimeStamp,
+    ) {
         if let Some(load) = result.load() {
-            let ahead = f64::from(load.running + load.waiting + 1) / f64::from(load.slots.max(1));
+            let ahead = f64::from(load.running) + f64::from(load.waiting) + 1.0;
+            let ahead = ahead / f64::from(load.slots.max(1));
             let delay = self.average_service_time.mul_f64((ahead - 1.0).max(0.0));
             let slack = result.slack.max(MIN_SLACK);
             self.shed_share
                 .record_delay(delay.as_secs_f64() / slack.as_secs_f64());
         }
+        let pace = result.load().and_then(|load| load.pace);
         let has_queued = result.load().is_some_and(|load| load.waiting > 0);
-        if !has_queued {
-            self.average_service_time = self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT)
-                + result.latency.mul_f64(EWMA_WEIGHT);
-        }
+        let wait = self.likely_wait(&result);
+        let run = work::normalize(taken.saturating_sub(wait), pace);
+        let has_waited = has_queued || !result.expected_wait.is_zero();
+        let (sample, mixed) = match has_waited {
+            true => (WorkSample::Rough(run), self.mixed_work(taken, wait)),
+            false => (WorkSample::Exact(run), run),
+        };
+        self.average_service_time =
+            self.average_service_time.mul_f64(1.0 - EWMA_WEIGHT) + mixed.mul_f64(EWMA_WEIGHT);
+        let kind = self.visit_kind(key, &result);
+        self.work.record(result.route, kind, sample, now);
         let Some(visit) = result.visit else {
             return;
         };
-        let was_cached = self.cached_objects.contains(visit.object, key);
         // Another VM may have requested the object at its preferred target before.
-        if !has_queued && (was_cached || !visit.is_preferred) {
-            self.service_times.record(result.latency, was_cached);
+        if !has_queued && kind != VisitKind::Preferred {
+            self.service_times.record(run, kind == VisitKind::Cached);
         }
         self.cached_objects.record(visit.object, key);
     }
--- a/dahliawood-steer/tests/main/object_load.rs
+++ b/dahliawood-steer/tests/main/object_load.rs
@@ -8,7 +8,7 @@
 use dahliawood_steer::health::ResultKind;
 use dahliawood_steer::placement::cached::ObjectVisit;
 use dahliawood_steer::placement::choose::{
-    self, ColdLimit, PlacementChoice, PlacementQuery, VmLocation,
+    self, ColdLimit, PlacementChoice, PlacementQuery, QueueTurn, VmLocation,
 };
 use dahliawood_steer::placement::ranking::OrderKey;
 use dahliawood_steer::placement::table::{PlacementTable, TargetResult};
@@ -176,9 +176,11 @@
         let table = &mut tables[turn % VMS];
         let query = PlacementQuery {
             service: SERVICE,
+            route: 0,
             object: Some(*object),
             is_bulk: false,
             regions: [&[], &[]],
+            rank: None,
             tried: &[],
             max_wait: AIM
                 .saturating_sub(table.cached_service_time(SERVICE))
@@ -188,6 +190,7 @@
                 per_second: 20.0,
                 lasts: Duration::from_secs(3),
             },
+            turn: QueueTurn::Arriving,
         };
         let PlacementChoice::Target(key) = choose::choose(table, &location, &query, *now) else {
             continue;
@@ -233,6 +236,7 @@
         running: left.min(SLOTS),
         waiting: left.saturating_sub(SLOTS),
         slots: SLOTS,
+        pace: None,
         received_at: now,
     };
     let result = TargetResult {
@@ -242,6 +246,9 @@
             load: Some(load),
             ..TargetReport::default()
         }),
+        expected_wait: Duration::ZERO,
+        connect_time: None,
+        route: 0,
         visit: Some(request.visit),
         slack: AIM.saturating_sub(LATER),
     };
--- a/dahliawood-steer/tests/main/placement/lifecycle.rs
+++ b/dahliawood-steer/tests/main/placement/lifecycle.rs
@@ -81,6 +81,7 @@
     let choose = |table: &mut PlacementTable, at| choose::choose(table, &location, &query(1), at);
     let refusal = |millis| PlacementChoice::Busy {
         retry_after: Duration::from_millis(millis),
+        room_in: Some(Duration::from_millis(millis)),
     };
     assert_eq!(choose(&mut table, after(1_000)), refusal(4_000));
     // The answer to a request that was sent before does not end the pause.
@@ -130,6 +131,9 @@
         kind: ResultKind::ConnectFailed,
         latency: Duration::ZERO,
         report: None,
+        expected_wait: Duration::ZERO,
+        connect_time: None,
+        route: 0,
         visit: None,
         slack: Duration::from_millis(100),
     };
@@ -166,6 +170,7 @@
         running: 0,
         waiting: 0,
         slots: 3,
+        pace: None,
         received_at: START,
     };
     let answer = |millis| TargetResult {
--- a/dahliawood-steer/tests/main/placement/mod.rs
+++ b/dahliawood-steer/tests/main/placement/mod.rs
@@ -1,9 +1,10 @@
 //! Choice of self-registered targets: object affinity, cold targets, regions, overload.
 
+mod capacity;
 mod cold;
 mod lifecycle;
 mod region;
-pub mod support;
+pub(crate) mod support;
 
 use crate::fleet;
 use crate::placement::support::{
@@ -16,6 +17,7 @@
 use dahliawood_steer::placement::choose;
 use dahliawood_steer::placement::choose::PlacementChoice;
 use dahliawood_steer::placement::choose::PlacementQuery;
+use dahliawood_steer::placement::choose::QueueTurn;
 use dahliawood_steer::placement::ranking;
 use dahliawood_steer::placement::ranking::OrderKey;
 use dahliawood_steer::placement::table::PlacementTable;
@@ -110,10 +112,49 @@
     let mut table = table(&[("a-1", 3)]);
     fill(&mut table, "a-1", 9, START);
     let refused = choose::choose(&mut table, &vm_location("a-1", 1), &query(1), START);
-    let PlacementChoice::Busy { retry_after } = refused else {
+    let PlacementChoice::Busy {
+        retry_after,
+        room_in,
+    } = refused
+    else {
         panic!("{refused:?}");
     };
     assert!(retry_after > Duration::from_millis(100), "{retry_after:?}");
+    assert!(room_in.is_some_and(|room_in| room_in <= retry_after));
+}
+
+/// Guards against a request that takes a slot before those that wait, and against a waiting one that is shed
+/// or counted as demand once more.
+#[test]
+fn a_request_behind_waiting_ones_gets_no_slot_until_its_turn() {
+    let mut table = table(&[("a-1", 3)]);
+    let location = vm_location("a-1", 1);
+    let with_turn = |turn| PlacementQuery { turn, ..query(1) };
+    let behind = with_turn(QueueTurn::Behind);
+    let refused = choose::choose(&mut table, &location, &behind, START);
+    let is_kept = matches!(
+        refused,
+        PlacementChoice::Busy {
+            room_in: Some(Duration::ZERO),
+            ..
+        }
+    );
+    assert!(is_kept, "{refused:?}");
+    let pool = table.services.get_mut(SERVICE).unwrap();
+    for step in 1..200 {
+        (0..5).for_each(|_| pool.shed_share.record_delay(4.0));
+        pool.shed_share
+            .advance(START.after(Duration::from_millis(100) * step));
+    }
+    let now = START.after(Duration::from_secs(20));
+    let shed = (0..20).map(|_| choose::choose(&mut table, &location, &behind, now));
+    let is_final = |choice| matches!(choice, PlacementChoice::Shed { .. });
+    assert!(shed.filter(|choice| is_final(*choice)).count() > 10);
+    let waited = with_turn(QueueTurn::Waited);
+    for _ in 0..20 {
+        let choice = choose::choose(&mut table, &location, &waited, now);
+        assert!(chosen(choice).is_some(), "{choice:?}");
+    }
 }
 
 /// Records that a target served an object in `latency`.
@@ -217,3 +258,33 @@
         }
     }
 }
+
+/// Guards against an overflow by the load that a target states.
+#[test]
+fn absurd_loads_of_targets_do_no_harm() {
+    let mut table = table(&[("a-1", 2)]);
+    let location = vm_location("a-1", 1);
+    let numbers = [0, 1, u32::MAX];
+    let all = |number: usize| numbers[number % 3];
+    for case in 0..27 {
+        let now = START.after(Duration::from_millis(case as u64));
+        let key = chosen(choose::choose(
+            &mut table,
+            &location,
+            &query(case as u64),
+            now,
+        ));
+        let Some(key) = key else { continue };
+        table.begin(key, now);
+        let load = TargetLoad {
+            pace: None,
+            running: all(case),
+            waiting: all(case / 3),
+            slots: all(case / 9),
+            received_at: now,
+        };
+        table.finish(key, answered(Some(load)), now);
+        let target = table.get(key).expect("a target");
+        assert!(table.expected_wait(target, now) <= Duration::from_secs(1 << 40));
+    }
+}
--- a/dahliawood-steer/tests/main/placement/support.rs
+++ b/dahliawood-steer/tests/main/placement/support.rs
@@ -10,6 +10,7 @@
 use dahliawood_steer::placement::choose::ColdLimit;
 use dahliawood_steer::placement::choose::PlacementChoice;
 use dahliawood_steer::placement::choose::PlacementQuery;
+use dahliawood_steer::placement::choose::QueueTurn;
 use dahliawood_steer::placement::choose::VmLocation;
 use dahliawood_steer::placement::table::PlacementTable;
 use dahliawood_steer::placement::table::TargetResult;
@@ -73,9 +74,11 @@
 pub fn query(object: u64) -> PlacementQuery<'static> {
     PlacementQuery {
         service: SERVICE,
+        route: 0,
         object: Some(object),
         is_bulk: false,
         regions: [&[], &[]],
+        rank: None,
         tried: &[],
         max_wait: Duration::from_millis(100),
         time_left: Duration::from_secs(2),
@@ -83,6 +86,7 @@
             per_second: 20.0,
             lasts: Duration::from_secs(3),
         },
+        turn: QueueTurn::Arriving,
     }
 }
 
@@ -109,6 +113,9 @@
         kind: ResultKind::Answered,
         latency: SERVICE_TIME,
         report: report(load),
+        expected_wait: Duration::ZERO,
+        connect_time: None,
+        route: 0,
         visit: None,
         slack: Duration::from_millis(100),
     }
@@ -120,6 +127,7 @@
         running: SLOTS,
         waiting,
         slots: SLOTS,
+        pace: None,
         received_at: now,
     }))
 }
