--- a/dahliawood-steer/src/placement/warmup/mod.rs
+++ b/dahliawood-steer/src/placement/warmup/mod.rs
@@ -314,7 +314,7 @@
 }
 
 /// The least share of any target where `warming` of `usable` targets are warming up, so that the
-/// others have room for what they get instead, and it is at most [`PEER_EXTRA`] of their own share.
+/// others have room for what they get instead, and it is at most `PEER_EXTRA` of their own share.
 pub fn least_share(warming: usize, usable: usize, peers: &PeerLoad) -> f64 {
     let extra = (FULL_LOAD / peers.average().max(f64::EPSILON) - 1.0).clamp(0.0, PEER_EXTRA);
     let warming = warming as f64 / usable.max(1) as f64;
