fix: findings of a read-through by someone new to the change

- A region that stays without slots no longer stops shares from moving by utilization (test: a second step after the loss).
- Locks of the placement table are released before events are written and metrics are set.
- Loads taken over from other VMs let waiting requests try again, as documented.
- A rank whose waiting requests have all left keeps no turns that they were owed.
- Sums of reported numbers cannot overflow; a pace is rounded and never becomes 'not stated' on the wire.

--- a/dahliawood-gateway/src/control/loads/mod.rs
+++ b/dahliawood-gateway/src/control/loads/mod.rs
@@ -261,8 +261,11 @@
     wire::response(&answer)
 }
 
-/// Counts what became of received entries.
+/// Counts what became of received entries, and lets waiting requests try again where some are news.
 fn count(state: &ControlState, outcomes: &EntryOutcomes) {
+    if outcomes.iter().any(Result::is_ok) {
+        state.shared.waiting.notify_room(clock::now());
+    }
     for outcome in outcomes {
         let label = match outcome {
             Ok(()) => "adopted",
--- a/dahliawood-gateway/src/control/loads/wire/mod.rs
+++ b/dahliawood-gateway/src/control/loads/wire/mod.rs
@@ -68,10 +68,16 @@
         slots: entry.slots,
         waiting: entry.waiting,
         age_millis: u16::try_from(age_millis).unwrap_or(u16::MAX),
-        pace: entry.pace.map_or(0, |pace| (pace * USUAL_PACE) as u16),
+        pace: entry.pace.map_or(0, encode_pace),
     }
 }
 
+/// The pace in hundredths; zero would mean that the target did not state one.
+fn encode_pace(pace: f32) -> u16 {
+    let hundredths = (pace * USUAL_PACE).round();
+    hundredths.clamp(1.0, f32::from(u16::MAX)) as u16
+}
+
 fn decode(message: &LoadMessage) -> LoadEntry {
     LoadEntry {
         process: message.process,
--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -88,11 +88,17 @@
 /// Logs the levels that changed, and sets their metric.
 fn report_levels(state: &ControlState) {
     let mut table = state.shared.placement();
-    for (service, pool) in &mut table.services {
+    let levels = table.services.iter_mut().map(|(service, pool)| {
         let spillover = &mut pool.spillover;
+        (service.clone(), spillover.level(), spillover.take_change())
+    });
+    let levels: Vec<_> = levels.collect();
+    // Requests need the table while the events are written.
+    drop(table);
+    for (service, level, change) in &levels {
         let gauge = &state.shared.metrics.spillover_level;
-        gauge.with_label_values(&[service]).set(spillover.level());
-        let Some(change) = spillover.take_change() else {
+        gauge.with_label_values(&[service]).set(*level);
+        let Some(change) = change else {
             continue;
         };
         let event = || LevelEvent {
@@ -140,11 +146,14 @@
     let names: FastMap<u64, &str> = routes
         .map(|route| (hash(&route.name), route.name.as_str()))
         .collect();
-    let services = &state.shared.placement().services;
-    let estimates: Vec<_> = services
+    let table = state.shared.placement();
+    let estimates: Vec<_> = table
+        .services
         .iter()
         .flat_map(|(service, pool)| pool.work.all(now).map(|known| (service.clone(), known)))
         .collect();
+    // Requests need the table while the metrics are set.
+    drop(table);
     let metrics = &state.shared.metrics;
     metrics.work.reset();
     metrics.late_work.reset();
--- a/dahliawood-gateway/src/forward/waiting/ticket/mod.rs
+++ b/dahliawood-gateway/src/forward/waiting/ticket/mod.rs
@@ -58,7 +58,7 @@
         let waiting = &self.state.waiting;
         let is_kept = waiting.change(|state| state.queue.keep(self.key, room_in, now));
         if !is_kept {
-            self.outcome = "hopeless";
+            self.outcome = "no-slot-in-time";
         }
         is_kept
     }
--- a/dahliawood-gateway/src/held_bytes/mod.rs
+++ b/dahliawood-gateway/src/held_bytes/mod.rs
@@ -14,8 +14,8 @@
 /// Memory for all bodies, bytes. The allocator may keep as much again of what has been freed, and all
 /// of it must stay within the 160 MB of the smallest VM.
 const BODY_BYTES: usize = 64 << 20;
-/// The part of it that bodies of requests may take, from their first byte until their end, bytes: the
-/// longest body that configurations allow.
+/// Most that bodies of requests may take, from their first byte until their end, bytes: all of it, so that
+/// the longest body that configurations allow fits.
 const REQUEST_BYTES: usize = 64 << 20;
 /// The part of it that bodies of responses may take, from their first byte until they are written,
 /// bytes.
--- a/dahliawood-steer/src/placement/balance/mod.rs
+++ b/dahliawood-steer/src/placement/balance/mod.rs
@@ -89,8 +89,8 @@
     (local, all, regions.len())
 }
 
-/// Sets the initial spillover level of a region with few targets, such that all regions are equally
-/// utilized if callers are spread evenly. For bulk requests the transfer between regions costs
+/// Sets the initial spillover of a service: shares by capacity in a region with few slots, otherwise the
+/// level at which all regions are equally utilized if callers are spread evenly. For bulk requests the transfer between regions costs
 /// more than balanced utilization saves, so their objects spill over only if the assumed demand
 /// exceeds the region's slots.
 pub(super) fn init_spillover(
--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -221,7 +221,7 @@
         let least = peers.map_or(1.0, |peers| warmup::least_share(warming, of_usable, peers));
         candidate.is_held = share(candidate.key).is_some_and(|share| {
             !target.warmup.is_trial_due()
-                && !warmup::is_let_in(query.object, target.hash, share.max(least))
+                && !warmup::is_admitted(query.object, target.hash, share.max(least))
         });
     }
 }
--- a/dahliawood-steer/src/placement/choose/refusal/mod.rs
+++ b/dahliawood-steer/src/placement/choose/refusal/mod.rs
@@ -10,7 +10,7 @@
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
 
-/// Minimum retry delay told to a refused caller.
+/// Minimum retry delay told to a refused caller that has the time for it.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Retry delay told to a caller that is refused to shorten queues.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/dahliawood-steer/src/placement/load/mod.rs
+++ b/dahliawood-steer/src/placement/load/mod.rs
@@ -121,7 +121,7 @@
 
     /// Whether the last load report is recent enough to be used.
     pub fn has_fresh_report(&self, service_average: Duration, now: TimeStamp) -> bool {
-        let validity = service_average.mul_f64(REPORT_VALIDITY);
+        let validity = report_validity(service_average);
         self.report
             .is_some_and(|load| now.since(load.received_at) < validity)
     }
@@ -132,9 +132,8 @@
         let load = self
             .report
             .filter(|_| self.has_fresh_report(service_average, now))?;
-        Some(f64::from(
-            load.running + load.waiting + self.sent_since_report,
-        ))
+        let at_target = f64::from(load.running) + f64::from(load.waiting);
+        Some(at_target + f64::from(self.sent_since_report))
     }
 
     /// Estimated requests in flight at the target, from all VMs; the reported part decays with age.
--- a/dahliawood-steer/src/placement/spillover/shares/mod.rs
+++ b/dahliawood-steer/src/placement/spillover/shares/mod.rs
@@ -23,8 +23,7 @@
 /// Utilization of the busiest region up to which requests seldom wait for a slot.
 const IDLE_UTILIZATION: f64 = 0.5;
 /// Utilization of the least busy region from which on no region has room for first visits: objects that
-/// move then take slots from other requests. In the replay at full load, shares that moved on regardless
-/// lost a twentieth of the worth.
+/// move then take slots from other requests.
 const SPARE_UTILIZATION: f64 = 0.7;
 /// Difference of utilization between regions that is left as it is.
 const BALANCED_DIFFERENCE: f64 = 0.1;
@@ -239,7 +238,11 @@
     fn drop_lost(&mut self, own: &str, capacities: &[RegionCapacity]) -> bool {
         let mut kept = 1.0_f64;
         for (region, capacity) in self.regions.iter_mut().zip(capacities) {
-            let part = capacity.usable_slots / region.usable_slots.max(f64::MIN_POSITIVE);
+            // A region that had no slots before loses none.
+            let part = match region.usable_slots > 0.0 {
+                true => capacity.usable_slots / region.usable_slots,
+                false => 1.0,
+            };
             region.share *= part.min(1.0);
             region.usable_slots = capacity.usable_slots;
             kept = kept.min(part);
--- a/dahliawood-steer/src/placement/waiting/mod.rs
+++ b/dahliawood-steer/src/placement/waiting/mod.rs
@@ -4,7 +4,7 @@
 //! become free one at a time; without a queue each goes to whoever asks next, so an urgent request that
 //! arrives a moment too early is refused, and a long request that may only be sent to targets with short queues
 //! hardly ever finds one. The queue holds requests for a short time and gives the next slot to the most
-//! urgent. It holds nobody in vain: a request joins only if a slot is expected within its limit, and is refused when
+//! urgent. A request joins only if a slot is expected within its limit, and is refused when
 //! that has passed.
 //!
 //! The queue holds plain data. What comes of a change is returned by [`WaitingQueue::take_events`].
@@ -485,6 +485,9 @@
     /// Refuses requests of ranks below `rank`, the lowest and latest first, until the queue is within its
     /// bounds; refuses none if that does not suffice.
     fn make_room(&mut self, rank: RequestRank, now: TimeStamp) -> bool {
+        if self.entries.len() <= MAX_REQUESTS && self.bytes <= MAX_BYTES {
+            return true;
+        }
         let mut lower: Vec<&WaitingEntry> = self.entries.values().collect();
         lower.retain(|entry| entry.rank > rank);
         lower.sort_by_key(|entry| (entry.rank, entry.limit.latest_start, entry.key));
--- a/dahliawood-steer/src/placement/waiting/service/mod.rs
+++ b/dahliawood-steer/src/placement/waiting/service/mod.rs
@@ -73,6 +73,7 @@
         };
         queue.keys.retain(|known| *known != key);
         if queue.keys.is_empty() {
+            queue.passes = 0;
             queue.tags.clear();
             queue.time = VirtualTime::default();
         }
--- a/dahliawood-steer/src/placement/warmup/mod.rs
+++ b/dahliawood-steer/src/placement/warmup/mod.rs
@@ -323,7 +323,7 @@
 
 /// Whether an object belongs to the share that a target gets; shares are nested and the same at all
 /// VMs. Requests without an object are let in at random.
-pub fn is_let_in(object: Option<u64>, target: u64, share: f64) -> bool {
+pub fn is_admitted(object: Option<u64>, target: u64, share: f64) -> bool {
     let hash = object.map_or_else(rand::random, |object| {
         rendezvous::score(object, target ^ SHARE_SALT)
     });
--- a/dahliawood-steer/tests/main/placement/capacity.rs
+++ b/dahliawood-steer/tests/main/placement/capacity.rs
@@ -610,4 +610,8 @@
         (shares.share("c"), shares.reason()),
         (0.0, ShareReason::SlotsLost)
     );
+    // Shares move by utilization again while the region stays without slots.
+    balance::adjust_spillover(&mut table, &location, START);
+    let shares = table.services[SERVICE].spillover.shares().unwrap();
+    assert_ne!(shares.reason(), ShareReason::SlotsLost);
 }
