--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -9,6 +9,7 @@
 use dahliawood_model::FastSet;
 use dahliawood_model::catalog::FleetCatalog;
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_steer::placement::exchange::collector;
 use dahliawood_store::keyspace::view::ViewChange;
 use serde::Serialize;
 use std::sync::Arc;
@@ -138,6 +139,7 @@
         location.sharers.set_listed(near, now);
         let all = vms.iter().map(|vm| vm.name.as_str());
         location.fleet_sharers.set_listed(all, now);
+        location.has_many_vms = location.sharers.count() >= collector::MIN_VMS;
     }
     if upstream::is_current(state, now) {
         confirm_sharers(state, state.heard_at.get());
--- a/dahliawood-steer/src/placement/choose/candidate/mod.rs
+++ b/dahliawood-steer/src/placement/choose/candidate/mod.rs
@@ -33,8 +33,9 @@
     pub(super) basis: Option<VisitKind>,
     /// Factor of work by the target's stated pace.
     pub(super) pace: f64,
-    /// What the target is known to have cached of the request's object.
-    visit: VisitKind,
+    /// What the target is known to have cached of the request's object, `None` where only averages are
+    /// used.
+    visit: Option<VisitKind>,
     /// Whether it is warming up, and the request goes to it only if no other of its region has room.
     pub(super) is_held: bool,
 }
@@ -51,10 +52,27 @@
 }
 
 impl Candidate {
+    /// A target for which only the averages of its service are used.
+    fn by_average(key: TargetKey, wait: Duration, service_time: Duration) -> Self {
+        Self {
+            key,
+            wait,
+            total: wait + service_time,
+            needed: service_time,
+            basis: None,
+            pace: 1.0,
+            visit: None,
+            is_held: false,
+        }
+    }
+
     /// What a request costs others at this target. A first visit takes as much slot time as several
     /// cached requests, which those that queue there would miss.
     fn cost(&self, query: &PlacementQuery<'_>) -> VisitCost {
-        let is_first = self.visit == VisitKind::First;
+        let Some(visit) = self.visit else {
+            return VisitCost::Low;
+        };
+        let is_first = visit == VisitKind::First;
         let is_safe = self.wait <= query.max_wait / SAFE_WAIT_DIVISOR;
         match (is_first, self.wait.is_zero()) {
             (false, _) if is_safe => VisitCost::Low,
@@ -148,6 +166,7 @@
         return Vec::new();
     };
     let average = pool.average_service_time;
+    let uses_estimates = location.has_many_vms || query.rank.is_some();
     let mut usable = Vec::new();
     for (rank, key) in targets.iter().enumerate() {
         let Some(target) = table.get(*key) else {
@@ -165,6 +184,16 @@
         let is_cached = query
             .object
             .is_none_or(|object| pool.cached_objects.contains(object, *key));
+        if !uses_estimates {
+            let times = pool.service_times;
+            let service_time = match rank == 0 || (query.object.is_some() && is_cached) {
+                true => times.cached(average),
+                false => times.uncached(average),
+            };
+            let wait = table.expected_wait(target, now);
+            usable.push(Candidate::by_average(*key, wait, service_time));
+            continue;
+        }
         let visit = VisitKind::new(is_cached, rank == 0);
         let pace = target.load.pace(now);
         let round_trip = table.round_trip(target);
@@ -184,11 +213,13 @@
             needed: needed.map_or(Duration::ZERO, |needed| needed.mul_f64(pace) + round_trip),
             basis: basis.map(|(kind, _)| kind),
             pace,
-            visit,
+            visit: Some(visit),
             is_held: false,
         });
     }
-    hold_warming(table, query, &mut usable, now);
+    if uses_estimates {
+        hold_warming(table, query, &mut usable, now);
+    }
     usable
 }
 
--- a/dahliawood-steer/src/placement/choose/mod.rs
+++ b/dahliawood-steer/src/placement/choose/mod.rs
@@ -30,6 +30,9 @@
     pub sharers: LimitSharers,
     /// The VMs of the fleet, which divide limits that hold everywhere.
     pub fleet_sharers: LimitSharers,
+    /// Whether its region has so many VMs that each sees too few responses to know targets by itself:
+    /// targets are then compared by work estimates of routes.
+    pub has_many_vms: bool,
 }
 
 impl VmLocation {
@@ -40,6 +43,7 @@
             region: region.to_owned(),
             sharers: LimitSharers::new(name),
             fleet_sharers: LimitSharers::new(name),
+            has_many_vms: true,
         }
     }
 }
