fix(steer): a VM with one or two requests a second keeps its share by rank

Cause: gaps of a second are common at such VMs, and each dropped what was recorded. Change: only gaps of two seconds count as a pause.

--- a/dahliawood-steer/src/placement/shedding/by_rank/mod.rs
+++ b/dahliawood-steer/src/placement/shedding/by_rank/mod.rs
@@ -26,8 +26,9 @@
 const MAX_FALL: f64 = 0.5;
 /// Longest time for which a share rises in one adjustment, so that it rises little after a pause.
 const MAX_RISE_TIME: Duration = Duration::from_millis(500);
-/// Time without requests after which what was recorded before is out of date.
-const IDLE_TIME: Duration = Duration::from_secs(1);
+/// Time without requests after which what was recorded before is out of date: long enough for a VM
+/// with one or two requests a second to keep its share.
+const IDLE_TIME: Duration = Duration::from_secs(2);
 /// A request is expected to be admitted while its rank's share is at most this.
 const EXPECTED_SHARE: f64 = 0.5;
 
