fix(steer): VMs with few requests keep refusing by rank under overload

Cause: the controller decays its share after half a second without three answers. Change: where requests differ in priority, the time is two seconds. Elsewhere it is as before.

--- a/dahliawood-steer/src/placement/choose/refusal/mod.rs
+++ b/dahliawood-steer/src/placement/choose/refusal/mod.rs
@@ -4,7 +4,7 @@
 use crate::placement::choose::{self, PlacementChoice, PlacementQuery, VmLocation};
 use crate::placement::rank::{self, RequestRank};
 use crate::placement::record::TargetRecord;
-use crate::placement::shedding::by_rank::RankShares;
+use crate::placement::shedding::by_rank::{self, RankShares};
 use crate::placement::table::PlacementTable;
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
@@ -35,7 +35,7 @@
         let kept = pool.shed_share.resume(gap, now);
         pool.rank_shares.resume(kept);
     }
-    pool.shed_share.advance(now);
+    pool.shed_share.advance_within(by_rank::IDLE_TIME, now);
     pool.rank_shares.record_arrival(rank, work, now);
     pool.rank_shares.advance(pool.shed_share.share(), now);
     let is_refused = pool.rank_shares.take_refusal(rank);
--- a/dahliawood-steer/src/placement/shedding/by_rank/mod.rs
+++ b/dahliawood-steer/src/placement/shedding/by_rank/mod.rs
@@ -28,7 +28,7 @@
 const MAX_RISE_TIME: Duration = Duration::from_millis(500);
 /// Time without requests after which what was recorded before is out of date: long enough for a VM
 /// with one or two requests a second to keep its share.
-const IDLE_TIME: Duration = Duration::from_secs(2);
+pub const IDLE_TIME: Duration = Duration::from_secs(2);
 /// A request is expected to be admitted while its rank's share is at most this.
 const EXPECTED_SHARE: f64 = 0.5;
 
--- a/dahliawood-steer/src/placement/shedding/mod.rs
+++ b/dahliawood-steer/src/placement/shedding/mod.rs
@@ -70,13 +70,18 @@
 
     /// Adjusts the share if a step is due at `now`.
     pub fn advance(&mut self, now: TimeStamp) {
+        self.advance_within(IDLE_TIME, now);
+    }
+
+    /// Adjusts the share if a step is due at `now`; it falls after `idle_time` without enough answers.
+    pub fn advance_within(&mut self, idle_time: Duration, now: TimeStamp) {
         let elapsed = now.since(self.stepped_at);
         if elapsed < STEP_INTERVAL {
             return;
         }
         if self.answers >= MIN_ANSWERS {
-            self.step(elapsed.min(IDLE_TIME));
-        } else if elapsed >= IDLE_TIME {
+            self.step(elapsed.min(idle_time));
+        } else if elapsed >= idle_time {
             self.share *= IDLE_DECAY.powf(elapsed.as_secs_f64());
         } else {
             return;
--- a/dahliawood-steer/tests/main/rank_load.rs
+++ b/dahliawood-steer/tests/main/rank_load.rs
@@ -14,7 +14,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-const VMS: usize = 8;
+/// With the larger number, each has some two requests a second.
+const VMS: [usize; 2] = [8, 24];
 const TARGETS: usize = 8;
 /// Requests that one target runs and queues at most.
 const MAX_OUTSTANDING: usize = 4 * SLOTS as usize;
@@ -29,6 +30,7 @@
 
 #[derive(Clone, Copy)]
 struct Load {
+    vms: usize,
     routes: &'static [Route],
     /// Relative to the capacity; each route has an equal part of the requests.
     demand: f64,
@@ -66,8 +68,8 @@
 /// Adds the outcomes of one replay to those of each route.
 fn replay(load: Load, is_ranked: bool, seed: u64, outcomes: &mut [RouteOutcome]) {
     let routes = load.routes;
-    let location = vm_location("a-1", VMS);
-    let mut tables: Vec<_> = (0..VMS).map(|_| table(&[("a-1", TARGETS)])).collect();
+    let location = vm_location("a-1", load.vms);
+    let mut tables: Vec<_> = (0..load.vms).map(|_| table(&[("a-1", TARGETS)])).collect();
     let mut slots = vec![vec![START; SLOTS as usize]; TARGETS];
     let mut running = RunningRequests::new();
     let mut random = StdRng::seed_from_u64(seed);
@@ -90,7 +92,7 @@
             let (end, ended) = (first.key().0, first.remove());
             finish(&mut tables, &running, &ended, load.is_shared, end);
         }
-        let vm = random.random_range(0..VMS);
+        let vm = random.random_range(0..load.vms);
         let route = random.random_range(0..routes.len());
         let outcome = &mut outcomes[route];
         let count = f64::from(u8::from(at > SETTLED));
@@ -187,11 +189,12 @@
     outcomes
 }
 
-fn loads() -> impl Iterator<Item = Load> {
+fn loads(vms: usize) -> impl Iterator<Item = Load> {
     let cases = [TWO_ROUTES, THREE_ROUTES].into_iter();
     let cases = cases.flat_map(|routes| [false, true].map(|is_shared| (routes, is_shared)));
-    cases.flat_map(|(routes, is_shared)| {
+    cases.flat_map(move |(routes, is_shared)| {
         [0.8, 1.0, 1.3, 2.0].map(|demand| Load {
+            vms,
             routes,
             demand,
             is_shared,
@@ -208,7 +211,7 @@
 #[test]
 fn urgent_requests_are_in_time_more_often_and_all_ranks_together_too_under_overload() {
     let in_time = |outcome: &RouteOutcome| outcome.in_time / outcome.requests;
-    for load in loads() {
+    for load in loads(VMS[0]) {
         let (before, after) = (outcomes(load, false), outcomes(load, true));
         let gain = in_time(&after[0]) - in_time(&before[0]);
         let least = if load.demand > 1.1 { 0.25 } else { 0.0 };
@@ -226,7 +229,7 @@
 #[test]
 fn ranks_are_served_in_their_order_and_none_starves() {
     let served = |outcome: &RouteOutcome| outcome.served / outcome.requests;
-    for load in loads() {
+    for load in VMS.into_iter().flat_map(loads) {
         let after = outcomes(load, true);
         let context = format!("{} {} {after:?}", load.demand, load.is_shared);
         let is_ordered = after
