--- a/dahliawood-steer/src/placement/choose/refusal/mod.rs
+++ b/dahliawood-steer/src/placement/choose/refusal/mod.rs
@@ -4,7 +4,7 @@
 use crate::placement::choose::{self, PlacementChoice, PlacementQuery, QueueTurn, VmLocation};
 use crate::placement::rank::RequestRank;
 use crate::placement::record::TargetRecord;
-use crate::placement::shedding::by_rank::RankShares;
+use crate::placement::shedding::by_rank::{self, RankShares};
 use crate::placement::table::PlacementTable;
 use crate::placement::work;
 use dahliawood_model::stamp::TimeStamp;
@@ -39,7 +39,7 @@
         let kept = pool.shed_share.resume(gap, now);
         pool.rank_shares.resume(kept);
     }
-    pool.shed_share.advance(now);
+    pool.shed_share.advance_within(by_rank::IDLE_TIME, now);
     pool.rank_shares.record_arrival(rank, work, now);
     pool.rank_shares.advance(pool.shed_share.share(), now);
     let is_refused = pool.rank_shares.take_refusal(rank);
