feat(gateway): logs and metrics tell how old a VM's knowledge is, and from whom

The logs could not tell whether a VM has a change late, or acts by an older one that it holds for current. `change` lines name the source and the age, `source` and `knowledge` lines when either changes; two metrics.

--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::codec::KeyspaceRecord;
 use crate::control::vms::{VMS_PREFIX, VmRecord};
-use crate::control::{ControlState, upstream};
+use crate::control::{ControlState, knowledge, upstream};
 use crate::structured_log::EventClass;
 use dahliawood_model::FastSet;
 use dahliawood_model::catalog::FleetCatalog;
@@ -29,6 +29,9 @@
     what: &'a str,
     version: u64,
     detail: String,
+    /// From whom this VM learned of it, and how old its knowledge was by then.
+    from: String,
+    age_ms: u128,
 }
 
 /// Applies changes of the key space to the shared state.
@@ -123,6 +126,8 @@
         what,
         version,
         detail,
+        from: state.knowledge.borrow().source().to_string(),
+        age_ms: knowledge::age(state, clock::now()).as_millis(),
     };
     state.shared.log.write(EventClass::State, "change", event);
 }
--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -1,9 +1,10 @@
 //! Follows the key space, in the store or at another VM, and passes its changes on.
 
 use crate::clock;
+use crate::control::knowledge::KnowledgeSource;
 use crate::control::source::{RelayFailure, SourceSelector};
 use crate::control::vms::VMS_PREFIX;
-use crate::control::{ControlState, apply, upstream};
+use crate::control::{ControlState, apply, knowledge, upstream};
 use crate::structured_log::EventClass;
 use async_std::channel::bounded;
 use async_std::future::timeout;
@@ -84,6 +85,8 @@
 struct SourceEvent<'a> {
     relay: &'a str,
     cause: String,
+    /// How old this VM's knowledge was by then.
+    age_ms: u128,
 }
 
 /// Follows the key space until the task is cancelled.
@@ -156,10 +159,12 @@
     let choice = selector.select(&vms, &settings.name, &settings.domain, clock::now());
     state.is_relayed.set(choice.relay.is_some());
     let Some(relay) = choice.relay else {
+        knowledge::set_source(state, KnowledgeSource::Store);
         let step = follow(state).await;
         upstream::record_store_answer(state, step.is_ok());
         return step;
     };
+    knowledge::set_source(state, KnowledgeSource::Vm(relay.name.clone()));
     let (failure, cause) = match upstream::follow_relay(state, relay).await {
         Ok(true) => return Ok(FollowStep::Current),
         Ok(false) => (
@@ -183,6 +188,7 @@
     let event = || SourceEvent {
         relay: &relay.name,
         cause,
+        age_ms: knowledge::age(state, clock::now()).as_millis(),
     };
     state
         .shared
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod apply;
 pub mod follow;
+pub mod knowledge;
 pub mod loads;
 pub mod peers;
 pub mod register;
@@ -43,6 +44,8 @@
     pub is_store_up: Cell<bool>,
     /// When the latest call was made whose answer shows that this VM's copy is current.
     pub heard_at: Cell<TimeStamp>,
+    /// From whom this VM learns of changes, for logs and metrics.
+    pub knowledge: RefCell<knowledge::KnowledgeRecord>,
     /// Whether this VM follows another one instead of the store.
     pub is_relayed: Cell<bool>,
     /// Until when the copy of a VM that follows another one is current, `None` if it follows the
@@ -116,6 +119,7 @@
         is_store_up: Cell::new(true),
         store_status_changed: bounded(1),
         heard_at: Cell::new(TimeStamp::ZERO),
+        knowledge: RefCell::default(),
         is_relayed: Cell::new(false),
         current_until: Cell::new(None),
         is_confirmed: Cell::new(false),
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -4,8 +4,9 @@
 //! copy it would miss new configuration versions and targets.
 
 use crate::clock;
+use crate::control::knowledge::KnowledgeSource;
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, apply, follow};
+use crate::control::{ControlState, apply, follow, knowledge};
 use async_std::task;
 use dahliawood_model::FastSet;
 use dahliawood_peer::client::error::CallError;
@@ -34,6 +35,7 @@
         let asked_at = clock::now();
         match fetch_snapshot(&state, vm).await {
             Ok(snapshot) => {
+                knowledge::set_source(&state, KnowledgeSource::Vm(vm.name.clone()));
                 apply_snapshot(&state, snapshot);
                 apply::confirm_sharers(&state, asked_at);
             }
--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -1,7 +1,7 @@
 //! Periodic work of the control thread.
 
 use crate::clock;
-use crate::control::{ControlState, apply};
+use crate::control::{ControlState, apply, knowledge};
 use crate::reach;
 use crate::structured_log::EventClass;
 use async_std::task;
@@ -70,6 +70,7 @@
         task::sleep(spillover::STEP_INTERVAL).await;
         let now = clock::now();
         apply::update_sharers(&state);
+        knowledge::observe_age(&state, now);
         balance::adjust_spillover(&mut state.shared.placement(), &state.shared.location(), now);
         report_levels(&state);
         log_cold_usage(&state);
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -3,7 +3,7 @@
 use dahliawood_steer::placement::work::RouteEstimate;
 use prometheus::core::Collector;
 use prometheus::{
-    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Gauge, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 use std::time::Duration;
@@ -28,6 +28,10 @@
     pub shed_share: GaugeVec,
     /// Calls to the store, by kind and outcome.
     pub store_calls: IntCounterVec,
+    /// How old this VM's knowledge of the key space is, seconds.
+    pub knowledge_age: Gauge,
+    /// Times that this VM began to learn of changes from another source, by its kind.
+    pub source_changes: IntCounterVec,
     /// Look-ups, by outcome.
     pub lookups: IntCounterVec,
     /// Times that a target newly said something of itself.
@@ -130,6 +134,8 @@
             sheds: metrics.counters("sheds_total", "Requests refused for load, by priorities of customer and route.", &["service", "rank", "reason"])?,
             shed_share: metrics.gauges("shed_share", "Refused share of the requests of a rank.", &["service", "rank"])?,
             store_calls: metrics.counters("store_calls_total", "Calls to the store.", &["call", "outcome"])?,
+            knowledge_age: metrics.register(Gauge::new("knowledge_age_seconds", "Time since this VM's knowledge of the key space was last known to be current.")?)?,
+            source_changes: metrics.counters("knowledge_source_changes_total", "Times that this VM began to learn of changes from another source, by its kind.", &["kind"])?,
             lookups: metrics.counters("lookups_total", "Look-ups.", &["outcome"])?,
             statements: metrics.counter("statements_total", "Times that a target newly said something of itself.")?,
             quarantines: metrics.counter("quarantines_total", "Requests that began to be held back because they crash targets.")?,
