--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -35,6 +35,8 @@
     Unavailable,
     /// Reads each call and never responds.
     Silent,
+    /// Responds to each call but those that wait for changes, which get nothing.
+    Stalled,
 }
 
 #[derive(Clone, Debug)]
@@ -226,7 +228,7 @@
     async fn respond(&self, head: &RequestHead, body: &[u8]) -> (u16, String) {
         self.lock().calls += 1;
         match self.fault() {
-            StoreFault::Off => {}
+            StoreFault::Off | StoreFault::Stalled => {}
             StoreFault::Unavailable => return (503, String::new()),
             StoreFault::Silent => return futures::future::pending().await,
         }
@@ -270,15 +272,17 @@
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, String) {
         let started = Instant::now();
         loop {
+            match self.fault() {
+                StoreFault::Off => {}
+                StoreFault::Stalled => return futures::future::pending().await,
+                StoreFault::Unavailable | StoreFault::Silent => return (503, String::new()),
+            }
             {
                 let state = self.lock();
                 if after < state.compacted_revision || after > state.revision {
                     return (410, String::new());
                 }
                 let events = state.events(prefix, after, &|stored| self.read_value(stored));
-                if self.fault() != StoreFault::Off {
-                    return (503, String::new());
-                }
                 if !events.is_empty() || started.elapsed() >= wait {
                     let revision = state.revision;
                     let response = json!({"events": events, "store_revision": revision});
