fix(gateway): a VM's knowledge counts by the date of the store's answer, passed on by relays

Callers saw changes more than 3 s after their acknowledgement: 404 by an older version, and requests at targets that had left. Cause: a VM counted as current until a call failed, and its followers as long as it said so, each adding a delay of its own (pause 0.8 s, renewal 1.1 to 2.2 s, 0.7 s for reconnecting, 0.4 s of the follower's call, a second relay 0.7 to 1.2 s) without a common bound.

Now one module (control::source::tracker) holds the time before which every change is known: that of the store's answer. A stale first read and a renewal no longer count as news of the store, nor does a copy of a VM that is not current. The imports of apply, follow, relay and upstream no longer form a circle. VMs of earlier versions tell no date: their followers ask the store.

--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -4,11 +4,10 @@
 use crate::clock;
 use crate::codec::KeyspaceRecord;
 use crate::control::vms::{VMS_PREFIX, VmRecord};
-use crate::control::{ControlState, knowledge, upstream};
+use crate::control::{ControlState, knowledge};
 use crate::structured_log::EventClass;
 use dahliawood_model::FastSet;
 use dahliawood_model::catalog::FleetCatalog;
-use dahliawood_model::stamp::TimeStamp;
 use dahliawood_steer::placement::exchange::collector;
 use dahliawood_store::keyspace::view::ViewChange;
 use serde::Serialize;
@@ -146,16 +145,17 @@
         location.fleet_sharers.set_listed(all, now);
         location.has_many_vms = location.sharers.count() >= collector::MIN_VMS;
     }
-    if upstream::is_current(state, now) {
-        confirm_sharers(state, state.heard_at.get());
-    }
+    confirm_sharers(state);
 }
 
-/// Records that the list of VMs was current at `asked_at`.
-pub fn confirm_sharers(state: &ControlState, asked_at: TimeStamp) {
+/// Records when the list of VMs was last known to be current.
+pub fn confirm_sharers(state: &ControlState) {
+    let Some(current_at) = state.sources.borrow().current_at() else {
+        return;
+    };
     let mut location = state.shared.location();
-    location.sharers.confirm(asked_at);
-    location.fleet_sharers.confirm(asked_at);
+    location.sharers.confirm(current_at);
+    location.fleet_sharers.confirm(current_at);
 }
 
 /// Publishes the list of registered VMs.
--- /dev/null
+++ b/dahliawood-gateway/src/control/copy/mod.rs
@@ -0,0 +1,116 @@
+//! This VM's copy of the key space: takes over changes and other VMs' copies, and wakes the VMs that
+//! follow this one.
+
+use crate::clock;
+use crate::control::vms::VMS_PREFIX;
+use crate::control::{ControlState, apply};
+use crate::structured_log::EventClass;
+use async_std::channel::bounded;
+use dahliawood_model::FastSet;
+use dahliawood_peer::gateway::message::KeyspaceSnapshot;
+use dahliawood_store::keyspace::call::KeyspaceItem;
+use dahliawood_store::keyspace::view::{RelaySource, ViewChange};
+use serde::Serialize;
+
+/// Log event for a return of the store to an older state.
+#[derive(Serialize)]
+struct RestorationEvent {
+    epoch: u64,
+}
+
+/// Applies the changes that lead to `revision`, and passes them on to VMs that follow this one.
+pub fn apply_items(state: &ControlState, items: Vec<KeyspaceItem>, revision: u64) {
+    state.change_log.borrow_mut().extend(&items, revision);
+    let changes = state.view.borrow_mut().apply(items, revision, clock::now());
+    if state.sources.borrow().is_confirmed() {
+        apply::apply_changes(state, &changes);
+    } else {
+        state.unconfirmed.borrow_mut().extend(changes);
+    }
+    notify_followers(state);
+}
+
+/// Replaces the copy by the whole key space as the store listed it at `revision`.
+///
+/// The changes of a first read may be some seconds old, so they are not in force before they are
+/// [confirmed](confirm), but for the registered VMs.
+pub fn replace(state: &ControlState, items: Vec<KeyspaceItem>, revision: u64) {
+    let is_first = !state.sources.borrow().is_confirmed();
+    let epoch = state.view.borrow().epoch();
+    let changes = state
+        .view
+        .borrow_mut()
+        .replace(items, revision, clock::now());
+    note_restoration(state, epoch);
+    state.change_log.borrow_mut().reset(revision);
+    if is_first {
+        let is_vm = |change: &ViewChange| change.key.starts_with(VMS_PREFIX);
+        let (vms, others) = changes.into_iter().partition::<Vec<_>, _>(is_vm);
+        apply::apply_changes(state, &vms);
+        state.unconfirmed.borrow_mut().extend(others);
+    } else {
+        confirm(state);
+        apply::apply_changes(state, &changes);
+        notify_followers(state);
+    }
+}
+
+/// Applies what is newer in another VM's copy of the key space.
+pub fn apply_snapshot(state: &ControlState, snapshot: KeyspaceSnapshot) {
+    let source = RelaySource {
+        revision: snapshot.revision,
+        is_settled: snapshot.is_settled,
+    };
+    if !state.view.borrow().has_newer(source) {
+        return;
+    }
+    let listed: FastSet<String> = snapshot.keys.iter().map(|key| key.key.clone()).collect();
+    let newer = snapshot.keys.into_iter().filter(|key| key.value.is_some());
+    let items = newer.map(|key| KeyspaceItem {
+        key: key.key,
+        value: key.value,
+        revision: key.revision,
+    });
+    let epoch = state.view.borrow().epoch();
+    let changes =
+        state
+            .view
+            .borrow_mut()
+            .apply_relayed(items.collect(), &listed, source, clock::now());
+    note_restoration(state, epoch);
+    let revision = state.view.borrow().revision();
+    state.change_log.borrow_mut().reset(revision);
+    apply::apply_changes(state, &changes);
+    notify_followers(state);
+}
+
+/// Brings into force what the first read found: the answer to a later call has confirmed it, or none
+/// can be had.
+pub fn confirm(state: &ControlState) {
+    let changes = std::mem::take(&mut *state.unconfirmed.borrow_mut());
+    apply::apply_changes(state, &changes);
+    state.sources.borrow_mut().set_confirmed();
+}
+
+/// Logs that the store has returned to an older state since the view had `epoch`, and lets this VM
+/// register again.
+fn note_restoration(state: &ControlState, epoch: u64) {
+    let now = state.view.borrow().epoch();
+    let is_first = !state.sources.borrow().is_confirmed();
+    if is_first || now == epoch {
+        return;
+    }
+    // One pending message is enough.
+    let _notified = state.epoch_changed.0.try_send(());
+    let event = || RestorationEvent { epoch: now };
+    state
+        .shared
+        .log
+        .write(EventClass::State, "restoration", event);
+}
+
+/// Wakes the calls of VMs that wait for changes, or for a later date of this VM's copy.
+pub fn notify_followers(state: &ControlState) {
+    let (sender, _) = state.changed.replace(bounded(1));
+    sender.close();
+}
--- /dev/null
+++ b/dahliawood-gateway/src/control/followers/mod.rs
@@ -0,0 +1,94 @@
+//! Answers the VMs that follow this one, or that copy the key space from it.
+
+use crate::clock;
+use crate::control::ControlState;
+use async_std::future::timeout;
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_peer::gateway::message::{
+    ChangesRequest, ChangesResponse, CopyDate, KeyspaceChange, KeyspaceChanges, KeyspaceEntry,
+    KeyspaceSnapshot,
+};
+use std::rc::Rc;
+
+/// Answers a VM that follows this one, as soon as there is news: changes, or a later date of this VM's
+/// copy than the caller was told last.
+pub async fn changes(state: Rc<ControlState>, request: ChangesRequest) -> ChangesResponse {
+    let arrived_at = clock::now();
+    let ends_at = arrived_at.after(request.wait);
+    loop {
+        // Resolves, with an error, when the next answer of this VM's source is applied.
+        let next_answer = state.changed.borrow().1.clone();
+        let response = known_changes(&state, request.after, arrived_at);
+        let left = ends_at.since(clock::now());
+        if left.is_zero() || is_news(&response, request.known_stamp) {
+            return response;
+        }
+        let _answered = timeout(left, next_answer.recv()).await;
+    }
+}
+
+fn is_news(response: &ChangesResponse, known_stamp: Option<u64>) -> bool {
+    let ChangesResponse::Changes(known) = response else {
+        return true;
+    };
+    let is_later = |date: CopyDate| known_stamp.is_some_and(|known| known != date.stamp);
+    !known.changes.is_empty() || known.date.is_some_and(is_later)
+}
+
+fn known_changes(state: &ControlState, after: u64, arrived_at: TimeStamp) -> ChangesResponse {
+    let now = clock::now();
+    if !is_sound(state, now) {
+        return ChangesResponse::NotCurrent;
+    }
+    let log = state.change_log.borrow();
+    let Some(items) = log.since(after) else {
+        return ChangesResponse::TooOld;
+    };
+    let changes = items.into_iter().map(|item| KeyspaceChange {
+        key: item.key,
+        revision: item.revision,
+        value: item.value,
+    });
+    ChangesResponse::Changes(KeyspaceChanges {
+        revision: log.revision().max(after),
+        settles_in: state.view.borrow().settles_in(now),
+        changes: changes.collect(),
+        date: date(state, arrived_at, now),
+    })
+}
+
+/// This VM's copy of the key space, without the values of keys last written at or below `above`.
+pub fn snapshot(state: &ControlState, above: u64) -> KeyspaceSnapshot {
+    let now = clock::now();
+    let view = state.view.borrow();
+    let keys = view.known().map(|(key, known)| KeyspaceEntry {
+        key: key.clone(),
+        revision: known.revision,
+        value: (known.revision > above).then(|| known.value.to_vec()),
+    });
+    let is_settled = is_sound(state, now) && !view.is_settling(now);
+    KeyspaceSnapshot {
+        revision: match is_settled {
+            true => view.revision(),
+            false => view.heard_revision(),
+        },
+        is_settled,
+        keys: keys.collect(),
+        date: date(state, now, now),
+    }
+}
+
+/// Whether this VM's copy is current, and kept so by its source.
+fn is_sound(state: &ControlState, now: TimeStamp) -> bool {
+    let has_source = state.is_relayed.get() || state.is_store_up.get();
+    has_source && state.sources.borrow().is_current(now)
+}
+
+/// The date of this VM's copy, from the arrival of a call.
+fn date(state: &ControlState, arrived_at: TimeStamp, now: TimeStamp) -> Option<CopyDate> {
+    let sources = state.sources.borrow();
+    Some(CopyDate {
+        offset_millis: sources.offset_millis(arrived_at, now)?,
+        stamp: sources.current_at()?.as_micros(),
+    })
+}
--- a/dahliawood-gateway/src/control/knowledge/mod.rs
+++ b/dahliawood-gateway/src/control/knowledge/mod.rs
@@ -8,9 +8,6 @@
 use serde::Serialize;
 use std::time::Duration;
 
-/// Age above which a log line tells that this VM's knowledge is old.
-const OLD_AGE: Duration = Duration::from_millis(1_500);
-
 /// From whom a VM learns of changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, derive_more::Display)]
 pub enum KnowledgeSource {
@@ -60,7 +57,7 @@
 
 /// How old this VM's knowledge is: the time since it was last known to be current.
 pub fn age(state: &ControlState, now: TimeStamp) -> Duration {
-    now.since(state.heard_at.get())
+    state.sources.borrow().age(now)
 }
 
 /// Records from whom this VM learns of changes, and logs it if it is another source than before.
@@ -91,7 +88,7 @@
 pub fn observe_age(state: &ControlState, now: TimeStamp) {
     let age = age(state, now);
     state.shared.metrics.knowledge_age.set(age.as_secs_f64());
-    let is_old = age > OLD_AGE;
+    let is_old = !state.sources.borrow().is_current(now);
     let mut knowledge = state.knowledge.borrow_mut();
     if std::mem::replace(&mut knowledge.is_old, is_old) == is_old {
         return;
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -2,7 +2,9 @@
 //! and periodic work, so that none of it delays requests.
 
 pub mod apply;
+pub mod copy;
 pub mod follow;
+pub mod followers;
 pub mod knowledge;
 pub mod loads;
 pub mod peers;
@@ -11,11 +13,14 @@
 pub mod shares;
 pub mod sightings;
 pub mod source;
+pub mod store_status;
 pub mod tick;
 pub mod upstream;
 pub mod vms;
 
 use crate::clock;
+use crate::control::source::budget::FreshnessBudget;
+use crate::control::source::tracker::{SourceTracker, TrackerOptions};
 use crate::control::vms::VmRecord;
 use crate::state::SharedState;
 use crate::supervise;
@@ -42,22 +47,19 @@
     pub view: RefCell<KeyspaceView>,
     /// Whether the store answered the last call.
     pub is_store_up: Cell<bool>,
-    /// When the latest call was made whose answer shows that this VM's copy is current.
-    pub heard_at: Cell<TimeStamp>,
+    /// Whom this VM asks for changes, and how old what it knows is.
+    pub sources: RefCell<SourceTracker>,
+    /// The date of its copy that the VM which this one follows told last.
+    pub told_date: RefCell<upstream::ToldDate>,
     /// From whom this VM learns of changes, for logs and metrics.
     pub knowledge: RefCell<knowledge::KnowledgeRecord>,
     /// Whether this VM follows another one instead of the store.
     pub is_relayed: Cell<bool>,
-    /// Until when the copy of a VM that follows another one is current, `None` if it follows the
-    /// store.
-    pub current_until: Cell<Option<TimeStamp>>,
-    /// Whether changes were received after the key space was read.
-    pub is_confirmed: Cell<bool>,
     /// Changes that the first read found, held until they are confirmed.
     pub unconfirmed: RefCell<Vec<ViewChange>>,
     /// The latest changes, for VMs that follow this one.
     pub change_log: RefCell<ChangeLog>,
-    /// Channel that is closed, and replaced, when changes are applied.
+    /// Channel that is closed, and replaced, when an answer of this VM's source is applied.
     pub changed: RefCell<(Sender<()>, Receiver<()>)>,
     /// Connections to other VMs.
     pub peers: peers::PeerTable,
@@ -77,13 +79,6 @@
     pub store_status_changed: (Sender<()>, Receiver<()>),
 }
 
-impl ControlState {
-    /// Records the answer to a call made at `asked_at` that shows that this VM's copy is current.
-    pub fn record_heard(&self, asked_at: TimeStamp) {
-        self.heard_at.set(self.heard_at.get().max(asked_at));
-    }
-}
-
 /// Arguments of [`start`].
 pub struct ControlOptions {
     /// State shared with the traffic thread.
@@ -108,6 +103,13 @@
 async fn run(options: ControlOptions) {
     let incarnation = rand::random_range(1..=u64::MAX);
     let window = options.shared.settings.bounds.quota_window;
+    let started = clock::now();
+    let sources = SourceTracker::new(TrackerOptions {
+        name: options.shared.settings.name.clone(),
+        domain: options.shared.settings.domain.clone(),
+        started,
+        budget: FreshnessBudget::new(&options.shared.settings.bounds),
+    });
     let view = KeyspaceView::new(apply::is_leased).with_order(options.shared.codec.is_older);
     let loads = loads::LoadExchange::new(&options.shared.settings.name, incarnation);
     let state = Rc::new(ControlState {
@@ -118,18 +120,17 @@
         epoch_changed: bounded(1),
         is_store_up: Cell::new(true),
         store_status_changed: bounded(1),
-        heard_at: Cell::new(TimeStamp::ZERO),
+        sources: RefCell::new(sources),
+        told_date: RefCell::default(),
         knowledge: RefCell::default(),
         is_relayed: Cell::new(false),
-        current_until: Cell::new(None),
-        is_confirmed: Cell::new(false),
         unconfirmed: RefCell::default(),
         change_log: RefCell::default(),
         changed: RefCell::new(bounded(1)),
         peers: peers::PeerTable::default(),
         coordinator: RefCell::new(AllocationCoordinator::new(window, incarnation)),
         incarnation,
-        started: clock::now(),
+        started,
         coordinator_members: RefCell::default(),
     });
     let tasks = [
--- a/dahliawood-gateway/src/control/peers/mod.rs
+++ b/dahliawood-gateway/src/control/peers/mod.rs
@@ -1,14 +1,12 @@
 //! Connections to other VMs, and the handlers of their calls.
 
-use crate::clock;
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, loads, shares, sightings, upstream};
+use crate::control::{ControlState, followers, loads, shares, sightings};
 use async_std::net::TcpListener;
 use dahliawood_model::FastMap;
 use dahliawood_peer::client::CallOptions;
 use dahliawood_peer::client::error::CallError;
 use dahliawood_peer::gateway::client::{self, GatewayClient};
-use dahliawood_peer::gateway::message::{KeyspaceEntry, KeyspaceSnapshot};
 use dahliawood_peer::gateway::server::{self, GatewayHandlers};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -66,31 +64,10 @@
         shares: Box::new(move |report| shares::handle_report(&share_state, report)),
         sightings: Box::new(move |is_new, told| sightings::handle(&sighting_state, is_new, told)),
         loads: Box::new(move |request| loads::handle(&load_state, request)),
-        keyspace: Box::new(move |above| keyspace(&keyspace_state, above)),
-        changes: Box::new(move |after, wait| {
-            Box::pin(upstream::changes(Rc::clone(&state), after, wait))
-        }),
+        keyspace: Box::new(move |above| followers::snapshot(&keyspace_state, above)),
+        changes: Box::new(move |request| Box::pin(followers::changes(Rc::clone(&state), request))),
     };
     if let Err(error) = server::serve(listener, Rc::new(handlers)).await {
         log::error!("the listener for calls of other VMs failed: {error}");
     }
 }
-
-/// This VM's copy of the key space, without the values of keys last written at or below `above`.
-fn keyspace(state: &ControlState, above: u64) -> KeyspaceSnapshot {
-    let view = state.view.borrow();
-    let keys = view.known().map(|(key, known)| KeyspaceEntry {
-        key: key.clone(),
-        revision: known.revision,
-        value: (known.revision > above).then(|| known.value.to_vec()),
-    });
-    let is_settled = state.is_store_up.get() && !view.is_settling(clock::now());
-    KeyspaceSnapshot {
-        revision: match is_settled {
-            true => view.revision(),
-            false => view.heard_revision(),
-        },
-        is_settled,
-        keys: keys.collect(),
-    }
-}
--- a/dahliawood-gateway/src/control/register/mod.rs
+++ b/dahliawood-gateway/src/control/register/mod.rs
@@ -1,8 +1,7 @@
 //! Keeps this VM registered in the key space, under a lease, until it shuts down.
 
-use crate::clock;
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, follow};
+use crate::control::{ControlState, store_status};
 use async_std::future::timeout;
 use async_std::task;
 use dahliawood_store::client::error::StoreError;
@@ -42,7 +41,7 @@
                 }
                 // A VM that follows another one depends on that one's calls instead.
                 if !state.is_relayed.get() {
-                    follow::set_store_status(&state, Some(&error));
+                    store_status::set(&state, Some(&error));
                 }
                 RETRY_PAUSE
             }
@@ -84,12 +83,7 @@
 }
 
 async fn renew(state: &ControlState, lease: u64) -> Result<(), StoreError> {
-    let asked_at = clock::now();
     let renewed = (state.store.renew_lease)(lease).await;
-    if renewed.is_ok() && !state.is_relayed.get() {
-        // Between changes of the key space, renewals are the only calls that the store answers.
-        state.record_heard(asked_at);
-    }
     state
         .shared
         .metrics
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -6,13 +6,10 @@
 use crate::clock;
 use crate::control::knowledge::KnowledgeSource;
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, apply, follow, knowledge};
+use crate::control::{ControlState, apply, copy, knowledge};
 use async_std::task;
-use dahliawood_model::FastSet;
 use dahliawood_peer::client::error::CallError;
 use dahliawood_peer::gateway::message::KeyspaceSnapshot;
-use dahliawood_store::keyspace::call::KeyspaceItem;
-use dahliawood_store::keyspace::view::RelaySource;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,8 +33,14 @@
         match fetch_snapshot(&state, vm).await {
             Ok(snapshot) => {
                 knowledge::set_source(&state, KnowledgeSource::Vm(vm.name.clone()));
-                apply_snapshot(&state, snapshot);
-                apply::confirm_sharers(&state, asked_at);
+                let date = snapshot.date.filter(|_| snapshot.is_settled);
+                copy::apply_snapshot(&state, snapshot);
+                if let Some(date) = date {
+                    let now = clock::now();
+                    let mut sources = state.sources.borrow_mut();
+                    sources.record_relay_answer(asked_at, date.offset_millis, now);
+                }
+                apply::confirm_sharers(&state);
             }
             Err(error) => {
                 state.peers.forget(vm.peer);
@@ -65,32 +68,3 @@
     let above = state.view.borrow().heard_revision();
     client.keyspace(above).await
 }
-
-/// Applies what is newer in another VM's copy of the key space.
-pub fn apply_snapshot(state: &ControlState, snapshot: KeyspaceSnapshot) {
-    let source = RelaySource {
-        revision: snapshot.revision,
-        is_settled: snapshot.is_settled,
-    };
-    if !state.view.borrow().has_newer(source) {
-        return;
-    }
-    let listed: FastSet<String> = snapshot.keys.iter().map(|key| key.key.clone()).collect();
-    let newer = snapshot.keys.into_iter().filter(|key| key.value.is_some());
-    let items = newer.map(|key| KeyspaceItem {
-        key: key.key,
-        value: key.value,
-        revision: key.revision,
-    });
-    let epoch = state.view.borrow().epoch();
-    let changes =
-        state
-            .view
-            .borrow_mut()
-            .apply_relayed(items.collect(), &listed, source, clock::now());
-    follow::note_restoration(state, epoch);
-    let revision = state.view.borrow().revision();
-    state.change_log.borrow_mut().reset(revision);
-    apply::apply_changes(state, &changes);
-    follow::notify_followers(state);
-}
--- a/dahliawood-gateway/src/control/source/mod.rs
+++ b/dahliawood-gateway/src/control/source/mod.rs
@@ -7,8 +7,9 @@
 //! registered VMs, without agreement: while lists differ, or a VM is unreachable to some, more VMs
 //! than needed follow the store. A VM whose relays fail follows the store itself for a while: what the
 //! store refuses to the relays it may still tell this VM.
-//!
-//! Decides only; [`super::upstream`] makes the calls.
+
+pub mod budget;
+pub mod tracker;
 
 use crate::control::vms::VmRecord;
 use dahliawood_model::FastMap;
@@ -44,13 +45,24 @@
     suspended_until: TimeStamp,
 }
 
+/// What a VM is to the others of its failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SourceRank {
+    /// The failure domain is small: nobody follows another VM.
+    Alone,
+    /// Others may follow this VM.
+    Relay,
+    /// Nobody follows this VM.
+    Follower,
+}
+
 /// A VM's place among the VMs of its failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SourceChoice<'a> {
     /// The VM to follow, `None` for the store.
     pub relay: Option<&'a VmRecord>,
-    /// Whether other VMs may follow this one.
-    pub is_relay: bool,
+    /// Whether VMs of its failure domain follow each other, and whether they may follow this one.
+    pub rank: SourceRank,
 }
 
 impl SourceSelector {
@@ -67,7 +79,7 @@
         if near.len() < MIN_DOMAIN_VMS {
             return SourceChoice {
                 relay: None,
-                is_relay: true,
+                rank: SourceRank::Alone,
             };
         }
         let domain_hash = rendezvous::name_hash(domain.as_bytes());
@@ -78,12 +90,15 @@
         };
         near.sort_by(|a, b| distance(a).total_cmp(&distance(b)));
         near.truncate(RELAYS);
-        let is_relay = near.iter().any(|vm| vm.name == own);
+        let rank = match near.iter().any(|vm| vm.name == own) {
+            true => SourceRank::Relay,
+            false => SourceRank::Follower,
+        };
         let ahead = near.into_iter().take_while(|vm| vm.name != own);
         let mut sound = ahead.filter(|vm| !self.is_suspect(&vm.name, now));
         SourceChoice {
             relay: sound.next(),
-            is_relay,
+            rank,
         }
     }
 
--- a/dahliawood-gateway/src/settings/mod.rs
+++ b/dahliawood-gateway/src/settings/mod.rs
@@ -52,6 +52,14 @@
     pub cold_slack: f64,
     /// How long callers may use a look-up answer.
     pub lookup_lifetime: Duration,
+    /// Time from the store's acknowledgement of a configuration until it is in force.
+    pub config_time: Duration,
+    /// Time from the acknowledgement that a target leaves until it gets no request.
+    pub drain_time: Duration,
+    /// Time from the acknowledgement of an evacuation until its targets get no request.
+    pub evacuation_time: Duration,
+    /// Time after a fault of a VM from which changes are in force there in time again.
+    pub recovery_time: Duration,
     /// How long a graceful shutdown may take.
     pub grace: Duration,
 }
@@ -66,7 +74,19 @@
             cold_factor: 1.0,
             cold_slack: 0.0,
             lookup_lifetime: Duration::from_secs(2),
+            config_time: Duration::from_secs(2),
+            drain_time: Duration::from_secs(2),
+            evacuation_time: Duration::from_secs(5),
+            recovery_time: Duration::from_secs(3),
             grace: Duration::from_secs(5),
         }
     }
 }
+
+impl FleetBounds {
+    /// The shortest time within which a change of the key space must be in force at all VMs.
+    pub fn change_time(&self) -> Duration {
+        let shortest = self.config_time.min(self.drain_time);
+        shortest.min(self.evacuation_time)
+    }
+}
--- a/dahliawood-gateway/tests/main/source.rs
+++ b/dahliawood-gateway/tests/main/source.rs
@@ -1,6 +1,6 @@
 //! From whom a VM learns of changes of the key space.
 
-use dahliawood_gateway::control::source::{RelayFailure, SourceSelector};
+use dahliawood_gateway::control::source::{RelayFailure, SourceRank, SourceSelector};
 use dahliawood_gateway::control::vms::VmRecord;
 use dahliawood_model::stamp::TimeStamp;
 use std::net::SocketAddr;
@@ -62,7 +62,10 @@
 fn a_vm_goes_from_a_relay_that_refuses_to_the_next_one_and_then_to_the_store() {
     let fleet = fleet(10, 1);
     let mut selector = SourceSelector::default();
-    let is_last = |vm: &&VmRecord| !selector.select(&fleet, &vm.name, "a-0", NOW).is_relay;
+    let is_last = |vm: &&VmRecord| {
+        let choice = selector.select(&fleet, &vm.name, "a-0", NOW);
+        choice.rank == SourceRank::Follower
+    };
     let own = fleet.iter().find(is_last).unwrap();
     let first = relay_of(&selector, &fleet, own).unwrap();
     selector.record_failure(&first, RelayFailure::Refused, NOW);
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -195,13 +195,17 @@
   # its process. `ageMs` is how long the caller's process has run, in milliseconds.
   shares @0 (from :Text, entries :List(CustomerNeed), isLeaving :Bool, life :UInt64, ageMs :UInt32) -> (isHead :Bool, entries :List(CustomerShare), life :UInt64);
   # Returns all keys that the callee knows, without the values of keys last written at or below
-  # revision `above`.
-  space @1 (above :UInt64) -> (revision :UInt64, isSettled :Bool, keys :List(SpaceKey));
+  # revision `above`. The date is that of the callee's copy, as in `changes`.
+  space @1 (above :UInt64) -> (revision :UInt64, isSettled :Bool, keys :List(SpaceKey), isDated :Bool, dateOffsetMs :Int32, dateStamp :UInt64);
   # Returns the changes after revision `after` as soon as there are any, or none after `waitMs`
   # milliseconds. `isCurrent` tells whether the callee's copy follows the store at this time; if
   # not, the rest is empty. `isTooOld` tells that the callee does not have all changes since
   # `after`. Removals of leased keys are to be held back for another `settlesInMs` milliseconds.
-  changes @2 (after :UInt64, waitMs :UInt32) -> (isCurrent :Bool, isTooOld :Bool, revision :UInt64, settlesInMs :UInt32, changes :List(SpaceChange));
+  # If `isDated`, the callee's copy had all changes `dateOffsetMs` milliseconds after the call arrived,
+  # or before it if negative; `dateStamp` is the same time by the callee's clock. If the caller sends
+  # the stamp that it was told last, or 1, a later date is news too, as changes are; 0 if dates are not
+  # news to it.
+  changes @2 (after :UInt64, waitMs :UInt32, knownStamp :UInt64) -> (isCurrent :Bool, isTooOld :Bool, revision :UInt64, settlesInMs :UInt32, changes :List(SpaceChange), isDated :Bool, dateOffsetMs :Int32, dateStamp :UInt64);
   # Tells the callee what the caller has seen or heard lately, and returns the same of the callee; all
   # that it remembers of crashes if the caller `isNew`, that is, has just started.
   sightings @3 (isNew :Bool, entries :List(Sighting)) -> (entries :List(Sighting));
--- a/dahliawood-peer/src/gateway/client/mod.rs
+++ b/dahliawood-peer/src/gateway/client/mod.rs
@@ -4,8 +4,8 @@
 use crate::client::{CallOptions, PeerConnection};
 use crate::gateway::loads::{LoadsRequest, LoadsResponse};
 use crate::gateway::message::{
-    self, ChangesResponse, KeyspaceChanges, KeyspaceSnapshot, ShareReport, ShareResponse,
-    SightingMessage,
+    self, ChangesRequest, ChangesResponse, CopyDate, KeyspaceChanges, KeyspaceSnapshot,
+    ShareReport, ShareResponse, SightingMessage,
 };
 use crate::generated::peer_capnp::gateway_peer;
 use snafu::ResultExt;
@@ -75,21 +75,26 @@
             revision: results.get_revision(),
             is_settled: results.get_is_settled(),
             keys: message::read_keys(list).context(CallSnafu)?,
+            date: results.get_is_dated().then(|| CopyDate {
+                offset_millis: results.get_date_offset_ms(),
+                stamp: results.get_date_stamp(),
+            }),
         })
     }
 
-    /// Waits up to `wait` for changes of the key space after revision `after`.
+    /// Waits for news of the key space.
     ///
     /// # Errors
-    /// Fails if the call fails or no response arrives within `wait` and the deadline.
-    pub async fn changes(&self, after: u64, wait: Duration) -> Result<ChangesResponse, CallError> {
+    /// Fails if the call fails or no response arrives within the wait and the deadline.
+    pub async fn changes(&self, call: ChangesRequest) -> Result<ChangesResponse, CallError> {
         let mut request = self.client.changes_request();
-        request.get().set_after(after);
-        let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        request.get().set_after(call.after);
+        let wait_ms = u32::try_from(call.wait.as_millis()).unwrap_or(u32::MAX);
         request.get().set_wait_ms(wait_ms);
+        request.get().set_known_stamp(call.known_stamp.unwrap_or(0));
         let response = self
             .connection
-            .with_longer_deadline(wait, request.send().promise)
+            .with_longer_deadline(call.wait, request.send().promise)
             .await?;
         let results = response.get().context(CallSnafu)?;
         if !results.get_is_current() {
@@ -103,6 +108,10 @@
             revision: results.get_revision(),
             settles_in: Duration::from_millis(results.get_settles_in_ms().into()),
             changes: message::read_changes(list).context(CallSnafu)?,
+            date: results.get_is_dated().then(|| CopyDate {
+                offset_millis: results.get_date_offset_ms(),
+                stamp: results.get_date_stamp(),
+            }),
         }))
     }
 
--- a/dahliawood-peer/src/gateway/message/mod.rs
+++ b/dahliawood-peer/src/gateway/message/mod.rs
@@ -88,6 +88,28 @@
     pub is_settled: bool,
     /// All keys that the callee knows.
     pub keys: Vec<KeyspaceEntry>,
+    /// When the callee's copy was last known to be current; `None` if others can't rely on it.
+    pub date: Option<CopyDate>,
+}
+
+/// When a VM's copy of the key space was last known to be current.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CopyDate {
+    /// Milliseconds from the arrival of the call, negative if before it: clocks of VMs do not agree.
+    pub offset_millis: i32,
+    /// The same by the callee's clock, to compare with another one of the same callee.
+    pub stamp: u64,
+}
+
+/// A call for changes of the key space.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChangesRequest {
+    /// The revision after which the caller wants changes.
+    pub after: u64,
+    /// How long the callee waits if there is no news.
+    pub wait: Duration,
+    /// Stamp of the date that the callee told last; `None` if a later date is no news to the caller.
+    pub known_stamp: Option<u64>,
 }
 
 /// A change of a key of the key space.
@@ -121,6 +143,8 @@
     pub settles_in: Duration,
     /// The changes, oldest first.
     pub changes: Vec<KeyspaceChange>,
+    /// When the callee's copy was last known to be current; `None` from VMs of earlier versions.
+    pub date: Option<CopyDate>,
 }
 
 /// What a VM saw; times are relative, because clocks of VMs do not agree.
--- a/dahliawood-peer/src/gateway/server/mod.rs
+++ b/dahliawood-peer/src/gateway/server/mod.rs
@@ -2,7 +2,8 @@
 
 use crate::gateway::loads::{LoadsRequest, LoadsResponse};
 use crate::gateway::message::{
-    self, ChangesResponse, KeyspaceSnapshot, ShareReport, ShareResponse, SightingMessage,
+    self, ChangesRequest, ChangesResponse, KeyspaceSnapshot, ShareReport, ShareResponse,
+    SightingMessage,
 };
 use crate::generated::peer_capnp::gateway_peer;
 use async_std::net::TcpListener;
@@ -19,8 +20,8 @@
     pub shares: Box<dyn Fn(&ShareReport) -> ShareResponse>,
     /// Returns all known keys, without the values of keys last written at or below a revision.
     pub keyspace: Box<dyn Fn(u64) -> KeyspaceSnapshot>,
-    /// Waits up to the given time for changes after a revision.
-    pub changes: Box<dyn Fn(u64, Duration) -> LocalBoxFuture<'static, ChangesResponse>>,
+    /// Waits for news: changes after a revision, or a later date of the copy.
+    pub changes: Box<dyn Fn(ChangesRequest) -> LocalBoxFuture<'static, ChangesResponse>>,
     /// Takes what the caller, which may be new, has seen, and returns what this VM has.
     pub sightings: Box<SightingHandler>,
     /// Takes the loads that the caller has seen, and returns what this VM has learned.
@@ -60,6 +61,11 @@
         let mut builder = results.get();
         builder.set_revision(response.revision);
         builder.set_is_settled(response.is_settled);
+        if let Some(date) = response.date {
+            builder.set_is_dated(true);
+            builder.set_date_offset_ms(date.offset_millis);
+            builder.set_date_stamp(date.stamp);
+        }
         message::write_keys(&response.keys, builder.init_keys(count));
         Ok(())
     }
@@ -70,8 +76,13 @@
         mut results: gateway_peer::ChangesResults,
     ) -> capnp::Result<()> {
         let params = params.get()?;
-        let wait = Duration::from_millis(params.get_wait_ms().into());
-        let response = (self.changes)(params.get_after(), wait).await;
+        let known_stamp = params.get_known_stamp();
+        let request = ChangesRequest {
+            after: params.get_after(),
+            wait: Duration::from_millis(params.get_wait_ms().into()),
+            known_stamp: (known_stamp > 0).then_some(known_stamp),
+        };
+        let response = (self.changes)(request).await;
         let mut builder = results.get();
         builder.set_is_current(response != ChangesResponse::NotCurrent);
         builder.set_is_too_old(response == ChangesResponse::TooOld);
@@ -79,6 +90,11 @@
             let settles_in = u32::try_from(known.settles_in.as_millis());
             builder.set_revision(known.revision);
             builder.set_settles_in_ms(settles_in.unwrap_or(u32::MAX));
+            if let Some(date) = known.date {
+                builder.set_is_dated(true);
+                builder.set_date_offset_ms(date.offset_millis);
+                builder.set_date_stamp(date.stamp);
+            }
             let count = message::list_length(known.changes.len())?;
             message::write_changes(&known.changes, builder.init_changes(count));
         }
--- a/dahliawood-store/src/keyspace/call/mod.rs
+++ b/dahliawood-store/src/keyspace/call/mod.rs
@@ -46,6 +46,8 @@
     pub after: u64,
     /// Longest time to wait for a change.
     pub wait: Duration,
+    /// How much longer the response may take.
+    pub answer_time: Duration,
 }
 
 /// Result of waiting for changes.
--- a/dahliawood-testkit/examples/measure/loads/mod.rs
+++ b/dahliawood-testkit/examples/measure/loads/mod.rs
@@ -112,7 +112,7 @@
             let handlers = GatewayHandlers {
                 shares: Box::new(|_| ShareResponse::default()),
                 keyspace: Box::new(|_| KeyspaceSnapshot::default()),
-                changes: Box::new(|_, _| Box::pin(future::ready(ChangesResponse::NotCurrent))),
+                changes: Box::new(|_| Box::pin(future::ready(ChangesResponse::NotCurrent))),
                 sightings: Box::new(|_, _| Vec::new()),
                 loads: Box::new(move |request| {
                     let (participant, table) = &mut *state.borrow_mut();
