test(testkit): a model of fleets whose relays fail one after another, former rules beside the new

3 to 300 VMs, rounds of cuts, refusals, hanging calls, pauses, kills and slowness that overlap, no network.

--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod figures;
 pub mod fleet;
+pub mod follow_fleet;
 pub mod instance;
 pub mod keyspace;
 pub mod link;
--- /dev/null
+++ b/dahliawood-testkit/tests/main/main.rs
@@ -0,0 +1,3 @@
+//! Models of fleets without a network.
+
+mod follow_fleet;
