test(testkit): a soak of VMs that follow each other and lose the store one after another

Formerly the soak's three VMs were of two failure domains, in which nobody follows another VM. DAHLIAWOOD_SOAK_RELAYS=FROM..TO plays others with time bounds.

--- a/dahliawood-daemon/tests/soak/main.rs
+++ b/dahliawood-daemon/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //! With `DAHLIAWOOD_SOAK_SEEDS=FROM..TO`, or `DAHLIAWOOD_SOAK_STATEMENTS=FROM..TO` for plans in which
 //! targets state limits, pauses and their leaving and the store is restored, runs those seeds instead, for a longer time and with time
 //! bounds in seconds; such runs need an otherwise idle machine. `DAHLIAWOOD_SOAK_CUTS=FROM..TO` does the
-//! same for plans in which VMs lose their links to all targets.
+//! same for plans in which VMs lose their links to all targets, and `DAHLIAWOOD_SOAK_RELAYS=FROM..TO` for
+//! those in which VMs of one failure domain lose the store, are paused and killed one after another.
 
 use async_std::task;
 use dahliawood_testkit::soak::plan::{SoakEvent, SoakPlan, SoakStep};
@@ -18,11 +19,16 @@
 const STATEMENT_SEEDS: [u64; 2] = [301, 302];
 /// The same for plans with VMs that lose their links to targets.
 const CUT_SEEDS: [u64; 2] = [401, 402];
+/// The same for plans with VMs of one failure domain that fail one after another.
+const RELAY_SEEDS: [u64; 2] = [501, 502];
 /// Period in which faults begin, for the fixed seeds and for seeds requested by the variable.
 const FIXED_FAULT_TIME: Duration = Duration::from_secs(5);
 const REQUESTED_FAULT_TIME: Duration = Duration::from_secs(10);
-/// Number of VMs in a fleet.
+/// Number of VMs in a fleet, and of its failure domains.
 const VMS: usize = 3;
+const DOMAINS: usize = 2;
+/// Number of VMs in a fleet with one failure domain.
+const RELAY_VMS: usize = 5;
 /// Number of runs at the same time.
 const PARALLEL_RUNS: usize = 4;
 
@@ -61,6 +67,7 @@
         seed,
         plan,
         vms: VMS,
+        domains: DOMAINS,
         callers: 8,
         check_time_bounds,
     }
@@ -152,6 +159,33 @@
     check_runs(&requested.unwrap_or_else(fixed));
 }
 
+/// The runs of plans with VMs of one failure domain.
+fn relay_runs(
+    seeds: impl Iterator<Item = u64>,
+    time: Duration,
+    is_timed: bool,
+) -> Vec<SoakOptions> {
+    let run = |seed| {
+        let plan = SoakPlan::draw_relays(seed, RELAY_VMS, time);
+        SoakOptions {
+            vms: RELAY_VMS,
+            domains: 1,
+            ..options(seed, plan, is_timed)
+        }
+    };
+    seeds.map(run).collect()
+}
+
+#[test]
+fn guarantees_hold_while_vms_that_others_follow_fail_one_after_another() {
+    let requested = requested_seeds("DAHLIAWOOD_SOAK_RELAYS");
+    let runs = match requested {
+        Some(seeds) => relay_runs(seeds, REQUESTED_FAULT_TIME, true),
+        None => relay_runs(RELAY_SEEDS.into_iter(), FIXED_FAULT_TIME, false),
+    };
+    check_runs(&runs);
+}
+
 fn check_runs(runs: &[SoakOptions]) {
     let failed: Vec<SoakOutcome> = runs
         .chunks(PARALLEL_RUNS)
--- a/dahliawood-testkit/src/soak/check/mod.rs
+++ b/dahliawood-testkit/src/soak/check/mod.rs
@@ -164,6 +164,7 @@
     fn is_undisturbed(&self, vm: usize, from: Instant, until: Instant) -> bool {
         let affects = |event| match event {
             SoakEvent::StoreLink(at, _)
+            | SoakEvent::StoreStalled(at)
             | SoakEvent::VmPaused(at)
             | SoakEvent::VmKilled(at)
             | SoakEvent::VmTerminated(at) => at == vm,
--- a/dahliawood-testkit/src/soak/environment/mod.rs
+++ b/dahliawood-testkit/src/soak/environment/mod.rs
@@ -110,7 +110,7 @@
             let targets = environment.endpoints.iter();
             let targets: Vec<SocketAddr> = targets.map(|endpoint| endpoint.proxy.address).collect();
             let network = VmNetwork::start(&environment.store, &targets).await?;
-            let domain = ["a-1", "a-2"][index % 2];
+            let domain = ["a-1", "a-2"][index % options.domains];
             let name = format!("vm-{index}");
             let program = &options.program;
             let mut vm = VmProcess::new(
@@ -228,6 +228,13 @@
                     run_after(step.duration, move || target.set_fault(InstanceFault::Off));
                 }
             }
+            SoakEvent::StoreStalled(vm) => {
+                let network = self.networks[vm].clone();
+                network.set_store_fault(StoreFault::Stalled);
+                run_after(step.duration, move || {
+                    network.set_store_fault(StoreFault::Off);
+                });
+            }
             SoakEvent::StoreUnavailable => {
                 let networks = self.networks.clone();
                 let set_fault = move |fault| {
--- a/dahliawood-testkit/src/soak/mod.rs
+++ b/dahliawood-testkit/src/soak/mod.rs
@@ -35,6 +35,8 @@
     pub seed: u64,
     /// Number of VMs.
     pub vms: usize,
+    /// Number of failure domains, 2 at most; VMs of one follow each other if there are enough.
+    pub domains: usize,
     /// Number of callers; each sends one request at a time.
     pub callers: usize,
     /// The faults and changes to inject: drawn from the seed with [`SoakPlan::draw`], or fixed.
--- a/dahliawood-testkit/src/soak/plan/mod.rs
+++ b/dahliawood-testkit/src/soak/plan/mod.rs
@@ -31,6 +31,8 @@
     TargetLink(usize, LinkFault),
     /// A target has a fault.
     TargetFault(usize, InstanceFault),
+    /// The store answers all calls of a VM but those that wait for changes.
+    StoreStalled(usize),
     /// The store refuses all calls with 503.
     StoreUnavailable,
     /// The store drops its history of changes.
@@ -92,6 +94,13 @@
 const CUT_SHARE: f64 = 0.4;
 const CUT_DURATION_MS: std::ops::Range<u64> = 5_000..9_000;
 
+/// Share of the events of a plan with lost relays that are faults of VMs or of their links to the store,
+/// and the range of their duration, milliseconds.
+const RELAY_SHARE: f64 = 0.6;
+const RELAY_DURATION_MS: std::ops::Range<u64> = 1_500..5_000;
+/// Share of its other events that are changes.
+const CHANGE_SHARE: f64 = 0.7;
+
 impl SoakStep {
     /// When the event is over, relative to the end of the warm-up.
     pub fn end(&self) -> Duration {
@@ -152,6 +161,22 @@
         plan
     }
 
+    /// Draws a plan like [`SoakPlan::draw`] in which VMs lose the store, are paused and killed one after
+    /// another, beside changes: of a failure domain in which VMs follow each other.
+    pub fn draw_relays(seed: u64, vms: usize, span: Duration) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut plan = Self::draw(seed, vms, span);
+        for step in &mut plan.steps {
+            if rng.random_bool(RELAY_SHARE) {
+                step.event = draw_relay_fault(&mut rng, vms);
+                step.duration = Duration::from_millis(rng.random_range(RELAY_DURATION_MS));
+            } else if rng.random_bool(CHANGE_SHARE) {
+                step.event = SoakEvent::RoutesChanged;
+            }
+        }
+        plan
+    }
+
     /// When the last event is over, relative to the end of the warm-up; zero without events.
     pub fn end(&self) -> Duration {
         let ends = self.steps.iter().map(SoakStep::end);
@@ -206,6 +231,18 @@
     SoakEvent::VmCutOff(vm, cut)
 }
 
+fn draw_relay_fault(rng: &mut StdRng, vms: usize) -> SoakEvent {
+    let vm = rng.random_range(0..vms);
+    match rng.random_range(0..6) {
+        0 => SoakEvent::StoreLink(vm, LinkFault::Silent),
+        1 => SoakEvent::StoreLink(vm, LinkFault::OneWay),
+        2 => SoakEvent::StoreLink(vm, LinkFault::Reset),
+        3 => SoakEvent::StoreStalled(vm),
+        4 => SoakEvent::VmPaused(vm),
+        _ => SoakEvent::VmKilled(vm),
+    }
+}
+
 fn draw_statement(rng: &mut StdRng) -> SoakEvent {
     let target = rng.random_range(0..2 * TARGETS_PER_SERVICE);
     match rng.random_range(0..4) {
--- a/dahliawood-testkit/src/soak/vm/mod.rs
+++ b/dahliawood-testkit/src/soak/vm/mod.rs
@@ -116,7 +116,7 @@
         let text = format!(
             "node_name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"{domain}\"\nregion = \"a\"\n\
              internal_ports = [{peer}, {metrics}]\n\
-             bounds = [\"grace_s=6\", \"quota_slack=20\", \"budget_ratio=0.2\"]\n\
+             bounds = [\"grace_s=6\", \"config_apply_s=3\", \"drain_s=3\", \"contact_s=4\", \"quota_slack=20\", \"budget_ratio=0.2\"]\n\
              [zones]\na-1 = \"a\"\na-2 = \"a\"\n\
              [listen]\nfront = \"{}\"\nready = \"{}\"\ndirectory = \"{}\"\n\
              [platform]\naddress = \"{store}\"\n",
