--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod fairness;
 mod fate;
+mod follow;
 mod forward;
 mod help;
 mod links;
@@ -47,6 +48,7 @@
     ("control", control::run),
     ("fairness", fairness::measure),
     ("fate", fate::run),
+    ("follow", follow::run),
     ("forward", forward::run),
     ("help", help::run),
     ("links", links::measure),
--- a/dahliawood-testkit/src/follow_fleet/former/mod.rs
+++ b/dahliawood-testkit/src/follow_fleet/former/mod.rs
@@ -6,6 +6,7 @@
 use dahliawood_model::stamp::TimeStamp;
 use std::time::Duration;
 
+const START_TIME: Duration = Duration::from_secs(2);
 const FOLLOW_WAIT: Duration = Duration::from_secs(15);
 const RECONNECT_WAIT: Duration = Duration::from_millis(200);
 const FOLLOW_MARGIN: Duration = Duration::from_millis(1_500);
@@ -19,6 +20,7 @@
 pub(super) struct FormerRules {
     name: String,
     domain: String,
+    started: TimeStamp,
     selector: SourceSelector,
     is_confirmed: bool,
     is_store_up: bool,
@@ -27,10 +29,11 @@
 }
 
 impl FormerRules {
-    pub fn new(record: &VmRecord) -> Self {
+    pub fn new(record: &VmRecord, now: TimeStamp) -> Self {
         Self {
             name: record.name.clone(),
             domain: record.domain.clone(),
+            started: now,
             selector: SourceSelector::default(),
             is_confirmed: false,
             is_store_up: true,
@@ -42,6 +45,10 @@
         self.is_confirmed && self.current_until.is_none_or(|until| now < until)
     }
 
+    pub fn is_starting(&self, now: TimeStamp) -> bool {
+        !self.is_confirmed && now.since(self.started) < START_TIME
+    }
+
     pub fn rank(&self, vms: &[VmRecord], now: TimeStamp) -> SourceRank {
         self.selector
             .select(vms, &self.name, &self.domain, now)
--- a/dahliawood-testkit/src/follow_fleet/mod.rs
+++ b/dahliawood-testkit/src/follow_fleet/mod.rs
@@ -30,6 +30,8 @@
 const END_TIME: Duration = Duration::from_secs(4);
 /// Range of the time that a message takes one way, milliseconds.
 const DELAY_MS: std::ops::Range<u64> = 5..25;
+/// Pause before a VM that is not ready is asked again.
+const START_PAUSE: Duration = Duration::from_millis(150);
 /// How old the key space may be that a VM reads when it starts.
 const FIRST_READ_AGE: Duration = Duration::from_secs(1);
 /// Steps of which a slow VM uses one.
@@ -336,6 +338,10 @@
         now: TimeStamp,
     ) {
         let vm = &mut self.vms[index];
+        if vm.rules.is_starting(now) {
+            vm.idle_until = now.after(START_PAUSE);
+            return;
+        }
         let name = &self.records[relay].name;
         vm.rules.record_relay_failure(name, is_silent, now);
         vm.idle_until = now;
--- a/dahliawood-testkit/src/follow_fleet/rules/mod.rs
+++ b/dahliawood-testkit/src/follow_fleet/rules/mod.rs
@@ -54,7 +54,7 @@
                 started: now,
                 budget: FreshnessBudget::new(bounds),
             }))),
-            RuleKind::Former => Self::Former(Box::new(FormerRules::new(record))),
+            RuleKind::Former => Self::Former(Box::new(FormerRules::new(record, now))),
         }
     }
 
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Whether the VM that this one would follow may still be starting.
+    pub fn is_starting(&self, now: TimeStamp) -> bool {
+        match self {
+            Self::Dated(tracker) => tracker.is_starting(now),
+            Self::Former(rules) => rules.is_starting(now),
+        }
+    }
+
     /// The pause after a failed call to the store.
     pub fn backoff(&self, vms: &[VmRecord], failures: u32, now: TimeStamp) -> Duration {
         let rank = match self {
