fix(gateway): a VM that turns to the store since its knowledge is old does not wait there

Found by the tests of the budget, before callers saw it: a follower that left its relay at 1.65 s asked the store with the wait of a VM that always follows it (0.4 s, and 1.2 s for the answer), so that a call that hangs there took the whole rest of 3 s; and at times of 10 s for a change the call after one that hung could take longer than a VM's time for recovery. The first call is now due at once, within 0.22 of the time for a change and 0.15 of that for recovery. A VM that nobody follows no longer counts as old while it waits for the store as long as it may. The age in logs and metrics counts from the start of a process that has no date yet.

--- a/dahliawood-gateway/src/control/knowledge/mod.rs
+++ b/dahliawood-gateway/src/control/knowledge/mod.rs
@@ -55,9 +55,11 @@
     }
 }
 
-/// How old this VM's knowledge is: the time since it was last known to be current.
+/// How old this VM's knowledge is: the time since it was last known to be current, or since the start of
+/// the process.
 pub fn age(state: &ControlState, now: TimeStamp) -> Duration {
-    state.sources.borrow().age(now)
+    let current_at = state.sources.borrow().current_at();
+    now.since(current_at.unwrap_or(state.started))
 }
 
 /// Records from whom this VM learns of changes, and logs it if it is another source than before.
--- a/dahliawood-gateway/src/control/source/budget/mod.rs
+++ b/dahliawood-gateway/src/control/source/budget/mod.rs
@@ -17,6 +17,8 @@
 const WATCH_PART: f64 = 0.5;
 /// Part of a VM's time for recovery within which the store must answer once that wait is over.
 const ANSWER_PART: f64 = 0.3;
+/// Part of it within which the call after one that hung must be answered.
+const SECOND_ANSWER_PART: f64 = 0.15;
 /// Time in which changes accumulate in a small fleet.
 const SHORTEST_BATCH: Duration = Duration::from_millis(350);
 /// Number of VMs above which that time grows in proportion to the number of VMs.
@@ -50,7 +52,9 @@
             relay_age: change.mul_f64(RELAY_AGE_PART),
             watch_wait: recovery.mul_f64(WATCH_PART),
             answer_time: recovery.mul_f64(ANSWER_PART),
-            overdue_answer_time: change.mul_f64(OVERDUE_ANSWER_PART),
+            overdue_answer_time: change
+                .mul_f64(OVERDUE_ANSWER_PART)
+                .min(recovery.mul_f64(SECOND_ANSWER_PART)),
             longest_batch: change.mul_f64(BATCH_PART),
         }
     }
--- a/dahliawood-gateway/src/control/source/tracker/mod.rs
+++ b/dahliawood-gateway/src/control/source/tracker/mod.rs
@@ -32,6 +32,9 @@
     /// Every change that the store acknowledged before this time is known.
     current_at: Option<TimeStamp>,
     is_confirmed: bool,
+    /// Age up to which the latest call to the store may let this VM's knowledge get, zero if it follows
+    /// another VM.
+    expected_age: Duration,
     /// Calls to the store in a row that failed.
     failures: u32,
 }
@@ -84,6 +87,7 @@
             started: options.started,
             current_at: None,
             is_confirmed: false,
+            expected_age: Duration::ZERO,
             failures: 0,
         }
     }
@@ -106,7 +110,8 @@
 
     /// Whether this VM's knowledge is in force and recent enough for others to rely on it.
     pub fn is_current(&self, now: TimeStamp) -> bool {
-        self.is_confirmed && self.age(now) <= self.budget.max_age
+        let expected = self.expected_age + self.budget.overdue_answer_time;
+        self.is_confirmed && self.age(now) <= expected.max(self.budget.max_age)
     }
 
     /// Whether what the first read found was confirmed, or can't be.
@@ -130,21 +135,17 @@
         choice.rank
     }
 
+    /// Whether knowledge of this age leaves no time for a relay.
+    fn is_overdue(&self, age: Duration) -> bool {
+        age.saturating_add(MIN_RELAY_TIME) > self.budget.max_age
+    }
+
     /// Decides whom to ask next.
     pub fn plan<'a>(&mut self, vms: &'a [VmRecord], now: TimeStamp) -> AskPlan<'a> {
         let choice = self.selector.select(vms, &self.own, &self.domain, now);
-        let left = self.budget.max_age.saturating_sub(self.age(now));
         if let Some(relay) = choice.relay {
-            let (wait, answer_time) = match self.is_starting(now) {
-                true => (Duration::ZERO, self.budget.answer_time),
-                false => (left, Duration::ZERO),
-            };
-            if wait + answer_time >= MIN_RELAY_TIME {
-                return AskPlan {
-                    relay: Some(relay),
-                    wait,
-                    answer_time,
-                };
+            if self.is_starting(now) || !self.is_overdue(self.age(now)) {
+                return self.relay_plan(relay, now);
             }
             // Waiting for another relay would delay changes too long.
             self.record_relay_failure(&relay.name, RelayFailure::Silent, now);
@@ -152,20 +153,38 @@
         self.store_plan(choice.rank, now)
     }
 
-    fn store_plan<'a>(&self, rank: SourceRank, now: TimeStamp) -> AskPlan<'a> {
-        let longest_age = match rank {
+    fn relay_plan<'a>(&mut self, relay: &'a VmRecord, now: TimeStamp) -> AskPlan<'a> {
+        self.expected_age = Duration::ZERO;
+        let (wait, answer_time) = if self.is_starting(now) {
+            (Duration::ZERO, self.budget.answer_time)
+        } else {
+            let left = self.budget.max_age.saturating_sub(self.age(now));
+            (left, Duration::ZERO)
+        };
+        AskPlan {
+            relay: Some(relay),
+            wait,
+            answer_time,
+        }
+    }
+
+    fn store_plan<'a>(&mut self, rank: SourceRank, now: TimeStamp) -> AskPlan<'a> {
+        self.expected_age = match rank {
             SourceRank::Relay => self.budget.relay_age,
             SourceRank::Alone | SourceRank::Follower => self.budget.watch_wait,
         };
-        let wait = longest_age.saturating_sub(self.age(now));
-        let answer_time = match self.is_confirmed && wait.is_zero() {
-            true => self.budget.overdue_answer_time * (1 << self.failures.min(4)),
-            false => self.budget.answer_time,
+        let age = self.age(now);
+        let (wait, answer_time) = if self.is_confirmed && self.is_overdue(age) {
+            let doubled = self.budget.overdue_answer_time * (1 << self.failures.min(4));
+            (Duration::ZERO, doubled.min(self.budget.answer_time))
+        } else {
+            let wait = self.expected_age.saturating_sub(age);
+            (wait, self.budget.answer_time)
         };
         AskPlan {
             relay: None,
             wait,
-            answer_time: answer_time.min(self.budget.answer_time),
+            answer_time,
         }
     }
 
--- a/dahliawood-gateway/tests/main/main.rs
+++ b/dahliawood-gateway/tests/main/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions; `platform` tests its I/O.
 
 mod crash_fleet;
+mod freshness;
 mod held_bytes;
 mod source;
