--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -3,11 +3,12 @@
 //! The target has a registration entry for the store, refuses requests whose expected instance is
 //! not its own id, and puts the id of the attempt that it answers into each response.
 
+mod response;
+
 use crate::serving;
 use async_std::channel::{Sender, bounded};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use dahliawood_wire::raw::fields::FieldList;
 use dahliawood_wire::raw::head::{BodyFraming, RequestHead};
 use dahliawood_wire::raw::reader::ConnectionReader;
 use dahliawood_wire::raw::write;
@@ -360,16 +361,16 @@
         let attempt = header("X-Dahliawood-Attempt-Id");
         let echoed = Some(attempt.as_str()).filter(|_| !state.is_anonymous);
         if header("X-Dahliawood-Expected-Instance") != self.id {
-            return (not_executed(421, echoed, &state), false);
+            return (response::not_executed(421, echoed, &state), false);
         }
         if state.fault.is_refusal() {
             if state.pause.is_some() {
                 let at = Instant::now();
                 state.refusals.push(RunRequest { head, body, at });
             }
-            let response = not_executed(503, echoed, &state);
+            let response = response::not_executed(503, echoed, &state);
             let bytes = match state.fault {
-                InstanceFault::OverloadedWithoutEnd => with_missing_body(&response, 10),
+                InstanceFault::OverloadedWithoutEnd => response::with_missing_body(&response, 10),
                 _ => response,
             };
             return (bytes, false);
@@ -381,9 +382,9 @@
         };
         let is_large = head.target.contains(LARGE_PATH);
         let at = Instant::now();
-        let statements = statements(&state);
+        let statements = response::statements(&state);
         state.runs.push(RunRequest { head, body, at });
-        let response = |attempt: &str, status| {
+        let respond = |attempt: &str, status| {
             let mut fields = statements.clone();
             fields.push("X-Dahliawood-Attempt-Id", attempt);
             fields.push("X-Dahliawood-Response-Signature", "signature");
@@ -391,67 +392,27 @@
             write::response(status, &fields, text.as_bytes(), false)
         };
         let matching = match is_large {
-            true => with_missing_body(&response(&attempt, 200), LARGE_BYTES),
-            false => response(&attempt, 200),
+            true => response::with_missing_body(&respond(&attempt, 200), LARGE_BYTES),
+            false => respond(&attempt, 200),
         };
         match state.fault {
             InstanceFault::NoResponse => (Vec::new(), true),
             InstanceFault::Truncated => (matching[..matching.len() - 3].to_vec(), true),
-            InstanceFault::StaleFirst => ([response("another", 200), matching].concat(), false),
+            InstanceFault::StaleFirst => ([respond("another", 200), matching].concat(), false),
             InstanceFault::TrailingBytes => (
                 [matching, b"HTTP/1.1 200 OK\r\n\r\n".to_vec()].concat(),
                 false,
             ),
-            InstanceFault::Unframed => (without_content_length(&matching), true),
+            InstanceFault::Unframed => (response::without_content_length(&matching), true),
             InstanceFault::UnframedCrash => (
-                without_content_length(&matching[..matching.len() - 3]),
+                response::without_content_length(&matching[..matching.len() - 3]),
                 true,
             ),
             InstanceFault::HeadCut(length) => {
                 (matching[..length.min(matching.len())].to_vec(), true)
             }
-            InstanceFault::Failing => (response(&attempt, 500), false),
+            InstanceFault::Failing => (respond(&attempt, 500), false),
             _ => (matching, false),
         }
     }
 }
-
-/// The header fields by which a target tells of itself in each response.
-fn statements(state: &InstanceState) -> FieldList {
-    let mut fields = FieldList::default();
-    if let Some(limit) = state.stated_limit {
-        fields.push("Server-Limit", limit.to_string());
-    }
-    if state.is_leaving {
-        fields.push("Server-Leaving", "1");
-    }
-    fields
-}
-
-fn not_executed(status: u16, attempt: Option<&str>, state: &InstanceState) -> Vec<u8> {
-    let mut fields = statements(state);
-    if let Some(attempt) = attempt {
-        fields.push("X-Dahliawood-Attempt-Id", attempt);
-    }
-    fields.push("X-Dahliawood-Not-Executed", "1");
-    if let (503, Some(pause)) = (status, &state.pause) {
-        fields.push("Retry-After", pause.clone());
-    }
-    write::response(status, &fields, b"", false)
-}
-
-/// A response without a body whose head announces one.
-fn with_missing_body(response: &[u8], length: usize) -> Vec<u8> {
-    let text = String::from_utf8_lossy(response);
-    text.replace("Content-Length: 0", &format!("Content-Length: {length}"))
-        .into_bytes()
-}
-
-fn without_content_length(response: &[u8]) -> Vec<u8> {
-    let text = String::from_utf8_lossy(response);
-    let lines = text.split("\r\n");
-    let kept: Vec<&str> = lines
-        .filter(|line| !line.starts_with("Content-Length"))
-        .collect();
-    kept.join("\r\n").into_bytes()
-}
--- a/dahliawood-testkit/src/soak/environment/mod.rs
+++ b/dahliawood-testkit/src/soak/environment/mod.rs
@@ -1,13 +1,15 @@
 //! The environment of a soak: the stand-ins, the proxies, and the processes of the VMs.
 
+mod health;
 mod network;
+mod targets;
 
 use crate::instance::{self, InstanceFault, RunRequest, TargetInstance};
 use crate::keyspace::{self, KeyspaceStore, StoreFault};
 use crate::operator_config;
 use crate::serving::lock;
 use crate::soak::SoakOptions;
-use crate::soak::caller::{self, LARGE_KEY, SMALL_KEY};
+use crate::soak::caller::{LARGE_KEY, SMALL_KEY};
 use crate::soak::check::{
     ChangeKind, GuaranteeViolation, InjectedFault, SoakChange, SoakLimit, TargetRun,
 };
@@ -15,10 +17,7 @@
 use crate::soak::plan::{LinkFault, SoakEvent, SoakStep, TARGETS_PER_SERVICE};
 use crate::soak::proxy::{self, FaultProxy};
 use crate::soak::vm::VmProcess;
-use async_std::future::timeout;
 use async_std::task;
-use dahliawood_wire::raw::fields::FieldList;
-use dahliawood_wire::raw::write;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::fs;
@@ -36,21 +35,13 @@
 const LARGE_RATE: u32 = 100_000;
 /// How long a target takes for a request.
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
-/// The limit that a target states, requests a second.
-const STATED_LIMIT: f64 = 3.0;
-/// The pause that a target asks for.
-const ASKED_PAUSE: Duration = Duration::from_secs(3);
 /// How long after a restoration of the store its writers write again.
 const REWRITE_TIME: Duration = Duration::from_millis(600);
 /// How long a process may take to exit after the signal: its grace time, plus some
 /// time for start-up.
 const TERMINATION_LIMIT: Duration = Duration::from_secs(8);
-/// How long the fleet may take to become healthy, at the start and at the end.
-const HEALTHY_LIMIT: Duration = Duration::from_secs(20);
 /// Interval between two checks of a condition that is waited for.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Upper bound on the resident memory of a VM, bytes.
-const MAX_MEMORY_BYTES: u64 = 256 << 20;
 
 /// A registered address that one target after another uses. The address is that of a proxy.
 #[derive(Clone, Debug)]
@@ -312,85 +303,6 @@
         Ok(())
     }
 
-    /// Replaces the target at an endpoint: after a pause, a new target with another id takes over the
-    /// address and registers. The old one keeps answering until then. Its registration is removed at
-    /// once; or, if it states its leaving instead, at the end.
-    async fn replace_target(
-        &mut self,
-        index: usize,
-        pause: Duration,
-        states_leaving: bool,
-    ) -> io::Result<()> {
-        let now = Instant::now();
-        let endpoint = &self.endpoints[index];
-        // A target that is to state its leaving must serve its address until then.
-        if now < endpoint.left_until || (states_leaving && now < endpoint.replaced_until) {
-            return Ok(());
-        }
-        let count = endpoint.instances.len();
-        let target = instance::start(&format!("target-{index}-{count}")).await?;
-        target.set_processing_time(PROCESSING_TIME);
-        let endpoint = &mut self.endpoints[index];
-        endpoint.replaced_until = now + pause;
-        if states_leaving {
-            endpoint.left_until = now + pause;
-        }
-        let old = endpoint.instances.last().cloned();
-        endpoint.instances.push(target.clone());
-        if let Some(old) = &old {
-            let kind = if states_leaving {
-                old.set_leaving();
-                ChangeKind::TargetLeaving(old.id.clone())
-            } else {
-                self.store.remove(&old.key());
-                ChangeKind::TargetDeregistered(old.id.clone())
-            };
-            let at = Instant::now();
-            self.changes.push(SoakChange { at, kind });
-        }
-        let (endpoint, store) = (endpoint.clone(), self.store.clone());
-        run_after(pause, move || {
-            if let Some(old) = old {
-                store.remove(&old.key());
-            }
-            endpoint.proxy.set_server(target.address);
-            register(&store, &endpoint);
-        });
-        Ok(())
-    }
-
-    /// The newest target at an endpoint states a limit for a time.
-    fn limit_target(&mut self, index: usize, duration: Duration) {
-        let Some(target) = self.endpoints[index].instances.last().cloned() else {
-            return;
-        };
-        target.set_stated_limit(Some(STATED_LIMIT));
-        let at = Instant::now();
-        let kind = ChangeKind::TargetLimited {
-            id: target.id.clone(),
-            limit: STATED_LIMIT,
-            until: at + duration,
-        };
-        self.changes.push(SoakChange { at, kind });
-        run_after(duration, move || target.set_stated_limit(None));
-    }
-
-    /// The newest target at an endpoint refuses requests and asks for pauses, for a time.
-    fn pause_target(&mut self, index: usize, duration: Duration) {
-        let Some(target) = self.endpoints[index].instances.last().cloned() else {
-            return;
-        };
-        target.set_pause(Some(&ASKED_PAUSE.as_secs().to_string()));
-        target.set_fault(InstanceFault::Overloaded);
-        let at = Instant::now();
-        let kind = ChangeKind::TargetPausing {
-            id: target.id.clone(),
-            pause: ASKED_PAUSE,
-        };
-        self.changes.push(SoakChange { at, kind });
-        run_after(duration, move || target.end_pause());
-    }
-
     /// Returns the store to its last copy. What the operators and the targets wrote since is written
     /// again a moment later.
     async fn restore_store(&mut self) {
@@ -421,67 +333,6 @@
         }
     }
 
-    /// Waits until the fleet is healthy: each VM runs, is ready, and lists all VMs in its look-up
-    /// answers. Returns what is still wrong after 20 s, the restarts that failed during the run,
-    /// and the VMs that use too much memory.
-    pub async fn wait_until_healthy(&self) -> Vec<GuaranteeViolation> {
-        let limit = Instant::now() + HEALTHY_LIMIT;
-        let mut seen = self.find_unhealthy().await;
-        while seen.is_some() && Instant::now() < limit {
-            task::sleep(POLL_INTERVAL).await;
-            seen = self.find_unhealthy().await;
-        }
-        let mut violations = lock(&self.restart_failures).clone();
-        violations.extend(seen.map(|seen| GuaranteeViolation {
-            guarantee: "the fleet is healthy again",
-            seen,
-        }));
-        let vms = lock(&self.vms);
-        let large = vms
-            .iter()
-            .filter(|vm| vm.memory().is_some_and(|memory| memory > MAX_MEMORY_BYTES));
-        violations.extend(large.map(|vm| GuaranteeViolation {
-            guarantee: "memory is bounded",
-            seen: format!("{} has {:?} bytes", vm.name, vm.memory()),
-        }));
-        violations
-    }
-
-    /// Describes the first thing that keeps the fleet from being healthy; `None` where it is
-    /// healthy.
-    async fn find_unhealthy(&self) -> Option<String> {
-        let mut probed = Vec::new();
-        for vm in lock(&self.vms).iter_mut() {
-            if let Ok(Some(status)) = vm.exit_status() {
-                return Some(format!("{} exited: {status}", vm.name));
-            }
-            if !vm.is_running() {
-                return Some(format!("{} does not run", vm.name));
-            }
-            probed.push((vm.name.clone(), vm.addresses));
-        }
-        let mut fronts: Vec<String> = self.fronts().iter().map(ToString::to_string).collect();
-        fronts.sort();
-        for (name, addresses) in probed {
-            if get(addresses.ready, "/api/ready").await.is_none() {
-                return Some(format!("{name} is not ready"));
-            }
-            let answer = get(addresses.directory, "/api/resolve?name=host.example").await;
-            let listed: Value =
-                serde_json::from_slice(&answer.unwrap_or_default()).unwrap_or_default();
-            let listed = listed["addresses"].as_array().cloned().unwrap_or_default();
-            let mut listed: Vec<String> = listed
-                .iter()
-                .filter_map(|address| address.as_str().map(str::to_owned))
-                .collect();
-            listed.sort();
-            if listed != fronts {
-                return Some(format!("{name} lists {listed:?}, not {fronts:?}"));
-            }
-        }
-        None
-    }
-
     /// Kills all processes, and returns the directory that has, or had, their logs.
     pub fn shut_down(self, keep_logs: bool) -> PathBuf {
         lock(&self.vms).clear();
@@ -516,18 +367,6 @@
     });
 }
 
-/// Sends a GET request; returns the body of a response with status 200, else `None`.
-async fn get(address: SocketAddr, path: &str) -> Option<Vec<u8>> {
-    let exchange = async {
-        let mut fields = FieldList::default();
-        fields.push("Host", "host.example");
-        let bytes = write::request("GET", path, &fields, b"");
-        let (head, body) = caller::connect(address).await?.exchange(&bytes).await?;
-        (head.status == 200).then_some(body)
-    };
-    timeout(Duration::from_secs(1), exchange).await.ok()?
-}
-
 /// A configuration document whose routes lead to `service`.
 fn document(version: u64, service: &str) -> Value {
     let routes = [
