review: a killed VM's use of a limit is forgotten (QUOTA)

What processes used before their end is withheld only where all processes are new. Where all requests of a customer arrive at one VM, the others know nothing of them: that VM, killed and started again, lets a window's requests through twice.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,6 +2,7 @@
 
 mod config_storm;
 mod foreign_entry;
+mod killed_holder;
 mod late_heartbeat;
 mod late_registration;
 mod stalled_log;
@@ -94,6 +95,7 @@
         "foreign-entry" => foreign_entry::run(folder),
         "config-storm" => config_storm::run(folder),
         "stalled-log" => stalled_log::run(folder),
+        "killed-holder" => killed_holder::run(folder),
         "late-heartbeat" => late_heartbeat::run(folder),
         "late-registration" => late_registration::run(folder),
         _ => Err(format!("there is no case '{name}'")),
@@ -110,6 +112,11 @@
     )
 }
 
+/// The customer of [`SMALL_KEY`]: its limit.
+pub const SMALL_RATE: f64 = 20.0;
+pub const SMALL_BURST: f64 = 20.0;
+pub const SMALL_KEY: &str = "w3hq9vbt2mzc7xkd5rpn";
+
 fn document(version: u32, routes: &[String], keys: &[&str]) -> String {
     let routes = routes.join(",");
     let keys = keys.join("\",\"");
@@ -119,7 +126,7 @@
         )
     });
     format!(
-        r#"{{"version":"r{version}","limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}},"tenants":[{{"name":"yefi830","api_keys":["{keys}"],"priority":0,"rate_per_s":500,"burst_size":500,"allowed_regions":[]}}],"listeners":[{{"host":"{HOST}","rule_set":[{routes}]}}],"clusters":[{svc},{other}]}}"#
+        r#"{{"version":"r{version}","limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}},"tenants":[{{"name":"yefi830","api_keys":["{keys}"],"priority":0,"rate_per_s":500,"burst_size":500,"allowed_regions":[]}},{{"name":"dego121","api_keys":["{SMALL_KEY}"],"priority":0,"rate_per_s":{SMALL_RATE},"burst_size":{SMALL_BURST},"allowed_regions":[]}}],"listeners":[{{"host":"{HOST}","rule_set":[{routes}]}}],"clusters":[{svc},{other}]}}"#
     )
 }
 
