--- a/dahliawood-gateway/tests/main/main.rs
+++ b/dahliawood-gateway/tests/main/main.rs
@@ -3,4 +3,5 @@
 mod crash_fleet;
 mod freshness;
 mod held_bytes;
+mod registration;
 mod source;
--- a/dahliawood-store/src/keyspace/call/mod.rs
+++ b/dahliawood-store/src/keyspace/call/mod.rs
@@ -65,7 +65,8 @@
     Compacted,
 }
 
-/// Writes a key.
+/// Writes a key if it is as the caller expects, so that a write that the service carries out late
+/// replaces nothing that was written meanwhile.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WriteCall {
     /// The key.
@@ -74,6 +75,34 @@
     pub value: Vec<u8>,
     /// Lease whose end removes the key.
     pub lease: Option<u64>,
+    /// Revision of the key's last write; zero if the key must not exist.
+    pub expected: u64,
+}
+
+/// Result of a write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// The key was written.
+    Written {
+        /// Revision of the write.
+        revision: u64,
+    },
+    /// The key is not as expected; the write had no effect.
+    Conflict {
+        /// The key as it is, `None` if it does not exist.
+        current: Option<StoredEntry>,
+    },
+}
+
+/// A key's last write, as the service has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredEntry {
+    /// The value.
+    pub value: Vec<u8>,
+    /// Revision of the write.
+    pub revision: u64,
+    /// Lease whose end removes the key.
+    pub lease: Option<u64>,
 }
 
 /// The functions of the service.
@@ -83,8 +112,8 @@
     pub range: StoreCall<RangeCall, KeyspacePage>,
     /// Waits for changes.
     pub follow: StoreCall<FollowCall, FollowOutcome>,
-    /// Writes a key unconditionally and returns the new revision of the key space.
-    pub write: StoreCall<WriteCall, u64>,
+    /// Writes a key under a condition.
+    pub write: StoreCall<WriteCall, WriteOutcome>,
     /// Grants a lease of the given duration and returns its id.
     pub grant_lease: StoreCall<Duration, u64>,
     /// Renews a lease.
--- a/dahliawood-store/src/keyspace/view/mod.rs
+++ b/dahliawood-store/src/keyspace/view/mod.rs
@@ -119,6 +119,11 @@
         self.heard_revision.max(self.revision)
     }
 
+    /// The last known write of a key.
+    pub fn get(&self, key: &str) -> Option<&VersionedValue> {
+        self.known.get(key)
+    }
+
     /// All known keys with their values.
     pub fn known(&self) -> impl Iterator<Item = (&String, &VersionedValue)> {
         self.known.iter()
--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -12,7 +12,7 @@
 use dahliawood_wire::raw::write;
 use futures::io::AsyncWriteExt;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -72,6 +72,7 @@
     state: Arc<Mutex<StoreState>>,
     fault: Arc<Mutex<StoreFault>>,
     substitutes: Arc<Mutex<Vec<(String, String)>>>,
+    late_writes: Arc<Mutex<VecDeque<Duration>>>,
 }
 
 /// Starts a store on a free port of loopback.
@@ -90,6 +91,7 @@
         state,
         fault: Arc::default(),
         substitutes: Arc::default(),
+        late_writes: Arc::default(),
     };
     let served = store.clone();
     serving::accept(listener, move |stream| served.clone().serve(stream));
@@ -124,6 +126,12 @@
         *serving::lock(&self.substitutes) = substitutes;
     }
 
+    /// The next write gets no answer, and is carried out after `delay` if its condition and its lease
+    /// hold then. Several delays apply to as many writes, in turn.
+    pub fn delay_write(&self, delay: Duration) {
+        serving::lock(&self.late_writes).push_back(delay);
+    }
+
     /// The stored form of a value as callers at this address read it.
     fn read_value(&self, stored: &str) -> String {
         let substitutes = serving::lock(&self.substitutes);
@@ -207,6 +215,12 @@
         self.lock().items.contains_key(key)
     }
 
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let stored = self.lock().items.get(key).map(|item| item.value.clone())?;
+        STANDARD.decode(stored).ok()
+    }
+
     async fn serve(self, stream: TcpStream) {
         let mut reader = ConnectionReader::new(stream.clone());
         let mut output = stream;
@@ -252,7 +266,15 @@
                 let wait = Duration::from_millis(parameter("wait_ms").parse().unwrap_or(0));
                 self.watch(&parameter("prefix"), after, wait).await
             }
-            ("POST", "/api/kv-txn") => self.transaction(body),
+            ("POST", "/api/kv-txn") => {
+                let delay = serving::lock(&self.late_writes).pop_front();
+                if let Some(delay) = delay {
+                    task::sleep(delay).await;
+                    self.transaction(body);
+                    return futures::future::pending().await;
+                }
+                self.transaction(body)
+            }
             ("POST", "/api/kv-lease") => self.grant(body),
             ("POST", path) if path.starts_with(RENEW_PATH) => {
                 let id = path.strip_prefix(RENEW_PATH).and_then(|id| id.parse().ok());
@@ -293,17 +315,44 @@
         }
     }
 
-    /// Applies the puts of a transaction. Preconditions are not supported, since the product sends
-    /// none.
+    /// Applies the puts of a transaction if its preconditions and leases hold.
     fn transaction(&self, body: &[u8]) -> (u16, String) {
         let Ok(transaction) = serde_json::from_slice::<Value>(body) else {
             return (400, String::new());
         };
         let mut state = self.lock();
-        for put in transaction["put_ops"].as_array().into_iter().flatten() {
-            let text = |name: &str| put[name].as_str().unwrap_or_default().to_owned();
-            let lease = put["lease"].as_u64().unwrap_or(0);
-            state.put(&text("key"), text("value"), lease);
+        let conditions = transaction["precondition"].as_array().into_iter().flatten();
+        let found = conditions.map(|condition| {
+            let key = condition["key"].as_str().unwrap_or_default();
+            let item = state.items.get(key);
+            let is_met = item.map_or(0, |item| item.revision) == condition["revision"];
+            (
+                is_met,
+                item.map(|item| item_body(key, item, &|stored| stored.to_owned())),
+            )
+        });
+        let found: Vec<(bool, Option<Value>)> = found.collect();
+        if found.iter().any(|(is_met, _)| !is_met) {
+            let items: Vec<&Value> = found.iter().filter_map(|(_, item)| item.as_ref()).collect();
+            return (412, json!({ "items": items }).to_string());
+        }
+        let puts = transaction["put_ops"].as_array().into_iter().flatten();
+        let puts: Vec<(&str, &str, u64)> = puts
+            .map(|put| {
+                let text = |name: &str| put[name].as_str().unwrap_or_default();
+                (
+                    text("key"),
+                    text("value"),
+                    put["lease"].as_u64().unwrap_or(0),
+                )
+            })
+            .collect();
+        let is_gone = |lease: u64| lease != 0 && !state.leases.contains_key(&lease);
+        if puts.iter().any(|(_, _, lease)| is_gone(*lease)) {
+            return (404, String::new());
+        }
+        for (key, value, lease) in puts {
+            state.put(key, value.to_owned(), lease);
         }
         (200, json!({"revision": state.revision}).to_string())
     }
