--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Backoff after failed calls of a VM that others follow.
@@ -32,6 +33,9 @@
 const FIRST_START_DELAY: Duration = Duration::from_millis(900);
 /// Pause before a VM that is not ready is asked again.
 const START_PAUSE: Duration = Duration::from_millis(150);
+/// How long nothing is received from a store that does not answer another call, before the call that
+/// waits is given up.
+const SILENCE_TIME: Duration = Duration::from_millis(100);
 /// Prefix that all keys have: a single call waits for all changes.
 const ALL_KEYS_PREFIX: &str = "";
 
@@ -210,6 +214,19 @@
     Ok(())
 }
 
+/// Waits until the store does not answer another call, and sends nothing to this one.
+async fn wait_for_silence(state: &ControlState) {
+    let received = || state.store.received.load(Ordering::Relaxed);
+    loop {
+        store_status::wait_for_loss(state).await;
+        let before = received();
+        task::sleep(SILENCE_TIME).await;
+        if received() == before {
+            return;
+        }
+    }
+}
+
 /// Waits up to `wait` for changes from the store and applies them; the store has `answer_time` to
 /// answer once the wait is over.
 async fn follow_store(
@@ -226,7 +243,7 @@
     // A renewal of the registration may fail before the call does.
     let asked_at = clock::now();
     let following = pin!((state.store.follow)(call));
-    let lost = pin!(store_status::wait_for_loss(state));
+    let lost = pin!(wait_for_silence(state));
     let followed = match future::select(following, lost).await {
         Either::Left((followed, _)) => followed,
         Either::Right(((), _)) => Err(StoreError::ConnectionLost {
--- a/dahliawood-store/src/client/error/mod.rs
+++ b/dahliawood-store/src/client/error/mod.rs
@@ -55,6 +55,12 @@
     /// The value is too large; the write had no effect.
     #[snafu(display("the value is longer than the store holds"))]
     TooLarge,
+    /// The answer is longer than this VM takes.
+    #[snafu(display("the answer of the store is longer than {bound} bytes"))]
+    AnswerTooLarge {
+        /// The most bytes of an answer.
+        bound: usize,
+    },
     /// The lease has expired; the write had no effect.
     #[snafu(display("the lease has lapsed"))]
     LeaseExpired,
@@ -100,6 +106,7 @@
             Self::Timeout { .. }
             | Self::ConnectionLost { .. }
             | Self::Status { .. }
+            | Self::AnswerTooLarge { .. }
             | Self::Malformed { .. } => WriteEffect::Possible,
         }
     }
--- a/dahliawood-store/src/keyspace/call/mod.rs
+++ b/dahliawood-store/src/keyspace/call/mod.rs
@@ -2,6 +2,8 @@
 
 use crate::client::StoreCall;
 use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 /// One write or removal of a key.
@@ -120,6 +122,8 @@
     pub renew_lease: StoreCall<u64, ()>,
     /// Revokes a lease.
     pub revoke_lease: StoreCall<u64, ()>,
+    /// Bytes of answers to [`range`](Self::range) and [`follow`](Self::follow) that were received.
+    pub received: Arc<AtomicU64>,
 }
 
 impl fmt::Debug for KeyspaceClient {
--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -15,6 +15,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,10 @@
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Path prefix of lease renewals; the lease id follows.
 const RENEW_PATH: &str = "/api/kv-keep/";
+/// Bytes of values after which a page ends.
+const PAGE_BYTES: usize = 1_000_000;
+/// Bytes of a response that are written at a time.
+const WRITE_BYTES: usize = 8 * 1024;
 /// Upper bound on the head and on the body of a request, bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
@@ -73,6 +78,8 @@
     fault: Arc<Mutex<StoreFault>>,
     substitutes: Arc<Mutex<Vec<(String, String)>>>,
     late_writes: Arc<Mutex<VecDeque<Duration>>>,
+    /// Bytes a second of each response, zero for no bound.
+    rate: Arc<AtomicUsize>,
 }
 
 /// Starts a store on a free port of loopback.
@@ -92,6 +99,7 @@
         fault: Arc::default(),
         substitutes: Arc::default(),
         late_writes: Arc::default(),
+        rate: Arc::default(),
     };
     let served = store.clone();
     serving::accept(listener, move |stream| served.clone().serve(stream));
@@ -126,6 +134,11 @@
         *serving::lock(&self.substitutes) = substitutes;
     }
 
+    /// Sends responses at this address at `rate` bytes a second, as over a slow link.
+    pub fn set_rate(&self, rate: usize) {
+        self.rate.store(rate, Ordering::Relaxed);
+    }
+
     /// The next write gets no answer, and is carried out after `delay` if its condition and its lease
     /// hold then. Several delays apply to as many writes, in turn.
     pub fn delay_write(&self, delay: Duration) {
@@ -233,8 +246,14 @@
             let mut fields = FieldList::default();
             fields.push("Store-Era", self.lock().epoch.to_string());
             let bytes = write::response(status, &fields, response.as_bytes(), false);
-            if output.write_all(&bytes).await.is_err() {
-                return;
+            let rate = self.rate.load(Ordering::Relaxed);
+            for part in bytes.chunks(WRITE_BYTES) {
+                if output.write_all(part).await.is_err() {
+                    return;
+                }
+                if rate > 0 {
+                    task::sleep(Duration::from_secs_f64(part.len() as f64 / rate as f64)).await;
+                }
             }
         }
     }
@@ -258,7 +277,7 @@
             ("GET", "/api/kv-range") => (
                 200,
                 self.lock()
-                    .range(&parameter("prefix"), &read_value)
+                    .range(&parameter("prefix"), &parameter("after"), &read_value)
                     .to_string(),
             ),
             ("GET", "/api/kv-watch") => {
@@ -425,12 +444,20 @@
         }
     }
 
-    fn range(&self, prefix: &str, read_value: &dyn Fn(&str) -> String) -> Value {
-        let items = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let items: Vec<Value> = items
-            .map(|(key, item)| item_body(key, item, read_value))
-            .collect();
-        json!({"items": items, "more_pages": false, "store_revision": self.revision})
+    /// A page of the keys under a prefix, from the one after `after` on.
+    fn range(&self, prefix: &str, after: &str, read_value: &dyn Fn(&str) -> String) -> Value {
+        let items = self.items.iter();
+        let mut items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+        let mut page: Vec<Value> = Vec::new();
+        let mut bytes = 0;
+        while bytes < PAGE_BYTES
+            && let Some((key, item)) = items.next()
+        {
+            bytes += item.value.len();
+            page.push(item_body(key, item, read_value));
+        }
+        let has_more = items.next().is_some();
+        json!({"items": page, "more_pages": has_more, "store_revision": self.revision})
     }
 
     fn events(&self, prefix: &str, after: u64, read_value: &dyn Fn(&str) -> String) -> Vec<Value> {
