--- a/dahliawood-gateway/src/control/copy/mod.rs
+++ b/dahliawood-gateway/src/control/copy/mod.rs
@@ -20,6 +20,7 @@
 
 /// Applies the changes that lead to `revision`, and passes them on to VMs that follow this one.
 pub fn apply_items(state: &ControlState, items: Vec<KeyspaceItem>, revision: u64) {
+    supersede_transfers(state, &items);
     state.change_log.borrow_mut().extend(&items, revision);
     let changes = state.view.borrow_mut().apply(items, revision, clock::now());
     if state.sources.borrow().is_confirmed() {
@@ -35,6 +36,7 @@
 /// The changes of a first read may be some seconds old, so they are not in force before they are
 /// [confirmed](confirm), but for the registered VMs.
 pub fn replace(state: &ControlState, items: Vec<KeyspaceItem>, revision: u64) {
+    supersede_transfers(state, &items);
     let is_first = !state.sources.borrow().is_confirmed();
     let epoch = state.view.borrow().epoch();
     let changes = state
@@ -71,12 +73,13 @@
         value: key.value,
         revision: key.revision,
     });
+    let items: Vec<KeyspaceItem> = items.collect();
+    supersede_transfers(state, &items);
     let epoch = state.view.borrow().epoch();
-    let changes =
-        state
-            .view
-            .borrow_mut()
-            .apply_relayed(items.collect(), &listed, source, clock::now());
+    let changes = state
+        .view
+        .borrow_mut()
+        .apply_relayed(items, &listed, source, clock::now());
     note_restoration(state, epoch);
     let revision = state.view.borrow().revision();
     state.change_log.borrow_mut().reset(revision);
@@ -84,6 +87,35 @@
     notify_followers(state);
 }
 
+/// Applies a long value that was fetched apart from the changes around it.
+pub fn apply_value(state: &ControlState, item: KeyspaceItem) {
+    let items = vec![item];
+    supersede_transfers(state, &items);
+    let mut view = state.view.borrow_mut();
+    let revision = view.revision();
+    let changes = view.apply(items, revision, clock::now());
+    drop(view);
+    // Followers that lack the value don't find it among later changes.
+    state.change_log.borrow_mut().reset(revision);
+    if state.sources.borrow().is_confirmed() {
+        apply::apply_changes(state, &changes);
+    } else {
+        state.unconfirmed.borrow_mut().extend(changes);
+    }
+    notify_followers(state);
+}
+
+/// Ends the transfers of values that have come in another way, or are gone.
+fn supersede_transfers(state: &ControlState, items: &[KeyspaceItem]) {
+    let mut transfers = state.transfers.borrow_mut();
+    if transfers.is_empty() {
+        return;
+    }
+    for item in items {
+        transfers.supersede(&item.key, item.revision);
+    }
+}
+
 /// Brings into force what the first read found: the answer to a later call has confirmed it, or none
 /// can be had.
 pub fn confirm(state: &ControlState) {
--- a/dahliawood-gateway/src/control/followers/mod.rs
+++ b/dahliawood-gateway/src/control/followers/mod.rs
@@ -1,7 +1,7 @@
 //! Answers the VMs that follow this one, or that copy the key space from it.
 
 use crate::clock;
-use crate::control::ControlState;
+use crate::control::{ControlState, parts};
 use async_std::future::timeout;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_peer::gateway::message::{
@@ -18,7 +18,7 @@
     loop {
         // Resolves, with an error, when the next answer of this VM's source is applied.
         let next_answer = state.changed.borrow().1.clone();
-        let response = known_changes(&state, request.after, arrived_at);
+        let response = known_changes(&state, request, arrived_at);
         let left = ends_at.since(clock::now());
         if left.is_zero() || is_news(&response, request.known_stamp) {
             return response;
@@ -35,7 +35,12 @@
     !known.changes.is_empty() || known.date.is_some_and(is_later)
 }
 
-fn known_changes(state: &ControlState, after: u64, arrived_at: TimeStamp) -> ChangesResponse {
+fn known_changes(
+    state: &ControlState,
+    request: ChangesRequest,
+    arrived_at: TimeStamp,
+) -> ChangesResponse {
+    let after = request.after;
     let now = clock::now();
     if !is_sound(state, now) {
         return ChangesResponse::NotCurrent;
@@ -44,10 +49,15 @@
     let Some(items) = log.since(after) else {
         return ChangesResponse::TooOld;
     };
-    let changes = items.into_iter().map(|item| KeyspaceChange {
-        key: item.key,
-        revision: item.revision,
-        value: item.value,
+    let changes = items.into_iter().map(|item| {
+        let value = item.value.as_deref().unwrap_or_default();
+        let left_out = parts::left_out(value, request.takes_parts);
+        KeyspaceChange {
+            key: item.key,
+            revision: item.revision,
+            value: item.value.filter(|_| left_out == 0),
+            left_out,
+        }
     });
     ChangesResponse::Changes(KeyspaceChanges {
         revision: log.revision().max(after),
@@ -57,14 +67,27 @@
     })
 }
 
-/// This VM's copy of the key space, without the values of keys last written at or below `above`.
-pub fn snapshot(state: &ControlState, above: u64) -> KeyspaceSnapshot {
+/// This VM's copy of the key space, without the values of keys last written at or below `above`, and
+/// without long ones if the caller takes parts. While this VM itself lacks a value it has no copy to
+/// give.
+pub fn snapshot(state: &ControlState, above: u64, takes_parts: bool) -> KeyspaceSnapshot {
+    if !state.transfers.borrow().is_empty() {
+        return KeyspaceSnapshot::default();
+    }
     let now = clock::now();
     let view = state.view.borrow();
-    let keys = view.known().map(|(key, known)| KeyspaceEntry {
-        key: key.clone(),
-        revision: known.revision,
-        value: (known.revision > above).then(|| known.value.to_vec()),
+    let keys = view.known().map(|(key, known)| {
+        let is_newer = known.revision > above;
+        let left_out = match is_newer {
+            true => parts::left_out(&known.value, takes_parts),
+            false => 0,
+        };
+        KeyspaceEntry {
+            key: key.clone(),
+            revision: known.revision,
+            value: (is_newer && left_out == 0).then(|| known.value.to_vec()),
+            left_out,
+        }
     });
     let is_settled = is_sound(state, now) && !view.is_settling(now);
     KeyspaceSnapshot {
@@ -81,7 +104,8 @@
 /// Whether this VM's copy is current, and kept so by its source.
 fn is_sound(state: &ControlState, now: TimeStamp) -> bool {
     let has_source = state.is_relayed.get() || state.is_store_up.get();
-    has_source && state.sources.borrow().is_current(now)
+    let has_all = state.transfers.borrow().is_empty();
+    has_source && has_all && state.sources.borrow().is_current(now)
 }
 
 /// The date of this VM's copy, from the arrival of a call.
--- a/dahliawood-gateway/src/control/knowledge/mod.rs
+++ b/dahliawood-gateway/src/control/knowledge/mod.rs
@@ -91,6 +91,7 @@
     let age = age(state, now);
     state.shared.metrics.knowledge_age.set(age.as_secs_f64());
     let is_old = !state.sources.borrow().is_current(now);
+    state.shared.set_knowledge_old(is_old);
     let mut knowledge = state.knowledge.borrow_mut();
     if std::mem::replace(&mut knowledge.is_old, is_old) == is_old {
         return;
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod followers;
 pub mod knowledge;
 pub mod loads;
+pub mod parts;
 pub mod peers;
 pub mod register;
 pub mod relay;
@@ -15,6 +16,7 @@
 pub mod source;
 pub mod store_status;
 pub mod tick;
+pub mod transfers;
 pub mod upstream;
 pub mod vms;
 
@@ -61,6 +63,12 @@
     pub change_log: RefCell<ChangeLog>,
     /// Channel that is closed, and replaced, when an answer of this VM's source is applied.
     pub changed: RefCell<(Sender<()>, Receiver<()>)>,
+    /// Long values that this VM knows to be written and does not have.
+    pub transfers: RefCell<transfers::tracker::TransferTracker>,
+    /// Channel that gets a message when there is a value to fetch.
+    pub transfer_wake: (Sender<()>, Receiver<()>),
+    /// Long values as other VMs fetch them.
+    pub part_cache: RefCell<parts::PartCache>,
     /// Connections to other VMs.
     pub peers: peers::PeerTable,
     /// Loads of targets that are shared with other VMs.
@@ -129,6 +137,9 @@
         unconfirmed: RefCell::default(),
         change_log: RefCell::default(),
         changed: RefCell::new(bounded(1)),
+        transfers: RefCell::default(),
+        transfer_wake: bounded(1),
+        part_cache: RefCell::default(),
         peers: peers::PeerTable::default(),
         coordinator: RefCell::new(AllocationCoordinator::new(window, incarnation)),
         incarnation,
@@ -144,6 +155,7 @@
         spawn(&state, "loads", loads::run),
         spawn(&state, "region-loads", loads::run_regions),
         spawn(&state, "follow", follow::run),
+        spawn(&state, "transfers", transfers::run),
         spawn(&state, "register", register::run),
         spawn(&state, "tick", tick::run),
     ];
--- a/dahliawood-gateway/src/control/peers/mod.rs
+++ b/dahliawood-gateway/src/control/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Connections to other VMs, and the handlers of their calls.
 
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, followers, loads, shares, sightings};
+use crate::control::{ControlState, followers, loads, parts, shares, sightings};
 use async_std::net::TcpListener;
 use dahliawood_model::FastMap;
 use dahliawood_peer::client::CallOptions;
@@ -60,11 +60,15 @@
 pub async fn serve(state: Rc<ControlState>, listener: TcpListener) {
     let (share_state, keyspace_state) = (Rc::clone(&state), Rc::clone(&state));
     let (sighting_state, load_state) = (Rc::clone(&state), Rc::clone(&state));
+    let part_state = Rc::clone(&state);
     let handlers = GatewayHandlers {
         shares: Box::new(move |report| shares::handle_report(&share_state, report)),
         sightings: Box::new(move |is_new, told| sightings::handle(&sighting_state, is_new, told)),
         loads: Box::new(move |request| loads::handle(&load_state, request)),
-        keyspace: Box::new(move |above| followers::snapshot(&keyspace_state, above)),
+        keyspace: Box::new(move |above, takes_parts| {
+            followers::snapshot(&keyspace_state, above, takes_parts)
+        }),
+        part: Box::new(move |request| parts::handle(&part_state, request)),
         changes: Box::new(move |request| Box::pin(followers::changes(Rc::clone(&state), request))),
     };
     if let Err(error) = server::serve(listener, Rc::new(handlers)).await {
--- a/dahliawood-gateway/src/control/relay/mod.rs
+++ b/dahliawood-gateway/src/control/relay/mod.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::control::knowledge::KnowledgeSource;
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, apply, copy, knowledge};
+use crate::control::{ControlState, apply, copy, knowledge, upstream};
 use async_std::task;
 use dahliawood_peer::client::error::CallError;
 use dahliawood_peer::gateway::message::KeyspaceSnapshot;
@@ -34,6 +34,7 @@
             Ok(snapshot) => {
                 knowledge::set_source(&state, KnowledgeSource::Vm(vm.name.clone()));
                 let date = snapshot.date.filter(|_| snapshot.is_settled);
+                upstream::announce_left_out(&state, &snapshot, &vm.name);
                 copy::apply_snapshot(&state, snapshot);
                 if let Some(date) = date {
                     let now = clock::now();
@@ -66,5 +67,5 @@
 ) -> Result<KeyspaceSnapshot, CallError> {
     let client = state.peers.client(vm.peer).await?;
     let above = state.view.borrow().heard_revision();
-    client.keyspace(above).await
+    client.keyspace(above, true).await
 }
--- a/dahliawood-gateway/src/control/upstream/mod.rs
+++ b/dahliawood-gateway/src/control/upstream/mod.rs
@@ -2,11 +2,11 @@
 
 use crate::clock;
 use crate::control::vms::VmRecord;
-use crate::control::{ControlState, copy};
+use crate::control::{ControlState, copy, transfers};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_peer::client::error::CallError;
 use dahliawood_peer::gateway::message::{
-    ChangesRequest, ChangesResponse, CopyDate, KeyspaceChanges,
+    ChangesRequest, ChangesResponse, CopyDate, KeyspaceChange, KeyspaceChanges, KeyspaceSnapshot,
 };
 use dahliawood_store::keyspace::call::KeyspaceItem;
 use std::time::Duration;
@@ -37,6 +37,7 @@
         after: state.view.borrow().revision(),
         wait,
         known_stamp: Some(told_stamp(state, relay)),
+        takes_parts: true,
     };
     let asked_at = clock::now();
     match client.changes(request).await? {
@@ -44,8 +45,9 @@
         ChangesResponse::TooOld => {
             let above = state.view.borrow().heard_revision();
             let asked_at = clock::now();
-            let snapshot = client.keyspace(above).await?;
+            let snapshot = client.keyspace(above, true).await?;
             let (is_settled, date) = (snapshot.is_settled, snapshot.date);
+            announce_left_out(state, &snapshot, &relay.name);
             copy::apply_snapshot(state, snapshot);
             if is_settled {
                 record_date(state, relay, date, asked_at);
@@ -54,7 +56,7 @@
         }
         ChangesResponse::Changes(changes) => {
             let date = changes.date;
-            apply(state, changes);
+            apply(state, changes, &relay.name);
             record_date(state, relay, date, asked_at);
             Ok(true)
         }
@@ -91,8 +93,21 @@
     copy::notify_followers(state);
 }
 
-fn apply(state: &ControlState, changes: KeyspaceChanges) {
-    let items = changes.changes.into_iter().map(|change| KeyspaceItem {
+/// Fetches the values that a VM left out of its copy.
+pub fn announce_left_out(state: &ControlState, snapshot: &KeyspaceSnapshot, teller: &str) {
+    let long = snapshot.keys.iter().filter(|key| key.left_out > 0);
+    for key in long {
+        transfers::announce(state, &key.key, key.revision, teller);
+    }
+}
+
+fn apply(state: &ControlState, changes: KeyspaceChanges, teller: &str) {
+    let is_long = |change: &KeyspaceChange| change.left_out > 0;
+    let (long, short): (Vec<_>, Vec<_>) = changes.changes.into_iter().partition(is_long);
+    for change in long {
+        transfers::announce(state, &change.key, change.revision, teller);
+    }
+    let items = short.into_iter().map(|change| KeyspaceItem {
         key: change.key,
         value: change.value,
         revision: change.revision,
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -104,6 +104,10 @@
     pub overlapping: AtomicUsize,
     /// Open connections of callers.
     pub connections: AtomicUsize,
+    /// Whether this VM knows of a configuration that it does not have yet.
+    is_outdated: AtomicBool,
+    /// Whether what this VM knows of the key space is old.
+    is_knowledge_old: AtomicBool,
     is_leaving: AtomicBool,
     has_stopped_accepting: AtomicBool,
     shutdown_sender: Sender<()>,
@@ -145,6 +149,8 @@
             helping: AtomicUsize::new(0),
             overlapping: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            is_outdated: AtomicBool::new(false),
+            is_knowledge_old: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
             has_stopped_accepting: AtomicBool::new(false),
             shutdown_sender,
@@ -257,6 +263,22 @@
         self.log.write(EventClass::Notable, "statement", event);
     }
 
+    /// Records whether this VM knows of a configuration that it does not have yet.
+    pub fn set_outdated(&self, is_outdated: bool) {
+        self.is_outdated.store(is_outdated, Ordering::Release);
+    }
+
+    /// Records whether what this VM knows of the key space is old.
+    pub fn set_knowledge_old(&self, is_old: bool) {
+        self.is_knowledge_old.store(is_old, Ordering::Release);
+    }
+
+    /// Whether there may be a newer configuration than this VM has, so that what it does not know may
+    /// exist.
+    pub fn may_be_outdated(&self) -> bool {
+        self.is_outdated.load(Ordering::Acquire) || self.is_knowledge_old.load(Ordering::Acquire)
+    }
+
     /// Whether the VM is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Acquire)
--- a/dahliawood-gateway/tests/main/main.rs
+++ b/dahliawood-gateway/tests/main/main.rs
@@ -5,3 +5,4 @@
 mod held_bytes;
 mod registration;
 mod source;
+mod transfers;
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -142,6 +142,8 @@
   revision @1 :UInt64;
   value @2 :Data;
   isKnown @3 :Bool;
+  # Not 0 if a value of this many bytes is left out, to be fetched in parts.
+  leftOut @4 :UInt32;
 }
 
 # A change of a key of the key space: a write, or a removal.
@@ -150,6 +152,8 @@
   revision @1 :UInt64;
   value @2 :Data;
   isGone @3 :Bool;
+  # Not 0 if a value of this many bytes is left out, to be fetched in parts.
+  leftOut @4 :UInt32;
 }
 
 # What a VM saw of a request that may crash targets, or of a target's process.
@@ -198,8 +202,9 @@
   # the entries, if `tableLeftMs` is not 0: what it may still count for.
   shares @0 (from :Text, entries :List(CustomerNeed), isLeaving :Bool, life :UInt64, ageMs :UInt32, wantsTable :Bool, tableLeftMs :UInt32) -> (isHead :Bool, entries :List(CustomerShare), life :UInt64, hasTable :Bool, table :List(CustomerShare));
   # Returns all keys that the callee knows, without the values of keys last written at or below
-  # revision `above`. The date is that of the callee's copy, as in `changes`.
-  space @1 (above :UInt64) -> (revision :UInt64, isSettled :Bool, keys :List(SpaceKey), isDated :Bool, dateOffsetMs :Int32, dateStamp :UInt64);
+  # revision `above`. The date is that of the callee's copy, as in `changes`. Long values are left out
+  # if the caller `takesParts`.
+  space @1 (above :UInt64, takesParts :Bool) -> (revision :UInt64, isSettled :Bool, keys :List(SpaceKey), isDated :Bool, dateOffsetMs :Int32, dateStamp :UInt64);
   # Returns the changes after revision `after` as soon as there are any, or none after `waitMs`
   # milliseconds. `isCurrent` tells whether the callee's copy follows the store at this time; if
   # not, the rest is empty. `isTooOld` tells that the callee does not have all changes since
@@ -207,8 +212,8 @@
   # If `isDated`, the callee's copy had all changes `dateOffsetMs` milliseconds after the call arrived,
   # or before it if negative; `dateStamp` is the same time by the callee's clock. If the caller sends
   # the stamp that it was told last, or 1, a later date is news too, as changes are; 0 if dates are not
-  # news to it.
-  changes @2 (after :UInt64, waitMs :UInt32, knownStamp :UInt64) -> (isCurrent :Bool, isTooOld :Bool, revision :UInt64, settlesInMs :UInt32, changes :List(SpaceChange), isDated :Bool, dateOffsetMs :Int32, dateStamp :UInt64);
+  # news to it. Long values are left out if the caller `takesParts`.
+  changes @2 (after :UInt64, waitMs :UInt32, knownStamp :UInt64, takesParts :Bool) -> (isCurrent :Bool, isTooOld :Bool, revision :UInt64, settlesInMs :UInt32, changes :List(SpaceChange), isDated :Bool, dateOffsetMs :Int32, dateStamp :UInt64);
   # Tells the callee what the caller has seen or heard lately, and returns the same of the callee; all
   # that it remembers of crashes if the caller `isNew`, that is, has just started.
   sightings @3 (isNew :Bool, entries :List(Sighting)) -> (entries :List(Sighting));
@@ -221,6 +226,9 @@
   # the request was under way. `isServing` tells whether the callee collects; if not, the rest is
   # empty.
   loads @4 (caller :UInt64, isCollector :Bool, life :UInt64, after :UInt64, clock :UInt64, entries :List(LoadEntry)) -> (isServing :Bool, life :UInt64, next :UInt64, clock :UInt64, entries :List(LoadEntry));
+  # Returns up to `most` bytes from `offset` on of the value that `key` had at `revision`, compressed as a
+  # zlib stream of `length` bytes in all; nothing if the callee does not have it any more.
+  part @5 (key :Text, revision :UInt64, offset :UInt32, most :UInt32) -> (length :UInt32, data :Data);
 }
 
 struct HeaderField {
--- a/dahliawood-peer/src/gateway/client/mod.rs
+++ b/dahliawood-peer/src/gateway/client/mod.rs
@@ -5,7 +5,7 @@
 use crate::gateway::loads::{LoadsRequest, LoadsResponse};
 use crate::gateway::message::{
     self, ChangesRequest, ChangesResponse, CopyDate, KeyspaceChanges, KeyspaceSnapshot,
-    ShareReport, ShareResponse, SightingMessage,
+    PartRequest, ShareReport, ShareResponse, SightingMessage, ValuePart,
 };
 use crate::generated::peer_capnp::gateway_peer;
 use snafu::ResultExt;
@@ -67,13 +67,18 @@
     }
 
     /// Fetches all keys that the other VM knows; values are left out for keys whose last write has
-    /// a revision up to `above`.
+    /// a revision up to `above`, and long ones if the caller `takes_parts`.
     ///
     /// # Errors
     /// Fails if the call fails or no response arrives within the deadline.
-    pub async fn keyspace(&self, above: u64) -> Result<KeyspaceSnapshot, CallError> {
+    pub async fn keyspace(
+        &self,
+        above: u64,
+        takes_parts: bool,
+    ) -> Result<KeyspaceSnapshot, CallError> {
         let mut request = self.client.space_request();
         request.get().set_above(above);
+        request.get().set_takes_parts(takes_parts);
         let response = self
             .connection
             .with_deadline(request.send().promise)
@@ -101,6 +106,7 @@
         let wait_ms = u32::try_from(call.wait.as_millis()).unwrap_or(u32::MAX);
         request.get().set_wait_ms(wait_ms);
         request.get().set_known_stamp(call.known_stamp.unwrap_or(0));
+        request.get().set_takes_parts(call.takes_parts);
         let response = self
             .connection
             .with_longer_deadline(call.wait, request.send().promise)
@@ -124,6 +130,27 @@
         }))
     }
 
+    /// Fetches a part of a key's value, within `time` beyond the deadline of a call.
+    ///
+    /// # Errors
+    /// Fails if the call fails or no response arrives in time.
+    pub async fn part(&self, call: &PartRequest, time: Duration) -> Result<ValuePart, CallError> {
+        let mut request = self.client.part_request();
+        request.get().set_key(&call.key);
+        request.get().set_revision(call.revision);
+        request.get().set_offset(call.offset);
+        request.get().set_most(call.most);
+        let response = self
+            .connection
+            .with_longer_deadline(time, request.send().promise)
+            .await?;
+        let results = response.get().context(CallSnafu)?;
+        Ok(ValuePart {
+            length: results.get_length(),
+            data: results.get_data().context(CallSnafu)?.to_vec(),
+        })
+    }
+
     /// Tells the other VM what this one has seen, and returns what that one has; `is_new` if this VM
     /// has just started.
     ///
--- a/dahliawood-peer/src/gateway/message/mod.rs
+++ b/dahliawood-peer/src/gateway/message/mod.rs
@@ -82,8 +82,10 @@
     pub key: String,
     /// Revision of the key's last write.
     pub revision: u64,
-    /// The value, `None` if the caller already knows this revision.
+    /// The value, `None` if the caller already knows this revision, or if it is left out.
     pub value: Option<Vec<u8>>,
+    /// Bytes of a value that is left out, to be fetched in parts; zero if none is.
+    pub left_out: u32,
 }
 
 /// A VM's copy of the key space.
@@ -117,6 +119,30 @@
     pub wait: Duration,
     /// Stamp of the date that the callee told last; `None` if a later date is no news to the caller.
     pub known_stamp: Option<u64>,
+    /// Whether the callee may leave out long values, which the caller fetches in parts.
+    pub takes_parts: bool,
+}
+
+/// A call for a part of a key's value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartRequest {
+    /// The key.
+    pub key: String,
+    /// Revision of the write.
+    pub revision: u64,
+    /// Bytes of the compressed value before the part.
+    pub offset: u32,
+    /// The most bytes of the part.
+    pub most: u32,
+}
+
+/// A part of a key's value, compressed as a zlib stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ValuePart {
+    /// Bytes of the whole compressed value; zero if the callee does not have it any more.
+    pub length: u32,
+    /// The bytes.
+    pub data: Vec<u8>,
 }
 
 /// A change of a key of the key space.
@@ -126,8 +152,10 @@
     pub key: String,
     /// Revision of the change.
     pub revision: u64,
-    /// The value, `None` if the key was removed.
+    /// The value, `None` if the key was removed, or if the value is left out.
     pub value: Option<Vec<u8>>,
+    /// Bytes of a value that is left out, to be fetched in parts; zero if none is.
+    pub left_out: u32,
 }
 
 /// The response of a VM that was asked for changes of the key space.
@@ -266,6 +294,7 @@
             Some(value) => builder.set_value(value),
             None => builder.set_is_known(true),
         }
+        builder.set_left_out(key.left_out);
     }
 }
 
@@ -282,6 +311,7 @@
             key: key.get_key()?.to_string()?,
             revision: key.get_revision(),
             value,
+            left_out: key.get_left_out(),
         });
     }
     Ok(keys)
@@ -297,8 +327,9 @@
         builder.set_revision(change.revision);
         match &change.value {
             Some(value) => builder.set_value(value),
-            None => builder.set_is_gone(true),
+            None => builder.set_is_gone(change.left_out == 0),
         }
+        builder.set_left_out(change.left_out);
     }
 }
 
@@ -307,7 +338,8 @@
 ) -> capnp::Result<Vec<KeyspaceChange>> {
     let mut changes = Vec::with_capacity(list.len() as usize);
     for change in list {
-        let value = match change.get_is_gone() {
+        let left_out = change.get_left_out();
+        let value = match change.get_is_gone() || left_out > 0 {
             true => None,
             false => Some(change.get_value()?.to_vec()),
         };
@@ -315,6 +347,7 @@
             key: change.get_key()?.to_string()?,
             revision: change.get_revision(),
             value,
+            left_out,
         });
     }
     Ok(changes)
--- a/dahliawood-peer/src/gateway/server/mod.rs
+++ b/dahliawood-peer/src/gateway/server/mod.rs
@@ -2,8 +2,8 @@
 
 use crate::gateway::loads::{LoadsRequest, LoadsResponse};
 use crate::gateway::message::{
-    self, ChangesRequest, ChangesResponse, KeyspaceSnapshot, ShareReport, ShareResponse,
-    SightingMessage,
+    self, ChangesRequest, ChangesResponse, KeyspaceSnapshot, PartRequest, ShareReport,
+    ShareResponse, SightingMessage, ValuePart,
 };
 use crate::generated::peer_capnp::gateway_peer;
 use async_std::net::TcpListener;
@@ -18,8 +18,11 @@
 pub struct GatewayHandlers {
     /// Receives a VM's report and returns its shares.
     pub shares: Box<dyn Fn(&ShareReport) -> ShareResponse>,
-    /// Returns all known keys, without the values of keys last written at or below a revision.
-    pub keyspace: Box<dyn Fn(u64) -> KeyspaceSnapshot>,
+    /// Returns all known keys, without the values of keys last written at or below a revision, and
+    /// without long ones if the caller takes parts.
+    pub keyspace: Box<dyn Fn(u64, bool) -> KeyspaceSnapshot>,
+    /// Returns a part of a long value.
+    pub part: Box<dyn Fn(&PartRequest) -> ValuePart>,
     /// Waits for news: changes after a revision, or a later date of the copy.
     pub changes: Box<dyn Fn(ChangesRequest) -> LocalBoxFuture<'static, ChangesResponse>>,
     /// Takes what the caller, which may be new, has seen, and returns what this VM has.
@@ -63,7 +66,8 @@
         params: gateway_peer::SpaceParams,
         mut results: gateway_peer::SpaceResults,
     ) -> capnp::Result<()> {
-        let response = (self.keyspace)(params.get()?.get_above());
+        let params = params.get()?;
+        let response = (self.keyspace)(params.get_above(), params.get_takes_parts());
         let count = message::list_length(response.keys.len())?;
         let mut builder = results.get();
         builder.set_revision(response.revision);
@@ -88,6 +92,7 @@
             after: params.get_after(),
             wait: Duration::from_millis(params.get_wait_ms().into()),
             known_stamp: (known_stamp > 0).then_some(known_stamp),
+            takes_parts: params.get_takes_parts(),
         };
         let response = (self.changes)(request).await;
         let mut builder = results.get();
@@ -108,6 +113,25 @@
         Ok(())
     }
 
+    async fn part(
+        self: Rc<Self>,
+        params: gateway_peer::PartParams,
+        mut results: gateway_peer::PartResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let request = PartRequest {
+            key: params.get_key()?.to_string()?,
+            revision: params.get_revision(),
+            offset: params.get_offset(),
+            most: params.get_most(),
+        };
+        let part = (self.part)(&request);
+        let mut builder = results.get();
+        builder.set_length(part.length);
+        builder.set_data(&part.data);
+        Ok(())
+    }
+
     async fn sightings(
         self: Rc<Self>,
         params: gateway_peer::SightingsParams,
--- a/dahliawood-testkit/examples/measure/follow/mod.rs
+++ b/dahliawood-testkit/examples/measure/follow/mod.rs
@@ -55,6 +55,7 @@
         key: "servers/i-0123456789".to_owned(),
         revision: 1,
         value: Some(vec![b'x'; CHANGE_BYTES]),
+        left_out: 0,
     };
     ChangesResponse::Changes(KeyspaceChanges {
         revision: 1,
@@ -77,7 +78,8 @@
             ready.send(address).expect("a receiver");
             let handlers = GatewayHandlers {
                 shares: Box::new(|_| ShareResponse::default()),
-                keyspace: Box::new(|_| KeyspaceSnapshot::default()),
+                keyspace: Box::new(|_, _| KeyspaceSnapshot::default()),
+                part: Box::new(|_| dahliawood_peer::gateway::message::ValuePart::default()),
                 changes: Box::new(move |_| Box::pin(future::ready(changes(count)))),
                 sightings: Box::new(|_, _| Vec::new()),
                 loads: Box::new(|_| dahliawood_peer::gateway::loads::LoadsResponse::default()),
@@ -102,6 +104,7 @@
             after: 1,
             wait: Duration::from_secs(1),
             known_stamp: Some(1),
+            takes_parts: true,
         };
         for _ in 0..CALLS {
             caller.changes(request).await.expect("an answer");
--- a/dahliawood-testkit/examples/measure/loads/mod.rs
+++ b/dahliawood-testkit/examples/measure/loads/mod.rs
@@ -111,7 +111,8 @@
             let state = RefCell::new((LoadParticipant::new(1, 1), table(targets)));
             let handlers = GatewayHandlers {
                 shares: Box::new(|_| ShareResponse::default()),
-                keyspace: Box::new(|_| KeyspaceSnapshot::default()),
+                keyspace: Box::new(|_, _| KeyspaceSnapshot::default()),
+                part: Box::new(|_| dahliawood_peer::gateway::message::ValuePart::default()),
                 changes: Box::new(|_| Box::pin(future::ready(ChangesResponse::NotCurrent))),
                 sightings: Box::new(|_, _| Vec::new()),
                 loads: Box::new(move |request| {
--- a/dahliawood-testkit/src/link/mod.rs
+++ b/dahliawood-testkit/src/link/mod.rs
@@ -6,11 +6,12 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::future::{self, Either};
-use futures::io;
+use futures::io::{AsyncReadExt, AsyncWriteExt};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -28,6 +29,10 @@
     Taken,
 }
 
+/// Bytes that are copied at a time.
+const COPY_BYTES: usize = 8 * 1024;
+/// The rate of a direction without a bound.
+static NO_RATE: AtomicUsize = AtomicUsize::new(0);
 /// Connections that wait to be accepted by a link.
 const LISTEN_QUEUE: i32 = 128;
 /// Connections that fill the queue of a listener which accepts none, so that further ones hang.
@@ -62,6 +67,8 @@
     pub address: SocketAddr,
     server: SocketAddr,
     state: Arc<Mutex<LinkState>>,
+    /// Bytes a second from the server to its callers, zero for no bound.
+    rate: Arc<AtomicUsize>,
     /// Keeps the port while nothing listens on it: other processes and tests bind free ports, and would
     /// accept the connections of a link that is cut.
     _reserved: Arc<Socket>,
@@ -84,6 +91,7 @@
             changed: bounded(1),
             accepted: 0,
         })),
+        rate: Arc::default(),
         _reserved: Arc::new(reserved),
     };
     link.open(listen(address)?);
@@ -113,6 +121,11 @@
         Ok(())
     }
 
+    /// Bounds what the server sends to `rate` bytes a second and connection.
+    pub fn set_rate(&self, rate: usize) {
+        self.rate.store(rate, Ordering::Relaxed);
+    }
+
     /// Ends a cut. Connections that have hung are closed.
     ///
     /// # Errors
@@ -168,7 +181,10 @@
             return;
         };
         let _nodelay = (client.set_nodelay(true), server.set_nodelay(true));
-        let mut copying = pin!(future::join(copy(&client, &server), copy(&server, &client)));
+        let mut copying = pin!(future::join(
+            copy(&client, &server, &NO_RATE),
+            copy(&server, &client, &self.rate),
+        ));
         loop {
             let (cut, changed) = self.status();
             match cut {
@@ -192,9 +208,20 @@
     }
 }
 
-/// Copies bytes in one direction until the stream ends or fails.
-async fn copy(from: &TcpStream, to: &TcpStream) {
-    let _copied = io::copy(from, &mut &*to).await;
+/// Copies bytes in one direction, `rate` of them a second unless it is zero, until the stream ends or
+/// fails.
+async fn copy(from: &TcpStream, to: &TcpStream, rate: &AtomicUsize) {
+    let mut bytes = [0; COPY_BYTES];
+    let (mut input, mut output) = (from, to);
+    while let Ok(count @ 1..) = input.read(&mut bytes).await {
+        if output.write_all(&bytes[..count]).await.is_err() {
+            break;
+        }
+        let rate = rate.load(Ordering::Relaxed);
+        if rate > 0 {
+            task::sleep(Duration::from_secs_f64(count as f64 / rate as f64)).await;
+        }
+    }
     let _ended = to.shutdown(Shutdown::Write);
 }
 
