fix(gateway): a VM whose configuration may be old does not call a request wrong (DENIED)

What callers saw: 404 and 401 for routes and keys that had been declared, by VMs that knew that their knowledge was up to 20 s old. Callers do not try again after these.

Cause: the answer to what a VM does not know did not depend on how old its knowledge was.

Change: while its knowledge is old, or a later configuration is known to be on its way, a VM answers 503 with Retry-After for a route or key that it does not know. Requests that it knows are served as before.

--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -129,8 +129,9 @@
     let catalog = catalog.ok_or(RefusalCause::NoCatalog)?;
     let host = request.head.fields.get("host").unwrap_or_default();
     let route = catalog.route(host, request.head.path());
-    let route = route.ok_or(RefusalCause::NoRoute)?;
-    let customer = customer(catalog, route, metadata)?;
+    let route = route.ok_or_else(|| unknown(state, RefusalCause::NoRoute))?;
+    let customer = customer(catalog, route, metadata);
+    let customer = customer.map_err(|cause| unknown(state, cause))?;
     let timeout = catalog.routes[route].timeout;
     let wait = metadata.timeout.unwrap_or(timeout).min(timeout);
     let service = service(state, catalog, route);
@@ -149,6 +150,15 @@
     Ok((routed, counted))
 }
 
+/// Why a request is refused whose route or key this VM does not know: they may have been declared since
+/// if its configuration is old, and then the request is not wrong.
+fn unknown(state: &GatewayState, cause: RefusalCause) -> RefusalCause {
+    match state.may_be_outdated() {
+        true => RefusalCause::Outdated,
+        false => cause,
+    }
+}
+
 /// The customer whose API key a request has, `None` if the route needs no key or no customers are
 /// declared.
 fn customer(
--- a/dahliawood-gateway/src/front/refusal/mod.rs
+++ b/dahliawood-gateway/src/front/refusal/mod.rs
@@ -17,6 +17,8 @@
 
 /// `Retry-After` of a VM that has not read the configuration yet.
 const RETRY_NO_CATALOG: Duration = Duration::from_millis(300);
+/// `Retry-After` of a VM whose configuration may be older than the one in force.
+const RETRY_OUTDATED: Duration = Duration::from_millis(500);
 /// `Retry-After` when no target may serve the request.
 const RETRY_NO_TARGET: Duration = Duration::from_millis(500);
 
@@ -30,6 +32,9 @@
     /// The VM has not read the configuration yet.
     #[display("nothing is declared yet")]
     NoCatalog,
+    /// No route matches, or no customer has the key, in a configuration that may not be the latest.
+    #[display("not in this VM's configuration, which may not be the latest")]
+    Outdated,
     /// No route matches the host and path.
     #[display("no route")]
     NoRoute,
@@ -85,6 +90,7 @@
             Self::HeadTooLong => 431,
             Self::TargetFailed => 502,
             Self::NoCatalog
+            | Self::Outdated
             | Self::Busy(_)
             | Self::NoTarget
             | Self::Quarantined
@@ -98,6 +104,7 @@
         match self {
             Self::OverLimit(wait) | Self::Busy(wait) => Some(*wait),
             Self::NoCatalog => Some(RETRY_NO_CATALOG),
+            Self::Outdated => Some(RETRY_OUTDATED),
             Self::NoTarget => Some(RETRY_NO_TARGET),
             Self::NoMemory => Some(RETRY_NO_MEMORY),
             _ => None,
--- a/dahliawood-gateway/src/peer_forward/incoming/mod.rs
+++ b/dahliawood-gateway/src/peer_forward/incoming/mod.rs
@@ -201,6 +201,7 @@
         RefusalCause::TargetTimeout => RefusalMessage::TargetTimeout,
         RefusalCause::NoMemory => RefusalMessage::Overloaded,
         RefusalCause::NoCatalog
+        | RefusalCause::Outdated
         | RefusalCause::NoRoute
         | RefusalCause::InvalidKey
         | RefusalCause::Malformed(_)
