--- a/dahliawood-gateway/src/control/parts/mod.rs
+++ b/dahliawood-gateway/src/control/parts/mod.rs
@@ -75,10 +75,10 @@
     let view = state.view.borrow();
     let known = view.get(key).filter(|known| known.revision == revision)?;
     let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
-    let encoded = encoder
+    let written = encoder
         .write_all(&known.value)
         .and_then(|()| encoder.finish());
-    let bytes: Rc<[u8]> = match encoded {
+    let bytes: Rc<[u8]> = match written {
         Ok(bytes) => bytes.into(),
         Err(error) => {
             log::error!("the value of '{key}' cannot be compressed: {error}");
--- a/dahliawood-gateway/src/control/register/tracker/mod.rs
+++ b/dahliawood-gateway/src/control/register/tracker/mod.rs
@@ -46,6 +46,18 @@
     pub revision: u64,
 }
 
+impl ListedEntry<'_> {
+    /// Whether the entry is not any more as it was written at the revision `written`.
+    fn is_lost(&self, written: u64) -> bool {
+        match self.entry {
+            Some(entry) if entry.revision == written => false,
+            // It is older where the copy does not know that write yet.
+            Some(entry) => entry.revision > written || self.revision >= written,
+            None => self.revision >= written,
+        }
+    }
+}
+
 impl RegistrationTracker {
     /// The registration of a process that has not written its entry yet.
     ///
@@ -72,23 +84,13 @@
         self.lease
     }
 
-    /// Whether the entry must be written again: it is not as this process wrote it.
-    fn is_lost(&self, written: u64, listed: ListedEntry<'_>) -> bool {
-        match listed.entry {
-            Some(entry) if entry.revision == written => false,
-            // An older entry in a copy that does not know this process's write yet.
-            Some(entry) => entry.revision > written || listed.revision >= written,
-            None => listed.revision >= written,
-        }
-    }
-
     /// Decides on the next call; `listed` is the entry in this VM's copy of the key space.
     pub fn plan(&mut self, listed: ListedEntry<'_>) -> RegistrationStep {
         let Some(lease) = self.lease else {
             return RegistrationStep::Grant;
         };
         if let Some(written) = self.written {
-            if !self.is_lost(written, listed) {
+            if !listed.is_lost(written) {
                 return RegistrationStep::Renew { lease };
             }
             self.written = None;
--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -134,6 +134,10 @@
     let customer = customer.map_err(|cause| unknown(state, cause))?;
     let timeout = catalog.routes[route].timeout;
     let wait = metadata.timeout.unwrap_or(timeout).min(timeout);
+    let deadline = now.after(wait.saturating_sub(RESPONSE_MARGIN));
+    if state.is_too_late(now, deadline) {
+        return Err(RefusalCause::Leaving);
+    }
     let service = service(state, catalog, route);
     let counted = match customer {
         Some(customer) => admission::admit(state, &catalog.customers[customer], now).await?,
@@ -144,7 +148,7 @@
         customer,
         service,
         started: now,
-        deadline: now.after(wait.saturating_sub(RESPONSE_MARGIN)),
+        deadline,
         waited: Cell::default(),
     };
     Ok((routed, counted))
--- a/dahliawood-gateway/src/front/refusal/mod.rs
+++ b/dahliawood-gateway/src/front/refusal/mod.rs
@@ -19,6 +19,8 @@
 const RETRY_NO_CATALOG: Duration = Duration::from_millis(300);
 /// `Retry-After` of a VM whose configuration may be older than the one in force.
 const RETRY_OUTDATED: Duration = Duration::from_millis(500);
+/// `Retry-After` of a VM that is about to stop: another one serves the caller at once.
+const RETRY_LEAVING: Duration = Duration::from_millis(50);
 /// `Retry-After` when no target may serve the request.
 const RETRY_NO_TARGET: Duration = Duration::from_millis(500);
 
@@ -35,6 +37,9 @@
     /// No route matches, or no customer has the key, in a configuration that may not be the latest.
     #[display("not in this VM's configuration, which may not be the latest")]
     Outdated,
+    /// The VM may stop before a target could answer.
+    #[display("this VM is about to stop")]
+    Leaving,
     /// No route matches the host and path.
     #[display("no route")]
     NoRoute,
@@ -91,6 +96,7 @@
             Self::TargetFailed => 502,
             Self::NoCatalog
             | Self::Outdated
+            | Self::Leaving
             | Self::Busy(_)
             | Self::NoTarget
             | Self::Quarantined
@@ -105,6 +111,7 @@
             Self::OverLimit(wait) | Self::Busy(wait) => Some(*wait),
             Self::NoCatalog => Some(RETRY_NO_CATALOG),
             Self::Outdated => Some(RETRY_OUTDATED),
+            Self::Leaving => Some(RETRY_LEAVING),
             Self::NoTarget => Some(RETRY_NO_TARGET),
             Self::NoMemory => Some(RETRY_NO_MEMORY),
             _ => None,
--- a/dahliawood-gateway/src/peer_forward/incoming/mod.rs
+++ b/dahliawood-gateway/src/peer_forward/incoming/mod.rs
@@ -88,6 +88,9 @@
     }
     let catalog = state.catalog.load_full().ok_or(RefusalMessage::Outdated)?;
     let routed = route(state, &catalog, &request).ok_or(RefusalMessage::Outdated)?;
+    if state.ends_at().is_some_and(|end| end < routed.deadline) {
+        return Err(RefusalMessage::Unreachable);
+    }
     let options = ForwardOptions {
         max_tries: request.tries_left,
         is_retry: request.is_retry,
@@ -200,6 +203,7 @@
         RefusalCause::Quarantined => RefusalMessage::Quarantined,
         RefusalCause::TargetTimeout => RefusalMessage::TargetTimeout,
         RefusalCause::NoMemory => RefusalMessage::Overloaded,
+        RefusalCause::Leaving => RefusalMessage::Unreachable,
         RefusalCause::NoCatalog
         | RefusalCause::Outdated
         | RefusalCause::NoRoute
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -35,8 +35,6 @@
 /// look-up answer. After that it accepts none, so that requests already accepted end within the
 /// limit.
 const LOOKUP_DRAIN_TIME: Duration = Duration::from_millis(2_200);
-/// How much earlier than the platform's limit a shutdown stops waiting.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
 
 /// A running gateway; requests are served on the thread that started it.
 pub struct GatewayHandle {
@@ -177,13 +175,7 @@
     pub async fn shutdown(self) {
         self.state.start_shutdown();
         log_lifecycle(&self.state, "leaving");
-        let limit = self
-            .state
-            .settings
-            .bounds
-            .grace
-            .saturating_sub(SHUTDOWN_MARGIN);
-        let limit = clock::now().after(limit);
+        let limit = self.state.ends_at().unwrap_or_else(clock::now);
         task::sleep(LOOKUP_DRAIN_TIME).await;
         let Self {
             state,
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! State shared by the control thread and the traffic thread.
 
 use crate::admission_queue::AdmissionQueue;
+use crate::clock;
 use crate::codec::PlatformCodec;
 use crate::control::vms::VmRecord;
 use crate::crashes::{CrashRecords, FleetSighting};
@@ -26,7 +27,7 @@
 use dahliawood_wire::pool::{PoolOptions, TargetPool};
 use serde::Serialize;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// Limit for opening a connection to a target: a round trip between regions with some margin.
@@ -36,6 +37,12 @@
 /// TCP user timeout: how long sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Part of the grace time that is kept for stopping.
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
+/// How long after the start of the shutdown requests are passed on that may take longer than the VM
+/// runs: callers that asked for VMs before it started still come, and most requests take far less time.
+const LATE_TIME: Duration = Duration::from_millis(2_500);
+
 /// Log event for what a target newly says of itself.
 #[derive(Serialize)]
 struct StatementEvent<'a> {
@@ -108,7 +115,8 @@
     is_outdated: AtomicBool,
     /// Whether what this VM knows of the key space is old.
     is_knowledge_old: AtomicBool,
-    is_leaving: AtomicBool,
+    /// When the shutdown started.
+    leaving_since: OnceLock<TimeStamp>,
     has_stopped_accepting: AtomicBool,
     shutdown_sender: Sender<()>,
     /// Channel that is closed when the shutdown starts.
@@ -151,7 +159,7 @@
             connections: AtomicUsize::new(0),
             is_outdated: AtomicBool::new(false),
             is_knowledge_old: AtomicBool::new(false),
-            is_leaving: AtomicBool::new(false),
+            leaving_since: OnceLock::new(),
             has_stopped_accepting: AtomicBool::new(false),
             shutdown_sender,
             shutdown_started,
@@ -281,12 +289,27 @@
 
     /// Whether the VM is shutting down.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Acquire)
+        self.leaving_since.get().is_some()
+    }
+
+    /// When the requests that are still worked on are given up, if the VM is shutting down.
+    pub fn ends_at(&self) -> Option<TimeStamp> {
+        let time = self.settings.bounds.grace.saturating_sub(SHUTDOWN_MARGIN);
+        Some(self.leaving_since.get()?.after(time))
+    }
+
+    /// Whether a request that comes at `now` and may take until `deadline` comes too late to be passed
+    /// on: its target could still be at work when the VM stops.
+    pub fn is_too_late(&self, now: TimeStamp, deadline: TimeStamp) -> bool {
+        let is_late = |since: &TimeStamp| now.since(*since) >= LATE_TIME;
+        let is_cut = self.ends_at().is_some_and(|ends_at| ends_at < deadline);
+        is_cut && self.leaving_since.get().is_some_and(is_late)
     }
 
     /// Starts the shutdown.
     pub fn start_shutdown(&self) {
-        self.is_leaving.store(true, Ordering::Release);
+        // A second signal changes nothing.
+        let _started = self.leaving_since.set(clock::now());
         self.shutdown_sender.close();
     }
 
--- a/dahliawood-gateway/tests/main/registration.rs
+++ b/dahliawood-gateway/tests/main/registration.rs
@@ -129,14 +129,15 @@
         self.next_at = now + RETRY_PAUSE;
         match self.registration.plan(listed) {
             // The answer is lost.
-            RegistrationStep::Grant if fate < 3 => self.next_at += CALL_TIMEOUT,
+            RegistrationStep::Grant | RegistrationStep::Renew { .. } if fate < 3 => {
+                self.next_at += CALL_TIMEOUT;
+            }
             RegistrationStep::Grant => {
                 store.leases.push(now + LEASE_TTL);
                 let lease = store.leases.len() as u64 - 1;
                 self.registration.record_lease(lease);
                 self.next_at = now;
             }
-            RegistrationStep::Renew { .. } if fate < 3 => self.next_at += CALL_TIMEOUT,
             RegistrationStep::Renew { lease } => {
                 if !store.has_lease(lease, now) {
                     self.registration.forget_lease();
--- a/dahliawood-testkit/src/lib.rs
+++ b/dahliawood-testkit/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod link;
 pub mod members;
 pub mod operator_config;
+pub mod planned_stop;
 pub mod platform;
 pub mod serving;
 pub mod soak;
