--- a/dahliawood-testkit/src/planned_stop/mod.rs
+++ b/dahliawood-testkit/src/planned_stop/mod.rs
@@ -186,12 +186,11 @@
     request: StopRequest,
     caller: Option<StopCaller>,
 ) -> Option<StopRecord> {
-    let mut caller = match caller {
-        Some(caller) => caller,
-        None => {
-            task::sleep(request.at.min(LAST_CONNECTION)).await;
-            StopCaller::connect(front).await.ok()?
-        }
+    let mut caller = if let Some(caller) = caller {
+        caller
+    } else {
+        task::sleep(request.at.min(LAST_CONNECTION)).await;
+        StopCaller::connect(front).await.ok()?
     };
     task::sleep(request.at.saturating_sub(signalled.elapsed())).await;
     let (method, kind) = match request.is_write {
@@ -205,7 +204,7 @@
         path,
         is_write: request.is_write,
         sent,
-        taken: signalled.elapsed() - sent,
+        taken: signalled.elapsed().saturating_sub(sent),
         status: status.ok().flatten(),
         has_run: false,
     })
