--- a/dahliawood-gateway/src/control/transfers/tracker/mod.rs
+++ b/dahliawood-gateway/src/control/transfers/tracker/mod.rs
@@ -61,7 +61,7 @@
 pub enum PartOutcome {
     /// More parts are to be fetched.
     Continues,
-    /// The compressed value has arrived; [`TransferTracker::finish`] follows.
+    /// The compressed value has arrived.
     Complete {
         /// Revision of the write.
         revision: u64,
