refactor(gateway): copies of the coordinator's table stand in a module of their own

A standby at which a customer has just become active tells the copy's sum too: its own entry had none.

--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -80,7 +80,7 @@
     /// Allocates customers' limits to the VMs while this VM is the coordinator.
     pub coordinator: RefCell<AllocationCoordinator>,
     /// The latest copy of a coordinator's table that this VM has.
-    pub table_copy: RefCell<Option<shares::CoordinatorCopy>>,
+    pub table_copy: RefCell<Option<shares::standby::CoordinatorCopy>>,
     /// The VMs that the coordinator allocates to.
     pub coordinator_members: RefCell<Arc<Vec<VmRecord>>>,
     /// Channel that gets a message when the store has returned to an older state.
--- a/dahliawood-gateway/src/control/shares/mod.rs
+++ b/dahliawood-gateway/src/control/shares/mod.rs
@@ -1,6 +1,8 @@
 //! Exchange of customers' limits between VMs: each VM reports its customers' usage and need to the
 //! coordinator, which allocates to it a fraction of each customer's limit.
 
+pub mod standby;
+
 use crate::admission_queue::WaitingRequests;
 use crate::clock;
 use crate::control::ControlState;
@@ -8,7 +10,6 @@
 use crate::front::handler::admission;
 use async_std::future::timeout;
 use async_std::task;
-use dahliawood_model::FastSet;
 use dahliawood_model::catalog::CatalogCustomer;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_peer::client::error::CallError;
@@ -17,7 +18,6 @@
 use dahliawood_quota::allocation::coordinator::{
     AllocatedTotal, CustomerAllocation, ReportList, ReportSource, UsageReport,
 };
-use dahliawood_quota::allocation::copy::{STANDBYS, TableCopy};
 use dahliawood_quota::allocation::local::{AllocationNeed, LimitUsage};
 use dahliawood_steer::rendezvous;
 use std::rc::Rc;
@@ -30,13 +30,6 @@
 /// Minimum time between two calls; requests that start to wait meanwhile share the next call.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// A copy of a coordinator's table, with the name of that VM.
-#[derive(Clone, Debug)]
-pub struct CoordinatorCopy {
-    coordinator: String,
-    table: TableCopy,
-}
-
 /// Reports until the task is cancelled.
 pub async fn run(state: Rc<ControlState>) {
     let mut has_coordinator = false;
@@ -56,7 +49,7 @@
         }
         let mut report = report(&state, &waiting, !is_requested);
         if !is_requested {
-            exchange_table(&state, &mut report, has_coordinator);
+            standby::exchange_table(&state, &mut report, has_coordinator);
         }
         has_coordinator = exchange_report(&state, &report).await;
         state
@@ -80,13 +73,13 @@
     let answered = if coordinator.name == report.from {
         Ok(handle_report(state, report))
     } else {
-        step_down(state, requested_at);
+        standby::step_down(state, requested_at);
         call_coordinator(state, coordinator, report).await
     };
     match answered {
         Ok(response) => {
             apply_response(state, &response, requested_at);
-            keep_table(state, &coordinator.name, &response, requested_at);
+            standby::keep_table(state, &coordinator.name, &response, requested_at);
             response.is_coordinator
         }
         Err(error) => {
@@ -103,85 +96,6 @@
         .min_by_key(|vm| rendezvous::name_hash(vm.name.as_bytes()))
 }
 
-/// Whether a VM keeps a copy of the coordinator's table: the VMs that rank next to it, one of which
-/// would succeed it.
-fn is_standby(vms: &[VmRecord], own: &str) -> bool {
-    let own_hash = rendezvous::name_hash(own.as_bytes());
-    let ahead = vms
-        .iter()
-        .filter(|vm| rendezvous::name_hash(vm.name.as_bytes()) < own_hash);
-    (1..=STANDBYS).contains(&ahead.count())
-}
-
-/// Asks for a copy of the coordinator's table, and tells a coordinator that may not know it the copy
-/// of an earlier one.
-fn exchange_table(state: &ControlState, report: &mut ShareReport, has_coordinator: bool) {
-    let vms = state.shared.vms.load();
-    report.wants_table = is_standby(&vms, &report.from);
-    let copy = state.table_copy.borrow();
-    let Some(copy) = copy.as_ref() else {
-        return;
-    };
-    let is_same = select_coordinator(&vms).is_some_and(|vm| vm.name == copy.coordinator);
-    if is_same && has_coordinator {
-        return;
-    }
-    let window = state.shared.settings.bounds.quota_window;
-    let now = clock::now();
-    report.table_left = copy.table.valid_for(window, now);
-    if report.table_left.is_zero() {
-        return;
-    }
-    let active: FastSet<&str> = report
-        .entries
-        .iter()
-        .map(|entry| entry.customer.as_str())
-        .collect();
-    let totals = copy.table.totals(window, now);
-    let others = totals.filter(|(customer, _)| !active.contains(customer));
-    let others: Vec<CustomerNeed> = others
-        .map(|(customer, total)| CustomerNeed {
-            customer: customer.to_owned(),
-            total: total.fraction as f32,
-            total_left: total.valid_for.as_millis() as u32,
-            total_coordinator: total.coordinator,
-            ..CustomerNeed::default()
-        })
-        .collect();
-    report.entries.extend(others);
-}
-
-/// Keeps the table that a coordinator has sent.
-fn keep_table(
-    state: &ControlState,
-    coordinator: &str,
-    response: &ShareResponse,
-    requested_at: TimeStamp,
-) {
-    let Some(table) = &response.table else {
-        return;
-    };
-    let totals = table
-        .iter()
-        .map(|entry| (entry.customer.clone(), f64::from(entry.total)));
-    state.table_copy.replace(Some(CoordinatorCopy {
-        coordinator: coordinator.to_owned(),
-        table: TableCopy::new(response.incarnation, requested_at, totals),
-    }));
-}
-
-/// Ends this VM's time as the coordinator; its table is what its successor has to know.
-fn step_down(state: &ControlState, now: TimeStamp) {
-    let mut coordinator = state.coordinator.borrow_mut();
-    if let Some(totals) = coordinator.totals(now) {
-        state.table_copy.replace(Some(CoordinatorCopy {
-            coordinator: state.shared.settings.name.clone(),
-            table: TableCopy::new(state.incarnation, now, totals.into_iter()),
-        }));
-    }
-    coordinator.step_down();
-}
-
 /// Builds this VM's report: a complete one has all active customers, any other only customers with
 /// waiting requests.
 fn report(state: &ControlState, waiting: &WaitingRequests, is_complete: bool) -> ShareReport {
@@ -285,7 +199,7 @@
     let own = &state.shared.settings.name;
     let now = clock::now();
     if select_coordinator(&vms).is_none_or(|vm| vm.name != *own) {
-        step_down(state, now);
+        standby::step_down(state, now);
         return ShareResponse::default();
     }
     let mut coordinator = state.coordinator.borrow_mut();
--- /dev/null
+++ b/dahliawood-gateway/src/control/shares/standby/mod.rs
@@ -0,0 +1,106 @@
+//! Copies of the coordinator's table, at the VMs that rank next to it.
+//!
+//! This handles the loss of the coordinator: what it allocated counts at its successor, also of customers
+//! that were active at no other VM.
+
+use crate::clock;
+use crate::control::ControlState;
+use crate::control::shares::select_coordinator;
+use crate::control::vms::VmRecord;
+use dahliawood_model::FastMap;
+use dahliawood_model::stamp::TimeStamp;
+use dahliawood_peer::gateway::message::{CustomerNeed, ShareReport, ShareResponse};
+use dahliawood_quota::allocation::copy::{STANDBYS, TableCopy};
+use dahliawood_steer::rendezvous;
+
+/// A copy of a coordinator's table, with the name of that VM.
+#[derive(Clone, Debug)]
+pub struct CoordinatorCopy {
+    coordinator: String,
+    table: TableCopy,
+}
+
+/// Whether a VM keeps a copy of the coordinator's table: the VMs that rank next to it, one of which
+/// would succeed it.
+fn is_standby(vms: &[VmRecord], own: &str) -> bool {
+    let own_hash = rendezvous::name_hash(own.as_bytes());
+    let ahead = vms
+        .iter()
+        .filter(|vm| rendezvous::name_hash(vm.name.as_bytes()) < own_hash);
+    (1..=STANDBYS).contains(&ahead.count())
+}
+
+/// Asks for a copy of the coordinator's table, and tells a coordinator that may not know it the copy
+/// of an earlier one.
+pub fn exchange_table(state: &ControlState, report: &mut ShareReport, has_coordinator: bool) {
+    let vms = state.shared.vms.load();
+    report.wants_table = is_standby(&vms, &report.from);
+    let copy = state.table_copy.borrow();
+    let Some(copy) = copy.as_ref() else {
+        return;
+    };
+    let is_same = select_coordinator(&vms).is_some_and(|vm| vm.name == copy.coordinator);
+    if is_same && has_coordinator {
+        return;
+    }
+    let window = state.shared.settings.bounds.quota_window;
+    let now = clock::now();
+    report.table_left = copy.table.valid_for(window, now);
+    if report.table_left.is_zero() {
+        return;
+    }
+    let active = report.entries.iter().enumerate();
+    let active: FastMap<String, usize> = active
+        .map(|(place, entry)| (entry.customer.clone(), place))
+        .collect();
+    for (customer, total) in copy.table.totals(window, now) {
+        let total_left = total.valid_for.as_millis() as u32;
+        let entry = match active.get(customer) {
+            // Its own sum is as recent.
+            Some(place) if report.entries[*place].total_left >= total_left => continue,
+            Some(place) => &mut report.entries[*place],
+            None => {
+                report.entries.push(CustomerNeed {
+                    customer: customer.to_owned(),
+                    ..CustomerNeed::default()
+                });
+                let last = report.entries.len() - 1;
+                &mut report.entries[last]
+            }
+        };
+        entry.total = total.fraction as f32;
+        entry.total_left = total_left;
+        entry.total_coordinator = total.coordinator;
+    }
+}
+
+/// Keeps the table that a coordinator has sent.
+pub fn keep_table(
+    state: &ControlState,
+    coordinator: &str,
+    response: &ShareResponse,
+    requested_at: TimeStamp,
+) {
+    let Some(table) = &response.table else {
+        return;
+    };
+    let totals = table
+        .iter()
+        .map(|entry| (entry.customer.clone(), f64::from(entry.total)));
+    state.table_copy.replace(Some(CoordinatorCopy {
+        coordinator: coordinator.to_owned(),
+        table: TableCopy::new(response.incarnation, requested_at, totals),
+    }));
+}
+
+/// Ends this VM's time as the coordinator; its table is what its successor has to know.
+pub fn step_down(state: &ControlState, now: TimeStamp) {
+    let mut coordinator = state.coordinator.borrow_mut();
+    if let Some(totals) = coordinator.totals(now) {
+        state.table_copy.replace(Some(CoordinatorCopy {
+            coordinator: state.shared.settings.name.clone(),
+            table: TableCopy::new(state.incarnation, now, totals.into_iter()),
+        }));
+    }
+    coordinator.step_down();
+}
