--- a/dahliawood-daemon/tests/soak/main.rs
+++ b/dahliawood-daemon/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! targets state limits, pauses and their leaving and the store is restored, runs those seeds instead, for a longer time and with time
 //! bounds in seconds; such runs need an otherwise idle machine. `DAHLIAWOOD_SOAK_CUTS=FROM..TO` does the
 //! same for plans in which VMs lose their links to all targets, and `DAHLIAWOOD_SOAK_RELAYS=FROM..TO` for
-//! those in which VMs of one failure domain lose the store, are paused and killed one after another.
+//! those in which VMs of one failure domain lose the store, are paused and killed one after another, and
+//! `DAHLIAWOOD_SOAK_GROWTH=FROM..TO` for those in which the configuration grows meanwhile.
 
 use async_std::task;
 use dahliawood_testkit::soak::plan::{SoakEvent, SoakPlan, SoakStep};
@@ -21,6 +22,8 @@
 const CUT_SEEDS: [u64; 2] = [401, 402];
 /// The same for plans with VMs of one failure domain that fail one after another.
 const RELAY_SEEDS: [u64; 2] = [501, 502];
+/// The same for plans with a configuration that grows.
+const GROWTH_SEEDS: [u64; 2] = [601, 602];
 /// Period in which faults begin, for the fixed seeds and for seeds requested by the variable.
 const FIXED_FAULT_TIME: Duration = Duration::from_secs(5);
 const REQUESTED_FAULT_TIME: Duration = Duration::from_secs(10);
@@ -186,6 +189,25 @@
     check_runs(&runs);
 }
 
+#[test]
+fn guarantees_hold_while_the_configuration_grows_beside_vms_that_fail() {
+    let growth = |seed, time, is_timed| SoakOptions {
+        vms: RELAY_VMS,
+        domains: 1,
+        ..options(seed, SoakPlan::draw_growth(seed, RELAY_VMS, time), is_timed)
+    };
+    let runs: Vec<SoakOptions> = match requested_seeds("DAHLIAWOOD_SOAK_GROWTH") {
+        Some(seeds) => seeds
+            .map(|seed| growth(seed, REQUESTED_FAULT_TIME, true))
+            .collect(),
+        None => GROWTH_SEEDS
+            .into_iter()
+            .map(|seed| growth(seed, FIXED_FAULT_TIME, false))
+            .collect(),
+    };
+    check_runs(&runs);
+}
+
 fn check_runs(runs: &[SoakOptions]) {
     let failed: Vec<SoakOutcome> = runs
         .chunks(PARALLEL_RUNS)
--- a/dahliawood-testkit/examples/measure/main.rs
+++ b/dahliawood-testkit/examples/measure/main.rs
@@ -22,6 +22,7 @@
 mod spread;
 mod steer;
 mod store_budget;
+mod transfer;
 
 use bpaf::Bpaf;
 use dahliawood_testkit::figures;
@@ -61,6 +62,7 @@
     ("spread", spread::run),
     ("steer", steer::run),
     ("store-budget", store_budget::run),
+    ("transfer", transfer::run),
     ("withdraw", spread::withdraw),
 ];
 
--- a/dahliawood-testkit/src/soak/environment/mod.rs
+++ b/dahliawood-testkit/src/soak/environment/mod.rs
@@ -18,6 +18,7 @@
 use crate::soak::proxy::{self, FaultProxy};
 use crate::soak::vm::VmProcess;
 use async_std::task;
+use dahliawood_steer::rendezvous;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::fs;
@@ -29,6 +30,9 @@
 
 /// The services; at any time, the routes lead to one of them.
 pub const SERVICES: [&str; 2] = ["first", "second"];
+/// Routes that the configuration grows by at a time, and the most.
+const GROWTH: u64 = 1_400;
+const MAX_ROUTES: u64 = 4_200;
 /// The limit of the customer that callers constantly exceed.
 pub const SMALL_LIMIT: SoakLimit = SoakLimit { rate: 8, burst: 8 };
 /// The limit that is never reached, as rate in requests a second and as burst in requests.
@@ -67,6 +71,8 @@
     restart_failures: Arc<Mutex<Vec<GuaranteeViolation>>>,
     work_dir: PathBuf,
     version: u64,
+    /// Routes of the configuration that are not used.
+    routes: u64,
     /// The changes made so far, in order of time.
     pub changes: Vec<SoakChange>,
     /// The events applied so far, in order of time.
@@ -90,6 +96,7 @@
             restart_failures: Arc::default(),
             work_dir,
             version: 0,
+            routes: 0,
             changes: Vec::new(),
             faults: Vec::new(),
         };
@@ -142,7 +149,7 @@
     fn publish_routes(&mut self, service: &'static str) {
         self.version += 1;
         self.store
-            .put("op/config", &document(self.version, service));
+            .put("op/config", &document(self.version, service, self.routes));
         let kind = ChangeKind::Routes(service);
         let at = Instant::now();
         self.changes.push(SoakChange { at, kind });
@@ -254,6 +261,11 @@
             SoakEvent::TargetReplaced(index) => {
                 self.replace_target(index, step.duration, false).await?;
             }
+            SoakEvent::RoutesGrown => {
+                self.routes = (self.routes + GROWTH).min(MAX_ROUTES);
+                let service = SERVICES[usize::from(self.version.is_multiple_of(2))];
+                self.publish_routes(service);
+            }
             SoakEvent::RoutesChanged => {
                 let next = SERVICES[(self.version % 2) as usize];
                 self.publish_routes(next);
@@ -321,7 +333,7 @@
         task::sleep(REWRITE_TIME).await;
         let service = SERVICES[usize::from(self.version.is_multiple_of(2))];
         self.store
-            .put("op/config", &document(self.version, service));
+            .put("op/config", &document(self.version, service, self.routes));
         for target in revived {
             self.store.remove(&target.key());
         }
@@ -367,12 +379,16 @@
     });
 }
 
-/// A configuration document whose routes lead to `service`.
-fn document(version: u64, service: &str) -> Value {
-    let routes = [
+/// A configuration document whose routes lead to `service`, with further routes that are not used.
+fn document(version: u64, service: &str, further: u64) -> Value {
+    let mut routes = vec![
         operator_config::route("/read/", "idempotent", false, service),
         operator_config::route("/write/", "non_idempotent", false, service),
     ];
+    routes.extend((0..further).map(|index| {
+        let name = rendezvous::name_hash(&index.to_le_bytes());
+        operator_config::route(&format!("/{name:x}-{index}/"), "idempotent", true, service)
+    }));
     let SoakLimit { rate, burst } = SMALL_LIMIT;
     let customers = [
         operator_config::customer("large", LARGE_KEY, LARGE_RATE, LARGE_RATE),
--- a/dahliawood-testkit/src/soak/plan/mod.rs
+++ b/dahliawood-testkit/src/soak/plan/mod.rs
@@ -52,6 +52,8 @@
     TargetReplaced(usize),
     /// The operators publish routes to the other service.
     RoutesChanged,
+    /// The operators publish many more routes, up to a document of 0.9 MB.
+    RoutesGrown,
     /// The store returns to a copy of itself from the time of the event before this one.
     StoreRestored,
     /// A target states its leaving; when the event is over, it leaves the registry and another one
@@ -100,6 +102,8 @@
 const RELAY_DURATION_MS: std::ops::Range<u64> = 1_500..5_000;
 /// Share of its other events that are changes.
 const CHANGE_SHARE: f64 = 0.7;
+/// Share of the changes of a plan with growth that add routes.
+const GROWTH_SHARE: f64 = 0.5;
 
 impl SoakStep {
     /// When the event is over, relative to the end of the warm-up.
@@ -177,6 +181,20 @@
         plan
     }
 
+    /// Draws a plan like [`SoakPlan::draw_relays`] in which half of the changes are of a configuration
+    /// that has grown.
+    pub fn draw_growth(seed: u64, vms: usize, span: Duration) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut plan = Self::draw_relays(seed, vms, span);
+        let changes = plan.steps.iter_mut();
+        for step in changes.filter(|step| step.event == SoakEvent::RoutesChanged) {
+            if rng.random_bool(GROWTH_SHARE) {
+                step.event = SoakEvent::RoutesGrown;
+            }
+        }
+        plan
+    }
+
     /// When the last event is over, relative to the end of the warm-up; zero without events.
     pub fn end(&self) -> Duration {
         let ends = self.steps.iter().map(SoakStep::end);
