fix(quota): a killed coordinator costs customers below their limits nothing at its successor (QUOTA)

What callers would see: after a kill of the coordinator, customers below their limits are refused for up to 4 s once another VM has taken over.

Cause: a copy of the coordinator's table counted as one only as long as its sums do, 5.5 s. A takeover waits for the registration to expire, and then all limits counted as used until the first window ended.

Change: a coordinator that was told a copy, or a sum of a customer, withholds what these say and nothing more, also once they no longer count. A VM drops its copy when a coordinator answers it that it does not copy.

--- a/dahliawood-gateway/src/control/shares/mod.rs
+++ b/dahliawood-gateway/src/control/shares/mod.rs
@@ -79,7 +79,7 @@
     match answered {
         Ok(response) => {
             apply_response(state, &response, requested_at);
-            standby::keep_table(state, &coordinator.name, &response, requested_at);
+            standby::keep_table(state, report, &coordinator.name, &response, requested_at);
             response.is_coordinator
         }
         Err(error) => {
@@ -106,7 +106,7 @@
         is_leaving: state.shared.has_stopped_accepting(),
         entries: entries(state, waiting, is_complete),
         wants_table: false,
-        table_left: Duration::ZERO,
+        has_table: false,
     }
 }
 
@@ -219,7 +219,7 @@
     }
     let list = ReportList {
         customers: &reports,
-        table_valid_for: report.table_left,
+        has_table: report.has_table,
     };
     let allocations = coordinator.report(from, list, now);
     if !coordinator.has_majority(now) {
--- a/dahliawood-gateway/src/control/shares/standby/mod.rs
+++ b/dahliawood-gateway/src/control/shares/standby/mod.rs
@@ -45,10 +45,7 @@
     }
     let window = state.shared.settings.bounds.quota_window;
     let now = clock::now();
-    report.table_left = copy.table.valid_for(window, now);
-    if report.table_left.is_zero() {
-        return;
-    }
+    report.has_table = true;
     let active = report.entries.iter().enumerate();
     let active: FastMap<String, usize> = active
         .map(|(place, entry)| (entry.customer.clone(), place))
@@ -74,14 +71,18 @@
     }
 }
 
-/// Keeps the table that a coordinator has sent.
+/// Keeps the table that a coordinator has sent; drops a copy that is no longer kept up to date.
 pub fn keep_table(
     state: &ControlState,
+    report: &ShareReport,
     coordinator: &str,
     response: &ShareResponse,
     requested_at: TimeStamp,
 ) {
     let Some(table) = &response.table else {
+        if response.is_coordinator && !report.wants_table {
+            state.table_copy.replace(None);
+        }
         return;
     };
     let totals = table
--- a/dahliawood-peer/schema/peer.capnp
+++ b/dahliawood-peer/schema/peer.capnp
@@ -198,9 +198,9 @@
   # the incarnation of the caller, and of the callee in the response: different for each start of
   # its process. `ageMs` is how long the caller's process has run, in milliseconds. If the caller
   # `wantsTable`, the response `hasTable`, the sums over all VMs of all customers, unless the callee
-  # may not know them all. The caller has such a table of an earlier coordinator, with its sums among
-  # the entries, if `tableLeftMs` is not 0: what it may still count for.
-  shares @0 (from :Text, entries :List(CustomerNeed), isLeaving :Bool, life :UInt64, ageMs :UInt32, wantsTable :Bool, tableLeftMs :UInt32) -> (isHead :Bool, entries :List(CustomerShare), life :UInt64, hasTable :Bool, table :List(CustomerShare));
+  # may not know them all. The caller `hasTable` of the latest coordinator before: its sums that still
+  # count are among the entries.
+  shares @0 (from :Text, entries :List(CustomerNeed), isLeaving :Bool, life :UInt64, ageMs :UInt32, wantsTable :Bool, hasTable :Bool) -> (isHead :Bool, entries :List(CustomerShare), life :UInt64, hasTable :Bool, table :List(CustomerShare));
   # Returns all keys that the callee knows, without the values of keys last written at or below
   # revision `above`. The date is that of the callee's copy, as in `changes`. Long values are left out
   # if the caller `takesParts`.
--- a/dahliawood-peer/src/gateway/client/mod.rs
+++ b/dahliawood-peer/src/gateway/client/mod.rs
@@ -44,8 +44,7 @@
         request.get().set_age_ms(age);
         request.get().set_is_leaving(report.is_leaving);
         request.get().set_wants_table(report.wants_table);
-        let table_left = u32::try_from(report.table_left.as_millis()).unwrap_or(u32::MAX);
-        request.get().set_table_left_ms(table_left);
+        request.get().set_has_table(report.has_table);
         message::write_needs(&report.entries, request.get().init_entries(count));
         let response = self
             .connection
--- a/dahliawood-peer/src/gateway/message/mod.rs
+++ b/dahliawood-peer/src/gateway/message/mod.rs
@@ -56,9 +56,9 @@
     pub entries: Vec<CustomerNeed>,
     /// Whether the VM keeps a copy of the coordinator's table.
     pub wants_table: bool,
-    /// How long the table of an earlier coordinator, whose sums are among the entries, still counts;
-    /// zero without one.
-    pub table_left: Duration,
+    /// Whether the VM has a copy of the latest table of an earlier coordinator; the sums in it that still
+    /// count are among the entries.
+    pub has_table: bool,
 }
 
 /// The coordinator's response to a report: the shares that the reporting VM may use.
--- a/dahliawood-peer/src/gateway/server/mod.rs
+++ b/dahliawood-peer/src/gateway/server/mod.rs
@@ -45,7 +45,7 @@
             is_leaving: params.get_is_leaving(),
             entries: message::read_needs(params.get_entries()?)?,
             wants_table: params.get_wants_table(),
-            table_left: Duration::from_millis(params.get_table_left_ms().into()),
+            has_table: params.get_has_table(),
         };
         let response = (self.shares)(&report);
         let count = message::list_length(response.entries.len())?;
--- a/dahliawood-quota/src/allocation/coordinator/mod.rs
+++ b/dahliawood-quota/src/allocation/coordinator/mod.rs
@@ -33,8 +33,9 @@
 pub struct ReportList<'a> {
     /// The customers that are active at the VM, and those of the table of which it has a copy.
     pub customers: &'a [UsageReport],
-    /// How long that table of another coordinator still counts; zero without one.
-    pub table_valid_for: Duration,
+    /// Whether the VM has a copy of the latest table of another coordinator. Sums that no longer count
+    /// are not among its reports.
+    pub has_table: bool,
 }
 
 /// Largest part of a limit that a report may state: what VMs used may exceed a limit that was lowered.
@@ -136,8 +137,8 @@
     members: FastSet<String>,
     reported_at: FastMap<String, TimeStamp>,
     coordinator_since: Option<TimeStamp>,
-    /// Until when the table of an earlier coordinator counts, of which a VM has reported a copy.
-    copy_until: TimeStamp,
+    /// Whether a VM has reported a copy of the latest table of an earlier coordinator.
+    has_copy: bool,
     /// When the oldest process that has reported was started.
     oldest_start: Option<TimeStamp>,
     status: MemberStatus,
@@ -155,7 +156,7 @@
             members: FastSet::default(),
             reported_at: FastMap::default(),
             coordinator_since: None,
-            copy_until: TimeStamp::ZERO,
+            has_copy: false,
             oldest_start: None,
             status: MemberStatus::default(),
             status_at: None,
@@ -176,7 +177,7 @@
         now: TimeStamp,
     ) -> Vec<CustomerAllocation> {
         let since = *self.coordinator_since.get_or_insert(now);
-        self.copy_until = self.copy_until.max(now.after(reports.table_valid_for));
+        self.has_copy |= reports.has_table;
         if self.reported_at.insert(from.name.to_owned(), now).is_none() {
             self.status_at = None;
         }
@@ -215,7 +216,7 @@
         let since = self.coordinator_since.unwrap_or(now);
         let is_new_coordinator = now.since(since) < self.window;
         let window_left = self.window_left(now);
-        match window_left.is_zero() && is_new_coordinator && now >= self.copy_until {
+        match window_left.is_zero() && is_new_coordinator && !self.has_copy {
             true => 1.0,
             false => window_left.as_secs_f64() / self.window.as_secs_f64(),
         }
@@ -225,7 +226,7 @@
     /// or may not know them all yet.
     pub fn totals(&mut self, now: TimeStamp) -> Option<Vec<(String, f64)>> {
         let since = self.coordinator_since?;
-        if now.since(since) < self.window && now >= self.copy_until {
+        if now.since(since) < self.window && !self.has_copy {
             return None;
         }
         let (window, unknown_usage) = (self.window, self.unknown_usage(now));
@@ -257,7 +258,7 @@
     /// Discards all reports: this VM is not the coordinator, so they would go stale.
     pub fn step_down(&mut self) {
         self.coordinator_since = None;
-        self.copy_until = TimeStamp::ZERO;
+        self.has_copy = false;
         self.reported_at.clear();
         self.customers.clear();
         self.status_at = None;
--- a/dahliawood-quota/src/allocation/coordinator/predecessor/mod.rs
+++ b/dahliawood-quota/src/allocation/coordinator/predecessor/mod.rs
@@ -41,6 +41,11 @@
         now < self.complete_until
     }
 
+    /// Whether a VM has reported a sum, which may no longer count.
+    pub fn is_told(&self) -> bool {
+        self.until > TimeStamp::ZERO
+    }
+
     /// The fraction held by VMs that have not reported, such as the previous coordinator itself.
     pub fn unknown(&self, now: TimeStamp) -> f64 {
         match now < self.until {
--- a/dahliawood-quota/src/allocation/coordinator/table/mod.rs
+++ b/dahliawood-quota/src/allocation/coordinator/table/mod.rs
@@ -138,7 +138,8 @@
     /// tells; `unknown_usage` is that of a customer that no report names.
     fn unknown(&self, unknown_usage: f64, now: TimeStamp) -> f64 {
         let unheard = self.predecessor.unknown(now);
-        match self.predecessor.is_complete(now) {
+        let is_full = unknown_usage >= 1.0;
+        match self.predecessor.is_complete(now) || (is_full && self.predecessor.is_told()) {
             true => unheard,
             false => unheard.max(unknown_usage),
         }
--- a/dahliawood-quota/src/allocation/copy/mod.rs
+++ b/dahliawood-quota/src/allocation/copy/mod.rs
@@ -35,19 +35,15 @@
         }
     }
 
-    /// How long the copy may still count; limits hold over any span of length `window`.
-    pub fn valid_for(&self, window: Duration, now: TimeStamp) -> Duration {
-        counted_for(self.made_at, window, now)
-    }
-
-    /// The customers, each with its sum over all VMs.
+    /// The customers, each with its sum over all VMs; none once the sums no longer count. Limits hold over
+    /// any span of length `window`.
     pub fn totals(
         &self,
         window: Duration,
         now: TimeStamp,
     ) -> impl Iterator<Item = (&str, AllocatedTotal)> {
-        let valid_for = self.valid_for(window, now);
-        let listed = self.totals.iter();
+        let valid_for = counted_for(self.made_at, window, now);
+        let listed = self.totals.iter().filter(move |_| !valid_for.is_zero());
         listed.map(move |(customer, fraction)| {
             let total = AllocatedTotal {
                 fraction: *fraction,
--- a/dahliawood-quota/tests/quota/allocation/mod.rs
+++ b/dahliawood-quota/tests/quota/allocation/mod.rs
@@ -224,7 +224,7 @@
 pub fn list(customers: &[UsageReport]) -> ReportList<'_> {
     ReportList {
         customers,
-        table_valid_for: Duration::ZERO,
+        has_table: false,
     }
 }
 
@@ -530,7 +530,7 @@
         if step == 0 {
             // The coordinator succeeds another one, which has allocated nothing.
             let reports = ReportList {
-                table_valid_for: WINDOW * 2,
+                has_table: true,
                 ..ReportList::default()
             };
             coordinator.report(all[0].report_source("vm-0", now), reports, now);
@@ -685,12 +685,11 @@
                     None => reports.push(UsageReport::of_total(customer, total)),
                 }
             }
-            let table_valid_for = copy.map_or(Duration::ZERO, |copy| copy.valid_for(WINDOW, now));
             let name = name(vm);
             let from = all[vm].report_source(&name, now);
             let list = ReportList {
                 customers: &reports,
-                table_valid_for,
+                has_table: copy.is_some(),
             };
             let allocations = coordinator.report(from, list, now);
             if coordinator.has_majority(now) {
@@ -759,3 +758,67 @@
     let (most, _) = lose_coordinator(loss, 3, 200);
     assert!(most <= 1_050, "{most} in a window");
 }
+
+/// Guards against customers that are refused below their limit after an ordinary kill of the
+/// coordinator, once its successor has taken over.
+#[test]
+fn a_killed_coordinator_costs_a_customer_below_its_limit_nothing_once_another_vm_has_taken_over() {
+    const KILLED: usize = 40;
+    const DEMAND: u16 = 6;
+    // Until the registration has expired no coordinator answers.
+    for gap in [8, 16, 20, 28, 60] {
+        let mut fleet = TestFleet::new();
+        let mut copy = None;
+        let (mut asked, mut admitted) = (0, 0);
+        for step in 0..KILLED + gap + 40 {
+            let (now, successor) = (at(step), KILLED + gap);
+            if step == successor {
+                fleet.coordinator = AllocationCoordinator::new(WINDOW, 1);
+                fleet.coordinator.set_members((1..VMS).map(name));
+                // A VM at which the customer is not active has the copy.
+                let copy: Option<&TableCopy> = copy.as_ref();
+                let totals = copy.into_iter().flat_map(|copy| copy.totals(WINDOW, now));
+                let told: Vec<UsageReport> = totals
+                    .map(|(customer, total)| UsageReport::of_total(customer, total))
+                    .collect();
+                let reports = ReportList {
+                    customers: &told,
+                    has_table: true,
+                };
+                let source = ReportSource {
+                    name: "standby",
+                    incarnation: 900,
+                    age: WINDOW * 4,
+                };
+                fleet.coordinator.report(source, reports, now);
+            }
+            for vm in usize::from(step >= KILLED)..VMS {
+                let sent = fleet.admitted.len();
+                let event = match (KILLED..successor).contains(&step) {
+                    true => VmEvent::Unreachable { demand: DEMAND },
+                    false => VmEvent::Report { demand: DEMAND },
+                };
+                fleet.vms[0].last_report_step = step.min(KILLED);
+                fleet.apply_event(step, vm, event, now);
+                // One second after the takeover.
+                if step >= successor + 4 {
+                    asked += usize::from(DEMAND);
+                    admitted += fleet.admitted[sent..]
+                        .iter()
+                        .map(|(_, count)| count)
+                        .sum::<usize>();
+                }
+            }
+            if step + 1 == KILLED {
+                let totals = fleet.coordinator.totals(now).expect("a table");
+                copy = Some(TableCopy::new(0, now, totals.into_iter()));
+            }
+            let window = fleet.admitted_in_window(now);
+            assert!(window <= 1_010, "gap {gap}, step {step}: {window}");
+        }
+        assert!(
+            admitted * 100 >= asked * 98,
+            "gap {gap}: {admitted} of {asked}"
+        );
+    }
+}
