fix(testkit): no port is tried while a process of the soak is being started

Cause: a process that is being started has a copy of each open listener until it runs its program. A listener by which another run tries a port, and closes, stays bound as long; the VM that is to have the port may start meanwhile. More runs beside each other and a busy machine make it likely.

Change: ports are tried and processes started one after another.

--- a/dahliawood-testkit/src/soak/vm/mod.rs
+++ b/dahliawood-testkit/src/soak/vm/mod.rs
@@ -1,13 +1,14 @@
 //! The process of one VM: settings, start, signals and exit.
 
+use crate::serving::lock;
 use rustix::process::{Pid, Signal};
 use std::fs::{self, File};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
-use std::sync::LazyLock;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{LazyLock, Mutex};
 
 /// Environment variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "DAHLIAWOOD_CONFIG";
@@ -51,6 +52,10 @@
 static NEXT_PORT: LazyLock<AtomicUsize> =
     LazyLock::new(|| AtomicUsize::new(rand::random_range(0..PORT_RANGE.len())));
 
+/// Held while a port is tried and while a process is started: a process that is being started has a
+/// copy of each open listener until it runs its program, and the port stays taken as long.
+static PORTS_AND_STARTS: Mutex<()> = Mutex::new(());
+
 /// The next port of the range. Runs of one process share the position, so that none takes a port
 /// that another one has picked and not bound yet.
 fn next_port() -> u16 {
@@ -82,6 +87,7 @@
 }
 
 fn free_addresses() -> io::Result<VmAddresses> {
+    let _no_start = lock(&PORTS_AND_STARTS);
     Ok(VmAddresses {
         front: free_address()?,
         ready: free_address()?,
@@ -140,11 +146,13 @@
             .work_dir
             .join(format!("{}.{}.log", self.name, self.starts));
         let output = File::create(log)?;
+        let starting = lock(&PORTS_AND_STARTS);
         let child = Command::new(&self.program)
             .env(SETTINGS_VARIABLE, self.settings_path())
             .stderr(output.try_clone()?)
             .stdout(output)
             .spawn()?;
+        drop(starting);
         self.child = Some(child);
         self.is_terminating = false;
         Ok(())
