fix(gateway): the VM that answered is asked for the next part of a long value

Change: the turn among the VMs moves on with each failure and stays with the one that answers; it begins anew when a VM tells of a later write. The test names the turn, which the former decision had not.

--- a/dahliawood-gateway/src/control/transfers/mod.rs
+++ b/dahliawood-gateway/src/control/transfers/mod.rs
@@ -68,7 +68,7 @@
                 revision,
                 offset,
                 teller,
-                failures,
+                turn,
             }) => {
                 let request = PartRequest {
                     key,
@@ -76,25 +76,26 @@
                     offset,
                     most: PART_BYTES,
                 };
-                fetch_part(&state, request, &teller, failures).await;
+                fetch_part(&state, request, &teller, turn).await;
             }
         }
     }
 }
 
-/// The VM to ask after a number of failures: the one that told of the write, then others of its
-/// failure domain, then all others.
-fn source(state: &ControlState, teller: &str, failures: u32) -> Option<VmRecord> {
+/// The VM to ask after `turn` failures: the one that told of the write, then others of its failure
+/// domain, then all others, and again.
+fn source(state: &ControlState, teller: &str, turn: u32) -> Option<VmRecord> {
     let vms = state.shared.vms.load();
     let own = &state.shared.settings;
     let mut others: Vec<&VmRecord> = vms.iter().filter(|vm| vm.name != own.name).collect();
     others.sort_by_key(|vm| (vm.name != teller, vm.domain != own.domain));
-    others.get(failures as usize).copied().cloned()
+    let place = (turn as usize).checked_rem(others.len())?;
+    others.get(place).copied().cloned()
 }
 
-async fn fetch_part(state: &ControlState, request: PartRequest, teller: &str, failures: u32) {
+async fn fetch_part(state: &ControlState, request: PartRequest, teller: &str, turn: u32) {
     let key = request.key.clone();
-    let Some(vm) = source(state, teller, failures) else {
+    let Some(vm) = source(state, teller, turn) else {
         state.transfers.borrow_mut().record_failure(&key);
         return;
     };
--- a/dahliawood-gateway/src/control/transfers/tracker/mod.rs
+++ b/dahliawood-gateway/src/control/transfers/tracker/mod.rs
@@ -25,6 +25,9 @@
     received: Vec<u8>,
     /// Calls in a row that failed.
     failures: u32,
+    /// Calls that failed since the teller told: another VM is asked after each, and the one that answers
+    /// is asked again.
+    turn: u32,
 }
 
 /// The values that this VM knows to be written and does not have.
@@ -46,8 +49,8 @@
         offset: u32,
         /// Name of the VM that told of the write.
         teller: String,
-        /// Calls in a row that failed: another VM is asked after each.
-        failures: u32,
+        /// How many VMs failed since then, the teller first.
+        turn: u32,
     },
     /// Reads the value from the store.
     Whole {
@@ -71,6 +74,12 @@
 }
 
 impl ValueTransfer {
+    /// Counts a call that failed.
+    fn fail(&mut self) {
+        self.failures += 1;
+        self.turn = self.turn.wrapping_add(1);
+    }
+
     /// Begins with the latest write.
     fn restart(&mut self) {
         self.revision = self.latest;
@@ -97,6 +106,7 @@
                 length: None,
                 received: Vec::new(),
                 failures: 0,
+                turn: 0,
             };
             self.transfers.insert(key.to_owned(), transfer);
             return;
@@ -104,6 +114,7 @@
         if revision >= transfer.latest {
             transfer.latest = revision;
             teller.clone_into(&mut transfer.teller);
+            transfer.turn = 0;
         }
         if transfer.received.is_empty() {
             transfer.restart();
@@ -133,7 +144,7 @@
             revision: transfer.revision,
             offset: transfer.received.len() as u32,
             teller: transfer.teller.clone(),
-            failures: transfer.failures,
+            turn: transfer.turn,
         })
     }
 
@@ -144,7 +155,7 @@
             return PartOutcome::Continues;
         };
         if length == 0 || data.is_empty() {
-            transfer.failures += 1;
+            transfer.fail();
             if transfer.revision < transfer.latest {
                 transfer.restart();
             }
@@ -171,7 +182,7 @@
     /// Records that a complete value could not be decompressed.
     pub fn record_corrupt(&mut self, key: &str) {
         if let Some(transfer) = self.transfers.get_mut(key) {
-            transfer.failures += 1;
+            transfer.fail();
             transfer.restart();
         }
     }
@@ -179,7 +190,7 @@
     /// Records that a call failed; what has arrived is kept.
     pub fn record_failure(&mut self, key: &str) {
         if let Some(transfer) = self.transfers.get_mut(key) {
-            transfer.failures += 1;
+            transfer.fail();
         }
     }
 
--- a/dahliawood-gateway/tests/main/transfers.rs
+++ b/dahliawood-gateway/tests/main/transfers.rs
@@ -313,3 +313,24 @@
     }
     assert!(matches!(tracker.plan(), Some(TransferStep::Whole { .. })));
 }
+
+/// Guards against a VM that does not answer and is asked for each part again.
+#[test]
+fn the_vm_that_answered_is_asked_for_the_next_part() {
+    let turn = |tracker: &TransferTracker| match tracker.plan() {
+        Some(TransferStep::Part { turn, .. }) => turn,
+        other => panic!("{other:?}"),
+    };
+    let mut tracker = TransferTracker::default();
+    tracker.announce(KEY, 5, "a");
+    assert_eq!(turn(&tracker), 0);
+    tracker.record_failure(KEY);
+    assert_eq!(turn(&tracker), 1);
+    tracker.record_part(KEY, 3, &[1]);
+    assert_eq!(turn(&tracker), 1);
+    tracker.record_failure(KEY);
+    tracker.record_part(KEY, 3, &[2]);
+    assert_eq!(turn(&tracker), 2);
+    tracker.announce(KEY, 6, "b");
+    assert_eq!(turn(&tracker), 0);
+}
