--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/7 on start; the standard library only.
+# Builds the stand-ins that the scripts of review/6 on start; the standard library only.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standin-2/backend.rs
+++ b/review/standin-2/backend.rs
@@ -2,7 +2,7 @@
 //! a while, and records it.
 
 use crate::wire;
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -24,6 +24,34 @@
 /// All requests that reached backends.
 pub type Arrivals = Arc<Mutex<Vec<Arrival>>>;
 
+/// The body of each answer: two paragraphs.
+pub const BODY: &str = "The first paragraph of the page.\r\n\r\nThe second paragraph of the page.\r\n";
+
+/// Which answers a faulty backend spoils.
+#[derive(Default)]
+pub struct Garble {
+    /// Whether any are spoiled now.
+    pub is_on: AtomicBool,
+    /// One in so many, and how many were sent meanwhile.
+    pub one_in: u32,
+    pub sent: AtomicU32,
+    /// Ids of the requests whose answers were spoiled.
+    pub spoiled: Mutex<Vec<String>>,
+}
+
+impl Garble {
+    fn spoils(&self, id: &str) -> bool {
+        if !self.is_on.load(Ordering::SeqCst) {
+            return false;
+        }
+        let is_spoiled = self.sent.fetch_add(1, Ordering::SeqCst) % self.one_in == 0;
+        if is_spoiled {
+            self.spoiled.lock().expect("no panic").push(id.to_owned());
+        }
+        is_spoiled
+    }
+}
+
 /// One backend.
 pub struct Backend {
     pub id: String,
@@ -34,7 +62,8 @@
 }
 
 impl Backend {
-    pub fn start(number: usize, arrivals: Arrivals) -> Self {
+    /// Starts a backend; it is faulty if it has a `garble`.
+    pub fn start(number: usize, arrivals: Arrivals, garble: Option<Arc<Garble>>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let backend = Self {
@@ -55,7 +84,14 @@
                 connections.lock().expect("no panic").extend(stream.try_clone());
                 let (id, running) = (id.clone(), Arc::clone(&running));
                 let (leaving, arrivals) = (Arc::clone(&leaving), Arc::clone(&arrivals));
-                thread::spawn(move || serve(stream, number, &id, &leaving, &running, &arrivals));
+                let garble = garble.clone();
+                thread::spawn(move || {
+                    let garble = garble.as_deref();
+                    // Another handle is kept, for the end of the backend.
+                    let closing = stream.try_clone();
+                    serve(stream, number, &id, &leaving, &running, &arrivals, garble);
+                    let _closed = closing.map(|stream| stream.shutdown(Shutdown::Both));
+                });
             }
         });
         backend
@@ -91,6 +127,7 @@
     leaving: &AtomicBool,
     running: &AtomicU32,
     arrivals: &Arrivals,
+    garble: Option<&Garble>,
 ) {
     let _nodelay = stream.set_nodelay(true);
     let Ok(input) = stream.try_clone() else { return };
@@ -117,14 +154,21 @@
         arrivals.lock().expect("no panic").push(Arrival {
             at: Instant::now(),
             backend: number,
-            id: attempt,
+            id: attempt.clone(),
         });
         let now = running.fetch_add(1, Ordering::SeqCst) + 1;
         thread::sleep(WORK);
         running.fetch_sub(1, Ordering::SeqCst);
         let signature = format!("X-Dahliawood-Response-Signature: {id}.{}\r\n", request.body.len());
+        if garble.is_some_and(|garble| garble.spoils(&attempt)) {
+            // Without a length, and with a line feed alone at the ends of its lines; ends in order.
+            let head = format!("HTTP/1.1 200 OK\r\n{echo}{signature}Connection: close\r\n\r\n");
+            let _sent = stream.write_all(head.replace("\r\n", "\n").as_bytes());
+            let _sent = stream.write_all(BODY.as_bytes());
+            return;
+        }
         let fields = format!("{echo}{signature}{}{close}", load(now.min(SLOTS)));
-        if wire::respond(&mut stream, "200 OK", &fields, b"a page of the book\n").is_err() || is_leaving {
+        if wire::respond(&mut stream, "200 OK", &fields, BODY.as_bytes()).is_err() || is_leaving {
             return;
         }
     }
--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use crate::wire;
+use crate::wire::{self, Message};
 
 /// The program of `deploy/system.toml`, relative to the root of the repository.
 const PROGRAM: &str = "target/release/dahliawoodd";
@@ -174,8 +174,8 @@
         Self { address, stream: None }
     }
 
-    /// Sends a request; the status of the answer, or why there is none.
-    pub fn send(&mut self, method: &str, path: &str, id: &str, body: &str) -> Result<u16, String> {
+    /// Sends a request; the answer, or why there is none.
+    pub fn send(&mut self, method: &str, path: &str, id: &str, body: &str) -> Result<Message, String> {
         let fail = |error: std::io::Error| error.to_string();
         if self.stream.is_none() {
             let most = Duration::from_secs(1);
@@ -196,10 +196,10 @@
         );
         let sent = output.write_all(request.as_bytes());
         let answer = sent.and_then(|()| wire::read(input));
-        let (status, close) = match answer {
+        let (answer, close) = match answer {
             Ok(Some(answer)) => {
                 let close = answer.field("connection").is_some_and(|value| value.contains("close"));
-                (Ok(answer.status()), close)
+                (Ok(answer), close)
             }
             Ok(None) => (Err("closed".to_owned()), true),
             Err(error) => (Err(error.to_string()), true),
@@ -207,7 +207,7 @@
         if close {
             self.stream = None;
         }
-        status
+        answer
     }
 }
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,4 +1,4 @@
-//! The scripts of review/7 on: `standin CASE RECORD`, with `TROUBLE=0` for the run without the disruption.
+//! The scripts of review/6 on: `standin CASE RECORD`, with `TROUBLE=0` for the run without the disruption.
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod backend;
@@ -6,7 +6,7 @@
 mod store;
 mod wire;
 
-use backend::{Arrivals, Backend};
+use backend::{Arrivals, Backend, Garble};
 use daemon::{Client, Daemon};
 use std::collections::HashMap;
 use std::fs;
@@ -29,6 +29,11 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// How long a leaving backend goes on serving: `drain_s` "and a little longer (at times many seconds)".
 const STAY: Duration = Duration::from_secs(14);
+/// Backends of the case of spoiled answers, half of them faulty, and which of their answers they spoil: the figures of
+/// the sheet's `garble` "unframed" (x 0.05 for 5 s, of half of the backends).
+const GARBLE_BACKENDS: usize = 12;
+const GARBLED_ONE_IN: u32 = 20;
+const GARBLE_TIME: Duration = Duration::from_secs(5);
 /// Connections of clients to each daemon, and the pause of each between two requests.
 const CLIENTS: usize = 6;
 const PAUSE: Duration = Duration::from_millis(100);
@@ -66,6 +71,8 @@
 struct Load {
     next: AtomicU64,
     is_over: AtomicBool,
+    /// Successes whose body is not the whole one of the backend.
+    wrong: AtomicU64,
     sent: Mutex<HashMap<String, Sent>>,
 }
 
@@ -81,13 +88,124 @@
         let sent = Sent { daemon, at: Instant::now() };
         load.sent.lock().expect("no panic").insert(id.clone(), sent);
         let answer = client.send(method, path, &id, if method == "GET" { "" } else { "a line" });
-        note(&record, &format!("client: {method} {id} to daemon {daemon} ends with {answer:?}"));
+        let ended = answer.as_ref().map(wire::Message::status);
+        note(&record, &format!("client: {method} {id} to daemon {daemon} ends with {ended:?}"));
+        if let Ok(answer) = answer
+            && answer.status() == 200
+            && answer.body != backend::BODY.as_bytes()
+        {
+            let signature = answer.field("x-dahliawood-response-signature");
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            note(&record, &format!("WRONG: {id} gets 200, signature {signature:?}, body {text:?}"));
+            load.wrong.fetch_add(1, Ordering::SeqCst);
+        }
         thread::sleep(PAUSE);
     }
 }
 
 const CONFIG: &str = r#"{"version":"r7","limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15},"tenants":[{"name":"tenant-1","api_keys":["key-of-tenant-1"],"priority":0,"rate_per_s":0,"burst_size":0,"allowed_regions":[]}],"listeners":[{"host":"books.example","rule_set":[{"name":"read","kind":"idempotent","target_latency_s":0.5,"priority":1,"auth_exempt":false,"session_affinity":false,"match":{"prefix":"/read/"},"action":{"service":"books","timeout_s":2,"max_attempts":2,"allowed_regions":[]}},{"name":"write","kind":"non_idempotent","target_latency_s":0.5,"priority":1,"auth_exempt":false,"session_affinity":false,"match":{"prefix":"/write/"},"action":{"service":"books","timeout_s":2,"max_attempts":2,"allowed_regions":[]}}]}],"clusters":[{"name":"books","health_path":"/health","max_connections":390,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":6.2}]}"#;
 
+/// The three daemons of the deployment, ready.
+fn start_daemons(
+    record: &Record,
+    store: std::net::SocketAddr,
+    folder: &Path,
+) -> Result<Vec<Daemon>, String> {
+    let places = [
+        ("front-taipei-a-1", "taipei-a"),
+        ("front-taoyuan-b-1", "taoyuan-b"),
+        ("front-hsinchu-c-1", "hsinchu-c"),
+    ];
+    let daemons = places.iter().map(|(name, zone)| Daemon::new(name, zone, store, folder));
+    let mut daemons: Vec<Daemon> = daemons.collect();
+    for daemon in &mut daemons {
+        daemon.start(true).map_err(|error| format!("cannot start the daemon: {error}"))?;
+    }
+    for daemon in &daemons {
+        if !daemon.wait_ready(Duration::from_secs(15)) {
+            return Err(format!("{} is not ready", daemon.name));
+        }
+    }
+    note(record, "all daemons are ready");
+    Ok(daemons)
+}
+
+fn start_clients(
+    record: &Record,
+    load: &Arc<Load>,
+    daemons: &[Daemon],
+) -> Vec<thread::JoinHandle<()>> {
+    let mut clients = Vec::new();
+    for (place, daemon) in daemons.iter().enumerate() {
+        for _ in 0..CLIENTS {
+            let (load, record, front) = (Arc::clone(load), Arc::clone(record), daemon.front);
+            clients.push(thread::spawn(move || client(load, record, place, front)));
+        }
+    }
+    clients
+}
+
+/// Ends the load, and looks whether all daemons still run.
+fn finish(
+    load: &Load,
+    clients: Vec<thread::JoinHandle<()>>,
+    daemons: &mut [Daemon],
+) -> Result<(), String> {
+    load.is_over.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ended = client.join();
+    }
+    for daemon in daemons {
+        if !daemon.is_running() {
+            return Err(format!("{} has ended by itself", daemon.name));
+        }
+    }
+    Ok(())
+}
+
+/// Half of the backends spoil one answer in twenty for five seconds. Returns whether the rule broke, or why the
+/// case could not run.
+fn lines(record: &Record, folder: &Path, has_trouble: bool) -> Result<bool, String> {
+    let (store, address) = Store::start(Duration::ZERO, Arc::new(|_| {}));
+    let arrivals: Arrivals = Arc::default();
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
+    let garble = Arc::new(Garble { one_in: GARBLED_ONE_IN, ..Garble::default() });
+    store.put("op/config", CONFIG);
+    let backends: Vec<Backend> = (0..GARBLE_BACKENDS)
+        .map(|number| {
+            let garble = (number % 2 == 0).then(|| Arc::clone(&garble));
+            Backend::start(number, Arc::clone(&arrivals), garble)
+        })
+        .collect();
+    for backend in &backends {
+        store.put(&format!("servers/{}", backend.id), &backend.entry("ready", 1, now.as_millis()));
+    }
+    let mut daemons = start_daemons(record, address, folder)?;
+    let load = Arc::new(Load::default());
+    let clients = start_clients(record, &load, &daemons);
+    thread::sleep(Duration::from_secs(6));
+    if has_trouble {
+        note(record, "six of twelve backends begin to spoil one answer in twenty");
+        garble.is_on.store(true, Ordering::SeqCst);
+    }
+    thread::sleep(GARBLE_TIME);
+    garble.is_on.store(false, Ordering::SeqCst);
+    note(record, "no more answers are spoiled");
+    thread::sleep(Duration::from_secs(3));
+    finish(&load, clients, &mut daemons)?;
+
+    let arrivals = arrivals.lock().expect("no panic");
+    note_arrivals(record, &arrivals);
+    let spoiled = garble.spoiled.lock().expect("no panic");
+    let wrong = load.wrong.load(Ordering::SeqCst);
+    note(record, &format!("{} requests ran, spoiled answers to {spoiled:?}", arrivals.len()));
+    note(record, &format!("{wrong} successes with a body that is not the backend's whole body"));
+    if arrivals.len() < 500 || (has_trouble && spoiled.len() < 3) {
+        return Err("too few requests".to_owned());
+    }
+    Ok(wrong > 0)
+}
+
 /// A daemon is killed and started again just after backends said that they leave. Returns whether the rule
 /// broke, or why the case could not run.
 fn pages(record: &Record, folder: &Path, has_trouble: bool) -> Result<bool, String> {
@@ -98,33 +216,16 @@
     let born = now.as_millis();
     store.put("op/config", CONFIG);
     let backends: Vec<Backend> =
-        (0..BACKENDS).map(|number| Backend::start(number, Arc::clone(&arrivals))).collect();
+        (0..BACKENDS).map(|number| Backend::start(number, Arc::clone(&arrivals), None)).collect();
     for backend in &backends {
         store.put(&format!("servers/{}", backend.id), &backend.entry("ready", 1, born));
     }
     // So that the second replica has all this too.
     thread::sleep(LAG + Duration::from_millis(500));
 
-    let places = [("front-taipei-a-1", "taipei-a"), ("front-taoyuan-b-1", "taoyuan-b"), ("front-hsinchu-c-1", "hsinchu-c")];
-    let mut daemons: Vec<Daemon> =
-        places.iter().map(|(name, zone)| Daemon::new(name, zone, address, folder)).collect();
-    for daemon in &mut daemons {
-        daemon.start(true).map_err(|error| format!("cannot start the daemon: {error}"))?;
-    }
-    for daemon in &daemons {
-        if !daemon.wait_ready(Duration::from_secs(15)) {
-            return Err(format!("{} is not ready", daemon.name));
-        }
-    }
-    note(record, "all daemons are ready");
+    let mut daemons = start_daemons(record, address, folder)?;
     let load = Arc::new(Load::default());
-    let mut clients = Vec::new();
-    for (place, daemon) in daemons.iter().enumerate() {
-        for _ in 0..CLIENTS {
-            let (load, record, front) = (Arc::clone(&load), Arc::clone(record), daemon.front);
-            clients.push(thread::spawn(move || client(load, record, place, front)));
-        }
-    }
+    let clients = start_clients(record, &load, &daemons);
     thread::sleep(Duration::from_secs(6));
 
     let leaving = BACKENDS - LEAVING..BACKENDS;
@@ -149,15 +250,7 @@
         note(record, &format!("{} has ended", backend.id));
     }
     thread::sleep(Duration::from_secs(2));
-    load.is_over.store(true, Ordering::SeqCst);
-    for client in clients {
-        let _ended = client.join();
-    }
-    for daemon in &mut daemons {
-        if !daemon.is_running() {
-            return Err(format!("{} has ended by itself", daemon.name));
-        }
-    }
+    finish(&load, clients, &mut daemons)?;
 
     let sent = load.sent.lock().expect("no panic");
     let arrivals = arrivals.lock().expect("no panic");
@@ -200,6 +293,7 @@
     let folder = std::env::temp_dir().join(format!("review-{:016x}", daemon::random()));
     let outcome = match (case.as_str(), fs::create_dir_all(&folder)) {
         ("pages", Ok(())) => pages(&record, &folder, has_trouble),
+        ("lines", Ok(())) => lines(&record, &folder, has_trouble),
         (_, Err(error)) => Err(format!("no temporary folder: {error}")),
         (case, _) => Err(format!("no such case: {case}")),
     };
