--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -34,6 +34,15 @@
 const GARBLE_BACKENDS: usize = 12;
 const GARBLED_ONE_IN: u32 = 20;
 const GARBLE_TIME: Duration = Duration::from_secs(5);
+/// Backends of the case of late heartbeats, and those whose heartbeats are lost: a third of the writes, as the sheets'
+/// `platform_lost` (x 0.35) has it.
+const HEARTBEAT_BACKENDS: usize = 12;
+const HEARTBEATS_LOST: usize = 4;
+/// From the lost answers on: when the backends say that they leave (the store has been stable for `contact_s` by
+/// then), when the lost heartbeats are carried out (at most 6 s late), and when the next ones come.
+const REPORT_AFTER: Duration = Duration::from_millis(3_200);
+const CARRIED_OUT_AFTER: Duration = Duration::from_millis(5_000);
+const NEXT_HEARTBEAT: Duration = Duration::from_millis(6_200);
 /// Connections of clients to each daemon, and the pause of each between two requests.
 const CLIENTS: usize = 6;
 const PAUSE: Duration = Duration::from_millis(100);
@@ -206,6 +215,71 @@
     Ok(wrong > 0)
 }
 
+/// The store loses the answers to heartbeats of four of twelve backends, and carries these out 5 s later, when the
+/// backends have said that they leave. Returns whether the rule broke, or why the case could not run.
+fn heartbeat(record: &Record, folder: &Path, has_trouble: bool) -> Result<bool, String> {
+    let (store, address) = Store::start(Duration::ZERO, Arc::new(|_| {}));
+    let arrivals: Arrivals = Arc::default();
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
+    let born = now.as_millis();
+    store.put("op/config", CONFIG);
+    let backends: Vec<Backend> = (0..HEARTBEAT_BACKENDS)
+        .map(|number| Backend::start(number, Arc::clone(&arrivals), None))
+        .collect();
+    let put = |backend: &Backend, state: &str, sequence: u32, what: &str| {
+        store.put(&format!("servers/{}", backend.id), &backend.entry(state, sequence, born));
+        note(record, &format!("store: {} is {state}, sequence {sequence}: {what}", backend.id));
+    };
+    backends.iter().for_each(|backend| put(backend, "ready", 1, "registered"));
+    let mut daemons = start_daemons(record, address, folder)?;
+    let load = Arc::new(Load::default());
+    let clients = start_clients(record, &load, &daemons);
+    thread::sleep(Duration::from_secs(6));
+
+    // An entry changes when more than its `sequence` does, so that other heartbeats change nothing.
+    let leaving = HEARTBEAT_BACKENDS - HEARTBEATS_LOST..HEARTBEAT_BACKENDS;
+    let lost_at = Instant::now();
+    if has_trouble {
+        note(record, "the answers to heartbeats with sequence 5 are lost, they are not carried out yet");
+    }
+    let until = |at: Duration| thread::sleep(at.saturating_sub(lost_at.elapsed()));
+    until(REPORT_AFTER);
+    for backend in &backends[leaving.clone()] {
+        backend.leave();
+        put(backend, "draining", 7, "acknowledged");
+    }
+    let acked = Instant::now();
+    until(CARRIED_OUT_AFTER);
+    if has_trouble {
+        for backend in &backends[leaving.clone()] {
+            put(backend, "ready", 5, "the late heartbeat is carried out");
+        }
+    }
+    until(NEXT_HEARTBEAT);
+    for backend in &backends[leaving.clone()] {
+        put(backend, "draining", 9, "the next heartbeat");
+    }
+    thread::sleep(Duration::from_secs(4));
+    finish(&load, clients, &mut daemons)?;
+
+    let arrivals = arrivals.lock().expect("no panic");
+    note_arrivals(record, &arrivals);
+    let late = arrivals.iter().filter(|arrival| {
+        leaving.contains(&arrival.backend) && arrival.at >= acked + DRAIN
+    });
+    let late: Vec<f64> =
+        late.map(|arrival| arrival.at.duration_since(acked).as_secs_f64()).collect();
+    let (first, last) = (late.first(), late.last());
+    note(record, &format!(
+        "{} late requests at leaving backends, from {first:?} s to {last:?} s after the acknowledgement",
+        late.len()
+    ));
+    if arrivals.len() < 500 {
+        return Err("too few requests".to_owned());
+    }
+    Ok(!late.is_empty())
+}
+
 /// A daemon is killed and started again just after backends said that they leave. Returns whether the rule
 /// broke, or why the case could not run.
 fn pages(record: &Record, folder: &Path, has_trouble: bool) -> Result<bool, String> {
@@ -294,6 +368,7 @@
     let outcome = match (case.as_str(), fs::create_dir_all(&folder)) {
         ("pages", Ok(())) => pages(&record, &folder, has_trouble),
         ("lines", Ok(())) => lines(&record, &folder, has_trouble),
+        ("heartbeat", Ok(())) => heartbeat(&record, &folder, has_trouble),
         (_, Err(error)) => Err(format!("no temporary folder: {error}")),
         (case, _) => Err(format!("no such case: {case}")),
     };
