--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -8,6 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use crate::names;
 use crate::wire::{self, Message};
 
 /// The program of `deploy/system.toml`, relative to the root of the repository.
@@ -109,7 +110,7 @@
         let text = self.text.replace("BOOTSTRAP", if is_first { "true" } else { "false" });
         fs::write(&self.settings, text)?;
         let child = Command::new(PROGRAM)
-            .env("DAHLIAWOOD_CONFIG", &self.settings)
+            .env(names::name("settings"), &self.settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::null())
@@ -191,8 +192,10 @@
             _ => format!("Content-Length: {}\r\n", body.len()),
         };
         let request = format!(
-            "{method} {path} HTTP/1.1\r\nHost: books.example\r\nX-Dahliawood-Attempt-Id: {id}\r\n\
-             X-Dahliawood-Deadline-Ms: 2000\r\nAuthorization: Token key-of-tenant-1\r\n{length}\r\n{body}"
+            "{method} {path} HTTP/1.1\r\nHost: books.example\r\n{}: {id}\r\n\
+             {}: 2000\r\nAuthorization: Token key-of-tenant-1\r\n{length}\r\n{body}",
+            names::name("attempt-id"),
+            names::name("deadline")
         );
         let sent = output.write_all(request.as_bytes());
         let answer = sent.and_then(|()| wire::read(input));
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod daemon;
+mod names;
 mod store;
 mod wire;
 
@@ -103,7 +104,7 @@
             && answer.status() == 200
             && answer.body != backend::BODY.as_bytes()
         {
-            let signature = answer.field("x-dahliawood-response-signature");
+            let signature = answer.field(names::name("signature"));
             let text = String::from_utf8_lossy(&answer.body).into_owned();
             note(&record, &format!("WRONG: {id} gets 200, signature {signature:?}, body {text:?}"));
             load.wrong.fetch_add(1, Ordering::SeqCst);
@@ -179,7 +180,7 @@
     let arrivals: Arrivals = Arc::default();
     let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
     let garble = Arc::new(Garble { one_in: GARBLED_ONE_IN, ..Garble::default() });
-    store.put("op/config", CONFIG);
+    store.put(names::name("document"), CONFIG);
     let backends: Vec<Backend> = (0..GARBLE_BACKENDS)
         .map(|number| {
             let garble = (number % 2 == 0).then(|| Arc::clone(&garble));
@@ -222,7 +223,7 @@
     let arrivals: Arrivals = Arc::default();
     let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
     let born = now.as_millis();
-    store.put("op/config", CONFIG);
+    store.put(names::name("document"), CONFIG);
     let backends: Vec<Backend> = (0..HEARTBEAT_BACKENDS)
         .map(|number| Backend::start(number, Arc::clone(&arrivals), None))
         .collect();
@@ -288,7 +289,7 @@
     let arrivals: Arrivals = Arc::default();
     let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
     let born = now.as_millis();
-    store.put("op/config", CONFIG);
+    store.put(names::name("document"), CONFIG);
     let backends: Vec<Backend> =
         (0..BACKENDS).map(|number| Backend::start(number, Arc::clone(&arrivals), None)).collect();
     for backend in &backends {
--- a/review/standin-2/wire.rs
+++ b/review/standin-2/wire.rs
@@ -14,7 +14,7 @@
 impl Message {
     pub fn field(&self, name: &str) -> Option<&str> {
         let mut fields = self.fields.iter();
-        fields.find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+        fields.find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
     }
 
     pub fn status(&self) -> u16 {
