--- a/dahliawood-wire/src/client/mod.rs
+++ b/dahliawood-wire/src/client/mod.rs
@@ -3,6 +3,7 @@
 pub mod error;
 pub mod expectation;
 
+use crate::head_end::HeadKind;
 use crate::{body, framer, head, server, stream};
 use async_std::future as timed;
 use error::ExchangeError;
@@ -160,7 +161,7 @@
         source,
     };
     for interim in 0..=MAX_INTERIM_RESPONSES {
-        let arrival = framer.next_head(bound).await;
+        let arrival = framer.next_head(HeadKind::Response, bound).await;
         match arrival {
             Ok(framer::HeadArrival::Found) => {}
             Ok(framer::HeadArrival::Ended { .. }) => {
--- a/dahliawood-wire/src/framer/mod.rs
+++ b/dahliawood-wire/src/framer/mod.rs
@@ -7,6 +7,7 @@
 
 mod stall;
 
+use crate::head_end::HeadKind;
 use crate::{chunk, head, stream};
 use futures::future;
 use futures::io::{AsyncRead, AsyncWrite};
@@ -235,17 +236,19 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits for the next head of at most `bound` bytes; invalidates readers of the last message.
+    /// Waits for the next head of this kind and of at most `bound` bytes; invalidates readers of the last message.
     ///
     /// # Errors
     /// The connection failed.
-    pub async fn next_head(&self, bound: usize) -> io::Result<HeadArrival> {
+    pub async fn next_head(&self, kind: HeadKind, bound: usize) -> io::Result<HeadArrival> {
         self.lock().epoch += 1;
         future::poll_fn(|context| {
             let mut state = self.lock();
             loop {
-                state.skip_blank_lines();
-                match head::find_end(state.received(), bound) {
+                if kind == HeadKind::Request {
+                    state.skip_blank_lines();
+                }
+                match head::find_end(kind, state.received(), bound) {
                     Err(error) => return Poll::Ready(Ok(HeadArrival::Refused(error))),
                     Ok(Some(end)) => {
                         state.phase = FramerPhase::Head { left: end };
--- a/dahliawood-wire/src/head/error/mod.rs
+++ b/dahliawood-wire/src/head/error/mod.rs
@@ -12,7 +12,7 @@
         /// The bound, in bytes.
         bound: usize,
     },
-    /// The head contains a byte that is not ASCII, or a line feed without a carriage return.
+    /// The head contains a byte that is not ASCII, a control character, or half of a line's end.
     #[snafu(display("the head has byte {byte:#04x} where it is not allowed"))]
     Byte {
         /// The byte.
--- a/dahliawood-wire/src/head/mod.rs
+++ b/dahliawood-wire/src/head/mod.rs
@@ -3,14 +3,13 @@
 pub mod error;
 
 use crate::chunk;
+use crate::head_end::{self, HeadKind};
 use error::HeadError;
 use http_types::headers::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, Headers, TRANSFER_ENCODING,
 };
 use http_types::{Method, Request, Response, StatusCode};
 
-/// The bytes that end a head.
-const HEAD_END: &[u8] = b"\r\n\r\n";
 /// The only supported transfer encoding.
 const CHUNKED: &str = "chunked";
 /// Value of `Expect` from a caller that waits for an interim response before it sends its body.
@@ -45,22 +44,13 @@
 /// # Errors
 /// The head is longer than `bound`, or contains a byte on which async-h1 panics or misjudges the
 /// end of the head.
-pub fn find_end(bytes: &[u8], bound: usize) -> Result<Option<usize>, HeadError> {
-    let end = bytes
-        .windows(HEAD_END.len())
-        .position(|window| window == HEAD_END)
-        .map(|position| position + HEAD_END.len());
+pub fn find_end(kind: HeadKind, bytes: &[u8], bound: usize) -> Result<Option<usize>, HeadError> {
+    let end =
+        head_end::find(kind, bytes, 0).map_err(|error| HeadError::Byte { byte: error.byte })?;
     let head = &bytes[..end.unwrap_or(bytes.len())];
     if head.len() > bound {
         return Err(HeadError::TooLarge { bound });
     }
-    let lone_feed = head
-        .iter()
-        .enumerate()
-        .any(|(index, byte)| *byte == b'\n' && (index == 0 || head[index - 1] != b'\r'));
-    if lone_feed {
-        return Err(HeadError::Byte { byte: b'\n' });
-    }
     match head.iter().find(|byte| !byte.is_ascii()) {
         Some(byte) => Err(HeadError::Byte { byte: *byte }),
         None => Ok(end),
--- a/dahliawood-wire/src/lib.rs
+++ b/dahliawood-wire/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod client;
 pub mod framer;
 pub mod head;
+pub mod head_end;
 pub mod headers;
 pub mod one_shot;
 pub mod pool;
--- a/dahliawood-wire/src/raw/head/mod.rs
+++ b/dahliawood-wire/src/raw/head/mod.rs
@@ -95,7 +95,7 @@
 pub fn parse_request(bytes: &[u8]) -> Result<RequestHead, ReadError> {
     let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut parsed = httparse::Request::new(&mut storage);
-    require_whole(parsed.parse(bytes))?;
+    require_whole(parsed.parse(bytes), bytes)?;
     Ok(RequestHead {
         method: parsed.method.unwrap_or_default().to_owned(),
         target: parsed.path.unwrap_or_default().to_owned(),
@@ -111,7 +111,7 @@
 pub fn parse_response(bytes: &[u8]) -> Result<ResponseHead, ReadError> {
     let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut parsed = httparse::Response::new(&mut storage);
-    require_whole(parsed.parse(bytes))?;
+    require_whole(parsed.parse(bytes), bytes)?;
     Ok(ResponseHead {
         status: parsed.code.unwrap_or_default(),
         is_http10: parsed.version == Some(0),
@@ -119,9 +119,11 @@
     })
 }
 
-fn require_whole(parsed: httparse::Result<usize>) -> Result<(), ReadError> {
+/// Requires that the parser found the end of the head where the reader did.
+fn require_whole(parsed: httparse::Result<usize>, bytes: &[u8]) -> Result<(), ReadError> {
     match parsed {
-        Ok(httparse::Status::Complete(_)) => Ok(()),
+        Ok(httparse::Status::Complete(end)) if end == bytes.len() => Ok(()),
+        Ok(httparse::Status::Complete(_)) => Err(ReadError::malformed("the head ends early")),
         Ok(httparse::Status::Partial) => Err(ReadError::malformed("the head is not whole")),
         Err(error) => Err(ReadError::malformed(&error)),
     }
--- a/dahliawood-wire/src/raw/reader/mod.rs
+++ b/dahliawood-wire/src/raw/reader/mod.rs
@@ -4,6 +4,7 @@
 //! number of reads, so that timeouts are kept, and takes the bytes of a body from a budget.
 
 use crate::chunk::ChunkScanner;
+use crate::head_end::{self, HeadKind};
 use crate::raw::budget::{ByteBudget, HeldBody};
 use crate::raw::error::{ChunksSnafu, ConnectionSnafu, ReadError};
 use crate::raw::head::{self, BodyFraming, RequestHead, ResponseHead};
@@ -17,8 +18,8 @@
 const BODY_READ_BYTES: usize = 64 * 1024;
 /// Reads after which other tasks run, if the connection always has more bytes.
 const READS_PER_TURN: u32 = 8;
-/// The bytes that end a head.
-const HEAD_END: &[u8] = b"\r\n\r\n";
+/// The end of a line.
+const LINE_END: &[u8] = b"\r\n";
 
 /// A connection and a buffer of bytes that were received but not consumed yet.
 #[derive(Debug)]
@@ -79,24 +80,32 @@
     }
 
     /// The bytes of the next head; `None` if the connection ended before its first byte.
-    async fn head_bytes(&mut self, bound: usize) -> Result<Option<Vec<u8>>, ReadError> {
+    ///
+    /// Empty lines before a request are skipped (RFC 9112, section 2.2), as part of the bound.
+    async fn head_bytes(
+        &mut self,
+        kind: HeadKind,
+        bound: usize,
+    ) -> Result<Option<Vec<u8>>, ReadError> {
         let mut scanned = 0;
+        let mut skipped = 0;
         loop {
-            while scanned == 0 && self.received().starts_with(b"\r\n") {
-                self.start += 2;
+            while kind == HeadKind::Request
+                && scanned < LINE_END.len()
+                && self.received().starts_with(LINE_END)
+            {
+                self.start += LINE_END.len();
+                skipped += LINE_END.len();
+                scanned = 0;
             }
             let received = self.received();
-            let from = scanned.min(received.len());
-            let end = received[from..]
-                .windows(HEAD_END.len())
-                .position(|window| window == HEAD_END)
-                .map(|position| from + position + HEAD_END.len());
-            match end {
-                Some(end) if end <= bound => return Ok(Some(self.take(end))),
-                None if received.len() < bound => {}
+            let end = head_end::find(kind, received, scanned);
+            match end.map_err(|error| ReadError::malformed(&error))? {
+                Some(end) if end + skipped <= bound => return Ok(Some(self.take(end))),
+                None if received.len() + skipped < bound => {}
                 _ => return Err(ReadError::HeadTooLarge { bound }),
             }
-            scanned = received.len().saturating_sub(HEAD_END.len() - 1);
+            scanned = received.len();
             if self.fill(READ_BYTES).await? == 0 {
                 return match self.received().is_empty() {
                     true => Ok(None),
@@ -111,7 +120,7 @@
     /// # Errors
     /// The connection failed, or the received bytes are not a valid request head.
     pub async fn request_head(&mut self, bound: usize) -> Result<Option<RequestHead>, ReadError> {
-        let bytes = self.head_bytes(bound).await?;
+        let bytes = self.head_bytes(HeadKind::Request, bound).await?;
         bytes.map(|bytes| head::parse_request(&bytes)).transpose()
     }
 
@@ -120,7 +129,7 @@
     /// # Errors
     /// The connection failed, or the received bytes are not a valid response head.
     pub async fn response_head(&mut self, bound: usize) -> Result<Option<ResponseHead>, ReadError> {
-        let bytes = self.head_bytes(bound).await?;
+        let bytes = self.head_bytes(HeadKind::Response, bound).await?;
         bytes.map(|bytes| head::parse_response(&bytes)).transpose()
     }
 
--- a/dahliawood-wire/src/server/mod.rs
+++ b/dahliawood-wire/src/server/mod.rs
@@ -3,6 +3,7 @@
 pub mod error;
 mod refuse;
 
+use crate::head_end::HeadKind;
 use crate::{body, framer, head, stream};
 use async_std::future as timed;
 use async_std::task;
@@ -197,7 +198,7 @@
         let idle = Instant::now();
         let mut begun = self.framer.has_buffered_bytes().then_some(idle);
         let framer = self.framer.clone();
-        let mut next = Box::pin(framer.next_head(self.options.head_bound));
+        let mut next = Box::pin(framer.next_head(HeadKind::Request, self.options.head_bound));
         loop {
             match future::select(next, &mut self.poll_timer).await {
                 Either::Left((arrival, _)) => return arrival.context(ReceiveSnafu).map(Ok),
--- a/dahliawood-wire/tests/main/main.rs
+++ b/dahliawood-wire/tests/main/main.rs
@@ -3,6 +3,8 @@
 mod connection_end;
 mod headers;
 mod loopback;
+mod message_end;
+mod pieces;
 mod raw;
 mod relay;
 mod resume;
--- a/dahliawood-wire/tests/main/raw/mod.rs
+++ b/dahliawood-wire/tests/main/raw/mod.rs
@@ -1,46 +1,18 @@
 //! Tests of the raw reader: ends of bodies, dropped reads, ambiguous framing.
 
+use crate::pieces::PieceStream;
 use dahliawood_wire::raw::budget::{ByteBudget, SMALL_BODY_BYTES};
 use dahliawood_wire::raw::error::ReadError;
 use dahliawood_wire::raw::head::BodyFraming;
 use dahliawood_wire::raw::reader::ConnectionReader;
 use futures::executor::block_on;
 use futures::future;
-use futures::io::AsyncRead;
-use std::collections::VecDeque;
-use std::io;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 
 const HEAD_BYTES: usize = 1024;
 const BODY_BYTES: usize = 64;
 
-/// A connection that yields the given pieces; a piece that is `None` makes one read pending.
-struct PieceStream(VecDeque<Option<&'static [u8]>>);
-
-impl AsyncRead for PieceStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
-        output: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        match self.0.pop_front() {
-            None => Poll::Ready(Ok(0)),
-            Some(None) => Poll::Pending,
-            Some(Some(piece)) => {
-                let count = piece.len().min(output.len());
-                output[..count].copy_from_slice(&piece[..count]);
-                if count < piece.len() {
-                    self.0.push_front(Some(&piece[count..]));
-                }
-                Poll::Ready(Ok(count))
-            }
-        }
-    }
-}
-
-fn reader(pieces: &[Option<&'static [u8]>]) -> ConnectionReader<PieceStream> {
-    ConnectionReader::new(PieceStream(pieces.iter().copied().collect()))
+fn reader(pieces: &[Option<&[u8]>]) -> ConnectionReader<PieceStream> {
+    ConnectionReader::new(PieceStream::new(pieces))
 }
 
 /// Reads the body of a response that arrives in the given pieces.
