--- a/dahliawood-gateway/src/control/follow/mod.rs
+++ b/dahliawood-gateway/src/control/follow/mod.rs
@@ -66,6 +66,16 @@
     age_ms: u128,
 }
 
+/// Log event for a read of the whole key space.
+#[derive(Serialize)]
+struct ReadEvent {
+    pages: usize,
+    /// Revisions of the oldest and the newest page.
+    oldest: u64,
+    newest: u64,
+    may_be_stale: bool,
+}
+
 /// Follows the key space until the task is cancelled.
 pub async fn run(state: Rc<ControlState>) {
     if state.shared.settings.is_first_start {
@@ -183,7 +193,7 @@
     let is_first = !state.sources.borrow().is_confirmed();
     let asked_at = clock::now();
     let mut items: Vec<KeyspaceItem> = Vec::new();
-    let mut revision = None;
+    let mut revisions: Vec<u64> = Vec::new();
     loop {
         let after = items.last().map(|item| item.key.clone());
         let call = RangeCall {
@@ -197,16 +207,18 @@
             .metrics
             .record_store_call("range", read.is_ok());
         let page = read?;
-        // The pages are no consistent snapshot: following continues from the revision of the first
-        // page, so that later changes are not missed.
-        revision.get_or_insert(page.revision);
+        revisions.push(page.revision);
         let is_last = !page.has_more || page.items.is_empty();
         items.extend(page.items);
         if is_last {
             break;
         }
     }
-    copy::replace(state, items, revision.unwrap_or(0));
+    // The pages are no consistent snapshot, and each may come from a replica that is older than those
+    // of the others: all is known only up to the oldest page.
+    let oldest = revisions.iter().copied().min().unwrap_or(0);
+    log_read(state, &revisions, is_first);
+    copy::replace(state, items, oldest);
     if !is_first {
         state.sources.borrow_mut().record_read(asked_at);
         copy::notify_followers(state);
@@ -214,6 +226,17 @@
     Ok(())
 }
 
+/// Logs how old the pages of a read of the whole key space were.
+fn log_read(state: &ControlState, revisions: &[u64], may_be_stale: bool) {
+    let event = || ReadEvent {
+        pages: revisions.len(),
+        oldest: revisions.iter().copied().min().unwrap_or(0),
+        newest: revisions.iter().copied().max().unwrap_or(0),
+        may_be_stale,
+    };
+    state.shared.log.write(EventClass::State, "read", event);
+}
+
 /// Waits until the store does not answer another call, and sends nothing to this one.
 async fn wait_for_silence(state: &ControlState) {
     let received = || state.store.received.load(Ordering::Relaxed);
--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -15,7 +15,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -80,6 +80,10 @@
     late_writes: Arc<Mutex<VecDeque<Duration>>>,
     /// Bytes a second of each response, zero for no bound.
     rate: Arc<AtomicUsize>,
+    /// The most items of a page.
+    page_items: Arc<AtomicUsize>,
+    /// Whether stale reads that continue a list are answered from the last copy.
+    has_old_pages: Arc<AtomicBool>,
 }
 
 /// Starts a store on a free port of loopback.
@@ -100,6 +104,8 @@
         substitutes: Arc::default(),
         late_writes: Arc::default(),
         rate: Arc::default(),
+        page_items: Arc::new(AtomicUsize::new(usize::MAX)),
+        has_old_pages: Arc::default(),
     };
     let served = store.clone();
     serving::accept(listener, move |stream| served.clone().serve(stream));
@@ -139,6 +145,30 @@
         self.rate.store(rate, Ordering::Relaxed);
     }
 
+    /// Ends each page at this address after `items` items.
+    pub fn set_page_items(&self, items: usize) {
+        self.page_items.store(items, Ordering::Relaxed);
+    }
+
+    /// Answers stale reads at this address that continue a list from the last copy, as a replica does
+    /// that is behind the one that began it.
+    pub fn set_old_pages(&self, has_old_pages: bool) {
+        self.has_old_pages.store(has_old_pages, Ordering::Relaxed);
+    }
+
+    /// A page of a list, as the replica has it that answers.
+    fn page(&self, after: &str, prefix: &str, may_be_stale: bool) -> Value {
+        let state = self.lock();
+        let is_old =
+            may_be_stale && !after.is_empty() && self.has_old_pages.load(Ordering::Relaxed);
+        let replica = state.copy.as_deref().filter(|_| is_old);
+        let most = self.page_items.load(Ordering::Relaxed);
+        let read_value = |stored: &str| self.read_value(stored);
+        replica
+            .unwrap_or(&state)
+            .range(prefix, after, most, &read_value)
+    }
+
     /// The next write gets no answer, and is carried out after `delay` if its condition and its lease
     /// hold then. Several delays apply to as many writes, in turn.
     pub fn delay_write(&self, delay: Duration) {
@@ -272,14 +302,12 @@
                 .map(|(_, value)| value.into_owned())
                 .unwrap_or_default()
         };
-        let read_value = |stored: &str| self.read_value(stored);
         match (head.method.as_str(), path) {
-            ("GET", "/api/kv-range") => (
-                200,
-                self.lock()
-                    .range(&parameter("prefix"), &parameter("after"), &read_value)
-                    .to_string(),
-            ),
+            ("GET", "/api/kv-range") => {
+                let may_be_stale = parameter("serializable") == "1";
+                let page = self.page(&parameter("after"), &parameter("prefix"), may_be_stale);
+                (200, page.to_string())
+            }
             ("GET", "/api/kv-watch") => {
                 let after = parameter("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(parameter("wait_ms").parse().unwrap_or(0));
@@ -444,13 +472,20 @@
         }
     }
 
-    /// A page of the keys under a prefix, from the one after `after` on.
-    fn range(&self, prefix: &str, after: &str, read_value: &dyn Fn(&str) -> String) -> Value {
+    /// A page of at most `most` keys under a prefix, from the one after `after` on.
+    fn range(
+        &self,
+        prefix: &str,
+        after: &str,
+        most: usize,
+        read_value: &dyn Fn(&str) -> String,
+    ) -> Value {
         let items = self.items.iter();
         let mut items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let mut page: Vec<Value> = Vec::new();
         let mut bytes = 0;
         while bytes < PAGE_BYTES
+            && page.len() < most
             && let Some((key, item)) = items.next()
         {
             bytes += item.value.len();
