--- a/dahliawood-gateway/src/codec/mod.rs
+++ b/dahliawood-gateway/src/codec/mod.rs
@@ -3,7 +3,7 @@
 
 use dahliawood_model::catalog::{FleetCatalog, TargetEntry, TargetReport};
 use dahliawood_model::stamp::TimeStamp;
-use dahliawood_store::keyspace::view::IsOlder;
+use dahliawood_store::keyspace::record::OrderOf;
 use dahliawood_wire::raw::fields::FieldList;
 use dahliawood_wire::raw::head::{RequestHead, ResponseHead};
 use std::net::SocketAddr;
@@ -24,8 +24,8 @@
     pub write_lookup: fn(&[SocketAddr], Duration) -> Vec<u8>,
     /// Extracts the id of a target from its key in the key space, `None` for other keys.
     pub target_id: for<'a> fn(&'a str) -> Option<&'a str>,
-    /// Whether the first value of a key is older than the second one, by what they say.
-    pub is_older: IsOlder,
+    /// How old a value of a key is by what it says.
+    pub order_of: OrderOf,
     /// Decodes an item of the key space; `None` if the key is not one of the platform's.
     pub read_item: fn(&str, &[u8]) -> Option<KeyspaceRecord>,
 }
--- a/dahliawood-gateway/src/control/copy/mod.rs
+++ b/dahliawood-gateway/src/control/copy/mod.rs
@@ -9,20 +9,34 @@
 use dahliawood_model::FastSet;
 use dahliawood_peer::gateway::message::KeyspaceSnapshot;
 use dahliawood_store::keyspace::call::KeyspaceItem;
-use dahliawood_store::keyspace::view::{RelaySource, ViewChange};
+use dahliawood_store::keyspace::view::{LateWrite, RelaySource, ViewChange};
 use serde::Serialize;
 
+/// Log event for a write that the store carried out after one of which the writer said later.
+#[derive(Serialize)]
+struct LateWriteEvent<'a> {
+    key: &'a str,
+    revision: u64,
+}
+
 /// Log event for a return of the store to an older state.
 #[derive(Serialize)]
 struct RestorationEvent {
     epoch: u64,
 }
 
-/// Applies the changes that lead to `revision`, and passes them on to VMs that follow this one.
+/// Applies the changes that lead to `revision`, and passes on those that are newer than what is known to
+/// VMs that follow this one.
 pub fn apply_items(state: &ControlState, items: Vec<KeyspaceItem>, revision: u64) {
     supersede_transfers(state, &items);
-    state.change_log.borrow_mut().extend(&items, revision);
+    let mut passed_on = items.clone();
     let changes = state.view.borrow_mut().apply(items, revision, clock::now());
+    let late = take_late_writes(state);
+    passed_on.retain(|item| {
+        let is_it = |write: &LateWrite| write.key == item.key && write.revision == item.revision;
+        !late.iter().any(is_it)
+    });
+    state.change_log.borrow_mut().extend(&passed_on, revision);
     if state.sources.borrow().is_confirmed() {
         apply::apply_changes(state, &changes);
     } else {
@@ -31,6 +45,23 @@
     notify_followers(state);
 }
 
+/// The writes that the store carried out late since the last call, which are logged and counted.
+fn take_late_writes(state: &ControlState) -> Vec<LateWrite> {
+    let late = state.view.borrow_mut().take_late_writes();
+    for write in &late {
+        state.shared.metrics.late_writes.inc();
+        let event = || LateWriteEvent {
+            key: &write.key,
+            revision: write.revision,
+        };
+        state
+            .shared
+            .log
+            .write(EventClass::State, "late-write", event);
+    }
+    late
+}
+
 /// Replaces the copy by the whole key space as the store listed it at `revision`.
 ///
 /// The changes of a first read may be some seconds old, so they are not in force before they are
@@ -43,6 +74,7 @@
         .view
         .borrow_mut()
         .replace(items, revision, clock::now());
+    let _logged = take_late_writes(state);
     note_restoration(state, epoch);
     state.change_log.borrow_mut().reset(revision);
     if is_first {
@@ -80,6 +112,7 @@
         .view
         .borrow_mut()
         .apply_relayed(items, &listed, source, clock::now());
+    let _logged = take_late_writes(state);
     note_restoration(state, epoch);
     let revision = state.view.borrow().revision();
     state.change_log.borrow_mut().reset(revision);
@@ -89,16 +122,16 @@
 
 /// Applies a long value that was fetched apart from the changes around it.
 pub fn apply_value(state: &ControlState, item: KeyspaceItem) {
-    let items = vec![item];
-    supersede_transfers(state, &items);
+    supersede_transfers(state, std::slice::from_ref(&item));
     let mut view = state.view.borrow_mut();
     let revision = view.revision();
-    let changes = view.apply(items, revision, clock::now());
+    let changes = view.apply_fetched(item, clock::now());
     drop(view);
+    let _logged = take_late_writes(state);
     // Followers that lack the value don't find it among later changes.
     state.change_log.borrow_mut().reset(revision);
     if state.sources.borrow().is_confirmed() {
-        apply::apply_changes(state, &changes);
+        apply::apply_changes(state, changes.as_slice());
     } else {
         state.unconfirmed.borrow_mut().extend(changes);
     }
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -120,7 +120,7 @@
         started,
         budget: FreshnessBudget::new(&options.shared.settings.bounds),
     });
-    let view = KeyspaceView::new(apply::is_leased).with_order(options.shared.codec.is_older);
+    let view = KeyspaceView::new(apply::is_leased).with_order(options.shared.codec.order_of);
     let loads = loads::LoadExchange::new(&options.shared.settings.name, incarnation);
     let state = Rc::new(ControlState {
         loads,
--- a/dahliawood-gateway/src/control/register/tracker/mod.rs
+++ b/dahliawood-gateway/src/control/register/tracker/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::control::vms::VmRecord;
 use dahliawood_store::keyspace::call::{StoredEntry, WriteCall};
-use dahliawood_store::keyspace::view::VersionedValue;
+use dahliawood_store::keyspace::record::VersionedValue;
 
 /// A VM's registration as its process knows it.
 #[derive(Clone, Debug)]
--- a/dahliawood-gateway/src/control/transfers/mod.rs
+++ b/dahliawood-gateway/src/control/transfers/mod.rs
@@ -39,13 +39,14 @@
 
 /// Tells that a key was written at `revision` and its value is to be fetched, unless it is known.
 pub fn announce(state: &ControlState, key: &str, revision: u64, teller: &str) {
-    let view = state.view.borrow();
+    let mut view = state.view.borrow_mut();
     if view
         .get(key)
         .is_some_and(|known| known.revision >= revision)
     {
         return;
     }
+    view.expect_value(key);
     drop(view);
     state.transfers.borrow_mut().announce(key, revision, teller);
     state.shared.set_outdated(true);
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -48,6 +48,8 @@
     pub cut_off: IntGauge,
     /// What other VMs said of targets and this VM's own connections contradict.
     pub contradictions: IntCounter,
+    /// Writes that the store carried out after one of which the writer said later.
+    pub late_writes: IntCounter,
     /// Changes of the warm-ups of targets, by change and cause.
     pub warmups: IntCounterVec,
     /// Targets that are warming up.
@@ -144,6 +146,7 @@
             forwards: metrics.counters("forwards_total", "Requests forwarded to other VMs (side 'origin') and for them (side 'helper').", &["side", "outcome"])?,
             cut_off: metrics.gauge("cut_off", "1 while this VM reaches no target.")?,
             contradictions: metrics.counter("contradictions_total", "What other VMs said of targets and this VM's connections contradict.")?,
+            late_writes: metrics.counter("late_writes_total", "Writes that the store carried out late.")?,
             warmups: metrics.counters("warmups_total", "Warm-ups of targets that began, ended or were set back.", &["change", "cause"])?,
             warming_targets: metrics.gauge("warming_targets", "Targets that are warming up.")?,
             loads: metrics.counters("loads_total", "Loads of targets exchanged with other VMs: sent, adopted, or ignored by reason.", &["outcome"])?,
--- a/dahliawood-gateway/tests/main/registration.rs
+++ b/dahliawood-gateway/tests/main/registration.rs
@@ -6,7 +6,7 @@
 };
 use dahliawood_gateway::control::vms::VmRecord;
 use dahliawood_store::keyspace::call::{StoredEntry, WriteCall};
-use dahliawood_store::keyspace::view::VersionedValue;
+use dahliawood_store::keyspace::record::VersionedValue;
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng};
 use std::net::SocketAddr;
--- a/dahliawood-store/src/keyspace/view/mod.rs
+++ b/dahliawood-store/src/keyspace/view/mod.rs
@@ -1,4 +1,8 @@
-//! Caches a key space; a key never goes back to an older revision.
+//! Caches a key space; no key goes back to what is older.
+//!
+//! [`crate::keyspace::record`] decides for each key what is newer, whatever way it came: as a change, in
+//! a list of the service or of another VM, or apart from others. This module adds what concerns all keys:
+//! which revision all changes are known up to, and for how long what is gone is still held.
 //!
 //! While the service is unavailable, leases may expire although their holders are alive. Leased
 //! keys that are missing when the service is back are retained for [`SETTLE_TIME`], and dropped if
@@ -10,6 +14,9 @@
 
 use crate::keyspace::call::KeyspaceItem;
 use crate::keyspace::epoch;
+use crate::keyspace::record::{
+    KeyRecord, MergeOutcome, ObservedWrite, OrderOf, ValueOrder, VersionedValue, WriterOrder,
+};
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::{FastMap, FastSet};
 use std::sync::Arc;
@@ -21,18 +28,12 @@
 /// Time after a restoration until the key space is settled: writers have written again what was
 /// lost, and what they don't renew is gone.
 pub const RESTORE_TIME: Duration = Duration::from_secs(6);
+/// How long a key that is gone is remembered, so that a write which the service carries out late does not
+/// bring it back.
+pub const REMOVED_TIME: Duration = Duration::from_secs(600);
 /// Shortest time that leases last without renewal, as when the service is unavailable.
 const MIN_LEASE_TIME: Duration = Duration::from_secs(2);
 
-/// The value of a key, with the revision of its write.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct VersionedValue {
-    /// The value.
-    pub value: Arc<[u8]>,
-    /// Revision of the write.
-    pub revision: u64,
-}
-
 /// A change of the cached key space.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ViewChange {
@@ -54,11 +55,14 @@
 /// The cached key space of one VM.
 #[derive(Clone, Debug)]
 pub struct KeyspaceView {
-    known: FastMap<String, VersionedValue>,
-    tombstones: FastMap<String, u64>,
+    records: FastMap<String, KeyRecord>,
     /// Keys that are gone from the service but retained until their holders had time to write them
     /// again.
     retained: FastSet<String>,
+    /// Keys that are gone, and since when.
+    gone: FastMap<String, TimeStamp>,
+    /// Writes that were carried out late, since they were last taken.
+    late: Vec<LateWrite>,
     revision: u64,
     /// The newest revision that another VM reported; the view's is the higher of this one and
     /// `revision`.
@@ -68,39 +72,63 @@
     /// When the service was last known to answer.
     answered_at: TimeStamp,
     is_leased: fn(&str) -> bool,
-    is_older: IsOlder,
+    order_of: OrderOf,
     /// Until when a restoration of the service is not settled.
     restored_until: TimeStamp,
     /// Keys that a restored service lists again although they were removed.
     reappeared: FastMap<String, KeyspaceItem>,
 }
 
-/// Whether the first value of a key is older than the second one, by what they say.
-pub type IsOlder = fn(key: &str, value: &[u8], known: &[u8]) -> bool;
+/// A write that the service carried out after one of which the writer said later.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LateWrite {
+    /// The key.
+    pub key: String,
+    /// Revision of the write.
+    pub revision: u64,
+}
+
+/// Where an item comes from.
+#[derive(Clone, Copy, Debug)]
+struct ItemOrigin {
+    /// The revision at which a key that this VM does not know is known not to have existed.
+    absent_at: u64,
+    /// Whether a service that returned to an older state lists it.
+    is_restored: bool,
+}
+
+impl ItemOrigin {
+    /// An item that proves that its key existed.
+    const LISTED: Self = Self {
+        absent_at: 0,
+        is_restored: false,
+    };
+}
 
 impl KeyspaceView {
     /// An empty view; `is_leased` tells which keys are bound to a lease.
     pub fn new(is_leased: fn(&str) -> bool) -> Self {
         Self {
-            known: FastMap::default(),
-            tombstones: FastMap::default(),
+            records: FastMap::default(),
             retained: FastSet::default(),
+            gone: FastMap::default(),
+            late: Vec::new(),
             revision: 0,
             heard_revision: 0,
             settles_at: TimeStamp::ZERO,
             unavailable_since: None,
             answered_at: TimeStamp::ZERO,
             is_leased,
-            is_older: |_, _, _| false,
+            order_of: |_, _| ValueOrder::Ordered(WriterOrder::default()),
             restored_until: TimeStamp::ZERO,
             reappeared: FastMap::default(),
         }
     }
 
-    /// Sets how values of a key are ordered after a restoration of the service.
+    /// Sets how values of a key are ordered by what they say.
     #[must_use]
-    pub fn with_order(self, is_older: IsOlder) -> Self {
-        Self { is_older, ..self }
+    pub fn with_order(self, order_of: OrderOf) -> Self {
+        Self { order_of, ..self }
     }
 
     /// The epoch of the service up to whose changes the view is current.
@@ -119,14 +147,39 @@
         self.heard_revision.max(self.revision)
     }
 
-    /// The last known write of a key.
+    /// The write of a key that is in force.
     pub fn get(&self, key: &str) -> Option<&VersionedValue> {
-        self.known.get(key)
+        self.shown(key, self.records.get(key)?)
     }
 
-    /// All known keys with their values.
+    /// All keys that exist, with their values.
     pub fn known(&self) -> impl Iterator<Item = (&String, &VersionedValue)> {
-        self.known.iter()
+        let records = self.records.iter();
+        records.filter_map(|(key, record)| Some((key, self.shown(key, record)?)))
+    }
+
+    /// The value of a key that exists, or is retained.
+    fn shown<'a>(&self, key: &str, record: &'a KeyRecord) -> Option<&'a VersionedValue> {
+        let is_shown = record.is_present() || self.retained.contains(key);
+        record.latest().filter(|_| is_shown)
+    }
+
+    /// Number of keys of which anything is remembered, those that are gone included.
+    pub fn remembered(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Records that a key was written and its value is to be fetched apart.
+    pub fn expect_value(&mut self, key: &str) {
+        if !self.records.contains_key(key) {
+            self.records.insert(key.to_owned(), KeyRecord::default());
+        }
+    }
+
+    /// The writes that were carried out late since the last call; they are not in force, and must not be
+    /// passed on.
+    pub fn take_late_writes(&mut self) -> Vec<LateWrite> {
+        std::mem::take(&mut self.late)
     }
 
     /// Records whether the service is unavailable. Between two answers within two seconds no
@@ -161,15 +214,22 @@
         revision: u64,
         now: TimeStamp,
     ) -> Vec<ViewChange> {
-        let changes = items
-            .into_iter()
-            .filter_map(|item| self.apply_item(item, now))
-            .collect();
+        // All changes up to there are known.
+        let origin = ItemOrigin {
+            absent_at: self.revision,
+            is_restored: false,
+        };
+        let changes = self.observe_all(items, origin, now);
         self.revision = self.revision.max(revision);
         changes
     }
 
-    /// Replaces the view by the whole key space as it was at `revision`.
+    /// Applies a value that was fetched apart from the changes around it.
+    pub fn apply_fetched(&mut self, item: KeyspaceItem, now: TimeStamp) -> Option<ViewChange> {
+        self.observe(item, ItemOrigin::LISTED, now)
+    }
+
+    /// Merges the whole key space as it was at `revision`; pages may be of later revisions.
     pub fn replace(
         &mut self,
         items: Vec<KeyspaceItem>,
@@ -180,8 +240,10 @@
         if self.is_restoration(revision) {
             return self.restore(items, &listed, revision, now);
         }
-        let mut changes = self.apply(items, revision, now);
-        changes.extend(self.remove_unlisted(&listed, revision, now));
+        let mut changes = self.apply_list(items, revision, now);
+        for key in self.unlisted_keys(&listed, now) {
+            changes.extend(self.remove(key, revision, now));
+        }
         changes
     }
 
@@ -206,13 +268,29 @@
         if !source.is_settled {
             return self.apply(items, self.revision, now);
         }
-        let mut changes = self.apply(items, source.revision, now);
-        let gone = self.unlisted_keys(listed, source.revision).into_iter();
-        let gone = gone.filter_map(|key| match self.is_awaited(&key, now) {
-            true => None,
-            false => self.drop_key(key),
-        });
-        changes.extend(gone.collect::<Vec<_>>());
+        let mut changes = self.apply_list(items, source.revision, now);
+        for key in self.unlisted_keys(listed, now) {
+            changes.extend(self.drop_key(key, source.revision, now));
+        }
+        changes
+    }
+
+    /// Applies the items of a list of all keys at `revision`.
+    fn apply_list(
+        &mut self,
+        items: Vec<KeyspaceItem>,
+        revision: u64,
+        now: TimeStamp,
+    ) -> Vec<ViewChange> {
+        let origin = match revision >= self.revision {
+            true => ItemOrigin::LISTED,
+            false => ItemOrigin {
+                absent_at: self.revision,
+                is_restored: false,
+            },
+        };
+        let changes = self.observe_all(items, origin, now);
+        self.revision = self.revision.max(revision);
         changes
     }
 
@@ -224,29 +302,11 @@
         }
     }
 
-    /// Keys that were written at or before `revision` and are not in the list of that revision.
-    fn unlisted_keys(&self, listed: &FastSet<String>, revision: u64) -> Vec<String> {
-        let is_unlisted =
-            |key: &str, known: &VersionedValue| known.revision <= revision && !listed.contains(key);
-        self.known
-            .iter()
-            .filter(|(key, known)| is_unlisted(key, known))
-            .map(|(key, _)| key.clone())
-            .collect()
-    }
-
-    fn remove_unlisted(
-        &mut self,
-        listed: &FastSet<String>,
-        revision: u64,
-        now: TimeStamp,
-    ) -> Vec<ViewChange> {
-        let gone = self.unlisted_keys(listed, revision).into_iter();
-        let gone = gone.filter_map(|key| match self.is_awaited(&key, now) {
-            true => None,
-            false => self.remove(key, now),
-        });
-        gone.collect()
+    /// Known keys that are not in a list, but for those that may still be written again.
+    fn unlisted_keys(&self, listed: &FastSet<String>, now: TimeStamp) -> Vec<String> {
+        let keys = self.records.keys();
+        let unlisted = keys.filter(|key| !listed.contains(*key) && !self.is_awaited(key, now));
+        unlisted.cloned().collect()
     }
 
     /// Drops the retained keys that were not written again before the key space settled, and takes
@@ -255,14 +315,30 @@
         if self.is_settling(now) || now < self.restored_until {
             return Vec::new();
         }
-        let due = std::mem::take(&mut self.retained);
-        let due = due.into_iter().filter_map(|key| self.drop_key(key));
-        let mut changes: Vec<ViewChange> = due.collect();
+        let mut changes = Vec::new();
+        let due: Vec<String> = self.retained.iter().cloned().collect();
+        for key in due {
+            let revision = self.get(&key).map_or(0, |shown| shown.revision);
+            changes.extend(self.drop_key(key, revision, now));
+        }
         let reappeared = std::mem::take(&mut self.reappeared).into_values();
-        changes.extend(reappeared.filter_map(|item| self.apply_item(item, now)));
+        changes.extend(reappeared.filter_map(|item| self.observe(item, ItemOrigin::LISTED, now)));
+        self.forget_gone(now);
         changes
     }
 
+    /// Forgets the keys that have been gone for [`REMOVED_TIME`].
+    fn forget_gone(&mut self, now: TimeStamp) {
+        let records = &mut self.records;
+        self.gone.retain(|key, since| {
+            let is_kept = now.since(*since) < REMOVED_TIME;
+            if !is_kept {
+                records.remove(key);
+            }
+            is_kept
+        });
+    }
+
     /// Whether `revision` is of a later epoch than what this view holds.
     fn is_restoration(&self, revision: u64) -> bool {
         self.revision > 0 && epoch::epoch_of(revision) > self.epoch()
@@ -278,8 +354,9 @@
     ) -> Vec<ViewChange> {
         self.restored_until = now.after(RESTORE_TIME);
         self.reappeared.clear();
-        let lost = self.known.keys().filter(|key| !listed.contains(*key));
-        self.retained.extend(lost.cloned());
+        let lost = self.known().map(|(key, _)| key);
+        let lost: Vec<String> = lost.filter(|key| !listed.contains(*key)).cloned().collect();
+        self.retained.extend(lost);
         let restored = items.into_iter();
         let changes = restored.filter_map(|item| self.restore_item(item, now));
         let changes = changes.collect();
@@ -287,22 +364,17 @@
         changes
     }
 
-    /// Applies one key that a restored service lists, unless it is older than what is known.
+    /// Applies one key that a restored service lists; one that was removed is held back.
     fn restore_item(&mut self, item: KeyspaceItem, now: TimeStamp) -> Option<ViewChange> {
-        let Some(known) = self.known.get_mut(&item.key) else {
-            if self.tombstones.contains_key(&item.key) {
-                self.reappeared.insert(item.key.clone(), item);
-                return None;
-            }
-            return self.apply_item(item, now);
-        };
-        let value = item.value.as_deref().unwrap_or_default();
-        if (self.is_older)(&item.key, value, &known.value) {
-            // The next write of the key is newer than this one.
-            known.revision = known.revision.max(item.revision);
+        if self.gone.contains_key(&item.key) {
+            self.reappeared.insert(item.key.clone(), item);
             return None;
         }
-        self.apply_item(item, now)
+        let origin = ItemOrigin {
+            absent_at: 0,
+            is_restored: true,
+        };
+        self.observe(item, origin, now)
     }
 
     /// Whether a key that a restored service does not list may still be written again.
@@ -315,54 +387,101 @@
         self.unavailable_since.is_some() || now < self.settles_at
     }
 
-    /// Applies one change.
-    fn apply_item(&mut self, item: KeyspaceItem, now: TimeStamp) -> Option<ViewChange> {
-        let known = self.known.get(&item.key).map_or(0, |known| known.revision);
-        let removed_revision = self.tombstones.get(&item.key).copied().unwrap_or(0);
-        let is_newer = item.revision > known.max(removed_revision);
-        match item.value {
-            Some(value) if is_newer => {
-                let value: Arc<[u8]> = value.into();
-                let revision = item.revision;
-                let entry = VersionedValue {
-                    value: Arc::clone(&value),
-                    revision,
-                };
-                self.retained.remove(&item.key);
-                self.reappeared.remove(&item.key);
-                let before = self.known.insert(item.key.clone(), entry);
-                let is_same = before.is_some_and(|before| before.value == value);
-                (!is_same).then_some(ViewChange {
-                    key: item.key,
-                    value: Some(value),
-                })
+    fn observe_all(
+        &mut self,
+        items: Vec<KeyspaceItem>,
+        origin: ItemOrigin,
+        now: TimeStamp,
+    ) -> Vec<ViewChange> {
+        let observed = items.into_iter();
+        observed
+            .filter_map(|item| self.observe(item, origin, now))
+            .collect()
+    }
+
+    /// Merges one item into what is known of its key.
+    fn observe(
+        &mut self,
+        item: KeyspaceItem,
+        origin: ItemOrigin,
+        now: TimeStamp,
+    ) -> Option<ViewChange> {
+        let KeyspaceItem {
+            key,
+            value,
+            revision,
+        } = item;
+        let Some(value) = value else {
+            return self.remove(key, revision, now);
+        };
+        let before = self.get(&key).map(|shown| Arc::clone(&shown.value));
+        let order = (self.order_of)(&key, &value);
+        let absent = || KeyRecord::absent_at(origin.absent_at);
+        let record = self.records.entry(key.clone()).or_insert_with(absent);
+        let outcome = record.merge_write(ObservedWrite {
+            write: VersionedValue {
+                value: value.into(),
+                revision,
+            },
+            order,
+            at: now,
+            is_restored: origin.is_restored,
+        });
+        match outcome {
+            MergeOutcome::Taken if record.is_present() => {
+                self.retained.remove(&key);
+                self.reappeared.remove(&key);
             }
-            None if item.revision >= known => {
-                self.reappeared.remove(&item.key);
-                self.tombstones
-                    .insert(item.key.clone(), item.revision.max(removed_revision));
-                self.remove(item.key, now)
+            MergeOutcome::Late => {
+                let key = key.clone();
+                self.late.push(LateWrite { key, revision });
             }
-            _ => None,
+            MergeOutcome::Taken | MergeOutcome::Known => {}
         }
+        self.finish_change(key, before.as_ref(), now)
     }
 
-    fn remove(&mut self, key: String, now: TimeStamp) -> Option<ViewChange> {
-        if !self.known.contains_key(&key) {
+    /// Merges that a key did not exist at `revision`; one with a lease is retained while the key space
+    /// settles.
+    fn remove(&mut self, key: String, revision: u64, now: TimeStamp) -> Option<ViewChange> {
+        let is_retained = (self.is_leased)(&key) && self.is_settling(now);
+        if is_retained && self.get(&key).is_some() {
+            let record = self.records.entry(key.clone()).or_default();
+            record.merge_removal(revision);
+            if !record.is_present() {
+                self.reappeared.remove(&key);
+                self.retained.insert(key);
+            }
             return None;
         }
-        if (self.is_leased)(&key) && self.is_settling(now) {
-            self.retained.insert(key);
-            return None;
+        self.drop_key(key, revision, now)
+    }
+
+    /// Merges that a key did not exist at `revision`, and retains it no longer unless it exists.
+    fn drop_key(&mut self, key: String, revision: u64, now: TimeStamp) -> Option<ViewChange> {
+        let record = self.records.entry(key.clone()).or_default();
+        let before = record.latest().map(|latest| Arc::clone(&latest.value));
+        let before = before.filter(|_| record.is_present() || self.retained.contains(&key));
+        record.merge_removal(revision);
+        if !record.is_present() {
+            self.retained.remove(&key);
+            self.reappeared.remove(&key);
         }
-        self.drop_key(key)
+        self.finish_change(key, before.as_ref(), now)
     }
 
-    fn drop_key(&mut self, key: String) -> Option<ViewChange> {
-        self.retained.remove(&key);
-        let known = self.known.remove(&key)?;
-        let removed = self.tombstones.entry(key.clone()).or_default();
-        *removed = known.revision.max(*removed);
-        Some(ViewChange { key, value: None })
+    /// The change of a key that had the value `before`, `None` if it has it still.
+    fn finish_change(
+        &mut self,
+        key: String,
+        before: Option<&Arc<[u8]>>,
+        now: TimeStamp,
+    ) -> Option<ViewChange> {
+        let value = self.get(&key).map(|shown| Arc::clone(&shown.value));
+        match &value {
+            Some(_) => self.gone.remove(&key),
+            None => Some(*self.gone.entry(key.clone()).or_insert(now)),
+        };
+        (value.as_ref() != before).then_some(ViewChange { key, value })
     }
 }
--- a/dahliawood-store/tests/main/main.rs
+++ b/dahliawood-store/tests/main/main.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod client;
+mod convergence;
 mod fleet;
 mod history;
 mod rules;
--- a/dahliawood-store/tests/main/view.rs
+++ b/dahliawood-store/tests/main/view.rs
@@ -4,6 +4,7 @@
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_store::keyspace::call::KeyspaceItem;
 use dahliawood_store::keyspace::epoch;
+use dahliawood_store::keyspace::record::{ValueOrder, WriterOrder};
 use dahliawood_store::keyspace::view::{
     KeyspaceView, RESTORE_TIME, RelaySource, SETTLE_TIME, ViewChange,
 };
@@ -215,9 +216,16 @@
     epoch::stamped(1, revision)
 }
 
-/// A view whose values are ordered as text.
+/// A view whose values are ordered by their number.
 fn ordered_view() -> KeyspaceView {
-    view().with_order(|_, value, known| value < known)
+    view().with_order(|_, value| {
+        let text = std::str::from_utf8(value).unwrap();
+        let sequence = text.parse().unwrap();
+        ValueOrder::Ordered(WriterOrder {
+            process: 0,
+            sequence,
+        })
+    })
 }
 
 fn value(view: &KeyspaceView, key: &str) -> Option<String> {
