--- a/dahliawood-gateway/src/control/copy/mod.rs
+++ b/dahliawood-gateway/src/control/copy/mod.rs
@@ -11,6 +11,7 @@
 use dahliawood_store::keyspace::call::KeyspaceItem;
 use dahliawood_store::keyspace::view::{LateWrite, RelaySource, ViewChange};
 use serde::Serialize;
+use std::sync::Arc;
 
 /// Log event for a write that the store carried out after one of which the writer said later.
 #[derive(Serialize)]
@@ -37,11 +38,7 @@
         !late.iter().any(is_it)
     });
     state.change_log.borrow_mut().extend(&passed_on, revision);
-    if state.sources.borrow().is_confirmed() {
-        apply::apply_changes(state, &changes);
-    } else {
-        state.unconfirmed.borrow_mut().extend(changes);
-    }
+    apply_or_hold(state, &changes);
     notify_followers(state);
 }
 
@@ -80,11 +77,11 @@
     if is_first {
         let is_vm = |change: &ViewChange| change.key.starts_with(VMS_PREFIX);
         let (vms, others) = changes.into_iter().partition::<Vec<_>, _>(is_vm);
-        apply::apply_changes(state, &vms);
-        state.unconfirmed.borrow_mut().extend(others);
+        apply_now(state, &vms);
+        hold(state, &others);
     } else {
         confirm(state);
-        apply::apply_changes(state, &changes);
+        apply_now(state, &changes);
         notify_followers(state);
     }
 }
@@ -116,7 +113,7 @@
     note_restoration(state, epoch);
     let revision = state.view.borrow().revision();
     state.change_log.borrow_mut().reset(revision);
-    apply::apply_changes(state, &changes);
+    apply_now(state, &changes);
     notify_followers(state);
 }
 
@@ -130,11 +127,7 @@
     let _logged = take_late_writes(state);
     // Followers that lack the value don't find it among later changes.
     state.change_log.borrow_mut().reset(revision);
-    if state.sources.borrow().is_confirmed() {
-        apply::apply_changes(state, changes.as_slice());
-    } else {
-        state.unconfirmed.borrow_mut().extend(changes);
-    }
+    apply_or_hold(state, changes.as_slice());
     notify_followers(state);
 }
 
@@ -149,10 +142,42 @@
     }
 }
 
-/// Brings into force what the first read found: the answer to a later call has confirmed it, or none
-/// can be had.
+/// Brings changes into force.
+pub fn apply_now(state: &ControlState, changes: &[ViewChange]) {
+    let mut held = state.unconfirmed.borrow_mut();
+    for change in changes {
+        held.remove(&change.key);
+    }
+    drop(held);
+    apply::apply_changes(state, changes);
+}
+
+/// Holds changes until they are confirmed: only their keys, since the view may have newer values by then.
+fn hold(state: &ControlState, changes: &[ViewChange]) {
+    let keys = changes.iter().map(|change| change.key.clone());
+    state.unconfirmed.borrow_mut().extend(keys);
+}
+
+/// Brings changes into force if the first read is confirmed, and holds them otherwise.
+fn apply_or_hold(state: &ControlState, changes: &[ViewChange]) {
+    match state.sources.borrow().is_confirmed() {
+        true => apply_now(state, changes),
+        false => hold(state, changes),
+    }
+}
+
+/// Brings into force what is held, as the view has it now: the answer to a later call has confirmed the
+/// first read, or none can be had.
 pub fn confirm(state: &ControlState) {
-    let changes = std::mem::take(&mut *state.unconfirmed.borrow_mut());
+    let mut keys: Vec<String> = state.unconfirmed.take().into_iter().collect();
+    keys.sort();
+    let view = state.view.borrow();
+    let changes = keys.into_iter().map(|key| ViewChange {
+        value: view.get(&key).map(|known| Arc::clone(&known.value)),
+        key,
+    });
+    let changes: Vec<ViewChange> = changes.collect();
+    drop(view);
     apply::apply_changes(state, &changes);
     state.sources.borrow_mut().set_confirmed();
 }
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -29,11 +29,12 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpListener;
 use async_std::task;
+use dahliawood_model::FastSet;
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::allocation::coordinator::AllocationCoordinator;
 use dahliawood_store::keyspace::call::KeyspaceClient;
 use dahliawood_store::keyspace::changes::ChangeLog;
-use dahliawood_store::keyspace::view::{KeyspaceView, ViewChange};
+use dahliawood_store::keyspace::view::KeyspaceView;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -57,8 +58,8 @@
     pub knowledge: RefCell<knowledge::KnowledgeRecord>,
     /// Whether this VM follows another one instead of the store.
     pub is_relayed: Cell<bool>,
-    /// Changes that the first read found, held until they are confirmed.
-    pub unconfirmed: RefCell<Vec<ViewChange>>,
+    /// Keys whose changes the first read found, held until they are confirmed.
+    pub unconfirmed: RefCell<FastSet<String>>,
     /// The latest changes, for VMs that follow this one.
     pub change_log: RefCell<ChangeLog>,
     /// Channel that is closed, and replaced, when an answer of this VM's source is applied.
--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -1,7 +1,7 @@
 //! Periodic work of the control thread.
 
 use crate::clock;
-use crate::control::{ControlState, apply, knowledge};
+use crate::control::{ControlState, apply, copy, knowledge};
 use crate::reach;
 use crate::structured_log::EventClass;
 use async_std::task;
@@ -78,7 +78,7 @@
         update_work_metrics(&state, now);
         check_targets(&state, now);
         let expired = state.view.borrow_mut().expire(now);
-        apply::apply_changes(&state, &expired);
+        copy::apply_now(&state, &expired);
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             state.shared.pool.sweep();
--- a/dahliawood-store/tests/main/convergence/mod.rs
+++ b/dahliawood-store/tests/main/convergence/mod.rs
@@ -227,10 +227,10 @@
             .filter_map(|(at, change)| Some((*at, (*change)?)));
         let newest = writes.clone().filter(|(_, statement)| statement.is_some());
         let newest = newest.max_by_key(|(at, statement)| (*statement, *at));
-        let foreign = writes.filter(|(_, statement)| statement.is_none());
+        let mut foreign = writes.filter(|(_, statement)| statement.is_none());
         let latest = newest
             .into_iter()
-            .chain(foreign.last())
+            .chain(foreign.next_back())
             .max_by_key(|(at, _)| *at);
         if let Some((at, statement)) = latest
             && at > removed
--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -15,7 +15,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -44,6 +44,18 @@
     Stalled,
 }
 
+/// Which reads that may be stale come from an old replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OldReads {
+    /// None.
+    #[default]
+    None,
+    /// Those that continue a list.
+    LaterPages,
+    /// All.
+    All,
+}
+
 #[derive(Clone, Debug)]
 struct StoredItem {
     value: String,
@@ -82,8 +94,8 @@
     rate: Arc<AtomicUsize>,
     /// The most items of a page.
     page_items: Arc<AtomicUsize>,
-    /// Whether stale reads that continue a list are answered from the last copy.
-    has_old_pages: Arc<AtomicBool>,
+    /// Which stale reads are answered from the last copy.
+    old_reads: Arc<Mutex<OldReads>>,
 }
 
 /// Starts a store on a free port of loopback.
@@ -105,7 +117,7 @@
         late_writes: Arc::default(),
         rate: Arc::default(),
         page_items: Arc::new(AtomicUsize::new(usize::MAX)),
-        has_old_pages: Arc::default(),
+        old_reads: Arc::default(),
     };
     let served = store.clone();
     serving::accept(listener, move |stream| served.clone().serve(stream));
@@ -150,17 +162,20 @@
         self.page_items.store(items, Ordering::Relaxed);
     }
 
-    /// Answers stale reads at this address that continue a list from the last copy, as a replica does
-    /// that is behind the one that began it.
-    pub fn set_old_pages(&self, has_old_pages: bool) {
-        self.has_old_pages.store(has_old_pages, Ordering::Relaxed);
+    /// Answers some stale reads at this address from the last copy, as a replica does that is behind.
+    pub fn set_old_reads(&self, old_reads: OldReads) {
+        *serving::lock(&self.old_reads) = old_reads;
     }
 
     /// A page of a list, as the replica has it that answers.
     fn page(&self, after: &str, prefix: &str, may_be_stale: bool) -> Value {
         let state = self.lock();
-        let is_old =
-            may_be_stale && !after.is_empty() && self.has_old_pages.load(Ordering::Relaxed);
+        let is_old = may_be_stale
+            && match *serving::lock(&self.old_reads) {
+                OldReads::None => false,
+                OldReads::LaterPages => !after.is_empty(),
+                OldReads::All => true,
+            };
         let replica = state.copy.as_deref().filter(|_| is_old);
         let most = self.page_items.load(Ordering::Relaxed);
         let read_value = |stored: &str| self.read_value(stored);
