test(testkit): a target that crashes listens no more once its connections have ended

Cause: a_response_that_ends_with_its_process_is_no_whole_one failed once (200 in place of 502) beside other tests: the connection ended before another task dropped the listener, so the VM's connection to the target was still accepted. Change: the listener is dropped first, as the kernel closes the sockets of a process that ends.

--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -257,19 +257,24 @@
         }
     }
 
-    /// Serves connections until the process crashes, which ends all of them.
+    /// Serves connections until the process crashes, which ends all of them: nobody listens any more once
+    /// a connection has ended.
     async fn run_process(&self, listener: TcpListener) {
         let (process, ended) = bounded(1);
+        let (connections, closed) = bounded::<()>(1);
         self.lock().process = Some(process);
-        let accepting = async {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (served, ended) = (self.clone(), ended.clone());
-                task::spawn(async move {
-                    future::select(pin!(served.serve(stream)), pin!(ended.recv())).await;
-                });
-            }
-        };
-        future::select(pin!(accepting), pin!(ended.recv())).await;
+        {
+            let accepting = async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let (served, closed) = (self.clone(), closed.clone());
+                    task::spawn(async move {
+                        future::select(pin!(served.serve(stream)), pin!(closed.recv())).await;
+                    });
+                }
+            };
+            future::select(pin!(accepting), pin!(ended.recv())).await;
+        }
+        connections.close();
     }
 
     /// Ends the process.
@@ -323,11 +328,11 @@
             if self.lock().fault == InstanceFault::UnframedCrash {
                 let _written = output.write_all(&bytes).await;
                 self.crash();
-                return;
+                return future::pending().await;
             }
             if is_crash {
                 self.crash();
-                return;
+                return future::pending().await;
             }
             if self.lock().fault == InstanceFault::Hanging {
                 reader.wait_for_close(MAX_MESSAGE_BYTES).await;
