--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -302,38 +302,33 @@
         }
         read_failed(&error)
     };
-    loop {
-        let head = reader.response_head(HEAD_BYTES).await.map_err(failed)?;
-        let head = head.ok_or_else(|| failed(ReadError::Truncated))?;
-        if head.status < 200 {
-            continue;
-        }
-        let metadata = (state.codec.read_response)(&head, clock::now());
-        (call.on_head)(&metadata);
-        let framing = head.framing(&call.head.method).map_err(failed)?;
-        let ends_at_close = matches!(framing, BodyFraming::UntilClose);
-        let body = reader.body_within(framing, BODY_BYTES, &state.held_bytes.responses);
-        let (body, is_whole) = match metadata.has_not_run {
-            // The head says it all, and nobody gets the body.
-            true => match timeout(REFUSAL_BODY_TIME, body).await {
-                Ok(body) => (body.map_err(failed)?, true),
-                Err(_) => (HeldBody::default(), false),
-            },
-            false => (body.await.map_err(failed)?, true),
-        };
-        if ends_at_close && is_gone(state, call.address).await {
-            // The end of the connection may be that of the process, halfway through the response.
-            return Err(failed(ReadError::Truncated));
-        }
-        let response = TargetResponse {
-            head,
-            metadata,
-            body,
-            was_reused: false,
-            connect_time: None,
-        };
-        return Ok((response, is_whole));
+    let head = reader.response_head(HEAD_BYTES).await.map_err(failed)?;
+    let head = head.ok_or_else(|| failed(ReadError::Truncated))?;
+    let metadata = (state.codec.read_response)(&head, clock::now());
+    (call.on_head)(&metadata);
+    let framing = head.framing(&call.head.method).map_err(failed)?;
+    let ends_at_close = matches!(framing, BodyFraming::UntilClose);
+    let body = reader.body_within(framing, BODY_BYTES, &state.held_bytes.responses);
+    let (body, is_whole) = match metadata.has_not_run {
+        // The head says it all, and nobody gets the body.
+        true => match timeout(REFUSAL_BODY_TIME, body).await {
+            Ok(body) => (body.map_err(failed)?, true),
+            Err(_) => (HeldBody::default(), false),
+        },
+        false => (body.await.map_err(failed)?, true),
+    };
+    if ends_at_close && is_gone(state, call.address).await {
+        // The end of the connection may be that of the process, halfway through the response.
+        return Err(failed(ReadError::Truncated));
     }
+    let response = TargetResponse {
+        head,
+        metadata,
+        body,
+        was_reused: false,
+        connect_time: None,
+    };
+    Ok((response, is_whole))
 }
 
 /// How long the connection may be idle: the target's announced keep-alive timeout less a margin.
--- a/dahliawood-wire/src/client/mod.rs
+++ b/dahliawood-wire/src/client/mod.rs
@@ -4,7 +4,7 @@
 pub mod expectation;
 
 use crate::head_end::HeadKind;
-use crate::{body, framer, head, server, stream};
+use crate::{body, framer, head, interim, server, stream};
 use async_std::future as timed;
 use error::ExchangeError;
 use futures::future::{self, Either};
@@ -13,9 +13,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Number of interim responses that are skipped before the exchange fails.
-const MAX_INTERIM_RESPONSES: u32 = 16;
-
 /// Limits and timeouts of an exchange.
 #[derive(Clone, Debug)]
 pub struct ExchangeOptions {
@@ -160,7 +157,7 @@
         sent: sent.effective_bytes(),
         source,
     };
-    for interim in 0..=MAX_INTERIM_RESPONSES {
+    for interim in 0..=interim::MAX_RESPONSES {
         let arrival = framer.next_head(HeadKind::Response, bound).await;
         match arrival {
             Ok(framer::HeadArrival::Found) => {}
@@ -178,13 +175,13 @@
             }
         }
         let response = decode(framer).await.map_err(refused)?;
-        if response.status() == StatusCode::SwitchingProtocols {
-            return Err(refused(malformed("an upgrade that was not asked for")));
-        }
+        let announces_body = head::announces_body(response.as_ref());
+        let is_skipped = interim::is_skipped(response.status().into(), announces_body);
+        let is_skipped = is_skipped.map_err(|reason| refused(malformed(reason)))?;
         if response.status() == StatusCode::Continue {
             sent.release_body();
         }
-        if !response.status().is_informational() {
+        if !is_skipped {
             let framing = head::response_framing(&response, method).map_err(refused)?;
             return Ok(ResponseHead {
                 response,
--- a/dahliawood-wire/src/head/mod.rs
+++ b/dahliawood-wire/src/head/mod.rs
@@ -125,6 +125,11 @@
         .filter(|token| !token.is_empty())
 }
 
+/// Whether the headers announce a body, whatever the status says.
+pub fn announces_body(headers: &Headers) -> bool {
+    headers.get(CONTENT_LENGTH).is_some() || headers.get(TRANSFER_ENCODING).is_some()
+}
+
 fn declared_framing(headers: &Headers) -> Result<Option<BodyFraming>, HeadError> {
     match (headers.get(CONTENT_LENGTH), headers.get(TRANSFER_ENCODING)) {
         (None, None) => Ok(None),
--- a/dahliawood-wire/src/lib.rs
+++ b/dahliawood-wire/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod head;
 pub mod head_end;
 pub mod headers;
+pub mod interim;
 pub mod one_shot;
 pub mod pool;
 pub mod problem;
--- a/dahliawood-wire/src/raw/head/mod.rs
+++ b/dahliawood-wire/src/raw/head/mod.rs
@@ -7,7 +7,12 @@
 /// Maximum number of fields in a head.
 const MAX_FIELDS: usize = 100;
 /// Status codes whose responses never have a body.
-const BODILESS_STATUSES: [u16; 2] = [204, 304];
+const BODILESS_STATUSES: [u16; 2] = [NO_CONTENT, 304];
+/// Status of a success without a body, which must not announce one (RFC 9110, section 8.6).
+const NO_CONTENT: u16 = 204;
+
+/// Statuses of responses.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug)]
@@ -71,9 +76,17 @@
 }
 
 impl ResponseHead {
-    /// Whether the sender closes the connection after this response.
+    /// Whether the connection carries no response after this one: the sender says so, or announces a body
+    /// that this status does not have and of which the end can't be known.
     pub fn says_close(&self) -> bool {
-        self.is_http10 || self.fields.has_token("connection", "close")
+        let is_unsound = self.status == NO_CONTENT && self.announces_body();
+        self.is_http10 || is_unsound || self.fields.has_token("connection", "close")
+    }
+
+    /// Whether the fields announce a body, whatever the status says.
+    pub fn announces_body(&self) -> bool {
+        let is_framed = |name| self.fields.count(name) > 0;
+        is_framed("content-length") || is_framed("transfer-encoding")
     }
 
     /// The framing of the body of the response to `method`.
@@ -81,7 +94,7 @@
     /// # Errors
     /// The framing is ambiguous.
     pub fn framing(&self, method: &str) -> Result<BodyFraming, ReadError> {
-        if method == "HEAD" || self.status < 200 || BODILESS_STATUSES.contains(&self.status) {
+        if method == "HEAD" || BODILESS_STATUSES.contains(&self.status) {
             return Ok(BodyFraming::NONE);
         }
         declared_framing(&self.fields).map(|framing| framing.unwrap_or(BodyFraming::UntilClose))
@@ -113,12 +126,18 @@
     let mut parsed = httparse::Response::new(&mut storage);
     require_whole(parsed.parse(bytes), bytes)?;
     Ok(ResponseHead {
-        status: parsed.code.unwrap_or_default(),
+        status: require_status(parsed.code)?,
         is_http10: parsed.version == Some(0),
         fields: fields(parsed.headers),
     })
 }
 
+/// Requires a status that HTTP defines (RFC 9110, section 15): three digits from 100 to 599.
+fn require_status(code: Option<u16>) -> Result<u16, ReadError> {
+    let status = code.filter(|code| STATUSES.contains(code));
+    status.ok_or_else(|| ReadError::malformed("a status is from 100 to 599"))
+}
+
 /// Requires that the parser found the end of the head where the reader did.
 fn require_whole(parsed: httparse::Result<usize>, bytes: &[u8]) -> Result<(), ReadError> {
     match parsed {
--- a/dahliawood-wire/src/raw/reader/mod.rs
+++ b/dahliawood-wire/src/raw/reader/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::chunk::ChunkScanner;
 use crate::head_end::{self, HeadKind};
+use crate::interim;
 use crate::raw::budget::{ByteBudget, HeldBody};
 use crate::raw::error::{ChunksSnafu, ConnectionSnafu, ReadError};
 use crate::raw::head::{self, BodyFraming, RequestHead, ResponseHead};
@@ -124,11 +125,31 @@
         bytes.map(|bytes| head::parse_request(&bytes)).transpose()
     }
 
-    /// Reads the next response head of at most `bound` bytes; `None` if the connection ended.
+    /// Reads the next head of a final response, of at most `bound` bytes, and skips informational
+    /// responses before it; `None` if the connection ended before the first of them.
     ///
     /// # Errors
-    /// The connection failed, or the received bytes are not a valid response head.
+    /// The connection failed, or the received bytes are not valid response heads.
     pub async fn response_head(&mut self, bound: usize) -> Result<Option<ResponseHead>, ReadError> {
+        for skipped in 0..=interim::MAX_RESPONSES {
+            let Some(head) = self.next_response_head(bound).await? else {
+                return match skipped {
+                    0 => Ok(None),
+                    _ => Err(ReadError::Truncated),
+                };
+            };
+            let is_skipped = interim::is_skipped(head.status, head.announces_body());
+            if !is_skipped.map_err(ReadError::malformed)? {
+                return Ok(Some(head));
+            }
+        }
+        Err(ReadError::malformed("informational responses without end"))
+    }
+
+    async fn next_response_head(
+        &mut self,
+        bound: usize,
+    ) -> Result<Option<ResponseHead>, ReadError> {
         let bytes = self.head_bytes(HeadKind::Response, bound).await?;
         bytes.map(|bytes| head::parse_response(&bytes)).transpose()
     }
