fix(wire): extensions of chunks are ignored, and framing is read as strictly as a reference does

Cause: the scanner of chunks was written for the decoder of async-h1, which must not get extensions; framing was not read for bodiless statuses; trailers had a search of their own for their end. Change: the raw reader ignores up to 4 KiB of extensions a body; trailers end where head_end ends them; declared framing must be valid for all statuses; white space around values is space and tab alone.

--- a/dahliawood-wire/src/chunk/error/mod.rs
+++ b/dahliawood-wire/src/chunk/error/mod.rs
@@ -13,6 +13,9 @@
     /// A chunk size without digits or with too many.
     #[snafu(display("a chunk size has from 1 to 15 digits"))]
     Size,
+    /// Extensions that exceed the length limit.
+    #[snafu(display("extensions of chunks are shorter than 4 KiB"))]
+    Extensions,
     /// Trailers that exceed the length limit or are not ASCII.
     #[snafu(display("trailers are ASCII and shorter than 4 KiB"))]
     Trailers,
--- a/dahliawood-wire/src/chunk/mod.rs
+++ b/dahliawood-wire/src/chunk/mod.rs
@@ -7,18 +7,32 @@
 
 pub mod error;
 
+use crate::head_end::{self, HeadKind};
 use error::ChunkError;
 
 /// Maximum number of hexadecimal digits in a chunk size; 15 digits cannot overflow 64 bits.
 const MAX_SIZE_DIGITS: u32 = 15;
 /// Maximum length of the trailers, in bytes.
 const MAX_TRAILER_BYTES: usize = 4 * 1024;
+/// Maximum length of all chunk extensions of a body, in bytes.
+const MAX_EXTENSION_BYTES: u32 = 4 * 1024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ScanState {
-    Size { size: u64, digits: u32 },
-    SizeEnd { size: u64 },
-    Data { left: u64 },
+    Size {
+        size: u64,
+        digits: u32,
+    },
+    /// After the size, up to the end of its line: extensions, which are not known and so ignored.
+    Extension {
+        size: u64,
+    },
+    SizeEnd {
+        size: u64,
+    },
+    Data {
+        left: u64,
+    },
     DataCr,
     DataLf,
     Trailers,
@@ -29,17 +43,29 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ChunkScanner {
     state: ScanState,
+    /// Bytes that extensions may still take.
+    extension_bytes: u32,
 }
 
 impl Default for ChunkScanner {
     fn default() -> Self {
         Self {
             state: ScanState::Size { size: 0, digits: 0 },
+            extension_bytes: 0,
         }
     }
 }
 
 impl ChunkScanner {
+    /// A scanner of a body whose chunks may have extensions, which a recipient ignores if it does not know
+    /// them (RFC 9112, section 7.1.1). The decoder of async-h1 must not get them.
+    pub fn with_extensions() -> Self {
+        Self {
+            extension_bytes: MAX_EXTENSION_BYTES,
+            ..Self::default()
+        }
+    }
+
     /// Whether the body was scanned up to its last byte.
     pub fn is_done(&self) -> bool {
         self.state == ScanState::Done
@@ -98,7 +124,16 @@
                 return Ok(taken as usize);
             }
             (ScanState::Size { digits: 0, .. }, b'\r') => return Err(ChunkError::Size),
-            (ScanState::Size { size, .. }, b'\r') => ScanState::SizeEnd { size },
+            (ScanState::Size { size, .. } | ScanState::Extension { size }, b'\r') => {
+                ScanState::SizeEnd { size }
+            }
+            (ScanState::Size { size, digits: 1.. }, b';') if self.extension_bytes > 0 => {
+                ScanState::Extension { size }
+            }
+            (ScanState::Extension { size }, byte) => {
+                self.scan_extension(byte)?;
+                ScanState::Extension { size }
+            }
             (ScanState::Size { size, digits }, _) => next_digit(size, digits, byte)?,
             (ScanState::SizeEnd { size: 0 }, b'\n') => ScanState::Trailers,
             (ScanState::SizeEnd { size }, b'\n') => ScanState::Data { left: size },
@@ -109,16 +144,23 @@
         Ok(1)
     }
 
+    fn scan_extension(&mut self, byte: u8) -> Result<(), ChunkError> {
+        let is_allowed = byte == b'\t' || !byte.is_ascii_control();
+        if !is_allowed {
+            return Err(ChunkError::Byte { byte });
+        }
+        let left = self.extension_bytes.checked_sub(1);
+        self.extension_bytes = left.ok_or(ChunkError::Extensions)?;
+        Ok(())
+    }
+
     fn scan_trailers(&mut self, bytes: &[u8], limit: usize) -> Result<usize, ChunkError> {
-        let end = if bytes.starts_with(b"\r\n") {
-            Some(2)
-        } else {
-            bytes
-                .windows(4)
-                .position(|window| window == b"\r\n\r\n")
-                .map(|position| position + 4)
+        // Trailers end as a head does.
+        let end = match bytes.starts_with(b"\r\n") {
+            true => Ok(Some(2)),
+            false => head_end::find(HeadKind::Request, bytes, 0),
         };
-        match end {
+        match end.map_err(|_| ChunkError::Trailers)? {
             Some(end) if end <= limit.min(MAX_TRAILER_BYTES) && bytes[..end].is_ascii() => {
                 self.state = ScanState::Done;
                 Ok(end)
--- a/dahliawood-wire/src/raw/fields/mod.rs
+++ b/dahliawood-wire/src/raw/fields/mod.rs
@@ -13,6 +13,11 @@
     "upgrade",
 ];
 
+/// A value without the white space that HTTP allows around it.
+fn trimmed(value: &str) -> &str {
+    value.trim_matches([' ', '\t'])
+}
+
 /// One header field.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeaderField {
@@ -53,7 +58,7 @@
             .iter()
             .filter(move |field| field.name.eq_ignore_ascii_case(name))
             .filter_map(|field| std::str::from_utf8(&field.value).ok())
-            .map(str::trim)
+            .map(trimmed)
     }
 
     /// The value of the first field of that name; `None` if it is missing or not UTF-8.
@@ -62,7 +67,7 @@
             .fields
             .iter()
             .find(|field| field.name.eq_ignore_ascii_case(name))?;
-        std::str::from_utf8(&field.value).ok().map(str::trim)
+        std::str::from_utf8(&field.value).ok().map(trimmed)
     }
 
     /// The number of fields of that name.
--- a/dahliawood-wire/src/raw/head/mod.rs
+++ b/dahliawood-wire/src/raw/head/mod.rs
@@ -60,7 +60,8 @@
     /// # Errors
     /// The framing is ambiguous.
     pub fn framing(&self) -> Result<BodyFraming, ReadError> {
-        declared_framing(&self.fields).map(|framing| framing.unwrap_or(BodyFraming::NONE))
+        let declared = declared_framing(&self.fields, self.is_http10);
+        declared.map(|framing| framing.unwrap_or(BodyFraming::NONE))
     }
 }
 
@@ -94,10 +95,11 @@
     /// # Errors
     /// The framing is ambiguous.
     pub fn framing(&self, method: &str) -> Result<BodyFraming, ReadError> {
+        let declared = declared_framing(&self.fields, self.is_http10)?;
         if method == "HEAD" || BODILESS_STATUSES.contains(&self.status) {
             return Ok(BodyFraming::NONE);
         }
-        declared_framing(&self.fields).map(|framing| framing.unwrap_or(BodyFraming::UntilClose))
+        Ok(declared.unwrap_or(BodyFraming::UntilClose))
     }
 }
 
@@ -156,8 +158,9 @@
     list
 }
 
-/// The framing that the fields declare; `None` if they declare none.
-fn declared_framing(fields: &FieldList) -> Result<Option<BodyFraming>, ReadError> {
+/// The framing that the fields declare; `None` if they declare none. A sender of HTTP/1.0 knows no chunks
+/// (RFC 9112, section 6.1).
+fn declared_framing(fields: &FieldList, is_http10: bool) -> Result<Option<BodyFraming>, ReadError> {
     let lengths = fields.count("content-length");
     let encodings = fields.count("transfer-encoding");
     match (lengths, encodings) {
@@ -169,12 +172,12 @@
             let length = length.ok_or_else(|| ReadError::malformed("a length is digits"))?;
             Ok(Some(BodyFraming::Length(length)))
         }
-        (0, 1) if fields.has_token("transfer-encoding", "chunked") => {
+        (0, 1) if !is_http10 && fields.has_token("transfer-encoding", "chunked") => {
             let value = fields.get("transfer-encoding").unwrap_or_default();
             if !value.eq_ignore_ascii_case("chunked") {
                 return Err(ReadError::malformed("an unknown transfer encoding"));
             }
-            Ok(Some(BodyFraming::Chunked(ChunkScanner::default())))
+            Ok(Some(BodyFraming::Chunked(ChunkScanner::with_extensions())))
         }
         _ => Err(ReadError::malformed("the body's length is ambiguous")),
     }
--- a/dahliawood-wire/tests/main/message_end/mod.rs
+++ b/dahliawood-wire/tests/main/message_end/mod.rs
@@ -1,5 +1,8 @@
 //! Tests of where messages end: for the raw reader and for the one of async-h1.
 
+mod reference;
+mod spoiled;
+
 use crate::pieces;
 use dahliawood_wire::head;
 use dahliawood_wire::head_end::HeadKind;
@@ -83,3 +86,25 @@
     let read = block_on(reader.response_head(HEAD_BYTES));
     assert!(matches!(read, Err(ReadError::Malformed { .. })), "{read:?}");
 }
+
+/// Guards against a proper response being refused: a recipient ignores the extensions of chunks that it does
+/// not know (RFC 9112, section 7.1.1), but not without end.
+#[test]
+fn extensions_of_chunks_are_ignored_within_their_bound() {
+    let response = |extension: &str| {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        format!("{head}2;{extension}\r\nab\r\n0;{extension}\r\n\r\n")
+    };
+    let read = |text: &str| {
+        let mut reader = pieces::reader(&[text.as_bytes()]);
+        block_on(async {
+            let head = reader.response_head(HEAD_BYTES).await?.unwrap();
+            reader.body(head.framing("GET")?, HEAD_BYTES).await
+        })
+    };
+    assert_eq!(read(&response("name=\"some value\"")).unwrap(), b"ab");
+    for extension in ["a\n", "a\rb", "a\0", &"a".repeat(5_000)] {
+        let read = read(&response(extension));
+        assert!(matches!(read, Err(ReadError::Chunks { .. })), "{read:?}");
+    }
+}
