--- a/dahliawood-testkit/src/instance/mod.rs
+++ b/dahliawood-testkit/src/instance/mod.rs
@@ -81,6 +81,16 @@
     EndlessHead,
     /// Sends a response whose chunked body never ends, until the client closes the connection.
     EndlessBody,
+    /// Sends a response without length whose body never ends.
+    EndlessUnframed,
+    /// Sends informational responses without end.
+    EndlessInterim,
+    /// Sends a response whose trailers never end.
+    EndlessTrailers,
+    /// Sends a response in which the extension of a chunk never ends.
+    EndlessExtension,
+    /// Sends bytes without end that are no response.
+    EndlessNoise,
     /// Reads no long body of a request, and closes the connection after some seconds.
     NotReading,
 }
@@ -91,20 +101,31 @@
     }
 
     /// The start of a response without end, and what is repeated after it.
-    fn endless(self) -> Option<(&'static [u8], &'static [u8])> {
+    pub fn endless(self) -> Option<(&'static [u8], &'static [u8])> {
         match self {
             Self::EndlessHead => Some((b"HTTP/1.1 200 OK\r\n", b"X-Field: 0123456789abcdef\r\n")),
             Self::EndlessBody => Some((
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
                 b"10\r\n0123456789abcdef\r\n",
             )),
+            Self::EndlessUnframed => Some((b"HTTP/1.1 200 OK\r\n\r\n", b"0123456789abcdef")),
+            Self::EndlessInterim => Some((b"", b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n")),
+            Self::EndlessTrailers => Some((
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                b"X-Field: 0123456789abcdef\r\n",
+            )),
+            Self::EndlessExtension => Some((
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;name=",
+                b"0123456789abcdef",
+            )),
+            Self::EndlessNoise => Some((b"", b"0123456789abcdef")),
             _ => None,
         }
     }
 }
 
 /// Sends bytes until the client closes the connection.
-async fn send_endlessly(output: &mut TcpStream, start: &[u8], rest: &[u8]) {
+pub async fn send_endlessly(output: &mut TcpStream, start: &[u8], rest: &[u8]) {
     let repeated = rest.repeat(ENDLESS_PIECES);
     let mut written = output.write_all(start).await;
     while written.is_ok() {
