--- a/dahliawood-store/src/keyspace/view/mod.rs
+++ b/dahliawood-store/src/keyspace/view/mod.rs
@@ -5,13 +5,15 @@
 //! which revision all changes are known up to, and for how long what is gone is still held.
 //!
 //! While the service is unavailable, leases may expire although their holders are alive. Leased
-//! keys that are missing when the service is back are retained for [`SETTLE_TIME`], and dropped if
+//! keys that are missing when the service is back are retained for [`settle::SETTLE_TIME`], and dropped if
 //! their holders don't write them again by then.
 //!
 //! The service may also return to an older state of itself, in a new epoch. Its writers then write
 //! again what was lost. Until they had time for it, nothing goes back: no key is dropped that the
 //! service lost, none appears again that was removed, and no value is replaced by an older one.
 
+pub mod settle;
+
 use crate::keyspace::call::KeyspaceItem;
 use crate::keyspace::epoch;
 use crate::keyspace::record::{
@@ -19,20 +21,13 @@
 };
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_model::{FastMap, FastSet};
+use settle::SettleClock;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time after the service is back until its leased keys are settled: holders that are alive write
-/// them again within two seconds, and this VM receives the writes a little later.
-pub const SETTLE_TIME: Duration = Duration::from_millis(2_400);
-/// Time after a restoration until the key space is settled: writers have written again what was
-/// lost, and what they don't renew is gone.
-pub const RESTORE_TIME: Duration = Duration::from_secs(6);
 /// How long a key that is gone is remembered, so that a write which the service carries out late does not
 /// bring it back.
 pub const REMOVED_TIME: Duration = Duration::from_secs(600);
-/// Shortest time that leases last without renewal, as when the service is unavailable.
-const MIN_LEASE_TIME: Duration = Duration::from_secs(2);
 
 /// A change of the cached key space.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -67,14 +62,9 @@
     /// The newest revision that another VM reported; the view's is the higher of this one and
     /// `revision`.
     heard_revision: u64,
-    settles_at: TimeStamp,
-    unavailable_since: Option<TimeStamp>,
-    /// When the service was last known to answer.
-    answered_at: TimeStamp,
+    settle: SettleClock,
     is_leased: fn(&str) -> bool,
     order_of: OrderOf,
-    /// Until when a restoration of the service is not settled.
-    restored_until: TimeStamp,
     /// Keys that a restored service lists again although they were removed.
     reappeared: FastMap<String, KeyspaceItem>,
 }
@@ -115,12 +105,9 @@
             late: Vec::new(),
             revision: 0,
             heard_revision: 0,
-            settles_at: TimeStamp::ZERO,
-            unavailable_since: None,
-            answered_at: TimeStamp::ZERO,
+            settle: SettleClock::default(),
             is_leased,
             order_of: |_, _| ValueOrder::Ordered(WriterOrder::default()),
-            restored_until: TimeStamp::ZERO,
             reappeared: FastMap::default(),
         }
     }
@@ -182,29 +169,25 @@
         std::mem::take(&mut self.late)
     }
 
-    /// Records whether the service is unavailable. Between two answers within two seconds no
-    /// lease can have expired, so that a short failure holds back nothing.
+    /// Records whether the service is unavailable.
     pub fn set_unavailable(&mut self, is_unavailable: bool, now: TimeStamp) {
-        if is_unavailable {
-            self.unavailable_since.get_or_insert(now);
-            return;
-        }
-        let answered_at = std::mem::replace(&mut self.answered_at, now);
-        let was_unavailable = self.unavailable_since.take().is_some();
-        if was_unavailable && now.since(answered_at) > MIN_LEASE_TIME {
-            self.settles_at = now.after(SETTLE_TIME);
-        }
+        self.settle.set_unavailable(is_unavailable, now);
     }
 
     /// Holds back removals of leased keys until `settles_at` at least, as the VM does that this one
     /// follows.
     pub fn hold_removals(&mut self, settles_at: TimeStamp) {
-        self.settles_at = self.settles_at.max(settles_at);
+        self.settle.hold_until(settles_at);
     }
 
     /// How much longer removals of leased keys are held back.
     pub fn settles_in(&self, now: TimeStamp) -> Duration {
-        self.settles_at.since(now)
+        self.settle.settles_in(now)
+    }
+
+    /// Whether removals of leased keys are held back at `now`.
+    pub fn is_settling(&self, now: TimeStamp) -> bool {
+        self.settle.is_settling(now)
     }
 
     /// Applies changes up to `revision`, and returns what changed in the view.
@@ -312,7 +295,7 @@
     /// Drops the retained keys that were not written again before the key space settled, and takes
     /// over those that a restored service still lists.
     pub fn expire(&mut self, now: TimeStamp) -> Vec<ViewChange> {
-        if self.is_settling(now) || now < self.restored_until {
+        if self.is_settling(now) || self.settle.is_restoring(now) {
             return Vec::new();
         }
         let mut changes = Vec::new();
@@ -352,7 +335,7 @@
         revision: u64,
         now: TimeStamp,
     ) -> Vec<ViewChange> {
-        self.restored_until = now.after(RESTORE_TIME);
+        self.settle.begin_restoration(now);
         self.reappeared.clear();
         let lost = self.known().map(|(key, _)| key);
         let lost: Vec<String> = lost.filter(|key| !listed.contains(*key)).cloned().collect();
@@ -379,12 +362,7 @@
 
     /// Whether a key that a restored service does not list may still be written again.
     fn is_awaited(&self, key: &str, now: TimeStamp) -> bool {
-        now < self.restored_until && self.retained.contains(key)
-    }
-
-    /// Whether removals of leased keys are held back at `now`.
-    pub fn is_settling(&self, now: TimeStamp) -> bool {
-        self.unavailable_since.is_some() || now < self.settles_at
+        self.settle.is_restoring(now) && self.retained.contains(key)
     }
 
     fn observe_all(
--- a/dahliawood-store/tests/main/view.rs
+++ b/dahliawood-store/tests/main/view.rs
@@ -5,9 +5,8 @@
 use dahliawood_store::keyspace::call::KeyspaceItem;
 use dahliawood_store::keyspace::epoch;
 use dahliawood_store::keyspace::record::{ValueOrder, WriterOrder};
-use dahliawood_store::keyspace::view::{
-    KeyspaceView, RESTORE_TIME, RelaySource, SETTLE_TIME, ViewChange,
-};
+use dahliawood_store::keyspace::view::settle::{RESTORE_TIME, SETTLE_TIME};
+use dahliawood_store::keyspace::view::{KeyspaceView, RelaySource, ViewChange};
 use proptest::prelude::*;
 use std::time::Duration;
 
