fix(gateway): a part of an earlier write is not taken for one of a later write (CONFIG)

Cause: a later write was announced while the first part of an earlier one was on its way; the transfer began with the later one, and the part was recorded as its value. Change: the write that is fetched stays the same while a part is on its way; a part names its write.

--- a/dahliawood-gateway/src/control/transfers/mod.rs
+++ b/dahliawood-gateway/src/control/transfers/mod.rs
@@ -100,11 +100,12 @@
         state.transfers.borrow_mut().record_failure(&key);
         return;
     };
+    state.transfers.borrow_mut().record_call(&key);
     let fetched = call(state, &vm, &request).await;
     let outcome = match fetched {
         Ok(part) => {
             let mut transfers = state.transfers.borrow_mut();
-            transfers.record_part(&key, part.length, &part.data)
+            transfers.record_part(&key, request.revision, part.length, &part.data)
         }
         Err(error) => {
             state.peers.forget(vm.peer);
--- a/dahliawood-gateway/src/control/transfers/tracker/mod.rs
+++ b/dahliawood-gateway/src/control/transfers/tracker/mod.rs
@@ -23,6 +23,8 @@
     /// Length of the compressed value, as the first part told it.
     length: Option<u32>,
     received: Vec<u8>,
+    /// Whether a part is on its way.
+    is_asked: bool,
     /// Calls in a row that failed.
     failures: u32,
     /// Calls that failed since the teller told: another VM is asked after each, and the one that answers
@@ -78,6 +80,9 @@
     fn fail(&mut self) {
         self.failures += 1;
         self.turn = self.turn.wrapping_add(1);
+        if self.received.is_empty() {
+            self.restart();
+        }
     }
 
     /// Begins with the latest write.
@@ -85,6 +90,7 @@
         self.revision = self.latest;
         self.length = None;
         self.received.clear();
+        self.is_asked = false;
     }
 }
 
@@ -105,6 +111,7 @@
                 teller: teller.to_owned(),
                 length: None,
                 received: Vec::new(),
+                is_asked: false,
                 failures: 0,
                 turn: 0,
             };
@@ -116,11 +123,18 @@
             teller.clone_into(&mut transfer.teller);
             transfer.turn = 0;
         }
-        if transfer.received.is_empty() {
+        if transfer.received.is_empty() && !transfer.is_asked {
             transfer.restart();
         }
     }
 
+    /// Records that a part is asked for: until its end the write that is being fetched stays the same.
+    pub fn record_call(&mut self, key: &str) {
+        if let Some(transfer) = self.transfers.get_mut(key) {
+            transfer.is_asked = true;
+        }
+    }
+
     /// Records that this VM has a key's write at `revision`, or knows of its removal.
     pub fn supersede(&mut self, key: &str, revision: u64) {
         let Some(transfer) = self.transfers.get_mut(key) else {
@@ -148,12 +162,23 @@
         })
     }
 
-    /// Records a part of the write at `revision`; `length` is that of the whole compressed value, zero
-    /// if the VM does not have that write any more.
-    pub fn record_part(&mut self, key: &str, length: u32, data: &[u8]) -> PartOutcome {
-        let Some(transfer) = self.transfers.get_mut(key) else {
+    /// Records a part of the write at `revision`, as it was asked for; `length` is that of the whole
+    /// compressed value, zero if the VM does not have that write any more.
+    ///
+    /// Meanwhile the write may have come in another way, and a later one may be fetched: the part is then
+    /// not one of it.
+    pub fn record_part(
+        &mut self,
+        key: &str,
+        revision: u64,
+        length: u32,
+        data: &[u8],
+    ) -> PartOutcome {
+        let transfer = self.transfers.get_mut(key);
+        let Some(transfer) = transfer.filter(|transfer| transfer.revision == revision) else {
             return PartOutcome::Continues;
         };
+        transfer.is_asked = false;
         if length == 0 || data.is_empty() {
             transfer.fail();
             if transfer.revision < transfer.latest {
@@ -190,6 +215,7 @@
     /// Records that a call failed; what has arrived is kept.
     pub fn record_failure(&mut self, key: &str) {
         if let Some(transfer) = self.transfers.get_mut(key) {
+            transfer.is_asked = false;
             transfer.fail();
         }
     }
--- a/dahliawood-gateway/tests/main/transfers.rs
+++ b/dahliawood-gateway/tests/main/transfers.rs
@@ -70,24 +70,27 @@
         }
         let compressed = (load.bytes as f64 * load.ratio) as usize;
         self.call = match &mut self.fetcher {
-            Fetcher::Parts(tracker) => tracker.plan().map(|step| match step {
-                TransferStep::Part {
-                    revision, offset, ..
-                } => RunningCall {
-                    bytes_left: (compressed - offset as usize).min(PART_BYTES) as f64,
-                    ends_at: now + PART_DEADLINE,
-                    is_lost,
-                    is_from_store: false,
-                    revision,
-                },
-                TransferStep::Whole { .. } => RunningCall {
-                    bytes_left: load.bytes as f64 * STORE_FACTOR,
-                    // Bounded by its progress.
-                    ends_at: u64::MAX,
-                    is_lost: false,
-                    is_from_store: true,
-                    revision: latest,
-                },
+            Fetcher::Parts(tracker) => tracker.plan().map(|step| {
+                tracker.record_call(KEY);
+                match step {
+                    TransferStep::Part {
+                        revision, offset, ..
+                    } => RunningCall {
+                        bytes_left: (compressed - offset as usize).min(PART_BYTES) as f64,
+                        ends_at: now + PART_DEADLINE,
+                        is_lost,
+                        is_from_store: false,
+                        revision,
+                    },
+                    TransferStep::Whole { .. } => RunningCall {
+                        bytes_left: load.bytes as f64 * STORE_FACTOR,
+                        // Bounded by its progress.
+                        ends_at: u64::MAX,
+                        is_lost: false,
+                        is_from_store: true,
+                        revision: latest,
+                    },
+                }
             }),
             Fetcher::Whole { failures } if self.revision < latest => Some(RunningCall {
                 bytes_left: load.bytes as f64 * if *failures == 0 { 1.0 } else { STORE_FACTOR },
@@ -119,7 +122,7 @@
                     return;
                 };
                 let part = vec![0; (compressed - offset as usize).min(PART_BYTES)];
-                let outcome = tracker.record_part(KEY, compressed as u32, &part);
+                let outcome = tracker.record_part(KEY, call.revision, compressed as u32, &part);
                 if let PartOutcome::Complete { revision, bytes } = outcome {
                     assert_eq!(bytes.len(), compressed);
                     self.revision = revision;
@@ -262,7 +265,10 @@
 fn a_transfer_that_has_begun_is_finished_before_a_later_write_is_fetched() {
     let mut tracker = TransferTracker::default();
     tracker.announce(KEY, 5, "a");
-    assert_eq!(tracker.record_part(KEY, 4, &[1, 2]), PartOutcome::Continues);
+    assert_eq!(
+        tracker.record_part(KEY, 5, 4, &[1, 2]),
+        PartOutcome::Continues
+    );
     tracker.announce(KEY, 6, "b");
     tracker.record_failure(KEY);
     let Some(TransferStep::Part {
@@ -276,7 +282,7 @@
         revision: 5,
         bytes: vec![1, 2, 3, 4],
     };
-    assert_eq!(tracker.record_part(KEY, 4, &[3, 4]), complete);
+    assert_eq!(tracker.record_part(KEY, 5, 4, &[3, 4]), complete);
     tracker.supersede(KEY, 5);
     let next = tracker.plan();
     assert!(matches!(
@@ -296,9 +302,9 @@
 fn a_write_that_nobody_has_any_more_is_left_for_the_latest_and_at_last_read_from_the_store() {
     let mut tracker = TransferTracker::default();
     tracker.announce(KEY, 5, "a");
-    tracker.record_part(KEY, 4, &[1]);
+    tracker.record_part(KEY, 5, 4, &[1]);
     tracker.announce(KEY, 9, "a");
-    tracker.record_part(KEY, 0, &[]);
+    tracker.record_part(KEY, 5, 0, &[]);
     let next = tracker.plan();
     assert!(matches!(
         next,
@@ -326,11 +332,40 @@
     assert_eq!(turn(&tracker), 0);
     tracker.record_failure(KEY);
     assert_eq!(turn(&tracker), 1);
-    tracker.record_part(KEY, 3, &[1]);
+    tracker.record_part(KEY, 5, 3, &[1]);
     assert_eq!(turn(&tracker), 1);
     tracker.record_failure(KEY);
-    tracker.record_part(KEY, 3, &[2]);
+    tracker.record_part(KEY, 5, 3, &[2]);
     assert_eq!(turn(&tracker), 2);
     tracker.announce(KEY, 6, "b");
     assert_eq!(turn(&tracker), 0);
 }
+
+/// Guards against a VM that misses a version for good (CONFIG): a later write was announced while the first part
+/// of an earlier one was on its way, and the earlier value was taken for the later one.
+#[test]
+fn a_part_of_an_earlier_write_is_not_taken_for_one_of_a_later_write() {
+    let complete = |revision, bytes: [u8; 2]| PartOutcome::Complete {
+        revision,
+        bytes: bytes.to_vec(),
+    };
+    let planned = |tracker: &TransferTracker| match tracker.plan() {
+        Some(TransferStep::Part { revision, .. }) => revision,
+        other => panic!("{other:?}"),
+    };
+    let mut tracker = TransferTracker::default();
+    tracker.announce(KEY, 5, "a");
+    tracker.record_call(KEY);
+    tracker.announce(KEY, 6, "a");
+    assert_eq!(tracker.record_part(KEY, 5, 2, &[5, 5]), complete(5, [5, 5]));
+    tracker.supersede(KEY, 5);
+    assert_eq!(planned(&tracker), 6);
+    // The write comes in another way while a part of it is on its way, and a later one is announced.
+    tracker.record_call(KEY);
+    tracker.announce(KEY, 7, "a");
+    tracker.supersede(KEY, 6);
+    assert_eq!(planned(&tracker), 7);
+    let late = tracker.record_part(KEY, 6, 2, &[6, 6]);
+    assert_eq!(late, PartOutcome::Continues);
+    assert_eq!(tracker.record_part(KEY, 7, 2, &[7, 7]), complete(7, [7, 7]));
+}
