--- a/review/standins-3/backend.rs
+++ b/review/standins-3/backend.rs
@@ -5,10 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-
-/// How often a backend writes its entry.
-const HEARTBEAT: Duration = Duration::from_millis(1_500);
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A backend as its entry describes it.
 struct Entry {
@@ -21,16 +18,16 @@
 }
 
 impl Entry {
-    fn text(&self, sequence: u64) -> String {
+    fn text(&self) -> String {
         format!(
             "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"{}\",\
-             \"slots\":{}}},\"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\"cold_remaining_s\":0}}}}",
+             \"slots\":{}}},\"status\":{{\"state\":\"ready\",\"sequence\":1,\"cold_remaining_s\":0}}}}",
             self.address, self.born, self.service, self.zone, self.slots
         )
     }
 }
 
-/// Starts a backend that answers each connection with `serve`, and keeps its entry in the store.
+/// Starts a backend that answers each connection with `serve`, and puts its entry into the store.
 pub fn start(
     store: &Store,
     (id, service, zone, slots): (&str, &str, &str, u32),
@@ -54,13 +51,8 @@
             thread::spawn(move || serve(stream));
         }
     });
-    let store = store.clone();
-    thread::spawn(move || {
-        for sequence in 1.. {
-            store.put(&format!("servers/{}", entry.id), &entry.text(sequence));
-            thread::sleep(HEARTBEAT);
-        }
-    });
+    // The entry changes when more than its sequence changes, which it does not here.
+    store.put(&format!("servers/{}", entry.id), &entry.text());
     Ok(())
 }
 
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -5,7 +5,7 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -74,6 +74,19 @@
         place: Place,
         store: &Store,
         bounds: &[&str],
+    ) -> io::Result<Vm> {
+        let log = File::create(folder.join(format!("{name}.log")))?;
+        Self::start_logging(folder, name, place, store, bounds, log.into())
+    }
+
+    /// Starts a daemon whose standard output goes to `output`.
+    pub fn start_logging(
+        folder: &Path,
+        name: &str,
+        place: Place,
+        store: &Store,
+        bounds: &[&str],
+        output: Stdio,
     ) -> io::Result<Vm> {
         let ports = free_ports(6)?;
         let bounds: Vec<String> = bounds.iter().map(|bound| format!("\"{bound}\"")).collect();
@@ -134,12 +147,11 @@
         );
         let path = folder.join(format!("{name}.toml"));
         fs::write(&path, settings)?;
-        let log = File::create(folder.join(format!("{name}.log")))?;
         let child = Command::new(DAEMON)
             .env("DAHLIAWOOD_CONFIG", &path)
             .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .stdout(output)
+            .stderr(Stdio::null())
             .spawn()?;
         Ok(Vm {
             name: name.to_owned(),
@@ -149,6 +161,11 @@
         })
     }
 
+    /// The daemon's standard output, if it is a pipe.
+    pub fn take_output(&mut self) -> Option<ChildStdout> {
+        self.child.stdout.take()
+    }
+
     /// Waits until the readiness check of the platform succeeds.
     pub fn wait_until_ready(&self) -> io::Result<()> {
         let end = Instant::now() + Duration::from_secs(15);
@@ -178,11 +195,6 @@
         let command = format!("kill -{name} {}", self.child.id());
         Command::new("sh").args(["-c", &command]).status().map(|_| ())
     }
-
-    /// Whether the daemon runs.
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 impl Drop for Vm {
@@ -192,20 +204,17 @@
     }
 }
 
-/// Numbers of ports that are free at this moment, the first three in a row.
-fn free_ports(count: usize) -> io::Result<Vec<u16>> {
-    let bind = |port: u16| TcpListener::bind(("127.0.0.1", port));
-    for _ in 0..100 {
-        let first = bind(0)?;
-        let start = first.local_addr()?.port();
-        let (Ok(second), Ok(third)) = (bind(start.wrapping_add(1)), bind(start.wrapping_add(2))) else {
-            continue;
-        };
-        let mut held = vec![first, second, third];
-        while held.len() < count {
-            held.push(bind(0)?);
+/// Numbers of `count` ports in a row that are free at this moment. They are below those that the system gives to
+/// outgoing connections, which would take them meanwhile.
+fn free_ports(count: u16) -> io::Result<Vec<u16>> {
+    let mut start = 12_000 + (std::process::id() % 1_000) as u16 * 16;
+    for _ in 0..2_000 {
+        let ports: Vec<u16> = (start..start + count).collect();
+        let held: Vec<_> = ports.iter().map(|port| TcpListener::bind(("127.0.0.1", *port))).collect();
+        if held.iter().all(Result::is_ok) {
+            return Ok(ports);
         }
-        return held.iter().map(|listener| Ok(listener.local_addr()?.port())).collect();
+        start = if start > 30_000 { 12_000 } else { start + count };
     }
     Err(io::Error::other("no free ports"))
 }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,6 +5,7 @@
 mod case_11;
 mod case_12;
 mod case_13;
+mod case_14;
 mod fleet;
 mod http;
 mod json;
@@ -54,6 +55,7 @@
         "11" => case_11::run(&setting),
         "12" => case_12::run(&setting),
         "13" => case_13::run(&setting),
+        "14" => case_14::run(&setting),
         _ => Err(io::Error::other("no such case")),
     }
 }
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -96,14 +96,6 @@
         self.state.1.notify_all();
     }
 
-    /// Removes a key as the operator or the platform does.
-    pub fn remove(&self, key: &str) {
-        let mut state = self.state.0.lock().unwrap();
-        state.revision += 1;
-        state.remove(key);
-        self.state.1.notify_all();
-    }
-
     fn expire(&self) {
         let mut state = self.state.0.lock().unwrap();
         let now = Instant::now();
