--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -190,6 +190,14 @@
         ask().unwrap_or(false)
     }
 
+    /// Bytes of memory that the daemon's process has.
+    pub fn memory(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kibibytes: u64 = line.trim().trim_end_matches(" kB").trim().parse().ok()?;
+        Some(kibibytes << 10)
+    }
+
     /// Sends a signal to the daemon.
     pub fn signal(&self, name: &str) -> io::Result<()> {
         let command = format!("kill -{name} {}", self.child.id());
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -6,6 +6,7 @@
 mod case_12;
 mod case_13;
 mod case_14;
+mod case_15;
 mod fleet;
 mod http;
 mod json;
@@ -56,6 +57,7 @@
         "12" => case_12::run(&setting),
         "13" => case_13::run(&setting),
         "14" => case_14::run(&setting),
+        "15" => case_15::run(&setting),
         _ => Err(io::Error::other("no such case")),
     }
 }
