--- a/review/standins-3/case_11.rs
+++ b/review/standins-3/case_11.rs
@@ -5,6 +5,7 @@
 use crate::backend;
 use crate::fleet::{BOUNDS, Place, Record, Vm};
 use crate::http;
+use crate::names;
 use crate::store::Store;
 use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -33,7 +34,7 @@
 
 pub fn run(setting: &Setting) -> io::Result<usize> {
     let store = Store::start()?;
-    store.put("op/config", CONFIG);
+    store.put("@document", CONFIG);
     let served = Arc::new(AtomicUsize::new(0));
     for id in ["i-7f3a91c2", "i-02d9e6b4"] {
         let (record, served) = (setting.record.clone(), Arc::clone(&served));
@@ -104,10 +105,10 @@
         http::read_body(&mut input, READ_FIRST.min(length))?;
         record.note(&format!("backend {own_id}: runs {id}, to be broken off: {is_broken}"));
         let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Dahliawood-Attempt-Id: {id}\r\nX-Dahliawood-Response-Signature: {id}.1\r\n\
+            "HTTP/1.1 200 OK\r\n@attempt-id: {id}\r\n@signature: {id}.1\r\n\
              Connection: close\r\n\r\n"
         );
-        output.write_all(head.as_bytes())?;
+        output.write_all(names::fill(&head).as_bytes())?;
         let body = answer_body(&id);
         let (first, rest) = body.split_at(ANSWER_BYTES / 2);
         output.write_all(first)?;
@@ -137,11 +138,11 @@
     stream.set_read_timeout(Some(Duration::from_secs(8)))?;
     let mut output = stream.try_clone()?;
     let head = format!(
-        "POST /xapu221/2f HTTP/1.1\r\nHost: hulo84.example\r\nX-Dahliawood-Attempt-Id: {id}\r\n\
-         X-Dahliawood-Deadline-Ms: 5000\r\nContent-Length: {REQUEST_BYTES}\r\n\r\n"
+        "POST /xapu221/2f HTTP/1.1\r\nHost: hulo84.example\r\n@attempt-id: {id}\r\n\
+         @deadline: 5000\r\nContent-Length: {REQUEST_BYTES}\r\n\r\n"
     );
     let sending = thread::spawn(move || {
-        output.write_all(head.as_bytes())?;
+        output.write_all(names::fill(&head).as_bytes())?;
         output.write_all(&vec![b'q'; REQUEST_BYTES])
     });
     let mut input = BufReader::new(stream);
--- a/review/standins-3/case_12.rs
+++ b/review/standins-3/case_12.rs
@@ -5,6 +5,7 @@
 use crate::fleet::{LARGE_BOUNDS, Place, Record, Vm};
 use crate::http;
 use crate::link::{self, Terms};
+use crate::names;
 use crate::store::Store;
 use std::collections::BTreeSet;
 use std::io::{self, BufReader, Read, Write};
@@ -59,7 +60,7 @@
 
 pub fn run(setting: &Setting) -> io::Result<usize> {
     let store = Store::start()?;
-    store.put("op/config", CONFIG);
+    store.put("@document", CONFIG);
     let seen = Arc::new(Seen::default());
     for (id, service, zone) in [
         ("i-7f3a91c2", "huvo11a", "taipei-a"),
@@ -121,10 +122,10 @@
         thread::sleep(WORK);
         let length = answer_length(head.target());
         let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Dahliawood-Attempt-Id: {id}\r\nX-Dahliawood-Response-Signature: {id}.1\r\n\
+            "HTTP/1.1 200 OK\r\n@attempt-id: {id}\r\n@signature: {id}.1\r\n\
              Content-Length: {length}\r\n\r\n"
         );
-        output.write_all(head.as_bytes())?;
+        output.write_all(names::fill(&head).as_bytes())?;
         output.write_all(&vec![b'p'; length])?;
         record.note(&format!("backend {own_id}: answered {id} whole"));
         seen.served.lock().unwrap().insert(id);
@@ -184,11 +185,11 @@
             };
             open.lock().unwrap().push((id.clone(), target.clone(), Instant::now()));
             let request = format!(
-                "GET {target} HTTP/1.1\r\nHost: jepu9.example\r\nX-Dahliawood-Attempt-Id: {id}\r\n\
-                 X-Dahliawood-Deadline-Ms: {}\r\n\r\n",
+                "GET {target} HTTP/1.1\r\nHost: jepu9.example\r\n@attempt-id: {id}\r\n\
+                 @deadline: {}\r\n\r\n",
                 DEADLINE.as_millis()
             );
-            sent = output.write_all(request.as_bytes());
+            sent = output.write_all(names::fill(&request).as_bytes());
         }
         thread::sleep(INTERVAL);
     }
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 messages over blocking sockets.
 
+use crate::names;
 use std::io::{self, BufRead, Read};
 
 /// The head of a message: its first line and its fields.
@@ -10,9 +11,10 @@
 }
 
 impl Head {
-    /// The value of the first field of that name.
+    /// The value of the first field of that name, which may be a short one.
     pub fn get(&self, name: &str) -> Option<&str> {
-        let field = self.fields.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let name = names::fill(name);
+        let field = self.fields.iter().find(|(key, _)| key.eq_ignore_ascii_case(&name));
         field.map(|(_, value)| value.as_str())
     }
 
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -11,6 +11,7 @@
 mod http;
 mod json;
 mod link;
+mod names;
 mod store;
 
 use fleet::{Record, TemporaryFolder};
