--- a/review/standins-3/case_11.rs
+++ b/review/standins-3/case_11.rs
@@ -44,7 +44,7 @@
         })?;
     }
     let place = Place { zone: "taipei-a", region: "tw-north" };
-    let vm = Vm::start(&setting.folder.0, "front-taipei-a-1", place, &store, BOUNDS)?;
+    let mut vm = Vm::start(&setting.folder.0, "front-taipei-a-1", place, &store, BOUNDS)?;
     vm.wait_until_ready()?;
     thread::sleep(Duration::from_secs(2));
     let mut broken = 0;
--- a/review/standins-3/case_12.rs
+++ b/review/standins-3/case_12.rs
@@ -81,7 +81,7 @@
     for (name, zone) in places {
         vms.push(Vm::start(&setting.folder.0, name, Place { zone, region: north }, &store, LARGE_BOUNDS)?);
     }
-    for vm in &vms {
+    for vm in &mut vms {
         vm.wait_until_ready()?;
     }
     thread::sleep(Duration::from_secs(2));
--- a/review/standins-3/case_13.rs
+++ b/review/standins-3/case_13.rs
@@ -68,7 +68,7 @@
         })?;
     }
     let place = Place { zone: "taipei-a", region: "tw-north" };
-    let vm = Vm::start(&setting.folder.0, "front-taipei-a-1", place, &store, BRAGA_BOUNDS)?;
+    let mut vm = Vm::start(&setting.folder.0, "front-taipei-a-1", place, &store, BRAGA_BOUNDS)?;
     vm.wait_until_ready()?;
     thread::sleep(Duration::from_secs(4));
     let Load { clients, open } = if setting.has_trouble { PIPELINING } else { ONE_BY_ONE };
--- a/review/standins-3/case_14.rs
+++ b/review/standins-3/case_14.rs
@@ -52,7 +52,7 @@
     for (name, zone) in [("front-taipei-a-1", "taipei-a"), ("front-taoyuan-b-1", "taoyuan-b")] {
         vms.push(Vm::start(&setting.folder.0, name, Place { zone, region: north }, &store, BRAGA_BOUNDS)?);
     }
-    for vm in &vms {
+    for vm in &mut vms {
         vm.wait_until_ready()?;
     }
     thread::sleep(Duration::from_secs(4));
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -151,9 +152,12 @@
     }
 
     /// Waits until the readiness check of the platform succeeds.
-    pub fn wait_until_ready(&self) -> io::Result<()> {
+    pub fn wait_until_ready(&mut self) -> io::Result<()> {
         let end = Instant::now() + Duration::from_secs(15);
         while Instant::now() < end {
+            if self.child.try_wait()?.is_some() {
+                return Err(io::Error::other(format!("{} has ended", self.name)));
+            }
             if self.is_ready() {
                 return Ok(());
             }
@@ -196,14 +200,21 @@
     }
 }
 
+/// Where the ports of the next VM are sought: a VM that was started may not have bound its own yet.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
 /// Numbers of `count` ports in a row that are free at this moment. They are below those that the system gives to
 /// outgoing connections, which would take them meanwhile.
 fn free_ports(count: u16) -> io::Result<Vec<u16>> {
-    let mut start = 12_000 + (std::process::id() % 1_000) as u16 * 16;
+    let mut start = match NEXT_PORT.load(Ordering::Relaxed) {
+        0 => 12_000 + (std::process::id() % 1_000) as u16 * 16,
+        next => next,
+    };
     for _ in 0..2_000 {
         let ports: Vec<u16> = (start..start + count).collect();
         let held: Vec<_> = ports.iter().map(|port| TcpListener::bind(("127.0.0.1", *port))).collect();
         if held.iter().all(Result::is_ok) {
+            NEXT_PORT.store(start + count, Ordering::Relaxed);
             return Ok(ports);
         }
         start = if start > 30_000 { 12_000 } else { start + count };
