--- a/dahliawood-daemon/tests/soak/main.rs
+++ b/dahliawood-daemon/tests/soak/main.rs
@@ -3,14 +3,17 @@
 //! With `DAHLIAWOOD_SOAK_SEEDS=FROM..TO`, or `DAHLIAWOOD_SOAK_STATEMENTS=FROM..TO` for plans in which
 //! targets state limits, pauses and their leaving and the store is restored, runs those seeds instead, for a longer time and with time
 //! bounds in seconds; such runs need an otherwise idle machine. `DAHLIAWOOD_SOAK_CUTS=FROM..TO` does the
-//! same for plans in which VMs lose their links to all targets, and `DAHLIAWOOD_SOAK_RELAYS=FROM..TO` for
+//! same for plans in which VMs lose their links to all targets, `DAHLIAWOOD_SOAK_RELAYS=FROM..TO` for
 //! those in which VMs of one failure domain lose the store, are paused and killed one after another, and
 //! `DAHLIAWOOD_SOAK_GROWTH=FROM..TO` for those in which the configuration grows meanwhile.
+//! `DAHLIAWOOD_SOAK_SIZE=FROM..TO` runs 60 VMs in six failure domains, one seed after the other.
 
 use async_std::task;
-use dahliawood_testkit::soak::plan::{SoakEvent, SoakPlan, SoakStep};
+use dahliawood_testkit::soak::plan::size::FleetSize;
+use dahliawood_testkit::soak::plan::{SoakEvent, SoakPlan, SoakStep, TARGETS_PER_SERVICE};
 use dahliawood_testkit::soak::{self, SoakOptions, SoakOutcome};
 use std::ops::Range;
+use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
 
@@ -32,6 +35,22 @@
 const DOMAINS: usize = 2;
 /// Number of VMs in a fleet with one failure domain.
 const RELAY_VMS: usize = 5;
+/// The large fleet: VMs, failure domains, targets, and callers.
+const SIZE: FleetSize = FleetSize {
+    vms: 60,
+    domains: 6,
+    targets: 24,
+};
+const SIZE_CALLERS: usize = 64;
+/// The same in CI, which has less time.
+const SHORT_SIZE: FleetSize = FleetSize {
+    vms: 24,
+    domains: 6,
+    targets: 12,
+};
+const SHORT_SIZE_CALLERS: usize = 16;
+/// The seed of the run in CI.
+const SIZE_SEED: u64 = 701;
 /// Number of runs at the same time.
 const PARALLEL_RUNS: usize = 4;
 
@@ -64,13 +83,22 @@
     }
 }
 
+/// The daemon under test; `DAHLIAWOOD_SOAK_PROGRAM` names another one, such as an earlier version.
+fn program() -> PathBuf {
+    let requested = std::env::var_os("DAHLIAWOOD_SOAK_PROGRAM");
+    requested.map_or_else(|| env!("CARGO_BIN_EXE_dahliawoodd").into(), PathBuf::from)
+}
+
 fn options(seed: u64, plan: SoakPlan, check_time_bounds: bool) -> SoakOptions {
     SoakOptions {
-        program: env!("CARGO_BIN_EXE_dahliawoodd").into(),
+        program: program(),
         seed,
         plan,
         vms: VMS,
         domains: DOMAINS,
+        targets: 2 * TARGETS_PER_SERVICE,
+        has_target_links: true,
+        has_peer_links: false,
         callers: 8,
         check_time_bounds,
     }
@@ -208,10 +236,51 @@
     check_runs(&runs);
 }
 
+/// The run of a large fleet.
+fn size_run(
+    seed: u64,
+    size: FleetSize,
+    callers: usize,
+    time: Duration,
+    is_timed: bool,
+) -> SoakOptions {
+    SoakOptions {
+        vms: size.vms,
+        domains: size.domains,
+        targets: size.targets,
+        has_target_links: false,
+        has_peer_links: true,
+        callers,
+        ..options(seed, SoakPlan::draw_size(seed, size, time), is_timed)
+    }
+}
+
+#[test]
+fn guarantees_hold_in_a_large_fleet_while_many_vms_fail_at_once() {
+    let outcomes: Vec<SoakOutcome> = match requested_seeds("DAHLIAWOOD_SOAK_SIZE") {
+        // One after another: each takes half of the machine.
+        Some(seeds) => seeds
+            .map(|seed| size_run(seed, SIZE, SIZE_CALLERS, REQUESTED_FAULT_TIME, true))
+            .map(|options| run_plan(&options))
+            .collect(),
+        None => vec![run_plan(&size_run(
+            SIZE_SEED,
+            SHORT_SIZE,
+            SHORT_SIZE_CALLERS,
+            FIXED_FAULT_TIME,
+            false,
+        ))],
+    };
+    check_outcomes(outcomes);
+}
+
 fn check_runs(runs: &[SoakOptions]) {
-    let failed: Vec<SoakOutcome> = runs
-        .chunks(PARALLEL_RUNS)
-        .flat_map(run_parallel)
+    check_outcomes(runs.chunks(PARALLEL_RUNS).flat_map(run_parallel).collect());
+}
+
+fn check_outcomes(outcomes: Vec<SoakOutcome>) {
+    let failed: Vec<SoakOutcome> = outcomes
+        .into_iter()
         .filter(|outcome| !outcome.violations.is_empty())
         .collect();
     assert!(failed.is_empty(), "{failed:#?}");
--- a/dahliawood-testkit/src/planned_stop/mod.rs
+++ b/dahliawood-testkit/src/planned_stop/mod.rs
@@ -4,7 +4,7 @@
 use crate::instance::{self, TargetInstance};
 use crate::keyspace;
 use crate::operator_config;
-use crate::soak::vm::VmProcess;
+use crate::soak::vm::{VmPlace, VmProcess};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task;
@@ -119,7 +119,13 @@
     let document = operator_config::document(1, &routes, &customers, &[SERVICE]);
     store.put("op/config", &document);
     std::fs::create_dir_all(work_dir)?;
-    let mut vm = VmProcess::new(program, work_dir, "vm-1", "a-1", store.address)?;
+    let place = VmPlace {
+        name: "vm-1",
+        domain: 0,
+        domains: 1,
+        is_large: true,
+    };
+    let mut vm = VmProcess::new(program, work_dir, place, store.address)?;
     vm.start()?;
     let front = vm.addresses.front;
     wait_until_served(front).await?;
--- a/dahliawood-testkit/src/serving/mod.rs
+++ b/dahliawood-testkit/src/serving/mod.rs
@@ -5,6 +5,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Pause after a connection could not be accepted, as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Listens on a free port of loopback and returns the listener with its address.
 ///
@@ -16,15 +20,22 @@
     Ok((listener, address))
 }
 
-/// Spawns a task that accepts connections until the listener fails, and runs `serve` for each of
-/// them in a task of its own.
+/// Spawns a task that accepts connections, and runs `serve` for each of them in a task of its own.
 pub fn accept<F: Future<Output = ()> + Send + 'static>(
     listener: TcpListener,
     serve: impl Fn(TcpStream) -> F + Send + 'static,
 ) {
     task::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            task::spawn(serve(stream));
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    task::spawn(serve(stream));
+                }
+                Err(error) => {
+                    log::warn!("a connection cannot be accepted: {error}");
+                    task::sleep(ACCEPT_PAUSE).await;
+                }
+            }
         }
     });
 }
--- a/dahliawood-testkit/src/soak/check/cuts/mod.rs
+++ b/dahliawood-testkit/src/soak/check/cuts/mod.rs
@@ -55,7 +55,7 @@
 ) {
     let span = fault.from + CONTACT_TIME..fault.until;
     let sent = records.requests.iter();
-    let sent = sent.filter(|request| span.contains(&request.sent) && !request.is_small);
+    let sent = sent.filter(|request| span.contains(&request.sent) && request.is_always_allowed());
     let [mut cut_off, mut others] = [ServedCount::default(); 2];
     for request in sent.filter(|request| has_sound_vm(records, request)) {
         if request.vm == vm && records.is_undisturbed(vm, request.sent, request.ended) {
--- a/dahliawood-testkit/src/soak/check/mod.rs
+++ b/dahliawood-testkit/src/soak/check/mod.rs
@@ -3,19 +3,20 @@
 //! Some guarantees hold for each request at any time. Others hold only within a bound of time, and
 //! only where no injected fault disturbs the parts involved.
 
+pub mod configuration;
+pub mod contact;
 pub mod cuts;
+pub mod departures;
 pub mod statements;
 
 use crate::soak::caller::{CallerRecord, RequestOutcome};
+use crate::soak::configuration::{ConfigurationVersion, SoakKey, SoakLimit};
 use crate::soak::plan::SoakEvent;
+use contact::VmContact;
 use dahliawood_model::FastMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Bound on the time from the removal of a target's registration until no new request reaches the
-/// target.
-const DEREGISTRATION_LIMIT: Duration = Duration::from_secs(3);
-/// Bound on the time from the publication of routes until they are in force.
-const ROUTES_LIMIT: Duration = Duration::from_secs(3);
 /// Time that the fleet may need after a fault. Guarantees with a time bound are checked only where
 /// no fault was present for this long.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
@@ -54,6 +55,8 @@
     pub target: String,
     /// The target's service.
     pub service: &'static str,
+    /// Index of the target's failure domain.
+    pub domain: usize,
 }
 
 /// A change that the store acknowledged.
@@ -70,8 +73,12 @@
 pub enum ChangeKind {
     /// The registration of the target with this id was removed.
     TargetDeregistered(String),
-    /// Routes to this service were published.
-    Routes(&'static str),
+    /// A configuration version was published.
+    Configuration(Arc<ConfigurationVersion>),
+    /// The failure domain of this index was evacuated.
+    EvacuationBegun(usize),
+    /// It was taken back.
+    EvacuationEnded(usize),
     /// The target with this id began to state its leaving.
     TargetLeaving(String),
     /// The target with this id began to state a limit.
@@ -121,15 +128,6 @@
     pub must_serve_from: Instant,
 }
 
-/// A limit of a customer.
-#[derive(Clone, Copy, Debug)]
-pub struct SoakLimit {
-    /// Sustained rate, requests a second.
-    pub rate: u32,
-    /// Burst above the rate, requests.
-    pub burst: u32,
-}
-
 impl SoakRecords {
     /// Each request with its runs at targets, matched by path.
     fn requests_with_runs(&self) -> impl Iterator<Item = (&CallerRecord, Vec<&TargetRun>)> {
@@ -162,18 +160,16 @@
     /// Whether a VM's process, its link to the store, and the store had no fault in a span or
     /// shortly before it.
     fn is_undisturbed(&self, vm: usize, from: Instant, until: Instant) -> bool {
-        let affects = |event| match event {
-            SoakEvent::StoreLink(at, _)
-            | SoakEvent::StoreStalled(at)
-            | SoakEvent::VmPaused(at)
-            | SoakEvent::VmKilled(at)
-            | SoakEvent::VmTerminated(at) => at == vm,
-            SoakEvent::StoreUnavailable | SoakEvent::StoreCompacted | SoakEvent::StoreRestored => {
-                true
-            }
-            _ => false,
-        };
-        !self.had_fault(from, until, affects)
+        self.contact(vm, from, until) == VmContact::Full
+    }
+
+    /// Whether a request was closed since its connection was to an earlier process of the VM: a caller
+    /// learns of the end of a process when it uses the connection again.
+    fn is_of_ended_process(&self, request: &CallerRecord) -> bool {
+        request.outcome == RequestOutcome::Closed
+            && request
+                .connected
+                .is_some_and(|connected| self.was_restarted(request.vm, connected, request.sent))
     }
 
     /// Whether the process of a VM was paused or killed, or the target at an endpoint or its link
@@ -187,7 +183,7 @@
         until: Instant,
     ) -> bool {
         let affects = |event| match event {
-            SoakEvent::VmPaused(at) | SoakEvent::VmKilled(at) => at == vm,
+            event if event.interrupts_process(vm) => true,
             SoakEvent::TargetLink(at, _)
             | SoakEvent::TargetFault(at, _)
             | SoakEvent::TargetPausing(at) => at == endpoint,
@@ -267,7 +263,7 @@
     let max_requests = allowed * (1.0 + LIMIT_TOLERANCE) + LIMIT_SLACK;
     let small = records
         .requests_with_runs()
-        .filter(|(request, _)| request.is_small);
+        .filter(|(request, _)| request.key == SoakKey::Small);
     let mut runs: Vec<(Instant, Instant)> = small
         .flat_map(|(request, runs)| runs.into_iter().map(|run| (run.at, request.sent)))
         .collect();
@@ -290,10 +286,6 @@
 pub fn time_bound_guarantees(records: &SoakRecords) -> Vec<GuaranteeViolation> {
     let mut violations = Vec::new();
     for (request, runs) in records.requests_with_runs() {
-        for run in &runs {
-            check_deregistered(records, request, run, &mut violations);
-            check_routes(records, request, run, &mut violations);
-        }
         if request.outcome == RequestOutcome::Closed
             && let Some(run) = runs.first()
             && !records.is_connection_disturbed(
@@ -309,8 +301,8 @@
                 &(request, run),
             );
         }
-        let must_be_served = request.sent > records.must_serve_from && !request.is_small;
-        if must_be_served && !request.is_served() {
+        let must_be_served = request.sent > records.must_serve_from && request.is_always_allowed();
+        if must_be_served && !request.is_served() && !records.is_of_ended_process(request) {
             report(
                 &mut violations,
                 "all is served once faults are over",
@@ -321,55 +313,6 @@
     violations
 }
 
-/// Checks that a run is not the run of a request sent too long after the target's registration was
-/// removed.
-fn check_deregistered(
-    records: &SoakRecords,
-    request: &CallerRecord,
-    run: &TargetRun,
-    violations: &mut Vec<GuaranteeViolation>,
-) {
-    let is_deregistration =
-        |change: &&SoakChange| change.kind == ChangeKind::TargetDeregistered(run.target.clone());
-    let Some(deregistered) = records.changes.iter().find(is_deregistration) else {
-        return;
-    };
-    let is_late = request.sent > deregistered.at + DEREGISTRATION_LIMIT;
-    if is_late && records.is_undisturbed(request.vm, request.sent, run.at) {
-        report(
-            violations,
-            "a target that left gets nothing",
-            &(request, run, deregistered),
-        );
-    }
-}
-
-/// Checks that a run is at the service of the routes in force when the request was sent, or of
-/// routes published later.
-fn check_routes(
-    records: &SoakRecords,
-    request: &CallerRecord,
-    run: &TargetRun,
-    violations: &mut Vec<GuaranteeViolation>,
-) {
-    let routes = records
-        .changes
-        .iter()
-        .filter_map(|change| match change.kind {
-            ChangeKind::Routes(service) => Some((change.at, service)),
-            _ => None,
-        });
-    let is_in_force = |(at, _): &(Instant, &str)| *at + ROUTES_LIMIT < request.sent;
-    let Some((since, service)) = routes.clone().rev().find(is_in_force) else {
-        return;
-    };
-    let is_later = |(at, later): &(Instant, &str)| *at > since && *later == run.service;
-    let is_allowed = run.service == service || routes.clone().any(|change| is_later(&change));
-    if !is_allowed && records.is_undisturbed(request.vm, request.sent, run.at) {
-        report(violations, "routes are in force in time", &(request, run));
-    }
-}
-
 /// Records a violation, unless the guarantee has enough of them already.
 fn report(
     violations: &mut Vec<GuaranteeViolation>,
--- a/dahliawood-testkit/src/soak/check/statements/mod.rs
+++ b/dahliawood-testkit/src/soak/check/statements/mod.rs
@@ -5,7 +5,6 @@
 
 use super::{ChangeKind, GuaranteeViolation, SoakChange, SoakRecords, TargetRun, report};
 use crate::soak::caller::CallerRecord;
-use crate::soak::plan::SoakEvent;
 use dahliawood_model::FastMap;
 use std::time::{Duration, Instant};
 
@@ -52,7 +51,10 @@
                 let (arrivals, refusals) = (at(&arrivals, id), at(&refusals, id));
                 check_pause(records, *pause, arrivals, refusals, &mut violations);
             }
-            ChangeKind::TargetDeregistered(_) | ChangeKind::Routes(_) => {}
+            ChangeKind::TargetDeregistered(_)
+            | ChangeKind::Configuration(_)
+            | ChangeKind::EvacuationBegun(_)
+            | ChangeKind::EvacuationEnded(_) => {}
         }
     }
     violations
@@ -110,10 +112,7 @@
 
 /// Whether the process of a VM was restarted or paused in a span.
 fn is_excused(records: &SoakRecords, vm: usize, from: Instant, until: Instant) -> bool {
-    records.had_fault(from, until, |event| match event {
-        SoakEvent::VmPaused(at) | SoakEvent::VmKilled(at) | SoakEvent::VmTerminated(at) => at == vm,
-        _ => false,
-    })
+    records.had_fault(from, until, |event| event.disturbs_process(vm))
 }
 
 fn check_leaving(
--- a/dahliawood-testkit/src/soak/environment/mod.rs
+++ b/dahliawood-testkit/src/soak/environment/mod.rs
@@ -1,42 +1,34 @@
 //! The environment of a soak: the stand-ins, the proxies, and the processes of the VMs.
 
+mod faults;
 mod health;
 mod network;
 mod targets;
 
-use crate::instance::{self, InstanceFault, RunRequest, TargetInstance};
-use crate::keyspace::{self, KeyspaceStore, StoreFault};
-use crate::operator_config;
+use crate::instance::{self, RunRequest, TargetInstance};
+use crate::keyspace::{self, KeyspaceStore};
 use crate::serving::lock;
 use crate::soak::SoakOptions;
-use crate::soak::caller::{LARGE_KEY, SMALL_KEY};
-use crate::soak::check::{
-    ChangeKind, GuaranteeViolation, InjectedFault, SoakChange, SoakLimit, TargetRun,
-};
+use crate::soak::check::{ChangeKind, GuaranteeViolation, InjectedFault, SoakChange, TargetRun};
+use crate::soak::configuration::{ConfigurationVersion, SERVICES};
 use crate::soak::environment::network::VmNetwork;
-use crate::soak::plan::{LinkFault, SoakEvent, SoakStep, TARGETS_PER_SERVICE};
 use crate::soak::proxy::{self, FaultProxy};
-use crate::soak::vm::VmProcess;
+use crate::soak::vm::{self, VmProcess};
 use async_std::task;
-use dahliawood_steer::rendezvous;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use rustix::process::Signal;
-use serde_json::{Value, json};
+use serde_json::json;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// The services; at any time, the routes lead to one of them.
-pub const SERVICES: [&str; 2] = ["first", "second"];
-/// Routes that the configuration grows by at a time, and the most.
-const GROWTH: u64 = 1_400;
-const MAX_ROUTES: u64 = 4_200;
-/// The limit of the customer that callers constantly exceed.
-pub const SMALL_LIMIT: SoakLimit = SoakLimit { rate: 8, burst: 8 };
-/// The limit that is never reached, as rate in requests a second and as burst in requests.
-const LARGE_RATE: u32 = 100_000;
+/// VMs of each failure domain that have more processor time than the others.
+const LARGE_VMS: usize = 2;
 /// How long a target takes for a request.
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
 /// How long after a restoration of the store its writers write again.
@@ -47,10 +39,13 @@
 /// Interval between two checks of a condition that is waited for.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A registered address that one target after another uses. The address is that of a proxy.
+/// A place in a service that one target after another takes, most of them at one registered address. The
+/// address is that of a proxy.
 #[derive(Clone, Debug)]
 struct TargetEndpoint {
     service: &'static str,
+    /// Index of its failure domain.
+    domain: usize,
     proxy: FaultProxy,
     /// The targets that used the address, the newest last.
     instances: Vec<TargetInstance>,
@@ -58,6 +53,8 @@
     replaced_until: Instant,
     /// The same where the one before it states its leaving.
     left_until: Instant,
+    /// Number of replacements that have begun.
+    replacements: Arc<AtomicUsize>,
 }
 
 /// The stand-ins, the proxies and the VM processes of a soak, and the record of what was injected.
@@ -70,13 +67,17 @@
     vms: Arc<Mutex<Vec<VmProcess>>>,
     restart_failures: Arc<Mutex<Vec<GuaranteeViolation>>>,
     work_dir: PathBuf,
-    version: u64,
-    /// Routes of the configuration that are not used.
-    routes: u64,
-    /// The changes made so far, in order of time.
-    pub changes: Vec<SoakChange>,
+    /// Draws what the operators change.
+    rng: StdRng,
+    version: ConfigurationVersion,
+    /// Until when replicas of the store are behind.
+    old_reads_until: Instant,
+    /// Whether each VM has its own links to targets.
+    has_target_links: bool,
+    /// The changes made so far.
+    changes: Arc<Mutex<Vec<SoakChange>>>,
     /// The events applied so far, in order of time.
-    pub faults: Vec<InjectedFault>,
+    faults: Arc<Mutex<Vec<InjectedFault>>>,
 }
 
 impl SoakEnvironment {
@@ -95,33 +96,18 @@
             vms: Arc::default(),
             restart_failures: Arc::default(),
             work_dir,
-            version: 0,
-            routes: 0,
-            changes: Vec::new(),
-            faults: Vec::new(),
+            rng: StdRng::seed_from_u64(options.seed),
+            version: ConfigurationVersion::default(),
+            old_reads_until: Instant::now(),
+            has_target_links: options.has_target_links,
+            changes: Arc::default(),
+            faults: Arc::default(),
         };
-        for index in 0..SERVICES.len() * TARGETS_PER_SERVICE {
-            environment.add_endpoint(index).await?;
-        }
-        environment.publish_routes(SERVICES[0]);
-        for index in 0..options.vms {
-            let targets = environment.endpoints.iter();
-            let targets: Vec<SocketAddr> = targets.map(|endpoint| endpoint.proxy.address).collect();
-            let network = VmNetwork::start(&environment.store, &targets).await?;
-            let domain = ["a-1", "a-2"][index % options.domains];
-            let name = format!("vm-{index}");
-            let program = &options.program;
-            let mut vm = VmProcess::new(
-                program,
-                &environment.work_dir,
-                &name,
-                domain,
-                network.store_address(),
-            )?;
-            vm.start()?;
-            lock(&environment.vms).push(vm);
-            environment.networks.push(network);
+        for index in 0..options.targets {
+            environment.add_endpoint(index, options.domains).await?;
         }
+        environment.publish();
+        environment.add_vms(options).await?;
         let violations = environment.wait_until_healthy().await;
         environment.store.copy();
         match violations.first() {
@@ -130,29 +116,75 @@
         }
     }
 
-    async fn add_endpoint(&mut self, index: usize) -> io::Result<()> {
+    /// Starts the links and the processes of all VMs.
+    async fn add_vms(&mut self, options: &SoakOptions) -> io::Result<()> {
+        let targets = self.endpoints.iter().filter(|_| self.has_target_links);
+        let targets: Vec<SocketAddr> = targets.map(|endpoint| endpoint.proxy.address).collect();
+        let mut vms = Vec::new();
+        for index in 0..options.vms {
+            let network = VmNetwork::start(&self.store, &targets).await?;
+            let place = vm::VmPlace {
+                name: &format!("vm-{index}"),
+                domain: index % options.domains,
+                domains: options.domains,
+                is_large: index / options.domains < LARGE_VMS,
+            };
+            let store = network.store_address();
+            let vm = VmProcess::new(&options.program, &self.work_dir, place, store)?;
+            self.networks.push(network);
+            vms.push(vm);
+        }
+        if options.has_peer_links {
+            let peers: Vec<_> = vms.iter().map(|vm| vm.addresses.calls).collect();
+            network::link_peers(&mut self.networks, &peers).await?;
+        }
+        for mut vm in vms {
+            vm.start()?;
+            lock(&self.vms).push(vm);
+        }
+        Ok(())
+    }
+
+    async fn add_endpoint(&mut self, index: usize, domains: usize) -> io::Result<()> {
         let service = SERVICES[index % SERVICES.len()];
         let target = instance::start(&format!("target-{index}-0")).await?;
         target.set_processing_time(PROCESSING_TIME);
         let endpoint = TargetEndpoint {
             service,
+            domain: index / SERVICES.len() % domains,
             proxy: proxy::start(target.address).await?,
             instances: vec![target],
             replaced_until: Instant::now(),
             left_until: Instant::now(),
+            replacements: Arc::default(),
         };
         register(&self.store, &endpoint);
         self.endpoints.push(endpoint);
         Ok(())
     }
 
-    fn publish_routes(&mut self, service: &'static str) {
-        self.version += 1;
-        self.store
-            .put("op/config", &document(self.version, service, self.routes));
-        let kind = ChangeKind::Routes(service);
+    /// Publishes the configuration as it is now.
+    fn publish(&mut self) {
         let at = Instant::now();
-        self.changes.push(SoakChange { at, kind });
+        self.store.put("op/config", &self.version.document());
+        let kind = ChangeKind::Configuration(Arc::new(self.version.clone()));
+        self.record(SoakChange { at, kind });
+    }
+
+    fn record(&self, change: SoakChange) {
+        lock(&self.changes).push(change);
+    }
+
+    /// The changes made so far, in order of time.
+    pub fn changes(&self) -> Vec<SoakChange> {
+        let mut changes = lock(&self.changes).clone();
+        changes.sort_by_key(|change| change.at);
+        changes
+    }
+
+    /// The events applied so far, in order of time.
+    pub fn faults(&self) -> Vec<InjectedFault> {
+        lock(&self.faults).clone()
     }
 
     /// The addresses to which callers send requests, one for each VM.
@@ -182,6 +214,7 @@
                 endpoint,
                 target: id.clone(),
                 service,
+                domain: self.endpoints[endpoint].domain,
             })
         };
         let endpoints = self.endpoints.iter().enumerate();
@@ -194,93 +227,13 @@
         endpoints.flat_map(at_endpoint).collect()
     }
 
-    /// Applies an event; a background task ends it after its duration.
-    ///
-    /// # Errors
-    /// Fails where a stand-in cannot be started or a signal cannot be sent.
-    pub async fn apply(&mut self, step: &SoakStep) -> io::Result<()> {
-        let from = Instant::now();
-        let until = from + step.duration;
-        let event = step.event;
-        self.faults.push(InjectedFault { from, until, event });
-        if event == SoakEvent::StoreRestored {
-            self.restore_store().await;
-        }
-        self.store.copy();
-        match event {
-            SoakEvent::StoreRestored => {}
-            SoakEvent::TargetLeaving(index) => {
-                self.replace_target(index, step.duration, true).await?;
-            }
-            SoakEvent::TargetLimited(index) => self.limit_target(index, step.duration),
-            SoakEvent::TargetPausing(index) => self.pause_target(index, step.duration),
-            SoakEvent::StoreLink(vm, fault) => {
-                self.networks[vm].disrupt_store(fault, step.duration);
-            }
-            SoakEvent::TargetLink(endpoint, fault) => {
-                disrupt(&self.endpoints[endpoint].proxy, fault, step.duration);
-            }
-            SoakEvent::TargetFault(endpoint, fault) => {
-                if let Some(target) = self.endpoints[endpoint].instances.last().cloned() {
-                    target.set_fault(fault);
-                    run_after(step.duration, move || target.set_fault(InstanceFault::Off));
-                }
-            }
-            SoakEvent::StoreStalled(vm) => {
-                let network = self.networks[vm].clone();
-                network.set_store_fault(StoreFault::Stalled);
-                run_after(step.duration, move || {
-                    network.set_store_fault(StoreFault::Off);
-                });
-            }
-            SoakEvent::StoreUnavailable => {
-                let networks = self.networks.clone();
-                let set_fault = move |fault| {
-                    networks
-                        .iter()
-                        .for_each(|network| network.set_store_fault(fault));
-                };
-                set_fault(StoreFault::Unavailable);
-                run_after(step.duration, move || set_fault(StoreFault::Off));
-            }
-            SoakEvent::StoreCompacted => self.store.compact(),
-            SoakEvent::VmCutOff(vm, cut) => {
-                self.networks[vm].cut_off(cut, step.duration).await?;
-            }
-            SoakEvent::VmPaused(vm) => {
-                self.signal(vm, Signal::STOP)?;
-                let vms = Arc::clone(&self.vms);
-                // The process may have exited in the meantime; then no signal is sent.
-                run_after(step.duration, move || {
-                    let _sent = lock(&vms)[vm].signal(Signal::CONT);
-                });
-            }
-            SoakEvent::VmKilled(vm) => self.restart(vm, Signal::KILL, step.duration)?,
-            SoakEvent::VmTerminated(vm) => self.restart(vm, Signal::TERM, step.duration)?,
-            SoakEvent::VmReloaded(vm) => self.signal(vm, Signal::HUP)?,
-            SoakEvent::TargetReplaced(index) => {
-                self.replace_target(index, step.duration, false).await?;
-            }
-            SoakEvent::RoutesGrown => {
-                self.routes = (self.routes + GROWTH).min(MAX_ROUTES);
-                let service = SERVICES[usize::from(self.version.is_multiple_of(2))];
-                self.publish_routes(service);
-            }
-            SoakEvent::RoutesChanged => {
-                let next = SERVICES[(self.version % 2) as usize];
-                self.publish_routes(next);
-            }
-        }
-        Ok(())
-    }
-
     fn signal(&self, vm: usize, signal: Signal) -> io::Result<()> {
         lock(&self.vms)[vm].signal(signal)
     }
 
     /// Stops a process with a signal, and starts it again after it has exited and a pause has
     /// passed.
-    fn restart(&mut self, vm: usize, signal: Signal, pause: Duration) -> io::Result<()> {
+    fn restart(&self, vm: usize, signal: Signal, pause: Duration) -> io::Result<()> {
         if !lock(&self.vms)[vm].is_running() {
             return Ok(());
         }
@@ -288,9 +241,8 @@
         // A process that is paused handles SIGTERM only after it continues.
         let (vms, restart_failures) = (Arc::clone(&self.vms), Arc::clone(&self.restart_failures));
         let limit = Instant::now() + pause + TERMINATION_LIMIT;
-        if let Some(fault) = self.faults.last_mut() {
-            fault.until = limit;
-        }
+        let faults = Arc::clone(&self.faults);
+        let place = lock(&faults).len().saturating_sub(1);
         task::spawn(async move {
             task::sleep(pause).await;
             let started = loop {
@@ -304,6 +256,10 @@
                     Err(error) => break Err(error),
                 }
             };
+            // The fault lasts until the process has started.
+            if let Some(fault) = lock(&faults).get_mut(place) {
+                fault.until = fault.until.max(Instant::now());
+            }
             if let Err(error) = started {
                 let seen = format!("VM {vm}: {error}");
                 lock(&restart_failures).push(GuaranteeViolation {
@@ -331,9 +287,7 @@
             .collect();
         let revived: Vec<_> = others.into_iter().filter(is_listed).collect();
         task::sleep(REWRITE_TIME).await;
-        let service = SERVICES[usize::from(self.version.is_multiple_of(2))];
-        self.store
-            .put("op/config", &document(self.version, service, self.routes));
+        self.store.put("op/config", &self.version.document());
         for target in revived {
             self.store.remove(&target.key());
         }
@@ -358,19 +312,12 @@
 /// Registers the newest target of an endpoint, with the address of the proxy.
 fn register(store: &KeyspaceStore, endpoint: &TargetEndpoint) {
     if let Some(target) = endpoint.instances.last() {
-        let mut entry = target.entry(endpoint.service, "a-1");
+        let mut entry = target.entry(endpoint.service, &vm::domain_name(endpoint.domain));
         entry["address"] = json!(endpoint.proxy.address.to_string());
         store.put(&target.key(), &entry);
     }
 }
 
-/// Injects a fault into a link for a time.
-fn disrupt(link: &FaultProxy, fault: LinkFault, duration: Duration) {
-    link.set_fault(Some(fault));
-    let link = link.clone();
-    run_after(duration, move || link.set_fault(None));
-}
-
 /// Runs `work` after a time, in a background task.
 fn run_after(duration: Duration, work: impl FnOnce() + Send + 'static) {
     task::spawn(async move {
@@ -378,21 +325,3 @@
         work();
     });
 }
-
-/// A configuration document whose routes lead to `service`, with further routes that are not used.
-fn document(version: u64, service: &str, further: u64) -> Value {
-    let mut routes = vec![
-        operator_config::route("/read/", "idempotent", false, service),
-        operator_config::route("/write/", "non_idempotent", false, service),
-    ];
-    routes.extend((0..further).map(|index| {
-        let name = rendezvous::name_hash(&index.to_le_bytes());
-        operator_config::route(&format!("/{name:x}-{index}/"), "idempotent", true, service)
-    }));
-    let SoakLimit { rate, burst } = SMALL_LIMIT;
-    let customers = [
-        operator_config::customer("large", LARGE_KEY, LARGE_RATE, LARGE_RATE),
-        operator_config::customer("small", SMALL_KEY, rate, burst),
-    ];
-    operator_config::document(version, &routes, &customers, &SERVICES)
-}
--- a/dahliawood-testkit/src/soak/environment/network/mod.rs
+++ b/dahliawood-testkit/src/soak/environment/network/mod.rs
@@ -1,7 +1,9 @@
-//! What lies between one VM and the rest: its link to the store, and one to each target.
+//! What lies between one VM and the rest: its link to the store, one to each target, and those on which
+//! other VMs reach it.
 
-use crate::keyspace::{KeyspaceStore, StoreFault};
+use crate::keyspace::{KeyspaceStore, OldReads, StoreFault};
 use crate::link::{self, LinkCut, TargetLink};
+use crate::soak::environment::faults::disrupt;
 use crate::soak::plan::LinkFault;
 use crate::soak::proxy::{self, FaultProxy};
 use async_std::task;
@@ -17,6 +19,35 @@
     store: KeyspaceStore,
     store_link: FaultProxy,
     target_links: Vec<TargetLink>,
+    /// The links on which other VMs reach this one.
+    peer_links: Vec<FaultProxy>,
+    /// Addresses in the store, each with the one by which the VM reaches what has it.
+    substitutes: Vec<(String, String)>,
+}
+
+/// Starts links on which all VMs reach the addresses of each other, `peers`.
+pub(super) async fn link_peers(
+    networks: &mut [VmNetwork],
+    peers: &[[SocketAddr; 2]],
+) -> io::Result<()> {
+    let mut substitutes = Vec::new();
+    for (network, addresses) in networks.iter_mut().zip(peers) {
+        let mut of_vm = Vec::new();
+        for address in addresses {
+            let link = proxy::start(*address).await?;
+            of_vm.push((address.to_string(), link.address.to_string()));
+            network.peer_links.push(link);
+        }
+        substitutes.push(of_vm);
+    }
+    for (own, network) in networks.iter_mut().enumerate() {
+        let others = substitutes.iter().enumerate();
+        let others = others.filter(|(vm, _)| *vm != own);
+        let others = others.flat_map(|(_, of_vm)| of_vm.iter().cloned());
+        network.substitutes.extend(others);
+        network.store.set_substitutes(network.substitutes.clone());
+    }
+    Ok(())
 }
 
 impl VmNetwork {
@@ -30,12 +61,14 @@
             substitutes.push((target.to_string(), link.address.to_string()));
             target_links.push(link);
         }
-        store.set_substitutes(substitutes);
+        store.set_substitutes(substitutes.clone());
         let store_link = proxy::start(store.address).await?;
         Ok(Self {
             store,
             store_link,
             target_links,
+            peer_links: Vec::new(),
+            substitutes,
         })
     }
 
@@ -51,7 +84,29 @@
 
     /// Injects a fault into the link to the store for a time.
     pub(super) fn disrupt_store(&self, fault: LinkFault, duration: Duration) {
-        super::disrupt(&self.store_link, fault, duration);
+        disrupt(&self.store_link, fault, duration);
+    }
+
+    /// Injects a fault into the links on which other VMs reach the VM for a time.
+    pub(super) fn disrupt_peers(&self, fault: LinkFault, duration: Duration) {
+        for link in &self.peer_links {
+            disrupt(link, fault, duration);
+        }
+    }
+
+    /// Lets replicas answer that are behind: all of them, or those that continue a list.
+    pub(super) fn set_old_reads(&self, all: bool, page_items: usize) {
+        self.store.set_page_items(page_items);
+        self.store.set_old_reads(match all {
+            true => OldReads::All,
+            false => OldReads::LaterPages,
+        });
+    }
+
+    /// Lets no replica be behind any more.
+    pub(super) fn end_old_reads(&self) {
+        self.store.set_page_items(usize::MAX);
+        self.store.set_old_reads(OldReads::None);
     }
 
     /// Cuts the links to all targets for a time.
--- a/dahliawood-testkit/src/soak/mod.rs
+++ b/dahliawood-testkit/src/soak/mod.rs
@@ -7,11 +7,12 @@
 //! differs from run to run, so a seed that failed once may pass the next time.
 //!
 //! Limitations: setting clocks back needs privileges that the soak does not have, so pausing a
-//! process is the only fault that its clock sees. VMs have no disk. Links between VMs are not cut
-//! on their own.
+//! process is the only fault that its clock sees. VMs have no disk. A fault of links between VMs concerns
+//! those on which a VM is reached, not those on which it reaches others.
 
 pub mod caller;
 pub mod check;
+pub mod configuration;
 pub mod environment;
 pub mod plan;
 pub mod proxy;
@@ -35,8 +36,14 @@
     pub seed: u64,
     /// Number of VMs.
     pub vms: usize,
-    /// Number of failure domains, 2 at most; VMs of one follow each other if there are enough.
+    /// Number of failure domains; VMs of one follow each other if there are enough.
     pub domains: usize,
+    /// Number of targets of all services.
+    pub targets: usize,
+    /// Whether each VM has links of its own to targets, which can be cut; many descriptors.
+    pub has_target_links: bool,
+    /// Whether VMs reach each other by links, which can have faults.
+    pub has_peer_links: bool,
     /// Number of callers; each sends one request at a time.
     pub callers: usize,
     /// The faults and changes to inject: drawn from the seed with [`SoakPlan::draw`], or fixed.
@@ -94,14 +101,19 @@
         requests,
         runs: environment.runs(),
         refusals: environment.refusals(),
-        changes: environment.changes.clone(),
-        faults: environment.faults.clone(),
+        changes: environment.changes(),
+        faults: environment.faults(),
         must_serve_from: started + end.saturating_sub(COOL_DOWN_TIME / 4),
     };
     let mut violations = check::request_guarantees(&records);
-    violations.extend(check::limit_guarantees(&records, environment::SMALL_LIMIT));
+    violations.extend(check::limit_guarantees(
+        &records,
+        configuration::SMALL_LIMIT,
+    ));
     if options.check_time_bounds {
         violations.extend(check::time_bound_guarantees(&records));
+        violations.extend(check::configuration::guarantees(&records));
+        violations.extend(check::departures::guarantees(&records));
         violations.extend(check::statements::guarantees(&records));
         violations.extend(check::cuts::guarantees(&records));
     }
--- a/dahliawood-testkit/src/soak/plan/mod.rs
+++ b/dahliawood-testkit/src/soak/plan/mod.rs
@@ -1,6 +1,9 @@
 //! The plan of a soak: a schedule of faults and changes, drawn from a seed.
 
+pub mod size;
+
 use crate::instance::InstanceFault;
+use crate::keyspace::StoreFault;
 use crate::link::LinkCut;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -22,6 +25,36 @@
     OneWay,
 }
 
+/// Some of the VMs, by their indices.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VmGroup {
+    /// The VMs of one failure domain of several.
+    Domain {
+        /// Index of the failure domain.
+        domain: usize,
+        /// Number of failure domains.
+        of: usize,
+    },
+    /// A third of the VMs of each of several failure domains.
+    Third {
+        /// Which third.
+        place: usize,
+        /// Number of failure domains.
+        of: usize,
+    },
+}
+
+impl VmGroup {
+    /// Whether a VM belongs to the group.
+    pub fn contains(self, vm: usize) -> bool {
+        match self {
+            Self::Domain { domain, of } => vm % of == domain,
+            // A VM's place in its failure domain and the domain's index spread the thirds.
+            Self::Third { place, of } => (vm / of + vm % of + place).is_multiple_of(3),
+        }
+    }
+}
+
 /// A fault or a change. VMs and targets are given by index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SoakEvent {
@@ -50,7 +83,10 @@
     VmReloaded(usize),
     /// A target leaves the registry, and another one takes its address when the event is over.
     TargetReplaced(usize),
-    /// The operators publish routes to the other service.
+    /// A target's registration says that it drains; when the event is over, it leaves the registry, and
+    /// another one registers.
+    TargetDrained(usize),
+    /// The operators publish a version in which a route leads elsewhere, or comes or goes.
     RoutesChanged,
     /// The operators publish many more routes, up to a document of 0.9 MB.
     RoutesGrown,
@@ -63,6 +99,45 @@
     TargetLimited(usize),
     /// A target refuses requests and asks for pauses.
     TargetPausing(usize),
+    /// The links of some VMs to the store have a fault.
+    GroupStoreLink(VmGroup, LinkFault),
+    /// The store treats the calls of some VMs in a way of its own.
+    GroupRefused(VmGroup, StoreFault),
+    /// The processes of some VMs are paused.
+    GroupPaused(VmGroup),
+    /// The processes of some VMs are killed, and started again when the event is over.
+    GroupKilled(VmGroup),
+    /// The links on which other VMs reach some VMs have a fault.
+    GroupPeerLinks(VmGroup, LinkFault),
+    /// Reads that may be stale are answered by replicas, some of them behind.
+    StoreReadsOld,
+    /// The operators evacuate a failure domain until the event is over.
+    DomainEvacuated(usize),
+}
+
+impl SoakEvent {
+    /// Whether the event ends the process of a VM.
+    pub fn stops_process(self, vm: usize) -> bool {
+        match self {
+            Self::VmKilled(at) | Self::VmTerminated(at) => at == vm,
+            Self::GroupKilled(group) => group.contains(vm),
+            _ => false,
+        }
+    }
+
+    /// Whether the event pauses or kills the process of a VM.
+    pub fn interrupts_process(self, vm: usize) -> bool {
+        match self {
+            Self::VmPaused(at) | Self::VmKilled(at) => at == vm,
+            Self::GroupPaused(group) | Self::GroupKilled(group) => group.contains(vm),
+            _ => false,
+        }
+    }
+
+    /// Whether the event pauses or ends the process of a VM.
+    pub fn disturbs_process(self, vm: usize) -> bool {
+        self.stops_process(vm) || self.interrupts_process(vm)
+    }
 }
 
 /// An event with its start and duration.
--- a/dahliawood-testkit/src/soak/vm/mod.rs
+++ b/dahliawood-testkit/src/soak/vm/mod.rs
@@ -24,6 +24,37 @@
     pub directory: SocketAddr,
     /// Calls of other VMs, and metrics; the port between them is for requests that other VMs forward.
     pub internal: [SocketAddr; 2],
+    /// Calls of other VMs, and requests that they forward.
+    pub calls: [SocketAddr; 2],
+}
+
+/// A VM's place in the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct VmPlace<'a> {
+    /// The VM's name.
+    pub name: &'a str,
+    /// Index of its failure domain.
+    pub domain: usize,
+    /// Number of failure domains.
+    pub domains: usize,
+    /// Whether it has more processor time than most.
+    pub is_large: bool,
+}
+
+/// Failure domains of a region.
+const DOMAINS_PER_REGION: usize = 2;
+/// Processor share of a VM that has more of it, and of the others.
+const LARGE_SHARE: f64 = 0.5;
+const SMALL_SHARE: f64 = 0.1;
+
+/// The name of a failure domain.
+pub fn domain_name(index: usize) -> String {
+    format!("a-{}", index + 1)
+}
+
+/// The name of the region of a failure domain.
+fn region_name(domain: usize) -> String {
+    format!("region-{}", domain / DOMAINS_PER_REGION + 1)
 }
 
 /// A VM and its process.
@@ -88,11 +119,15 @@
 
 fn free_addresses() -> io::Result<VmAddresses> {
     let _no_start = lock(&PORTS_AND_STARTS);
+    let internal = free_internal()?;
+    let [first, _] = internal;
+    let second = SocketAddr::new(first.ip(), first.port() + 1);
     Ok(VmAddresses {
         front: free_address()?,
         ready: free_address()?,
         directory: free_address()?,
-        internal: free_internal()?,
+        internal,
+        calls: [first, second],
     })
 }
 
@@ -104,13 +139,12 @@
     pub fn new(
         program: &Path,
         work_dir: &Path,
-        name: &str,
-        domain: &str,
+        place: VmPlace<'_>,
         store: SocketAddr,
     ) -> io::Result<Self> {
         let addresses = free_addresses()?;
         let vm = Self {
-            name: name.to_owned(),
+            name: place.name.to_owned(),
             addresses,
             program: program.to_owned(),
             work_dir: work_dir.to_owned(),
@@ -118,15 +152,29 @@
             child: None,
             is_terminating: true,
         };
+        let addresses = &vm.addresses;
         let [peer, metrics] = addresses.internal.map(|address| address.port());
+        let zones = (0..place.domains)
+            .map(|domain| format!("{} = \"{}\"\n", domain_name(domain), region_name(domain)));
+        let zones: String = zones.collect();
+        let processor_share = match place.is_large {
+            true => LARGE_SHARE,
+            false => SMALL_SHARE,
+        };
         let text = format!(
-            "node_name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"{domain}\"\nregion = \"a\"\n\
+            "node_name = \"{}\"\nip = \"127.0.0.1\"\nzone = \"{}\"\nregion = \"{}\"\n\
              internal_ports = [{peer}, {metrics}]\n\
              bounds = [\"grace_s=6\", \"config_apply_s=3\", \"drain_s=3\", \"contact_s=4\", \"quota_slack=20\", \"budget_ratio=0.2\"]\n\
-             [zones]\na-1 = \"a\"\na-2 = \"a\"\n\
+             [zones]\n{zones}\
              [listen]\nfront = \"{}\"\nready = \"{}\"\ndirectory = \"{}\"\n\
+             [limits]\ncpu_share = {processor_share}\n\
              [platform]\naddress = \"{store}\"\n",
-            addresses.front, addresses.ready, addresses.directory
+            place.name,
+            domain_name(place.domain),
+            region_name(place.domain),
+            addresses.front,
+            addresses.ready,
+            addresses.directory
         );
         fs::write(vm.settings_path(), text)?;
         Ok(vm)
