--- a/dahliawood-testkit/tests/main/main.rs
+++ b/dahliawood-testkit/tests/main/main.rs
@@ -1,3 +1,4 @@
 //! Models of fleets without a network.
 
 mod follow_fleet;
+mod soak_checks;
