--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -5,6 +5,7 @@
 use crate::codec::KeyspaceRecord;
 use crate::control::vms::{VMS_PREFIX, VmRecord};
 use crate::control::{ControlState, knowledge};
+use crate::decisions::EntryOrigin;
 use crate::structured_log::EventClass;
 use dahliawood_model::FastSet;
 use dahliawood_model::catalog::FleetCatalog;
@@ -26,6 +27,8 @@
 struct ChangeEvent<'a> {
     key: &'a str,
     what: &'a str,
+    /// Revision of the write that is in force, zero if none is.
+    revision: u64,
     version: u64,
     detail: String,
     /// From whom this VM learned of it, and how old its knowledge was by then.
@@ -62,9 +65,9 @@
 }
 
 fn apply_record(state: &ControlState, key: &str, record: KeyspaceRecord) {
-    let mut table = state.shared.placement();
     match record {
         KeyspaceRecord::Target(entry) => {
+            let mut table = state.shared.placement();
             let now = clock::now();
             let detail = format!(
                 "{} at {} in {}, cold for {:?}, {} recent requests",
@@ -79,16 +82,21 @@
             } else {
                 "target"
             };
+            let id = entry.id.clone();
             table.upsert(entry, now);
-            log_change(state, key, what, 0, detail);
-        }
-        KeyspaceRecord::Catalog(catalog) => {
             drop(table);
-            install_catalog(state, key, catalog);
+            let mut decisions = state.shared.decisions();
+            if what == "target-draining" {
+                decisions.write(&state.shared.log);
+            }
+            decisions.set_target(&id, origin(state, key));
+            drop(decisions);
+            log_change(state, key, what, 0, detail);
         }
+        KeyspaceRecord::Catalog(catalog) => install_catalog(state, key, catalog),
         KeyspaceRecord::Unreadable { reason } => {
             if let Some(id) = (state.shared.codec.target_id)(key) {
-                table.remove(id, clock::now());
+                state.shared.placement().remove(id, clock::now());
             }
             log_change(state, key, "unreadable", 0, reason);
         }
@@ -107,6 +115,9 @@
     }
     let detail = format!("{} routes", catalog.routes.len());
     let catalog = Arc::new(catalog);
+    shared
+        .decisions()
+        .set_catalog(version, origin(state, key), &shared.log);
     shared.catalog.store(Some(Arc::clone(&catalog)));
     shared.waiting.apply_catalog(&catalog, clock::now());
     log_change(state, key, "version", version, detail);
@@ -114,15 +125,35 @@
 
 fn remove_target(state: &ControlState, key: &str) {
     let id = (state.shared.codec.target_id)(key);
-    if id.is_some_and(|id| state.shared.placement().remove(id, clock::now())) {
+    if let Some(id) = id
+        && state.shared.placement().remove(id, clock::now())
+    {
+        let shared = &state.shared;
+        shared.decisions().remove_target(id, &shared.log);
         log_change(state, key, "target-gone", 0, String::new());
     }
 }
 
+/// From where this VM has the value of a key, which it has just learned.
+fn origin(state: &ControlState, key: &str) -> EntryOrigin {
+    EntryOrigin {
+        revision: revision(state, key),
+        from: state.knowledge.borrow().source().to_string(),
+        learned_at: clock::now(),
+    }
+}
+
+/// Revision of the write of a key that is in force, zero if none is.
+fn revision(state: &ControlState, key: &str) -> u64 {
+    let view = state.view.borrow();
+    view.get(key).map_or(0, |known| known.revision)
+}
+
 fn log_change(state: &ControlState, key: &str, what: &str, version: u64, detail: String) {
     let event = || ChangeEvent {
         key,
         what,
+        revision: revision(state, key),
         version,
         detail,
         from: state.knowledge.borrow().source().to_string(),
@@ -187,6 +218,7 @@
             _ => None,
         })
         .collect();
+    state.shared.decisions().write(&state.shared.log);
     log_change(
         state,
         OPERATORS_PREFIX,
--- a/dahliawood-gateway/src/control/copy/mod.rs
+++ b/dahliawood-gateway/src/control/copy/mod.rs
@@ -3,7 +3,7 @@
 
 use crate::clock;
 use crate::control::vms::VMS_PREFIX;
-use crate::control::{ControlState, apply};
+use crate::control::{ControlState, apply, knowledge};
 use crate::structured_log::EventClass;
 use async_std::channel::bounded;
 use dahliawood_model::FastSet;
@@ -202,6 +202,7 @@
 
 /// Wakes the calls of VMs that wait for changes, or for a later date of this VM's copy.
 pub fn notify_followers(state: &ControlState) {
+    knowledge::tell_decisions(state);
     let (sender, _) = state.changed.replace(bounded(1));
     sender.close();
 }
--- a/dahliawood-gateway/src/control/knowledge/mod.rs
+++ b/dahliawood-gateway/src/control/knowledge/mod.rs
@@ -86,12 +86,21 @@
     state.shared.log.write(EventClass::State, "source", event);
 }
 
+/// Passes on from whom this VM learns of changes and how old its knowledge is, for the log of decisions.
+pub fn tell_decisions(state: &ControlState) {
+    let source = state.knowledge.borrow().source.to_string();
+    let current_at = state.sources.borrow().current_at();
+    let current_at = current_at.unwrap_or(state.started);
+    state.shared.decisions().set_knowledge(source, current_at);
+}
+
 /// Sets the metric of the age, and logs when the knowledge becomes old or current again.
 pub fn observe_age(state: &ControlState, now: TimeStamp) {
     let age = age(state, now);
     state.shared.metrics.knowledge_age.set(age.as_secs_f64());
     let is_old = !state.sources.borrow().is_current(now);
     state.shared.set_knowledge_old(is_old);
+    tell_decisions(state);
     let mut knowledge = state.knowledge.borrow_mut();
     if std::mem::replace(&mut knowledge.is_old, is_old) == is_old {
         return;
--- a/dahliawood-gateway/src/control/tick/mod.rs
+++ b/dahliawood-gateway/src/control/tick/mod.rs
@@ -80,6 +80,7 @@
         let expired = state.view.borrow_mut().expire(now);
         copy::apply_now(&state, &expired);
         answers::log_holds(&state);
+        state.shared.decisions().write(&state.shared.log);
         ticks = ticks.wrapping_add(1);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             state.shared.pool.sweep();
--- a/dahliawood-gateway/src/forward/mod.rs
+++ b/dahliawood-gateway/src/forward/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::clock;
 use crate::codec::RequestMetadata;
+use crate::decisions::{DecisionOutcome, RequestDecision};
 use crate::forward::helper::HelperEnd;
 use crate::forward::selection::TryTarget;
 use crate::forward::waiting::ticket::WaitTicket;
@@ -272,6 +273,7 @@
                     .with_budget(&self.routed.service, RetryBudget::earn);
             }
             self.tried.push(target.key);
+            self.record_decision(&target);
             match self.attempt(&target).await {
                 Ok(response) if self.is_final(&response) => {
                     self.clear_suspicion(&response);
@@ -287,6 +289,16 @@
         }
     }
 
+    /// Records that the request is sent to a target, and by which configuration version.
+    fn record_decision(&self, target: &TryTarget) {
+        self.state.record_decision(RequestDecision {
+            id: self.metadata.attempt_id.clone(),
+            version: self.catalog.version,
+            route: self.route().name.clone(),
+            outcome: DecisionOutcome::Target(target.id.clone()),
+        });
+    }
+
     /// Records that the request takes a slot, which ends its wait.
     fn record_start(&mut self) {
         if let Some(ticket) = self.ticket.take() {
--- a/dahliawood-gateway/src/front/handler/mod.rs
+++ b/dahliawood-gateway/src/front/handler/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::clock;
 use crate::codec::RequestMetadata;
+use crate::decisions::{DecisionOutcome, RequestDecision};
 use crate::forward::{self, ForwardOptions, RoutedRequest, RunProgress};
 use crate::front::connection::CallerRequest;
 use crate::front::handler::admission::AdmittedRequest;
@@ -94,6 +95,16 @@
         Some(_) => "failed",
     };
     state.metrics.record_request(label, taken);
+    if let Some(cause) = cause
+        && is_by_configuration(cause)
+    {
+        state.record_decision(RequestDecision {
+            id: metadata.attempt_id.clone(),
+            version: catalog.map_or(0, |catalog| catalog.version),
+            route: String::new(),
+            outcome: DecisionOutcome::Refused(cause.to_string()),
+        });
+    }
     let waited = outcome.1.as_ref().map(|routed| routed.waited.get());
     let waited = waited.unwrap_or_default();
     let class = if cause.is_none() && status < 500 {
@@ -117,6 +128,17 @@
     });
 }
 
+/// Whether a request is refused for what the configuration says, or does not say yet.
+fn is_by_configuration(cause: &RefusalCause) -> bool {
+    matches!(
+        cause,
+        RefusalCause::NoCatalog
+            | RefusalCause::NoRoute
+            | RefusalCause::InvalidKey
+            | RefusalCause::Outdated
+    )
+}
+
 /// Finds the route and the customer of a request, and admits it within the customer's limit. Returns
 /// also how the limit counts it.
 async fn route(
--- a/dahliawood-gateway/src/lib.rs
+++ b/dahliawood-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod codec;
 pub mod control;
 pub mod crashes;
+pub mod decisions;
 pub mod directory;
 pub mod forward;
 pub mod front;
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -5,6 +5,7 @@
 use crate::codec::PlatformCodec;
 use crate::control::vms::VmRecord;
 use crate::crashes::{CrashRecords, FleetSighting};
+use crate::decisions::{DecisionRecords, RequestDecision};
 use crate::forward::waiting::WaitingRequests;
 use crate::held_bytes::HeldBytes;
 use crate::metrics::GatewayMetrics;
@@ -95,6 +96,7 @@
     placement: Mutex<PlacementTable>,
     location: Mutex<VmLocation>,
     crashes: Mutex<CrashRecords>,
+    decisions: Mutex<DecisionRecords>,
     budgets: Mutex<FastMap<String, RetryBudget>>,
     splits: Mutex<FastMap<String, RoundRobin>>,
     windows: Mutex<CustomerWindows>,
@@ -147,6 +149,7 @@
             placement: Mutex::new(PlacementTable::new(settings.regions.clone())),
             location: Mutex::new(location),
             crashes: Mutex::default(),
+            decisions: Mutex::default(),
             budgets: Mutex::default(),
             splits: Mutex::default(),
             windows: Mutex::new(CustomerWindows::new(settings.bounds.quota_window)),
@@ -182,6 +185,16 @@
         lock(&self.crashes)
     }
 
+    /// The decisions on requests that are not logged yet, and the origins of the entries they used.
+    pub fn decisions(&self) -> MutexGuard<'_, DecisionRecords> {
+        lock(&self.decisions)
+    }
+
+    /// Records a decision on a request for the log.
+    pub fn record_decision(&self, decision: RequestDecision) {
+        self.decisions().record(decision, &self.log);
+    }
+
     /// What this VM knows of its links to targets, and of the VMs that can help it.
     pub fn reach(&self) -> MutexGuard<'_, ReachRecords> {
         lock(&self.reach)
