--- a/dahliawood-gateway/src/control/copy/mod.rs
+++ b/dahliawood-gateway/src/control/copy/mod.rs
@@ -9,7 +9,7 @@
 use dahliawood_model::FastSet;
 use dahliawood_peer::gateway::message::KeyspaceSnapshot;
 use dahliawood_store::keyspace::call::KeyspaceItem;
-use dahliawood_store::keyspace::view::{LateWrite, RelaySource, ViewChange};
+use dahliawood_store::keyspace::view::{RelaySource, ViewChange};
 use serde::Serialize;
 use std::sync::Arc;
 
@@ -30,20 +30,14 @@
 /// VMs that follow this one.
 pub fn apply_items(state: &ControlState, items: Vec<KeyspaceItem>, revision: u64) {
     supersede_transfers(state, &items);
-    let mut passed_on = items.clone();
     let changes = state.view.borrow_mut().apply(items, revision, clock::now());
-    let late = take_late_writes(state);
-    passed_on.retain(|item| {
-        let is_it = |write: &LateWrite| write.key == item.key && write.revision == item.revision;
-        !late.iter().any(is_it)
-    });
-    state.change_log.borrow_mut().extend(&passed_on, revision);
+    log_late_writes(state);
     apply_or_hold(state, &changes);
     notify_followers(state);
 }
 
-/// The writes that the store carried out late since the last call, which are logged and counted.
-fn take_late_writes(state: &ControlState) -> Vec<LateWrite> {
+/// Logs and counts the writes that the store carried out late since the last call.
+fn log_late_writes(state: &ControlState) {
     let late = state.view.borrow_mut().take_late_writes();
     for write in &late {
         state.shared.metrics.late_writes.inc();
@@ -56,7 +50,6 @@
             .log
             .write(EventClass::State, "late-write", event);
     }
-    late
 }
 
 /// Replaces the copy by the whole key space as the store listed it at `revision`.
@@ -71,9 +64,8 @@
         .view
         .borrow_mut()
         .replace(items, revision, clock::now());
-    let _logged = take_late_writes(state);
+    log_late_writes(state);
     note_restoration(state, epoch);
-    state.change_log.borrow_mut().reset(revision);
     if is_first {
         let is_vm = |change: &ViewChange| change.key.starts_with(VMS_PREFIX);
         let (vms, others) = changes.into_iter().partition::<Vec<_>, _>(is_vm);
@@ -110,10 +102,8 @@
         .view
         .borrow_mut()
         .apply_relayed(items, &listed, source, clock::now());
-    let _logged = take_late_writes(state);
+    log_late_writes(state);
     note_restoration(state, epoch);
-    let revision = state.view.borrow().revision();
-    state.change_log.borrow_mut().reset(revision);
     apply_now(state, &changes);
     notify_followers(state);
 }
@@ -121,13 +111,8 @@
 /// Applies a long value that was fetched apart from the changes around it.
 pub fn apply_value(state: &ControlState, item: KeyspaceItem) {
     supersede_transfers(state, std::slice::from_ref(&item));
-    let mut view = state.view.borrow_mut();
-    let revision = view.revision();
-    let changes = view.apply_fetched(item, clock::now());
-    drop(view);
-    let _logged = take_late_writes(state);
-    // Followers that lack the value don't find it among later changes.
-    state.change_log.borrow_mut().reset(revision);
+    let changes = state.view.borrow_mut().apply_fetched(item, clock::now());
+    log_late_writes(state);
     apply_or_hold(state, changes.as_slice());
     notify_followers(state);
 }
--- a/dahliawood-gateway/src/control/followers/mod.rs
+++ b/dahliawood-gateway/src/control/followers/mod.rs
@@ -45,11 +45,11 @@
     if !is_sound(state, now) {
         return ChangesResponse::NotCurrent;
     }
-    let log = state.change_log.borrow();
-    let Some(items) = log.since(after) else {
+    let view = state.view.borrow();
+    let Some(told) = view.changes_since(after) else {
         return ChangesResponse::TooOld;
     };
-    let changes = items.into_iter().map(|item| {
+    let changes = told.items.into_iter().map(|item| {
         let value = item.value.as_deref().unwrap_or_default();
         let left_out = parts::left_out(value, request.takes_parts);
         KeyspaceChange {
@@ -60,8 +60,8 @@
         }
     });
     ChangesResponse::Changes(KeyspaceChanges {
-        revision: log.revision().max(after),
-        settles_in: state.view.borrow().settles_in(now),
+        revision: told.revision,
+        settles_in: view.settles_in(now),
         changes: changes.collect(),
         date: date(state, arrived_at, now),
         answers: answers::told(state, arrived_at, now),
@@ -77,26 +77,23 @@
     }
     let now = clock::now();
     let view = state.view.borrow();
-    let keys = view.known().map(|(key, known)| {
+    let copy = view.copy(is_sound(state, now), now);
+    let keys = copy.entries.into_iter().map(|(key, known)| {
         let is_newer = known.revision > above;
         let left_out = match is_newer {
             true => parts::left_out(&known.value, takes_parts),
             false => 0,
         };
         KeyspaceEntry {
-            key: key.clone(),
+            key: key.to_owned(),
             revision: known.revision,
             value: (is_newer && left_out == 0).then(|| known.value.to_vec()),
             left_out,
         }
     });
-    let is_settled = is_sound(state, now) && !view.is_settling(now);
     KeyspaceSnapshot {
-        revision: match is_settled {
-            true => view.revision(),
-            false => view.heard_revision(),
-        },
-        is_settled,
+        revision: copy.revision,
+        is_settled: copy.is_settled,
         keys: keys.collect(),
         date: date(state, now, now),
         answers: answers::told(state, now, now),
--- a/dahliawood-gateway/src/control/mod.rs
+++ b/dahliawood-gateway/src/control/mod.rs
@@ -35,7 +35,6 @@
 use dahliawood_quota::allocation::absent::AbsentMembers;
 use dahliawood_quota::allocation::coordinator::AllocationCoordinator;
 use dahliawood_store::keyspace::call::KeyspaceClient;
-use dahliawood_store::keyspace::changes::ChangeLog;
 use dahliawood_store::keyspace::view::KeyspaceView;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -62,8 +61,6 @@
     pub is_relayed: Cell<bool>,
     /// Keys whose changes the first read found, held until they are confirmed.
     pub unconfirmed: RefCell<FastSet<String>>,
-    /// The latest changes, for VMs that follow this one.
-    pub change_log: RefCell<ChangeLog>,
     /// Channel that is closed, and replaced, when an answer of this VM's source is applied.
     pub changed: RefCell<(Sender<()>, Receiver<()>)>,
     /// Long values that this VM knows to be written and does not have.
@@ -144,7 +141,6 @@
         knowledge: RefCell::default(),
         is_relayed: Cell::new(false),
         unconfirmed: RefCell::default(),
-        change_log: RefCell::default(),
         changed: RefCell::new(bounded(1)),
         transfers: RefCell::default(),
         transfer_wake: bounded(1),
--- a/dahliawood-store/src/keyspace/view/mod.rs
+++ b/dahliawood-store/src/keyspace/view/mod.rs
@@ -15,9 +15,11 @@
 
 pub mod retained;
 pub mod settle;
+pub mod told;
 
 use crate::keyspace::availability::AnswerSpan;
 use crate::keyspace::call::KeyspaceItem;
+use crate::keyspace::changes::ChangeLog;
 use crate::keyspace::epoch;
 use crate::keyspace::record::{
     KeyRecord, MergeOutcome, ObservedWrite, OrderOf, ValueOrder, VersionedValue, WriterOrder,
@@ -66,6 +68,8 @@
     /// Writes that were carried out late, since they were last taken.
     late: Vec<LateWrite>,
     revision: u64,
+    /// The latest changes up to `revision`, for VMs that follow this one.
+    log: ChangeLog,
     /// The newest revision that another VM reported; the view's is the higher of this one and
     /// `revision`.
     heard_revision: u64,
@@ -89,6 +93,13 @@
     pub revision: u64,
 }
 
+impl LateWrite {
+    /// Whether an item is this write.
+    fn is_of(&self, item: &KeyspaceItem) -> bool {
+        self.key == item.key && self.revision == item.revision
+    }
+}
+
 /// Where an item comes from.
 #[derive(Clone, Copy, Debug)]
 struct ItemOrigin {
@@ -115,6 +126,7 @@
             gone: FastMap::default(),
             late: Vec::new(),
             revision: 0,
+            log: ChangeLog::default(),
             heard_revision: 0,
             settle: SettleClock::default(),
             is_leased,
@@ -241,18 +253,28 @@
         revision: u64,
         now: TimeStamp,
     ) -> Vec<ViewChange> {
-        // All changes up to there are known.
-        let origin = ItemOrigin {
-            absent_at: self.revision,
-            is_restored: false,
-        };
-        let changes = self.observe_all(items, origin, now);
+        let mut told = items.clone();
+        let late_before = self.late.len();
+        let changes = self.observe_all(items, self.followed(), now);
         self.revision = self.revision.max(revision);
+        let late = &self.late[late_before..];
+        told.retain(|item| !late.iter().any(|write| write.is_of(item)));
+        self.log.extend(&told, revision);
         changes
     }
 
+    /// The origin of an item beside which all changes up to this view's revision are known.
+    fn followed(&self) -> ItemOrigin {
+        ItemOrigin {
+            absent_at: self.revision,
+            is_restored: false,
+        }
+    }
+
     /// Applies a value that was fetched apart from the changes around it.
     pub fn apply_fetched(&mut self, item: KeyspaceItem, now: TimeStamp) -> Option<ViewChange> {
+        // Followers that lack the value don't find it among later changes.
+        self.log.reset(self.revision);
         self.observe(item, ItemOrigin::LISTED, now)
     }
 
@@ -294,7 +316,7 @@
         }
         self.heard_revision = self.heard_revision.max(source.revision);
         if !source.is_settled {
-            return self.apply(items, self.revision, now);
+            return self.observe_all(items, self.followed(), now);
         }
         let mut changes = self.apply_list(items, source.revision, now);
         for key in self.unlisted_keys(listed, now) {
@@ -315,13 +337,10 @@
     ) -> Vec<ViewChange> {
         let origin = match revision >= self.revision {
             true => ItemOrigin::LISTED,
-            false => ItemOrigin {
-                absent_at: self.revision,
-                is_restored: false,
-            },
+            false => self.followed(),
         };
         let changes = self.observe_all(items, origin, now);
-        self.revision = self.revision.max(revision);
+        self.advance(revision);
         changes
     }
 
@@ -393,10 +412,16 @@
         let restored = items.into_iter();
         let changes = restored.filter_map(|item| self.restore_item(item, now));
         let changes = changes.collect();
-        self.revision = self.revision.max(revision);
+        self.advance(revision);
         changes
     }
 
+    /// Records that all changes up to `revision` are known, but not one by one.
+    fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+        self.log.reset(self.revision);
+    }
+
     /// Applies one key that a restored service lists; one that was removed is held back.
     fn restore_item(&mut self, item: KeyspaceItem, now: TimeStamp) -> Option<ViewChange> {
         if self.gone.contains_key(&item.key) {
--- a/dahliawood-store/tests/main/outages/fleet.rs
+++ b/dahliawood-store/tests/main/outages/fleet.rs
@@ -8,7 +8,6 @@
 use dahliawood_model::stamp::TimeStamp;
 use dahliawood_store::keyspace::availability::AnswerSpan;
 use dahliawood_store::keyspace::call::KeyspaceItem;
-use dahliawood_store::keyspace::changes::ChangeLog;
 use dahliawood_store::keyspace::view::{KeyspaceView, RelaySource};
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -27,6 +26,8 @@
 /// Time between two renewals of a VM that follows the service, and one that follows another VM,
 /// milliseconds.
 const RENEW_MS: [u64; 2] = [1_300, 1_800];
+/// Interval at which a VM drops what it retains no longer, milliseconds.
+const EXPIRY_MS: u64 = 500;
 /// How long a process is gone that is restarted, milliseconds.
 const RESTART_MS: u64 = 500;
 /// How old a first read may be, milliseconds.
@@ -37,13 +38,14 @@
 pub enum Telling {
     /// When the service answered.
     Answers,
-    /// How much longer they hold removals back, as earlier versions did.
+    /// The same, and what they retain as if it existed, as earlier versions did.
+    RetainedAsExisting,
+    /// How much longer they hold removals back, as versions before those did.
     RestOfHold,
 }
 
 struct ModelVm {
     view: KeyspaceView,
-    log: ChangeLog,
     started_ms: u64,
     /// Whether the first read was confirmed.
     is_confirmed: bool,
@@ -55,6 +57,7 @@
     next_ask_ms: u64,
     next_renewal_ms: u64,
     next_copy_ms: u64,
+    next_expiry_ms: u64,
     backoff_ms: u64,
     /// Keys of the targets that it uses.
     used: FastSet<String>,
@@ -66,7 +69,6 @@
     fn new(now_ms: u64) -> Self {
         Self {
             view: KeyspaceView::new(|_| true).with_leaving(|_, value| value == b"leaving"),
-            log: ChangeLog::default(),
             started_ms: now_ms,
             is_confirmed: false,
             has_read: false,
@@ -75,6 +77,7 @@
             next_ask_ms: now_ms,
             next_renewal_ms: now_ms,
             next_copy_ms: now_ms,
+            next_expiry_ms: now_ms,
             backoff_ms: 400,
             used: FastSet::default(),
             calm_ms: now_ms,
@@ -202,7 +205,10 @@
             self.copy(vm);
         }
         let own = &mut self.vms[vm];
-        own.view.expire(at(now_ms));
+        if now_ms >= own.next_expiry_ms {
+            own.next_expiry_ms = now_ms + EXPIRY_MS;
+            own.view.expire(at(now_ms));
+        }
         if own.is_confirmed {
             let used = own.view.known();
             let used = used.filter(|(_, write)| *write.value != *b"leaving");
@@ -250,18 +256,15 @@
             let age = self.rng.random_range(0..OLD_READ_MS);
             let (items, revision) = self.service.old_list(self.now_ms.saturating_sub(age));
             own.view.replace(items, revision, now);
-            own.log.reset(revision);
             own.has_read = true;
             return;
         }
         own.view.record_answers(own_answer(self.now_ms));
         if let Some(changes) = self.service.since(own.view.revision()) {
-            own.log.extend(&changes, self.service.revision);
             own.view.apply(changes, self.service.revision, now);
         } else {
             let (items, revision) = self.service.list();
             own.view.replace(items, revision, now);
-            own.log.reset(revision);
         }
         own.is_confirmed = true;
         own.current_ms = self.now_ms - CALL_MS;
@@ -274,7 +277,9 @@
         let settles_in = self.vms[other].view.settles_in(now);
         let own = &mut self.vms[vm];
         match (self.telling, told) {
-            (Telling::Answers, Some(span)) => own.view.record_answers(span),
+            (Telling::Answers | Telling::RetainedAsExisting, Some(span)) => {
+                own.view.record_answers(span)
+            }
             (Telling::RestOfHold, _) if !settles_in.is_zero() => {
                 own.view.hold_removals(now.after(settles_in));
             }
@@ -285,14 +290,12 @@
     fn follow_vm(&mut self, vm: usize, relay: usize) {
         self.hear(vm, relay);
         let after = self.vms[vm].view.revision();
-        let Some(changes) = self.vms[relay].log.since(after) else {
+        let Some(told) = self.vms[relay].view.changes_since(after) else {
             return self.copy_from(vm, relay);
         };
-        let revision = self.vms[relay].log.revision().max(after);
         let current_ms = self.vms[relay].current_ms;
         let own = &mut self.vms[vm];
-        own.log.extend(&changes, revision);
-        own.view.apply(changes, revision, at(self.now_ms));
+        own.view.apply(told.items, told.revision, at(self.now_ms));
         own.is_confirmed = true;
         own.is_up = true;
         own.current_ms = own.current_ms.max(current_ms);
@@ -314,17 +317,19 @@
         let now = at(self.now_ms);
         let view = &self.vms[other].view;
         let is_fresh = self.now_ms < self.vms[other].current_ms + MAX_AGE_MS;
-        let is_settled = is_fresh && !view.is_settling(now);
+        let copy = view.copy(is_fresh, now);
+        let (revision, is_settled) = (copy.revision, copy.is_settled);
         let source = RelaySource {
-            revision: match is_settled {
-                true => view.revision(),
-                false => view.heard_revision(),
-            },
+            revision,
             is_settled,
-            tells_answers: self.telling == Telling::Answers,
+            tells_answers: self.telling != Telling::RestOfHold,
+        };
+        let told = match self.telling {
+            Telling::RetainedAsExisting => view.copy(false, now).entries,
+            Telling::Answers | Telling::RestOfHold => copy.entries,
         };
-        let known = view.known().map(|(key, write)| KeyspaceItem {
-            key: key.clone(),
+        let known = told.into_iter().map(|(key, write)| KeyspaceItem {
+            key: key.to_owned(),
             value: Some(write.value.to_vec()),
             revision: write.revision,
         });
@@ -336,7 +341,6 @@
         }
         let listed = items.iter().map(|item| item.key.clone()).collect();
         own.view.apply_relayed(items, &listed, source, now);
-        own.log.reset(own.view.revision());
         if is_settled {
             own.current_ms = own.current_ms.max(current_ms);
         }
--- a/dahliawood-store/tests/main/outages/mod.rs
+++ b/dahliawood-store/tests/main/outages/mod.rs
@@ -121,3 +121,11 @@
     let broken = play_all(Telling::RestOfHold);
     assert!(broken.dropped_alive > 0, "{broken:?}");
 }
+
+/// The model finds what goes wrong where copies list what a VM retains as if it existed, as earlier versions
+/// did (issue 61): VMs go on using targets that left.
+#[test]
+fn copies_that_list_what_is_retained_keep_targets_that_left() {
+    let broken = play_all(Telling::RetainedAsExisting);
+    assert!(broken.used_after_leave > 0, "{broken:?}");
+}
