--- a/dahliawood-daemon/tests/soak/main.rs
+++ b/dahliawood-daemon/tests/soak/main.rs
@@ -128,11 +128,13 @@
 fn run_plan(options: &SoakOptions) -> SoakOutcome {
     let outcome = task::block_on(soak::run(options)).expect("the soak starts");
     println!(
-        "seed {}: {} requests, {} served, {} events, broken: {:#?}",
+        "seed {}: {} requests, {} served, {} events, versions {:?} late, departures {:?}, broken: {:#?}",
         options.seed,
         outcome.requests,
         outcome.served,
         options.plan.steps.len(),
+        outcome.version_delay,
+        outcome.departure_delay,
         outcome.violations
     );
     if !outcome.violations.is_empty() {
--- a/dahliawood-store/tests/main/view.rs
+++ b/dahliawood-store/tests/main/view.rs
@@ -440,3 +440,53 @@
     assert_eq!(view.expire(at(11_399)), []);
     assert_eq!(view.expire(at(11_400)).len(), 2);
 }
+
+/// Guards against issue 61: targets whose removal was held back until a moment ago were listed in copies that
+/// claimed a revision after the removal.
+#[test]
+fn a_settled_copy_does_not_list_what_is_still_retained() {
+    let mut view = view();
+    answer(&mut view, at(0));
+    answer(&mut view, at(10_000));
+    view.apply(vec![removed("a", 5)], 5, at(10_000));
+    let listed = |view: &KeyspaceView, now| {
+        let copy = view.copy(true, now);
+        let keys = copy.entries.iter().map(|(key, _)| (*key).to_owned());
+        let mut keys: Vec<String> = keys.collect();
+        keys.sort();
+        (copy.is_settled, copy.revision, keys.len())
+    };
+    assert_eq!(listed(&view, at(10_000)), (false, 5, 4));
+    // The hold is over, and what was held not dropped yet.
+    let settled = at(10_000).after(SETTLE_TIME);
+    answer(&mut view, at(11_500));
+    assert_eq!(listed(&view, settled), (true, 5, 3));
+    assert_eq!(view.known().count(), 4);
+}
+
+/// A list that was asked for before another VM's copy was taken over is older than that copy: the log of
+/// changes does not begin at its revision, since followers would miss what lies between.
+#[test]
+fn an_older_list_does_not_set_the_log_of_changes_back() {
+    let mut view = view();
+    let source = RelaySource {
+        revision: 9,
+        is_settled: true,
+        tells_answers: true,
+    };
+    let newer = vec![written("fixed/a", "2", 8)];
+    view.apply_relayed(
+        newer,
+        &listed(&["a", "b", "fixed/a", "fixed/b"]),
+        source,
+        at(0),
+    );
+    let items = ["a", "b", "fixed/a", "fixed/b"];
+    let items = items.iter().zip(1..).map(|(key, at)| written(key, "1", at));
+    view.replace(items.collect(), 6, at(0));
+    assert_eq!(view.changes_since(6), None);
+    view.apply(vec![written("fixed/b", "2", 10)], 10, at(0));
+    assert_eq!(view.changes_since(6), None);
+    let told = view.changes_since(9).expect("all changes are kept");
+    assert_eq!((told.items.len(), told.revision), (1, 10));
+}
--- a/dahliawood-testkit/src/soak/check/configuration/mod.rs
+++ b/dahliawood-testkit/src/soak/check/configuration/mod.rs
@@ -4,6 +4,7 @@
 //! Routes move one by one, so each has a history of its own: what a VM did with one request shows which
 //! versions it may have had.
 
+use super::contact::VmContact;
 use super::{ChangeKind, GuaranteeViolation, SoakRecords, TargetRun, report};
 use crate::soak::caller::{CallerRecord, RequestOutcome};
 use crate::soak::configuration::ConfigurationVersion;
@@ -75,6 +76,25 @@
     violations
 }
 
+/// The longest time after the publication of a version at which a VM in full contact still handled a
+/// request by an older one.
+pub fn longest_delay(records: &SoakRecords) -> Duration {
+    let versions = versions(records);
+    let handled = handled_requests(records);
+    let delays = handled.iter().filter_map(|handled| {
+        let request = handled.request;
+        let is_published = |version: &&PublishedVersion<'_>| version.at <= handled.at;
+        let published = versions.iter().take_while(is_published).count();
+        let is_allowed =
+            |version: &PublishedVersion<'_>| handled.handling.is_allowed(request, version.version);
+        let newest = versions[..published].iter().rposition(is_allowed)?;
+        let next = versions[..published].get(newest + 1)?;
+        let contact = records.contact(request.vm, request.sent, handled.at);
+        (contact == VmContact::Full).then(|| request.sent.saturating_duration_since(next.at))
+    });
+    delays.max().unwrap_or_default()
+}
+
 fn versions(records: &SoakRecords) -> Vec<PublishedVersion<'_>> {
     let changes = records.changes.iter();
     let published = changes.filter_map(|change| match &change.kind {
--- a/dahliawood-testkit/src/soak/check/departures/mod.rs
+++ b/dahliawood-testkit/src/soak/check/departures/mod.rs
@@ -2,7 +2,7 @@
 //! evacuated failure domains.
 
 use super::contact::VmContact;
-use super::{ChangeKind, GuaranteeViolation, SoakRecords, TargetRun, report};
+use super::{ChangeKind, GuaranteeViolation, SoakChange, SoakRecords, TargetRun, report};
 use crate::soak::caller::CallerRecord;
 use std::time::{Duration, Instant};
 
@@ -35,6 +35,28 @@
     violations
 }
 
+/// The longest time after a target began to leave at which a VM in full contact still took a request that
+/// it sent to the target.
+pub fn longest_delay(records: &SoakRecords) -> Duration {
+    let delays = records.requests_with_runs().flat_map(|(request, runs)| {
+        runs.into_iter().filter_map(move |run| {
+            let deregistered = deregistration(records, run)?;
+            let contact = records.contact(request.vm, request.sent, run.at);
+            let delay = request.sent.saturating_duration_since(deregistered.at);
+            (contact == VmContact::Full).then_some(delay)
+        })
+    });
+    delays.max().unwrap_or_default()
+}
+
+/// When the target of a run began to leave.
+fn deregistration<'a>(records: &'a SoakRecords, run: &TargetRun) -> Option<&'a SoakChange> {
+    let mut changes = records.changes.iter();
+    changes.find(
+        |change| matches!(&change.kind, ChangeKind::TargetDeregistered(id) if *id == run.target),
+    )
+}
+
 /// Checks that a run is not the run of a request sent too long after the target's registration was
 /// removed.
 fn check_deregistered(
@@ -43,10 +65,7 @@
     run: &TargetRun,
     violations: &mut Vec<GuaranteeViolation>,
 ) {
-    let mut changes = records.changes.iter();
-    let is_it =
-        |kind: &ChangeKind| matches!(kind, ChangeKind::TargetDeregistered(id) if *id == run.target);
-    let Some(deregistered) = changes.find(|change| is_it(&change.kind)) else {
+    let Some(deregistered) = deregistration(records, run) else {
         return;
     };
     let is_late = request.sent > deregistered.at + DEREGISTRATION_LIMIT;
--- a/dahliawood-testkit/src/soak/mod.rs
+++ b/dahliawood-testkit/src/soak/mod.rs
@@ -60,6 +60,11 @@
     pub requests: usize,
     /// Number of requests that were answered with status 200.
     pub served: usize,
+    /// The longest time after which a VM in contact still handled a request by an older configuration
+    /// version.
+    pub version_delay: Duration,
+    /// The same for a request that was sent to a target that had begun to leave.
+    pub departure_delay: Duration,
     /// Violated guarantees, with the first few violations of each.
     pub violations: Vec<GuaranteeViolation>,
     /// Directory of the VMs' logs; kept only where a guarantee was violated.
@@ -125,6 +130,8 @@
     Ok(SoakOutcome {
         requests: records.requests.len(),
         served: served.count(),
+        version_delay: check::configuration::longest_delay(&records),
+        departure_delay: check::departures::longest_delay(&records),
         logs: environment.shut_down(!violations.is_empty()),
         violations,
     })
