--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -17,6 +17,7 @@
 use dahliawood_wire::raw::write;
 use futures::future::{self, Either};
 use futures::io::AsyncWriteExt;
+use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -216,9 +217,11 @@
     } = connection;
     let bytes = encode(state, call);
     let mut reader = ConnectionReader::new(stream.clone());
+    let is_reset = Cell::new(false);
     let input = ResponseInput {
         reader: &mut reader,
         is_reused: reused,
+        is_reset: &is_reset,
     };
     let received = send_and_receive(state, call, &stream, &bytes, input).await;
     let (mut response, is_clean) = received?;
@@ -235,6 +238,9 @@
     reader: &'a mut ConnectionReader<TcpStream>,
     /// Whether the connection had carried an exchange before.
     is_reused: bool,
+    /// Whether the request could not be written: the connection was reset, and whoever writes takes the
+    /// error with it, so that reading ends without one.
+    is_reset: &'a Cell<bool>,
 }
 
 /// Writes the request while reading the response. Also returns whether the connection is in a
@@ -247,6 +253,7 @@
     input: ResponseInput<'_>,
 ) -> Result<(TargetResponse, bool), CallFailure> {
     let mut output = stream;
+    let is_reset = input.is_reset;
     (call.on_write)();
     let sending = pin!(async move {
         output.write_all(bytes).await?;
@@ -257,7 +264,10 @@
     });
     let receiving = pin!(receive(state, call, input));
     match future::select(sending, receiving).await {
-        Either::Left((_, receiving)) => receiving.await,
+        Either::Left((sent, receiving)) => {
+            is_reset.set(sent.is_err());
+            receiving.await
+        }
         // The response came before the whole request was written: the connection must not be
         // reused, or the target would take the rest of this request for the next one.
         Either::Right((received, _)) => received.map(|(response, _)| (response, false)),
@@ -269,10 +279,10 @@
 async fn receive(
     state: &GatewayState,
     call: &TargetCall<'_>,
-    input: ResponseInput<'_>,
+    mut input: ResponseInput<'_>,
 ) -> Result<(TargetResponse, bool), CallFailure> {
     for strays in 0..=MAX_STRAY_RESPONSES {
-        let (response, is_whole) = receive_next(state, call, input.reader).await?;
+        let (response, is_whole) = receive_next(state, call, &mut input).await?;
         let is_match = match (&response.metadata.attempt_id, call.attempt_id) {
             (Some(echoed), Some(sent)) => echoed == sent,
             // An earlier refusal, written once more, looks like one of this request.
@@ -294,8 +304,9 @@
 async fn receive_next(
     state: &GatewayState,
     call: &TargetCall<'_>,
-    reader: &mut ConnectionReader<TcpStream>,
+    input: &mut ResponseInput<'_>,
 ) -> Result<(TargetResponse, bool), CallFailure> {
+    let reader = &mut *input.reader;
     let failed = |error: ReadError| {
         if matches!(error, ReadError::BudgetExhausted { .. }) {
             state.count_memory_refusal("response");
@@ -317,8 +328,8 @@
         },
         false => (body.await.map_err(failed)?, true),
     };
-    if ends_at_close && is_gone(state, call.address).await {
-        // The end of the connection may be that of the process, halfway through the response.
+    if ends_at_close && (input.is_reset.get() || is_gone(state, call.address).await) {
+        // The end of the connection may be a reset or that of the process, halfway through the response.
         return Err(failed(ReadError::Truncated));
     }
     let response = TargetResponse {
