--- a/dahliawood-wire/src/raw/reader/mod.rs
+++ b/dahliawood-wire/src/raw/reader/mod.rs
@@ -58,10 +58,7 @@
 
     /// Receives at most `max_bytes` bytes; returns their number, zero if the connection has ended.
     async fn fill(&mut self, max_bytes: usize) -> Result<usize, ReadError> {
-        if self.start == self.buffer.len() {
-            self.buffer.clear();
-            self.start = 0;
-        }
+        self.release_consumed();
         self.scratch.resize(max_bytes, 0);
         self.reads += 1;
         if self.reads.is_multiple_of(READS_PER_TURN) {
@@ -73,6 +70,21 @@
         Ok(count)
     }
 
+    /// Releases what is consumed, once it is at least as much as what is not: so a connection that always
+    /// has a further message waiting does not keep all that it ever received, and each byte is moved once
+    /// on average.
+    fn release_consumed(&mut self) {
+        if self.start >= self.received().len() {
+            self.buffer.drain(..self.start);
+            self.start = 0;
+        }
+    }
+
+    /// Bytes of memory that the reader holds.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity() + self.scratch.capacity()
+    }
+
     /// Consumes `count` received bytes.
     fn take(&mut self, count: usize) -> Vec<u8> {
         let taken = self.buffer[self.start..self.start + count].to_vec();
--- a/dahliawood-wire/tests/main/raw/mod.rs
+++ b/dahliawood-wire/tests/main/raw/mod.rs
@@ -147,3 +147,26 @@
     assert_eq!((requests.used(), responses.used(), whole.used()), (0, 0, 0));
     responses.body().append(&long).unwrap();
 }
+
+/// Bytes that a connection may hold beside what waits on it.
+const HELD_BYTES: usize = 64 * 1024;
+
+/// Guards against review/13: a connection that always had a further request waiting kept all that it had ever
+/// received (LOST).
+#[test]
+fn a_connection_with_requests_always_waiting_keeps_none_that_were_read() {
+    const REQUESTS: usize = 500;
+    let padding = "a".repeat(4_000);
+    let request = format!("GET /a HTTP/1.1\r\nHost: b\r\nPadding: {padding}\r\n\r\n");
+    let all = request.repeat(REQUESTS);
+    // No piece ends where a request does.
+    let pieces: Vec<Option<&[u8]>> = all.as_bytes().chunks(5_003).map(Some).collect();
+    let mut reader = reader(&pieces);
+    block_on(async {
+        for _ in 0..REQUESTS {
+            reader.request_head(8 * 1024).await.unwrap().unwrap();
+            let held = reader.held_bytes();
+            assert!(held <= HELD_BYTES, "{held} bytes");
+        }
+    });
+}
