--- a/dahliawood-wire/src/raw/reader/mod.rs
+++ b/dahliawood-wire/src/raw/reader/mod.rs
@@ -17,6 +17,8 @@
 const READ_BYTES: usize = 8 * 1024;
 /// Bytes requested from the connection per read of a body that ends at the close.
 const BODY_READ_BYTES: usize = 64 * 1024;
+/// Bytes of memory for received bytes that a connection keeps between messages.
+const KEPT_BYTES: usize = 2 * READ_BYTES;
 /// Reads after which other tasks run, if the connection always has more bytes.
 const READS_PER_TURN: u32 = 8;
 /// The end of a line.
@@ -58,7 +60,7 @@
 
     /// Receives at most `max_bytes` bytes; returns their number, zero if the connection has ended.
     async fn fill(&mut self, max_bytes: usize) -> Result<usize, ReadError> {
-        self.release_consumed();
+        self.release_consumed(max_bytes);
         self.scratch.resize(max_bytes, 0);
         self.reads += 1;
         if self.reads.is_multiple_of(READS_PER_TURN) {
@@ -72,12 +74,18 @@
 
     /// Releases what is consumed, once it is at least as much as what is not: so a connection that always
     /// has a further message waiting does not keep all that it ever received, and each byte is moved once
-    /// on average.
-    fn release_consumed(&mut self) {
+    /// on average. Before a short read, as of a head, also the memory that a long body took.
+    fn release_consumed(&mut self, next_bytes: usize) {
         if self.start >= self.received().len() {
             self.buffer.drain(..self.start);
             self.start = 0;
         }
+        if next_bytes <= READ_BYTES && self.buffer.is_empty() {
+            self.buffer.shrink_to(KEPT_BYTES);
+            if self.scratch.capacity() > KEPT_BYTES {
+                self.scratch = Vec::new();
+            }
+        }
     }
 
     /// Bytes of memory that the reader holds.
--- a/dahliawood-wire/tests/main/raw/mod.rs
+++ b/dahliawood-wire/tests/main/raw/mod.rs
@@ -170,3 +170,23 @@
         }
     });
 }
+
+/// Guards against review/15: each connection on which nothing was under way kept the memory of the longest
+/// body that it had carried (LOST).
+#[test]
+fn a_connection_that_waits_for_a_request_keeps_no_memory_of_long_bodies() {
+    const LENGTH: usize = 1 << 20;
+    let head = format!("POST /a HTTP/1.1\r\nHost: b\r\nContent-Length: {LENGTH}\r\n\r\n");
+    let body = "a".repeat(LENGTH);
+    let mut reader = reader(&[Some(head.as_bytes()), Some(body.as_bytes()), None]);
+    block_on(async {
+        let head = reader.request_head(HEAD_BYTES).await.unwrap().unwrap();
+        let body = reader.body(head.framing().unwrap(), LENGTH).await.unwrap();
+        assert_eq!(body.len(), LENGTH);
+        assert!(reader.held_bytes() >= 64 * 1024);
+        let waiting = future::select(Box::pin(reader.request_head(HEAD_BYTES)), future::ready(()));
+        drop(waiting.await);
+        let held = reader.held_bytes();
+        assert!(held <= 32 * 1024, "{held} bytes");
+    });
+}
