--- a/dahliawood-daemon/tests/soak/main.rs
+++ b/dahliawood-daemon/tests/soak/main.rs
@@ -128,11 +128,12 @@
 fn run_plan(options: &SoakOptions) -> SoakOutcome {
     let outcome = task::block_on(soak::run(options)).expect("the soak starts");
     println!(
-        "seed {}: {} requests, {} served, {} events, versions {:?} late, departures {:?}, broken: {:#?}",
+        "seed {}: {} requests, {} served, {} events, judged {:?}, versions {:?} late, departures {:?}, broken: {:#?}",
         options.seed,
         outcome.requests,
         outcome.served,
         options.plan.steps.len(),
+        outcome.judged,
         outcome.version_delay,
         outcome.departure_delay,
         outcome.violations
--- a/dahliawood-store/tests/main/outages/fleet.rs
+++ b/dahliawood-store/tests/main/outages/fleet.rs
@@ -278,7 +278,7 @@
         let own = &mut self.vms[vm];
         match (self.telling, told) {
             (Telling::Answers | Telling::RetainedAsExisting, Some(span)) => {
-                own.view.record_answers(span)
+                own.view.record_answers(span);
             }
             (Telling::RestOfHold, _) if !settles_in.is_zero() => {
                 own.view.hold_removals(now.after(settles_in));
--- a/dahliawood-testkit/src/soak/check/configuration/mod.rs
+++ b/dahliawood-testkit/src/soak/check/configuration/mod.rs
@@ -76,6 +76,20 @@
     violations
 }
 
+/// The requests that VMs in full contact handled, and those that VMs with stretched bounds did.
+pub fn judged(records: &SoakRecords) -> [usize; 2] {
+    let handled = handled_requests(records);
+    let contacts = handled.iter().map(|handled| {
+        let request = handled.request;
+        records.contact(request.vm, request.sent, handled.at)
+    });
+    let contacts: Vec<VmContact> = contacts.collect();
+    [VmContact::Full, VmContact::Stretched].map(|kind| {
+        let of_kind = contacts.iter().filter(|contact| **contact == kind);
+        of_kind.count()
+    })
+}
+
 /// The longest time after the publication of a version at which a VM in full contact still handled a
 /// request by an older one.
 pub fn longest_delay(records: &SoakRecords) -> Duration {
--- a/dahliawood-testkit/src/soak/mod.rs
+++ b/dahliawood-testkit/src/soak/mod.rs
@@ -60,6 +60,8 @@
     pub requests: usize,
     /// Number of requests that were answered with status 200.
     pub served: usize,
+    /// Number of requests handled by VMs in full contact, and by those with stretched bounds.
+    pub judged: [usize; 2],
     /// The longest time after which a VM in contact still handled a request by an older configuration
     /// version.
     pub version_delay: Duration,
@@ -130,6 +132,7 @@
     Ok(SoakOutcome {
         requests: records.requests.len(),
         served: served.count(),
+        judged: check::configuration::judged(&records),
         version_delay: check::configuration::longest_delay(&records),
         departure_delay: check::departures::longest_delay(&records),
         logs: environment.shut_down(!violations.is_empty()),
