--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -16,6 +16,7 @@
 use futures::io::AsyncWriteExt;
 use futures::stream::{FuturesOrdered, StreamExt};
 use serde::Serialize;
+use std::net::Shutdown;
 use std::pin::pin;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -26,6 +27,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Requests of one connection that are worked on side by side, the first included.
 const MAX_OVERLAPS: usize = 8;
+/// How long a connection is read on after its last response: a long one may take that on a slow link.
+const LINGER_TIME: Duration = Duration::from_secs(2);
 /// Requests of all connections that are worked on beside an earlier one of their connection; bounds
 /// the responses that wait for slow ones before them.
 const MAX_VM_OVERLAPS: usize = 256;
@@ -166,7 +169,7 @@
             let request = match read_body(&state, &mut reader, &stream, &limits, head).await {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
-                Err(cause) => return refuse(&state, &stream, &cause).await,
+                Err(cause) => return refuse(&state, &mut reader, &stream, &cause).await,
             };
             is_last |= request.head.wants_close();
             pending.push_back(run(&state, request, permit, &handler.respond));
@@ -174,7 +177,7 @@
         if pending.is_empty()
             && let Some(cause) = refusal
         {
-            return refuse(&state, &stream, &cause).await;
+            return refuse(&state, &mut reader, &stream, &cause).await;
         }
         let may_read = next.is_none() && !is_last && pending.len() < MAX_OVERLAPS;
         match next_step(&state, &mut reader, &mut pending, may_read).await {
@@ -182,9 +185,12 @@
                 is_last |= state.is_leaving();
                 let close = is_last && pending.is_empty() && next.is_none() && refusal.is_none();
                 let written = write_ready(&state, &stream, ready, close).await;
-                if close || written.is_none() {
+                if written.is_none() {
                     return;
                 }
+                if close {
+                    return linger(&mut reader, &stream).await;
+                }
             }
             ConnectionStep::Arrived(Ok(Some(head))) => {
                 let may_overlap = is_bodiless(&head) && (handler.may_overlap)(&head);
@@ -265,9 +271,27 @@
 }
 
 /// Refuses what arrived, which is not a valid request, and ends the connection.
-async fn refuse(state: &SharedState, stream: &TcpStream, cause: &RefusalCause) {
+async fn refuse(
+    state: &SharedState,
+    reader: &mut ConnectionReader<TcpStream>,
+    stream: &TcpStream,
+    cause: &RefusalCause,
+) {
     log_refusal(state, cause);
-    let _closing = write_response(state, stream, cause.response(), false, true).await;
+    let written = write_response(state, stream, cause.response(), false, true).await;
+    if written.is_some() {
+        linger(reader, stream).await;
+    }
+}
+
+/// Ends a connection after its last response (RFC 9112, section 9.6): closes the sending side, and reads
+/// on until the caller has closed the other one. What a caller sends meanwhile would reset a closed
+/// socket, and the rest of the response would be lost.
+async fn linger(reader: &mut ConnectionReader<TcpStream>, stream: &TcpStream) {
+    if stream.shutdown(Shutdown::Write).is_ok() {
+        // A caller that does not close gets no more time.
+        let _closed = timeout(LINGER_TIME, reader.discard()).await;
+    }
 }
 
 /// Log event for received bytes that are not a valid request.
--- a/dahliawood-wire/tests/main/raw/mod.rs
+++ b/dahliawood-wire/tests/main/raw/mod.rs
@@ -186,7 +186,7 @@
         assert!(reader.held_bytes() >= 64 * 1024);
         let waiting = future::select(Box::pin(reader.request_head(HEAD_BYTES)), future::ready(()));
         drop(waiting.await);
-        let held = reader.held_bytes();
-        assert!(held <= 32 * 1024, "{held} bytes");
+        let kept = reader.held_bytes();
+        assert!(kept <= 32 * 1024, "{kept} bytes");
     });
 }
