fix(testkit): processes of the soak take ports from parts of the range of their own

The ports of a VM that was killed are free until it starts again. Each process now holds a thousand ports by a listener on the first.

--- a/dahliawood-testkit/src/soak/vm/mod.rs
+++ b/dahliawood-testkit/src/soak/vm/mod.rs
@@ -74,29 +74,57 @@
 
 /// Ports below the system's ephemeral range, so that no outgoing connection takes one.
 const PORT_RANGE: std::ops::Range<u16> = 12_000..32_000;
+/// Ports that one process of the soak uses.
+const SLICE_PORTS: u16 = 1_000;
 /// Ports of a VM for other VMs and for metrics.
 const INTERNAL_PORTS: usize = 3;
-/// How many random ports are tried before giving up.
+/// How many ports are tried before giving up.
 const PORT_TRIES: usize = 100;
 
-/// Position in the port range of the next port to try, from a random start.
-static NEXT_PORT: LazyLock<AtomicUsize> =
-    LazyLock::new(|| AtomicUsize::new(rand::random_range(0..PORT_RANGE.len())));
+/// A part of the port range that no other process of the soak uses: the ports of a VM that was killed are
+/// free until it starts again, and another process would take them.
+struct PortSlice {
+    first: u16,
+    /// Position of the next port to try.
+    next: AtomicUsize,
+    /// Holds the first port, which tells other processes that the slice is taken.
+    _guard: TcpListener,
+}
+
+static PORTS: LazyLock<PortSlice> = LazyLock::new(|| {
+    let firsts: Vec<u16> = PORT_RANGE.step_by(SLICE_PORTS.into()).collect();
+    let begin = rand::random_range(0..firsts.len());
+    let mut firsts = firsts.iter().cycle().skip(begin).take(firsts.len());
+    let taken = firsts.find_map(|first| {
+        let guard = TcpListener::bind(("127.0.0.1", *first)).ok()?;
+        Some(PortSlice {
+            first: *first,
+            next: AtomicUsize::new(0),
+            _guard: guard,
+        })
+    });
+    taken.expect("a part of the port range is free")
+});
+
+impl PortSlice {
+    /// The first of `count` adjacent ports, of those that were not given out for the longest time. Runs of
+    /// one process share the position, so that none takes a port that another one has picked and not bound
+    /// yet.
+    fn next(&self, count: usize) -> u16 {
+        // The guard has the first one.
+        let usable = usize::from(SLICE_PORTS) - count;
+        let position = self.next.fetch_add(count, Ordering::Relaxed) % usable;
+        self.first + 1 + position as u16
+    }
+}
 
 /// Held while a port is tried and while a process is started: a process that is being started has a
 /// copy of each open listener until it runs its program, and the port stays taken as long.
 static PORTS_AND_STARTS: Mutex<()> = Mutex::new(());
 
-/// The next port of the range. Runs of one process share the position, so that none takes a port
-/// that another one has picked and not bound yet.
-fn next_port() -> u16 {
-    let position = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORT_RANGE.len();
-    PORT_RANGE.start + position as u16
-}
-
 /// A loopback address with a free port. Another program may still take the port before it is used.
 fn free_address() -> io::Result<SocketAddr> {
-    let tries = (0..PORT_TRIES).map(|_| next_port());
+    let tries = (0..PORT_TRIES).map(|_| PORTS.next(1));
     let mut listeners = tries.map(|port| TcpListener::bind(("127.0.0.1", port)));
     let free = listeners.find_map(Result::ok);
     free.ok_or_else(|| io::Error::other("no port is free"))?
@@ -106,8 +134,7 @@
 /// The first and the last of three adjacent free ports.
 fn free_internal() -> io::Result<[SocketAddr; 2]> {
     for _ in 0..PORT_TRIES {
-        let position = NEXT_PORT.fetch_add(INTERNAL_PORTS, Ordering::Relaxed);
-        let first = PORT_RANGE.start + (position % (PORT_RANGE.len() - INTERNAL_PORTS)) as u16;
+        let first = PORTS.next(INTERNAL_PORTS);
         let last = first + INTERNAL_PORTS as u16 - 1;
         let bind = |port: u16| TcpListener::bind(("127.0.0.1", port));
         if (first..=last).map(bind).all(|bound| bound.is_ok()) {
