--- a/dahliawood-testkit/src/soak/mod.rs
+++ b/dahliawood-testkit/src/soak/mod.rs
@@ -15,6 +15,7 @@
 pub mod configuration;
 pub mod environment;
 pub mod plan;
+mod ports;
 pub mod proxy;
 pub mod vm;
 
--- a/dahliawood-testkit/src/soak/vm/mod.rs
+++ b/dahliawood-testkit/src/soak/vm/mod.rs
@@ -1,15 +1,15 @@
 //! The process of one VM: settings, start, signals and exit.
 
-use crate::serving::lock;
+use crate::soak::ports;
 use rustix::process::{Pid, Signal};
 use std::fs::{self, File};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{LazyLock, Mutex};
 
+/// Ports of a VM for other VMs: for calls, for requests that they forward, and for metrics.
+const INTERNAL_PORTS: usize = 3;
 /// Environment variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "DAHLIAWOOD_CONFIG";
 
@@ -72,89 +72,17 @@
     is_terminating: bool,
 }
 
-/// Ports below the system's ephemeral range, so that no outgoing connection takes one.
-const PORT_RANGE: std::ops::Range<u16> = 12_000..32_000;
-/// Ports that one process of the soak uses.
-const SLICE_PORTS: u16 = 1_000;
-/// Ports of a VM for other VMs and for metrics.
-const INTERNAL_PORTS: usize = 3;
-/// How many ports are tried before giving up.
-const PORT_TRIES: usize = 100;
-
-/// A part of the port range that no other process of the soak uses: the ports of a VM that was killed are
-/// free until it starts again, and another process would take them.
-struct PortSlice {
-    first: u16,
-    /// Position of the next port to try.
-    next: AtomicUsize,
-    /// Holds the first port, which tells other processes that the slice is taken.
-    _guard: TcpListener,
-}
-
-static PORTS: LazyLock<PortSlice> = LazyLock::new(|| {
-    let firsts: Vec<u16> = PORT_RANGE.step_by(SLICE_PORTS.into()).collect();
-    let begin = rand::random_range(0..firsts.len());
-    let mut firsts = firsts.iter().cycle().skip(begin).take(firsts.len());
-    let taken = firsts.find_map(|first| {
-        let guard = TcpListener::bind(("127.0.0.1", *first)).ok()?;
-        Some(PortSlice {
-            first: *first,
-            next: AtomicUsize::new(0),
-            _guard: guard,
-        })
-    });
-    taken.expect("a part of the port range is free")
-});
-
-impl PortSlice {
-    /// The first of `count` adjacent ports, of those that were not given out for the longest time. Runs of
-    /// one process share the position, so that none takes a port that another one has picked and not bound
-    /// yet.
-    fn next(&self, count: usize) -> u16 {
-        // The guard has the first one.
-        let usable = usize::from(SLICE_PORTS) - count;
-        let position = self.next.fetch_add(count, Ordering::Relaxed) % usable;
-        self.first + 1 + position as u16
-    }
-}
-
-/// Held while a port is tried and while a process is started: a process that is being started has a
-/// copy of each open listener until it runs its program, and the port stays taken as long.
-static PORTS_AND_STARTS: Mutex<()> = Mutex::new(());
-
-/// A loopback address with a free port. Another program may still take the port before it is used.
-fn free_address() -> io::Result<SocketAddr> {
-    let tries = (0..PORT_TRIES).map(|_| PORTS.next(1));
-    let mut listeners = tries.map(|port| TcpListener::bind(("127.0.0.1", port)));
-    let free = listeners.find_map(Result::ok);
-    free.ok_or_else(|| io::Error::other("no port is free"))?
-        .local_addr()
-}
-
-/// The first and the last of three adjacent free ports.
-fn free_internal() -> io::Result<[SocketAddr; 2]> {
-    for _ in 0..PORT_TRIES {
-        let first = PORTS.next(INTERNAL_PORTS);
-        let last = first + INTERNAL_PORTS as u16 - 1;
-        let bind = |port: u16| TcpListener::bind(("127.0.0.1", port));
-        if (first..=last).map(bind).all(|bound| bound.is_ok()) {
-            return Ok([first, last].map(|port| SocketAddr::from(([127, 0, 0, 1], port))));
-        }
-    }
-    Err(io::Error::other("no adjacent ports are free"))
-}
-
 fn free_addresses() -> io::Result<VmAddresses> {
-    let _no_start = lock(&PORTS_AND_STARTS);
-    let internal = free_internal()?;
-    let [first, _] = internal;
-    let second = SocketAddr::new(first.ip(), first.port() + 1);
+    let _no_start = ports::hold();
+    let first = ports::adjacent(INTERNAL_PORTS)?;
+    let [calls, forwarding, metrics] =
+        [first, first + 1, first + 2].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
     Ok(VmAddresses {
-        front: free_address()?,
-        ready: free_address()?,
-        directory: free_address()?,
-        internal,
-        calls: [first, second],
+        front: ports::free_address()?,
+        ready: ports::free_address()?,
+        directory: ports::free_address()?,
+        internal: [calls, metrics],
+        calls: [calls, forwarding],
     })
 }
 
@@ -221,7 +149,7 @@
             .work_dir
             .join(format!("{}.{}.log", self.name, self.starts));
         let output = File::create(log)?;
-        let starting = lock(&PORTS_AND_STARTS);
+        let starting = ports::hold();
         let child = Command::new(&self.program)
             .env(SETTINGS_VARIABLE, self.settings_path())
             .stderr(output.try_clone()?)
