--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -169,7 +169,7 @@
             let request = match read_body(&state, &mut reader, &stream, &limits, head).await {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
-                Err(cause) => return refuse(&state, &mut reader, &stream, &cause).await,
+                Err(cause) => return refuse(&state, &stream, &cause).await,
             };
             is_last |= request.head.wants_close();
             pending.push_back(run(&state, request, permit, &handler.respond));
@@ -177,7 +177,7 @@
         if pending.is_empty()
             && let Some(cause) = refusal
         {
-            return refuse(&state, &mut reader, &stream, &cause).await;
+            return refuse(&state, &stream, &cause).await;
         }
         let may_read = next.is_none() && !is_last && pending.len() < MAX_OVERLAPS;
         match next_step(&state, &mut reader, &mut pending, may_read).await {
@@ -271,17 +271,9 @@
 }
 
 /// Refuses what arrived, which is not a valid request, and ends the connection.
-async fn refuse(
-    state: &SharedState,
-    reader: &mut ConnectionReader<TcpStream>,
-    stream: &TcpStream,
-    cause: &RefusalCause,
-) {
+async fn refuse(state: &SharedState, stream: &TcpStream, cause: &RefusalCause) {
     log_refusal(state, cause);
-    let written = write_response(state, stream, cause.response(), false, true).await;
-    if written.is_some() {
-        linger(reader, stream).await;
-    }
+    let _closing = write_response(state, stream, cause.response(), false, true).await;
 }
 
 /// Ends a connection after its last response (RFC 9112, section 9.6): closes the sending side, and reads
