--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -11,16 +11,14 @@
 use dahliawood_wire::pool::error::CheckoutError;
 use dahliawood_wire::pool::{ConnectionChoice, PooledConnection};
 use dahliawood_wire::raw::budget::HeldBody;
+use dahliawood_wire::raw::duplex::{self, WriteProgress};
 use dahliawood_wire::raw::error::ReadError;
 use dahliawood_wire::raw::head::{BodyFraming, RequestHead, ResponseHead};
 use dahliawood_wire::raw::reader::ConnectionReader;
 use dahliawood_wire::raw::write;
-use futures::future::{self, Either};
 use futures::io::AsyncWriteExt;
-use std::cell::Cell;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::time::Duration;
 
 /// The longest head of a response, bytes.
@@ -217,61 +215,45 @@
     } = connection;
     let bytes = encode(state, call);
     let mut reader = ConnectionReader::new(stream.clone());
-    let is_reset = Cell::new(false);
+    let progress = WriteProgress::default();
     let input = ResponseInput {
         reader: &mut reader,
         is_reused: reused,
-        is_reset: &is_reset,
+        progress: &progress,
     };
-    let received = send_and_receive(state, call, &stream, &bytes, input).await;
+    (call.on_write)();
+    let writing = write_request(&stream, &bytes, call.body);
+    let exchange = duplex::exchange(&progress, writing, receive(state, call, input));
+    let received = exchange.await;
     let (mut response, is_clean) = received?;
     response.was_reused = reused;
-    let is_reusable =
-        is_clean && !response.head.says_close() && reader.into_inner_if_empty().is_some();
+    // A target that did not get the whole request would take the rest of it for the next one.
+    let is_reusable = is_clean
+        && progress.is_done()
+        && !response.head.says_close()
+        && reader.into_inner_if_empty().is_some();
     drop(stream);
     guard.release_with_timeout(is_reusable, idle_limit(&response.head));
     Ok(response)
 }
 
+/// Writes the encoded bytes of a request, and its body unless that is small and among them.
+async fn write_request(stream: &TcpStream, bytes: &[u8], body: &HeldBody) -> io::Result<()> {
+    let mut output = stream;
+    output.write_all(bytes).await?;
+    for block in body.blocks().filter(|_| !body.is_small()) {
+        output.write_all(block).await?;
+    }
+    Ok(())
+}
+
 /// The receiving side of a connection.
 struct ResponseInput<'a> {
     reader: &'a mut ConnectionReader<TcpStream>,
     /// Whether the connection had carried an exchange before.
     is_reused: bool,
-    /// Whether the request could not be written: the connection was reset, and whoever writes takes the
-    /// error with it, so that reading ends without one.
-    is_reset: &'a Cell<bool>,
-}
-
-/// Writes the request while reading the response. Also returns whether the connection is in a
-/// consistent state: the whole request written, and no response to another request read.
-async fn send_and_receive(
-    state: &GatewayState,
-    call: &TargetCall<'_>,
-    stream: &TcpStream,
-    bytes: &[u8],
-    input: ResponseInput<'_>,
-) -> Result<(TargetResponse, bool), CallFailure> {
-    let mut output = stream;
-    let is_reset = input.is_reset;
-    (call.on_write)();
-    let sending = pin!(async move {
-        output.write_all(bytes).await?;
-        for block in call.body.blocks().filter(|_| !call.body.is_small()) {
-            output.write_all(block).await?;
-        }
-        Ok::<(), std::io::Error>(())
-    });
-    let receiving = pin!(receive(state, call, input));
-    match future::select(sending, receiving).await {
-        Either::Left((sent, receiving)) => {
-            is_reset.set(sent.is_err());
-            receiving.await
-        }
-        // The response came before the whole request was written: the connection must not be
-        // reused, or the target would take the rest of this request for the next one.
-        Either::Right((received, _)) => received.map(|(response, _)| (response, false)),
-    }
+    /// How far the write of the request has come.
+    progress: &'a WriteProgress,
 }
 
 /// Reads the response to this try, and skips late responses to other requests. Also returns whether
@@ -319,7 +301,8 @@
     (call.on_head)(&metadata);
     let framing = head.framing(&call.head.method).map_err(failed)?;
     let ends_at_close = matches!(framing, BodyFraming::UntilClose);
-    let body = reader.body_within(framing, BODY_BYTES, &state.held_bytes.responses);
+    let budget = &state.held_bytes.responses;
+    let body = duplex::response_body(input.progress, reader, framing, BODY_BYTES, budget);
     let (body, is_whole) = match metadata.has_not_run {
         // The head says it all, and nobody gets the body.
         true => match timeout(REFUSAL_BODY_TIME, body).await {
@@ -328,8 +311,8 @@
         },
         false => (body.await.map_err(failed)?, true),
     };
-    if ends_at_close && (input.is_reset.get() || is_gone(state, call.address).await) {
-        // The end of the connection may be a reset or that of the process, halfway through the response.
+    if ends_at_close && is_gone(state, call.address).await {
+        // The connection may have ended with the process, halfway through the response.
         return Err(failed(ReadError::Truncated));
     }
     let response = TargetResponse {
--- a/dahliawood-wire/src/raw/mod.rs
+++ b/dahliawood-wire/src/raw/mod.rs
@@ -7,6 +7,7 @@
 //! beyond one connection.
 
 pub mod budget;
+pub mod duplex;
 pub mod error;
 pub mod fields;
 pub mod head;
--- a/dahliawood-wire/tests/main/main.rs
+++ b/dahliawood-wire/tests/main/main.rs
@@ -1,6 +1,7 @@
 //! Tests of connections, exchanges, pools and headers.
 
 mod connection_end;
+mod duplex;
 mod headers;
 mod loopback;
 mod message_end;
