fix(wire): a lingering close closes the sending side, and is bounded by bytes and time in one place

Callers of the daemon whose connection was closed saw its end half a second late: the server closed the connection as a writer, which on a TCP connection of async-std only flushes. Found by the first test of the shared module over real sockets; the pipe of the earlier tests did close.

--- a/dahliawood-wire/src/lib.rs
+++ b/dahliawood-wire/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod head_end;
 pub mod headers;
 pub mod interim;
+pub mod lingering;
 pub mod one_shot;
 pub mod pool;
 pub mod problem;
--- a/dahliawood-wire/src/server/mod.rs
+++ b/dahliawood-wire/src/server/mod.rs
@@ -4,12 +4,13 @@
 mod refuse;
 
 use crate::head_end::HeadKind;
-use crate::{body, framer, head, stream};
+use crate::lingering::LingerOptions;
+use crate::{body, framer, head, lingering, stream};
 use async_std::future as timed;
 use async_std::task;
 use error::{ConnectionError, ReceiveSnafu};
 use futures::future::{self, Either};
-use futures::io::{AsyncReadExt, AsyncWriteExt};
+use futures::io::AsyncReadExt;
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http_types::{Body, Method, Request, Response, StatusCode};
 use snafu::ResultExt;
@@ -334,20 +335,14 @@
         matches!(drained, Ok(Ok(_))) && self.framer.is_ended()
     }
 
-    /// Closes the sending side, then discards input for a bounded time (lingering close).
-    ///
-    /// Closing the socket while received bytes are unread resets the connection, and the caller
-    /// might lose a response that was already written.
+    /// Closes the connection so that a response that was already written arrives.
     async fn close(&mut self) {
-        let linger = async {
-            self.stream.close().await?;
-            let mut rest = self.stream.clone().take(self.options.drain_bytes);
-            futures::io::copy(&mut rest, &mut futures::io::sink()).await
+        let options = LingerOptions {
+            time: self.options.drain_timeout,
+            bytes: usize::try_from(self.options.drain_bytes).unwrap_or(usize::MAX),
         };
-        let lingered = timed::timeout(self.options.drain_timeout, linger).await;
-        if let Ok(Err(error)) = lingered {
-            log::trace!("lingering close of a caller connection failed: {error}");
-        }
+        let end = lingering::close(&mut self.stream, IO::shutdown_write, options).await;
+        log::trace!("a caller's connection was closed: {end}");
     }
 }
 
--- a/dahliawood-wire/src/stream/mod.rs
+++ b/dahliawood-wire/src/stream/mod.rs
@@ -1,9 +1,11 @@
 //! The trait of a connection, and writing a complete message to one.
 
 use async_std::future as timed;
+use async_std::net::TcpStream;
 use futures::future;
 use futures::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::Poll;
@@ -17,9 +19,20 @@
 const MIN_ENCODE_BYTES: usize = 256;
 
 /// A connection whose clones share one socket.
-pub trait WireStream: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static {}
+pub trait WireStream: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static {
+    /// Closes the sending side, also while clones exist. Closing it as an [`AsyncWrite`] does not on a
+    /// TCP connection of async-std, which only flushes.
+    ///
+    /// # Errors
+    /// The connection has ended.
+    fn shutdown_write(&self) -> io::Result<()>;
+}
 
-impl<T> WireStream for T where T: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static {}
+impl WireStream for TcpStream {
+    fn shutdown_write(&self) -> io::Result<()> {
+        self.shutdown(Shutdown::Write)
+    }
+}
 
 /// Why a message was not written in full.
 #[derive(Debug, snafu::Snafu)]
--- a/dahliawood-wire/tests/main/connection_end/mod.rs
+++ b/dahliawood-wire/tests/main/connection_end/mod.rs
@@ -2,6 +2,8 @@
 //! part of them was sent.
 
 use crate::support;
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use dahliawood_request::verdict::RunVerdict;
 use dahliawood_wire::{client, server};
@@ -82,6 +84,31 @@
     drop(caller);
 }
 
+/// Guards against a lingering close that never closed the sending side of a real connection: callers saw the
+/// end only when the wait for theirs was over.
+#[async_std::test]
+async fn a_caller_sees_the_end_before_it_closes_its_side() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut caller = TcpStream::connect(listener.local_addr().unwrap())
+        .await
+        .unwrap();
+    let (near, _) = listener.accept().await.unwrap();
+    caller.write_all(REQUEST).await.unwrap();
+    let handler = |_| async { Response::new(200) };
+    let options = server::ConnectionOptions {
+        drain_timeout: Duration::from_secs(20),
+        ..server::ConnectionOptions::default()
+    };
+    let serving =
+        task::spawn(async move { server::connection(near, &options, || true, handler).await });
+    let mut response = String::new();
+    let ended = timeout(Duration::from_secs(5), caller.read_to_string(&mut response)).await;
+    assert!(matches!(ended, Ok(Ok(_))), "{ended:?}");
+    drop(caller);
+    let outcome = serving.await.unwrap();
+    assert_eq!(outcome.end, server::ConnectionEnd::Closed);
+}
+
 /// Yields its bytes, then fails or stays pending.
 struct FaultyReader {
     bytes: &'static [u8],
--- a/dahliawood-wire/tests/main/main.rs
+++ b/dahliawood-wire/tests/main/main.rs
@@ -3,6 +3,7 @@
 mod connection_end;
 mod duplex;
 mod headers;
+mod lingering;
 mod loopback;
 mod message_end;
 mod pieces;
--- a/dahliawood-wire/tests/support/mod.rs
+++ b/dahliawood-wire/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! An in-memory connection with configurable read sizes, and the seed of the property tests.
 #![allow(dead_code)]
 
+use dahliawood_wire::stream::WireStream;
 use futures::io::{AsyncRead, AsyncWrite};
 use std::collections::VecDeque;
 use std::io;
@@ -123,3 +124,10 @@
         Poll::Ready(Ok(()))
     }
 }
+
+impl WireStream for PipeEnd {
+    fn shutdown_write(&self) -> io::Result<()> {
+        end(&self.output.0);
+        Ok(())
+    }
+}
