--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -1,5 +1,6 @@
 //! Serves the requests of one keep-alive connection, which may send several before the first response.
 
+use crate::front::lingering::{self, ServingEnd};
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::held_bytes::{PROGRESS_BYTES, PROGRESS_TIME};
 use crate::state::{GatewayState, SharedState};
@@ -16,7 +17,6 @@
 use futures::io::AsyncWriteExt;
 use futures::stream::{FuturesOrdered, StreamExt};
 use serde::Serialize;
-use std::net::Shutdown;
 use std::pin::pin;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -27,8 +27,6 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Requests of one connection that are worked on side by side, the first included.
 const MAX_OVERLAPS: usize = 8;
-/// How long a connection is read on after its last response: a long one may take that on a slow link.
-const LINGER_TIME: Duration = Duration::from_secs(2);
 /// Requests of all connections that are worked on beside an earlier one of their connection; bounds
 /// the responses that wait for slow ones before them.
 const MAX_VM_OVERLAPS: usize = 256;
@@ -134,13 +132,13 @@
 enum ConnectionStep {
     /// The oldest request has its response.
     Ready(ReadyResponse),
-    /// The head of a further request arrived; `None` if the connection has ended.
-    Arrived(Result<Option<RequestHead>, RefusalCause>),
+    /// The head of a further request arrived, or bytes that are none.
+    Arrived(Result<RequestHead, RefusalCause>),
+    /// No further request comes.
+    Ended(ServingEnd),
 }
 
-/// Serves the requests of one connection, until the connection ends. Idempotent requests without a
-/// body are worked on beside earlier ones; responses are written in the order of the requests. All
-/// other requests start once the earlier ones are answered, and later ones wait for them.
+/// Serves the requests of one connection, until the connection ends.
 pub async fn serve<F, R, O>(state: SharedState, stream: TcpStream, handler: RequestHandler<R, O>)
 where
     F: Future<Output = FrontResponse>,
@@ -148,6 +146,23 @@
     O: Fn(&RequestHead) -> bool,
 {
     let _connection = ConnectionGuard::begin(&state);
+    let end = serve_requests(&state, &stream, handler).await;
+    lingering::close(&state, stream, end).await;
+}
+
+/// Serves requests up to the last one. Idempotent requests without a body are worked on beside earlier
+/// ones; responses are written in the order of the requests. All other requests start once the earlier
+/// ones are answered, and later ones wait for them.
+async fn serve_requests<F, R, O>(
+    state: &SharedState,
+    stream: &TcpStream,
+    handler: RequestHandler<R, O>,
+) -> ServingEnd
+where
+    F: Future<Output = FrontResponse>,
+    R: Fn(CallerRequest) -> F,
+    O: Fn(&RequestHead) -> bool,
+{
     let mut reader = ConnectionReader::new(stream.clone());
     let mut pending = FuturesOrdered::new();
     let mut next: Option<HeldRequest> = None;
@@ -161,47 +176,47 @@
         if let Some(permit) = next
             .as_ref()
             .filter(|held| pending.is_empty() || (is_joinable && held.may_overlap))
-            .and_then(|_| start_permit(&state, pending.is_empty()))
+            .and_then(|_| start_permit(state, pending.is_empty()))
             && let Some(HeldRequest { head, may_overlap }) = next.take()
         {
             is_joinable = may_overlap;
-            let limits = caller_limits(&state);
-            let request = match read_body(&state, &mut reader, &stream, &limits, head).await {
+            let limits = caller_limits(state);
+            let request = match read_body(state, &mut reader, stream, &limits, head).await {
                 Ok(Some(request)) => request,
-                Ok(None) => return,
-                Err(cause) => return refuse(&state, &stream, &cause).await,
+                Ok(None) => return ServingEnd::Lost,
+                Err(cause) => return refuse(state, stream, &cause).await,
             };
             is_last |= request.head.wants_close();
-            pending.push_back(run(&state, request, permit, &handler.respond));
+            pending.push_back(run(state, request, permit, &handler.respond));
         }
         if pending.is_empty()
             && let Some(cause) = refusal
         {
-            return refuse(&state, &stream, &cause).await;
+            return refuse(state, stream, &cause).await;
         }
         let may_read = next.is_none() && !is_last && pending.len() < MAX_OVERLAPS;
-        match next_step(&state, &mut reader, &mut pending, may_read).await {
+        match next_step(state, &mut reader, &mut pending, may_read).await {
             ConnectionStep::Ready(ready) => {
                 is_last |= state.is_leaving();
                 let close = is_last && pending.is_empty() && next.is_none() && refusal.is_none();
-                let written = write_ready(&state, &stream, ready, close).await;
+                let written = write_ready(state, stream, ready, close).await;
                 if written.is_none() {
-                    return;
+                    return ServingEnd::Lost;
                 }
                 if close {
-                    return linger(&mut reader, &stream).await;
+                    return ServingEnd::Answered;
                 }
             }
-            ConnectionStep::Arrived(Ok(Some(head))) => {
+            ConnectionStep::Arrived(Ok(head)) => {
                 let may_overlap = is_bodiless(&head) && (handler.may_overlap)(&head);
                 next = Some(HeldRequest { head, may_overlap });
             }
-            // Dropping the handlers closes their connections to targets.
-            ConnectionStep::Arrived(Ok(None)) => return,
             ConnectionStep::Arrived(Err(cause)) => {
                 refusal = Some(cause);
                 is_last = true;
             }
+            // Dropping the handlers closes their connections to targets.
+            ConnectionStep::Ended(end) => return end,
         }
     }
 }
@@ -247,19 +262,19 @@
 ) -> ConnectionStep {
     let limits = caller_limits(state);
     if pending.is_empty() {
-        return ConnectionStep::Arrived(next_head(state, reader, &limits).await);
+        return next_head(state, reader, &limits).await;
     }
     let arriving = pin!(async {
         if may_read {
-            return arrived_head(reader.request_head(limits.head_bytes).await);
+            return arrived(reader.request_head(limits.head_bytes).await);
         }
         reader.wait_for_close(READ_AHEAD_BYTES).await;
-        Ok(None)
+        ConnectionStep::Ended(ServingEnd::Lost)
     });
     match future::select(pending.next(), arriving).await {
         Either::Left((Some(ready), _)) => ConnectionStep::Ready(ready),
-        Either::Left((None, arriving)) => ConnectionStep::Arrived(arriving.await),
-        Either::Right((arrived, _)) => ConnectionStep::Arrived(arrived),
+        Either::Left((None, arriving)) => arriving.await,
+        Either::Right((step, _)) => step,
     }
 }
 
@@ -270,19 +285,12 @@
     limits.unwrap_or_default()
 }
 
-/// Refuses what arrived, which is not a valid request, and ends the connection.
-async fn refuse(state: &SharedState, stream: &TcpStream, cause: &RefusalCause) {
+/// Refuses what arrived, which is not a valid request and the last that is read of the connection.
+async fn refuse(state: &SharedState, stream: &TcpStream, cause: &RefusalCause) -> ServingEnd {
     log_refusal(state, cause);
-    let _closing = write_response(state, stream, cause.response(), false, true).await;
-}
-
-/// Ends a connection after its last response (RFC 9112, section 9.6): closes the sending side, and reads
-/// on until the caller has closed the other one. What a caller sends meanwhile would reset a closed
-/// socket, and the rest of the response would be lost.
-async fn linger(reader: &mut ConnectionReader<TcpStream>, stream: &TcpStream) {
-    if stream.shutdown(Shutdown::Write).is_ok() {
-        // A caller that does not close gets no more time.
-        let _closed = timeout(LINGER_TIME, reader.discard()).await;
+    match write_response(state, stream, cause.response(), false, true).await {
+        Some(()) => ServingEnd::Answered,
+        None => ServingEnd::Lost,
     }
 }
 
@@ -359,32 +367,32 @@
     PROGRESS_TIME + PROGRESS_TIME.mul_f64(length as f64 / PROGRESS_BYTES as f64)
 }
 
-/// Reads the head of the next request, `None` if the connection has ended.
+/// Reads the head of the next request.
 async fn next_head(
     state: &SharedState,
     reader: &mut ConnectionReader<TcpStream>,
     limits: &CallerLimits,
-) -> Result<Option<RequestHead>, RefusalCause> {
+) -> ConnectionStep {
     let arriving = timeout(limits.idle_timeout, reader.request_head(limits.head_bytes));
     let arriving = pin!(arriving);
-    let arrived = match future::select(arriving, pin!(state.shutdown_started.recv())).await {
-        Either::Left((arrived, _)) => arrived.ok(),
+    let head = match future::select(arriving, pin!(state.shutdown_started.recv())).await {
+        Either::Left((head, _)) => head.ok(),
         Either::Right((_, arriving)) => timeout(SHUTDOWN_IDLE_TIMEOUT, arriving)
             .await
             .ok()
             .and_then(Result::ok),
     };
-    arrived.map_or(Ok(None), arrived_head)
+    head.map_or(ConnectionStep::Ended(ServingEnd::Idle), arrived)
 }
 
-/// The head that arrived, `None` if the connection has ended.
-fn arrived_head(
-    arrived: Result<Option<RequestHead>, ReadError>,
-) -> Result<Option<RequestHead>, RefusalCause> {
-    match arrived {
-        Err(ReadError::Truncated | ReadError::Connection { .. }) => Ok(None),
-        Ok(head) => Ok(head),
-        Err(error) => Err(refusal_cause(&error)),
+/// What comes of a read of the next head.
+fn arrived(head: Result<Option<RequestHead>, ReadError>) -> ConnectionStep {
+    match head {
+        Ok(Some(head)) => ConnectionStep::Arrived(Ok(head)),
+        Ok(None) | Err(ReadError::Truncated | ReadError::Connection { .. }) => {
+            ConnectionStep::Ended(ServingEnd::Lost)
+        }
+        Err(error) => ConnectionStep::Arrived(Err(refusal_cause(&error))),
     }
 }
 
--- /dev/null
+++ b/dahliawood-gateway/src/front/lingering/mod.rs
@@ -0,0 +1,69 @@
+//! Ends callers' connections so that what was written to them arrives.
+//!
+//! This handles a load pattern in which callers receive slowly, go on sending, or never close: each
+//! connection that lingers has a bound of time and of bytes, and the VM one of such connections.
+
+use crate::state::{GatewayState, SharedState};
+use async_std::net::TcpStream;
+use dahliawood_wire::lingering::{self, LingerOptions};
+use dahliawood_wire::stream::WireStream;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// How long a connection is kept after its last response.
+const RESPONSE_TIME: Duration = Duration::from_secs(2);
+/// Bytes that are read after the last response: what a caller on a fast link sends before it can have seen
+/// that response.
+const DISCARDED_BYTES: usize = 1 << 20;
+/// Connections of the VM that linger at a time; further ones are closed at once.
+const MAX_LINGERING: usize = 256;
+
+/// How the serving of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServingEnd {
+    /// The last response was written. What the caller sends after it counts as not read.
+    Answered,
+    /// No further request came in time.
+    Idle,
+    /// The caller has left, or does not receive: nothing more reaches it.
+    Lost,
+}
+
+/// Counts a connection that lingers until it is dropped.
+struct LingerGuard(SharedState);
+
+impl LingerGuard {
+    /// `None` if too many connections linger already.
+    fn begin(state: &SharedState) -> Option<Self> {
+        let before = state.lingering.fetch_add(1, Ordering::Relaxed);
+        let guard = Self(SharedState::clone(state));
+        (before < MAX_LINGERING).then_some(guard)
+    }
+}
+
+impl Drop for LingerGuard {
+    fn drop(&mut self) {
+        self.0.lingering.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Ends a connection, once what was written to it has arrived or took too long.
+pub async fn close(state: &SharedState, mut stream: TcpStream, end: ServingEnd) {
+    if end != ServingEnd::Answered {
+        return;
+    }
+    let Some(_lingering) = LingerGuard::begin(state) else {
+        record(state, "refused");
+        return;
+    };
+    let options = LingerOptions {
+        time: RESPONSE_TIME,
+        bytes: DISCARDED_BYTES,
+    };
+    let ended = lingering::close(&mut stream, WireStream::shutdown_write, options).await;
+    record(state, &ended.to_string());
+}
+
+fn record(state: &GatewayState, outcome: &str) {
+    state.metrics.lingering.with_label_values(&[outcome]).inc();
+}
--- a/dahliawood-gateway/src/front/mod.rs
+++ b/dahliawood-gateway/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod connection;
 pub mod handler;
+pub mod lingering;
 pub mod refusal;
 
 use async_std::channel::Receiver;
--- a/dahliawood-gateway/src/metrics/mod.rs
+++ b/dahliawood-gateway/src/metrics/mod.rs
@@ -42,6 +42,8 @@
     pub given_back: IntCounter,
     /// Requests and connections that ended because bodies take too much memory, by what was short.
     pub memory_refusals: IntCounterVec,
+    /// Callers' connections that were kept open after their last response, by what ended that.
+    pub lingering: IntCounterVec,
     /// Requests that other VMs served for this one, and this one for others, by side and outcome.
     pub forwards: IntCounterVec,
     /// 1 while this VM reaches no target.
@@ -147,6 +149,7 @@
             quarantines: metrics.counter("quarantines_total", "Requests that began to be held back because they crash targets.")?,
             given_back: metrics.counter("limit_given_back_total", "Requests that did not run and were given back to their customers' limits.")?,
             memory_refusals: metrics.counters("memory_refusals_total", "Requests and connections that ended because bodies take too much memory.", &["kind"])?,
+            lingering: metrics.counters("lingering_closes_total", "Connections of callers that were kept open after their last response, by what ended that.", &["outcome"])?,
             forwards: metrics.counters("forwards_total", "Requests forwarded to other VMs (side 'origin') and for them (side 'helper').", &["side", "outcome"])?,
             cut_off: metrics.gauge("cut_off", "1 while this VM reaches no target.")?,
             contradictions: metrics.counter("contradictions_total", "What other VMs said of targets and this VM's connections contradict.")?,
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -113,6 +113,8 @@
     pub overlapping: AtomicUsize,
     /// Open connections of callers.
     pub connections: AtomicUsize,
+    /// Those of them that are kept open after their last response.
+    pub lingering: AtomicUsize,
     /// Whether this VM knows of a configuration that it does not have yet.
     is_outdated: AtomicBool,
     /// Whether what this VM knows of the key space is old.
@@ -160,6 +162,7 @@
             helping: AtomicUsize::new(0),
             overlapping: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            lingering: AtomicUsize::new(0),
             is_outdated: AtomicBool::new(false),
             is_knowledge_old: AtomicBool::new(false),
             leaving_since: OnceLock::new(),
--- a/dahliawood-wire/src/raw/reader/mod.rs
+++ b/dahliawood-wire/src/raw/reader/mod.rs
@@ -265,16 +265,6 @@
         }
     }
 
-    /// Waits until the peer ends the connection; bytes received in the meantime are dropped.
-    pub async fn discard(&mut self) {
-        loop {
-            self.start = self.buffer.len();
-            if !matches!(self.fill(READ_BYTES).await, Ok(count) if count > 0) {
-                return;
-            }
-        }
-    }
-
     /// Waits until the peer ends the connection; bytes received in the meantime are kept.
     ///
     /// If `bound` bytes are buffered, this never returns.
