--- a/dahliawood-gateway/src/front/lingering/mod.rs
+++ b/dahliawood-gateway/src/front/lingering/mod.rs
@@ -10,8 +10,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// How long a connection is kept after its last response.
-const RESPONSE_TIME: Duration = Duration::from_secs(2);
+/// How long a connection is kept after its last response: as long as a caller may take to receive one.
+/// A VM that shuts down ends it with its grace time.
+const RESPONSE_TIME: Duration = Duration::from_secs(10);
 /// Bytes that are read after the last response: what a caller on a fast link sends before it can have seen
 /// that response.
 const DISCARDED_BYTES: usize = 1 << 20;
