--- a/dahliawood-gateway/src/front/lingering/mod.rs
+++ b/dahliawood-gateway/src/front/lingering/mod.rs
@@ -4,15 +4,19 @@
 //! connection that lingers has a bound of time and of bytes, and the VM one of such connections.
 
 use crate::state::{GatewayState, SharedState};
+use async_std::future::timeout;
 use async_std::net::TcpStream;
-use dahliawood_wire::lingering::{self, LingerOptions};
+use dahliawood_wire::lingering::{self, LingerEnd, LingerOptions};
 use dahliawood_wire::stream::WireStream;
+use std::future;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// How long a connection is kept after its last response: as long as a caller may take to receive one.
 /// A VM that shuts down ends it with its grace time.
 const RESPONSE_TIME: Duration = Duration::from_secs(10);
+/// How long a connection on which no request came is kept: its last response was written before that.
+const IDLE_TIME: Duration = Duration::from_secs(2);
 /// Bytes that are read after the last response: what a caller on a fast link sends before it can have seen
 /// that response.
 const DISCARDED_BYTES: usize = 1 << 20;
@@ -50,21 +54,44 @@
 
 /// Ends a connection, once what was written to it has arrived or took too long.
 pub async fn close(state: &SharedState, mut stream: TcpStream, end: ServingEnd) {
-    if end != ServingEnd::Answered {
+    if end == ServingEnd::Lost {
         return;
     }
     let Some(_lingering) = LingerGuard::begin(state) else {
         record(state, "refused");
         return;
     };
-    let options = LingerOptions {
-        time: RESPONSE_TIME,
-        bytes: DISCARDED_BYTES,
+    let ended = match end {
+        ServingEnd::Lost => return,
+        ServingEnd::Answered => {
+            let options = LingerOptions {
+                time: RESPONSE_TIME,
+                bytes: DISCARDED_BYTES,
+            };
+            lingering::close(&mut stream, WireStream::shutdown_write, options).await
+        }
+        ServingEnd::Idle => wait_for_close(&stream).await,
     };
-    let ended = lingering::close(&mut stream, WireStream::shutdown_write, options).await;
     record(state, &ended.to_string());
 }
 
+/// Closes the sending side and waits until the caller closes the other one. A request that crosses the
+/// close is left unread: its caller may send it again elsewhere.
+async fn wait_for_close(stream: &TcpStream) -> LingerEnd {
+    if stream.shutdown_write().is_err() {
+        return LingerEnd::Failed;
+    }
+    let closed = timeout(IDLE_TIME, async {
+        match stream.peek(&mut [0]).await {
+            Ok(0) => LingerEnd::PeerClosed,
+            // A later end cannot be seen behind unread bytes.
+            Ok(_) => future::pending().await,
+            Err(_) => LingerEnd::Failed,
+        }
+    });
+    closed.await.unwrap_or(LingerEnd::TimedOut)
+}
+
 fn record(state: &GatewayState, outcome: &str) {
     state.metrics.lingering.with_label_values(&[outcome]).inc();
 }
