fix(gateway): a VM that stops waits until its responses to other VMs have left

A request of another VM counted as answered once its response was handed to the RPC system; the process ended 50 ms later at the earliest, with responses that waited for a narrow link, and the other VM's caller got 502. The stop now has each such connection write what waits, close its sending side and end with the other VM, within the grace time. a_vm_that_stops_waits_until_its_responses_to_other_vms_have_left (12 MiB at 16 MiB/s) passes.

--- a/dahliawood-gateway/src/peer_forward/incoming/mod.rs
+++ b/dahliawood-gateway/src/peer_forward/incoming/mod.rs
@@ -57,10 +57,11 @@
 
 /// Serves the calls of other VMs until the listener fails.
 pub async fn serve(state: SharedState, listener: TcpListener) {
+    let drain = state.forward_drain.clone();
     let handler = ForwardHandler {
         forward: Box::new(move |request| Box::pin(handle(SharedState::clone(&state), request))),
     };
-    if let Err(error) = server::serve(listener, Rc::new(handler)).await {
+    if let Err(error) = server::serve(listener, Rc::new(handler), &drain).await {
         log::error!("the listener for requests of other VMs failed: {error}");
     }
 }
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -16,6 +16,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpListener;
 use async_std::task;
+use dahliawood_model::stamp::TimeStamp;
 use dahliawood_quota::allocation::REPORT_INTERVAL;
 use dahliawood_store::keyspace::call::KeyspaceClient;
 use dahliawood_wire::raw::head::RequestHead;
@@ -191,13 +192,13 @@
         state.waiting.close(clock::now());
         // Meanwhile the next report returns this VM's allocations to the coordinator.
         task::sleep(REPORT_INTERVAL).await;
-        let is_busy = || {
+        wait_until(limit, || {
             let connections = state.connections.load(Ordering::Relaxed);
-            connections > 0 || state.metrics.in_flight.get() > 0
-        };
-        while clock::now() < limit && is_busy() {
-            task::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+            connections == 0 && state.metrics.in_flight.get() == 0
+        })
+        .await;
+        state.forward_drain.start();
+        wait_until(limit, || state.forward_drain.open() == 0).await;
         // Leaves time for the last written bytes to be sent.
         task::sleep(DRAIN_POLL_INTERVAL).await;
         log_lifecycle(&state, "stop");
@@ -215,6 +216,13 @@
     }
 }
 
+/// Waits until a condition holds, at most until `limit`.
+async fn wait_until(limit: TimeStamp, holds: impl Fn() -> bool) {
+    while clock::now() < limit && !holds() {
+        task::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
+
 async fn cancel(tasks: Vec<task::JoinHandle<()>>) {
     for task in tasks {
         task.cancel().await;
--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -18,6 +18,7 @@
 use dahliawood_model::FastMap;
 use dahliawood_model::catalog::{FleetCatalog, TargetReport};
 use dahliawood_model::stamp::TimeStamp;
+use dahliawood_peer::server::drain::ServerDrain;
 use dahliawood_quota::allocation::local::{self, LocalAllocations};
 use dahliawood_quota::window::CustomerWindows;
 use dahliawood_request::retry::RetryBudget;
@@ -107,6 +108,8 @@
     pub reach_wake: (Sender<()>, Receiver<()>),
     /// Requests that are to be forwarded to other VMs.
     pub forward_jobs: (Sender<ForwardJob>, Receiver<ForwardJob>),
+    /// Ends the connections on which other VMs forward requests to this one.
+    pub forward_drain: ServerDrain,
     /// Requests of other VMs that are being worked on.
     pub helping: AtomicUsize,
     /// Requests that are worked on beside an earlier one of their connection.
@@ -159,6 +162,7 @@
             reach: Mutex::default(),
             reach_wake: bounded(1),
             forward_jobs: unbounded(),
+            forward_drain: ServerDrain::default(),
             helping: AtomicUsize::new(0),
             overlapping: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
--- a/dahliawood-peer/src/forward/server/mod.rs
+++ b/dahliawood-peer/src/forward/server/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::forward::message::{self, ForwardOutcome, ForwardedRequest};
 use crate::generated::peer_capnp::request_forwarder;
+use crate::server::drain::ServerDrain;
 use async_std::net::TcpListener;
 use futures::future::LocalBoxFuture;
 use std::rc::Rc;
@@ -25,11 +26,16 @@
     }
 }
 
-/// Serves calls on `listener` until accepting fails; runs on the current thread.
+/// Serves calls on `listener` until accepting fails; runs on the current thread. `drain` ends the
+/// connections.
 ///
 /// # Errors
 /// Returns the error of the listener.
-pub async fn serve(listener: TcpListener, handler: Rc<ForwardHandler>) -> std::io::Result<()> {
+pub async fn serve(
+    listener: TcpListener,
+    handler: Rc<ForwardHandler>,
+    drain: &ServerDrain,
+) -> std::io::Result<()> {
     let client: request_forwarder::Client = capnp_rpc::new_client_from_rc(handler);
-    crate::server::accept(listener, client.client).await
+    crate::server::accept(listener, client.client, drain).await
 }
--- a/dahliawood-peer/src/gateway/server/mod.rs
+++ b/dahliawood-peer/src/gateway/server/mod.rs
@@ -6,6 +6,7 @@
     ShareResponse, SightingMessage, ValuePart,
 };
 use crate::generated::peer_capnp::gateway_peer;
+use crate::server::drain::ServerDrain;
 use async_std::net::TcpListener;
 use futures::future::LocalBoxFuture;
 use std::rc::Rc;
@@ -165,5 +166,5 @@
 /// Returns the error of the listener.
 pub async fn serve(listener: TcpListener, handlers: Rc<GatewayHandlers>) -> std::io::Result<()> {
     let client: gateway_peer::Client = capnp_rpc::new_client_from_rc(handlers);
-    crate::server::accept(listener, client.client).await
+    crate::server::accept(listener, client.client, &ServerDrain::default()).await
 }
--- a/dahliawood-peer/src/server/mod.rs
+++ b/dahliawood-peer/src/server/mod.rs
@@ -1,11 +1,12 @@
 //! RPC server for the calls of other VMs; dispatches each call to a closure.
 
+pub mod drain;
+
 use crate::generated::peer_capnp::vm_peer;
 use crate::{message, quota};
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use async_std::task;
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
-use futures::{AsyncReadExt, FutureExt};
+use drain::ServerDrain;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -79,7 +80,7 @@
 /// Returns the error of the listener.
 pub async fn serve(listener: TcpListener, handlers: Rc<PeerHandlers>) -> std::io::Result<()> {
     let client: vm_peer::Client = capnp_rpc::new_client_from_rc(handlers);
-    accept(listener, client.client).await
+    accept(listener, client.client, &ServerDrain::default()).await
 }
 
 /// Pause after a failed accept, for example when file descriptors have run out.
@@ -90,11 +91,12 @@
 pub(crate) async fn accept(
     listener: TcpListener,
     client: capnp::capability::Client,
+    drain: &ServerDrain,
 ) -> std::io::Result<()> {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                task::spawn_local(connection(stream, client.clone()));
+                task::spawn_local(drain::connection(stream, client.clone(), drain.clone()));
             }
             Err(error) => {
                 log::warn!("cannot accept a connection of another VM: {error}");
@@ -103,19 +105,3 @@
         }
     }
 }
-
-/// Serves one connection until the caller closes it or it fails.
-async fn connection(stream: TcpStream, client: capnp::capability::Client) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("cannot set TCP_NODELAY on a connection of another VM: {error}");
-    }
-    let (reader, writer) = stream.split();
-    let network = twoparty::VatNetwork::new(
-        reader,
-        writer,
-        rpc_twoparty_capnp::Side::Server,
-        capnp::message::ReaderOptions::default(),
-    );
-    let system = RpcSystem::new(Box::new(network), Some(client));
-    let _ended = system.map(|_| ()).await;
-}
