fix(gateway): a refusal that is cut behind its head still says that the request has not run

A full target that refuses a long request without reading it resets the connection behind its answer. The head had said that the request has not run; the error of the body made that "may have run": 502 and no other target. The head decides now; such a connection is not used again.

--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -306,12 +306,16 @@
     let (body, is_whole) = match metadata.has_not_run {
         // The head says it all, and nobody gets the body.
         true => match timeout(REFUSAL_BODY_TIME, body).await {
-            Ok(body) => (body.map_err(failed)?, true),
+            Ok(Ok(body)) => (body, true),
+            Ok(Err(error)) => {
+                log::debug!("the body of a refusal was cut: {error}");
+                (HeldBody::default(), false)
+            }
             Err(_) => (HeldBody::default(), false),
         },
         false => (body.await.map_err(failed)?, true),
     };
-    if ends_at_close && is_gone(state, call.address).await {
+    if ends_at_close && !metadata.has_not_run && is_gone(state, call.address).await {
         // The connection may have ended with the process, halfway through the response.
         return Err(failed(ReadError::Truncated));
     }
