--- a/dahliawood-gateway/src/state/mod.rs
+++ b/dahliawood-gateway/src/state/mod.rs
@@ -36,8 +36,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a connection to a target may be idle if the target does not announce a limit.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(7);
-/// TCP user timeout: how long sent bytes may stay unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_millis(700);
+/// TCP user timeout of connections to targets: how long sent bytes may stay unacknowledged.
+pub const USER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Part of the grace time that is kept for stopping.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -1,5 +1,7 @@
 //! One HTTP exchange with a target, and the classification of its failure.
 
+mod slow_reader;
+
 use crate::clock;
 use crate::codec::{ResponseMetadata, TargetContext};
 use crate::reach;
@@ -224,7 +226,10 @@
     (call.on_write)();
     let writing = write_request(&stream, &bytes, call.body);
     let exchange = duplex::exchange(&progress, writing, receive(state, call, input));
-    let received = exchange.await;
+    let received = match call.body.is_small() {
+        true => exchange.await,
+        false => slow_reader::run(state, call.address, &stream, call.limit, exchange).await,
+    };
     let (mut response, is_clean) = received?;
     response.was_reused = reused;
     // A target that did not get the whole request would take the rest of it for the next one.
