--- a/dahliawood-gateway/src/target_call/mod.rs
+++ b/dahliawood-gateway/src/target_call/mod.rs
@@ -21,6 +21,7 @@
 use futures::io::AsyncWriteExt;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 /// The longest head of a response, bytes.
@@ -224,11 +225,14 @@
         progress: &progress,
     };
     (call.on_write)();
-    let writing = write_request(&stream, &bytes, call.body);
-    let exchange = duplex::exchange(&progress, writing, receive(state, call, input));
-    let received = match call.body.is_small() {
-        true => exchange.await,
-        false => slow_reader::run(state, call.address, &stream, call.limit, exchange).await,
+    let received = {
+        let writing = pin!(write_request(&stream, &bytes, call.body));
+        let reading = pin!(receive(state, call, input));
+        let exchange = pin!(duplex::exchange(&progress, writing, reading));
+        match call.body.is_small() {
+            true => exchange.await,
+            false => slow_reader::run(state, call.address, &stream, call.limit, exchange).await,
+        }
     };
     let (mut response, is_clean) = received?;
     response.was_reused = reused;
--- a/dahliawood-gateway/src/target_call/slow_reader/mod.rs
+++ b/dahliawood-gateway/src/target_call/slow_reader/mod.rs
@@ -15,7 +15,7 @@
 use futures::future::{self, Either};
 use socket2::SockRef;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 /// Runs an exchange that takes at most `limit`, until it ends or its target accepts no connection.
@@ -24,11 +24,11 @@
     address: SocketAddr,
     stream: &TcpStream,
     limit: Duration,
-    exchange: impl Future<Output = Result<T, CallFailure>>,
+    exchange: Pin<&mut impl Future<Output = Result<T, CallFailure>>>,
 ) -> Result<T, CallFailure> {
     set_user_timeout(stream, limit.max(USER_TIMEOUT));
     let unreachable = pin!(until_unreachable(state, address));
-    let ended = match future::select(pin!(exchange), unreachable).await {
+    let ended = match future::select(exchange, unreachable).await {
         Either::Left((ended, _)) => ended,
         Either::Right((error, _)) => Err(CallFailure {
             is_broken: true,
--- a/dahliawood-wire/src/raw/duplex/mod.rs
+++ b/dahliawood-wire/src/raw/duplex/mod.rs
@@ -12,7 +12,7 @@
 use futures::io::AsyncRead;
 use std::cell::Cell;
 use std::io;
-use std::pin::pin;
+use std::pin::Pin;
 
 /// How far the write of a request has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -50,14 +50,14 @@
 }
 
 /// Runs the write of a request and the read of its response at the same time, until the read ends. The
-/// write is dropped then if it still waits.
+/// write is given up then if it still waits. Both are pinned by the caller, as moving them in would double
+/// the size of the future.
 pub async fn exchange<T>(
     progress: &WriteProgress,
-    writing: impl Future<Output = io::Result<()>>,
-    reading: impl Future<Output = T>,
+    writing: Pin<&mut impl Future<Output = io::Result<()>>>,
+    reading: Pin<&mut impl Future<Output = T>>,
 ) -> T {
-    let writing = pin!(writing);
-    match future::select(writing, pin!(reading)).await {
+    match future::select(writing, reading).await {
         Either::Left((written, reading)) => {
             progress.record(&written);
             reading.await
--- a/dahliawood-wire/tests/main/duplex/mod.rs
+++ b/dahliawood-wire/tests/main/duplex/mod.rs
@@ -170,7 +170,8 @@
     let progress = WriteProgress::default();
     let (framing, bound) = (BodyFraming::UntilClose, BODY.len());
     let reading = duplex::response_body(&progress, &mut reader, framing, bound, &budget);
-    let exchange = duplex::exchange(&progress, output.write_all(REQUEST), reading);
+    let (writing, reading) = (pin!(output.write_all(REQUEST)), pin!(reading));
+    let exchange = duplex::exchange(&progress, writing, reading);
     let timer = future::poll_fn(|context| {
         context.waker().wake_by_ref();
         match socket.borrow().operations >= deadline {
