refactor(gateway): responses are written in a module of their own; kinds of changes are an enum; a stop accepts no more forwards

What a change line says is a type, not a text that decides. VMs that come while a stopping VM ends its connections to others are refused, as nothing was sent, where they could have lost a request.

--- a/dahliawood-gateway/src/control/apply/mod.rs
+++ b/dahliawood-gateway/src/control/apply/mod.rs
@@ -8,7 +8,7 @@
 use crate::decisions::EntryOrigin;
 use crate::structured_log::EventClass;
 use dahliawood_model::FastSet;
-use dahliawood_model::catalog::FleetCatalog;
+use dahliawood_model::catalog::{FleetCatalog, TargetEntry};
 use dahliawood_steer::placement::exchange::collector;
 use dahliawood_store::keyspace::view::ViewChange;
 use serde::Serialize;
@@ -22,11 +22,25 @@
     !key.starts_with(OPERATORS_PREFIX)
 }
 
+/// What a change of the key space changes at this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum ChangeKind {
+    Target,
+    TargetDraining,
+    TargetGone,
+    Unreadable,
+    Version,
+    OlderVersion,
+    Vms,
+    Evacuated,
+}
+
 /// Log event for a change of the key space that this VM has applied or ignored.
 #[derive(Serialize)]
 struct ChangeEvent<'a> {
     key: &'a str,
-    what: &'a str,
+    what: ChangeKind,
     /// Revision of the write that is in force, zero if none is.
     revision: u64,
     version: u64,
@@ -66,51 +80,52 @@
 
 fn apply_record(state: &ControlState, key: &str, record: KeyspaceRecord) {
     match record {
-        KeyspaceRecord::Target(entry) => {
-            let mut table = state.shared.placement();
-            let now = clock::now();
-            let detail = format!(
-                "{} at {} in {}, cold for {:?}, {} recent requests",
-                entry.service,
-                entry.address,
-                entry.domain,
-                entry.cold_for,
-                table.recent_requests(&entry.id, now)
-            );
-            let what = if entry.is_draining {
-                "target-draining"
-            } else {
-                "target"
-            };
-            let id = entry.id.clone();
-            table.upsert(entry, now);
-            drop(table);
-            let mut decisions = state.shared.decisions();
-            if what == "target-draining" {
-                decisions.write(&state.shared.log);
-            }
-            decisions.set_target(&id, origin(state, key));
-            drop(decisions);
-            log_change(state, key, what, 0, detail);
-        }
+        KeyspaceRecord::Target(entry) => apply_target(state, key, entry),
         KeyspaceRecord::Catalog(catalog) => install_catalog(state, key, catalog),
         KeyspaceRecord::Unreadable { reason } => {
             if let Some(id) = (state.shared.codec.target_id)(key) {
                 state.shared.placement().remove(id, clock::now());
             }
-            log_change(state, key, "unreadable", 0, reason);
+            log_change(state, key, ChangeKind::Unreadable, 0, reason);
         }
         KeyspaceRecord::Evacuated(_) => {}
     }
 }
 
+fn apply_target(state: &ControlState, key: &str, entry: TargetEntry) {
+    let mut table = state.shared.placement();
+    let now = clock::now();
+    let detail = format!(
+        "{} at {} in {}, cold for {:?}, {} recent requests",
+        entry.service,
+        entry.address,
+        entry.domain,
+        entry.cold_for,
+        table.recent_requests(&entry.id, now)
+    );
+    let what = match entry.is_draining {
+        true => ChangeKind::TargetDraining,
+        false => ChangeKind::Target,
+    };
+    let id = entry.id.clone();
+    table.upsert(entry, now);
+    drop(table);
+    let mut decisions = state.shared.decisions();
+    if what == ChangeKind::TargetDraining {
+        decisions.write(&state.shared.log);
+    }
+    decisions.set_target(&id, origin(state, key));
+    drop(decisions);
+    log_change(state, key, what, 0, detail);
+}
+
 /// Brings a configuration version into force unless the current one is as new or newer.
 fn install_catalog(state: &ControlState, key: &str, catalog: FleetCatalog) {
     let shared = &state.shared;
     let current = shared.catalog.load_full();
     let version = catalog.version;
     if current.is_some_and(|current| current.version >= version) {
-        log_change(state, key, "older-version", version, String::new());
+        log_change(state, key, ChangeKind::OlderVersion, version, String::new());
         return;
     }
     let detail = format!("{} routes", catalog.routes.len());
@@ -120,7 +135,7 @@
         .set_catalog(version, origin(state, key), &shared.log);
     shared.catalog.store(Some(Arc::clone(&catalog)));
     shared.waiting.apply_catalog(&catalog, clock::now());
-    log_change(state, key, "version", version, detail);
+    log_change(state, key, ChangeKind::Version, version, detail);
 }
 
 fn remove_target(state: &ControlState, key: &str) {
@@ -130,7 +145,7 @@
     {
         let shared = &state.shared;
         shared.decisions().remove_target(id, &shared.log);
-        log_change(state, key, "target-gone", 0, String::new());
+        log_change(state, key, ChangeKind::TargetGone, 0, String::new());
     }
 }
 
@@ -149,7 +164,7 @@
     view.get(key).map_or(0, |known| known.revision)
 }
 
-fn log_change(state: &ControlState, key: &str, what: &str, version: u64, detail: String) {
+fn log_change(state: &ControlState, key: &str, what: ChangeKind, version: u64, detail: String) {
     let event = || ChangeEvent {
         key,
         what,
@@ -201,7 +216,13 @@
     }
     vms.sort_by(|a, b| a.name.cmp(&b.name));
     let names: Vec<&str> = vms.iter().map(|vm| vm.name.as_str()).collect();
-    log_change(state, VMS_PREFIX, "vms", vms.len() as u64, names.join(" "));
+    log_change(
+        state,
+        VMS_PREFIX,
+        ChangeKind::Vms,
+        vms.len() as u64,
+        names.join(" "),
+    );
     state.shared.vms.store(Arc::new(vms));
     update_sharers(state);
 }
@@ -222,7 +243,7 @@
     log_change(
         state,
         OPERATORS_PREFIX,
-        "evacuated",
+        ChangeKind::Evacuated,
         0,
         format!("{domains:?}"),
     );
--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Serves the requests of one keep-alive connection, which may send several before the first response.
 
 use crate::front::lingering::{self, ServingEnd};
+use crate::front::output;
 use crate::front::refusal::{FrontResponse, RefusalCause};
 use crate::held_bytes::{PROGRESS_BYTES, PROGRESS_TIME};
 use crate::state::{GatewayState, SharedState};
@@ -12,7 +13,6 @@
 use dahliawood_wire::raw::error::ReadError;
 use dahliawood_wire::raw::head::{BodyFraming, RequestHead};
 use dahliawood_wire::raw::reader::ConnectionReader;
-use dahliawood_wire::raw::write;
 use futures::future::{self, Either};
 use futures::io::AsyncWriteExt;
 use futures::stream::{FuturesOrdered, StreamExt};
@@ -23,8 +23,6 @@
 
 /// How long a connection stays open for one more request once the VM is shutting down.
 const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long the caller may take to receive a response.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Requests of one connection that are worked on side by side, the first included.
 const MAX_OVERLAPS: usize = 8;
 /// Requests of all connections that are worked on beside an earlier one of their connection; bounds
@@ -288,7 +286,7 @@
 /// Refuses what arrived, which is not a valid request and the last that is read of the connection.
 async fn refuse(state: &SharedState, stream: &TcpStream, cause: &RefusalCause) -> ServingEnd {
     log_refusal(state, cause);
-    match write_response(state, stream, cause.response(), false, true).await {
+    match output::write_response(state, stream, cause.response(), false, true).await {
         Some(()) => ServingEnd::Answered,
         None => ServingEnd::Lost,
     }
@@ -417,69 +415,5 @@
         _in_flight,
         _permit,
     } = ready;
-    write_response(state, stream, response, is_head, close).await
-}
-
-/// Writes a response, `None` if the caller does not receive it in time. The body counts as held until
-/// then.
-async fn write_response(
-    state: &GatewayState,
-    stream: &TcpStream,
-    response: FrontResponse,
-    is_head: bool,
-    close: bool,
-) -> Option<()> {
-    let mut fields = response.fields;
-    if close {
-        fields.push("Connection", "close");
-    }
-    let body = &response.body;
-    // A long body is not copied, since it is counted once: it is written after the encoded bytes.
-    let (joined, rest) = match (is_head, body.is_small()) {
-        (true, _) => (None, None),
-        (false, true) => (Some(body), None),
-        (false, false) => (None, Some(body)),
-    };
-    let room = joined.map_or(0, HeldBody::len);
-    let mut bytes = write::response_head(response.status, &fields, body.len(), room);
-    for block in joined.into_iter().flat_map(HeldBody::blocks) {
-        bytes.extend_from_slice(block);
-    }
-    let blocks = rest.into_iter().flat_map(HeldBody::blocks);
-    let writing = write_blocks(state, stream, [bytes.as_slice()].into_iter().chain(blocks));
-    timeout(WRITE_TIMEOUT, writing).await.ok()?
-}
-
-/// Writes bytes to a caller, `None` if the connection ended or the caller makes too little progress
-/// while memory is short.
-async fn write_blocks<'a>(
-    state: &GatewayState,
-    stream: &TcpStream,
-    blocks: impl Iterator<Item = &'a [u8]>,
-) -> Option<()> {
-    let mut output = stream;
-    let mut progress = 0;
-    let mut checked_at = Instant::now();
-    for block in blocks {
-        let mut left = block;
-        while !left.is_empty() {
-            match timeout(PROGRESS_TIME, output.write(left)).await {
-                Ok(Ok(count)) if count > 0 => {
-                    left = &left[count..];
-                    progress += count;
-                }
-                Ok(_) => return None,
-                Err(_) => {}
-            }
-            if checked_at.elapsed() < PROGRESS_TIME {
-                continue;
-            }
-            if progress < PROGRESS_BYTES && state.held_bytes.responses.is_short() {
-                state.count_memory_refusal("slow-reader");
-                return None;
-            }
-            (progress, checked_at) = (0, Instant::now());
-        }
-    }
-    Some(())
+    output::write_response(state, stream, response, is_head, close).await
 }
--- a/dahliawood-gateway/src/front/lingering/mod.rs
+++ b/dahliawood-gateway/src/front/lingering/mod.rs
@@ -3,6 +3,7 @@
 //! This handles a load pattern in which callers receive slowly, go on sending, or never close: each
 //! connection that lingers has a bound of time and of bytes, and the VM one of such connections.
 
+use crate::front::output::RECEIVE_TIMEOUT;
 use crate::state::{GatewayState, SharedState};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -12,9 +13,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// How long a connection is kept after its last response: as long as a caller may take to receive one.
-/// A VM that shuts down ends it with its grace time.
-const RESPONSE_TIME: Duration = Duration::from_secs(10);
 /// How long a connection on which no request came is kept: its last response was written before that.
 const IDLE_TIME: Duration = Duration::from_secs(2);
 /// Bytes that are read after the last response: what a caller on a fast link sends before it can have seen
@@ -65,7 +63,8 @@
         ServingEnd::Lost => return,
         ServingEnd::Answered => {
             let options = LingerOptions {
-                time: RESPONSE_TIME,
+                // A VM that shuts down ends it with its grace time.
+                time: RECEIVE_TIMEOUT,
                 bytes: DISCARDED_BYTES,
             };
             lingering::close(&mut stream, WireStream::shutdown_write, options).await
--- a/dahliawood-gateway/src/front/mod.rs
+++ b/dahliawood-gateway/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod connection;
 pub mod handler;
 pub mod lingering;
+pub mod output;
 pub mod refusal;
 
 use async_std::channel::Receiver;
--- a/dahliawood-gateway/src/run/mod.rs
+++ b/dahliawood-gateway/src/run/mod.rs
@@ -44,6 +44,8 @@
     listeners: Vec<task::JoinHandle<()>>,
     /// Ends the listeners when it is closed.
     stop_listening: Sender<()>,
+    /// Accepts the connections on which other VMs forward requests.
+    forward_listener: task::JoinHandle<()>,
     /// Tasks that requests in flight depend on.
     background: Vec<task::JoinHandle<()>>,
     control: thread::JoinHandle<()>,
@@ -92,8 +94,8 @@
         serve(&state, (directory_listener, &stopped_listening), local_call),
         serve(&state, (metrics_listener, &stopped_listening), metrics_text),
     ];
+    let forward_listener = task::spawn_local(incoming::serve(Arc::clone(&state), forward_listener));
     let background = vec![
-        task::spawn_local(incoming::serve(Arc::clone(&state), forward_listener)),
         spawn_supervised(&state, "outgoing", outgoing::run),
         spawn_supervised(&state, "reach", reach::run),
         spawn_supervised(&state, "waiting", waiting::run),
@@ -111,6 +113,7 @@
         state,
         listeners,
         stop_listening,
+        forward_listener,
         background,
         control,
         stop,
@@ -182,6 +185,7 @@
             state,
             listeners,
             stop_listening,
+            forward_listener,
             background,
             control,
             stop,
@@ -197,6 +201,8 @@
             connections == 0 && state.metrics.in_flight.get() == 0
         })
         .await;
+        // VMs that come now are told that nothing was sent, and ask others.
+        forward_listener.cancel().await;
         state.forward_drain.start();
         wait_until(limit, || state.forward_drain.open() == 0).await;
         // Leaves time for the last written bytes to be sent.
@@ -210,6 +216,7 @@
     /// Stops at once; requests in flight are aborted.
     pub async fn abort(self) {
         cancel(self.listeners).await;
+        self.forward_listener.cancel().await;
         cancel(self.background).await;
         self.stop.close();
         join_control(self.control);
