--- a/dahliawood-gateway/src/front/connection/mod.rs
+++ b/dahliawood-gateway/src/front/connection/mod.rs
@@ -1,5 +1,6 @@
 //! Serves the requests of one keep-alive connection, which may send several before the first response.
 
+use crate::count_guard::CountGuard;
 use crate::front::lingering::{self, ServingEnd};
 use crate::front::output;
 use crate::front::refusal::{FrontResponse, RefusalCause};
@@ -18,7 +19,6 @@
 use futures::stream::{FuturesOrdered, StreamExt};
 use serde::Serialize;
 use std::pin::pin;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// How long a connection stays open for one more request once the VM is shutting down.
@@ -59,47 +59,12 @@
     }
 }
 
-/// Counts a connection until it is dropped: a request that is still arriving is not in flight yet, and
-/// a shutdown waits for it too.
-struct ConnectionGuard(SharedState);
-
-impl ConnectionGuard {
-    fn begin(state: &SharedState) -> Self {
-        state.connections.fetch_add(1, Ordering::Relaxed);
-        Self(SharedState::clone(state))
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.connections.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Counts a request that is worked on beside an earlier one of its connection.
-struct OverlapGuard(SharedState);
-
-impl OverlapGuard {
-    /// `None` if the VM works on too many such requests already.
-    fn begin(state: &SharedState) -> Option<Self> {
-        let before = state.overlapping.fetch_add(1, Ordering::Relaxed);
-        let guard = Self(SharedState::clone(state));
-        (before < MAX_VM_OVERLAPS).then_some(guard)
-    }
-}
-
-impl Drop for OverlapGuard {
-    fn drop(&mut self) {
-        self.0.overlapping.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Allows a request to start.
 enum StartPermit {
     /// No earlier request of its connection is being worked on.
     First,
     /// Earlier ones are.
-    Beside(#[allow(dead_code, reason = "held until the response is written")] OverlapGuard),
+    Beside(#[allow(dead_code, reason = "held until the response is written")] CountGuard),
 }
 
 /// How requests of a connection are answered.
@@ -143,7 +108,8 @@
     R: Fn(CallerRequest) -> F,
     O: Fn(&RequestHead) -> bool,
 {
-    let _connection = ConnectionGuard::begin(&state);
+    // A request that is still arriving is not in flight yet, and a shutdown waits for it too.
+    let _connection = CountGuard::begin(&state, |state| &state.connections);
     let end = serve_requests(&state, &stream, handler).await;
     lingering::close(&state, stream, end).await;
 }
@@ -223,7 +189,8 @@
 fn start_permit(state: &SharedState, is_first: bool) -> Option<StartPermit> {
     match is_first {
         true => Some(StartPermit::First),
-        false => OverlapGuard::begin(state).map(StartPermit::Beside),
+        false => CountGuard::begin_within(state, |state| &state.overlapping, MAX_VM_OVERLAPS)
+            .map(StartPermit::Beside),
     }
 }
 
--- a/dahliawood-gateway/src/front/lingering/mod.rs
+++ b/dahliawood-gateway/src/front/lingering/mod.rs
@@ -3,14 +3,14 @@
 //! This handles a load pattern in which callers receive slowly, go on sending, or never close: each
 //! connection that lingers has a bound of time and of bytes, and the VM one of such connections.
 
+use crate::count_guard::CountGuard;
 use crate::front::output::RECEIVE_TIMEOUT;
-use crate::state::{GatewayState, SharedState};
+use crate::state::SharedState;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use dahliawood_wire::lingering::{self, LingerEnd, LingerOptions};
 use dahliawood_wire::stream::WireStream;
 use std::future;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// How long a connection on which no request came is kept: its last response was written before that.
@@ -32,46 +32,29 @@
     Lost,
 }
 
-/// Counts a connection that lingers until it is dropped.
-struct LingerGuard(SharedState);
-
-impl LingerGuard {
-    /// `None` if too many connections linger already.
-    fn begin(state: &SharedState) -> Option<Self> {
-        let before = state.lingering.fetch_add(1, Ordering::Relaxed);
-        let guard = Self(SharedState::clone(state));
-        (before < MAX_LINGERING).then_some(guard)
-    }
-}
-
-impl Drop for LingerGuard {
-    fn drop(&mut self) {
-        self.0.lingering.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Ends a connection, once what was written to it has arrived or took too long.
-pub async fn close(state: &SharedState, mut stream: TcpStream, end: ServingEnd) {
+pub async fn close(state: &SharedState, stream: TcpStream, end: ServingEnd) {
     if end == ServingEnd::Lost {
         return;
     }
-    let Some(_lingering) = LingerGuard::begin(state) else {
-        record(state, "refused");
-        return;
+    let guard = CountGuard::begin_within(state, |state| &state.lingering, MAX_LINGERING);
+    let outcome = match guard {
+        None => "refused".to_owned(),
+        Some(_lingering) if end == ServingEnd::Idle => wait_for_close(&stream).await.to_string(),
+        Some(_lingering) => read_on(stream).await.to_string(),
     };
-    let ended = match end {
-        ServingEnd::Lost => return,
-        ServingEnd::Answered => {
-            let options = LingerOptions {
-                // A VM that shuts down ends it with its grace time.
-                time: RECEIVE_TIMEOUT,
-                bytes: DISCARDED_BYTES,
-            };
-            lingering::close(&mut stream, WireStream::shutdown_write, options).await
-        }
-        ServingEnd::Idle => wait_for_close(&stream).await,
+    let closes = &state.metrics.lingering;
+    closes.with_label_values(&[outcome.as_str()]).inc();
+}
+
+/// Closes the sending side and reads on until the caller closes the other one.
+async fn read_on(mut stream: TcpStream) -> LingerEnd {
+    let options = LingerOptions {
+        // A VM that shuts down ends it with its grace time.
+        time: RECEIVE_TIMEOUT,
+        bytes: DISCARDED_BYTES,
     };
-    record(state, &ended.to_string());
+    lingering::close(&mut stream, WireStream::shutdown_write, options).await
 }
 
 /// Closes the sending side and waits until the caller closes the other one. A request that crosses the
@@ -90,7 +73,3 @@
     });
     closed.await.unwrap_or(LingerEnd::TimedOut)
 }
-
-fn record(state: &GatewayState, outcome: &str) {
-    state.metrics.lingering.with_label_values(&[outcome]).inc();
-}
--- a/dahliawood-gateway/src/lib.rs
+++ b/dahliawood-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod codec;
 pub mod control;
+pub mod count_guard;
 pub mod crashes;
 pub mod decisions;
 pub mod directory;
--- a/dahliawood-gateway/src/peer_forward/incoming/mod.rs
+++ b/dahliawood-gateway/src/peer_forward/incoming/mod.rs
@@ -1,6 +1,7 @@
 //! Requests that other VMs forward to this one, which sends them to targets.
 
 use crate::clock;
+use crate::count_guard::CountGuard;
 use crate::forward::{self, ForwardOptions, RoutedRequest, RunProgress};
 use crate::front::connection::{CallerRequest, InFlightGuard};
 use crate::front::handler;
@@ -19,7 +20,6 @@
 use serde::Serialize;
 use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
 
 /// Requests of other VMs that this one works on at a time.
 const MAX_HELPING: usize = 256;
@@ -37,24 +37,6 @@
     waited_ms: u128,
 }
 
-/// Counts a request of another VM until it is dropped.
-struct HelpGuard(SharedState);
-
-impl HelpGuard {
-    /// `None` if the VM works on too many such requests already.
-    fn begin(state: &SharedState) -> Option<Self> {
-        let before = state.helping.fetch_add(1, Ordering::Relaxed);
-        let guard = Self(SharedState::clone(state));
-        (before < MAX_HELPING).then_some(guard)
-    }
-}
-
-impl Drop for HelpGuard {
-    fn drop(&mut self) {
-        self.0.helping.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Serves the calls of other VMs until the listener fails.
 pub async fn serve(state: SharedState, listener: TcpListener) {
     let drain = state.forward_drain.clone();
@@ -68,7 +50,7 @@
 
 async fn handle(state: SharedState, request: ForwardedRequest) -> ForwardOutcome {
     let _in_flight = InFlightGuard::begin(&state);
-    let outcome = match HelpGuard::begin(&state) {
+    let outcome = match CountGuard::begin_within(&state, |state| &state.helping, MAX_HELPING) {
         Some(_helping) => help(&state, request).await,
         None => Err(RefusalMessage::Overloaded),
     };
