--- a/dahliawood-testkit/src/keyspace/mod.rs
+++ b/dahliawood-testkit/src/keyspace/mod.rs
@@ -1,6 +1,8 @@
 //! A stand-in for the users' metadata store: keys with revisions, leases and watches over the
 //! store's published HTTP protocol, with faults.
 
+mod state;
+
 use crate::serving;
 use async_std::net::TcpStream;
 use async_std::task;
@@ -12,7 +14,8 @@
 use dahliawood_wire::raw::write;
 use futures::io::AsyncWriteExt;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, VecDeque};
+use state::StoreState;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -25,8 +28,6 @@
 const RENEW_PATH: &str = "/api/kv-keep/";
 /// Prefix of the keys that operators write.
 const OPERATORS_PREFIX: &str = "op/";
-/// Bytes of values after which a page ends.
-const PAGE_BYTES: usize = 1_000_000;
 /// Bytes of a response that are written at a time.
 const WRITE_BYTES: usize = 8 * 1024;
 /// Upper bound on the head and on the body of a request, bytes.
@@ -58,31 +59,6 @@
     All,
 }
 
-#[derive(Clone, Debug)]
-struct StoredItem {
-    value: String,
-    revision: u64,
-    lease: u64,
-}
-
-#[derive(Clone, Debug, Default)]
-struct StoreState {
-    items: BTreeMap<String, StoredItem>,
-    /// All changes since the last compaction, in order: key, revision, and whether the key was
-    /// removed.
-    history: Vec<(String, u64, bool)>,
-    /// The revision up to which compaction dropped the history.
-    compacted_revision: u64,
-    revision: u64,
-    /// Leases by id: time to live, and when the lease expires.
-    leases: BTreeMap<u64, (Duration, Instant)>,
-    last_lease: u64,
-    calls: u64,
-    epoch: u64,
-    /// The copy to which [`KeyspaceStore::restore`] returns.
-    copy: Option<Box<StoreState>>,
-}
-
 /// A running store; clones share its state.
 #[derive(Clone, Debug)]
 pub struct KeyspaceStore {
@@ -397,7 +373,7 @@
             let is_met = item.map_or(0, |item| item.revision) == condition["revision"];
             (
                 is_met,
-                item.map(|item| item_body(key, item, &|_, stored| stored.to_owned())),
+                item.map(|item| state::item_body(key, item, &|_, stored| stored.to_owned())),
             )
         });
         let found: Vec<(bool, Option<Value>)> = found.collect();
@@ -441,107 +417,3 @@
         (200, "{}".to_owned())
     }
 }
-
-impl StoreState {
-    fn grant(&mut self, ttl: Duration) -> u64 {
-        self.last_lease += 1;
-        let lease = (ttl, Instant::now() + ttl);
-        self.leases.insert(self.last_lease, lease);
-        self.last_lease
-    }
-
-    /// Renews a lease for its time to live; returns `false` where the lease does not exist.
-    fn renew(&mut self, id: u64) -> bool {
-        let lease = self.leases.get_mut(&id);
-        lease.is_some_and(|(ttl, until)| {
-            *until = Instant::now() + *ttl;
-            true
-        })
-    }
-
-    /// Removes a lease and all its keys.
-    fn revoke(&mut self, id: u64) {
-        self.leases.remove(&id);
-        let attached = self.items.iter().filter(|(_, item)| item.lease == id);
-        let keys: Vec<String> = attached.map(|(key, _)| key.clone()).collect();
-        keys.iter().for_each(|key| self.remove(key));
-    }
-
-    /// Removes the leases that have expired, and their keys.
-    fn expire(&mut self) {
-        let now = Instant::now();
-        let expired = self.leases.iter().filter(|(_, (_, until))| *until <= now);
-        let expired: Vec<u64> = expired.map(|(id, _)| *id).collect();
-        expired.into_iter().for_each(|id| self.revoke(id));
-    }
-
-    fn put(&mut self, key: &str, value: String, lease: u64) {
-        self.revision += 1;
-        let revision = self.revision;
-        let item = StoredItem {
-            value,
-            revision,
-            lease,
-        };
-        self.items.insert(key.to_owned(), item);
-        self.history.push((key.to_owned(), revision, false));
-    }
-
-    fn remove(&mut self, key: &str) {
-        if self.items.remove(key).is_some() {
-            self.revision += 1;
-            self.history.push((key.to_owned(), self.revision, true));
-        }
-    }
-
-    /// A page of at most `most` keys under a prefix, from the one after `after` on.
-    fn range(
-        &self,
-        prefix: &str,
-        after: &str,
-        most: usize,
-        read_value: &dyn Fn(&str, &str) -> String,
-    ) -> Value {
-        let items = self.items.iter();
-        let mut items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-        let mut page: Vec<Value> = Vec::new();
-        let mut bytes = 0;
-        while bytes < PAGE_BYTES
-            && page.len() < most
-            && let Some((key, item)) = items.next()
-        {
-            bytes += item.value.len();
-            page.push(item_body(key, item, read_value));
-        }
-        let has_more = items.next().is_some();
-        json!({"items": page, "more_pages": has_more, "store_revision": self.revision})
-    }
-
-    fn events(
-        &self,
-        prefix: &str,
-        after: u64,
-        read_value: &dyn Fn(&str, &str) -> String,
-    ) -> Vec<Value> {
-        let newer = self
-            .history
-            .iter()
-            .filter(|(key, revision, _)| *revision > after && key.starts_with(prefix));
-        let event = |(key, revision, is_removed): &(String, u64, bool)| match self.items.get(key) {
-            Some(item) if !is_removed && item.revision == *revision => {
-                Some(item_body(key, item, read_value))
-            }
-            _ if *is_removed => Some(json!({"key": key, "revision": revision, "tombstone": true})),
-            _ => None,
-        };
-        newer.filter_map(event).collect()
-    }
-}
-
-fn item_body(key: &str, item: &StoredItem, read_value: &dyn Fn(&str, &str) -> String) -> Value {
-    let (revision, lease) = (item.revision, item.lease);
-    json!({
-        "key": key, "value": read_value(key, &item.value), "revision": revision,
-        "create_rev": revision, "lease": lease,
-    })
-}
