--- a/dahliawood-peer/src/server/drain/mod.rs
+++ b/dahliawood-peer/src/server/drain/mod.rs
@@ -23,6 +23,9 @@
 
 /// How often a connection that is being ended checks whether its responses were written.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Checks in a row that must find nothing to be written: the RPC system takes several turns from the end of
+/// a call to its response.
+const QUIET_CHECKS: u32 = 5;
 
 /// Ends the connections of a server; clones share their state.
 #[derive(Clone, Debug)]
@@ -121,8 +124,13 @@
     let system = RpcSystem::new(Box::new(network), Some(client)).map(|_| ());
     let written = pin!(async {
         let _closed = drain.started.1.recv().await;
-        while is_blocked.get() {
+        let mut quiet_checks = 0;
+        while quiet_checks < QUIET_CHECKS {
             task::sleep(CHECK_INTERVAL).await;
+            quiet_checks = match is_blocked.get() {
+                true => 0,
+                false => quiet_checks + 1,
+            };
         }
     });
     let Either::Right(((), system)) = future::select(system, written).await else {
